--- /dev/null
+++ b/lib/api/api.h
@@ -0,0 +1,97 @@
+/*
+ * JSON bodies of the external interface (docs/INTERFACE.md): checked typed
+ * structs from request bodies, and reply bodies from the agreed state. Pure.
+ *
+ * Parsers return false with ERR_INVALID; the message names every faulty key,
+ * what was found and what is allowed. Unknown keys are faults, except in the
+ * bodies that workers send, where they are passed over.
+ */
+#ifndef API_H
+#define API_H
+
+#include "cell.h"
+
+/* One attempt in a worker's announcement or heartbeat. */
+struct api_attempt {
+	uint64_t job;
+	uint32_t task;
+	uint32_t attempt;
+	int64_t millicpus; /* in use; -1: not told */
+	int64_t memory; /* bytes in use; -1: not told */
+};
+
+/* An attempt's end, from a heartbeat or POST /v1/tasks/ID/ATTEMPT/end. */
+struct api_end {
+	uint64_t job;
+	uint32_t task;
+	uint32_t attempt;
+	char *worker;
+	uint64_t epoch;
+	enum cell_end how; /* END_DONE, END_FAILED or END_STOPPED */
+	GBytes *result; /* JSON text; NULL when absent */
+};
+
+/* POST /v1/workers. A heartbeat may leave out all but name, incarnation. */
+struct api_worker {
+	struct cell_worker worker; /* name to connections are filled in */
+	bool full; /* all keys of an announcement are there */
+	uint64_t epoch; /* that the worker holds; 0: none yet */
+	bool has_running;
+	GArray *running; /* struct api_attempt */
+	GArray *ended; /* struct api_end */
+};
+
+/* PUT /v1/config. */
+struct api_config {
+	uint64_t version;
+	char *author; /* "author" key or ""; who is shown to others */
+	char *base;
+	GArray *overlays; /* struct cell_overlay, by site */
+};
+
+/* POST /v1/jobs/cancel. */
+struct api_cancel {
+	char *team;
+	char *name_prefix;
+};
+
+bool api_parse_job(
+    const void *body, size_t len, struct cell_spec *spec, GError **err);
+bool api_parse_worker(
+    const void *body, size_t len, struct api_worker *w, GError **err);
+void api_worker_clear(struct api_worker *w);
+bool
+api_parse_end(const void *body, size_t len, struct api_end *end, GError **err);
+void api_end_clear(struct api_end *end);
+bool api_parse_config(
+    const void *body, size_t len, struct api_config *config, GError **err);
+void api_config_clear(struct api_config *config);
+bool api_parse_cancel(
+    const void *body, size_t len, struct api_cancel *cancel, GError **err);
+void api_cancel_clear(struct api_cancel *cancel);
+
+/* Task ids as callers and workers see them: "JOB.TASK", decimal. */
+bool api_parse_task_id(const char *id, uint64_t *job, uint32_t *task);
+bool api_parse_u64(const char *text, uint64_t *value);
+
+/* {"outcome":..., "reason":..., "message":...}; reason NULL leaves both out. */
+char *api_reply(enum outcome outcome, const char *reason, const char *message);
+
+/*
+ * GET /v1/jobs/ID: outcome, job, team, name, kind, state, tasks (state,
+ * attempt, worker of each), reason while pending, and once ended results:
+ * [{task, attempt, status, result}].
+ */
+char *api_job(const struct cell *c, const struct cell_job *job,
+    const char *waiting_reason, const char *waiting_message);
+
+/* GET /v1/workers, /v1/teams and the body of GET /v1/config. */
+char *api_workers(const struct cell *c);
+char *api_teams(const struct cell *c);
+char *api_config(const struct cell *c);
+
+/* The body of POST /tasks to a worker. */
+char *api_start_order(const struct cell_job *job, uint32_t task, uint64_t epoch,
+    int64_t lease_ms);
+
+#endif
