--- /dev/null
+++ b/lib/config/config.c
@@ -0,0 +1,382 @@
+#include <string.h>
+
+#include "config.h"
+#include "node.h"
+#include "rules.h"
+
+#define LEASE_HEARTBEATS 3 /* a lease outlives two lost heartbeats */
+#define BASE_FILE "base.yaml"
+
+static const struct config_policy default_policy = {
+	.favour = FAVOUR_WAITING,
+	.heartbeat_ms = 1000,
+	.suspect_ms = 2500,
+	.lease_ms = { [KIND_SERVICE] = 300000,
+	    [KIND_BATCH] = 10000,
+	    [KIND_GANG] = 10000 },
+	.stalled_ms = { [KIND_SERVICE] = 60000,
+	    [KIND_BATCH] = 3600000,
+	    [KIND_GANG] = 3600000 },
+	.stalled_urgent_ms = 5000,
+	.retries = 3,
+	.key_retention_s = 86400,
+	.job_retention_s = 3600,
+	.grant_min_percent = 100,
+	.grant_max_percent = 100,
+	.pending_max = 10000,
+};
+
+static const struct config_service default_service = {
+	.tasks = 1,
+	.spread = SPREAD_RACK,
+	.call_timeout_ms = 30000,
+};
+
+static void
+fault_free(void *p)
+{
+	struct config_fault *f = p;
+
+	g_free(f->file);
+	g_free(f->key);
+	g_free(f->found);
+	g_free(f->allowed);
+	g_free(f);
+}
+
+GPtrArray *
+config_faults_new(void)
+{
+	return g_ptr_array_new_with_free_func(fault_free);
+}
+
+char *
+config_fault_line(const struct config_fault *fault)
+{
+	return g_strdup_printf("%s:%d: %s%sfound %s, allowed %s", fault->file,
+	    fault->line, fault->key, *fault->key == '\0' ? "" : ": ",
+	    fault->found, fault->allowed);
+}
+
+static void
+team_free(void *p)
+{
+	struct config_team *t = p;
+
+	g_free(t->name);
+	g_free(t);
+}
+
+static void
+service_free(void *p)
+{
+	struct config_service *s = p;
+
+	g_free(s->name);
+	g_free(s->team);
+	g_free(s->payload);
+	g_ptr_array_unref(s->data_centers);
+	g_free(s);
+}
+
+struct config *
+config_default(void)
+{
+	struct config *c = g_new0(struct config, 1);
+
+	c->refs = 1;
+	c->policy = default_policy;
+	c->teams = g_ptr_array_new_with_free_func(team_free);
+	c->services = g_ptr_array_new_with_free_func(service_free);
+	return c;
+}
+
+struct config *
+config_ref(struct config *c)
+{
+	c->refs++;
+	return c;
+}
+
+void
+config_unref(struct config *c)
+{
+	if (c == NULL || --c->refs > 0)
+		return;
+	g_ptr_array_unref(c->teams);
+	g_ptr_array_unref(c->services);
+	g_free(c);
+}
+
+/* Both tables' structs begin with their name. */
+static int
+by_name(const void *a, const void *b)
+{
+	const char *const *x = *(const char *const *const *)a;
+	const char *const *y = *(const char *const *const *)b;
+
+	return strcmp(*x, *y);
+}
+
+static void
+read_teams(struct config *c, const struct node *teams)
+{
+	for (guint i = 0; teams != NULL && i < teams->entries->len; i++) {
+		const struct node_entry *e = teams->entries->pdata[i];
+		struct config_team *t = g_new0(struct config_team, 1);
+
+		t->name = g_strdup(e->key);
+		t->weight = 1;
+		rules_read(e->value, team_rules, t);
+		g_ptr_array_add(c->teams, t);
+	}
+	g_ptr_array_sort(c->teams, by_name);
+}
+
+static void
+read_services(struct config *c, const struct node *services)
+{
+	for (guint i = 0; services != NULL && i < services->entries->len; i++) {
+		const struct node_entry *e = services->entries->pdata[i];
+		struct config_service *s = g_new0(struct config_service, 1);
+
+		*s = default_service;
+		s->name = g_strdup(e->key);
+		s->data_centers = g_ptr_array_new_with_free_func(g_free);
+		rules_read(e->value, service_rules, s);
+		g_ptr_array_add(c->services, s);
+	}
+	g_ptr_array_sort(c->services, by_name);
+}
+
+/* A mapping of the merged tree, or NULL if it is absent or no mapping. */
+static const struct node *
+section(const struct node *root, const char *key)
+{
+	const struct node *n = node_get(root, key);
+
+	return n != NULL && n->type == NODE_MAP ? n : NULL;
+}
+
+static void
+check_services(
+    const struct node *services, const struct node *teams, GPtrArray *faults)
+{
+	for (guint i = 0; services != NULL && i < services->entries->len; i++) {
+		const struct node_entry *e = services->entries->pdata[i];
+		const struct node *team = node_get(e->value, "team");
+		char *path = g_strconcat("services.", e->key, NULL);
+		char *key = g_strconcat(path, ".team", NULL);
+
+		if (!e->value->bad)
+			rules_check_required(
+			    e->value, service_rules, path, faults);
+		if (team != NULL && !team->bad &&
+		    node_get(teams, team->text) == NULL)
+			fault_add(faults, team->file, team->line, key,
+			    node_found(team), g_strdup("a team under teams"));
+		g_free(key);
+		g_free(path);
+	}
+}
+
+/*
+ * Tells that a policy value is out of proportion to another: at the value's
+ * own line, else at the other's. Silent if either has a fault of its own.
+ */
+static void
+tell_policy(const struct node *n, const struct node *other, const char *key,
+    int64_t value, char *allowed, GPtrArray *faults)
+{
+	const struct node *at = n != NULL ? n : other;
+
+	if ((n != NULL && n->bad) || (other != NULL && other->bad)) {
+		g_free(allowed);
+		return;
+	}
+	fault_add(faults, at == NULL ? BASE_FILE : at->file,
+	    at == NULL ? 0 : at->line, key,
+	    g_strdup_printf("%" G_GINT64_FORMAT, value), allowed);
+}
+
+static void
+check_leases(
+    const struct config_policy *p, const struct node *policy, GPtrArray *faults)
+{
+	const struct node *heartbeat = node_get(policy, "heartbeat_ms");
+	const struct node *leases = node_get(policy, "lease_ms");
+	int64_t min = LEASE_HEARTBEATS * p->heartbeat_ms;
+
+	for (int i = 0; i < KIND_COUNT; i++) {
+		char *key = g_strconcat("policy.lease_ms.", kind_name(i), NULL);
+
+		if (p->lease_ms[i] < min)
+			tell_policy(node_get(leases, kind_name(i)), heartbeat,
+			    key, p->lease_ms[i],
+			    g_strdup_printf(
+				"at least %d heartbeats, %" G_GINT64_FORMAT,
+				LEASE_HEARTBEATS, min),
+			    faults);
+		g_free(key);
+	}
+}
+
+static void
+check_policy(
+    const struct config_policy *p, const struct node *policy, GPtrArray *faults)
+{
+	check_leases(p, policy, faults);
+	if (p->suspect_ms <= p->heartbeat_ms)
+		tell_policy(node_get(policy, "suspect_ms"),
+		    node_get(policy, "heartbeat_ms"), "policy.suspect_ms",
+		    p->suspect_ms,
+		    g_strdup_printf("more than heartbeat_ms, %" G_GINT64_FORMAT,
+			p->heartbeat_ms),
+		    faults);
+	if (p->grant_min_percent > p->grant_max_percent)
+		tell_policy(node_get(policy, "grant_min_percent"),
+		    node_get(policy, "grant_max_percent"),
+		    "policy.grant_min_percent", p->grant_min_percent,
+		    g_strdup_printf(
+			"at most grant_max_percent, %" G_GINT64_FORMAT,
+			p->grant_max_percent),
+		    faults);
+}
+
+/* Parses and checks one file by itself; NULL if it gives no tree. */
+static struct node *
+parse_file(const char *file, const struct config_text *text, GPtrArray *faults)
+{
+	struct node *root = node_parse(file, text->text, text->len, faults);
+
+	if (root != NULL)
+		rules_check_file(root, faults);
+	return root;
+}
+
+static bool
+site_valid(const char *site)
+{
+	return *site != '\0' && strlen(site) <= CONFIG_NAME_MAX &&
+	    strspn(site,
+		"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+		"0123456789-._") == strlen(site);
+}
+
+/* Merges one overlay; false if it gives no tree. */
+static bool
+merge_overlay(
+    struct node *whole, const struct config_text *overlay, GPtrArray *faults)
+{
+	char *file = g_strconcat("sites/", overlay->name, ".yaml", NULL);
+	struct node *root = parse_file(file, overlay, faults);
+
+	if (!site_valid(overlay->name))
+		fault_add(faults, "sites", 0, "",
+		    g_strescape(overlay->name, NULL),
+		    g_strdup("1 to 63 letters, digits, '-', '.' and '_' as a "
+			     "site's name"));
+	if (root != NULL && whole != NULL)
+		node_merge(whole, root);
+	node_unref(root);
+	g_free(file);
+	return root != NULL;
+}
+
+/* Reads and checks the merged tree. */
+static struct config *
+read_whole(const struct node *whole, GPtrArray *faults)
+{
+	const struct node *policy = section(whole, "policy");
+	const struct node *teams = section(whole, "teams");
+	const struct node *services = section(whole, "services");
+	struct config *c = config_default();
+
+	if (policy != NULL)
+		rules_read(policy, policy_rules, &c->policy);
+	read_teams(c, teams);
+	read_services(c, services);
+	check_policy(&c->policy, policy, faults);
+	check_services(services, teams, faults);
+	return c;
+}
+
+struct config *
+config_parse(const struct config_text *base, const struct config_text *overlays,
+    size_t count, GPtrArray *faults)
+{
+	guint before = faults->len;
+	struct node *whole = node_map_new(BASE_FILE, 1);
+	struct node *root = parse_file(BASE_FILE, base, faults);
+	struct config *c = NULL;
+	bool all = root != NULL;
+
+	if (root != NULL)
+		node_merge(whole, root);
+	node_unref(root);
+	for (size_t i = 0; i < count; i++)
+		all = merge_overlay(whole, &overlays[i], faults) && all;
+	if (all)
+		c = read_whole(whole, faults);
+	node_unref(whole);
+	if (faults->len == before)
+		return c;
+	config_unref(c);
+	return NULL;
+}
+
+static void
+digest_text(GChecksum *sum, const char *name, const struct config_text *text)
+{
+	char *head = g_strdup_printf("%s\n%zu\n", name, text->len);
+
+	g_checksum_update(sum, (const guchar *)head, -1);
+	g_checksum_update(sum, (const guchar *)text->text, text->len);
+	g_free(head);
+}
+
+char *
+config_digest(const struct config_text *base,
+    const struct config_text *overlays, size_t count)
+{
+	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+	char *digest;
+
+	digest_text(sum, "", base);
+	for (size_t i = 0; i < count; i++)
+		digest_text(sum, overlays[i].name, &overlays[i]);
+	digest = g_strdup(g_checksum_get_string(sum));
+	g_checksum_free(sum);
+	return digest;
+}
+
+const char *
+spread_name(enum spread spread)
+{
+	g_assert(spread <= SPREAD_DATA_CENTER);
+	return spread_words[spread];
+}
+
+bool
+spread_parse(const char *name, enum spread *spread)
+{
+	for (unsigned i = 0; spread_words[i] != NULL; i++) {
+		if (strcmp(name, spread_words[i]) != 0)
+			continue;
+		*spread = i;
+		return true;
+	}
+	return false;
+}
+
+const struct config_team *
+config_team(const struct config *c, const char *name)
+{
+	for (guint i = 0; i < c->teams->len; i++) {
+		const struct config_team *t = c->teams->pdata[i];
+
+		if (strcmp(t->name, name) == 0)
+			return t;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/test/config.cmake
@@ -0,0 +1,1 @@
+bt_test(config_test SOURCES config_test.c DEPENDS config)
