--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -81,6 +81,8 @@
 	uint32_t attempt; /* the last one; from 1; 0: none yet */
 	uint32_t failures;
 	uint32_t worker; /* of the assigned attempt; else 0 */
+	bool ran; /* an ended attempt ran or may have run */
+	bool lost; /* an attempt's end was never learnt */
 	GBytes *result; /* whole, or NULL */
 	int64_t started_ms; /* cell time of the last assignment */
 	int64_t ended_ms;
@@ -109,6 +111,10 @@
 	enum outcome outcome; /* once ended */
 	bool cancelled;
 	bool from_config; /* a service that the configuration declares */
+	bool regroup; /* a gang whose attempts are being stopped; its pending
+			 tasks may not start until all attempts have ended */
+	uint32_t want; /* a service's tasks from this index on are given up;
+			  else spec.tasks */
 	uint32_t open; /* tasks not ended */
 	int64_t submitted_ms;
 	int64_t ended_ms;
@@ -223,6 +229,9 @@
 	/* Tasks first..first+count-1 wait for a worker (again). */
 	void (*pending)(void *arg, const struct cell_job *job, uint32_t first,
 	    uint32_t count);
+	/* No task of the job waits any longer; those that still do are told
+	 * again by pending. */
+	void (*withdrawn)(void *arg, const struct cell_job *job);
 	/* An attempt was assigned: order the start. */
 	void (*assigned)(void *arg, const struct cell_job *job, uint32_t task);
 	/* A start was refused by the cell; its reserved room is free. */
