--- /dev/null
+++ b/test/api.cmake
@@ -0,0 +1,1 @@
+bt_test(api_test SOURCES api_test.c DEPENDS api)
