Libraries for logs, counters, settings, frames and HTTP

Cause: the daemon needs its plumbing. Change: settings from one table for flags and variables with all faults told at once; counters and timers; framed links and a table-driven msgpack codec; an evhttp server and client with bounds. A malformed 6-byte frame made msgpack-c ask for 128 GiB (seen under the address sanitizer in wire_test): pack_sane() now checks claimed counts first.

--- /dev/null
+++ b/lib/httpd/client.c
@@ -0,0 +1,164 @@
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "httpd.h"
+
+struct call {
+	struct http_peer *peer;
+	http_answer *answer;
+	void *arg;
+	const char *why;
+};
+
+struct http_peer {
+	struct evhttp_connection *conn;
+	struct event_base *base;
+	char *host; /* for the Host header: IP:PORT */
+	char *ip;
+	uint16_t port;
+	GQueue calls; /* struct call, unanswered */
+	bool freed;
+	bool busy; /* inside an answer */
+};
+
+static struct evhttp_connection *
+connection(struct http_peer *p)
+{
+	if (p->conn == NULL)
+		p->conn =
+		    evhttp_connection_base_new(p->base, NULL, p->ip, p->port);
+	return p->conn;
+}
+
+struct http_peer *
+http_peer_new(struct event_base *base, const char *address, GError **err)
+{
+	const char *colon = strrchr(address, ':');
+	struct http_peer *p;
+	guint64 port = 0;
+
+	if (colon == NULL ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL)) {
+		g_set_error(err, BT_ERROR, ERR_INVALID,
+		    "address %s is not an IP:PORT", address);
+		return NULL;
+	}
+	p = g_new0(struct http_peer, 1);
+	p->base = base;
+	p->host = g_strdup(address);
+	p->ip = address[0] == '['
+	    ? g_strndup(address + 1, (gsize)(colon - address) - 2)
+	    : g_strndup(address, (gsize)(colon - address));
+	p->port = (uint16_t)port;
+	return p;
+}
+
+/* Frees the peer; evhttp drops the outstanding requests without a call. */
+static void
+destroy(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_peer *p = arg;
+
+	if (p->conn != NULL)
+		evhttp_connection_free(p->conn);
+	g_queue_clear_full(&p->calls, g_free);
+	g_free(p->host);
+	g_free(p->ip);
+	g_free(p);
+}
+
+void
+http_peer_free(struct http_peer *p)
+{
+	if (p == NULL || p->freed)
+		return;
+	p->freed = true;
+	/* Inside an answer evhttp still uses the connection. */
+	if (p->busy)
+		event_base_once(p->base, -1, EV_TIMEOUT, destroy, p, NULL);
+	else
+		destroy(-1, 0, p);
+}
+
+int
+http_peer_outstanding(const struct http_peer *p)
+{
+	return (int)p->calls.length;
+}
+
+static const char *
+error_word(enum evhttp_request_error error)
+{
+	switch (error) {
+	case EVREQ_HTTP_TIMEOUT:
+		return "timeout";
+	case EVREQ_HTTP_EOF:
+		return "connection closed";
+	case EVREQ_HTTP_INVALID_HEADER:
+		return "malformed answer";
+	case EVREQ_HTTP_DATA_TOO_LONG:
+		return "answer too long";
+	default:
+		return "connection failed";
+	}
+}
+
+static void
+on_error(enum evhttp_request_error error, void *arg)
+{
+	struct call *c = arg;
+
+	c->why = error_word(error);
+}
+
+static void
+on_answer(struct evhttp_request *ev, void *arg)
+{
+	struct call *c = arg;
+	struct http_peer *p = c->peer;
+	int status = ev == NULL ? 0 : evhttp_request_get_response_code(ev);
+	struct evbuffer *in =
+	    ev == NULL ? NULL : evhttp_request_get_input_buffer(ev);
+	size_t len = in == NULL ? 0 : evbuffer_get_length(in);
+
+	g_queue_remove(&p->calls, c);
+	if (!p->freed) {
+		p->busy = true;
+		c->answer(c->arg, status,
+		    len == 0 ? NULL : evbuffer_pullup(in, -1), len,
+		    status != 0 ? NULL : c->why);
+		p->busy = false;
+	}
+	g_free(c);
+}
+
+void
+http_send(struct http_peer *p, enum evhttp_cmd_type method, const char *path,
+    const char *const *headers, const void *body, size_t len, int timeout_ms,
+    http_answer *answer, void *arg)
+{
+	struct call *c = g_new0(struct call, 1);
+	struct timeval tv = { timeout_ms / 1000, (timeout_ms % 1000) * 1000 };
+	struct evhttp_connection *conn = connection(p);
+	struct evhttp_request *ev = evhttp_request_new(on_answer, c);
+	struct evkeyvalq *out = evhttp_request_get_output_headers(ev);
+
+	c->peer = p;
+	c->answer = answer;
+	c->arg = arg;
+	c->why = "connection failed";
+	evhttp_request_set_error_cb(ev, on_error);
+	evhttp_connection_set_timeout_tv(conn, &tv);
+	evhttp_add_header(out, "Host", p->host);
+	for (int i = 0; headers != NULL && headers[i] != NULL; i += 2)
+		evhttp_add_header(out, headers[i], headers[i + 1]);
+	if (len > 0) {
+		evhttp_add_header(out, "Content-Type", "application/json");
+		evbuffer_add(evhttp_request_get_output_buffer(ev), body, len);
+	}
+	g_queue_push_tail(&p->calls, c);
+	/* A failure here has answered through on_answer already. */
+	(void)evhttp_make_request(conn, ev, method, path);
+}
--- /dev/null
+++ b/lib/httpd/httpd.c
@@ -0,0 +1,300 @@
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+
+#include "httpd.h"
+
+struct httpd {
+	struct evhttp *http;
+	struct evconnlistener *listener;
+	const struct http_route *routes;
+	size_t count;
+	void *arg;
+	int pending;
+	GHashTable *connections; /* struct evhttp_connection *, open */
+	bool stopping;
+};
+
+static struct http_stats totals;
+
+const struct http_stats *
+http_stats(void)
+{
+	return &totals;
+}
+
+/* Matches one path against a pattern; fills params with copies. */
+static bool
+match(const char *pattern, const char *path, char **param)
+{
+	char **want = g_strsplit(pattern, "/", -1);
+	char **have = g_strsplit(path, "/", -1);
+	bool ok = g_strv_length(want) == g_strv_length(have);
+	int n = 0;
+
+	for (int i = 0; ok && want[i] != NULL; i++) {
+		if (strcmp(want[i], "*") != 0)
+			ok = strcmp(want[i], have[i]) == 0;
+		else if (n < HTTP_PARAMS_MAX && have[i][0] != '\0')
+			param[n++] = g_uri_unescape_string(have[i], NULL);
+		else
+			ok = false;
+	}
+	for (int i = 0; i < n; i++)
+		ok = ok && param[i] != NULL;
+	for (int i = 0; !ok && i < n; i++)
+		g_clear_pointer(&param[i], g_free);
+	g_strfreev(want);
+	g_strfreev(have);
+	return ok;
+}
+
+static const struct http_route *
+find_route(struct httpd *h, struct http_request *req, bool *other_method)
+{
+	*other_method = false;
+	for (size_t i = 0; i < h->count; i++) {
+		const struct http_route *r = &h->routes[i];
+
+		if (!match(r->pattern, req->path, req->param))
+			continue;
+		if (r->method == req->method)
+			return r;
+		*other_method = true;
+		for (int p = 0; p < HTTP_PARAMS_MAX; p++)
+			g_clear_pointer(&req->param[p], g_free);
+	}
+	return NULL;
+}
+
+static size_t
+header_bytes(struct evkeyvalq *headers)
+{
+	struct evkeyval *kv;
+	size_t sum = 0;
+
+	TAILQ_FOREACH(kv, headers, next)
+	sum += strlen(kv->key) + strlen(kv->value) + 4;
+	return sum;
+}
+
+static void
+on_connection_closed(struct evhttp_connection *conn, void *arg)
+{
+	struct httpd *h = arg;
+
+	g_hash_table_remove(h->connections, conn);
+}
+
+/* Counts a connection at its first request; false if there are too many. */
+static bool
+admit(struct httpd *h, struct evhttp_connection *conn)
+{
+	if (g_hash_table_contains(h->connections, conn))
+		return true;
+	if (g_hash_table_size(h->connections) >= HTTP_CONNECTIONS_MAX) {
+		totals.refused++;
+		return false;
+	}
+	g_hash_table_add(h->connections, conn);
+	evhttp_connection_set_closecb(conn, on_connection_closed, h);
+	return true;
+}
+
+static void
+refuse(struct http_request *req, int status, const char *outcome,
+    const char *reason, const char *message)
+{
+	char *json = g_strdup_printf(
+	    "{\"outcome\":\"%s\",\"reason\":\"%s\",\"message\":\"%s\"}",
+	    outcome, reason, message);
+
+	http_reply(req, status, json, status == 503 ? 1 : 0);
+}
+
+static void
+on_request(struct evhttp_request *ev, void *arg)
+{
+	struct httpd *h = arg;
+	struct http_request *req = g_new0(struct http_request, 1);
+	struct evbuffer *in = evhttp_request_get_input_buffer(ev);
+	const char *path =
+	    evhttp_uri_get_path(evhttp_request_get_evhttp_uri(ev));
+	bool other;
+
+	req->ev = ev;
+	req->server = h;
+	req->method = evhttp_request_get_command(ev);
+	req->path = g_strdup(path == NULL ? "" : path);
+	req->body_len = evbuffer_get_length(in);
+	req->body = evbuffer_pullup(in, -1);
+	req->arrived_ms = mono_ms();
+	totals.requests++;
+	totals.bytes_in += req->body_len + strlen(req->path) + 16 +
+	    header_bytes(evhttp_request_get_input_headers(ev));
+	h->pending++;
+	if (!admit(h, evhttp_request_get_connection(ev))) {
+		evhttp_add_header(evhttp_request_get_output_headers(ev),
+		    "Connection", "close");
+		refuse(req, 503, "not-run", "too-many-connections",
+		    "the listener is at its bound of open connections");
+		return;
+	}
+	req->route = find_route(h, req, &other);
+	if (req->route != NULL)
+		req->route->handler(h->arg, req);
+	else if (other)
+		refuse(req, 405, "invalid", "method-not-allowed",
+		    "the path does not take this method");
+	else
+		refuse(req, 404, "invalid", "no-such-path",
+		    "there is nothing at this path");
+}
+
+struct httpd *
+httpd_new(struct event_base *base, const char *address,
+    const struct http_route *routes, size_t count, void *arg, GError **err)
+{
+	struct sockaddr_storage ss;
+	int len = sizeof(ss);
+	struct httpd *h;
+
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&ss, &len)) {
+		g_set_error(err, BT_ERROR, ERR_INVALID,
+		    "address %s is not an IP:PORT", address);
+		return NULL;
+	}
+	h = g_new0(struct httpd, 1);
+	h->routes = routes;
+	h->count = count;
+	h->arg = arg;
+	h->connections = g_hash_table_new(NULL, NULL);
+	h->http = evhttp_new(base);
+	g_assert(h->http != NULL);
+	evhttp_set_max_body_size(h->http, HTTP_BODY_MAX);
+	evhttp_set_max_headers_size(h->http, HTTP_HEADERS_MAX);
+	evhttp_set_timeout(h->http, HTTP_IDLE_S);
+	evhttp_set_allowed_methods(h->http,
+	    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+		EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
+	evhttp_set_gencb(h->http, on_request, h);
+	h->listener = evconnlistener_new_bind(base, NULL, NULL,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+	    256, (struct sockaddr *)&ss, len);
+	if (h->listener == NULL ||
+	    evhttp_bind_listener(h->http, h->listener) == NULL) {
+		g_set_error(err, BT_ERROR, ERR_IO, "can't listen on %s: %s",
+		    address, strerror(errno));
+		if (h->listener != NULL)
+			evconnlistener_free(h->listener);
+		evhttp_free(h->http);
+		g_hash_table_unref(h->connections);
+		g_free(h);
+		return NULL;
+	}
+	return h;
+}
+
+void
+httpd_stop_accepting(struct httpd *h)
+{
+	h->stopping = true;
+	evconnlistener_disable(h->listener);
+}
+
+int
+httpd_pending(const struct httpd *h)
+{
+	return h->pending;
+}
+
+void
+httpd_free(struct httpd *h)
+{
+	if (h == NULL)
+		return;
+	evhttp_free(h->http);
+	g_hash_table_unref(h->connections);
+	g_free(h);
+}
+
+const char *
+http_header(const struct http_request *req, const char *name)
+{
+	return evhttp_find_header(
+	    evhttp_request_get_input_headers(req->ev), name);
+}
+
+char *
+http_query(const struct http_request *req, const char *key)
+{
+	const char *query =
+	    evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req->ev));
+	struct evkeyvalq pairs;
+	char *value;
+
+	if (query == NULL)
+		return NULL;
+	if (evhttp_parse_query_str(query, &pairs) != 0)
+		return NULL;
+	value = g_strdup(evhttp_find_header(&pairs, key));
+	evhttp_clear_headers(&pairs);
+	return value;
+}
+
+static void
+request_free(struct http_request *req)
+{
+	req->server->pending--;
+	for (int i = 0; i < HTTP_PARAMS_MAX; i++)
+		g_free(req->param[i]);
+	g_free(req->path);
+	g_free(req);
+}
+
+static void
+send_reply(struct http_request *req, int status, const char *type, char *text,
+    int retry_after_s)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req->ev);
+	struct evbuffer *out = evbuffer_new();
+	size_t len = strlen(text);
+	char number[24];
+
+	evhttp_add_header(headers, "Content-Type", type);
+	if (retry_after_s > 0) {
+		g_snprintf(number, sizeof(number), "%d", retry_after_s);
+		evhttp_add_header(headers, "Retry-After", number);
+	}
+	if (req->server->stopping)
+		evhttp_add_header(headers, "Connection", "close");
+	evbuffer_add(out, text, len);
+	totals.bytes_out += len + 100;
+	g_free(text);
+	/* Frees the request itself if the caller is gone by now. */
+	evhttp_send_reply(req->ev, status, NULL, out);
+	evbuffer_free(out);
+	request_free(req);
+}
+
+void
+http_reply(struct http_request *req, int status, char *json, int retry_after_s)
+{
+	send_reply(req, status, "application/json", json, retry_after_s);
+}
+
+void
+http_reply_text(
+    struct http_request *req, int status, const char *type, char *text)
+{
+	send_reply(req, status, type, text, 0);
+}
--- /dev/null
+++ b/lib/wire/link.c
@@ -0,0 +1,258 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include "wire.h"
+
+#define LENGTH_BYTES 4
+#define LISTEN_BACKLOG 128
+
+struct link {
+	struct bufferevent *bev;
+	const struct link_ops *ops;
+	void *arg;
+	bool busy; /* inside a callback */
+	bool closed; /* to be freed when the callback returns */
+};
+
+struct listener {
+	struct evconnlistener *ev;
+	void (*fn)(void *arg, evutil_socket_t fd);
+	void *arg;
+};
+
+static struct link_stats totals;
+
+const struct link_stats *
+link_stats(void)
+{
+	return &totals;
+}
+
+static void
+destroy(struct link *l)
+{
+	if (l->bev != NULL)
+		bufferevent_free(l->bev);
+	g_free(l);
+}
+
+/* Ends the link from inside: tells the owner, then frees. */
+static void
+fail(struct link *l, const char *why)
+{
+	if (l->closed)
+		return;
+	l->closed = true;
+	l->ops->down(l->arg, l, why);
+}
+
+/* Hands over one frame if it is whole; false when there is no more. */
+static bool
+take_frame(struct link *l)
+{
+	struct evbuffer *in = bufferevent_get_input(l->bev);
+	uint32_t len;
+
+	if (evbuffer_copyout(in, &len, sizeof(len)) < LENGTH_BYTES)
+		return false;
+	len = ntohl(len);
+	if (len > FRAME_MAX) {
+		fail(l, "a frame is over the size limit");
+		return false;
+	}
+	if (evbuffer_get_length(in) < LENGTH_BYTES + (size_t)len)
+		return false;
+	evbuffer_drain(in, LENGTH_BYTES);
+	totals.frames_in++;
+	totals.bytes_in += LENGTH_BYTES + len;
+	l->ops->frame(l->arg, l, evbuffer_pullup(in, len), len);
+	if (!l->closed)
+		evbuffer_drain(in, len);
+	return !l->closed;
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct link *l = arg;
+
+	l->busy = true;
+	while (take_frame(l))
+		continue;
+	l->busy = false;
+	if (l->closed)
+		destroy(l);
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct link *l = arg;
+	int one = 1;
+
+	l->busy = true;
+	if (what & BEV_EVENT_CONNECTED) {
+		setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY,
+		    &one, sizeof(one));
+		if (l->ops->up != NULL)
+			l->ops->up(l->arg, l);
+	} else if (what & BEV_EVENT_EOF) {
+		fail(l, "closed by the other side");
+	} else {
+		fail(l, evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+	}
+	l->busy = false;
+	if (l->closed)
+		destroy(l);
+}
+
+static struct link *
+link_new(struct event_base *base, evutil_socket_t fd,
+    const struct link_ops *ops, void *arg)
+{
+	struct link *l = g_new0(struct link, 1);
+
+	l->ops = ops;
+	l->arg = arg;
+	l->bev = bufferevent_socket_new(
+	    base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	g_assert(l->bev != NULL);
+	bufferevent_setcb(l->bev, on_read, NULL, on_event, l);
+	bufferevent_enable(l->bev, EV_READ | EV_WRITE);
+	return l;
+}
+
+struct link *
+link_dial(struct event_base *base, const char *address,
+    const struct link_ops *ops, void *arg)
+{
+	struct sockaddr_storage ss;
+	int len = sizeof(ss);
+	struct link *l;
+
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&ss, &len))
+		return NULL;
+	l = link_new(base, -1, ops, arg);
+	if (bufferevent_socket_connect(l->bev, (struct sockaddr *)&ss, len) ==
+	    0)
+		return l;
+	destroy(l);
+	return NULL;
+}
+
+struct link *
+link_accept(struct event_base *base, evutil_socket_t fd,
+    const struct link_ops *ops, void *arg)
+{
+	int one = 1;
+
+	evutil_make_socket_nonblocking(fd);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	return link_new(base, fd, ops, arg);
+}
+
+void
+link_set_arg(struct link *l, void *arg)
+{
+	l->arg = arg;
+}
+
+void *
+link_arg(const struct link *l)
+{
+	return l->arg;
+}
+
+void
+link_send(struct link *l, const void *data, size_t len)
+{
+	struct evbuffer *out = bufferevent_get_output(l->bev);
+	uint32_t length = htonl((uint32_t)len);
+
+	g_assert(len <= FRAME_MAX);
+	if (l->closed)
+		return;
+	if (evbuffer_get_length(out) > LINK_QUEUE_MAX) {
+		/* The other side does not read: make the socket fail, so
+		 * that the owner hears of it from the loop. */
+		shutdown(bufferevent_getfd(l->bev), SHUT_RDWR);
+		return;
+	}
+	totals.frames_out++;
+	totals.bytes_out += LENGTH_BYTES + len;
+	evbuffer_add(out, &length, LENGTH_BYTES);
+	evbuffer_add(out, data, len);
+}
+
+void
+link_send_bytes(struct link *l, GBytes *bytes)
+{
+	size_t len;
+	const void *data = g_bytes_get_data(bytes, &len);
+
+	link_send(l, data, len);
+}
+
+void
+link_close(struct link *l)
+{
+	if (l->closed)
+		return;
+	l->closed = true;
+	if (!l->busy)
+		destroy(l);
+}
+
+static void
+on_accept(struct evconnlistener *ev, evutil_socket_t fd, struct sockaddr *sa,
+    int len, void *arg)
+{
+	struct listener *l = arg;
+
+	l->fn(l->arg, fd);
+}
+
+struct listener *
+listener_new(struct event_base *base, const char *address,
+    void (*fn)(void *arg, evutil_socket_t fd), void *arg, GError **err)
+{
+	struct sockaddr_storage ss;
+	int len = sizeof(ss);
+	struct listener *l;
+
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&ss, &len)) {
+		g_set_error(err, BT_ERROR, ERR_INVALID,
+		    "address %s is not an IP:PORT", address);
+		return NULL;
+	}
+	l = g_new0(struct listener, 1);
+	l->fn = fn;
+	l->arg = arg;
+	l->ev = evconnlistener_new_bind(base, on_accept, l,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+	    LISTEN_BACKLOG, (struct sockaddr *)&ss, len);
+	if (l->ev != NULL)
+		return l;
+	g_set_error(err, BT_ERROR, ERR_IO, "can't listen on %s: %s", address,
+	    strerror(errno));
+	g_free(l);
+	return NULL;
+}
+
+void
+listener_free(struct listener *l)
+{
+	if (l == NULL)
+		return;
+	evconnlistener_free(l->ev);
+	g_free(l);
+}
--- a/test/base_test.c
+++ b/test/base_test.c
@@ -1,4 +1,5 @@
 #include "base.h"
+#include "pack.h"
 
 static void
 test_kind_names(void)
@@ -40,6 +41,26 @@
 	g_assert_cmpuint(rng_below(&a, 3), <, 3);
 }
 
+/* A header that claims more than there is must not pass. */
+static void
+test_pack_sane(void)
+{
+	static const uint8_t deep[] = { 0x91, 0x91, 0x91, 0x91, 0x91, 0x91,
+		0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91, 0x91,
+		0x91, 0x01 };
+
+	g_assert_true(pack_sane("\x92\x01\xa1x", 4));
+	g_assert_true(pack_sane("\x81\x01\xcd\x01\x02", 5));
+	g_assert_true(pack_sane("\xdd\0\0\0\x01\xc0", 6));
+	g_assert_false(pack_sane("\xdd\xff\xff\xff\xff\x01", 6));
+	g_assert_false(pack_sane("\xdf\xff\xff\xff\xff\x01", 6));
+	g_assert_false(pack_sane("\xdb\xff\xff\xff\xff\x01", 6));
+	g_assert_false(pack_sane("\x92\x01", 2));
+	g_assert_false(pack_sane("\x01\x01", 2));
+	g_assert_false(pack_sane("", 0));
+	g_assert_false(pack_sane(deep, sizeof(deep)));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -47,5 +68,6 @@
 	g_test_add_func("/base/kind-names", test_kind_names);
 	g_test_add_func("/base/resources-fit", test_resources_fit);
 	g_test_add_func("/base/rng-repeats", test_rng_repeats);
+	g_test_add_func("/base/pack-sane", test_pack_sane);
 	return g_test_run();
 }
--- /dev/null
+++ b/test/settings.cmake
@@ -0,0 +1,1 @@
+bt_test(settings_test SOURCES settings_test.c DEPENDS settings)
