--- /dev/null
+++ b/lib/raft/election.c
@@ -0,0 +1,199 @@
+/*
+ * Elections: pre-vote, votes, leader stickiness, hand-over.
+ */
+#include <string.h>
+
+#include "core.h"
+
+static void
+timer_reset(struct raft *r)
+{
+	r->elapsed = 0;
+	r->timeout = r->election_ticks +
+	    (int)rng_below(&r->rng, (uint64_t)r->election_ticks);
+}
+
+void
+become_follower(struct raft *r, uint64_t term, uint64_t leader)
+{
+	if (r->role == RAFT_LEADER)
+		leader_stop(r);
+	if (term != r->term) {
+		r->term = term;
+		r->vote = RAFT_NONE;
+		r->verified = 0;
+		r->ack_due = false;
+		r->ack_round = 0;
+		incoming_clear(r);
+	}
+	r->role = RAFT_FOLLOWER;
+	r->leader = leader;
+	timer_reset(r);
+}
+
+/* Notes a vote; one of a non-voter has no effect on the count. */
+static void
+tally_add(struct raft *r, uint64_t id, bool granted)
+{
+	struct tally *t = &r->tally;
+	int i;
+
+	for (i = 0; i < t->count; i++)
+		if (t->id[i] == id)
+			return;
+	if (!members_voter(members_now(r), id) || t->count == RAFT_MEMBERS_MAX)
+		return;
+	t->id[t->count] = id;
+	t->granted[t->count++] = granted;
+}
+
+static int
+tally_count(const struct raft *r, bool granted)
+{
+	int i, n = 0;
+
+	for (i = 0; i < r->tally.count; i++)
+		n += r->tally.granted[i] == granted;
+	return n;
+}
+
+static void
+become_leader(struct raft *r)
+{
+	r->role = RAFT_LEADER;
+	r->leader = r->id;
+	r->elapsed = 0;
+	leader_start(r);
+}
+
+/* Ends the election if it is decided. */
+static void
+tally_decide(struct raft *r)
+{
+	int quorum = members_quorum(members_now(r));
+
+	if (tally_count(r, true) >= quorum) {
+		if (r->role == RAFT_PRECANDIDATE)
+			campaign(r, false, false);
+		else
+			become_leader(r);
+		return;
+	}
+	if (tally_count(r, false) >= quorum)
+		become_follower(r, r->term, RAFT_NONE);
+}
+
+void
+campaign(struct raft *r, bool pre, bool forced)
+{
+	const struct raft_members *members = members_now(r);
+	struct raft_msg *m;
+	int i;
+
+	timer_reset(r);
+	if (r->disabled || !members_voter(members, r->id))
+		return;
+	r->role = pre ? RAFT_PRECANDIDATE : RAFT_CANDIDATE;
+	r->leader = RAFT_NONE;
+	if (!pre) {
+		become_follower(r, r->term + 1, RAFT_NONE);
+		r->role = RAFT_CANDIDATE;
+		r->vote = r->id;
+	}
+	memset(&r->tally, 0, sizeof(r->tally));
+	tally_add(r, r->id, true);
+	for (i = 0; i < members->count; i++) {
+		if (members->member[i].learner ||
+		    members->member[i].id == r->id)
+			continue;
+		m = msg_to(r, pre ? RAFT_MSG_PREVOTE : RAFT_MSG_VOTE,
+		    members->member[i].id);
+		m->term = r->term + (pre ? 1 : 0);
+		m->index = log_last(&r->log);
+		m->log_term = log_last_term(&r->log);
+		m->forced = forced;
+		msg_send_late(r, m);
+	}
+	tally_decide(r);
+}
+
+bool
+leader_alive(const struct raft *r)
+{
+	if (r->role == RAFT_LEADER)
+		return true;
+	return r->leader != RAFT_NONE && r->elapsed < r->election_ticks;
+}
+
+/* Says whether the sender's log holds all that ours may have committed. */
+static bool
+up_to_date(const struct raft *r, const struct raft_msg *m)
+{
+	uint64_t term = log_last_term(&r->log);
+
+	if (m->log_term != term)
+		return m->log_term > term;
+	return m->index >= log_last(&r->log);
+}
+
+void
+on_prevote(struct raft *r, const struct raft_msg *m)
+{
+	struct raft_msg *reply;
+
+	if (m->term > r->term && leader_alive(r))
+		return;
+	reply = msg_to(r, RAFT_MSG_PREVOTE_REPLY, m->from);
+	reply->reject = m->term <= r->term || !up_to_date(r, m);
+	/* A grant speaks of the term asked for; it does not enter it. */
+	if (!reply->reject)
+		reply->term = m->term;
+	msg_send_late(r, reply);
+}
+
+void
+on_vote(struct raft *r, const struct raft_msg *m)
+{
+	struct raft_msg *reply = msg_to(r, RAFT_MSG_VOTE_REPLY, m->from);
+	bool free = r->vote == RAFT_NONE && r->leader == RAFT_NONE;
+
+	reply->reject = !(free || r->vote == m->from) || !up_to_date(r, m);
+	if (!reply->reject) {
+		r->vote = m->from;
+		timer_reset(r);
+	}
+	msg_send_late(r, reply);
+}
+
+void
+on_vote_reply(struct raft *r, const struct raft_msg *m)
+{
+	enum raft_role role =
+	    m->type == RAFT_MSG_VOTE_REPLY ? RAFT_CANDIDATE : RAFT_PRECANDIDATE;
+
+	if (r->role != role)
+		return;
+	tally_add(r, m->from, !m->reject);
+	tally_decide(r);
+}
+
+void
+on_timeout_now(struct raft *r, const struct raft_msg *m)
+{
+	if (r->role == RAFT_FOLLOWER && r->leader == m->from)
+		campaign(r, false, true);
+}
+
+void
+election_tick(struct raft *r)
+{
+	if (++r->elapsed >= r->timeout)
+		campaign(r, true, false);
+}
+
+void
+raft_campaign(struct raft *r)
+{
+	if (r->role != RAFT_LEADER)
+		campaign(r, true, false);
+}
--- /dev/null
+++ b/lib/raft/raft.c
@@ -0,0 +1,381 @@
+/*
+ * The core's outside: making, stepping, ticking and taking.
+ */
+#include "core.h"
+
+static void
+message_free(void *m)
+{
+	raft_msg_free(m);
+}
+
+static GPtrArray *
+messages_new(void)
+{
+	return g_ptr_array_new_with_free_func(message_free);
+}
+
+static GArray *
+contexts_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(uint64_t));
+}
+
+/* Takes over what the disk holds. */
+static void
+load(struct raft *r, const struct raft_conf *conf)
+{
+	struct raft_members members;
+	struct raft_entry *e;
+	uint64_t base = 0, base_term = 0;
+	guint i;
+
+	members = conf->members;
+	if (conf->snapshot != NULL) {
+		r->snapshot = snap_new(conf->snapshot);
+		base = conf->snapshot->index;
+		base_term = conf->snapshot->term;
+		members = conf->snapshot->members;
+	}
+	log_init(&r->log, base, base_term);
+	members_set(r, base, &members);
+	for (i = 0; conf->entries != NULL && i < conf->entries->len; i++) {
+		e = conf->entries->pdata[i];
+		if (e->index <= base)
+			continue;
+		log_append(&r->log, e);
+		if (e->type != RAFT_MEMBERS)
+			continue;
+		if (!raft_members_decode(g_bytes_get_data(e->data, NULL),
+			g_bytes_get_size(e->data), &members))
+			g_error("raft: stored membership is malformed");
+		members_set(r, e->index, &members);
+	}
+	r->log.taken = r->log.stored = log_last(&r->log);
+	r->commit = r->handed = base;
+	r->handed_hard = conf->hard;
+	r->term = conf->hard.term;
+	r->vote = conf->hard.vote;
+	if (log_last_term(&r->log) > r->term) {
+		r->term = log_last_term(&r->log);
+		r->vote = RAFT_NONE;
+	}
+	r->synced_term = conf->hard.term;
+}
+
+struct raft *
+raft_new(const struct raft_conf *conf)
+{
+	struct raft *r = g_new0(struct raft, 1);
+
+	g_assert(conf->id != RAFT_NONE && conf->election_ticks > 0);
+	r->id = conf->id;
+	r->election_ticks = conf->election_ticks;
+	r->heartbeat_ticks = MAX(conf->heartbeat_ticks, 1);
+	r->append_max = MAX(conf->append_max, 1);
+	r->inflight_max = MAX(conf->inflight_max, 1);
+	r->chunk_bytes = MAX(conf->chunk_bytes, 1);
+	r->rng.state = conf->seed;
+	r->now = 1;
+	r->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
+	r->reads = g_array_new(FALSE, FALSE, sizeof(struct read));
+	r->early = messages_new();
+	r->late = messages_new();
+	r->reads_done = contexts_new();
+	r->reads_failed = contexts_new();
+	load(r, conf);
+	become_follower(r, r->term, RAFT_NONE);
+	return r;
+}
+
+void
+raft_free(struct raft *r)
+{
+	if (r == NULL)
+		return;
+	if (r->role == RAFT_LEADER)
+		leader_stop(r);
+	incoming_clear(r);
+	log_clear(&r->log);
+	snap_unref(r->snapshot);
+	snap_unref(r->installed);
+	g_array_unref(r->changes);
+	g_array_unref(r->reads);
+	g_array_unref(r->reads_done);
+	g_array_unref(r->reads_failed);
+	g_ptr_array_unref(r->early);
+	g_ptr_array_unref(r->late);
+	g_free(r);
+}
+
+struct raft_msg *
+msg_to(const struct raft *r, enum raft_msg_type type, uint64_t to)
+{
+	struct raft_msg *m = raft_msg_new(type);
+
+	m->from = r->id;
+	m->to = to;
+	m->term = r->term;
+	return m;
+}
+
+void
+msg_send_late(struct raft *r, struct raft_msg *m)
+{
+	g_ptr_array_add(r->late, m);
+}
+
+void
+msg_send(struct raft *r, struct raft_msg *m)
+{
+	bool synced = r->synced_term == r->term;
+
+	g_ptr_array_add(synced ? r->early : r->late, m);
+}
+
+/* Answers a message of an earlier term, so that its sender catches up. */
+static void
+reply_stale(struct raft *r, const struct raft_msg *m)
+{
+	static const enum raft_msg_type reply_type[RAFT_MSG_COUNT] = {
+		[RAFT_MSG_VOTE] = RAFT_MSG_VOTE_REPLY,
+		[RAFT_MSG_APPEND] = RAFT_MSG_APPEND_REPLY,
+		[RAFT_MSG_SNAPSHOT] = RAFT_MSG_APPEND_REPLY,
+	};
+	struct raft_msg *reply;
+
+	if (reply_type[m->type] == RAFT_MSG_PREVOTE)
+		return;
+	reply = msg_to(r, reply_type[m->type], m->from);
+	reply->reject = true;
+	reply->index = m->index;
+	msg_send_late(r, reply);
+}
+
+/* Takes the sender as this term's leader; false if it can't be. */
+static bool
+follow(struct raft *r, uint64_t leader)
+{
+	if (r->role == RAFT_LEADER)
+		return false;
+	if (r->leader != RAFT_NONE && r->leader != leader)
+		return false;
+	if (r->role != RAFT_FOLLOWER || r->leader != leader)
+		become_follower(r, r->term, leader);
+	r->elapsed = 0;
+	return true;
+}
+
+static bool
+from_leader(const struct raft_msg *m)
+{
+	return m->type == RAFT_MSG_APPEND || m->type == RAFT_MSG_SNAPSHOT;
+}
+
+/* What each message does once its term is ours. */
+static void (*const handlers[RAFT_MSG_COUNT])(
+    struct raft *, const struct raft_msg *) = {
+	[RAFT_MSG_PREVOTE] = on_prevote,
+	[RAFT_MSG_PREVOTE_REPLY] = on_vote_reply,
+	[RAFT_MSG_VOTE] = on_vote,
+	[RAFT_MSG_VOTE_REPLY] = on_vote_reply,
+	[RAFT_MSG_APPEND] = on_append,
+	[RAFT_MSG_APPEND_REPLY] = on_append_reply,
+	[RAFT_MSG_SNAPSHOT] = on_snapshot,
+	[RAFT_MSG_SNAPSHOT_REPLY] = on_snapshot_reply,
+	[RAFT_MSG_TIMEOUT_NOW] = on_timeout_now,
+};
+
+void
+raft_step(struct raft *r, const struct raft_msg *m)
+{
+	bool asked = m->type == RAFT_MSG_PREVOTE_REPLY && !m->reject;
+
+	if (m->to != r->id || m->from == RAFT_NONE || m->from == r->id)
+		return;
+	if (m->type == RAFT_MSG_PREVOTE) {
+		on_prevote(r, m);
+		return;
+	}
+	if (asked) {
+		/* A grant carries the term that a vote would have. */
+		if (m->term == r->term + 1)
+			on_vote_reply(r, m);
+		return;
+	}
+	if (m->term > r->term) {
+		if (m->type == RAFT_MSG_VOTE && !m->forced && leader_alive(r))
+			return;
+		become_follower(r, m->term, RAFT_NONE);
+	}
+	if (m->term < r->term) {
+		reply_stale(r, m);
+		return;
+	}
+	if (from_leader(m) && !follow(r, m->from))
+		return;
+	handlers[m->type](r, m);
+}
+
+void
+raft_tick(struct raft *r)
+{
+	r->now++;
+	if (r->role == RAFT_LEADER)
+		leader_tick(r);
+	else
+		election_tick(r);
+}
+
+uint64_t
+raft_propose(struct raft *r, GBytes *data)
+{
+	if (r->role != RAFT_LEADER || r->transfer != RAFT_NONE)
+		return 0;
+	append_local(r, RAFT_DATA, data);
+	return log_last(&r->log);
+}
+
+void
+raft_disable(struct raft *r)
+{
+	r->disabled = true;
+	if (r->role != RAFT_FOLLOWER)
+		become_follower(r, r->term, RAFT_NONE);
+}
+
+void
+raft_stored(struct raft *r, uint64_t index, uint64_t term)
+{
+	uint64_t hard_term = log_stored(&r->log, index, term);
+
+	r->synced_term = MAX(r->synced_term, hard_term);
+	if (r->role == RAFT_LEADER)
+		commit_by_count(r);
+	else
+		ack_stored(r);
+}
+
+static GPtrArray *
+take_committed(struct raft *r)
+{
+	GPtrArray *out =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)raft_entry_unref);
+
+	while (r->handed < r->commit)
+		g_ptr_array_add(
+		    out, raft_entry_ref(log_at(&r->log, ++r->handed)));
+	return out;
+}
+
+void
+raft_take(struct raft *r, struct raft_out *out)
+{
+	leader_flush(r);
+	*out = (struct raft_out){
+		.hard = { .term = r->term, .vote = r->vote },
+		.entries = log_take(&r->log, r->term, r->installed != NULL),
+		.early = r->early,
+		.late = r->late,
+		.committed = take_committed(r),
+		.reads = r->reads_done,
+		.read_index = r->commit,
+		.reads_failed = r->reads_failed,
+	};
+	out->hard_changed =
+	    r->handed_hard.term != r->term || r->handed_hard.vote != r->vote;
+	r->handed_hard = out->hard;
+	if (r->installed != NULL)
+		out->snapshot = snapshot_copy(&r->installed->s);
+	snap_unref(r->installed);
+	r->installed = NULL;
+	r->early = messages_new();
+	r->late = messages_new();
+	r->reads_done = contexts_new();
+	r->reads_failed = contexts_new();
+}
+
+void
+raft_out_clear(struct raft_out *out)
+{
+	g_clear_pointer(&out->entries, g_ptr_array_unref);
+	g_clear_pointer(&out->early, g_ptr_array_unref);
+	g_clear_pointer(&out->late, g_ptr_array_unref);
+	g_clear_pointer(&out->committed, g_ptr_array_unref);
+	g_clear_pointer(&out->reads, g_array_unref);
+	g_clear_pointer(&out->reads_failed, g_array_unref);
+	raft_snapshot_free(out->snapshot);
+	*out = (struct raft_out){ 0 };
+}
+
+bool
+raft_out_empty(const struct raft_out *out)
+{
+	return !out->hard_changed && out->entries->len == 0 &&
+	    out->early->len == 0 && out->late->len == 0 &&
+	    out->committed->len == 0 && out->snapshot == NULL &&
+	    out->reads->len == 0 && out->reads_failed->len == 0;
+}
+
+enum raft_role
+raft_role(const struct raft *r)
+{
+	return r->role;
+}
+
+uint64_t
+raft_term(const struct raft *r)
+{
+	return r->term;
+}
+
+uint64_t
+raft_leader(const struct raft *r)
+{
+	return r->leader;
+}
+
+uint64_t
+raft_last_index(const struct raft *r)
+{
+	return log_last(&r->log);
+}
+
+uint64_t
+raft_first_index(const struct raft *r)
+{
+	return r->log.base + 1;
+}
+
+uint64_t
+raft_commit(const struct raft *r)
+{
+	return r->commit;
+}
+
+bool
+raft_settled(const struct raft *r)
+{
+	return r->role == RAFT_LEADER && r->commit >= r->term_start;
+}
+
+const struct raft_members *
+raft_members(const struct raft *r)
+{
+	return members_now(r);
+}
+
+uint64_t
+raft_match(const struct raft *r, uint64_t id)
+{
+	int i;
+
+	if (r->role != RAFT_LEADER)
+		return 0;
+	if (id == r->id)
+		return r->log.stored;
+	for (i = 0; i < r->peer_count; i++)
+		if (r->peers[i].id == id)
+			return r->peers[i].match;
+	return 0;
+}
--- a/lib/raft/raft.h
+++ b/lib/raft/raft.h
@@ -118,7 +118,9 @@
  * What one raft_take() gives. The caller, in this order: sends early; stores
  * snapshot, then hard and entries (an entry at an index that the log already
  * has replaces it and all after it), syncs, calls raft_stored(); then sends
- * late. Committed entries may be applied at any time, in order.
+ * late. Late messages wait for the sync of this and all earlier takes, also
+ * when this one has nothing to store. Committed entries may be applied at
+ * any time, in order. The arrays are never NULL.
  */
 struct raft_out {
 	bool hard_changed;
@@ -127,7 +129,10 @@
 	GPtrArray *early; /* struct raft_msg, may be sent at once */
 	GPtrArray *late; /* struct raft_msg, after the sync */
 	GPtrArray *committed; /* struct raft_entry to apply */
-	struct raft_snapshot *snapshot; /* to store and restore from; or NULL */
+	struct raft_snapshot *snapshot; /* to store and restore from; or NULL.
+					   Stored entries after it are void
+					   unless the one at its index has its
+					   term */
 	GArray *reads; /* uint64_t contexts of raft_read() now confirmed:
 			  answer once applied reaches read_index */
 	uint64_t read_index;
@@ -180,12 +185,18 @@
 void raft_out_clear(struct raft_out *out);
 bool raft_out_empty(const struct raft_out *out);
 
-/* Says that all stored entries up to index, of that term, are synced. */
+/*
+ * Says that a take is synced whose last entry has this index and term. Called
+ * once for each take that had entries, in their order; after one that had
+ * only a snapshot, with the snapshot's index and term.
+ */
 void raft_stored(struct raft *r, uint64_t index, uint64_t term);
 
 /*
  * Gives the core a snapshot of the applied state; entries up to its index,
- * less keep of them for followers that lag, are dropped from memory.
+ * less keep of them for followers that lag, are dropped from memory. The core
+ * takes term and members from its own log (raft_members_at()). A snapshot
+ * older than the last one has no effect.
  */
 void raft_compact(
     struct raft *r, const struct raft_snapshot *snapshot, uint64_t keep);
@@ -199,6 +210,12 @@
 /* Says whether this leader has committed an entry of its own term. */
 bool raft_settled(const struct raft *r);
 const struct raft_members *raft_members(const struct raft *r);
+/*
+ * Gives the membership in force at an index that is not compacted, as a
+ * snapshot up to it must carry it.
+ */
+void raft_members_at(
+    const struct raft *r, uint64_t index, struct raft_members *members);
 /* On a leader: highest index known stored at member id; 0 elsewhere. */
 uint64_t raft_match(const struct raft *r, uint64_t id);
 
--- /dev/null
+++ b/lib/raft/snapshot.c
@@ -0,0 +1,235 @@
+/*
+ * Snapshots: sending in chunks, receiving, installing, log compaction.
+ */
+#include "core.h"
+
+/* Heartbeats without an answer after which a chunk is sent again. */
+#define CHUNK_RESEND_BEATS 3
+
+struct raft_snapshot *
+snapshot_copy(const struct raft_snapshot *s)
+{
+	struct raft_snapshot *copy = g_new0(struct raft_snapshot, 1);
+
+	*copy = *s;
+	g_bytes_ref(copy->data);
+	return copy;
+}
+
+void
+raft_snapshot_free(struct raft_snapshot *s)
+{
+	if (s == NULL)
+		return;
+	g_bytes_unref(s->data);
+	g_free(s);
+}
+
+struct snap *
+snap_new(const struct raft_snapshot *s)
+{
+	struct snap *snap = g_new0(struct snap, 1);
+
+	snap->s = *s;
+	g_bytes_ref(snap->s.data);
+	snap->refs = 1;
+	return snap;
+}
+
+struct snap *
+snap_ref(struct snap *s)
+{
+	s->refs++;
+	return s;
+}
+
+void
+snap_unref(struct snap *s)
+{
+	if (s == NULL || --s->refs > 0)
+		return;
+	g_bytes_unref(s->s.data);
+	g_free(s);
+}
+
+void
+incoming_clear(struct raft *r)
+{
+	if (r->incoming.data != NULL)
+		g_byte_array_unref(r->incoming.data);
+	r->incoming = (struct incoming){ 0 };
+}
+
+bool
+peer_send_chunk(struct raft *r, struct peer *p)
+{
+	struct raft_msg *m;
+	size_t size, n;
+
+	/* A silent member gets heartbeats until it answers. */
+	if (r->now - p->heard >= (uint64_t)r->election_ticks)
+		return false;
+	if (p->state != PEER_SNAPSHOT) {
+		p->state = PEER_SNAPSHOT;
+		p->snap = snap_ref(r->snapshot);
+		p->offset = 0;
+		p->chunk_at = 0;
+		p->window_count = 0;
+	}
+	if (p->chunk_at != 0 &&
+	    r->now - p->chunk_at <
+		(uint64_t)(CHUNK_RESEND_BEATS * r->heartbeat_ticks))
+		return false;
+	p->chunk_at = r->now;
+	size = g_bytes_get_size(p->snap->s.data);
+	n = MIN(size - p->offset, r->chunk_bytes);
+	m = msg_to(r, RAFT_MSG_SNAPSHOT, p->id);
+	m->index = p->snap->s.index;
+	m->log_term = p->snap->s.term;
+	m->members = p->snap->s.members;
+	m->context = r->round;
+	m->offset = p->offset;
+	m->total = size;
+	m->chunk = g_bytes_new_from_bytes(p->snap->s.data, p->offset, n);
+	msg_send(r, m);
+	return true;
+}
+
+void
+on_snapshot_reply(struct raft *r, const struct raft_msg *m)
+{
+	struct peer *p = r->role == RAFT_LEADER ? peer_find(r, m->from) : NULL;
+
+	if (p == NULL)
+		return;
+	p->heard = r->now;
+	p->round = MAX(p->round, MIN(m->context, r->round));
+	if (p->state != PEER_SNAPSHOT || m->index != p->snap->s.index ||
+	    m->log_term != p->snap->s.term || m->commit > log_last(&r->log))
+		return;
+	p->match = MAX(p->match, m->commit);
+	if (p->match >= m->index) {
+		peer_stream(p);
+		commit_by_count(r);
+		return;
+	}
+	if (m->hint > g_bytes_get_size(p->snap->s.data) || m->hint == p->offset)
+		return;
+	p->offset = m->hint;
+	p->chunk_at = 0;
+}
+
+/* Answers a chunk: what is wanted next, and what is stored. */
+static void
+reply_chunk(struct raft *r, const struct raft_msg *m, uint64_t want)
+{
+	struct raft_msg *reply = msg_to(r, RAFT_MSG_SNAPSHOT_REPLY, m->from);
+
+	reply->index = m->index;
+	reply->log_term = m->log_term;
+	reply->hint = want;
+	reply->context = m->context;
+	if (r->verified >= m->index)
+		reply->commit = MIN(r->verified, r->log.stored);
+	msg_send(r, reply);
+}
+
+static void
+install(struct raft *r)
+{
+	struct raft_snapshot s = {
+		.index = r->incoming.index,
+		.term = r->incoming.log_term,
+		.members = r->incoming.members,
+	};
+
+	s.data = g_byte_array_free_to_bytes(r->incoming.data);
+	r->incoming.data = NULL;
+	incoming_clear(r);
+	snap_unref(r->snapshot);
+	r->snapshot = snap_new(&s);
+	g_bytes_unref(s.data);
+	snap_unref(r->installed);
+	r->installed = snap_ref(r->snapshot);
+	log_reset(&r->log, s.index, s.term);
+	g_array_set_size(r->changes, 0);
+	members_set(r, s.index, &s.members);
+	r->commit = r->handed = r->verified = s.index;
+	r->ack_due = false;
+	/* Nothing may be said early until this snapshot is synced. */
+	r->synced_term = 0;
+}
+
+/* Adds a chunk to the one being received; returns the offset wanted next. */
+static uint64_t
+receive(struct raft *r, const struct raft_msg *m)
+{
+	struct incoming *in = &r->incoming;
+	size_t size = m->chunk == NULL ? 0 : g_bytes_get_size(m->chunk);
+
+	if (in->data == NULL || in->from != m->from || in->term != m->term ||
+	    in->index != m->index || in->log_term != m->log_term ||
+	    in->total != m->total) {
+		if (m->offset != 0)
+			return 0;
+		incoming_clear(r);
+		*in = (struct incoming){
+			.from = m->from,
+			.term = m->term,
+			.index = m->index,
+			.log_term = m->log_term,
+			.total = m->total,
+			.members = m->members,
+			.data = g_byte_array_new(),
+		};
+	}
+	if (m->offset == in->data->len && size <= in->total - m->offset &&
+	    size > 0)
+		g_byte_array_append(
+		    in->data, g_bytes_get_data(m->chunk, NULL), (guint)size);
+	return in->data->len;
+}
+
+void
+on_snapshot(struct raft *r, const struct raft_msg *m)
+{
+	uint64_t term, want;
+
+	if (m->members.count == 0 || m->log_term > m->term)
+		return;
+	if (m->index <= r->commit) {
+		r->verified = MAX(r->verified, r->commit);
+		reply_chunk(r, m, m->total);
+		return;
+	}
+	if (log_term(&r->log, m->index, &term) && term == m->log_term) {
+		/* The log holds it all: the snapshot only commits it. */
+		r->verified = MAX(r->verified, m->index);
+		r->ack_due = r->verified > r->log.stored;
+		commit_to(r, m->index);
+		reply_chunk(r, m, m->total);
+		return;
+	}
+	want = receive(r, m);
+	if (r->incoming.data != NULL && want == m->total)
+		install(r);
+	reply_chunk(r, m, want);
+}
+
+void
+raft_compact(
+    struct raft *r, const struct raft_snapshot *snapshot, uint64_t keep)
+{
+	struct raft_snapshot s = *snapshot;
+
+	if (r->snapshot != NULL && s.index <= r->snapshot->s.index)
+		return;
+	if (s.index > r->handed || !log_term(&r->log, s.index, &s.term))
+		return;
+	raft_members_at(r, s.index, &s.members);
+	snap_unref(r->snapshot);
+	r->snapshot = snap_new(&s);
+	members_prune(r, s.index);
+	if (s.index > keep)
+		log_compact(&r->log, s.index - keep);
+}
