--- a/lib/raft/codec.c
+++ b/lib/raft/codec.c
@@ -169,9 +169,9 @@
 buffer_finish(msgpack_sbuffer *buffer)
 {
 	size_t size = buffer->size;
+	char *data = msgpack_sbuffer_release(buffer);
 
-	return g_bytes_new_with_free_func(
-	    buffer->data, size, free, msgpack_sbuffer_release(buffer));
+	return g_bytes_new_with_free_func(data, size, free, data);
 }
 
 GBytes *
--- /dev/null
+++ b/test/raft_cluster.c
@@ -0,0 +1,625 @@
+#include <string.h>
+
+#include "raft_cluster.h"
+
+#define FILLER_MAX 150 /* bytes, so that snapshots take several chunks */
+
+/* What an entry of one index and term must hold on every replica. */
+struct content {
+	uint64_t index;
+	uint64_t term;
+	uint64_t prev_term;
+	uint64_t hash;
+};
+
+/* Who leads a term. */
+struct reign {
+	uint64_t term;
+	uint64_t id;
+	uint64_t life;
+};
+
+void
+cluster_broken(const struct cluster *c, const char *what)
+{
+	g_error("%s; replay: RAFT_SEED=%" G_GUINT64_FORMAT
+		" RAFT_SCHEDULES=1 (step %" G_GUINT64_FORMAT ")",
+	    what, c->seed, c->step);
+}
+
+static void
+check(const struct cluster *c, bool holds, const char *what)
+{
+	if (!holds)
+		cluster_broken(c, what);
+}
+
+static guint
+content_hash(gconstpointer p)
+{
+	const struct content *k = p;
+
+	return (guint)(k->index * 31 + k->term);
+}
+
+static gboolean
+content_equal(gconstpointer a, gconstpointer b)
+{
+	const struct content *x = a, *y = b;
+
+	return x->index == y->index && x->term == y->term;
+}
+
+static uint64_t
+entry_hash(const struct raft_entry *e)
+{
+	return hash64(
+		   g_bytes_get_data(e->data, NULL), g_bytes_get_size(e->data)) +
+	    e->type;
+}
+
+static uint64_t
+chain_next(uint64_t chain, const struct raft_entry *e)
+{
+	uint64_t parts[] = { chain, e->index, e->term, entry_hash(e) };
+
+	return hash64(parts, sizeof(parts));
+}
+
+/* Log matching: one index and term, one content and one predecessor. */
+static void
+check_entry(struct cluster *c, struct node *n, const struct raft_entry *e)
+{
+	struct content *k = g_new0(struct content, 1);
+	const struct content *old;
+
+	*k = (struct content){ e->index, e->term, 0, entry_hash(e) };
+	if (!log_term(&n->r->log, e->index - 1, &k->prev_term))
+		k->prev_term = 0;
+	old = g_hash_table_lookup(c->entries, k);
+	if (old == NULL) {
+		g_hash_table_add(c->entries, k);
+		return;
+	}
+	check(c, old->hash == k->hash, "log matching: contents differ");
+	check(c, k->prev_term == 0 || old->prev_term == k->prev_term,
+	    "log matching: predecessors differ");
+	g_free(k);
+}
+
+static struct fact *
+fact_at(const struct cluster *c, uint64_t index)
+{
+	return &g_array_index(c->facts, struct fact, index - 1);
+}
+
+/* Applies an entry; what is committed must be the same everywhere. */
+static void
+apply(struct cluster *c, struct node *n, const struct raft_entry *e)
+{
+	struct fact f;
+
+	check(c, e->index == n->applied + 1, "applied out of order");
+	n->applied = e->index;
+	n->chain = chain_next(n->chain, e);
+	f = (struct fact){ e->term, n->chain, raft_term(n->r) };
+	if (e->index == c->facts->len + 1) {
+		g_array_append_val(c->facts, f);
+		c->changes += e->type == RAFT_MEMBERS;
+		return;
+	}
+	check(c, e->index <= c->facts->len, "a commit that no one knew");
+	check(c,
+	    fact_at(c, e->index)->term == e->term &&
+		fact_at(c, e->index)->chain == n->chain,
+	    "a committed entry changed");
+}
+
+/* Leader completeness, checked when a term's leader is first seen. */
+static void
+check_leader_log(struct cluster *c, struct node *n)
+{
+	uint64_t i, term;
+
+	for (i = 1; i <= c->facts->len; i++) {
+		if (fact_at(c, i)->commit_term >= raft_term(n->r))
+			continue;
+		check(c, i <= raft_last_index(n->r),
+		    "leader completeness: log too short");
+		if (log_term(&n->r->log, i, &term))
+			check(c, term == fact_at(c, i)->term,
+			    "leader completeness: another entry");
+	}
+}
+
+static void
+check_leader(struct cluster *c, struct node *n)
+{
+	struct reign *now;
+	const struct reign *old;
+	uint64_t term = raft_term(n->r);
+
+	if (raft_role(n->r) != RAFT_LEADER)
+		return;
+	old = g_hash_table_lookup(c->leaders, &term);
+	if (old != NULL) {
+		check(c, old->id == n->id && old->life == n->life,
+		    "two leaders in a term");
+		return;
+	}
+	now = g_new(struct reign, 1);
+	*now = (struct reign){ term, n->id, n->life };
+	g_hash_table_insert(c->leaders, &now->term, now);
+	check_leader_log(c, n);
+}
+
+static void
+check_hard(struct cluster *c, struct node *n, const struct raft_hard *hard)
+{
+	check(c, hard->term >= n->hard.term, "the term went back");
+	check(c,
+	    hard->term > n->hard.term || n->hard.vote == RAFT_NONE ||
+		n->hard.vote == hard->vote,
+	    "two votes in a term");
+	n->hard = *hard;
+}
+
+static void
+check_reads(struct cluster *c, const struct raft_out *out)
+{
+	uint64_t context;
+	guint i;
+
+	for (i = 0; i < out->reads->len; i++) {
+		context = g_array_index(out->reads, uint64_t, i);
+		check(c,
+		    out->read_index >=
+			g_array_index(c->floors, uint64_t, context - 1),
+		    "a stale read was confirmed");
+		c->reads++;
+	}
+}
+
+static struct raft_snapshot *
+snapshot_make(const struct node *n)
+{
+	struct raft_snapshot *s = g_new0(struct raft_snapshot, 1);
+	uint8_t data[2 * sizeof(uint64_t) + FILLER_MAX] = { 0 };
+
+	s->index = n->applied;
+	memcpy(data, &n->applied, sizeof(uint64_t));
+	memcpy(data + sizeof(uint64_t), &n->chain, sizeof(uint64_t));
+	s->data =
+	    g_bytes_new(data, 2 * sizeof(uint64_t) + n->chain % FILLER_MAX);
+	return s;
+}
+
+static void
+snapshot_restore(
+    struct cluster *c, struct node *n, const struct raft_snapshot *s)
+{
+	const uint8_t *data = g_bytes_get_data(s->data, NULL);
+
+	memcpy(&n->applied, data, sizeof(uint64_t));
+	memcpy(&n->chain, data + sizeof(uint64_t), sizeof(uint64_t));
+	check(c, n->applied == s->index, "snapshot of another index");
+	check(
+	    c, s->index <= c->facts->len, "snapshot of what no one committed");
+	check(c,
+	    fact_at(c, s->index)->chain == n->chain &&
+		fact_at(c, s->index)->term == s->term,
+	    "snapshot differs from what was committed");
+}
+
+static void
+send_all(struct cluster *c, const GPtrArray *messages)
+{
+	guint i;
+
+	for (i = 0; i < messages->len; i++)
+		g_queue_push_tail(
+		    &c->wire, raft_msg_encode(messages->pdata[i]));
+}
+
+static struct batch *
+batch_new(struct raft_out out, bool local)
+{
+	struct batch *b = g_new0(struct batch, 1);
+
+	b->out = out;
+	b->local = local;
+	return b;
+}
+
+static void
+batch_free(struct batch *b)
+{
+	raft_out_clear(&b->out);
+	g_free(b);
+}
+
+void
+node_take(struct cluster *c, struct node *n)
+{
+	struct raft_out out;
+	guint i;
+
+	raft_take(n->r, &out);
+	check_leader(c, n);
+	check_hard(c, n, &out.hard);
+	for (i = 0; i < out.entries->len; i++)
+		check_entry(c, n, out.entries->pdata[i]);
+	if (out.snapshot != NULL) {
+		snapshot_restore(c, n, out.snapshot);
+		c->installs++;
+	}
+	for (i = 0; i < out.committed->len; i++)
+		apply(c, n, out.committed->pdata[i]);
+	check_reads(c, &out);
+	send_all(c, out.early);
+	if (raft_out_empty(&out))
+		raft_out_clear(&out);
+	else
+		g_queue_push_tail(&n->unsynced, batch_new(out, false));
+}
+
+static struct raft_entry *
+disk_at(const struct disk *d, uint64_t index)
+{
+	uint64_t base = d->snapshot == NULL ? 0 : d->snapshot->index;
+
+	if (index <= base || index > base + d->entries->len)
+		return NULL;
+	return d->entries->pdata[index - base - 1];
+}
+
+static void
+disk_put_snapshot(struct disk *d, const struct raft_snapshot *s)
+{
+	uint64_t base = d->snapshot == NULL ? 0 : d->snapshot->index;
+	const struct raft_entry *e = disk_at(d, s->index);
+
+	if (e != NULL && e->term == s->term)
+		g_ptr_array_remove_range(
+		    d->entries, 0, (guint)(s->index - base));
+	else
+		g_ptr_array_set_size(d->entries, 0);
+	raft_snapshot_free(d->snapshot);
+	d->snapshot = snapshot_copy(s);
+}
+
+static void
+disk_put_entry(struct cluster *c, struct disk *d, struct raft_entry *e)
+{
+	uint64_t base = d->snapshot == NULL ? 0 : d->snapshot->index;
+
+	check(c, e->index > base && e->index <= base + d->entries->len + 1,
+	    "a gap in the stored log");
+	g_ptr_array_set_size(d->entries, (gint)(e->index - base - 1));
+	g_ptr_array_add(d->entries, raft_entry_ref(e));
+}
+
+/* Stores a batch, or only its first count entries. */
+static void
+disk_put(struct cluster *c, struct node *n, const struct batch *b, guint count)
+{
+	const struct raft_out *out = &b->out;
+	guint i;
+
+	if (out->snapshot != NULL)
+		disk_put_snapshot(&n->disk, out->snapshot);
+	if (out->hard_changed)
+		n->disk.hard = out->hard;
+	for (i = 0; out->entries != NULL && i < MIN(count, out->entries->len);
+	     i++)
+		disk_put_entry(c, &n->disk, out->entries->pdata[i]);
+}
+
+bool
+node_sync(struct cluster *c, struct node *n)
+{
+	struct batch *b = g_queue_pop_head(&n->unsynced);
+	const struct raft_entry *e;
+
+	if (b == NULL)
+		return false;
+	disk_put(c, n, b, G_MAXUINT);
+	if (!b->local) {
+		if (b->out.entries->len > 0) {
+			e = b->out.entries->pdata[b->out.entries->len - 1];
+			raft_stored(n->r, e->index, e->term);
+		} else if (b->out.snapshot != NULL)
+			raft_stored(n->r, b->out.snapshot->index,
+			    b->out.snapshot->term);
+		send_all(c, b->out.late);
+	}
+	batch_free(b);
+	return true;
+}
+
+void
+node_crash(struct cluster *c, struct node *n)
+{
+	guint whole = (guint)rng_below(&c->rng, n->unsynced.length + 1);
+	struct batch *b;
+
+	/* A prefix of what was written may be on disk without a sync. */
+	while ((b = g_queue_pop_head(&n->unsynced)) != NULL) {
+		if (whole > 0)
+			disk_put(c, n, b, G_MAXUINT);
+		else if (rng_below(&c->rng, 2) == 0)
+			disk_put(c, n, b, (guint)rng_below(&c->rng, 3));
+		batch_free(b);
+		if (whole-- == 0)
+			break;
+	}
+	while ((b = g_queue_pop_head(&n->unsynced)) != NULL)
+		batch_free(b);
+	raft_free(n->r);
+	n->r = NULL;
+	n->paused = false;
+}
+
+void
+node_start(struct cluster *c, struct node *n)
+{
+	struct raft_conf conf = {
+		.id = n->id,
+		.election_ticks = 5,
+		.heartbeat_ticks = 1,
+		.append_max = 100,
+		.inflight_max = 4,
+		.chunk_bytes = 40,
+		.seed = rng_next(&c->rng),
+		.hard = n->disk.hard,
+		.snapshot = n->disk.snapshot,
+		.entries = n->disk.entries,
+	};
+
+	if (n->founder)
+		conf.members = c->founders;
+	n->life++;
+	n->hard = n->disk.hard;
+	n->applied = n->chain = 0;
+	if (n->disk.snapshot != NULL)
+		snapshot_restore(c, n, n->disk.snapshot);
+	n->r = raft_new(&conf);
+}
+
+static void
+disk_clear(struct disk *d)
+{
+	raft_snapshot_free(d->snapshot);
+	d->snapshot = NULL;
+	d->hard = (struct raft_hard){ 0 };
+	if (d->entries != NULL)
+		g_ptr_array_unref(d->entries);
+	d->entries = NULL;
+}
+
+static void
+node_init(struct cluster *c, struct node *n, bool founder)
+{
+	n->id = c->next_id++;
+	n->founder = founder;
+	n->disk.entries =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)raft_entry_unref);
+	if (founder)
+		c->founders.member[c->founders.count++].id = n->id;
+}
+
+void
+node_lose(struct cluster *c, struct node *n)
+{
+	if (n->r != NULL)
+		node_crash(c, n);
+	disk_clear(&n->disk);
+	node_init(c, n, false);
+	node_start(c, n);
+	c->lost++;
+}
+
+void
+node_compact(struct cluster *c, struct node *n, uint64_t keep)
+{
+	struct raft_out out = { 0 };
+
+	if (n->r->snapshot != NULL && n->applied <= n->r->snapshot->s.index)
+		return;
+	if (n->applied == 0)
+		return;
+	out.snapshot = snapshot_make(n);
+	raft_compact(n->r, out.snapshot, keep);
+	out.snapshot->term = n->r->snapshot->s.term;
+	raft_members_at(n->r, n->applied, &out.snapshot->members);
+	g_queue_push_tail(&n->unsynced, batch_new(out, true));
+}
+
+struct node *
+cluster_node(struct cluster *c, uint64_t id)
+{
+	int i;
+
+	for (i = 0; i < SLOTS; i++)
+		if (c->node[i].id == id)
+			return &c->node[i];
+	return NULL;
+}
+
+struct node *
+cluster_leader(struct cluster *c)
+{
+	struct node *n, *best = NULL;
+
+	for (n = c->node; n < c->node + SLOTS; n++)
+		if (n->r != NULL && raft_role(n->r) == RAFT_LEADER &&
+		    (best == NULL || raft_term(n->r) > raft_term(best->r)))
+			best = n;
+	return best;
+}
+
+/* Says whether a message can go in now, stays on the wire, or is lost. */
+static bool
+deliver_one(struct cluster *c, GBytes *bytes, bool *waits)
+{
+	GError *err = NULL;
+	gsize size;
+	const void *data = g_bytes_get_data(bytes, &size);
+	struct raft_msg *m = raft_msg_decode(data, size, &err);
+	struct node *from, *to;
+	bool done = false;
+
+	g_assert_no_error(err);
+	from = cluster_node(c, m->from);
+	to = cluster_node(c, m->to);
+	*waits = to != NULL && to->paused;
+	if (!*waits && from != NULL && to != NULL && to->r != NULL &&
+	    !c->cut[from - c->node][to - c->node]) {
+		raft_step(to->r, m);
+		check_leader(c, to);
+		if (rng_below(&c->rng, 4) > 0)
+			node_take(c, to);
+		done = true;
+	}
+	raft_msg_free(m);
+	return done;
+}
+
+bool
+cluster_deliver(struct cluster *c, guint first, bool duplicate)
+{
+	GList *l = g_queue_peek_nth_link(&c->wire, first);
+	GList *next;
+	GBytes *bytes;
+	bool waits, done = false;
+
+	for (; l != NULL && !done; l = next) {
+		next = l->next;
+		bytes = g_bytes_ref(l->data);
+		done = deliver_one(c, bytes, &waits);
+		if (!waits && !(done && duplicate)) {
+			g_bytes_unref(l->data);
+			g_queue_delete_link(&c->wire, l);
+		}
+		g_bytes_unref(bytes);
+	}
+	return done;
+}
+
+/* The highest commit that any replica knows of. */
+static uint64_t
+known_commit(const struct cluster *c)
+{
+	uint64_t commit = c->facts->len;
+	int i;
+
+	for (i = 0; i < SLOTS; i++)
+		if (c->node[i].r != NULL)
+			commit = MAX(commit, raft_commit(c->node[i].r));
+	return commit;
+}
+
+bool
+cluster_read(struct cluster *c, struct node *n)
+{
+	uint64_t floor = known_commit(c);
+
+	g_array_append_val(c->floors, floor);
+	return raft_read(n->r, c->floors->len);
+}
+
+uint64_t
+cluster_propose(struct cluster *c, struct node *n)
+{
+	uint64_t value = ++c->next_value;
+	GBytes *data = g_bytes_new(&value, sizeof(value));
+	uint64_t index = raft_propose(n->r, data);
+
+	g_bytes_unref(data);
+	return index;
+}
+
+void
+cluster_settle(struct cluster *c)
+{
+	struct node *n;
+	bool busy = true;
+
+	while (busy) {
+		busy = cluster_deliver(c, 0, false);
+		for (n = c->node; n < c->node + SLOTS; n++) {
+			if (n->r == NULL || n->paused)
+				continue;
+			node_take(c, n);
+			while (node_sync(c, n)) {
+				busy = true;
+				node_take(c, n);
+			}
+		}
+	}
+}
+
+void
+cluster_ticks(struct cluster *c, int ticks)
+{
+	struct node *n;
+
+	while (ticks-- > 0) {
+		for (n = c->node; n < c->node + SLOTS; n++)
+			if (n->r != NULL && !n->paused)
+				raft_tick(n->r);
+		cluster_settle(c);
+	}
+}
+
+void
+cluster_elect(struct cluster *c, struct node *n)
+{
+	raft_campaign(n->r);
+	cluster_settle(c);
+	cluster_ticks(c, 2);
+	if (raft_role(n->r) != RAFT_LEADER || !raft_settled(n->r))
+		cluster_broken(c, "could not be elected");
+}
+
+struct cluster *
+cluster_new(uint64_t seed, int founders)
+{
+	struct cluster *c = g_new0(struct cluster, 1);
+	int i;
+
+	c->seed = c->rng.state = seed;
+	c->next_id = 1;
+	c->facts = g_array_new(FALSE, FALSE, sizeof(struct fact));
+	c->floors = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	c->entries =
+	    g_hash_table_new_full(content_hash, content_equal, g_free, NULL);
+	c->leaders =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	g_queue_init(&c->wire);
+	for (i = 0; i < SLOTS; i++)
+		node_init(c, &c->node[i], i < founders);
+	for (i = 0; i < SLOTS; i++)
+		node_start(c, &c->node[i]);
+	return c;
+}
+
+void
+cluster_free(struct cluster *c)
+{
+	GBytes *bytes;
+	int i;
+
+	for (i = 0; i < SLOTS; i++) {
+		if (c->node[i].r != NULL)
+			node_crash(c, &c->node[i]);
+		disk_clear(&c->node[i].disk);
+	}
+	while ((bytes = g_queue_pop_head(&c->wire)) != NULL)
+		g_bytes_unref(bytes);
+	g_array_unref(c->facts);
+	g_array_unref(c->floors);
+	g_hash_table_unref(c->entries);
+	g_hash_table_unref(c->leaders);
+	g_free(c);
+}
