raft: a replica whose demotion may be uncommitted may still lead

A replica now campaigns, without counting itself, while the change that makes it no voter may be uncommitted (Ongaro's dissertation, 4.2.2).

--- a/lib/raft/election.c
+++ b/lib/raft/election.c
@@ -83,6 +83,26 @@
 		become_follower(r, r->term, RAFT_NONE);
 }
 
+/*
+ * Says whether this replica may lead. Besides a voter, one that the last
+ * change makes none may, as long as that change may be uncommitted: it can be
+ * the only one whose log the others would vote for.
+ */
+static bool
+may_lead(const struct raft *r)
+{
+	struct raft_members before;
+
+	if (r->disabled)
+		return false;
+	if (members_voter(members_now(r), r->id))
+		return true;
+	if (members_index(r) <= r->commit)
+		return false;
+	raft_members_at(r, members_index(r) - 1, &before);
+	return members_voter(&before, r->id);
+}
+
 void
 campaign(struct raft *r, bool pre, bool forced)
 {
@@ -91,7 +111,7 @@
 	int i;
 
 	timer_reset(r);
-	if (r->disabled || !members_voter(members, r->id))
+	if (!may_lead(r))
 		return;
 	r->role = pre ? RAFT_PRECANDIDATE : RAFT_CANDIDATE;
 	r->leader = RAFT_NONE;
--- a/test/raft_cluster.c
+++ b/test/raft_cluster.c
@@ -19,9 +19,41 @@
 	uint64_t life;
 };
 
+/* Prints one replica's state in a line. */
+static void
+describe(const struct node *n)
+{
+	GString *text = g_string_new(NULL);
+	const struct raft_members *m;
+	int i;
+
+	if (n->r == NULL) {
+		g_string_append(text, "down");
+	} else {
+		g_string_append_printf(text,
+		    "role %d term %" G_GUINT64_FORMAT " vote %" G_GUINT64_FORMAT
+		    " leader %" G_GUINT64_FORMAT " log %" G_GUINT64_FORMAT
+		    "..%" G_GUINT64_FORMAT " commit %" G_GUINT64_FORMAT
+		    " members",
+		    raft_role(n->r), raft_term(n->r), n->r->vote,
+		    raft_leader(n->r), raft_first_index(n->r),
+		    raft_last_index(n->r), raft_commit(n->r));
+		m = raft_members(n->r);
+		for (i = 0; i < m->count; i++)
+			g_string_append_printf(text, " %" G_GUINT64_FORMAT "%s",
+			    m->member[i].id, m->member[i].learner ? "l" : "");
+	}
+	g_printerr("replica %" G_GUINT64_FORMAT ": %s\n", n->id, text->str);
+	g_string_free(text, TRUE);
+}
+
 void
 cluster_broken(const struct cluster *c, const char *what)
 {
+	int i;
+
+	for (i = 0; i < SLOTS; i++)
+		describe(&c->node[i]);
 	g_error("%s; replay: RAFT_SEED=%" G_GUINT64_FORMAT
 		" RAFT_SCHEDULES=1 (step %" G_GUINT64_FORMAT ")",
 	    what, c->seed, c->step);
