--- /dev/null
+++ b/test/wal.cmake
@@ -0,0 +1,1 @@
+bt_test(wal_test SOURCES wal_test.c DEPENDS wal)
