test: stand-in worker

Cause: faults of workers can't be caused without one. Change: a program that announces itself, keeps leases counted from the sending of a heartbeat, runs scripted tasks under epochs and records each event; many workers in one process.

--- /dev/null
+++ b/test/fakeworker.c
@@ -0,0 +1,486 @@
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "fakeworker.h"
+
+#define HEARTBEAT_MS 500 /* until an entry has told another */
+#define RETRY_BASE_MS 100
+#define RETRY_MAX_MS 2000
+#define PAUSE_MS 200 /* a timer this late means that the process slept */
+#define TICK_MS 100
+#define IDLE_CONNECTION_S 3600
+#define BODY_MAX (1 << 20)
+
+/* The process: its workers, record and clock of the main loop. */
+struct program {
+	struct plan plan;
+	struct event_base *base;
+	struct fakeworker *worker;
+	FILE *record;
+	struct event *tick;
+	int64_t tick_due_ms;
+	int64_t started_ms;
+};
+
+void
+record(struct fakeworker *w, const char *event, const char *format, ...)
+{
+	json_error_t err;
+	json_t *line;
+	va_list ap;
+
+	if (w->record == NULL)
+		return;
+	va_start(ap, format);
+	line = json_vpack_ex(&err, 0, format, ap);
+	va_end(ap);
+	if (line == NULL)
+		g_error("fakeworker: record %s: %s", event, err.text);
+	json_object_set_new(line, "ms", json_integer(mono_ms()));
+	json_object_set_new(line, "worker", json_string(w->name));
+	json_object_set_new(line, "event", json_string(event));
+	json_dumpf(line, w->record, JSON_COMPACT);
+	fputc('\n', w->record);
+	fflush(w->record);
+	json_decref(line);
+}
+
+const char *
+any_entry(struct fakeworker *w)
+{
+	return w->plan
+	    ->entries[w->next_entry++ % g_strv_length(w->plan->entries)];
+}
+
+void
+beat_after(struct fakeworker *w, int64_t ms)
+{
+	struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+
+	event_add(w->beat, &tv);
+}
+
+bool
+take_epoch(struct fakeworker *w, int64_t epoch, const char *home)
+{
+	if (epoch < w->epoch)
+		return false;
+	if (epoch > w->epoch)
+		record(w, "epoch", "{s:I,s:s?}", "epoch", (json_int_t)epoch,
+		    "home", home);
+	w->epoch = epoch;
+	if (home != NULL && g_strcmp0(home, w->home) != 0) {
+		g_free(w->home);
+		w->home = g_strdup(home);
+		if (w->asked != NULL)
+			w->ask_again = true;
+		else
+			beat_after(w, 0);
+	}
+	return true;
+}
+
+/* Adds what an entry needs to know of a worker that it may not know. */
+static void
+add_announcement(struct fakeworker *w, json_t *body)
+{
+	const struct plan *p = w->plan;
+	json_t *more = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:i}", "address",
+	    w->address, "rack", p->rack, "data_center", p->data_center,
+	    "millicpus", (json_int_t)p->millicpus, "memory_bytes",
+	    (json_int_t)p->memory, "accelerators", (json_int_t)p->accelerators,
+	    "slots", p->slots, "connections", p->connections);
+
+	json_object_update(body, more);
+	json_decref(more);
+}
+
+/* Takes what a heartbeat's answer says of home, epoch and lease. */
+static void
+take_answer(struct fakeworker *w, const json_t *body)
+{
+	const char *home = json_string_value(json_object_get(body, "home"));
+	const json_t *epoch = json_object_get(body, "epoch");
+	const json_t *lease = json_object_get(body, "lease_ms");
+	const json_t *beat = json_object_get(body, "heartbeat_ms");
+	bool current = w->epoch != 0 && g_strcmp0(w->asked, w->home) == 0;
+
+	if (json_is_integer(beat) && json_integer_value(beat) > 0)
+		w->heartbeat_ms = json_integer_value(beat);
+	if (json_is_integer(epoch) && json_integer_value(epoch) > 0)
+		current = take_epoch(w, json_integer_value(epoch), home);
+	else if (home != NULL && g_strcmp0(home, w->home) != 0) {
+		/* Known here, but the session is yet to come by POST /lease. */
+		g_free(w->home);
+		w->home = g_strdup(home);
+		current = false;
+	}
+	if (!current || !json_is_integer(lease))
+		return;
+	w->lease_ms = json_integer_value(lease);
+	renew(w, w->sent_ms);
+}
+
+static void
+on_beat_answer(void *arg, int status, json_t *body)
+{
+	struct fakeworker *w = arg;
+	int64_t wait;
+
+	check_leases(w);
+	if (status == 200) {
+		w->failures = 0;
+		take_answer(w, body);
+		wait = w->sent_ms + w->heartbeat_ms - mono_ms();
+	} else {
+		record(w, "no-answer", "{s:s,s:i}", "entry", w->asked, "status",
+		    status);
+		w->failures++;
+		wait = MIN((int64_t)RETRY_BASE_MS << MIN(w->failures, 8),
+		    RETRY_MAX_MS);
+		wait = (int64_t)rng_below(&w->rng, (uint64_t)wait);
+	}
+	g_clear_pointer(&w->asked, g_free);
+	beat_after(w, w->ask_again ? 0 : MAX(wait, 0));
+	w->ask_again = false;
+}
+
+/* Heartbeat, or announcement when home is not known or does not answer. */
+static void
+on_beat(evutil_socket_t fd, short what, void *arg)
+{
+	struct fakeworker *w = arg;
+	json_t *body;
+	bool announce;
+
+	check_leases(w);
+	if (w->asked != NULL) {
+		w->ask_again = true;
+		return;
+	}
+	announce = w->home == NULL || w->failures > 0;
+	w->asked = g_strdup(announce ? any_entry(w) : w->home);
+	body = json_pack("{s:s,s:I,s:I,s:o}", "name", w->name, "incarnation",
+	    (json_int_t)w->incarnation, "epoch", (json_int_t)w->epoch,
+	    "running", running_json(w));
+	if (announce) {
+		add_announcement(w, body);
+		record(w, "announce", "{s:s,s:I,s:I,s:I,s:i}", "entry",
+		    w->asked, "millicpus", (json_int_t)w->plan->millicpus,
+		    "memory_bytes", (json_int_t)w->plan->memory, "accelerators",
+		    (json_int_t)w->plan->accelerators, "slots", w->plan->slots);
+	}
+	w->sent_ms = mono_ms();
+	pool_send(
+	    w->pool, w->asked, "POST", "/v1/workers", body, on_beat_answer, w);
+	json_decref(body);
+}
+
+static void
+on_lease_timer(evutil_socket_t fd, short what, void *arg)
+{
+	check_leases(arg);
+}
+
+static void
+on_left(void *arg, int status, json_t *body)
+{
+	struct fakeworker *w = arg;
+
+	check_leases(w);
+	if (status == 200 || status == 202)
+		w->left = true;
+	record(w, "left", "{s:i}", "status", status);
+}
+
+static void
+leave(struct fakeworker *w)
+{
+	char *path = g_strdup_printf("/v1/workers/%s", w->name);
+
+	pool_send(w->pool, w->home != NULL ? w->home : any_entry(w), "DELETE",
+	    path, NULL, on_left, w);
+	g_free(path);
+}
+
+static void
+on_term(evutil_socket_t fd, short what, void *arg)
+{
+	struct program *p = arg;
+
+	for (int i = 0; i < p->plan.count; i++) {
+		struct fakeworker *w = &p->worker[i];
+
+		if (w->leaving)
+			continue;
+		check_leases(w);
+		record(w, "leave", "{}");
+		w->leaving = true;
+		w->leaving_since_ms = mono_ms();
+		leave(w);
+	}
+}
+
+/* Says whether a worker that leaves has nothing more to do. */
+static bool
+leave_done(struct fakeworker *w)
+{
+	int64_t since = mono_ms() - w->leaving_since_ms;
+
+	if (!w->leaving)
+		return false;
+	if (since > w->plan->drain_ms)
+		stop_services(w);
+	if (!w->left && since % 1000 < TICK_MS && since >= 1000)
+		leave(w);
+	if (w->running > 0 || w->calls > 0 || !all_told(w))
+		return w->running == 0 && w->calls == 0 &&
+		    since > 2L * w->plan->drain_ms;
+	return w->left || since > w->plan->drain_ms;
+}
+
+/* Watches for a pause of the process, the vanishing and the leave. */
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct program *p = arg;
+	int64_t now = mono_ms();
+	int done = 0;
+
+	for (int i = 0; i < p->plan.count; i++) {
+		struct fakeworker *w = &p->worker[i];
+
+		if (now > p->tick_due_ms + PAUSE_MS)
+			record(w, "woke", "{s:I}", "asleep_since",
+			    (json_int_t)(p->tick_due_ms - TICK_MS));
+		if (p->plan.vanish_ms > 0 &&
+		    now - p->started_ms >= p->plan.vanish_ms)
+			record(w, "vanish", "{}");
+		check_leases(w);
+		done += leave_done(w);
+	}
+	p->tick_due_ms = now + TICK_MS;
+	if (p->plan.vanish_ms > 0 && now - p->started_ms >= p->plan.vanish_ms)
+		_exit(0);
+	if (done == p->plan.count)
+		event_base_loopbreak(p->base);
+}
+
+/* Makes the i-th worker; false if it can't listen. */
+static bool
+worker_init(struct program *p, int i)
+{
+	struct fakeworker *w = &p->worker[i];
+	char *ip;
+	uint16_t port;
+	bool ok;
+
+	if (!address_split(p->plan.address, &ip, &port))
+		return false;
+	w->plan = &p->plan;
+	w->base = p->base;
+	w->record = p->record;
+	w->rng.state = (uint64_t)p->plan.seed * 1000003 + (uint64_t)i;
+	w->name = p->plan.count == 1
+	    ? g_strdup(p->plan.name)
+	    : g_strdup_printf("%s-%d", p->plan.name, i);
+	w->address = g_strdup_printf("%s:%d", ip, port + i);
+	w->incarnation = (uint64_t)p->plan.incarnation;
+	if (w->incarnation == 0)
+		w->incarnation = random_id() >> 1;
+	w->attempts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, attempt_free);
+	w->pool = pool_new(p->base, p->plan.answer_ms);
+	w->heartbeat_ms = HEARTBEAT_MS;
+	w->next_entry =
+	    (guint)rng_below(&w->rng, g_strv_length(p->plan.entries));
+	w->beat = event_new(p->base, -1, 0, on_beat, w);
+	w->lease_timer = event_new(p->base, -1, 0, on_lease_timer, w);
+	w->server = evhttp_new(p->base);
+	evhttp_set_gencb(w->server, serve, w);
+	evhttp_set_timeout(w->server, IDLE_CONNECTION_S);
+	evhttp_set_max_body_size(w->server, BODY_MAX);
+	ok = evhttp_bind_socket(w->server, ip, (uint16_t)(port + i)) == 0;
+	if (!ok)
+		g_printerr("fakeworker: can't listen on %s\n", w->address);
+	g_free(ip);
+	/* The first announcements are spread over one heartbeat. */
+	beat_after(w, (int64_t)i * HEARTBEAT_MS / p->plan.count);
+	return ok;
+}
+
+static void
+worker_clear(struct fakeworker *w)
+{
+	if (w->server == NULL)
+		return;
+	evhttp_free(w->server);
+	pool_free(w->pool);
+	g_hash_table_unref(w->attempts);
+	event_free(w->beat);
+	event_free(w->lease_timer);
+	g_free(w->asked);
+	g_free(w->home);
+	g_free(w->name);
+	g_free(w->address);
+}
+
+/* Runs the workers until SIGTERM; returns the exit status. */
+static int
+run(struct program *p)
+{
+	struct timeval tick = { 0, TICK_MS * 1000 };
+	struct event *term;
+	bool ok = true;
+
+	p->base = event_base_new();
+	p->worker = g_new0(struct fakeworker, p->plan.count);
+	p->started_ms = mono_ms();
+	p->tick_due_ms = p->started_ms + TICK_MS;
+	for (int i = 0; ok && i < p->plan.count; i++)
+		ok = worker_init(p, i);
+	p->tick = event_new(p->base, -1, EV_PERSIST, on_tick, p);
+	event_add(p->tick, &tick);
+	term = evsignal_new(p->base, SIGTERM, on_term, p);
+	event_add(term, NULL);
+	if (ok) {
+		puts("ready");
+		fflush(stdout);
+		event_base_dispatch(p->base);
+	}
+	event_free(term);
+	event_free(p->tick);
+	for (int i = 0; i < p->plan.count; i++)
+		worker_clear(&p->worker[i]);
+	event_base_free(p->base);
+	g_free(p->worker);
+	return ok ? 0 : 1;
+}
+
+static bool
+parse_options(struct plan *p, char **record_path, int *argc, char ***argv)
+{
+	char *entry = NULL;
+	GOptionEntry options[] = {
+		{ .long_name = "name",
+		    .arg = G_OPTION_ARG_STRING,
+		    .arg_data = &p->name },
+		{ .long_name = "address",
+		    .arg = G_OPTION_ARG_STRING,
+		    .arg_data = &p->address },
+		{ .long_name = "entry",
+		    .arg = G_OPTION_ARG_STRING,
+		    .arg_data = &entry },
+		{ .long_name = "rack",
+		    .arg = G_OPTION_ARG_STRING,
+		    .arg_data = &p->rack },
+		{ .long_name = "data-center",
+		    .arg = G_OPTION_ARG_STRING,
+		    .arg_data = &p->data_center },
+		{ .long_name = "millicpus",
+		    .arg = G_OPTION_ARG_INT64,
+		    .arg_data = &p->millicpus },
+		{ .long_name = "memory",
+		    .arg = G_OPTION_ARG_INT64,
+		    .arg_data = &p->memory },
+		{ .long_name = "accelerators",
+		    .arg = G_OPTION_ARG_INT64,
+		    .arg_data = &p->accelerators },
+		{ .long_name = "slots",
+		    .arg = G_OPTION_ARG_INT,
+		    .arg_data = &p->slots },
+		{ .long_name = "connections",
+		    .arg = G_OPTION_ARG_INT,
+		    .arg_data = &p->connections },
+		{ .long_name = "seed",
+		    .arg = G_OPTION_ARG_INT64,
+		    .arg_data = &p->seed },
+		{ .long_name = "incarnation",
+		    .arg = G_OPTION_ARG_INT64,
+		    .arg_data = &p->incarnation },
+		{ .long_name = "record",
+		    .arg = G_OPTION_ARG_FILENAME,
+		    .arg_data = record_path },
+		{ .long_name = "fail-starts",
+		    .arg = G_OPTION_ARG_NONE,
+		    .arg_data = &p->fail_starts },
+		{ .long_name = "fail-tasks",
+		    .arg = G_OPTION_ARG_NONE,
+		    .arg_data = &p->fail_tasks },
+		{ .long_name = "lag-ms",
+		    .arg = G_OPTION_ARG_INT,
+		    .arg_data = &p->lag_ms },
+		{ .long_name = "lie-usage",
+		    .arg = G_OPTION_ARG_INT,
+		    .arg_data = &p->lie_usage },
+		{ .long_name = "vanish-after-ms",
+		    .arg = G_OPTION_ARG_INT,
+		    .arg_data = &p->vanish_ms },
+		{ .long_name = "answer-ms",
+		    .arg = G_OPTION_ARG_INT,
+		    .arg_data = &p->answer_ms },
+		{ .long_name = "drain-ms",
+		    .arg = G_OPTION_ARG_INT,
+		    .arg_data = &p->drain_ms },
+		{ .long_name = "count",
+		    .arg = G_OPTION_ARG_INT,
+		    .arg_data = &p->count },
+		{ 0 },
+	};
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *err = NULL;
+	bool ok;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	ok = g_option_context_parse(context, argc, argv, &err);
+	if (!ok)
+		g_printerr("fakeworker: %s\n", err->message);
+	g_clear_error(&err);
+	g_option_context_free(context);
+	if (ok && (p->name == NULL || p->address == NULL || entry == NULL)) {
+		g_printerr("fakeworker: --name, --address and --entry are "
+			   "needed\n");
+		ok = false;
+	}
+	if (entry != NULL)
+		p->entries = g_strsplit(entry, ",", -1);
+	g_free(entry);
+	return ok;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct program p = { .plan = {
+				 .rack = g_strdup("rack-1"),
+				 .data_center = g_strdup("dc-1"),
+				 .millicpus = 64000,
+				 .memory = 128LL << 30,
+				 .slots = 8,
+				 .connections = 64,
+				 .lie_usage = 100,
+				 .answer_ms = 1000,
+				 .drain_ms = 10000,
+				 .count = 1,
+			     } };
+	char *record_path = NULL;
+	int status = 2;
+
+	signal(SIGPIPE, SIG_IGN);
+	if (parse_options(&p.plan, &record_path, &argc, &argv)) {
+		if (record_path != NULL)
+			p.record = fopen(record_path, "ae");
+		status = run(&p);
+	}
+	if (p.record != NULL)
+		fclose(p.record);
+	g_strfreev(p.plan.entries);
+	g_free(p.plan.name);
+	g_free(p.plan.address);
+	g_free(p.plan.rack);
+	g_free(p.plan.data_center);
+	g_free(record_path);
+	return status;
+}
