test: proxy that injects network faults

Cause: partitions, delays and lost connections can't be caused between plain processes. Change: a TCP proxy for address pairs, controlled by lines that are each answered. Conclusion: tried by hand: cut, one way, delay, lose, reset and heal act as told, held bytes arrive after heal, 20 MB pass whole.

--- /dev/null
+++ b/test/faultproxy.c
@@ -0,0 +1,606 @@
+/*
+ * TCP proxy that injects faults between address pairs. Commands are lines on
+ * standard input or on connections to --control; each is answered by a line:
+ *
+ *	cut NAME		pass nothing, keep connections open
+ *	oneway NAME up|down	pass nothing in one direction
+ *	delay NAME MS		hold every byte that long
+ *	lose NAME PERCENT	close that share of new connections at once
+ *	reset NAME		close all connections of the pair
+ *	heal NAME		undo all; held bytes go on
+ *	status NAME		connections and bytes passed
+ *
+ * "up" leads from the connecting side to the target. NAME "*" is all pairs.
+ */
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include "base.h"
+
+#define HELD_MAX \
+	(4 << 20) /* bytes waiting to be written before reading stops */
+
+enum direction { UP, DOWN, DIRECTIONS };
+
+struct proxy {
+	struct event_base *base;
+	GPtrArray *pairs; /* struct pair */
+	struct rng rng;
+	gint delay_ms; /* at the start */
+	gint lose_percent; /* at the start */
+	struct evconnlistener *control;
+	GPtrArray *controllers; /* struct bufferevent */
+};
+
+struct pair {
+	struct proxy *proxy;
+	char *name;
+	struct sockaddr_storage target;
+	int target_len;
+	struct evconnlistener *listener;
+	GPtrArray *links; /* struct link */
+	bool blocked[DIRECTIONS];
+	int64_t delay_ms;
+	uint64_t lose_percent;
+	uint64_t bytes[DIRECTIONS];
+};
+
+/* Bytes that are held until a time. */
+struct chunk {
+	int64_t due_ms;
+	struct evbuffer *bytes;
+};
+
+/* One direction of a link. */
+struct flow {
+	struct link *link;
+	enum direction dir;
+	struct bufferevent *from;
+	struct bufferevent *to;
+	GQueue chunks; /* struct chunk */
+	struct event *timer;
+	bool ended; /* from has sent its end */
+	bool shut; /* the end was passed on */
+};
+
+/* One proxied connection. */
+struct link {
+	struct pair *pair;
+	struct flow flow[DIRECTIONS];
+	struct bufferevent *side[DIRECTIONS]; /* connecting side, target */
+	bool connected; /* to the target, or on the way */
+};
+
+static void flow_pump(struct flow *f);
+
+static void
+chunk_free(void *arg)
+{
+	struct chunk *c = arg;
+
+	evbuffer_free(c->bytes);
+	g_free(c);
+}
+
+static void
+link_free(void *arg)
+{
+	struct link *l = arg;
+
+	for (int d = 0; d < DIRECTIONS; d++) {
+		g_queue_clear_full(&l->flow[d].chunks, chunk_free);
+		event_free(l->flow[d].timer);
+		bufferevent_free(l->side[d]);
+	}
+	g_free(l);
+}
+
+static void
+link_close(struct link *l)
+{
+	g_ptr_array_remove_fast(l->pair->links, l);
+}
+
+/* Reads on unless the direction is cut or the other side is slow. */
+static void
+flow_set_reading(struct flow *f)
+{
+	size_t held = evbuffer_get_length(bufferevent_get_output(f->to));
+
+	if (f->link->pair->blocked[f->dir] || held > HELD_MAX)
+		bufferevent_disable(f->from, EV_READ);
+	else
+		bufferevent_enable(f->from, EV_READ);
+}
+
+/* Connects to the target as soon as the way up is open. */
+static void
+link_connect(struct link *l)
+{
+	struct pair *p = l->pair;
+
+	if (l->connected || p->blocked[UP] || p->blocked[DOWN])
+		return;
+	l->connected = true;
+	(void)bufferevent_socket_connect(
+	    l->side[1], (struct sockaddr *)&p->target, p->target_len);
+}
+
+/* Passes the end on once everything before it has gone. */
+static void
+flow_end(struct flow *f)
+{
+	if (!f->ended || f->shut || !g_queue_is_empty(&f->chunks) ||
+	    evbuffer_get_length(bufferevent_get_output(f->to)) > 0)
+		return;
+	f->shut = true;
+	shutdown(bufferevent_getfd(f->to), SHUT_WR);
+	if (f->link->flow[UP].shut && f->link->flow[DOWN].shut)
+		link_close(f->link);
+}
+
+/* Writes what is due; waits for the rest. */
+static void
+flow_pump(struct flow *f)
+{
+	struct pair *p = f->link->pair;
+	struct chunk *c;
+
+	while (!p->blocked[f->dir] &&
+	    (c = g_queue_peek_head(&f->chunks)) != NULL) {
+		int64_t wait = c->due_ms - mono_ms();
+
+		if (wait > 0) {
+			struct timeval tv = { wait / 1000,
+				(wait % 1000) * 1000 };
+
+			event_add(f->timer, &tv);
+			return;
+		}
+		p->bytes[f->dir] += evbuffer_get_length(c->bytes);
+		bufferevent_write_buffer(f->to, c->bytes);
+		chunk_free(g_queue_pop_head(&f->chunks));
+	}
+	if (!p->blocked[f->dir])
+		flow_end(f);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	flow_pump(arg);
+}
+
+/* The flow that starts at this side. */
+static struct flow *
+flow_from(struct link *l, const struct bufferevent *bev)
+{
+	return &l->flow[bev == l->side[0] ? UP : DOWN];
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct link *l = arg;
+	struct flow *f = flow_from(l, bev);
+	struct chunk *c = g_new(struct chunk, 1);
+
+	c->due_ms = mono_ms() + l->pair->delay_ms;
+	c->bytes = evbuffer_new();
+	bufferevent_read_buffer(bev, c->bytes);
+	g_queue_push_tail(&f->chunks, c);
+	flow_set_reading(f);
+	flow_pump(f);
+}
+
+/* The output of a side is empty: its peer may be read again. */
+static void
+on_write(struct bufferevent *bev, void *arg)
+{
+	struct link *l = arg;
+	struct flow *f = &l->flow[bev == l->side[0] ? DOWN : UP];
+
+	flow_set_reading(f);
+	flow_end(f);
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct link *l = arg;
+	struct flow *f = flow_from(l, bev);
+
+	if ((what & BEV_EVENT_ERROR) != 0) {
+		link_close(l);
+		return;
+	}
+	if ((what & BEV_EVENT_EOF) != 0) {
+		f->ended = true;
+		flow_pump(f);
+	}
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *from, int len, void *arg)
+{
+	struct pair *p = arg;
+	struct link *l;
+
+	if (rng_below(&p->proxy->rng, 100) < p->lose_percent) {
+		evutil_closesocket(fd);
+		return;
+	}
+	l = g_new0(struct link, 1);
+	l->pair = p;
+	l->side[0] =
+	    bufferevent_socket_new(p->proxy->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	l->side[1] =
+	    bufferevent_socket_new(p->proxy->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	for (int d = 0; d < DIRECTIONS; d++) {
+		struct flow *f = &l->flow[d];
+
+		f->link = l;
+		f->dir = d;
+		f->from = l->side[d];
+		f->to = l->side[1 - d];
+		g_queue_init(&f->chunks);
+		f->timer = event_new(p->proxy->base, -1, 0, on_timer, f);
+		bufferevent_setcb(l->side[d], on_read, on_write, on_event, l);
+	}
+	g_ptr_array_add(p->links, l);
+	flow_set_reading(&l->flow[UP]);
+	flow_set_reading(&l->flow[DOWN]);
+	link_connect(l);
+}
+
+/* Applies a change of the pair's blocks to its connections. */
+static void
+pair_apply(struct pair *p)
+{
+	GPtrArray *links = g_ptr_array_new();
+
+	/* A copy: pumping may close links. */
+	g_ptr_array_extend(links, p->links, NULL, NULL);
+	for (guint i = 0; i < links->len; i++) {
+		struct link *l = links->pdata[i];
+
+		link_connect(l);
+		flow_set_reading(&l->flow[UP]);
+		flow_set_reading(&l->flow[DOWN]);
+		flow_pump(&l->flow[UP]);
+		if (g_ptr_array_find(p->links, l, NULL))
+			flow_pump(&l->flow[DOWN]);
+	}
+	g_ptr_array_unref(links);
+}
+
+/* A command: changes a pair; false if its argument is wrong. */
+struct command {
+	const char *name;
+	bool (*run)(struct pair *p, const char *arg);
+};
+
+static bool
+do_cut(struct pair *p, const char *arg)
+{
+	p->blocked[UP] = p->blocked[DOWN] = true;
+	pair_apply(p);
+	return true;
+}
+
+static bool
+do_oneway(struct pair *p, const char *arg)
+{
+	if (g_strcmp0(arg, "up") != 0 && g_strcmp0(arg, "down") != 0)
+		return false;
+	p->blocked[strcmp(arg, "up") == 0 ? UP : DOWN] = true;
+	pair_apply(p);
+	return true;
+}
+
+static bool
+parse_number(const char *arg, guint64 max, guint64 *value)
+{
+	return arg != NULL &&
+	    g_ascii_string_to_unsigned(arg, 10, 0, max, value, NULL);
+}
+
+static bool
+do_delay(struct pair *p, const char *arg)
+{
+	guint64 ms;
+
+	if (!parse_number(arg, G_MAXINT32, &ms))
+		return false;
+	p->delay_ms = (int64_t)ms;
+	return true;
+}
+
+static bool
+do_lose(struct pair *p, const char *arg)
+{
+	guint64 percent;
+
+	if (!parse_number(arg, 100, &percent))
+		return false;
+	p->lose_percent = percent;
+	return true;
+}
+
+static bool
+do_reset(struct pair *p, const char *arg)
+{
+	g_ptr_array_set_size(p->links, 0);
+	return true;
+}
+
+static bool
+do_heal(struct pair *p, const char *arg)
+{
+	p->blocked[UP] = p->blocked[DOWN] = false;
+	p->delay_ms = 0;
+	p->lose_percent = 0;
+	pair_apply(p);
+	return true;
+}
+
+static bool
+do_status(struct pair *p, const char *arg)
+{
+	return true;
+}
+
+static const struct command commands[] = {
+	{ "cut", do_cut },
+	{ "oneway", do_oneway },
+	{ "delay", do_delay },
+	{ "lose", do_lose },
+	{ "reset", do_reset },
+	{ "heal", do_heal },
+	{ "status", do_status },
+};
+
+static const struct command *
+command_named(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (g_strcmp0(commands[i].name, name) == 0)
+			return &commands[i];
+	}
+	return NULL;
+}
+
+/* Runs one line; returns the answer without its newline. */
+static char *
+run_line(struct proxy *x, const char *line)
+{
+	char **word = g_strsplit(line, " ", 3);
+	const struct command *c = command_named(word[0]);
+	const char *name = c != NULL ? word[1] : NULL;
+	GString *out = g_string_new(NULL);
+	bool ok = false;
+
+	for (guint i = 0; name != NULL && i < x->pairs->len; i++) {
+		struct pair *p = x->pairs->pdata[i];
+
+		if (strcmp(name, "*") != 0 && strcmp(name, p->name) != 0)
+			continue;
+		ok = c->run(p, word[2]);
+		if (ok && c->run == do_status)
+			g_string_append_printf(out,
+			    " %s connections %u up %" PRIu64 " down %" PRIu64,
+			    p->name, p->links->len, p->bytes[UP],
+			    p->bytes[DOWN]);
+	}
+	g_string_prepend(out, line);
+	g_string_prepend(out, ok ? "ok " : "error ");
+	g_strfreev(word);
+	return g_string_free(out, FALSE);
+}
+
+static void
+on_line(struct bufferevent *bev, void *arg)
+{
+	struct evbuffer *in = bufferevent_get_input(bev);
+	char *line;
+
+	while ((line = evbuffer_readln(in, NULL, EVBUFFER_EOL_LF)) != NULL) {
+		char *answer = run_line(arg, line);
+
+		if (bufferevent_getfd(bev) == STDIN_FILENO) {
+			puts(answer);
+			fflush(stdout);
+		} else {
+			evbuffer_add_printf(
+			    bufferevent_get_output(bev), "%s\n", answer);
+		}
+		g_free(answer);
+		free(line);
+	}
+}
+
+static void
+on_control_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct proxy *x = arg;
+
+	if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+		return;
+	/* A program whose starter is gone has nothing more to do. */
+	if (bufferevent_getfd(bev) == STDIN_FILENO)
+		event_base_loopbreak(x->base);
+	else
+		g_ptr_array_remove_fast(x->controllers, bev);
+}
+
+static void
+add_controller(struct proxy *x, evutil_socket_t fd, int options)
+{
+	struct bufferevent *bev = bufferevent_socket_new(x->base, fd, options);
+
+	bufferevent_setcb(bev, on_line, NULL, on_control_event, x);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	g_ptr_array_add(x->controllers, bev);
+}
+
+static void
+on_control(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *from, int len, void *arg)
+{
+	add_controller(arg, fd, BEV_OPT_CLOSE_ON_FREE);
+}
+
+/* Listens on IP:PORT; NULL if that fails. */
+static struct evconnlistener *
+listen_on(
+    struct proxy *x, const char *address, evconnlistener_cb on_new, void *arg)
+{
+	struct sockaddr_storage sa;
+	struct evconnlistener *l;
+	int len = sizeof(sa);
+
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&sa, &len) !=
+	    0) {
+		g_printerr("faultproxy: %s is no IP:PORT\n", address);
+		return NULL;
+	}
+	l = evconnlistener_new_bind(x->base, on_new, arg,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+	    -1, (struct sockaddr *)&sa, len);
+	if (l == NULL)
+		g_printerr("faultproxy: can't listen on %s\n", address);
+	return l;
+}
+
+static void
+pair_free(void *arg)
+{
+	struct pair *p = arg;
+
+	g_ptr_array_unref(p->links);
+	if (p->listener != NULL)
+		evconnlistener_free(p->listener);
+	g_free(p->name);
+	g_free(p);
+}
+
+/* Takes [NAME@]LISTEN=TARGET; without a name it is the pair's number. */
+static bool
+add_pair(struct proxy *x, const char *text)
+{
+	struct pair *p = g_new0(struct pair, 1);
+	const char *at = strchr(text, '@');
+	char **half = g_strsplit(at != NULL ? at + 1 : text, "=", 2);
+
+	p->proxy = x;
+	p->name = at != NULL ? g_strndup(text, (gsize)(at - text))
+			     : g_strdup_printf("%u", x->pairs->len);
+	p->links = g_ptr_array_new_with_free_func(link_free);
+	p->delay_ms = x->delay_ms;
+	p->lose_percent = (uint64_t)x->lose_percent;
+	p->target_len = sizeof(p->target);
+	if (g_strv_length(half) == 2 &&
+	    evutil_parse_sockaddr_port(
+		half[1], (struct sockaddr *)&p->target, &p->target_len) == 0)
+		p->listener = listen_on(x, half[0], on_accept, p);
+	else
+		g_printerr("faultproxy: --pair=%s: want LISTEN=TARGET\n", text);
+	g_strfreev(half);
+	g_ptr_array_add(x->pairs, p);
+	return p->listener != NULL;
+}
+
+static void
+on_term(evutil_socket_t fd, short what, void *arg)
+{
+	event_base_loopbreak(arg);
+}
+
+/* Serves until SIGTERM or the end of standard input. */
+static bool
+serve(struct proxy *x, char **pairs, const char *control)
+{
+	struct event *term = evsignal_new(x->base, SIGTERM, on_term, x->base);
+	bool ok = true;
+
+	event_add(term, NULL);
+	for (int i = 0; ok && pairs != NULL && pairs[i] != NULL; i++)
+		ok = add_pair(x, pairs[i]);
+	if (ok && control != NULL) {
+		x->control = listen_on(x, control, on_control, x);
+		ok = x->control != NULL;
+	}
+	if (ok) {
+		evutil_make_socket_nonblocking(STDIN_FILENO);
+		add_controller(x, STDIN_FILENO, 0);
+		puts("ready");
+		fflush(stdout);
+		event_base_dispatch(x->base);
+	}
+	event_free(term);
+	return ok;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct proxy x = { 0 };
+	char **pairs = NULL;
+	char *control = NULL;
+	gint64 seed = 1;
+	GOptionEntry options[] = {
+		{ .long_name = "pair",
+		    .arg = G_OPTION_ARG_STRING_ARRAY,
+		    .arg_data = &pairs },
+		{ .long_name = "control",
+		    .arg = G_OPTION_ARG_STRING,
+		    .arg_data = &control },
+		{ .long_name = "seed",
+		    .arg = G_OPTION_ARG_INT64,
+		    .arg_data = &seed },
+		{ .long_name = "delay-ms",
+		    .arg = G_OPTION_ARG_INT,
+		    .arg_data = &x.delay_ms },
+		{ .long_name = "lose",
+		    .arg = G_OPTION_ARG_INT,
+		    .arg_data = &x.lose_percent },
+		{ 0 },
+	};
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *err = NULL;
+	bool ok;
+
+	signal(SIGPIPE, SIG_IGN);
+	g_option_context_add_main_entries(context, options, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &err)) {
+		g_printerr("faultproxy: %s\n", err->message);
+		return 2;
+	}
+	x.base = event_base_new();
+	x.rng.state = (uint64_t)seed;
+	x.pairs = g_ptr_array_new_with_free_func(pair_free);
+	x.controllers =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)bufferevent_free);
+	ok = serve(&x, pairs, control);
+	g_ptr_array_unref(x.controllers);
+	g_ptr_array_unref(x.pairs);
+	if (x.control != NULL)
+		evconnlistener_free(x.control);
+	event_base_free(x.base);
+	g_option_context_free(context);
+	g_strfreev(pairs);
+	g_free(control);
+	return ok ? 0 : 1;
+}
--- /dev/null
+++ b/test/faultproxy.cmake
@@ -0,0 +1,1 @@
+bt_program(faultproxy SOURCES faultproxy.c DEPENDS base)
