--- a/test/faketask.c
+++ b/test/faketask.c
@@ -9,6 +9,7 @@
 #define KEY_PRINT_MAX 64 /* bytes of a call's body in the record */
 #define TELL_BASE_MS 100
 #define TELL_MAX_MS 5000
+#define PAUSE_MS 300 /* unseen that long: the process slept */
 #define LEASE_IDLE_MS 1000 /* how often leases are looked at when none ends */
 
 #define HTTP_CONFLICT 409
@@ -64,6 +65,10 @@
 	GHashTableIter it;
 	void *value;
 
+	if (now - w->seen_ms > PAUSE_MS)
+		record(
+		    w, "woke", "{s:I}", "asleep_since", (json_int_t)w->seen_ms);
+	w->seen_ms = now;
 	g_hash_table_iter_init(&it, w->attempts);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct attempt *a = value;
