Placement decisions: shapes, fair share, gangs, reservations, preemption

Cause: jobs of unlike kinds need one place that decides where tasks run. Change: the sched library behind lib/sched/sched.h. Waiting tasks are grouped by equal shape; a blocked shape is looked at again only when a worker that could hold it has changed. Gangs start whole or not at all and reserve room with backfill up to a bound; urgent work within its team's quota throttles, then stops idempotent batch work with the least lost run time, once for each need. SCHED_RESUME is new: it lifts a throttle whose room came from elsewhere. Found by the tests on the way: reservations of small tasks kept a gang from ever reserving (now only the oldest starving job may), a second task of an urgent job preempted twice although one victim freed room for both, and a reclaim was held up by the job's own reservation. The header's name is that of a C library header which pthread.h includes, so its folder is on the path for quoted names only.

--- /dev/null
+++ b/lib/sched/place.c
@@ -0,0 +1,262 @@
+/* The choice of a worker for one task. */
+#include <math.h>
+
+#include "table.h"
+
+#define CANDIDATES 64 /* workers with room that are compared */
+#define BACKFILL_SCAN 64 /* held workers looked at for backfill */
+
+struct search {
+	struct sched *s;
+	const struct job *job;
+	struct worker *best;
+	double score;
+	unsigned found;
+	bool spread;
+};
+
+/* A task's room on a worker, for a check of one resource after another. */
+static bool
+has_room(const struct worker *w, const struct resources *have, int64_t slots,
+    const struct job *job)
+{
+	return slots > 0 && worker_usable(w) &&
+	    resources_fit(&job->spec.resources, have) &&
+	    worker_allowed(w, job->spec.data_centers);
+}
+
+static uint32_t
+tasks_at(const GArray *counts, uint32_t domain)
+{
+	return g_array_index(counts, uint32_t, domain);
+}
+
+/*
+ * What spreading takes off a score: first the tasks of the job in the domain
+ * it asks for, then those in the other, so that no score makes up for it.
+ */
+static double
+spread_cost(const struct search *q, const struct worker *w)
+{
+	double rack = tasks_at(q->s->rack_tasks, w->spec.rack);
+	double center = tasks_at(q->s->center_tasks, w->spec.data_center);
+
+	if (q->job->spec.spread == SPREAD_RACK)
+		return rack * 1e6 + center * 1e2;
+	return center * 1e6 + rack * 1e2;
+}
+
+static void
+consider(struct search *q, struct worker *w, const struct resources *room)
+{
+	double score = q->s->policy->score[q->job->spec.kind](
+	    &w->spec, room, &q->job->spec);
+
+	if (q->spread)
+		score -= spread_cost(q, w);
+	q->found++;
+	if (q->best != NULL && score <= q->score)
+		return;
+	q->best = w;
+	q->score = score;
+}
+
+static unsigned
+visit(void *arg, struct worker *w)
+{
+	struct search *q = arg;
+
+	if (has_room(w, &w->avail, w->avail_slots, q->job))
+		consider(q, w, &w->avail);
+	return q->found;
+}
+
+/* All workers by id, from a start; up to enough that fit. */
+static void
+scan(struct search *q, uint32_t from, unsigned enough)
+{
+	const GPtrArray *workers = q->s->workers;
+
+	for (guint i = 0; i < workers->len && q->found < enough; i++) {
+		guint at = (from + i) % workers->len;
+
+		if (workers->pdata[at] != NULL)
+			visit(q, workers->pdata[at]);
+	}
+}
+
+static void
+scan_next(struct search *q)
+{
+	scan(q, q->s->cursor, 1);
+	if (q->best != NULL)
+		q->s->cursor = q->best->spec.id + 1;
+}
+
+/* Counts the running tasks of a job by domain, or clears the counts. */
+static void
+count_domains(struct sched *s, const struct job *job, bool set)
+{
+	for (guint i = 0; i < job->workers->len; i++) {
+		const struct worker *w =
+		    worker_get(s, g_array_index(job->workers, uint32_t, i));
+		uint32_t *rack =
+		    &g_array_index(s->rack_tasks, uint32_t, w->spec.rack);
+		uint32_t *center = &g_array_index(
+		    s->center_tasks, uint32_t, w->spec.data_center);
+
+		*rack = set ? *rack + 1 : 0;
+		*center = set ? *center + 1 : 0;
+	}
+}
+
+static void
+search_all(struct search *q)
+{
+	struct sched *s = q->s;
+
+	if (q->spread) {
+		scan(q, 0, UINT32_MAX);
+		return;
+	}
+	switch (s->policy->scan) {
+	case SCHED_SCAN_INDEX:
+		index_walk(
+		    &s->index, &q->job->spec.resources, CANDIDATES, visit, q);
+		break;
+	case SCHED_SCAN_ALL:
+		scan(q, 0, UINT32_MAX);
+		break;
+	case SCHED_SCAN_FIRST:
+		scan(q, 0, 1);
+		break;
+	case SCHED_SCAN_NEXT:
+		scan_next(q);
+		break;
+	}
+}
+
+/* Room that is held for a gang and that this task may use until then. */
+static void
+search_held(struct search *q, bool first_class)
+{
+	struct sched *s = q->s;
+	unsigned looked = 0;
+
+	for (guint i = 0; i < s->reservations->len; i++) {
+		const struct reservation *r = s->reservations->pdata[i];
+
+		if (r->strict || r->preempt || r->job == q->job)
+			continue;
+		for (guint j = 0; j < r->holds->len; j++) {
+			const struct hold *h = r->holds->pdata[j];
+			struct worker *w = h->worker;
+
+			if (looked++ >= BACKFILL_SCAN)
+				return;
+			if (has_room(w, &w->spare, w->spare_slots, q->job) &&
+			    backfill_allowed(s, w, q->job, first_class))
+				consider(q, w, &w->spare);
+		}
+	}
+}
+
+/* Only workers whose room has grown: the shape fitted on no other. */
+static void
+search_changed(struct search *q, bool first_class)
+{
+	struct sched *s = q->s;
+
+	for (guint i = 0; i < s->changed->len; i++) {
+		struct worker *w = s->changed->pdata[i];
+
+		visit(q, w);
+		if (w->holds->len > 0 &&
+		    has_room(w, &w->spare, w->spare_slots, q->job) &&
+		    backfill_allowed(s, w, q->job, first_class))
+			consider(q, w, &w->spare);
+	}
+}
+
+struct worker *
+place_held(const struct job *job)
+{
+	if (job->reservation == NULL)
+		return NULL;
+	for (guint i = 0; i < job->reservation->holds->len; i++) {
+		const struct hold *h = job->reservation->holds->pdata[i];
+		struct resources room;
+		int64_t slots;
+
+		hold_room(h->worker, h, &room, &slots);
+		if (has_room(h->worker, &room, slots, job))
+			return h->worker;
+	}
+	return NULL;
+}
+
+struct worker *
+place_find(
+    struct sched *s, struct shape *shape, struct job *job, bool first_class)
+{
+	struct search q = { .s = s, .job = job };
+	struct worker *held = place_held(job);
+
+	if (held != NULL)
+		return held;
+	q.spread = job_spreads(job) && s->policy->fair;
+	if (q.spread)
+		count_domains(s, job, true);
+	if (shape->woken == s->round) {
+		search_changed(&q, first_class);
+	} else {
+		search_all(&q);
+		if (q.best == NULL)
+			search_held(&q, first_class);
+	}
+	if (q.spread)
+		count_domains(s, job, false);
+	return q.best;
+}
+
+/* The hold to give up for a task that starts: its own, or one not ready. */
+static struct hold *
+hold_to_drop(const struct job *job, const struct worker *w)
+{
+	const GPtrArray *holds;
+
+	if (job->reservation == NULL)
+		return NULL;
+	holds = job->reservation->holds;
+	for (guint i = 0; i < holds->len; i++) {
+		struct hold *h = holds->pdata[i];
+
+		if (h->worker == w)
+			return h;
+	}
+	return reserved_tasks(job) > job->waiting ? holds->pdata[holds->len - 1]
+						  : NULL;
+}
+
+void
+place_commit(
+    struct sched *s, struct job *job, struct worker *w, struct sched_round *out)
+{
+	struct sched_placement p = {
+		.job = job->spec.id,
+		.task = job_take(s, job),
+		.worker = w->spec.id,
+	};
+	struct hold *hold = hold_to_drop(job, w);
+
+	job->shape->placed_ms = s->now_ms;
+	if (hold != NULL)
+		hold_drop(s, hold);
+	run_start(s, job, p.task, w, s->now_ms);
+	g_array_append_val(out->placements, p);
+	if (job->waiting > 0)
+		return;
+	if (job->reservation != NULL)
+		reserve_drop(s, job->reservation);
+	shape_remove(s, job);
+}
--- /dev/null
+++ b/lib/sched/reserve.c
@@ -0,0 +1,362 @@
+/* Reservations: room kept for a gang, or for a task that waited too long. */
+#include "table.h"
+
+#define RESERVATIONS_MAX 16 /* without those that preempt */
+#define SLOTS_ENOUGH 512 /* possible starts that are compared */
+#define HOPELESS_MS 5000 /* before a job without enough workers tries again */
+#define RUNTIME_GUESS_MS 60000 /* of a run whose time is not known */
+
+/* A task's place on a worker, and when it should be free. */
+struct start {
+	struct worker *worker;
+	int64_t at_ms;
+};
+
+int64_t
+run_end_estimate(const struct run *run, int64_t now_ms)
+{
+	int64_t runtime = run->job->spec.runtime_ms;
+	int64_t end =
+	    run->started_ms + (runtime > 0 ? runtime : RUNTIME_GUESS_MS);
+
+	/* Past its estimate a run is as likely to go on as it has run. */
+	return end > now_ms ? end : now_ms + (now_ms - run->started_ms);
+}
+
+void
+hold_room(const struct worker *w, const struct hold *own,
+    struct resources *room, int64_t *slots)
+{
+	const struct resources *r = &own->reservation->job->spec.resources;
+	bool preempt = own->reservation->preempt;
+
+	*room = preempt ? w->spare : w->avail;
+	*slots = preempt ? w->spare_slots : w->avail_slots;
+	for (uint32_t i = 0; i < own->tasks; i++)
+		resources_add(room, r, 1);
+	*slots += own->tasks;
+}
+
+uint32_t
+reserved_tasks(const struct job *job)
+{
+	uint32_t n = 0;
+
+	if (job->reservation == NULL)
+		return 0;
+	for (guint i = 0; i < job->reservation->holds->len; i++) {
+		const struct hold *h = job->reservation->holds->pdata[i];
+
+		n += h->tasks;
+	}
+	return n;
+}
+
+static struct reservation *
+reservation_new(struct sched *s, struct job *job, bool preempt)
+{
+	struct reservation *r = g_new0(struct reservation, 1);
+
+	r->job = job;
+	r->holds = g_ptr_array_new_with_free_func(g_free);
+	r->preempt = preempt;
+	r->strict = preempt;
+	r->check = true;
+	job->reservation = r;
+	if (job->reserved_ms == 0)
+		job->reserved_ms = s->now_ms;
+	g_ptr_array_add(s->reservations, r);
+	return r;
+}
+
+struct hold *
+reserve_hold(struct sched *s, struct job *job, struct worker *w, uint32_t tasks)
+{
+	struct reservation *r = job->reservation;
+	struct hold *h = g_new0(struct hold, 1);
+
+	if (r == NULL)
+		r = reservation_new(s, job, true);
+	h->reservation = r;
+	h->worker = w;
+	h->tasks = tasks;
+	h->since_ms = s->now_ms;
+	g_ptr_array_add(r->holds, h);
+	g_ptr_array_add(w->holds, h);
+	worker_refresh(s, w, false);
+	return h;
+}
+
+/* Takes a hold off its worker; the room is open to others again. */
+static void
+detach(struct sched *s, struct hold *h)
+{
+	preempt_forget(s, h);
+	g_ptr_array_remove(h->worker->holds, h);
+	worker_refresh(s, h->worker, true);
+}
+
+void
+reserve_drop(struct sched *s, struct reservation *r)
+{
+	for (guint i = 0; i < r->holds->len; i++)
+		detach(s, r->holds->pdata[i]);
+	r->job->reservation = NULL;
+	g_ptr_array_remove_fast(s->reservations, r);
+	g_ptr_array_unref(r->holds);
+	g_free(r);
+}
+
+void
+hold_drop(struct sched *s, struct hold *hold)
+{
+	struct reservation *r = hold->reservation;
+
+	if (r->holds->len == 1) {
+		reserve_drop(s, r);
+		return;
+	}
+	detach(s, hold);
+	g_ptr_array_remove(r->holds, hold);
+}
+
+static struct hold *
+hold_on(const struct reservation *r, const struct worker *w)
+{
+	for (guint i = 0; i < w->holds->len; i++) {
+		struct hold *h = w->holds->pdata[i];
+
+		if (h->reservation == r)
+			return h;
+	}
+	return NULL;
+}
+
+void
+reserve_forget_worker(struct sched *s, struct worker *w)
+{
+	for (guint i = s->reservations->len; i > 0; i--) {
+		struct reservation *r = s->reservations->pdata[i - 1];
+		struct hold *h = hold_on(r, w);
+
+		if (h == NULL)
+			continue;
+		shape_wake(s, r->job->shape);
+		if (r->job->spec.kind == KIND_GANG)
+			reserve_drop(s, r);
+		else
+			hold_drop(s, h);
+	}
+}
+
+void
+reserve_age(struct sched *s)
+{
+	for (guint i = 0; i < s->reservations->len; i++) {
+		struct reservation *r = s->reservations->pdata[i];
+
+		if (r->strict ||
+		    s->now_ms - r->job->reserved_ms < s->policy->strict_ms)
+			continue;
+		r->strict = true;
+		for (guint j = 0; j < r->holds->len; j++) {
+			const struct hold *h = r->holds->pdata[j];
+
+			worker_refresh(s, h->worker, false);
+		}
+	}
+}
+
+bool
+backfill_allowed(const struct sched *s, const struct worker *w,
+    const struct job *job, bool first_class)
+{
+	int64_t runtime = job->spec.runtime_ms;
+
+	if (w->strict_holds > 0 || job->spec.kind == KIND_SERVICE)
+		return false;
+	if (first_class)
+		return true;
+	if (runtime == 0)
+		return false;
+	for (guint i = 0; i < w->holds->len; i++) {
+		const struct hold *h = w->holds->pdata[i];
+
+		if (s->now_ms + runtime > h->reservation->start_ms)
+			return false;
+	}
+	return true;
+}
+
+static gint
+by_end(gconstpointer a, gconstpointer b, gpointer now)
+{
+	int64_t x = run_end_estimate(*(struct run *const *)a, *(int64_t *)now);
+	int64_t y = run_end_estimate(*(struct run *const *)b, *(int64_t *)now);
+
+	return (x > y) - (x < y);
+}
+
+/*
+ * How many tasks a worker could take once all that ends has ended; also in
+ * place of what others hold, or not.
+ */
+static uint32_t
+room_in_the_end(
+    const struct worker *w, const struct job *job, bool held, uint32_t max)
+{
+	struct resources room = w->spec.capacity;
+	int64_t slots = w->spec.slots - w->fixed_slots;
+
+	if (!worker_usable(w) || !worker_allowed(w, job->spec.data_centers))
+		return 0;
+	resources_add(&room, &w->fixed, -1);
+	if (!held) {
+		resources_add(&room, &w->avail, 1);
+		resources_add(&room, &w->free, -1);
+		slots += w->avail_slots - w->free_slots;
+	}
+	if (slots <= 0)
+		return 0;
+	return resources_count(
+	    &room, &job->spec.resources, (uint32_t)MIN(slots, (int64_t)max));
+}
+
+/* Lists when each of n places on a worker should be free. */
+static void
+list_starts(struct sched *s, struct worker *w, const struct job *job,
+    uint32_t n, GArray *starts)
+{
+	GPtrArray *runs = g_ptr_array_sized_new(w->runs->len);
+	struct resources room = w->avail;
+	int64_t slots = w->avail_slots;
+	struct start start = { .worker = w, .at_ms = s->now_ms };
+	uint32_t listed = 0;
+
+	for (guint i = 0; i < w->runs->len; i++) {
+		const struct run *run = w->runs->pdata[i];
+
+		if (!run->fixed)
+			g_ptr_array_add(runs, w->runs->pdata[i]);
+	}
+	g_ptr_array_sort_with_data(runs, by_end, &s->now_ms);
+	for (guint i = 0; listed < n; i++) {
+		uint32_t fit = slots <= 0
+		    ? 0
+		    : resources_count(&room, &job->spec.resources,
+			  (uint32_t)MIN(slots, (int64_t)n));
+
+		for (; listed < fit; listed++)
+			g_array_append_val(starts, start);
+		if (i >= runs->len)
+			break;
+		resources_add(
+		    &room, &((struct run *)runs->pdata[i])->resources, 1);
+		slots++;
+		start.at_ms = run_end_estimate(runs->pdata[i], s->now_ms);
+	}
+	g_ptr_array_unref(runs);
+}
+
+static gint
+by_time(gconstpointer a, gconstpointer b)
+{
+	const struct start *x = a;
+	const struct start *y = b;
+
+	if (x->at_ms != y->at_ms)
+		return x->at_ms < y->at_ms ? -1 : 1;
+	return (x->worker->spec.id > y->worker->spec.id) -
+	    (x->worker->spec.id < y->worker->spec.id);
+}
+
+/* Turns the first n starts into holds, one a worker. */
+static void
+hold_starts(struct sched *s, struct job *job, GArray *starts, uint32_t n)
+{
+	struct reservation *r = reservation_new(s, job, false);
+
+	for (uint32_t i = 0; i < n; i++) {
+		const struct start *start =
+		    &g_array_index(starts, struct start, i);
+		struct hold *h = hold_on(r, start->worker);
+
+		r->start_ms = MAX(r->start_ms, start->at_ms);
+		if (h == NULL) {
+			reserve_hold(s, job, start->worker, 1);
+			continue;
+		}
+		h->tasks++;
+		worker_refresh(s, h->worker, false);
+	}
+}
+
+static guint
+reserved_jobs(const struct sched *s)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < s->reservations->len; i++) {
+		const struct reservation *r = s->reservations->pdata[i];
+
+		n += !r->preempt;
+	}
+	return n;
+}
+
+/*
+ * A job that the usable workers could not hold if no other reserved must not
+ * keep the others from reserving.
+ */
+static void
+check_hope(struct sched *s, const struct job *job, uint32_t n)
+{
+	uint64_t sum = 0;
+
+	for (guint i = 0; i < s->workers->len && sum < n; i++) {
+		if (s->workers->pdata[i] != NULL)
+			sum +=
+			    room_in_the_end(s->workers->pdata[i], job, true, n);
+	}
+	if (sum < n)
+		job->shape->reserve_ms = s->now_ms + HOPELESS_MS;
+}
+
+bool
+reserve_make(struct sched *s, struct job *job)
+{
+	uint32_t n = job->spec.kind == KIND_GANG ? job->waiting : 1;
+	GArray *starts;
+	bool enough;
+
+	if (job->reservation != NULL)
+		return true;
+	if (s->now_ms < job->shape->reserve_ms)
+		return false;
+	if (reserved_jobs(s) >= RESERVATIONS_MAX ||
+	    (s->starving != 0 && s->starving != job->spec.id))
+		return false;
+	starts = g_array_new(FALSE, FALSE, sizeof(struct start));
+	for (guint i = 0; i < s->workers->len; i++) {
+		guint at = (s->cursor + i) % s->workers->len;
+		struct worker *w = s->workers->pdata[at];
+		uint32_t most =
+		    w != NULL ? room_in_the_end(w, job, false, n) : 0;
+
+		if (most > 0)
+			list_starts(s, w, job, most, starts);
+		if (starts->len >= MAX(SLOTS_ENOUGH, 4 * n))
+			break;
+	}
+	/* Each reservation looks at other workers first. */
+	s->cursor += SLOTS_ENOUGH / 8;
+	enough = starts->len >= n;
+	if (enough) {
+		g_array_sort(starts, by_time);
+		hold_starts(s, job, starts, n);
+	} else {
+		check_hope(s, job, n);
+	}
+	g_array_unref(starts);
+	return enough;
+}
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -52,7 +52,11 @@
 };
 
 /* A running task to take room from. */
-enum sched_preempt_how { SCHED_THROTTLE, SCHED_CHECKPOINT_STOP };
+enum sched_preempt_how {
+	SCHED_THROTTLE, /* first; its room counts as used until it ends */
+	SCHED_CHECKPOINT_STOP, /* the room is still needed */
+	SCHED_RESUME /* the room came from elsewhere: lift the throttle */
+};
 struct sched_preemption {
 	uint64_t job;
 	uint32_t task;
@@ -85,6 +89,14 @@
 	struct resources largest; /* the largest that would fit, now or ever */
 };
 
+/* Which workers a policy looks at for a task. */
+enum sched_scan {
+	SCHED_SCAN_INDEX, /* some tight ones from the index */
+	SCHED_SCAN_ALL, /* every worker, by id */
+	SCHED_SCAN_FIRST, /* by id, up to the first that fits */
+	SCHED_SCAN_NEXT /* as FIRST, from where the last scan ended */
+};
+
 /* A way to choose; the policy in use and the baselines are such tables. */
 struct sched_policy {
 	const char *name;
@@ -94,6 +106,11 @@
 	bool fair; /* teams by weighted dominant share; else by age */
 	bool reserve; /* gangs reserve, others backfill */
 	bool preempt; /* urgent work may take room from batch */
+	enum sched_scan scan;
+	int64_t throttle_ms; /* before a throttled task is stopped */
+	int64_t starved_ms; /* wait for room before it is reserved */
+	int64_t strict_ms; /* a reservation takes backfill until then */
+	int64_t reclaim_ms; /* wait before borrowed room is reclaimed */
 };
 
 extern const struct sched_policy sched_waiting; /* favours waiting time */
@@ -146,4 +163,8 @@
 /* A team's dominant share of all capacity, 0 to 1. */
 double sched_team_share(const struct sched *s, uint32_t team);
 
+/* Aborts if a worker is over capacity or slots, or a table disagrees with
+ * another. For tests. */
+void sched_check(const struct sched *s);
+
 #endif
--- /dev/null
+++ b/test/sched_test.c
@@ -0,0 +1,720 @@
+#include "sched.h"
+
+#define GIB (1LL << 30)
+#define CORE 1000LL /* millicpus */
+#define NONE UINT32_MAX
+
+/* A scheduler under test with its last round and a clock. */
+struct bed {
+	struct sched *s;
+	struct sched_round round;
+	int64_t now_ms;
+	uint64_t next_job;
+};
+
+static void
+bed_init(struct bed *b, const struct sched_policy *policy)
+{
+	*b = (struct bed){ .s = sched_new(policy), .next_job = 1 };
+	sched_round_init(&b->round);
+}
+
+static void
+bed_clear(struct bed *b)
+{
+	sched_check(b->s);
+	sched_round_clear(&b->round);
+	sched_free(b->s);
+}
+
+static struct sched_worker
+worker_like(uint32_t id, int64_t cores, int64_t gib)
+{
+	return (struct sched_worker){
+		.id = id,
+		.capacity = { cores * CORE, gib * GIB, 0 },
+		.slots = 8,
+		.rack = id / 2,
+		.data_center = id / 4,
+	};
+}
+
+/* Adds workers 1 to count. */
+static void
+add_workers(struct bed *b, uint32_t count, int64_t cores, int64_t gib)
+{
+	for (uint32_t id = 1; id <= count; id++) {
+		struct sched_worker w = worker_like(id, cores, gib);
+
+		sched_worker_set(b->s, &w);
+	}
+}
+
+static struct sched_job
+job_like(struct bed *b, enum kind kind, int64_t cores, int64_t gib)
+{
+	return (struct sched_job){
+		.id = b->next_job++,
+		.team = 1,
+		.kind = kind,
+		.idempotent = true,
+		.resources = { cores * CORE, gib * GIB, 0 },
+		.runtime_ms = 1000,
+		.submitted_ms = b->now_ms,
+	};
+}
+
+/* Adds a job that differs from the usual only in kind, size and count. */
+static uint64_t
+add(struct bed *b, enum kind kind, int64_t cores, int64_t gib, uint32_t count)
+{
+	struct sched_job job = job_like(b, kind, cores, gib);
+
+	sched_job_add(b->s, &job, 0, count);
+	return job.id;
+}
+
+static guint
+decide(struct bed *b, int64_t ms)
+{
+	b->now_ms += ms;
+	sched_decide(b->s, b->now_ms, SIZE_MAX, &b->round);
+	sched_check(b->s);
+	return b->round.placements->len;
+}
+
+static const struct sched_placement *
+placed(const struct bed *b, guint i)
+{
+	return &g_array_index(b->round.placements, struct sched_placement, i);
+}
+
+static const struct sched_preemption *
+preempted(const struct bed *b, guint i)
+{
+	return &g_array_index(b->round.preemptions, struct sched_preemption, i);
+}
+
+/* Where a job's task was put in the last round. */
+static uint32_t
+where(const struct bed *b, uint64_t job, uint32_t task)
+{
+	for (guint i = 0; i < b->round.placements->len; i++) {
+		if (placed(b, i)->job == job && placed(b, i)->task == task)
+			return placed(b, i)->worker;
+	}
+	return NONE;
+}
+
+static struct sched_why
+why(struct bed *b, uint64_t job)
+{
+	struct sched_why w;
+
+	g_assert_true(sched_why(b->s, job, &w));
+	return w;
+}
+
+static void
+test_capacity_and_slots(void)
+{
+	struct bed b;
+	uint64_t job;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 2, 4, 8);
+	add(&b, KIND_BATCH, 3, 2, 4);
+	g_assert_cmpuint(decide(&b, 0), ==, 2);
+	g_assert_cmpuint(sched_waiting_tasks(b.s), ==, 2);
+	job = add(&b, KIND_BATCH, 0, 0, 40);
+	g_assert_cmpuint(decide(&b, 0), ==, 14); /* of 16 slots */
+	g_assert_cmpstr(why(&b, job).resource, ==, "slots");
+	bed_clear(&b);
+}
+
+static void
+test_aside(void)
+{
+	struct bed b;
+	struct sched_worker big = worker_like(9, 32, 64);
+	uint64_t large;
+	uint64_t gang;
+	uint64_t elsewhere;
+	struct sched_job job;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 2, 4, 8);
+	large = add(&b, KIND_BATCH, 8, 1, 1);
+	gang = add(&b, KIND_GANG, 2, 1, 5);
+	job = job_like(&b, KIND_BATCH, 1, 1);
+	job.data_centers = 1U << 5;
+	elsewhere = job.id;
+	sched_job_add(b.s, &job, 0, 1);
+	g_assert_cmpuint(decide(&b, 0), ==, 0);
+	g_assert_cmpint(why(&b, large).reason, ==, SCHED_NEVER_FITS);
+	g_assert_cmpstr(why(&b, large).resource, ==, "millicpus");
+	g_assert_cmpint(why(&b, large).largest.millicpus, ==, 4 * CORE);
+	g_assert_cmpint(why(&b, gang).reason, ==, SCHED_NEVER_FITS);
+	g_assert_cmpint(why(&b, elsewhere).reason, ==, SCHED_NO_WORKER);
+	sched_worker_set(b.s, &big);
+	g_assert_cmpuint(decide(&b, 0), ==, 6);
+	g_assert_cmpuint(where(&b, large, 0), ==, 9);
+	g_assert_cmpint(why(&b, elsewhere).reason, ==, SCHED_NO_WORKER);
+	sched_worker_remove(b.s, 9);
+	bed_clear(&b);
+}
+
+static void
+test_flags(void)
+{
+	struct bed b;
+	struct sched_worker w = worker_like(1, 4, 8);
+
+	bed_init(&b, &sched_waiting);
+	for (unsigned flag = SCHED_SUSPECT; flag <= SCHED_SET_ASIDE;
+	     flag <<= 1) {
+		w.flags = flag;
+		sched_worker_set(b.s, &w);
+		add(&b, KIND_BATCH, 1, 1, 1);
+		g_assert_cmpuint(decide(&b, 0), ==, 0);
+		w.flags = 0;
+		sched_worker_set(b.s, &w);
+		g_assert_cmpuint(decide(&b, 0), ==, 1);
+	}
+	bed_clear(&b);
+}
+
+static void
+test_tight_fit(void)
+{
+	struct bed b;
+	struct sched_worker a = worker_like(1, 8, 32);
+	struct sched_worker c = worker_like(2, 16, 32);
+
+	bed_init(&b, &sched_packing);
+	sched_worker_set(b.s, &c);
+	sched_worker_set(b.s, &a);
+	/* The smaller one is left empty on millicpus. */
+	add(&b, KIND_BATCH, 8, 16, 1);
+	g_assert_cmpuint(decide(&b, 0), ==, 1);
+	g_assert_cmpuint(placed(&b, 0)->worker, ==, 1);
+	bed_clear(&b);
+}
+
+/* Memory is not left without millicpus when the other way is open. */
+static void
+test_stranding(void)
+{
+	struct bed b;
+	struct sched_job job;
+
+	bed_init(&b, &sched_packing);
+	add_workers(&b, 2, 16, 64);
+	job = job_like(&b, KIND_BATCH, 8, 8);
+	sched_running(b.s, &job, 0, 1, 0);
+	job = job_like(&b, KIND_BATCH, 2, 32);
+	sched_running(b.s, &job, 0, 2, 0);
+	add(&b, KIND_BATCH, 2, 32, 1);
+	decide(&b, 0);
+	g_assert_cmpuint(placed(&b, 0)->worker, ==, 1);
+	bed_clear(&b);
+}
+
+static void
+test_accelerators_kept(void)
+{
+	struct bed b;
+	struct sched_worker w = worker_like(1, 8, 32);
+	uint64_t plain;
+	struct sched_job job;
+
+	bed_init(&b, &sched_packing);
+	w.capacity.accelerators = 2;
+	sched_worker_set(b.s, &w);
+	w = worker_like(2, 64, 256);
+	sched_worker_set(b.s, &w);
+	plain = add(&b, KIND_BATCH, 4, 16, 1);
+	job = job_like(&b, KIND_BATCH, 4, 16);
+	job.resources.accelerators = 1;
+	sched_job_add(b.s, &job, 0, 1);
+	g_assert_cmpuint(decide(&b, 0), ==, 2);
+	g_assert_cmpuint(where(&b, plain, 0), ==, 2);
+	g_assert_cmpuint(where(&b, job.id, 0), ==, 1);
+	bed_clear(&b);
+}
+
+/* Tasks of a service by data centre, rack or worker of those placed. */
+static unsigned
+domains(const struct bed *b, uint32_t per)
+{
+	unsigned seen = 0;
+
+	for (guint i = 0; i < b->round.placements->len; i++)
+		seen |= 1U << placed(b, i)->worker / per;
+	return (unsigned)__builtin_popcount(seen);
+}
+
+static void
+test_spread(void)
+{
+	static const enum spread spreads[] = { SPREAD_RACK,
+		SPREAD_DATA_CENTER };
+
+	for (unsigned i = 0; i < G_N_ELEMENTS(spreads); i++) {
+		struct bed b;
+		struct sched_job job;
+
+		bed_init(&b, &sched_packing);
+		add_workers(&b, 15, 16, 64);
+		job = job_like(&b, KIND_SERVICE, 1, 1);
+		job.spread = spreads[i];
+		sched_job_add(b.s, &job, 0, 4);
+		g_assert_cmpuint(decide(&b, 0), ==, 4);
+		g_assert_cmpuint(domains(&b, 2), ==, 4);
+		g_assert_cmpuint(domains(&b, 4), ==, 4);
+		/* The next ones count those that run. */
+		sched_job_add(b.s, &job, 4, 4);
+		g_assert_cmpuint(decide(&b, 0), ==, 4);
+		g_assert_cmpuint(domains(&b, 4), ==, 4);
+		bed_clear(&b);
+	}
+}
+
+static void
+test_gang_whole(void)
+{
+	struct bed b;
+	struct sched_job small;
+	uint64_t gang;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 3, 4, 8);
+	small = job_like(&b, KIND_BATCH, 2, 1);
+	sched_running(b.s, &small, 0, 3, 0);
+	gang = add(&b, KIND_GANG, 4, 4, 3);
+	g_assert_cmpuint(decide(&b, 1), ==, 0);
+	g_assert_cmpint(why(&b, gang).reason, ==, SCHED_WAIT_ROOM);
+	sched_end(b.s, small.id, 0, 3);
+	g_assert_cmpuint(decide(&b, 1), ==, 3);
+	for (guint i = 0; i < 3; i++)
+		g_assert_cmpuint(placed(&b, i)->job, ==, gang);
+	bed_clear(&b);
+}
+
+/* A worker of a reservation is lost: the gang reserves anew and starts. */
+static void
+test_reservation_loses_worker(void)
+{
+	struct bed b;
+	struct sched_job small;
+	struct sched_worker w = worker_like(2, 4, 8);
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 3, 4, 8);
+	small = job_like(&b, KIND_BATCH, 4, 1);
+	sched_running(b.s, &small, 0, 1, 0);
+	sched_running(b.s, &small, 1, 2, 0);
+	sched_running(b.s, &small, 2, 3, 0);
+	add(&b, KIND_GANG, 4, 4, 2);
+	decide(&b, 1);
+	w.flags = SCHED_SUSPECT;
+	sched_worker_set(b.s, &w);
+	sched_end(b.s, small.id, 0, 1);
+	decide(&b, 200);
+	sched_end(b.s, small.id, 2, 3);
+	g_assert_cmpuint(decide(&b, 1), ==, 2);
+	bed_clear(&b);
+}
+
+/* Two gangs that each need most workers: one after the other, no halves. */
+static void
+test_two_gangs(void)
+{
+	struct bed b;
+	uint64_t gangs[2];
+	uint32_t at[4];
+	unsigned done = 0;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 4, 4, 8);
+	add(&b, KIND_BATCH, 4, 4, 4);
+	g_assert_cmpuint(decide(&b, 0), ==, 4);
+	for (uint32_t i = 0; i < 4; i++)
+		at[i] = where(&b, 1, i);
+	gangs[0] = add(&b, KIND_GANG, 4, 4, 3);
+	gangs[1] = add(&b, KIND_GANG, 4, 4, 3);
+	g_assert_cmpuint(decide(&b, 1), ==, 0);
+	for (uint32_t i = 0; i < 4; i++)
+		sched_end(b.s, 1, i, at[i]);
+	for (unsigned turn = 0; turn < 8; turn++) {
+		guint n = decide(&b, 200);
+		uint64_t job;
+
+		if (n == 0)
+			continue;
+		g_assert_cmpuint(n, ==, 3);
+		job = placed(&b, 0)->job;
+		g_assert_true(job == gangs[0] || job == gangs[1]);
+		done++;
+		for (guint i = 0; i < n; i++)
+			sched_end(b.s, job, placed(&b, i)->task,
+			    placed(&b, i)->worker);
+	}
+	g_assert_cmpuint(done, ==, 2);
+	bed_clear(&b);
+}
+
+/* Ends those of the running placements that are due, oldest first. */
+static void
+end_due(struct bed *b, GArray *running, const GArray *ends)
+{
+	for (guint i = 0; i < running->len; i++) {
+		const struct sched_placement *p =
+		    &g_array_index(running, struct sched_placement, i);
+
+		if (g_array_index(ends, int64_t, i) <= b->now_ms)
+			sched_end(b->s, p->job, p->task, p->worker);
+	}
+}
+
+/*
+ * An endless stream of small tasks that run four times as long as declared:
+ * the gang starts within the strict bound and the longest run time.
+ */
+static void
+test_gang_amid_stream(void)
+{
+	struct bed b;
+	uint64_t gang = 0;
+	GArray *running =
+	    g_array_new(FALSE, FALSE, sizeof(struct sched_placement));
+	GArray *ends = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	int64_t added_ms = 0;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 4, 4, 8);
+	for (unsigned turn = 0; gang == 0 || where(&b, gang, 0) == NONE;
+	     turn++) {
+		int64_t end_ms = b.now_ms + 500 + 4000;
+
+		if (turn == 20) {
+			gang = add(&b, KIND_GANG, 4, 4, 4);
+			added_ms = b.now_ms;
+		}
+		add(&b, KIND_BATCH, 1, 1, 4);
+		decide(&b, 500);
+		g_array_append_vals(
+		    running, b.round.placements->data, b.round.placements->len);
+		while (ends->len < running->len)
+			g_array_append_val(ends, end_ms);
+		g_assert_cmpuint(turn, <, 200);
+		end_due(&b, running, ends);
+	}
+	g_assert_cmpint(
+	    b.now_ms - added_ms, <=, sched_waiting.strict_ms + 4000 + 1000);
+	g_array_unref(running);
+	g_array_unref(ends);
+	bed_clear(&b);
+}
+
+/* Short work may use the room that a gang waits for; long work may not. */
+static void
+test_backfill(void)
+{
+	struct bed b;
+	struct sched_job job;
+	uint64_t brief;
+	uint64_t lengthy;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 2, 4, 8);
+	job = job_like(&b, KIND_BATCH, 4, 1);
+	job.runtime_ms = 8000;
+	sched_running(b.s, &job, 0, 1, 0);
+	add(&b, KIND_GANG, 4, 4, 2);
+	g_assert_cmpuint(decide(&b, 1), ==, 0);
+	job = job_like(&b, KIND_BATCH, 2, 1);
+	job.runtime_ms = 60000;
+	lengthy = job.id;
+	sched_job_add(b.s, &job, 0, 1);
+	job = job_like(&b, KIND_BATCH, 1, 1);
+	job.runtime_ms = 1000;
+	brief = job.id;
+	sched_job_add(b.s, &job, 0, 1);
+	g_assert_cmpuint(decide(&b, 1), ==, 1);
+	g_assert_cmpuint(where(&b, brief, 0), ==, 2);
+	g_assert_cmpint(why(&b, lengthy).reason, ==, SCHED_WAIT_RESERVED);
+	sched_end(b.s, brief, 0, 2);
+	/* Past the bound not even that. */
+	decide(&b, sched_waiting.strict_ms);
+	add(&b, KIND_BATCH, 1, 1, 1);
+	g_assert_cmpuint(decide(&b, 1), ==, 0);
+	bed_clear(&b);
+}
+
+static void
+test_order(void)
+{
+	struct bed b;
+	struct sched_job job;
+	uint64_t plain;
+	uint64_t dated;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 1, 4, 8);
+	plain = add(&b, KIND_BATCH, 4, 1, 1);
+	job = job_like(&b, KIND_BATCH, 4, 1);
+	job.deadline_ms = 10000;
+	dated = job.id;
+	sched_job_add(b.s, &job, 0, 1);
+	job = job_like(&b, KIND_BATCH, 4, 1);
+	job.urgent = true;
+	sched_job_add(b.s, &job, 0, 1);
+	g_assert_cmpuint(decide(&b, 1), ==, 1);
+	g_assert_cmpuint(placed(&b, 0)->job, ==, job.id);
+	sched_end(b.s, job.id, 0, 1);
+	decide(&b, 5000); /* the deadline comes near */
+	g_assert_cmpuint(placed(&b, 0)->job, ==, dated);
+	sched_end(b.s, dated, 0, 1);
+	decide(&b, 1);
+	g_assert_cmpuint(placed(&b, 0)->job, ==, plain);
+	bed_clear(&b);
+}
+
+/* Teams of weight 1 and 3 share what both want; one alone borrows all. */
+static void
+test_fair_share(void)
+{
+	struct bed b;
+	struct resources quota = { 0 };
+	unsigned of_team[3] = { 0 };
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 4, 4, 8);
+	sched_team_set(b.s, 1, 1, &quota);
+	sched_team_set(b.s, 2, 3, &quota);
+	for (uint32_t i = 0; i < 32; i++) {
+		struct sched_job job = job_like(&b, KIND_BATCH, 1, 1);
+
+		job.team = i < 16 ? 1 : 2;
+		sched_job_add(b.s, &job, 0, 1);
+	}
+	g_assert_cmpuint(decide(&b, 0), ==, 16);
+	for (guint i = 0; i < 16; i++)
+		of_team[placed(&b, i)->job <= 16 ? 1 : 2]++;
+	g_assert_cmpuint(of_team[1], ==, 4);
+	g_assert_cmpuint(of_team[2], ==, 12);
+	g_assert_cmpfloat(sched_team_share(b.s, 2), ==, 0.75);
+	for (guint i = 0; i < 16; i++)
+		sched_end(b.s, placed(&b, i)->job, 0, placed(&b, i)->worker);
+	g_assert_cmpuint(decide(&b, 0), ==, 16); /* 12 of team 1: borrowed */
+	bed_clear(&b);
+}
+
+/* Borrowed room comes back to a team within its quota. */
+static void
+test_reclaim(void)
+{
+	struct bed b;
+	struct resources quota = { 8 * CORE, 0, 0 };
+	struct sched_job job;
+	unsigned stops = 0;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 4, 4, 8);
+	sched_team_set(b.s, 1, 1, &quota);
+	sched_team_set(b.s, 2, 1, &quota);
+	add(&b, KIND_BATCH, 4, 4, 4);
+	g_assert_cmpuint(decide(&b, 0), ==, 4);
+	job = job_like(&b, KIND_BATCH, 4, 4);
+	job.team = 2;
+	sched_job_add(b.s, &job, 0, 3);
+	g_assert_cmpuint(decide(&b, 10), ==, 0);
+	g_assert_cmpuint(b.round.preemptions->len, ==, 0);
+	for (unsigned turn = 0; turn < 200; turn++) {
+		decide(&b, 100);
+		for (guint i = 0; i < b.round.preemptions->len; i++) {
+			const struct sched_preemption *p = preempted(&b, i);
+
+			if (p->how != SCHED_CHECKPOINT_STOP)
+				continue;
+			stops++;
+			g_assert_cmpuint(p->job, ==, 1);
+			sched_end(b.s, p->job, p->task, p->worker);
+		}
+	}
+	g_assert_cmpuint(stops, ==, 2); /* up to the quota, no more */
+	g_assert_cmpfloat(sched_team_share(b.s, 2), ==, 0.5);
+	bed_clear(&b);
+}
+
+/* Fills workers 1 to 3: not idempotent, old and new batch. */
+static void
+fill_for_preemption(struct bed *b)
+{
+	struct sched_job job = job_like(b, KIND_BATCH, 4, 4);
+
+	add_workers(b, 3, 4, 8);
+	job.idempotent = false;
+	sched_running(b->s, &job, 0, 1, 900);
+	job = job_like(b, KIND_BATCH, 4, 4);
+	sched_running(b->s, &job, 0, 2, 0);
+	job = job_like(b, KIND_BATCH, 4, 4);
+	sched_running(b->s, &job, 0, 3, 500);
+	b->now_ms = 1000;
+}
+
+static void
+test_preempt(void)
+{
+	struct bed b;
+	struct sched_job job;
+	uint64_t thief;
+
+	bed_init(&b, &sched_waiting);
+	fill_for_preemption(&b);
+	job = job_like(&b, KIND_BATCH, 2, 2);
+	job.urgent = true;
+	sched_job_add(b.s, &job, 0, 1);
+	decide(&b, 0);
+	g_assert_cmpuint(b.round.preemptions->len, ==, 1);
+	g_assert_cmpint(preempted(&b, 0)->how, ==, SCHED_THROTTLE);
+	g_assert_cmpuint(preempted(&b, 0)->worker, ==, 3); /* least lost */
+	g_assert_cmpuint(preempted(&b, 0)->for_job, ==, job.id);
+	decide(&b, sched_waiting.throttle_ms);
+	g_assert_cmpuint(b.round.preemptions->len, ==, 1);
+	g_assert_cmpint(preempted(&b, 0)->how, ==, SCHED_CHECKPOINT_STOP);
+	/* Not twice for the same need, however long the stop takes. */
+	for (unsigned i = 0; i < 20; i++) {
+		decide(&b, 100);
+		g_assert_cmpuint(b.round.preemptions->len, ==, 0);
+	}
+	/* The room is kept from work of the same size that came before. */
+	thief = add(&b, KIND_BATCH, 3, 3, 1);
+	sched_end(b.s, 3, 0, 3);
+	decide(&b, 1);
+	g_assert_cmpuint(where(&b, job.id, 0), ==, 3);
+	g_assert_cmpuint(where(&b, thief, 0), ==, NONE);
+	bed_clear(&b);
+}
+
+/* Room that comes from elsewhere in time: nothing is stopped. */
+static void
+test_preempt_resume(void)
+{
+	struct bed b;
+	struct sched_job job;
+
+	bed_init(&b, &sched_waiting);
+	fill_for_preemption(&b);
+	job = job_like(&b, KIND_BATCH, 2, 2);
+	job.urgent = true;
+	sched_job_add(b.s, &job, 0, 1);
+	decide(&b, 0);
+	sched_end(b.s, 1, 0, 1);
+	g_assert_cmpuint(decide(&b, 10), ==, 1);
+	g_assert_cmpuint(placed(&b, 0)->worker, ==, 1);
+	g_assert_cmpuint(b.round.preemptions->len, ==, 1);
+	g_assert_cmpint(preempted(&b, 0)->how, ==, SCHED_RESUME);
+	g_assert_cmpuint(preempted(&b, 0)->job, ==, 3);
+	bed_clear(&b);
+}
+
+/* A cancelled job's need goes with it. */
+static void
+test_preempt_cancelled(void)
+{
+	struct bed b;
+	struct sched_job job;
+
+	bed_init(&b, &sched_waiting);
+	fill_for_preemption(&b);
+	job = job_like(&b, KIND_BATCH, 2, 2);
+	job.urgent = true;
+	sched_job_add(b.s, &job, 0, 2);
+	decide(&b, 0);
+	g_assert_cmpuint(b.round.preemptions->len, ==, 1);
+	sched_job_remove(b.s, job.id);
+	g_assert_cmpuint(sched_waiting_tasks(b.s), ==, 0);
+	decide(&b, 1000);
+	g_assert_cmpint(preempted(&b, 0)->how, ==, SCHED_RESUME);
+	bed_clear(&b);
+}
+
+static void
+test_urgent_gang(void)
+{
+	struct bed b;
+	struct sched_job job;
+
+	bed_init(&b, &sched_waiting);
+	fill_for_preemption(&b);
+	job = job_like(&b, KIND_GANG, 4, 4);
+	job.urgent = true;
+	sched_job_add(b.s, &job, 0, 2);
+	decide(&b, 0);
+	decide(&b, sched_waiting.throttle_ms);
+	for (guint i = 0; i < b.round.preemptions->len; i++)
+		sched_end(
+		    b.s, preempted(&b, i)->job, 0, preempted(&b, i)->worker);
+	sched_end(b.s, 1, 0, 1);
+	decide(&b, 1);
+	g_assert_cmpuint(b.round.placements->len, ==, 2);
+	bed_clear(&b);
+}
+
+/* A large task amid a stream of small ones is reserved for. */
+static void
+test_large_batch(void)
+{
+	struct bed b;
+	uint64_t large;
+	uint64_t at[2]; /* the jobs that run, each for two turns */
+	unsigned turn = 0;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 1, 4, 8);
+	at[0] = add(&b, KIND_BATCH, 2, 2, 1);
+	at[1] = add(&b, KIND_BATCH, 2, 2, 1);
+	decide(&b, 0);
+	large = add(&b, KIND_BATCH, 4, 4, 1);
+	for (; turn < 100; turn++) {
+		sched_end(b.s, at[turn % 2], 0, 1);
+		add(&b, KIND_BATCH, 2, 2, 1);
+		decide(&b, 500);
+		if (where(&b, large, 0) != NONE)
+			break;
+		if (b.round.placements->len > 0)
+			at[turn % 2] = placed(&b, 0)->job;
+	}
+	g_assert_cmpuint(turn, <, 100);
+	bed_clear(&b);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/sched/capacity-and-slots", test_capacity_and_slots);
+	g_test_add_func("/sched/aside", test_aside);
+	g_test_add_func("/sched/flags", test_flags);
+	g_test_add_func("/sched/tight-fit", test_tight_fit);
+	g_test_add_func("/sched/stranding", test_stranding);
+	g_test_add_func("/sched/accelerators-kept", test_accelerators_kept);
+	g_test_add_func("/sched/spread", test_spread);
+	g_test_add_func("/sched/gang-whole", test_gang_whole);
+	g_test_add_func(
+	    "/sched/reservation-loses-worker", test_reservation_loses_worker);
+	g_test_add_func("/sched/two-gangs", test_two_gangs);
+	g_test_add_func("/sched/gang-amid-stream", test_gang_amid_stream);
+	g_test_add_func("/sched/backfill", test_backfill);
+	g_test_add_func("/sched/order", test_order);
+	g_test_add_func("/sched/fair-share", test_fair_share);
+	g_test_add_func("/sched/reclaim", test_reclaim);
+	g_test_add_func("/sched/preempt", test_preempt);
+	g_test_add_func("/sched/preempt-resume", test_preempt_resume);
+	g_test_add_func("/sched/preempt-cancelled", test_preempt_cancelled);
+	g_test_add_func("/sched/urgent-gang", test_urgent_gang);
+	g_test_add_func("/sched/large-batch", test_large_batch);
+	return g_test_run();
+}
