Random test of the placement decisions against a model

Cause: single rules were tested, their mixture was not. Change: seeded runs of arrivals, ends, cancellations, lost and flagged workers; after each round capacity, slots, whole gangs, single placement and the number of waiting tasks are checked, and in the end all that fits starts. Found: two holds of one reservation on a lost worker left one behind, and a run throttled anew while a resume was due was listed twice.

--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -204,6 +204,9 @@
 		resources_add(&room, &run->resources, 1);
 		slots++;
 		run->hold = hold;
+		/* It may be throttled still for a need that has gone. */
+		if (run->throttled)
+			continue;
 		run->throttled = true;
 		g_ptr_array_add(s->throttled, run);
 		order(
--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -132,21 +132,34 @@
 	return NULL;
 }
 
-void
-reserve_forget_worker(struct sched *s, struct worker *w)
+/* Drops the holds that a reservation has on a worker; a gang's needs all. */
+static void
+forget_on(struct sched *s, struct reservation *r, const struct worker *w)
 {
-	for (guint i = s->reservations->len; i > 0; i--) {
-		struct reservation *r = s->reservations->pdata[i - 1];
-		struct hold *h = hold_on(r, w);
+	unsigned count = 0;
 
-		if (h == NULL)
-			continue;
-		shape_wake(s, r->job->shape);
-		if (r->job->spec.kind == KIND_GANG)
-			reserve_drop(s, r);
-		else
-			hold_drop(s, h);
+	for (guint i = 0; i < w->holds->len; i++) {
+		const struct hold *h = w->holds->pdata[i];
+
+		count += h->reservation == r;
+	}
+	if (count == 0)
+		return;
+	shape_wake(s, r->job->shape);
+	if (r->job->spec.kind == KIND_GANG) {
+		reserve_drop(s, r);
+		return;
 	}
+	/* The reservation goes with its last hold. */
+	for (; count > 0; count--)
+		hold_drop(s, hold_on(r, w));
+}
+
+void
+reserve_forget_worker(struct sched *s, struct worker *w)
+{
+	for (guint i = s->reservations->len; i > 0; i--)
+		forget_on(s, s->reservations->pdata[i - 1], w);
 }
 
 void
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -691,6 +691,220 @@
 	bed_clear(&b);
 }
 
+enum task_state { TASK_WAITS, TASK_RUNS, TASK_ENDED };
+
+struct model_job {
+	struct sched_job spec;
+	uint32_t count;
+	enum task_state state[16];
+	uint32_t worker[16];
+	int64_t end_ms[16]; /* of a running task */
+};
+
+/* What the scheduler must agree with. */
+struct model {
+	struct bed bed;
+	struct rng rng;
+	GArray *jobs; /* struct model_job; job id is the index + 1 */
+	struct sched_worker workers[24];
+	size_t waiting;
+};
+
+static struct model_job *
+model_job(struct model *m, uint64_t id)
+{
+	return &g_array_index(m->jobs, struct model_job, id - 1);
+}
+
+static void
+model_add(struct model *m)
+{
+	struct model_job j = { .count = 1 + (uint32_t)rng_below(&m->rng, 8) };
+	static const enum kind kinds[] = { KIND_BATCH, KIND_BATCH, KIND_BATCH,
+		KIND_GANG, KIND_SERVICE };
+
+	j.spec = job_like(&m->bed, kinds[rng_below(&m->rng, 5)],
+	    1 + (int64_t)rng_below(&m->rng, 6),
+	    1 + (int64_t)rng_below(&m->rng, 12));
+	j.spec.team = 1 + (uint32_t)rng_below(&m->rng, 5);
+	j.spec.urgent = rng_below(&m->rng, 8) == 0;
+	j.spec.idempotent = rng_below(&m->rng, 4) != 0;
+	j.spec.runtime_ms = (int64_t)rng_below(&m->rng, 4000);
+	j.spec.spread = (enum spread)rng_below(&m->rng, 3);
+	if (rng_below(&m->rng, 4) == 0)
+		j.spec.deadline_ms = m->bed.now_ms + 10000;
+	if (rng_below(&m->rng, 6) == 0)
+		j.spec.data_centers = 1U << rng_below(&m->rng, 6);
+	m->waiting += j.count;
+	sched_job_add(m->bed.s, &j.spec, 0, j.count);
+	g_array_append_val(m->jobs, j);
+}
+
+static void
+model_end(struct model *m, uint64_t id, uint32_t task, bool again)
+{
+	struct model_job *j = model_job(m, id);
+
+	g_assert_cmpint(j->state[task], ==, TASK_RUNS);
+	sched_end(m->bed.s, id, task, j->worker[task]);
+	j->state[task] = again ? TASK_WAITS : TASK_ENDED;
+	if (!again)
+		return;
+	m->waiting++;
+	sched_job_add(m->bed.s, &j->spec, task, 1);
+}
+
+/* Ends the tasks that are due, or those of one worker to wait again. */
+static void
+model_end_some(struct model *m, uint32_t worker)
+{
+	for (uint64_t id = 1; id <= m->jobs->len; id++) {
+		struct model_job *j = model_job(m, id);
+
+		for (uint32_t i = 0; i < j->count; i++) {
+			if (j->state[i] != TASK_RUNS)
+				continue;
+			if (worker != NONE && j->worker[i] == worker)
+				model_end(m, id, i, true);
+			else if (worker == NONE &&
+			    j->end_ms[i] <= m->bed.now_ms)
+				model_end(m, id, i, false);
+		}
+	}
+}
+
+static void
+model_cancel(struct model *m)
+{
+	uint64_t id = 1 + rng_below(&m->rng, m->jobs->len);
+	struct model_job *j = model_job(m, id);
+
+	sched_job_remove(m->bed.s, id);
+	for (uint32_t i = 0; i < j->count; i++) {
+		if (j->state[i] != TASK_WAITS)
+			continue;
+		j->state[i] = TASK_ENDED;
+		m->waiting--;
+	}
+}
+
+/* Changes a worker's flags, or loses it with all it runs. */
+static void
+model_worker(struct model *m)
+{
+	uint32_t i = (uint32_t)rng_below(&m->rng, G_N_ELEMENTS(m->workers));
+	struct sched_worker *w = &m->workers[i];
+
+	w->flags = w->flags != 0 ? 0 : 1U << rng_below(&m->rng, 3);
+	if (rng_below(&m->rng, 3) == 0) {
+		model_end_some(m, w->id);
+		sched_worker_remove(m->bed.s, w->id);
+		w->flags = 0;
+	}
+	sched_worker_set(m->bed.s, w);
+}
+
+/* Takes a round's placements over; a gang's waiting tasks start as one. */
+static void
+model_round(struct model *m)
+{
+	struct bed *b = &m->bed;
+
+	decide(b, 1 + (int64_t)rng_below(&m->rng, 200));
+	for (guint i = 0; i < b->round.placements->len; i++) {
+		const struct sched_placement *p = placed(b, i);
+		struct model_job *j = model_job(m, p->job);
+
+		g_assert_cmpint(j->state[p->task], ==, TASK_WAITS);
+		j->state[p->task] = TASK_RUNS;
+		j->worker[p->task] = p->worker;
+		j->end_ms[p->task] =
+		    b->now_ms + (int64_t)rng_below(&m->rng, 5000);
+		m->waiting--;
+		g_assert_cmpint(m->workers[p->worker].flags, ==, 0);
+	}
+	for (guint i = 0; i < b->round.placements->len; i++) {
+		const struct model_job *j = model_job(m, placed(b, i)->job);
+
+		for (uint32_t k = 0; j->spec.kind == KIND_GANG && k < j->count;
+		     k++)
+			g_assert_cmpint(j->state[k], !=, TASK_WAITS);
+	}
+	for (guint i = 0; i < b->round.preemptions->len; i++) {
+		struct sched_preemption p = *preempted(b, i);
+		const struct model_job *j = model_job(m, p.job);
+
+		g_assert_true(j->spec.kind == KIND_BATCH &&
+		    j->spec.idempotent && !j->spec.urgent);
+		if (p.how == SCHED_CHECKPOINT_STOP)
+			model_end(m, p.job, p.task, true);
+	}
+	g_assert_cmpuint(m->waiting, ==, sched_waiting_tasks(b->s));
+}
+
+static void
+model_init(struct model *m, uint64_t seed, const struct sched_policy *policy)
+{
+	*m = (struct model){ .rng = { seed } };
+	bed_init(&m->bed, policy);
+	m->jobs = g_array_new(FALSE, FALSE, sizeof(struct model_job));
+	for (uint32_t i = 0; i < G_N_ELEMENTS(m->workers); i++) {
+		m->workers[i] = worker_like(i, 4 + 4 * (i % 3), 16);
+		sched_worker_set(m->bed.s, &m->workers[i]);
+	}
+	for (uint32_t team = 1; team < 5; team++) {
+		struct resources quota = { 30 * CORE, 60 * GIB, 0 };
+
+		sched_team_set(m->bed.s, team, team, &quota);
+	}
+}
+
+/* With no more changes all that can ever fit starts and ends. */
+static void
+model_drain(struct model *m)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(m->workers); i++) {
+		m->workers[i].flags = 0;
+		sched_worker_set(m->bed.s, &m->workers[i]);
+	}
+	for (unsigned turn = 0; turn < 5000 && m->waiting > 0; turn++) {
+		model_round(m);
+		model_end_some(m, NONE);
+	}
+	for (uint64_t id = 1; id <= m->jobs->len; id++) {
+		struct sched_why w;
+
+		if (sched_why(m->bed.s, id, &w))
+			g_assert_cmpint(w.reason, >=, SCHED_NEVER_FITS);
+	}
+}
+
+static void
+test_random(void)
+{
+	static const struct sched_policy *const policies[] = { &sched_waiting,
+		&sched_packing, &sched_best_fit };
+
+	for (uint64_t seed = 1; seed <= 12; seed++) {
+		struct model m;
+
+		model_init(&m, seed, policies[seed % 3]);
+		for (unsigned turn = 0; turn < 400; turn++) {
+			if (rng_below(&m.rng, 2) == 0)
+				model_add(&m);
+			if (rng_below(&m.rng, 20) == 0 && m.jobs->len > 0)
+				model_cancel(&m);
+			if (rng_below(&m.rng, 10) == 0)
+				model_worker(&m);
+			model_end_some(&m, NONE);
+			model_round(&m);
+		}
+		model_drain(&m);
+		g_array_unref(m.jobs);
+		bed_clear(&m.bed);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -716,5 +930,6 @@
 	g_test_add_func("/sched/preempt-cancelled", test_preempt_cancelled);
 	g_test_add_func("/sched/urgent-gang", test_urgent_gang);
 	g_test_add_func("/sched/large-batch", test_large_batch);
+	g_test_add_func("/sched/random", test_random);
 	return g_test_run();
 }
