--- a/test/api_test.c
+++ b/test/api_test.c
@@ -4,6 +4,7 @@
 #include "api.h"
 
 #define RES "\"resources\":{\"millicpus\":500,\"memory_bytes\":1024}"
+#define W "{\"name\":\"w\",\"incarnation\":1,"
 #define JOB "{\"team\":\"desk\",\"name\":\"n\",\"kind\":\"batch\"," RES
 
 static bool
@@ -191,16 +192,16 @@
 		"{}",
 		"{\"name\":\"w\"}",
 		"{\"name\":\"w\",\"incarnation\":-1}",
-		"{\"name\":\"w\",\"incarnation\":1,\"address\":\"host\"}",
-		"{\"name\":\"w\",\"incarnation\":1,\"address\":\"h:70000\"}",
-		"{\"name\":\"w\",\"incarnation\":1,\"slots\":-1}",
-		"{\"name\":\"w\",\"incarnation\":1,\"running\":{}}",
-		"{\"name\":\"w\",\"incarnation\":1,\"running\":[\"7.1\"]}",
-		"{\"name\":\"w\",\"incarnation\":1,\"running\":[\"7/1\"]}",
-		"{\"name\":\"w\",\"incarnation\":1,\"running\":[null]}",
-		"{\"name\":\"w\",\"incarnation\":1,\"ended\":[{\"task\":"
-		"\"7.1\",\"attempt\":1,\"status\":\"gone\"}]}",
-		"{\"name\":\"w\",\"incarnation\":1,\"ended\":[1]}",
+		W "\"address\":\"host\"}",
+		W "\"address\":\"h:70000\"}",
+		W "\"slots\":-1}",
+		W "\"running\":{}}",
+		W "\"running\":[\"7.1\"]}",
+		W "\"running\":[\"7/1\"]}",
+		W "\"running\":[null]}",
+		W "\"ended\":[{\"task\":\"7.1\",\"attempt\":1,"
+		  "\"status\":\"gone\"}]}",
+		W "\"ended\":[1]}",
 	};
 	struct api_worker w;
 
