--- /dev/null
+++ b/lib/calls/choose.c
@@ -0,0 +1,167 @@
+/*
+ * Choice and ejection of targets.
+ */
+#include "internal.h"
+
+/* Part of a service's targets that may be ejected at the same time. */
+#define EJECTED_MAX_PERCENT 50
+#define EJECTIONS_MAX 16 /* keeps the doubling from overflowing */
+
+static bool
+less_loaded(int64_t a_open, int64_t a_slots, int64_t b_open, int64_t b_slots)
+{
+	return a_open * b_slots < b_open * a_slots;
+}
+
+static bool
+first_is_fine(int64_t a_open, int64_t a_slots, int64_t b_open, int64_t b_slots)
+{
+	return true;
+}
+
+const struct calls_choice calls_two_choices = {
+	.name = "two-choices",
+	.better = less_loaded,
+};
+
+const struct calls_choice calls_random = {
+	.name = "random",
+	.better = first_is_fine,
+};
+
+const struct calls_choice calls_round_robin = {
+	.name = "round-robin",
+	.better = first_is_fine,
+	.in_turn = true,
+};
+
+static bool
+usable(const struct calls *c, const struct target *t, int64_t now_ms)
+{
+	const struct worker *w = worker_at(c, t->pub.worker);
+
+	if (t->removed || w->open >= w->share || t->open >= t->pub.slots)
+		return false;
+	return !t->ejected || (!t->probing && now_ms >= t->probe_at_ms);
+}
+
+/* The first usable one from a place on, other than two that are known. */
+static uint32_t
+usable_from(const struct calls *c, const struct service *s, uint32_t from,
+    uint32_t avoid, uint32_t other, int64_t now_ms)
+{
+	for (guint i = 0; i < s->targets->len; i++) {
+		uint32_t index = g_array_index(
+		    s->targets, uint32_t, (from + i) % s->targets->len);
+
+		if (index != avoid && index != other &&
+		    usable(c, target_at(c, index), now_ms))
+			return index;
+	}
+	return NONE;
+}
+
+/* An ejected target whose probe is due gets the next call. */
+static uint32_t
+due_probe(const struct calls *c, const struct service *s, int64_t now_ms)
+{
+	for (guint i = 0; i < s->targets->len; i++) {
+		uint32_t index = g_array_index(s->targets, uint32_t, i);
+		struct target *t = target_at(c, index);
+
+		if (t->ejected && usable(c, t, now_ms))
+			return index;
+	}
+	return NONE;
+}
+
+static uint32_t
+pick(struct calls *c, struct service *s, uint32_t avoid, int64_t now_ms)
+{
+	const struct calls_choice *choice = c->policy.choice;
+	uint32_t n = s->targets->len;
+	uint32_t first, second;
+	struct target *a, *b;
+
+	if (choice->in_turn)
+		return usable_from(c, s, s->turn++ % n, avoid, NONE, now_ms);
+	first = usable_from(
+	    c, s, (uint32_t)rng_below(&c->rng, n), avoid, NONE, now_ms);
+	if (first == NONE)
+		return NONE;
+	second = usable_from(
+	    c, s, (uint32_t)rng_below(&c->rng, n), avoid, first, now_ms);
+	if (second == NONE)
+		return first;
+	a = target_at(c, first);
+	b = target_at(c, second);
+	return choice->better(b->open, b->pub.slots, a->open, a->pub.slots)
+	    ? second
+	    : first;
+}
+
+uint32_t
+choose_target(
+    struct calls *c, struct service *s, uint32_t avoid, int64_t now_ms)
+{
+	uint32_t index;
+
+	if (s->targets->len == 0)
+		return NONE;
+	index = due_probe(c, s, now_ms);
+	if (index == NONE || index == avoid)
+		index = pick(c, s, avoid, now_ms);
+	if (index == NONE && avoid != NONE)
+		index = pick(c, s, NONE, now_ms);
+	return index;
+}
+
+void
+target_answered(struct target *t)
+{
+	t->failures = 0;
+	t->ejections = 0;
+	t->ejected = false;
+	t->probing = false;
+}
+
+static bool
+may_eject(const struct calls *c, const struct target *t)
+{
+	const struct service *s = service_at(c, t->pub.service);
+	int64_t ejected = 1;
+
+	for (guint i = 0; i < s->targets->len; i++)
+		ejected += target_at(c, g_array_index(s->targets, uint32_t, i))
+			       ->ejected;
+	return ejected * 100 <= (int64_t)s->targets->len * EJECTED_MAX_PERCENT;
+}
+
+/* Doubles the wait for the probe each time, spread over half of it. */
+static int64_t
+probe_wait_ms(struct calls *c, const struct target *t)
+{
+	int64_t wait = c->policy.probe_min_ms
+	    << MIN(t->ejections, EJECTIONS_MAX);
+
+	wait = MIN(wait, c->policy.probe_max_ms);
+	return wait / 2 + (int64_t)rng_below(&c->rng, (uint64_t)wait / 2 + 1);
+}
+
+void
+target_failed(struct calls *c, struct target *t, int64_t now_ms)
+{
+	t->failures++;
+	if (t->ejected) {
+		/* Only a failed probe makes the wait longer. */
+		if (!t->probing)
+			return;
+	} else if (c->policy.eject_after == 0 ||
+	    t->failures < c->policy.eject_after || !may_eject(c, t)) {
+		return;
+	}
+	t->ejected = true;
+	t->probing = false;
+	t->probe_at_ms = now_ms + probe_wait_ms(c, t);
+	t->ejections++;
+}
--- /dev/null
+++ b/test/calls.cmake
@@ -0,0 +1,1 @@
+bt_test(calls_test SOURCES calls_test.c DEPENDS calls)
