test: stand-in worker answers 404 to a stop of what it never had

Cause: a kept stop hid whether an attempt had run. Change: 404 and nothing kept; an announced address of its own, so that a proxy can stand between entry and worker.

--- a/test/faketask.c
+++ b/test/faketask.c
@@ -138,7 +138,10 @@
 	    json_pack("{s:s,s:I,s:s,s:O}", "worker", w->name, "epoch",
 		(json_int_t)w->epoch, "status", a->status, "result", a->result);
 
-	pool_send(w->pool, to, "POST", path, body, on_told, a);
+	pool_send(w->pool, to,
+	    &(struct pool_request){
+		.method = "POST", .path = path, .body = body },
+	    on_told, a);
 	json_decref(body);
 	g_free(path);
 }
@@ -402,25 +405,17 @@
 	answer(req, 200, "renewed");
 }
 
-/* A stop of an unknown attempt is kept, in case its start comes later. */
-static void
+/* False if there is no such attempt here. */
+static bool
 stop_order(struct fakeworker *w, const char *task, int64_t number)
 {
 	char *key = g_strdup_printf("%s/%" PRId64, task, number);
 	struct attempt *a = g_hash_table_lookup(w->attempts, key);
 
 	g_free(key);
-	if (a == NULL) {
-		a = attempt_new(w, task, number);
-		a->state = ATTEMPT_ENDED;
-		a->status = "stopped";
-		a->result = json_null();
-		record(w, "stop-unknown", "{s:s,s:I}", "task", task, "attempt",
-		    (json_int_t)number);
-		tell_end(a);
-	} else if (a->state == ATTEMPT_RUNNING) {
+	if (a != NULL && a->state == ATTEMPT_RUNNING)
 		end_attempt(a, "stop", "stopped", json_null(), 0);
-	}
+	return a != NULL;
 }
 
 /* A call that is held for the scripted time before its answer. */
@@ -525,12 +520,15 @@
 		refuse(w, req, HTTP_CONFLICT, "epoch", part[2], number, epoch);
 		return;
 	}
-	if (strcmp(part[4], "stop") == 0)
-		stop_order(w, part[2], number);
-	else
+	if (strcmp(part[4], "stop") != 0) {
 		record(w, part[4], "{s:s,s:I}", "task", part[2], "attempt",
 		    (json_int_t)number);
-	answer(req, 200, part[4]);
+		answer(req, 200, part[4]);
+	} else if (stop_order(w, part[2], number)) {
+		answer(req, 200, "stopped");
+	} else {
+		refuse(w, req, 404, "no-task", part[2], number, epoch);
+	}
 }
 
 void
--- a/test/fakeworker.c
+++ b/test/fakeworker.c
@@ -171,8 +171,10 @@
 		    (json_int_t)w->plan->accelerators, "slots", w->plan->slots);
 	}
 	w->sent_ms = mono_ms();
-	pool_send(
-	    w->pool, w->asked, "POST", "/v1/workers", body, on_beat_answer, w);
+	pool_send(w->pool, w->asked,
+	    &(struct pool_request){
+		.method = "POST", .path = "/v1/workers", .body = body },
+	    on_beat_answer, w);
 	json_decref(body);
 }
 
@@ -198,8 +200,9 @@
 {
 	char *path = g_strdup_printf("/v1/workers/%s", w->name);
 
-	pool_send(w->pool, w->home != NULL ? w->home : any_entry(w), "DELETE",
-	    path, NULL, on_left, w);
+	pool_send(w->pool, w->home != NULL ? w->home : any_entry(w),
+	    &(struct pool_request){ .method = "DELETE", .path = path }, on_left,
+	    w);
 	g_free(path);
 }
 
@@ -364,6 +367,9 @@
 		{ .long_name = "address",
 		    .arg = G_OPTION_ARG_STRING,
 		    .arg_data = &p->address },
+		{ .long_name = "announce",
+		    .arg = G_OPTION_ARG_STRING,
+		    .arg_data = &p->announced },
 		{ .long_name = "entry",
 		    .arg = G_OPTION_ARG_STRING,
 		    .arg_data = &entry },
@@ -473,6 +479,7 @@
 	g_strfreev(p.plan.entries);
 	g_free(p.plan.name);
 	g_free(p.plan.address);
+	g_free(p.plan.announced);
 	g_free(p.plan.rack);
 	g_free(p.plan.data_center);
 	g_free(record_path);
--- a/test/fakeworker.h
+++ b/test/fakeworker.h
@@ -24,6 +24,7 @@
 struct plan {
 	char *name;
 	char *address; /* IP:PORT of the first worker */
+	char *announced; /* address told to entries; NULL: the same */
 	char **entries;
 	char *rack;
 	char *data_center;
--- a/test/httppool.c
+++ b/test/httppool.c
@@ -122,8 +122,8 @@
 }
 
 void
-pool_send(struct pool *p, const char *address, const char *method,
-    const char *path, const json_t *body, pool_done_fn *done, void *arg)
+pool_send(struct pool *p, const char *address,
+    const struct pool_request *request, pool_done_fn *done, void *arg)
 {
 	struct conn *c = take_conn(p, address);
 	struct evhttp_request *req;
@@ -139,8 +139,11 @@
 	req = evhttp_request_new(on_answer, c);
 	headers = evhttp_request_get_output_headers(req);
 	evhttp_add_header(headers, "Host", address);
-	if (body != NULL) {
-		char *text = json_dumps(body, JSON_COMPACT);
+	if (request->key != NULL)
+		evhttp_add_header(headers, "Idempotency-Key", request->key);
+	if (request->body != NULL) {
+		char *text =
+		    json_dumps(request->body, JSON_COMPACT | JSON_ENCODE_ANY);
 
 		evhttp_add_header(headers, "Content-Type", "application/json");
 		evbuffer_add(
@@ -148,7 +151,8 @@
 		free(text);
 	}
 	/* On failure the request is freed without a call of on_answer. */
-	if (evhttp_make_request(c->http, req, method_type(method), path) != 0) {
+	if (evhttp_make_request(c->http, req, method_type(request->method),
+		request->path) != 0) {
 		c->busy = false;
 		done(arg, 0, NULL);
 	}
--- a/test/httppool.h
+++ b/test/httppool.h
@@ -18,9 +18,17 @@
 struct pool *pool_new(struct event_base *base, int timeout_ms);
 void pool_free(struct pool *p);
 
-/* Sends a request to IP:PORT; body may be NULL and is not taken. */
-void pool_send(struct pool *p, const char *address, const char *method,
-    const char *path, const json_t *body, pool_done_fn *done, void *arg);
+/* A request; the strings and the body are not taken. */
+struct pool_request {
+	const char *method;
+	const char *path;
+	const json_t *body; /* NULL: none */
+	const char *key; /* Idempotency-Key; NULL: none */
+};
+
+/* Sends a request to IP:PORT. */
+void pool_send(struct pool *p, const char *address,
+    const struct pool_request *request, pool_done_fn *done, void *arg);
 
 /* Splits IP:PORT; false if it is none. Free *ip. */
 bool address_split(const char *address, char **ip, uint16_t *port);
