--- /dev/null
+++ b/test/cluster.c
@@ -0,0 +1,757 @@
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "checker.h"
+#include "cluster.h"
+#include "httppool.h"
+
+#define AWAIT_MS 60000 /* bound of every wait; a fault, not a speed */
+#define POLL_US 20000
+#define ANSWER_MS 9000
+#define LINE_MAX_BYTES 512
+
+/* A child process with its arguments, to start it again. */
+struct proc {
+	char *name;
+	char *address; /* of its HTTP listener; NULL: none */
+	char **argv;
+	pid_t pid; /* 0: not running */
+	int in; /* its standard input */
+	FILE *out; /* its standard output; NULL: goes to the log */
+};
+
+struct cluster {
+	char *dir;
+	char *ip;
+	char *programs; /* folder of this test's program */
+	GPtrArray *procs; /* struct proc */
+	GPtrArray *links; /* char *, FROM-TO */
+	FILE *record; /* the callers' recording */
+	struct event_base *base;
+	struct pool *pool;
+	char *leader;
+	const struct cluster_conf *conf;
+	guint next_entry;
+};
+
+static struct proc *
+proc_named(struct cluster *c, const char *name)
+{
+	for (guint i = 0; i < c->procs->len; i++) {
+		struct proc *p = c->procs->pdata[i];
+
+		if (strcmp(p->name, name) == 0)
+			return p;
+	}
+	g_error("cluster: no process %s", name);
+}
+
+/* A free port of this program's own loopback address. */
+static char *
+free_address(struct cluster *c)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	inet_pton(AF_INET, c->ip, &sa.sin_addr);
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&sa, len), ==, 0);
+	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&sa, &len), ==, 0);
+	close(fd);
+	return g_strdup_printf("%s:%d", c->ip, ntohs(sa.sin_port));
+}
+
+/* In the child: streams, death with its parent, program. */
+static void
+exec_child(struct cluster *c, struct proc *p, const int in[2], const int out[2])
+{
+	char *path = g_strdup_printf("%s/%s.log", c->dir, p->name);
+	int log = open(path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	dup2(in[0], STDIN_FILENO);
+	dup2(p->out != NULL ? out[1] : log, STDOUT_FILENO);
+	dup2(log, STDERR_FILENO);
+	for (int fd = STDERR_FILENO + 1; fd < 256; fd++)
+		close(fd);
+	execv(p->argv[0], p->argv);
+	_exit(127);
+}
+
+/* Starts a process; one with a pipe says "ready" on it. */
+static void
+proc_start(struct cluster *c, struct proc *p, bool piped)
+{
+	char line[LINE_MAX_BYTES];
+	int in[2];
+	int out[2];
+
+	g_assert_cmpint(pipe2(in, O_CLOEXEC), ==, 0);
+	g_assert_cmpint(pipe2(out, O_CLOEXEC), ==, 0);
+	p->out = piped ? fdopen(out[0], "r") : NULL;
+	p->pid = fork();
+	if (p->pid == 0)
+		exec_child(c, p, in, out);
+	close(in[0]);
+	close(out[1]);
+	p->in = in[1];
+	if (!piped) {
+		close(out[0]);
+		return;
+	}
+	g_assert_nonnull(fgets(line, sizeof(line), p->out));
+	g_assert_cmpstr(line, ==, "ready\n");
+}
+
+/* Waits for the end of a process and returns its wait status. */
+static int
+proc_wait(struct proc *p)
+{
+	int status = -1;
+
+	for (int64_t end = mono_ms() + AWAIT_MS; mono_ms() < end;) {
+		if (waitpid(p->pid, &status, WNOHANG) == p->pid)
+			break;
+		g_usleep(POLL_US);
+	}
+	p->pid = 0;
+	close(p->in);
+	g_clear_pointer(&p->out, fclose);
+	return status;
+}
+
+static struct proc *
+proc_new(struct cluster *c, const char *name, GPtrArray *argv)
+{
+	struct proc *p = g_new0(struct proc, 1);
+
+	g_ptr_array_add(argv, NULL);
+	p->name = g_strdup(name);
+	p->argv = (char **)g_ptr_array_free(argv, FALSE);
+	g_ptr_array_add(c->procs, p);
+	return p;
+}
+
+static void
+proc_free(void *arg)
+{
+	struct proc *p = arg;
+
+	if (p->pid != 0) {
+		kill(p->pid, SIGKILL);
+		proc_wait(p);
+	}
+	g_strfreev(p->argv);
+	g_free(p->address);
+	g_free(p->name);
+	g_free(p);
+}
+
+static void
+    G_GNUC_PRINTF(2, 3) add_arg(GPtrArray *argv, const char *format, ...)
+{
+	va_list ap;
+
+	va_start(ap, format);
+	g_ptr_array_add(argv, g_strdup_vprintf(format, ap));
+	va_end(ap);
+}
+
+/* Adds a pair to the proxy's arguments; returns where it listens. */
+static char *
+add_link(
+    struct cluster *c, GPtrArray *proxy, const char *name, const char *target)
+{
+	char *listen = free_address(c);
+
+	add_arg(proxy, "--pair=%s@%s=%s", name, listen, target);
+	g_ptr_array_add(c->links, g_strdup(name));
+	return listen;
+}
+
+/* The replicas as one process sees them: through its own proxy links. */
+static char *
+replica_list(struct cluster *c, GPtrArray *proxy, const char *from,
+    const GPtrArray *peers)
+{
+	GString *list = g_string_new(NULL);
+
+	for (int i = 0; i < c->conf->replicas; i++) {
+		char *to = g_strdup_printf("r%d", i);
+		char *link = g_strdup_printf("%s-%s", from, to);
+		char *address = strcmp(from, to) == 0
+		    ? g_strdup(peers->pdata[i])
+		    : add_link(c, proxy, link, peers->pdata[i]);
+
+		g_string_append_printf(
+		    list, "%s%s@%s", i > 0 ? "," : "", to, address);
+		g_free(address);
+		g_free(link);
+		g_free(to);
+	}
+	return g_string_free(list, FALSE);
+}
+
+/* Adds a daemon process; peer NULL: an entry. */
+static void
+add_daemon(struct cluster *c, GPtrArray *proxy, const char *name,
+    const char *peer, const GPtrArray *peers)
+{
+	char *list = replica_list(c, proxy, name, peers);
+	char *http = free_address(c);
+	GPtrArray *argv = g_ptr_array_new();
+	struct proc *p;
+
+	add_arg(argv, "%s/../bulrushtided/bulrushtided", c->programs);
+	add_arg(argv, "--name=%s", name);
+	add_arg(argv, "--http=%s", http);
+	add_arg(argv, "--replicas=%s", list);
+	add_arg(argv, "--role=%s", peer != NULL ? "replica" : "entry");
+	if (peer != NULL) {
+		add_arg(argv, "--peer=%s", peer);
+		add_arg(argv, "--data-dir=%s/data-%s", c->dir, name);
+	}
+	p = proc_new(c, name, argv);
+	p->address = http;
+	g_free(list);
+}
+
+static void
+add_worker(struct cluster *c, GPtrArray *proxy, int i)
+{
+	char *name = g_strdup_printf("w%d", i);
+	char *address = free_address(c);
+	char *announce = add_link(c, proxy, name, address);
+	GPtrArray *argv = g_ptr_array_new();
+	const char *const *flag = c->conf->worker_flags;
+	GString *entries = g_string_new(NULL);
+
+	for (int k = 0; k < c->conf->entries; k++) {
+		char *entry = g_strdup_printf("e%d", k);
+
+		g_string_append_printf(entries, "%s%s", k > 0 ? "," : "",
+		    proc_named(c, entry)->address);
+		g_free(entry);
+	}
+	add_arg(argv, "%s/fakeworker", c->programs);
+	add_arg(argv, "--name=%s", name);
+	add_arg(argv, "--address=%s", address);
+	add_arg(argv, "--announce=%s", announce);
+	add_arg(argv, "--entry=%s", entries->str);
+	add_arg(argv, "--rack=rack-%d", i % 2);
+	add_arg(argv, "--seed=%d", i + 1);
+	add_arg(argv, "--record=%s/%s.record", c->dir, name);
+	for (; flag != NULL && *flag != NULL; flag++)
+		add_arg(argv, "%s", *flag);
+	proc_new(c, name, argv)->address = address;
+	g_string_free(entries, TRUE);
+	g_free(announce);
+	g_free(name);
+}
+
+/* Lays out all processes with their addresses; starts none. */
+static void
+plan(struct cluster *c)
+{
+	GPtrArray *proxy = g_ptr_array_new();
+	GPtrArray *peers = g_ptr_array_new_with_free_func(g_free);
+	char *name;
+
+	add_arg(proxy, "%s/faultproxy", c->programs);
+	for (int i = 0; i < c->conf->replicas; i++)
+		g_ptr_array_add(peers, free_address(c));
+	for (int i = 0; i < c->conf->replicas; i++) {
+		name = g_strdup_printf("r%d", i);
+		add_daemon(c, proxy, name, peers->pdata[i], peers);
+		g_free(name);
+	}
+	for (int i = 0; i < c->conf->entries; i++) {
+		name = g_strdup_printf("e%d", i);
+		add_daemon(c, proxy, name, NULL, peers);
+		g_free(name);
+	}
+	for (int i = 0; i < c->conf->workers; i++)
+		add_worker(c, proxy, i);
+	proc_new(c, "proxy", proxy);
+	g_ptr_array_unref(peers);
+}
+
+struct answer {
+	struct event_base *base;
+	int status;
+	json_t *body;
+};
+
+static void
+on_answer(void *arg, int status, json_t *body)
+{
+	struct answer *a = arg;
+
+	a->status = status;
+	a->body = json_incref(body);
+	event_base_loopbreak(a->base);
+}
+
+json_t *
+cluster_http(struct cluster *c, const char *name, const char *method,
+    const char *path, const char *key, const json_t *body, int *status)
+{
+	struct pool_request request = { method, path, body, key };
+	struct answer a = { c->base, -1, NULL };
+
+	pool_send(
+	    c->pool, proc_named(c, name)->address, &request, on_answer, &a);
+	if (a.status < 0)
+		event_base_dispatch(c->base);
+	*status = a.status;
+	return a.body;
+}
+
+static char *
+take_entry(struct cluster *c)
+{
+	return g_strdup_printf(
+	    "e%u", c->next_entry++ % (guint)c->conf->entries);
+}
+
+/* Asks the entries in turn until one answers 200 or the time is over. */
+static json_t *
+ask_any(struct cluster *c, const char *path)
+{
+	for (int64_t end = mono_ms() + AWAIT_MS; mono_ms() < end;) {
+		char *entry = take_entry(c);
+		int status;
+		json_t *body =
+		    cluster_http(c, entry, "GET", path, NULL, NULL, &status);
+
+		g_free(entry);
+		if (status == 200)
+			return body;
+		json_decref(body);
+		g_usleep(POLL_US);
+	}
+	g_error("cluster: nobody answers %s; logs are in %s", path, c->dir);
+}
+
+const char *
+cluster_leader(struct cluster *c)
+{
+	json_t *body = ask_any(c, "/v1/nodes");
+
+	g_free(c->leader);
+	c->leader =
+	    g_strdup(json_string_value(json_object_get(body, "leader")));
+	json_decref(body);
+	return c->leader;
+}
+
+void
+cluster_await_ready(struct cluster *c, const char *name, int status)
+{
+	int got = 0;
+
+	for (int64_t end = mono_ms() + AWAIT_MS; mono_ms() < end;) {
+		json_decref(
+		    cluster_http(c, name, "GET", "/readyz", NULL, NULL, &got));
+		if (got == status)
+			return;
+		g_usleep(POLL_US);
+	}
+	g_error("cluster: %s answers %d to /readyz; logs are in %s", name, got,
+	    c->dir);
+}
+
+static void
+put_config(struct cluster *c)
+{
+	json_t *config = json_pack("{s:i,s:s,s:s,s:{}}", "version", 1, "author",
+	    "test", "base", c->conf->base, "overlays");
+	int status;
+	json_t *body =
+	    cluster_http(c, "e0", "PUT", "/v1/config", NULL, config, &status);
+	char *text = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
+
+	if (status != 200)
+		g_error("cluster: the configuration got %d %s", status, text);
+	free(text);
+	json_decref(body);
+	json_decref(config);
+}
+
+static void
+await_workers(struct cluster *c)
+{
+	json_int_t up = -1;
+
+	for (int64_t end = mono_ms() + AWAIT_MS; mono_ms() < end;) {
+		json_t *body = ask_any(c, "/v1/status");
+
+		up = json_integer_value(
+		    json_object_get(json_object_get(body, "workers"), "up"));
+		json_decref(body);
+		if (up == c->conf->workers)
+			return;
+		g_usleep(POLL_US);
+	}
+	g_error("cluster: %d of %d workers are up; logs are in %s", (int)up,
+	    c->conf->workers, c->dir);
+}
+
+struct cluster *
+cluster_new(const struct cluster_conf *conf)
+{
+	struct cluster *c = g_new0(struct cluster, 1);
+	char *exe = g_file_read_link("/proc/self/exe", NULL);
+	unsigned pid = (unsigned)getpid();
+	char *path;
+
+	c->conf = conf;
+	c->programs = g_path_get_dirname(exe);
+	g_free(exe);
+	c->ip = g_strdup_printf("127.%u.%u.%u", 1 + (pid >> 16) % 250,
+	    pid >> 8 & 0xff, 1 + (pid & 0xff) % 254);
+	c->dir = g_dir_make_tmp("bulrushtide-cluster-XXXXXX", NULL);
+	c->procs = g_ptr_array_new_with_free_func(proc_free);
+	c->links = g_ptr_array_new_with_free_func(g_free);
+	c->base = event_base_new();
+	c->pool = pool_new(c->base, ANSWER_MS);
+	path = g_strdup_printf("%s/callers.record", c->dir);
+	c->record = fopen(path, "ae");
+	g_free(path);
+	plan(c);
+	proc_start(c, proc_named(c, "proxy"), true);
+	for (guint i = 0; i < c->procs->len; i++) {
+		struct proc *p = c->procs->pdata[i];
+
+		if (p->name[0] == 'r' || p->name[0] == 'e')
+			proc_start(c, p, false);
+	}
+	for (int i = 0; i < conf->entries; i++) {
+		char *name = g_strdup_printf("e%d", i);
+
+		cluster_await_ready(c, name, 200);
+		g_free(name);
+	}
+	put_config(c);
+	for (guint i = 0; i < c->procs->len; i++) {
+		struct proc *p = c->procs->pdata[i];
+
+		if (p->name[0] == 'w')
+			proc_start(c, p, true);
+	}
+	await_workers(c);
+	return c;
+}
+
+static void
+remove_tree(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+		char *child = g_build_filename(path, name, NULL);
+
+		remove_tree(child);
+		g_free(child);
+	}
+	g_clear_pointer(&dir, g_dir_close);
+	(void)remove(path);
+}
+
+void
+cluster_free(struct cluster *c)
+{
+	bool ok = true;
+
+	for (guint i = 0; i < c->procs->len; i++) {
+		struct proc *p = c->procs->pdata[i];
+
+		if (p->pid != 0 && (p->name[0] == 'r' || p->name[0] == 'e'))
+			kill(p->pid, SIGTERM);
+	}
+	for (guint i = 0; i < c->procs->len; i++) {
+		struct proc *p = c->procs->pdata[i];
+		int status;
+
+		if (p->pid == 0 || (p->name[0] != 'r' && p->name[0] != 'e'))
+			continue;
+		status = proc_wait(p);
+		ok = ok && status == 0;
+		if (status != 0)
+			g_test_message("%s ended with wait status %d; logs "
+				       "are in %s",
+			    p->name, status, c->dir);
+	}
+	g_ptr_array_unref(c->procs);
+	fclose(c->record);
+	pool_free(c->pool);
+	event_base_free(c->base);
+	if (ok && !g_test_failed())
+		remove_tree(c->dir);
+	else
+		g_test_fail();
+	g_ptr_array_unref(c->links);
+	g_free(c->leader);
+	g_free(c->programs);
+	g_free(c->ip);
+	g_free(c->dir);
+	g_free(c);
+}
+
+/* Writes a caller's event. Takes the object over. */
+static void
+note(struct cluster *c, const char *event, json_t *line)
+{
+	g_assert_nonnull(line);
+	json_object_set_new(line, "event", json_string(event));
+	json_object_set_new(line, "ms", json_integer(mono_ms()));
+	json_dumpf(line, c->record, JSON_COMPACT);
+	fputc('\n', c->record);
+	fflush(c->record);
+	json_decref(line);
+}
+
+void
+cluster_signal(struct cluster *c, const char *name, int sig)
+{
+	struct proc *p = proc_named(c, name);
+
+	g_assert_cmpint(kill(p->pid, sig), ==, 0);
+	if (sig != SIGKILL)
+		return;
+	proc_wait(p);
+	if (name[0] == 'w')
+		note(c, "killed", json_pack("{s:s}", "worker", name));
+}
+
+void
+cluster_restart(struct cluster *c, const char *name)
+{
+	proc_start(c, proc_named(c, name), name[0] == 'w');
+}
+
+static void
+proxy_line(struct cluster *c, const char *line)
+{
+	struct proc *p = proc_named(c, "proxy");
+	char *want = g_strdup_printf("ok %s", line);
+	char answer[LINE_MAX_BYTES];
+
+	g_assert_cmpint(write(p->in, line, strlen(line)), >, 0);
+	g_assert_nonnull(fgets(answer, sizeof(answer), p->out));
+	g_assert_cmpstr(answer, ==, want);
+	g_free(want);
+}
+
+void
+cluster_fault(struct cluster *c, const char *verb, const char *from,
+    const char *to, const char *arg)
+{
+	char *line = to != NULL
+	    ? g_strdup_printf("%s %s-%s%s%s\n", verb, from, to,
+		  arg != NULL ? " " : "", arg != NULL ? arg : "")
+	    : g_strdup_printf("%s %s%s%s\n", verb, from, arg != NULL ? " " : "",
+		  arg != NULL ? arg : "");
+
+	proxy_line(c, line);
+	g_free(line);
+}
+
+void
+cluster_isolate(struct cluster *c, const char *name)
+{
+	for (guint i = 0; i < c->links->len; i++) {
+		const char *link = c->links->pdata[i];
+		char **end = g_strsplit(link, "-", 2);
+
+		if (strcmp(end[0], name) == 0 || g_strcmp0(end[1], name) == 0)
+			cluster_fault(c, "cut", link, NULL, NULL);
+		g_strfreev(end);
+	}
+}
+
+void
+cluster_heal(struct cluster *c)
+{
+	proxy_line(c, "heal *\n");
+}
+
+void
+cluster_await_event(
+    struct cluster *c, const char *worker, const char *event, int count)
+{
+	char *path = g_strdup_printf("%s/%s.record", c->dir, worker);
+	char *word = g_strdup_printf("\"event\":\"%s\"", event);
+	int have = 0;
+
+	for (int64_t end = mono_ms() + AWAIT_MS;
+	     have < count && mono_ms() < end; g_usleep(POLL_US)) {
+		char *text = NULL;
+
+		have = 0;
+		if (!g_file_get_contents(path, &text, NULL, NULL))
+			continue;
+		for (const char *s = text; (s = strstr(s, word)) != NULL; s++)
+			have++;
+		g_free(text);
+	}
+	if (have < count)
+		g_error("cluster: %s has %d of %d events %s; logs are in %s",
+		    worker, have, count, event, c->dir);
+	g_free(word);
+	g_free(path);
+}
+
+json_t *
+cluster_batch(const char *key, int64_t run_ms, bool idempotent)
+{
+	return json_pack(
+	    "{s:s,s:s,s:s,s:i,s:{s:i,s:i},s:I,s:b,s:{s:s,s:I,s:b}}", "team",
+	    "team", "name", key, "kind", "batch", "tasks", 1, "resources",
+	    "millicpus", 500, "memory_bytes", 1 << 20, "runtime_ms",
+	    (json_int_t)run_ms, "idempotent", idempotent, "payload", "token",
+	    key, "run_ms", (json_int_t)run_ms, "echo", 1);
+}
+
+/* Job ids come as numbers or as text. */
+static uint64_t
+job_id(const json_t *body)
+{
+	const json_t *id = json_object_get(body, "job");
+
+	if (json_is_string(id))
+		return g_ascii_strtoull(json_string_value(id), NULL, 10);
+	return (uint64_t)json_integer_value(id);
+}
+
+uint64_t
+cluster_submit(struct cluster *c, const char *key, const json_t *spec)
+{
+	bool idempotent = json_is_true(json_object_get(spec, "idempotent"));
+	int status = 0;
+
+	for (int64_t end = mono_ms() + AWAIT_MS; mono_ms() < end;) {
+		char *entry = take_entry(c);
+		json_t *body = cluster_http(
+		    c, entry, "POST", "/v1/jobs", key, spec, &status);
+		uint64_t job = job_id(body);
+
+		json_decref(body);
+		g_free(entry);
+		if (status == 202 && job != 0) {
+			note(c, "accepted",
+			    json_pack("{s:s,s:I,s:b}", "key", key, "job",
+				(json_int_t)job, "idempotent", idempotent));
+			return job;
+		}
+		if (status >= 400 && status < 500)
+			break;
+		g_usleep(POLL_US);
+	}
+	g_error("cluster: job %s got %d; logs are in %s", key, status, c->dir);
+}
+
+static enum outcome
+outcome_of(const json_t *body)
+{
+	const char *word = json_string_value(json_object_get(body, "outcome"));
+
+	for (int i = 0; i < OUT_COUNT; i++) {
+		if (g_strcmp0(outcome_name(i), word) == 0)
+			return i;
+	}
+	return OUT_COUNT;
+}
+
+enum outcome
+cluster_await_job(struct cluster *c, const char *key, uint64_t job)
+{
+	char *path = g_strdup_printf("/v1/jobs/%" PRIu64 "?wait_ms=2000", job);
+	json_t *body = ask_any(c, path);
+	enum outcome outcome = outcome_of(body);
+	json_t *results = json_object_get(body, "results");
+
+	g_assert_cmpuint(job_id(body), ==, job);
+	note(c, "answer",
+	    json_pack("{s:s,s:I,s:s,s:O*}", "key", key, "job", (json_int_t)job,
+		"outcome", outcome_name(outcome), "results", results));
+	json_decref(body);
+	g_free(path);
+	return outcome;
+}
+
+/* The key that a call's answer carries: JSON text after the task's line. */
+static char *
+answer_key(const json_t *body)
+{
+	const char *text = json_string_value(body);
+	const char *line = text != NULL ? strchr(text, '\n') : NULL;
+	json_t *key =
+	    line != NULL ? json_loads(line, JSON_DECODE_ANY, NULL) : NULL;
+	char *copy =
+	    g_strdup(json_is_string(key) ? json_string_value(key) : "");
+
+	json_decref(key);
+	return copy;
+}
+
+enum outcome
+cluster_call(struct cluster *c, const char *entry, const char *service,
+    const char *key, bool idempotent)
+{
+	char *path = g_strdup_printf("/v1/services/%s/call", service);
+	json_t *request = json_string(key);
+	int status;
+	json_t *body =
+	    cluster_http(c, entry, "POST", path, NULL, request, &status);
+	enum outcome outcome = status == 200 ? OUT_DONE : outcome_of(body);
+	char *told = answer_key(body);
+
+	if (status == 0)
+		outcome = OUT_UNKNOWN;
+	note(c, "called",
+	    json_pack("{s:s,s:b,s:s,s:s}", "key", key, "idempotent", idempotent,
+		"outcome", outcome_name(outcome), "answer_key", told));
+	g_free(told);
+	json_decref(body);
+	json_decref(request);
+	g_free(path);
+	return outcome;
+}
+
+void
+cluster_judge(struct cluster *c)
+{
+	struct checker *checker = checker_new();
+	GError *err = NULL;
+	GDir *dir = g_dir_open(c->dir, 0, NULL);
+	const char *name;
+	GPtrArray *found;
+
+	while ((name = g_dir_read_name(dir)) != NULL) {
+		char *path = g_build_filename(c->dir, name, NULL);
+
+		if (g_str_has_suffix(name, ".record"))
+			checker_read(checker, path, &err);
+		g_assert_no_error(err);
+		g_free(path);
+	}
+	g_dir_close(dir);
+	found = checker_findings(checker);
+	for (guint i = 0; i < found->len; i++)
+		g_test_message("%s", (const char *)found->pdata[i]);
+	if (found->len > 0)
+		g_test_message("recordings are in %s", c->dir);
+	g_assert_cmpuint(found->len, ==, 0);
+	g_ptr_array_unref(found);
+	checker_free(checker);
+}
--- a/test/faketask.c
+++ b/test/faketask.c
@@ -464,13 +464,28 @@
 	return NULL;
 }
 
+/* How a call shows in the record: its JSON text, or the plain start of it. */
+static char *
+call_key(const void *data, size_t len)
+{
+	json_t *body = json_loadb(data, len, JSON_DECODE_ANY, NULL);
+	char *key = json_is_string(body)
+	    ? g_strdup(json_string_value(body))
+	    : g_strndup(data, MIN(len, KEY_PRINT_MAX));
+
+	json_decref(body);
+	return g_strcanon(key,
+	    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_",
+	    '.');
+}
+
 /* Answers the task's id in the first line, then the body. */
 static void
 serve_call(struct fakeworker *w, struct evhttp_request *req, const char *task)
 {
 	struct attempt *a = running_attempt(w, task);
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
-	char text[KEY_PRINT_MAX + 1] = { 0 };
+	char *key;
 	struct call *c;
 
 	if (a == NULL) {
@@ -481,12 +496,10 @@
 		refuse(w, req, HTTP_NO_ROOM, "connections", task, 0, 0);
 		return;
 	}
-	evbuffer_copyout(in, text, KEY_PRINT_MAX);
-	g_strcanon(text,
-	    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_",
-	    '.');
+	key = call_key(evbuffer_pullup(in, -1), evbuffer_get_length(in));
 	record(w, "call", "{s:s,s:I,s:s}", "task", task, "attempt",
-	    (json_int_t)a->number, "key", text);
+	    (json_int_t)a->number, "key", key);
+	g_free(key);
 	w->calls++;
 	c = g_new0(struct call, 1);
 	*c = (struct call){ w, req, NULL, g_strdup(task) };
--- a/test/httppool.c
+++ b/test/httppool.c
@@ -89,6 +89,15 @@
 	return c;
 }
 
+/* Text that is not JSON comes as a JSON string. */
+static json_t *
+parse(const void *data, size_t len)
+{
+	json_t *body = json_loadb(data, len, JSON_DECODE_ANY, NULL);
+
+	return body != NULL ? body : json_stringn(data, len);
+}
+
 static void
 on_answer(struct evhttp_request *req, void *arg)
 {
@@ -102,8 +111,7 @@
 		status = evhttp_request_get_response_code(req);
 	if (status != 0) {
 		in = evhttp_request_get_input_buffer(req);
-		body = json_loadb((const char *)evbuffer_pullup(in, -1),
-		    evbuffer_get_length(in), JSON_DECODE_ANY, NULL);
+		body = parse(evbuffer_pullup(in, -1), evbuffer_get_length(in));
 	}
 	c->done(c->arg, status, body);
 	json_decref(body);
--- a/test/httppool.h
+++ b/test/httppool.h
@@ -12,7 +12,10 @@
 
 struct pool;
 
-/* status 0: no answer. body may be NULL; it is freed after the call. */
+/*
+ * status 0: no answer. body may be NULL, and is a string if it was not JSON;
+ * it is freed after the call.
+ */
 typedef void pool_done_fn(void *arg, int status, json_t *body);
 
 struct pool *pool_new(struct event_base *base, int timeout_ms);
