--- /dev/null
+++ b/test/proc.c
@@ -0,0 +1,155 @@
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "proc.h"
+
+#define LINE_MAX_BYTES 512
+#define FD_MAX 256 /* no test program opens more */
+
+char *
+programs_dir(void)
+{
+	char *exe = g_file_read_link("/proc/self/exe", NULL);
+	char *dir = g_path_get_dirname(exe);
+
+	g_free(exe);
+	return dir;
+}
+
+char *
+loopback_ip(void)
+{
+	unsigned pid = (unsigned)getpid();
+
+	return g_strdup_printf("127.%u.%u.%u", 1 + (pid >> 16) % 250,
+	    pid >> 8 & 0xff, 1 + (pid & 0xff) % 254);
+}
+
+char *
+free_address(const char *ip)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	inet_pton(AF_INET, ip, &sa.sin_addr);
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&sa, len), ==, 0);
+	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&sa, &len), ==, 0);
+	close(fd);
+	return g_strdup_printf("%s:%d", ip, ntohs(sa.sin_port));
+}
+
+void
+add_arg(GPtrArray *argv, const char *format, ...)
+{
+	va_list ap;
+
+	va_start(ap, format);
+	g_ptr_array_add(argv, g_strdup_vprintf(format, ap));
+	va_end(ap);
+}
+
+struct proc *
+proc_new(const char *name, const char *dir, GPtrArray *argv)
+{
+	struct proc *p = g_new0(struct proc, 1);
+
+	g_ptr_array_add(argv, NULL);
+	p->name = g_strdup(name);
+	p->log = g_strdup_printf("%s/%s.log", dir, name);
+	p->argv = (char **)g_ptr_array_free(argv, FALSE);
+	return p;
+}
+
+/* In the child: streams, death with its parent, program. */
+static void
+exec_child(struct proc *p, int in, int out)
+{
+	int log = open(p->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	dup2(in, STDIN_FILENO);
+	dup2(p->out != NULL ? out : log, STDOUT_FILENO);
+	dup2(log, STDERR_FILENO);
+	for (int fd = STDERR_FILENO + 1; fd < FD_MAX; fd++)
+		close(fd);
+	execv(p->argv[0], p->argv);
+	_exit(127);
+}
+
+void
+proc_start(struct proc *p, bool piped)
+{
+	char line[LINE_MAX_BYTES];
+	int in[2];
+	int out[2];
+
+	g_assert_cmpint(pipe2(in, O_CLOEXEC), ==, 0);
+	g_assert_cmpint(pipe2(out, O_CLOEXEC), ==, 0);
+	p->out = piped ? fdopen(out[0], "r") : NULL;
+	p->pid = fork();
+	if (p->pid == 0)
+		exec_child(p, in[0], out[1]);
+	close(in[0]);
+	close(out[1]);
+	p->in = in[1];
+	if (!piped) {
+		close(out[0]);
+		return;
+	}
+	g_assert_nonnull(fgets(line, sizeof(line), p->out));
+	g_assert_cmpstr(line, ==, "ready\n");
+}
+
+int
+proc_wait(struct proc *p)
+{
+	int status = -1;
+
+	for (int64_t end = mono_ms() + AWAIT_MS; mono_ms() < end;) {
+		if (waitpid(p->pid, &status, WNOHANG) == p->pid)
+			break;
+		g_usleep(POLL_US);
+	}
+	p->pid = 0;
+	close(p->in);
+	g_clear_pointer(&p->out, fclose);
+	return status;
+}
+
+void
+proc_free(void *arg)
+{
+	struct proc *p = arg;
+
+	if (p->pid != 0) {
+		kill(p->pid, SIGKILL);
+		proc_wait(p);
+	}
+	g_strfreev(p->argv);
+	g_free(p->address);
+	g_free(p->name);
+	g_free(p->log);
+	g_free(p);
+}
+
+void
+remove_tree(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+		char *child = g_build_filename(path, name, NULL);
+
+		remove_tree(child);
+		g_free(child);
+	}
+	g_clear_pointer(&dir, g_dir_close);
+	(void)remove(path);
+}
