--- a/lib/wal/walfile.h
+++ b/lib/wal/walfile.h
@@ -9,7 +9,7 @@
 
 #include "walformat.h"
 
-#define WAL_SEGMENT_BYTES (8 << 20)
+#define WAL_SEGMENT_BYTES (4 << 20)
 
 /* The system calls that change files. */
 struct file_ops {
