--- a/test/httppool.c
+++ b/test/httppool.c
@@ -89,6 +89,15 @@
 	return c;
 }
 
+/* Text that is not JSON comes as a JSON string. */
+static json_t *
+parse(const void *data, size_t len)
+{
+	json_t *body = json_loadb(data, len, JSON_DECODE_ANY, NULL);
+
+	return body != NULL ? body : json_stringn(data, len);
+}
+
 static void
 on_answer(struct evhttp_request *req, void *arg)
 {
@@ -102,8 +111,7 @@
 		status = evhttp_request_get_response_code(req);
 	if (status != 0) {
 		in = evhttp_request_get_input_buffer(req);
-		body = json_loadb((const char *)evbuffer_pullup(in, -1),
-		    evbuffer_get_length(in), JSON_DECODE_ANY, NULL);
+		body = parse(evbuffer_pullup(in, -1), evbuffer_get_length(in));
 	}
 	c->done(c->arg, status, body);
 	json_decref(body);
@@ -122,8 +130,8 @@
 }
 
 void
-pool_send(struct pool *p, const char *address, const char *method,
-    const char *path, const json_t *body, pool_done_fn *done, void *arg)
+pool_send(struct pool *p, const char *address,
+    const struct pool_request *request, pool_done_fn *done, void *arg)
 {
 	struct conn *c = take_conn(p, address);
 	struct evhttp_request *req;
@@ -139,8 +147,11 @@
 	req = evhttp_request_new(on_answer, c);
 	headers = evhttp_request_get_output_headers(req);
 	evhttp_add_header(headers, "Host", address);
-	if (body != NULL) {
-		char *text = json_dumps(body, JSON_COMPACT);
+	if (request->key != NULL)
+		evhttp_add_header(headers, "Idempotency-Key", request->key);
+	if (request->body != NULL) {
+		char *text =
+		    json_dumps(request->body, JSON_COMPACT | JSON_ENCODE_ANY);
 
 		evhttp_add_header(headers, "Content-Type", "application/json");
 		evbuffer_add(
@@ -148,7 +159,8 @@
 		free(text);
 	}
 	/* On failure the request is freed without a call of on_answer. */
-	if (evhttp_make_request(c->http, req, method_type(method), path) != 0) {
+	if (evhttp_make_request(c->http, req, method_type(request->method),
+		request->path) != 0) {
 		c->busy = false;
 		done(arg, 0, NULL);
 	}
