--- a/test/raft_cluster.h
+++ b/test/raft_cluster.h
@@ -43,6 +43,13 @@
 	uint64_t commit_term; /* of the leader that committed it */
 };
 
+/* A membership change that a leader took in. */
+struct proposal {
+	uint64_t index;
+	uint64_t term;
+	struct raft_members members;
+};
+
 struct cluster {
 	uint64_t seed;
 	uint64_t step;
@@ -54,6 +61,7 @@
 	uint64_t next_id;
 	uint64_t next_value;
 	GArray *facts; /* struct fact, from index 1 */
+	GArray *proposed; /* struct proposal */
 	GHashTable *entries; /* (index, term) to what it must hold */
 	GHashTable *leaders; /* term to its leader's id and life */
 	GArray *floors; /* commit known when read context i + 1 was asked */
@@ -86,6 +94,8 @@
 /* Delivers the first message from position first on that can be delivered. */
 bool cluster_deliver(struct cluster *c, guint first, bool duplicate);
 bool cluster_read(struct cluster *c, struct node *n);
+/* Says whether the entry of this index and term is committed. */
+bool cluster_committed(const struct cluster *c, uint64_t index, uint64_t term);
 uint64_t cluster_propose(struct cluster *c, struct node *n);
 
 /* Runs without faults: ticks, then delivers and syncs until all is quiet. */
