raft: a non-voter forgets a silent leader; stricter promotion

A member without a vote restarted its election timer at each timeout but kept the leader, so it refused pre-votes for a time after each. A learner with an empty log could be promoted while the whole log was shorter than the allowed lag; it must now hold an entry of the leader's own term.

--- a/lib/raft/election.c
+++ b/lib/raft/election.c
@@ -207,8 +207,10 @@
 void
 election_tick(struct raft *r)
 {
-	if (++r->elapsed >= r->timeout)
-		campaign(r, true, false);
+	if (++r->elapsed < r->timeout)
+		return;
+	r->leader = RAFT_NONE;
+	campaign(r, true, false);
 }
 
 void
--- a/lib/raft/members.c
+++ b/lib/raft/members.c
@@ -136,6 +136,7 @@
 		return voters(m) > 0;
 	p = peer_find(r, id);
 	return p != NULL && p->state == PEER_REPLICATE &&
+	    p->match >= r->term_start &&
 	    p->match + CAUGHT_UP_ENTRIES >= log_last(&r->log) &&
 	    r->now - p->heard < (uint64_t)r->election_ticks;
 }
