raft: unit tests of each rule and of the codec

Each rule of the core has a test that steps it by hand: votes, stickiness, check-quorum, commit in the own term, asynchronous storage, reads, window, membership, hand-over, compaction, chunks, malformed messages.

--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -1,10 +1,847 @@
-#include <stdlib.h>
 #include <string.h>
 
 #include "raft_cluster.h"
 
 #define SCHEDULES 2000
 #define STEPS 2500
+#define TICKS 10 /* election timeout of the cores made here */
+#define HEARTBEAT_MAX 40 /* bytes */
+
+static GPtrArray *sent; /* struct raft_msg, of the last turn() */
+
+static void
+message_free(void *m)
+{
+	raft_msg_free(m);
+}
+
+static struct raft_conf
+conf_of(uint64_t id, int voters)
+{
+	struct raft_conf conf = {
+		.id = id,
+		.election_ticks = TICKS,
+		.heartbeat_ticks = 1,
+		.append_max = 1000,
+		.inflight_max = 3,
+		.chunk_bytes = 10,
+		.seed = id,
+	};
+
+	for (conf.members.count = 0; conf.members.count < voters;
+	     conf.members.count++)
+		conf.members.member[conf.members.count].id =
+		    (uint64_t)conf.members.count + 1;
+	return conf;
+}
+
+static struct raft *
+core(uint64_t id, int voters)
+{
+	struct raft_conf conf = conf_of(id, voters);
+
+	return raft_new(&conf);
+}
+
+static void
+keep_all(GPtrArray **messages)
+{
+	g_ptr_array_extend_and_steal(sent, *messages);
+	*messages = NULL;
+}
+
+/* Takes without storing; keeps the messages in sent. */
+static struct raft_out
+take(struct raft *r)
+{
+	struct raft_out out;
+
+	g_ptr_array_set_size(sent, 0);
+	raft_take(r, &out);
+	keep_all(&out.early);
+	keep_all(&out.late);
+	return out;
+}
+
+/* Takes, stores, and takes what comes of that. */
+static void
+turn(struct raft *r)
+{
+	struct raft_out out = take(r);
+	const struct raft_entry *e;
+
+	if (out.entries->len > 0) {
+		e = out.entries->pdata[out.entries->len - 1];
+		raft_stored(r, e->index, e->term);
+	}
+	raft_out_clear(&out);
+	raft_take(r, &out);
+	keep_all(&out.early);
+	keep_all(&out.late);
+	raft_out_clear(&out);
+}
+
+/* Returns the last message of a kind that turn() sent to a member. */
+static const struct raft_msg *
+last_sent(enum raft_msg_type type, uint64_t to)
+{
+	const struct raft_msg *m;
+	guint i;
+
+	for (i = sent->len; i-- > 0;) {
+		m = sent->pdata[i];
+		if (m->type == type && m->to == to)
+			return m;
+	}
+	return NULL;
+}
+
+static void
+reply(struct raft *r, enum raft_msg_type type, uint64_t from, uint64_t term,
+    uint64_t index, uint64_t context)
+{
+	struct raft_msg m = {
+		.type = type,
+		.from = from,
+		.to = r->id,
+		.term = term,
+		.index = index,
+		.context = context,
+	};
+
+	raft_step(r, &m);
+}
+
+/* An append with count entries of one term. */
+static void
+append(struct raft *r, uint64_t from, uint64_t term, uint64_t index,
+    uint64_t log_term, int count)
+{
+	struct raft_msg *m = raft_msg_new(RAFT_MSG_APPEND);
+	int i;
+
+	m->from = from;
+	m->to = r->id;
+	m->term = term;
+	m->index = index;
+	m->log_term = log_term;
+	m->entries =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)raft_entry_unref);
+	for (i = 1; i <= count; i++)
+		g_ptr_array_add(m->entries,
+		    raft_entry_new(index + (uint64_t)i, term, RAFT_NOOP, NULL));
+	raft_step(r, m);
+	raft_msg_free(m);
+}
+
+/* Asks for a vote; returns whether it was granted. */
+static bool
+ask_vote(struct raft *r, uint64_t from, uint64_t term, uint64_t index,
+    uint64_t log_term, bool forced)
+{
+	struct raft_msg m = {
+		.type = RAFT_MSG_VOTE,
+		.from = from,
+		.to = r->id,
+		.term = term,
+		.index = index,
+		.log_term = log_term,
+		.forced = forced,
+	};
+	const struct raft_msg *answer;
+
+	raft_step(r, &m);
+	turn(r);
+	answer = last_sent(RAFT_MSG_VOTE_REPLY, from);
+	return answer != NULL && !answer->reject && answer->term == term;
+}
+
+/* Elects core 1 of three by the votes of core 2. */
+static void
+elect(struct raft *r)
+{
+	raft_campaign(r);
+	turn(r);
+	reply(r, RAFT_MSG_PREVOTE_REPLY, 2, raft_term(r) + 1, 0, 0);
+	turn(r);
+	reply(r, RAFT_MSG_VOTE_REPLY, 2, raft_term(r), 0, 0);
+	g_assert_cmpint(raft_role(r), ==, RAFT_LEADER);
+	turn(r);
+}
+
+static uint64_t
+propose(struct raft *r)
+{
+	GBytes *data = g_bytes_new("x", 1);
+	uint64_t index = raft_propose(r, data);
+
+	g_bytes_unref(data);
+	return index;
+}
+
+static void
+ticks(struct raft *r, int count)
+{
+	while (count-- > 0)
+		raft_tick(r);
+}
+
+static void
+test_votes(void)
+{
+	struct raft_conf conf = conf_of(1, 3);
+	struct raft *r = raft_new(&conf);
+
+	g_assert_true(ask_vote(r, 2, 1, 0, 0, false));
+	g_assert_true(ask_vote(r, 2, 1, 0, 0, false));
+	g_assert_false(ask_vote(r, 3, 1, 9, 1, false));
+	raft_free(r);
+	conf.hard = (struct raft_hard){ .term = 1, .vote = 2 };
+	r = raft_new(&conf);
+	g_assert_false(ask_vote(r, 3, 1, 9, 1, false));
+	append(r, 2, 2, 0, 0, 2);
+	turn(r);
+	/* Neither a shorter log nor one that ends in an earlier term. */
+	ticks(r, TICKS);
+	g_assert_false(ask_vote(r, 3, 3, 1, 2, false));
+	g_assert_false(ask_vote(r, 3, 4, 9, 1, false));
+	g_assert_true(ask_vote(r, 3, 5, 2, 2, false));
+	raft_free(r);
+}
+
+static void
+test_sticky(void)
+{
+	struct raft *r = core(1, 3);
+
+	append(r, 2, 1, 0, 0, 0);
+	ticks(r, TICKS - 1);
+	g_assert_false(ask_vote(r, 3, 5, 9, 4, false));
+	g_assert_cmpuint(raft_term(r), ==, 1);
+	g_assert_cmpuint(raft_leader(r), ==, 2);
+	g_assert_true(ask_vote(r, 3, 5, 9, 4, true));
+	raft_free(r);
+	r = core(1, 3);
+	elect(r);
+	g_assert_false(ask_vote(r, 3, 5, 9, 4, false));
+	g_assert_cmpint(raft_role(r), ==, RAFT_LEADER);
+	raft_free(r);
+}
+
+/* A replica without a vote never asks for one, and forgets a lost leader. */
+static void
+test_no_vote(void)
+{
+	struct raft_conf conf = conf_of(3, 3);
+	struct raft *r;
+
+	conf.members.member[2].learner = true;
+	r = raft_new(&conf);
+	append(r, 1, 1, 0, 0, 1);
+	turn(r);
+	ticks(r, 10 * TICKS);
+	raft_campaign(r);
+	turn(r);
+	g_assert_cmpuint(sent->len, ==, 0);
+	g_assert_cmpuint(raft_leader(r), ==, RAFT_NONE);
+	reply(r, RAFT_MSG_TIMEOUT_NOW, 1, 1, 0, 0);
+	g_assert_cmpint(raft_role(r), ==, RAFT_FOLLOWER);
+	g_assert_true(ask_vote(r, 2, 2, 1, 1, false));
+	raft_free(r);
+	r = core(4, 3);
+	ticks(r, 10 * TICKS);
+	turn(r);
+	g_assert_cmpuint(sent->len, ==, 0);
+	raft_free(r);
+}
+
+/* Answers of replicas that are no voters do not make a quorum. */
+static void
+test_count_voters_only(void)
+{
+	struct raft *r = core(1, 3);
+
+	raft_campaign(r);
+	turn(r);
+	reply(r, RAFT_MSG_PREVOTE_REPLY, 9, 1, 0, 0);
+	g_assert_cmpint(raft_role(r), ==, RAFT_PRECANDIDATE);
+	reply(r, RAFT_MSG_PREVOTE_REPLY, 2, 1, 0, 0);
+	turn(r);
+	reply(r, RAFT_MSG_VOTE_REPLY, 9, 1, 0, 0);
+	g_assert_cmpint(raft_role(r), ==, RAFT_CANDIDATE);
+	reply(r, RAFT_MSG_VOTE_REPLY, 3, 1, 0, 0);
+	g_assert_cmpint(raft_role(r), ==, RAFT_LEADER);
+	raft_free(r);
+}
+
+static void
+test_check_quorum(void)
+{
+	struct raft *r = core(1, 3);
+	struct raft_out out;
+	int i;
+
+	elect(r);
+	for (i = 0; i < 3 * TICKS; i++) {
+		raft_tick(r);
+		turn(r);
+		reply(r, RAFT_MSG_APPEND_REPLY, 3, 1, 0, 0);
+	}
+	g_assert_cmpint(raft_role(r), ==, RAFT_LEADER);
+	g_assert_true(raft_read(r, 7));
+	ticks(r, TICKS);
+	g_assert_cmpint(raft_role(r), ==, RAFT_FOLLOWER);
+	g_assert_cmpuint(raft_term(r), ==, 1);
+	out = take(r);
+	g_assert_cmpuint(out.reads_failed->len, ==, 1);
+	g_assert_cmpuint(g_array_index(out.reads_failed, uint64_t, 0), ==, 7);
+	raft_out_clear(&out);
+	g_assert_false(raft_read(r, 8));
+	raft_free(r);
+}
+
+/* An entry of an earlier term is committed only along with one of its own. */
+static void
+test_own_term(void)
+{
+	struct raft *r = core(1, 3);
+
+	append(r, 2, 1, 0, 0, 2);
+	turn(r);
+	ticks(r, 2 * TICKS);
+	elect(r);
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 2, 2, 0);
+	g_assert_cmpuint(raft_match(r, 2), ==, 2);
+	g_assert_cmpuint(raft_commit(r), ==, 0);
+	g_assert_false(raft_settled(r));
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 2, 3, 0);
+	g_assert_cmpuint(raft_commit(r), ==, 3);
+	g_assert_true(raft_settled(r));
+	raft_free(r);
+}
+
+/* A leader counts itself only once its disk has the entry. */
+static void
+test_leader_storage(void)
+{
+	struct raft *r = core(1, 1);
+	struct raft_out out;
+
+	raft_campaign(r);
+	out = take(r);
+	g_assert_cmpuint(out.entries->len, ==, 1);
+	g_assert_cmpuint(raft_commit(r), ==, 0);
+	raft_out_clear(&out);
+	raft_stored(r, 1, 1);
+	g_assert_cmpuint(raft_commit(r), ==, 1);
+	raft_free(r);
+}
+
+/* A follower acknowledges what is synced, heartbeats at once. */
+static void
+test_follower_storage(void)
+{
+	struct raft *r = core(1, 3);
+	struct raft_out out;
+
+	append(r, 2, 1, 0, 0, 2);
+	out = take(r);
+	g_assert_null(last_sent(RAFT_MSG_APPEND_REPLY, 2));
+	raft_out_clear(&out);
+	append(r, 2, 1, 2, 1, 0);
+	out = take(r);
+	g_assert_cmpuint(last_sent(RAFT_MSG_APPEND_REPLY, 2)->index, ==, 0);
+	raft_out_clear(&out);
+	raft_stored(r, 2, 1);
+	out = take(r);
+	g_assert_cmpuint(last_sent(RAFT_MSG_APPEND_REPLY, 2)->index, ==, 2);
+	raft_out_clear(&out);
+	raft_free(r);
+}
+
+/* Entries 1 and 2 are replaced and come back before the first sync ends. */
+static void
+test_storage_aba(void)
+{
+	struct raft *r = core(1, 3);
+	struct raft_msg *m = raft_msg_new(RAFT_MSG_APPEND);
+	struct raft_out out;
+
+	append(r, 2, 1, 0, 0, 2);
+	out = take(r);
+	m->from = 2;
+	m->to = 1;
+	m->term = 3;
+	m->entries = g_ptr_array_ref(out.entries);
+	raft_out_clear(&out);
+	append(r, 3, 2, 0, 0, 1);
+	out = take(r);
+	raft_out_clear(&out);
+	raft_step(r, m);
+	raft_msg_free(m);
+	out = take(r);
+	g_assert_cmpuint(out.entries->len, ==, 2);
+	raft_out_clear(&out);
+	raft_stored(r, 2, 1);
+	g_assert_cmpuint(r->log.stored, ==, 0);
+	raft_stored(r, 1, 2);
+	g_assert_cmpuint(r->log.stored, ==, 0);
+	raft_stored(r, 2, 1);
+	g_assert_cmpuint(r->log.stored, ==, 2);
+	raft_free(r);
+}
+
+/* Until its term is synced a replica says nothing before the sync. */
+static void
+test_early(void)
+{
+	struct raft *r = core(1, 1);
+	struct raft_out out;
+
+	raft_campaign(r);
+	raft_take(r, &out);
+	raft_stored(r, 1, 1);
+	raft_out_clear(&out);
+	raft_propose_member(r, 2, true, false);
+	raft_take(r, &out);
+	g_assert_cmpuint(out.early->len, ==, 1);
+	raft_out_clear(&out);
+	raft_free(r);
+	r = core(1, 3);
+	append(r, 2, 1, 0, 0, 0);
+	raft_take(r, &out);
+	g_assert_true(out.hard_changed);
+	g_assert_cmpuint(out.early->len, ==, 0);
+	g_assert_cmpuint(out.late->len, ==, 1);
+	raft_out_clear(&out);
+	append(r, 2, 1, 0, 0, 0);
+	raft_take(r, &out);
+	g_assert_cmpuint(out.early->len, ==, 0);
+	raft_out_clear(&out);
+	raft_free(r);
+}
+
+static void
+test_reads(void)
+{
+	struct raft *r = core(1, 3);
+	struct raft_out out;
+	uint64_t round;
+
+	elect(r);
+	g_assert_true(raft_read(r, 5));
+	turn(r);
+	round = last_sent(RAFT_MSG_APPEND, 2)->context;
+	/* An answer to an earlier round, and one before the term's commit. */
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 1, 1, round - 1);
+	out = take(r);
+	g_assert_cmpuint(out.reads->len, ==, 0);
+	raft_out_clear(&out);
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 1, 1, round);
+	out = take(r);
+	g_assert_cmpuint(out.reads->len, ==, 1);
+	g_assert_cmpuint(out.read_index, ==, 1);
+	raft_out_clear(&out);
+	raft_free(r);
+}
+
+/* At most inflight_max appends go unanswered. */
+static void
+test_window(void)
+{
+	struct raft *r = core(1, 3);
+	uint64_t i;
+
+	elect(r);
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 1, 1, 0);
+	for (i = 0; i < 10; i++) {
+		propose(r);
+		turn(r);
+		g_assert_cmpint(
+		    last_sent(RAFT_MSG_APPEND, 2) != NULL, ==, i < 3);
+	}
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 1, 2, 0);
+	turn(r);
+	/* All that waited goes as one batch. */
+	g_assert_cmpuint(last_sent(RAFT_MSG_APPEND, 2)->entries->len, ==, 7);
+	raft_free(r);
+}
+
+static void
+test_prevote(void)
+{
+	struct cluster *c = cluster_new(1, 3);
+	uint64_t term;
+	int i;
+
+	cluster_elect(c, &c->node[0]);
+	term = raft_term(c->node[0].r);
+	for (i = 0; i < SLOTS; i++)
+		c->cut[2][i] = c->cut[i][2] = true;
+	cluster_ticks(c, 100);
+	g_assert_cmpuint(raft_term(c->node[2].r), ==, term);
+	memset(c->cut, 0, sizeof(c->cut));
+	cluster_ticks(c, 20);
+	g_assert_true(cluster_leader(c) == &c->node[0]);
+	g_assert_cmpuint(raft_term(c->node[0].r), ==, term);
+	cluster_free(c);
+}
+
+static bool
+member(const struct node *n, uint64_t id, bool learner)
+{
+	bool is;
+
+	return members_has(raft_members(n->r), id, &is) && is == learner;
+}
+
+static void
+test_members(void)
+{
+	struct cluster *c = cluster_new(1, 3);
+	struct node *n = &c->node[0], *other = &c->node[1];
+	uint64_t index;
+
+	/* Not before an entry of its own term is committed. */
+	raft_campaign(n->r);
+	while (raft_role(n->r) != RAFT_LEADER) {
+		node_take(c, n);
+		while (node_sync(c, n))
+			;
+		cluster_deliver(c, 0, false);
+		node_take(c, other);
+		while (node_sync(c, other))
+			;
+	}
+	g_assert_cmpuint(raft_propose_member(n->r, 4, true, false), ==, 0);
+	cluster_settle(c);
+	/* A newcomer only as learner, and one change at a time. */
+	g_assert_cmpuint(raft_propose_member(n->r, 4, false, false), ==, 0);
+	index = raft_propose_member(n->r, 4, true, false);
+	g_assert_cmpuint(index, ==, raft_last_index(n->r));
+	g_assert_true(member(n, 4, true));
+	g_assert_cmpuint(raft_propose_member(n->r, 5, true, false), ==, 0);
+	/* A voter only once it has caught up. */
+	cluster_settle(c);
+	c->node[3].paused = true;
+	g_assert_cmpuint(raft_propose_member(n->r, 5, true, false), >, 0);
+	c->node[4].paused = true;
+	cluster_settle(c);
+	g_assert_cmpuint(raft_propose_member(n->r, 5, false, false), ==, 0);
+	c->node[4].paused = c->node[3].paused = false;
+	cluster_ticks(c, 10);
+	g_assert_cmpuint(raft_propose_member(n->r, 5, false, false), >, 0);
+	cluster_settle(c);
+	g_assert_true(member(other, 5, false));
+	/* No such member, no change, and the removed leader steps down. */
+	g_assert_cmpuint(raft_propose_member(n->r, 9, false, true), ==, 0);
+	g_assert_cmpuint(raft_propose_member(n->r, 2, false, false), ==, 0);
+	g_assert_cmpuint(raft_propose_member(n->r, 1, false, true), >, 0);
+	g_assert_cmpint(raft_role(n->r), ==, RAFT_LEADER);
+	cluster_settle(c);
+	g_assert_cmpint(raft_role(n->r), ==, RAFT_FOLLOWER);
+	g_assert_cmpuint(raft_commit(other->r), ==, raft_commit(n->r));
+	cluster_ticks(c, 50);
+	g_assert_nonnull(cluster_leader(c));
+	g_assert_true(cluster_leader(c) != n);
+	cluster_free(c);
+}
+
+/* A change that another leader's log replaces is taken back. */
+static void
+test_members_rollback(void)
+{
+	struct raft *r = core(1, 3);
+
+	elect(r);
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 1, 1, 0);
+	g_assert_cmpuint(raft_propose_member(r, 3, false, true), ==, 2);
+	g_assert_cmpint(raft_members(r)->count, ==, 2);
+	append(r, 2, 2, 1, 1, 1);
+	g_assert_cmpint(raft_members(r)->count, ==, 3);
+	raft_free(r);
+}
+
+/* The founding three as in seed 108: demoted, not committed, longest log. */
+static void
+test_demoted_may_lead(void)
+{
+	struct raft *r = core(1, 3);
+
+	elect(r);
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 1, 1, 0);
+	g_assert_cmpuint(raft_propose_member(r, 1, true, false), ==, 2);
+	turn(r);
+	ticks(r, TICKS);
+	g_assert_cmpint(raft_role(r), ==, RAFT_FOLLOWER);
+	raft_campaign(r);
+	turn(r);
+	reply(r, RAFT_MSG_PREVOTE_REPLY, 2, 2, 0, 0);
+	g_assert_cmpint(raft_role(r), ==, RAFT_PRECANDIDATE);
+	reply(r, RAFT_MSG_PREVOTE_REPLY, 3, 2, 0, 0);
+	g_assert_cmpint(raft_role(r), ==, RAFT_CANDIDATE);
+	raft_free(r);
+}
+
+static void
+test_transfer(void)
+{
+	struct cluster *c = cluster_new(1, 3);
+	struct node *n = &c->node[0];
+
+	cluster_elect(c, n);
+	g_assert_false(raft_transfer(n->r, 4));
+	c->node[1].paused = true;
+	cluster_propose(c, n);
+	cluster_settle(c);
+	g_assert_true(raft_transfer(n->r, 2));
+	g_assert_cmpuint(cluster_propose(c, n), ==, 0);
+	g_assert_cmpuint(raft_propose_member(n->r, 4, true, false), ==, 0);
+	/* It is given up after an election timeout. */
+	cluster_ticks(c, 8);
+	g_assert_cmpuint(cluster_propose(c, n), >, 0);
+	g_assert_true(raft_transfer(n->r, 3));
+	cluster_settle(c);
+	g_assert_true(cluster_leader(c) == &c->node[2]);
+	cluster_free(c);
+}
+
+static void
+test_disable(void)
+{
+	struct cluster *c = cluster_new(1, 3);
+
+	cluster_elect(c, &c->node[0]);
+	raft_disable(c->node[0].r);
+	g_assert_cmpint(raft_role(c->node[0].r), ==, RAFT_FOLLOWER);
+	raft_campaign(c->node[0].r);
+	cluster_ticks(c, 60);
+	g_assert_nonnull(cluster_leader(c));
+	g_assert_true(cluster_leader(c) != &c->node[0]);
+	g_assert_cmpuint(c->node[0].applied, ==, cluster_leader(c)->applied);
+	cluster_free(c);
+}
+
+/* Compaction keeps the newest entries, and no more than is committed goes. */
+static void
+test_compact(void)
+{
+	struct cluster *c = cluster_new(1, 3);
+	struct raft_snapshot s = { .data = g_bytes_new("s", 1) };
+	struct node *n = &c->node[0];
+	int i;
+
+	cluster_elect(c, n);
+	for (i = 0; i < 9; i++)
+		cluster_propose(c, n);
+	s.index = 10;
+	raft_compact(n->r, &s, 0);
+	g_assert_cmpuint(raft_first_index(n->r), ==, 1);
+	cluster_settle(c);
+	node_compact(c, n, 4);
+	g_assert_cmpuint(raft_first_index(n->r), ==, 7);
+	s.index = 8;
+	raft_compact(n->r, &s, 0);
+	g_assert_cmpuint(raft_first_index(n->r), ==, 7);
+	g_bytes_unref(s.data);
+	cluster_free(c);
+}
+
+/* A snapshot carries the membership of its index, not a later one. */
+static void
+test_snapshot_members(void)
+{
+	struct cluster *c = cluster_new(1, 3);
+	struct node *n = &c->node[0];
+
+	cluster_elect(c, n);
+	g_assert_cmpuint(raft_propose_member(n->r, 4, true, false), >, 0);
+	node_compact(c, n, 0);
+	g_assert_cmpint(n->r->snapshot->s.members.count, ==, 3);
+	cluster_settle(c);
+	node_compact(c, n, 0);
+	g_assert_cmpint(n->r->snapshot->s.members.count, ==, 4);
+	cluster_free(c);
+}
+
+/* Sends one chunk of "0123456789"; returns the offset wanted next. */
+static uint64_t
+chunk(struct raft *r, uint64_t index, uint64_t offset, size_t size)
+{
+	struct raft_msg *m = raft_msg_new(RAFT_MSG_SNAPSHOT);
+	const struct raft_msg *answer;
+	const GPtrArray *queue;
+
+	m->from = 2;
+	m->to = 1;
+	m->term = m->log_term = 1;
+	m->index = index;
+	m->offset = offset;
+	m->total = 10;
+	m->chunk = g_bytes_new(&"0123456789"[offset], size);
+	m->members = conf_of(1, 3).members;
+	raft_step(r, m);
+	raft_msg_free(m);
+	queue = r->synced_term == r->term ? r->early : r->late;
+	answer = queue->pdata[queue->len - 1];
+	g_assert_cmpint(answer->type, ==, RAFT_MSG_SNAPSHOT_REPLY);
+	return answer->hint;
+}
+
+static void
+test_chunks(void)
+{
+	struct raft *r = core(1, 3);
+	struct raft_out out;
+
+	g_assert_cmpuint(chunk(r, 20, 4, 4), ==, 0);
+	g_assert_cmpuint(chunk(r, 20, 0, 4), ==, 4);
+	g_assert_cmpuint(chunk(r, 20, 8, 2), ==, 4);
+	g_assert_cmpuint(chunk(r, 20, 0, 4), ==, 4);
+	g_assert_cmpuint(chunk(r, 20, 4, 6), ==, 10);
+	out = take(r);
+	g_assert_nonnull(out.snapshot);
+	g_assert_cmpuint(out.snapshot->index, ==, 20);
+	g_assert_cmpmem(g_bytes_get_data(out.snapshot->data, NULL),
+	    g_bytes_get_size(out.snapshot->data), "0123456789", 10);
+	g_assert_cmpuint(raft_first_index(r), ==, 21);
+	raft_out_clear(&out);
+	/* Nothing early before it is synced, not even on an older sync. */
+	append(r, 2, 1, 20, 1, 0);
+	g_assert_cmpuint(r->early->len, ==, 0);
+	raft_stored(r, 20, 1);
+	append(r, 2, 1, 20, 1, 0);
+	g_assert_cmpuint(r->early->len, ==, 1);
+	/* Chunks of two snapshots are never mixed. */
+	g_assert_cmpuint(chunk(r, 30, 0, 4), ==, 4);
+	g_assert_cmpuint(chunk(r, 31, 4, 6), ==, 0);
+	g_assert_cmpuint(raft_commit(r), ==, 20);
+	raft_free(r);
+}
+
+/* A restart with entries of a later term than the stored one. */
+static void
+test_restart_term(void)
+{
+	struct raft_conf conf = conf_of(1, 3);
+	struct raft_entry *e = raft_entry_new(1, 4, RAFT_NOOP, NULL);
+	struct raft *r;
+
+	conf.hard = (struct raft_hard){ .term = 3, .vote = 2 };
+	conf.entries =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)raft_entry_unref);
+	g_ptr_array_add(conf.entries, e);
+	r = raft_new(&conf);
+	g_assert_cmpuint(raft_term(r), ==, 4);
+	raft_free(r);
+	g_ptr_array_unref(conf.entries);
+}
+
+static struct raft_msg *
+full_message(void)
+{
+	struct raft_msg *m = raft_msg_new(RAFT_MSG_SNAPSHOT);
+	GBytes *data = g_bytes_new("data", 4);
+
+	m->from = UINT64_MAX;
+	m->to = 2;
+	m->term = 300;
+	m->index = 70000;
+	m->log_term = 4;
+	m->commit = 5;
+	m->context = 6;
+	m->hint = 7;
+	m->reject = m->forced = true;
+	m->offset = 8;
+	m->total = 1ULL << 40;
+	m->chunk = g_bytes_ref(data);
+	m->members = conf_of(1, 4).members;
+	m->members.member[3].learner = true;
+	m->entries =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)raft_entry_unref);
+	g_ptr_array_add(m->entries, raft_entry_new(70001, 4, RAFT_DATA, data));
+	g_ptr_array_add(m->entries, raft_entry_new(70002, 5, RAFT_NOOP, NULL));
+	g_bytes_unref(data);
+	return m;
+}
+
+static void
+test_codec(void)
+{
+	struct raft_msg *m = full_message(), *copy;
+	GBytes *bytes = raft_msg_encode(m), *again;
+	const struct raft_entry *e;
+	GError *err = NULL;
+
+	copy = raft_msg_decode(
+	    g_bytes_get_data(bytes, NULL), g_bytes_get_size(bytes), &err);
+	g_assert_no_error(err);
+	again = raft_msg_encode(copy);
+	g_assert_true(g_bytes_equal(bytes, again));
+	g_assert_cmpuint(copy->from, ==, UINT64_MAX);
+	g_assert_cmpuint(copy->total, ==, 1ULL << 40);
+	g_assert_cmpint(copy->members.count, ==, 4);
+	g_assert_true(copy->members.member[3].learner);
+	e = copy->entries->pdata[1];
+	g_assert_cmpuint(e->index, ==, 70002);
+	g_assert_cmpuint(e->term, ==, 5);
+	g_bytes_unref(bytes);
+	g_bytes_unref(again);
+	raft_msg_free(copy);
+	raft_msg_free(m);
+	m = raft_msg_new(RAFT_MSG_APPEND);
+	m->from = m->to = UINT64_MAX;
+	m->term = m->log_term = 9;
+	m->index = m->commit = m->context = 1 << 20;
+	bytes = raft_msg_encode(m);
+	g_assert_cmpuint(g_bytes_get_size(bytes), <=, HEARTBEAT_MAX);
+	g_bytes_unref(bytes);
+	raft_msg_free(m);
+}
+
+/* Decodes bytes that may be anything. */
+static void
+decode_any(const uint8_t *data, size_t len)
+{
+	GError *err = NULL;
+	struct raft_msg *m = raft_msg_decode(data, len, &err);
+
+	g_assert_true((m == NULL) == (err != NULL));
+	g_clear_error(&err);
+	raft_msg_free(m);
+}
+
+static void
+test_codec_malformed(void)
+{
+	static const uint8_t huge[] = { 0xdd, 0xff, 0xff, 0xff, 0xff, 0x01 };
+	struct raft_msg *m = full_message();
+	GBytes *bytes = raft_msg_encode(m);
+	struct rng rng = { .state = 1 };
+	struct raft_members members;
+	uint8_t *copy;
+	gsize size, i;
+	int k;
+
+	decode_any(huge, sizeof(huge));
+	g_assert_false(raft_members_decode("\x92\x00\x00", 3, &members));
+	g_assert_false(
+	    raft_members_decode("\x94\x01\x00\x01\x00", 5, &members));
+	g_assert_false(raft_members_decode("\x90", 1, &members));
+	g_bytes_get_data(bytes, &size);
+	for (i = 0; i < size; i++)
+		g_assert_null(
+		    raft_msg_decode(g_bytes_get_data(bytes, NULL), i, NULL));
+	for (k = 0; k < 200000; k++) {
+		copy = g_memdup2(g_bytes_get_data(bytes, NULL), size);
+		for (i = 0; i <= rng_below(&rng, 4); i++)
+			copy[rng_below(&rng, size)] = (uint8_t)rng_next(&rng);
+		decode_any(copy, size);
+		g_free(copy);
+	}
+	g_bytes_unref(bytes);
+	raft_msg_free(m);
+}
 
 static uint64_t
 env_number(const char *name, uint64_t otherwise)
@@ -50,7 +887,36 @@
 int
 main(int argc, char **argv)
 {
+	int result;
+
 	g_test_init(&argc, &argv, NULL);
+	sent = g_ptr_array_new_with_free_func(message_free);
+	g_test_add_func("/raft/votes", test_votes);
+	g_test_add_func("/raft/sticky", test_sticky);
+	g_test_add_func("/raft/no-vote", test_no_vote);
+	g_test_add_func("/raft/count-voters-only", test_count_voters_only);
+	g_test_add_func("/raft/check-quorum", test_check_quorum);
+	g_test_add_func("/raft/own-term", test_own_term);
+	g_test_add_func("/raft/leader-storage", test_leader_storage);
+	g_test_add_func("/raft/follower-storage", test_follower_storage);
+	g_test_add_func("/raft/storage-aba", test_storage_aba);
+	g_test_add_func("/raft/early", test_early);
+	g_test_add_func("/raft/reads", test_reads);
+	g_test_add_func("/raft/window", test_window);
+	g_test_add_func("/raft/prevote", test_prevote);
+	g_test_add_func("/raft/members", test_members);
+	g_test_add_func("/raft/members-rollback", test_members_rollback);
+	g_test_add_func("/raft/demoted-may-lead", test_demoted_may_lead);
+	g_test_add_func("/raft/transfer", test_transfer);
+	g_test_add_func("/raft/disable", test_disable);
+	g_test_add_func("/raft/compact", test_compact);
+	g_test_add_func("/raft/snapshot-members", test_snapshot_members);
+	g_test_add_func("/raft/chunks", test_chunks);
+	g_test_add_func("/raft/restart-term", test_restart_term);
+	g_test_add_func("/raft/codec", test_codec);
+	g_test_add_func("/raft/codec-malformed", test_codec_malformed);
 	g_test_add_func("/raft/schedules", test_schedules);
-	return g_test_run();
+	result = g_test_run();
+	g_ptr_array_unref(sent);
+	return result;
 }
