--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -694,6 +694,9 @@
 	struct raft *r = core(1, 3);
 	struct raft_out out;
 
+	append(r, 2, 1, 0, 0, 1);
+	turn(r);
+	g_assert_cmpuint(r->synced_term, ==, 1);
 	g_assert_cmpuint(chunk(r, 20, 4, 4), ==, 0);
 	g_assert_cmpuint(chunk(r, 20, 0, 4), ==, 4);
 	g_assert_cmpuint(chunk(r, 20, 8, 2), ==, 4);
