--- a/test/raft_faults.c
+++ b/test/raft_faults.c
@@ -28,6 +28,31 @@
 	return &c->node[rng_below(&c->rng, SLOTS)];
 }
 
+/* Any replica, with a bias to the one that leads. */
+static struct node *
+victim(struct cluster *c)
+{
+	struct node *leader = cluster_leader(c);
+
+	return leader != NULL && chance(c, 400) ? leader : any_node(c);
+}
+
+/* A replica that thinks it leads, also one that was replaced; or NULL. */
+static struct node *
+any_leader(struct cluster *c)
+{
+	uint64_t i, first = rng_below(&c->rng, SLOTS);
+	struct node *n;
+
+	for (i = 0; i < SLOTS; i++) {
+		n = &c->node[(first + i) % SLOTS];
+		if (n->r != NULL && !n->paused &&
+		    raft_role(n->r) == RAFT_LEADER)
+			return n;
+	}
+	return NULL;
+}
+
 static bool
 awake(const struct node *n)
 {
@@ -50,44 +75,49 @@
 	return have > voters / 2;
 }
 
-/* The same for every membership that may come into force anywhere. */
+/*
+ * The same for the last committed membership and for each that may still be
+ * committed, be it only on a disk or in a message on the way.
+ */
 static bool
 all_survive(struct cluster *c, uint64_t without)
 {
-	const struct node *n;
+	const struct raft_members *committed = &c->founders;
+	const struct proposal *p;
 	guint i;
 
-	for (n = c->node; n < c->node + SLOTS; n++) {
-		if (n->r == NULL)
+	for (i = 0; i < c->proposed->len; i++) {
+		p = &g_array_index(c->proposed, struct proposal, i);
+		if (p->index <= c->facts->len) {
+			if (cluster_committed(c, p->index, p->term))
+				committed = &p->members;
+		} else if (!survives(c, &p->members, without)) {
 			return false;
-		for (i = 0; n->id != without && i < n->r->changes->len; i++)
-			if (g_array_index(n->r->changes, struct change, i)
-				    .members.count > 0 &&
-			    !survives(c,
-				&g_array_index(n->r->changes, struct change, i)
-				     .members,
-				without))
-				return false;
+		}
 	}
-	return true;
+	return survives(c, committed, without);
 }
 
+/* Cuts one direction, one replica off, or the cluster in two. */
 static void
 cut_some(struct cluster *c)
 {
-	uint64_t from = rng_below(&c->rng, SLOTS);
-	uint64_t to = rng_below(&c->rng, SLOTS);
-	int i;
+	struct node *n = victim(c);
+	uint64_t from = (uint64_t)(n - c->node), to = rng_below(&c->rng, SLOTS);
+	uint64_t side =
+	    chance(c, 500) ? 1U << from : rng_below(&c->rng, 1U << SLOTS);
+	uint64_t back = chance(c, 700) ? 1000 : 0;
+	int i, k;
 
-	if (chance(c, 500)) {
+	if (chance(c, 300)) {
 		c->cut[from][to] = from != to;
 		return;
 	}
-	/* Cut one off wholly, or in one direction only. */
-	for (i = 0; i < SLOTS; i++) {
-		c->cut[from][i] = (uint64_t)i != from;
-		c->cut[i][from] = (uint64_t)i != from && chance(c, 700);
-	}
+	for (i = 0; i < SLOTS; i++)
+		for (k = 0; k < SLOTS; k++)
+			if ((side >> i & 1) != (side >> k & 1))
+				c->cut[i][k] =
+				    (side >> i & 1) != 0 || chance(c, back);
 }
 
 static void
@@ -100,12 +130,35 @@
 			c->cut[i][k] = false;
 }
 
+/* Starts or wakes the first replica in line that is down or paused. */
+static void
+start_any(struct cluster *c)
+{
+	struct node *n = c->node;
+
+	while (n < c->node + SLOTS && n->r != NULL)
+		n++;
+	if (n < c->node + SLOTS)
+		node_start(c, n);
+}
+
+static void
+wake_any(struct cluster *c)
+{
+	struct node *n = c->node;
+
+	while (n < c->node + SLOTS && !n->paused)
+		n++;
+	if (n < c->node + SLOTS)
+		n->paused = false;
+}
+
 static void
 inject(struct cluster *c)
 {
-	struct node *n = any_node(c);
+	struct node *n = victim(c);
 
-	switch (rng_below(&c->rng, 10)) {
+	switch (rng_below(&c->rng, 20)) {
 	case 0:
 	case 1:
 		if (n->r != NULL)
@@ -114,20 +167,34 @@
 	case 2:
 	case 3:
 	case 4:
-		if (n->r == NULL)
-			node_start(c, n);
-		break;
 	case 5:
+	case 6:
+		start_any(c);
+		break;
+	case 7:
+	case 8:
+	case 9:
+		heal(c);
 		cut_some(c);
 		break;
-	case 6:
+	case 10:
+		cut_some(c);
+		break;
+	case 11:
+	case 12:
 		heal(c);
 		break;
-	case 7:
-		n->paused = n->r != NULL && !n->paused;
+	case 13:
+	case 14:
+		n->paused = n->r != NULL;
 		break;
-	case 8:
-		if (all_survive(c, n->id))
+	case 15:
+	case 16:
+	case 17:
+		wake_any(c);
+		break;
+	case 18:
+		if (chance(c, 250) && all_survive(c, n->id))
 			node_lose(c, n);
 		break;
 	default:
@@ -136,42 +203,54 @@
 	}
 }
 
+static void
+propose_member(struct cluster *c, struct node *leader, uint64_t id,
+    bool learner, bool remove)
+{
+	struct proposal p = {
+		.term = raft_term(leader->r),
+		.index = raft_propose_member(leader->r, id, learner, remove),
+	};
+
+	if (p.index == 0)
+		return;
+	p.members = *raft_members(leader->r);
+	g_array_append_val(c->proposed, p);
+}
+
 /* Proposes a change of members that a careful operator might. */
 static void
 change_members(struct cluster *c, struct node *leader)
 {
-	const struct raft_members *m = raft_members(leader->r);
-	struct raft_members after = *m;
+	struct raft_members m = *raft_members(leader->r);
 	struct node *n = any_node(c);
 	bool learner;
 	int i;
 
-	for (i = 0; i < m->count; i++)
-		if (cluster_node(c, m->member[i].id) == NULL) {
-			raft_propose_member(
-			    leader->r, m->member[i].id, false, true);
+	for (i = 0; i < m.count; i++)
+		if (cluster_node(c, m.member[i].id) == NULL) {
+			propose_member(c, leader, m.member[i].id, false, true);
 			return;
 		}
-	if (!members_has(m, n->id, &learner)) {
-		raft_propose_member(leader->r, n->id, true, false);
+	if (!members_has(&m, n->id, &learner)) {
+		propose_member(c, leader, n->id, true, false);
 		return;
 	}
 	if (learner) {
-		raft_propose_member(leader->r, n->id, false, false);
+		propose_member(c, leader, n->id, false, false);
 		return;
 	}
-	for (i = 0; i < after.count; i++)
-		if (after.member[i].id == n->id)
-			after.member[i].learner = true;
-	if (survives(c, &after, RAFT_NONE))
-		raft_propose_member(
-		    leader->r, n->id, chance(c, 300), chance(c, 700));
+	for (i = 0; i < m.count; i++)
+		m.member[i].learner |= m.member[i].id == n->id;
+	if (survives(c, &m, RAFT_NONE))
+		propose_member(
+		    c, leader, n->id, chance(c, 500), chance(c, 500));
 }
 
 static void
 administer(struct cluster *c)
 {
-	struct node *leader = cluster_leader(c);
+	struct node *leader = any_leader(c);
 	struct node *n = any_node(c);
 
 	switch (rng_below(&c->rng, 6)) {
@@ -184,11 +263,11 @@
 			raft_campaign(n->r);
 		break;
 	case 2:
-		if (leader != NULL && awake(leader))
+		if (leader != NULL)
 			raft_transfer(leader->r, n->id);
 		break;
 	default:
-		if (leader != NULL && awake(leader))
+		if (leader != NULL)
 			change_members(c, leader);
 	}
 }
@@ -210,25 +289,37 @@
 		cluster_deliver(c, first, chance(c, rates->duplicate));
 }
 
+/* One fsync, for any number of the batches that wait. */
+static void
+sync_some(struct cluster *c, struct node *n)
+{
+	guint i, most = n->unsynced.length;
+	guint count = 1 + (guint)rng_below(&c->rng, 2 * (most + 1));
+
+	for (i = 0; i < MIN(count, most); i++)
+		node_sync(c, n);
+}
+
 /* One step of one replica's own: clock, disk, proposals and reads. */
 static void
 local(struct cluster *c, const struct rates *rates)
 {
 	struct node *n = any_node(c);
 
-	if (!awake(n))
+	if (chance(c, 200)) {
+		n = any_leader(c);
+		if (n == NULL)
+			return;
+		if (chance(c, 500))
+			cluster_read(c, n);
+		else
+			cluster_propose(c, n);
+	} else if (!awake(n)) {
 		return;
-	if (chance(c, rates->sync)) {
-		node_sync(c, n);
-	} else if (chance(c, 700)) {
-		raft_tick(n->r);
-	} else if (chance(c, 300)) {
-		cluster_read(c, n);
+	} else if (chance(c, rates->sync)) {
+		sync_some(c, n);
 	} else {
-		n = cluster_leader(c);
-		if (n == NULL || !awake(n))
-			return;
-		cluster_propose(c, n);
+		raft_tick(n->r);
 	}
 	if (chance(c, 800))
 		node_take(c, n);
@@ -302,17 +393,18 @@
 		.drop = rng_below(&c->rng, 150),
 		.duplicate = rng_below(&c->rng, 100),
 		.reorder = rng_below(&c->rng, 500),
-		.fault = rng_below(&c->rng, 25),
-		.admin = rng_below(&c->rng, 40),
-		.sync = 200 + rng_below(&c->rng, 500),
+		.fault = rng_below(&c->rng, 1 + rng_below(&c->rng, 60)),
+		.admin = rng_below(&c->rng, 80),
+		.sync = 100 + rng_below(&c->rng, 500),
 	};
 
+	cluster_elect(c, &c->node[0]);
 	for (c->step = 0; c->step < (uint64_t)steps; c->step++) {
 		if (chance(c, rates.fault))
 			inject(c);
 		else if (chance(c, rates.admin))
 			administer(c);
-		else if (chance(c, 550))
+		else if (chance(c, 480))
 			message(c, &rates);
 		else
 			local(c, &rates);
