--- a/bench/sched_load.c
+++ b/bench/sched_load.c
@@ -122,7 +122,8 @@
 
 	while (left > 0) {
 		uint32_t team = (uint32_t)rng_below(rng, load->spec.teams);
-		uint32_t count = MIN(left, 2 + (uint32_t)rng_below(rng, 7));
+		uint32_t most = 2 + (uint32_t)rng_below(rng, 7);
+		uint32_t count = MIN(left, most);
 		struct load_job job = {
 			.spec = {
 				.team = team,
