Rounds in a full cell: heads cached, lost turns filtered, gangs by index

Change: the heads of a shape are kept; after the first loser all that no changed worker has room for any more go back at once; gangs walk the index; a service's scan crosses the domains and ends once none can be better.

--- a/bench/sched_bench.c
+++ b/bench/sched_bench.c
@@ -2,7 +2,7 @@
  * Placement decisions replayed on tables: the policies in use beside first
  * fit, best fit and round robin, on equal seeded inputs.
  *
- * usage: sched_bench [SCENARIO...]
+ * usage: sched_bench [-p POLICY] [SCENARIO...]
  */
 #include <stdio.h>
 #include <string.h>
@@ -53,7 +53,7 @@
 }
 
 static void
-run_scenario(const struct load_spec *spec)
+run_scenario(const struct load_spec *spec, const char *policy)
 {
 	struct load load;
 
@@ -70,6 +70,8 @@
 	for (unsigned i = 0; i < G_N_ELEMENTS(policies); i++) {
 		struct replay_result result;
 
+		if (policy != NULL && strcmp(policy, policies[i]->name) != 0)
+			continue;
 		replay(&load, policies[i], &result);
 		print_decisions(&result, policies[i]->name);
 		print_outcome(&result);
@@ -164,23 +166,27 @@
 }
 
 static bool
-wanted(int argc, char **argv, const char *name)
+wanted(int count, char **names, const char *name)
 {
-	for (int i = 1; i < argc; i++) {
-		if (strcmp(argv[i], name) == 0)
+	for (int i = 0; i < count; i++) {
+		if (strcmp(names[i], name) == 0)
 			return true;
 	}
-	return argc == 1;
+	return count == 0;
 }
 
 int
 main(int argc, char **argv)
 {
+	bool only = argc > 2 && strcmp(argv[1], "-p") == 0;
+	const char *policy = only ? argv[2] : NULL;
+	int skip = only ? 3 : 1;
+
 	for (unsigned i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-		if (wanted(argc, argv, scenarios[i].name))
-			run_scenario(&scenarios[i]);
+		if (wanted(argc - skip, argv + skip, scenarios[i].name))
+			run_scenario(&scenarios[i], policy);
 	}
-	if (wanted(argc, argv, "growth"))
+	if (wanted(argc - skip, argv + skip, "growth"))
 		run_all_growth();
 	return 0;
 }
--- a/bench/sched_load.c
+++ b/bench/sched_load.c
@@ -143,7 +143,7 @@
 	}
 }
 
-/* A batch job or gang: kind, size, run time and the declared one. */
+/* A batch job, gang or brief service: size, run time, the declared one. */
 static struct load_job
 make_batch(struct load *load, struct rng *rng, double factor, double mean_ms)
 {
@@ -152,12 +152,16 @@
 	uint32_t team = (uint32_t)(pick * pick * load->spec.teams);
 	uint32_t variant = (uint32_t)rng_below(rng, SIZES_A_TEAM);
 	bool gang = rng_below(rng, 100) == 0;
-	bool urgent = !gang && rng_below(rng, 10) == 0;
+	bool service = !gang && rng_below(rng, 200) == 0;
+	bool urgent = !gang && !service && rng_below(rng, 10) == 0;
 	double runtime = mean_ms * lognormal(rng, 0.8) / exp(0.32);
 	struct load_job job = {
 		.spec = {
 			.team = team,
-			.kind = gang ? KIND_GANG : KIND_BATCH,
+			.kind = gang ? KIND_GANG :
+			    service  ? KIND_SERVICE :
+				       KIND_BATCH,
+			.spread = service ? SPREAD_DATA_CENTER : SPREAD_NONE,
 			.urgent = urgent,
 			.idempotent = rng_below(rng, 4) != 0,
 			.resources = size_of(team, variant, factor),
--- a/lib/sched/gang.c
+++ b/lib/sched/gang.c
@@ -49,24 +49,60 @@
 	return x->worker->spec.id < y->worker->spec.id ? -1 : 1;
 }
 
-/* Lists the workers with room; false if they can't take the whole gang. */
+/* The parts found so far, and how many tasks they take. */
+struct search {
+	const struct job *job;
+	GArray *parts;
+	uint32_t tasks;
+};
+
+static unsigned
+visit(void *arg, struct worker *w)
+{
+	struct search *q = arg;
+	struct part part = { .worker = w, .tasks = room_for(q->job, w) };
+
+	if (part.tasks > 0) {
+		q->tasks += part.tasks;
+		g_array_append_val(q->parts, part);
+	}
+	return q->tasks;
+}
+
+static unsigned
+visit_other(void *arg, struct worker *w)
+{
+	struct search *q = arg;
+
+	/* Those with a hold of the job are listed already. */
+	if (w->holds->len > 0 && own_hold(q->job, w) != NULL)
+		return q->tasks;
+	return visit(q, w);
+}
+
+/* Workers that hold room for the job and that the index does not show. */
+static void
+visit_held(struct search *q)
+{
+	const struct reservation *r = q->job->reservation;
+
+	for (guint i = 0; r != NULL && i < r->holds->len; i++) {
+		const struct hold *h = r->holds->pdata[i];
+
+		visit(q, h->worker);
+	}
+}
+
+/* Lists workers with room; false if they can't take the whole gang. */
 static bool
 gather(struct sched *s, const struct job *job, GArray *parts)
 {
-	uint64_t sum = 0;
-
-	for (guint i = 0; i < s->workers->len; i++) {
-		struct part part = { .worker = s->workers->pdata[i] };
-
-		if (part.worker == NULL)
-			continue;
-		part.tasks = room_for(job, part.worker);
-		if (part.tasks == 0)
-			continue;
-		sum += part.tasks;
-		g_array_append_val(parts, part);
-	}
-	return sum >= job->waiting;
+	struct search q = { .job = job, .parts = parts };
+
+	visit_held(&q);
+	index_walk(
+	    &s->index, &job->spec.resources, job->waiting, visit_other, &q);
+	return q.tasks >= job->waiting;
 }
 
 bool
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -13,6 +13,8 @@
 	double score;
 	unsigned found;
 	bool spread;
+	double cost; /* of the best, for spreading */
+	double least; /* cost that no worker can be below */
 };
 
 /* A task's room on a worker, for a check of one resource after another. */
@@ -51,13 +53,14 @@
 {
 	double score = q->s->policy->score[q->job->spec.kind](
 	    &w->spec, room, &q->job->spec);
+	double cost = q->spread ? spread_cost(q, w) : 0;
 
-	if (q->spread)
-		score -= spread_cost(q, w);
+	score -= cost;
 	q->found++;
 	if (q->best != NULL && score <= q->score)
 		return;
 	q->best = w;
+	q->cost = cost;
 	q->score = score;
 }
 
@@ -93,6 +96,56 @@
 		q->s->cursor = q->best->spec.id + 1;
 }
 
+/* A step through the workers that leaves a rack soon and meets all of them. */
+static guint
+stride(guint count)
+{
+	static const guint primes[] = { 61, 67, 71, 73, 79, 83, 89, 97 };
+
+	for (unsigned i = 0; i < G_N_ELEMENTS(primes); i++) {
+		if (count % primes[i] != 0)
+			return primes[i];
+	}
+	return 1;
+}
+
+/*
+ * Workers across all domains, until none can spread better than the best of
+ * those with room.
+ */
+static void
+scan_domains(struct search *q)
+{
+	const GPtrArray *workers = q->s->workers;
+	guint step = stride(workers->len);
+	guint at = q->s->cursor % MAX(workers->len, 1);
+
+	for (guint i = 0; i < workers->len; i++) {
+		if (workers->pdata[at] != NULL)
+			visit(q, workers->pdata[at]);
+		at = (at + step) % workers->len;
+		if (q->found >= CANDIDATES && q->cost <= q->least)
+			break;
+	}
+	q->s->cursor = at;
+}
+
+/* The least cost that a worker of any allowed data centre can have. */
+static double
+least_cost(const struct search *q)
+{
+	const GArray *counts = q->s->center_tasks;
+	uint64_t allowed = q->job->spec.data_centers;
+	uint32_t least = UINT32_MAX;
+
+	for (guint i = 0; i < counts->len; i++) {
+		if (allowed != 0 && (i >= 64 || (allowed >> i & 1) == 0))
+			continue;
+		least = MIN(least, tasks_at(counts, i));
+	}
+	return least * (q->job->spec.spread == SPREAD_RACK ? 1e2 : 1e6);
+}
+
 /* Counts the running tasks of a job by domain, or clears the counts. */
 static void
 count_domains(struct sched *s, const struct job *job, bool set)
@@ -116,7 +169,8 @@
 	struct sched *s = q->s;
 
 	if (q->spread) {
-		scan(q, 0, UINT32_MAX);
+		q->least = least_cost(q);
+		scan_domains(q);
 		return;
 	}
 	switch (s->policy->scan) {
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -181,6 +181,13 @@
 	}
 }
 
+static void
+heap_order(GArray *heap)
+{
+	for (guint i = heap->len / 2; i > 0; i--)
+		heap_down(heap, i - 1);
+}
+
 static void
 heap_build(struct sched *s, GArray *heap)
 {
@@ -191,8 +198,7 @@
 
 		g_array_append_val(heap, turn);
 	}
-	for (guint i = heap->len / 2; i > 0; i--)
-		heap_down(heap, i - 1);
+	heap_order(heap);
 }
 
 static void
@@ -210,10 +216,11 @@
 {
 	for (guint i = 0; i < s->changed->len; i++) {
 		const struct worker *w = s->changed->pdata[i];
-		const struct resources *room =
-		    w->strict_holds > 0 ? &w->avail : &w->spare;
+		bool strict = w->strict_holds > 0;
+		const struct resources *room = strict ? &w->avail : &w->spare;
+		int64_t slots = strict ? w->avail_slots : w->spare_slots;
 
-		if (resources_fit(&shape->key.resources, room))
+		if (slots > 0 && resources_fit(&shape->key.resources, room))
 			return true;
 	}
 	return false;
@@ -453,6 +460,29 @@
 		reserve_make(s, job);
 }
 
+/*
+ * Takes off the heap what was woken for room that others have got by now.
+ * Most of what wakes for a freed place loses it to the first in order.
+ */
+static void
+heap_filter(struct sched *s, GArray *heap)
+{
+	struct turn *turns = (struct turn *)(void *)heap->data;
+	guint kept = 0;
+
+	for (guint i = 0; i < heap->len; i++) {
+		struct shape *shape = turns[i].shape;
+
+		if (shape->woken != s->round || shape->key.kind == KIND_GANG ||
+		    fits_changed(s, shape))
+			turns[kept++] = turns[i];
+		else
+			shape_set_state(s, shape, SHAPE_BLOCKED);
+	}
+	g_array_set_size(heap, kept);
+	heap_order(heap);
+}
+
 /* Places a shape's next task or gang; false if it has no room. */
 static bool
 place_next(struct sched *s, struct shape *shape, struct sched_round *out)
@@ -486,6 +516,8 @@
 		if (!place_next(s, shape, out)) {
 			shape_set_state(s, shape, SHAPE_BLOCKED);
 			heap_pop(heap);
+			if (shape->woken == s->round)
+				heap_filter(s, heap);
 			continue;
 		}
 		/* The last task takes its shape with it. */
--- a/lib/sched/shape.c
+++ b/lib/sched/shape.c
@@ -125,6 +125,21 @@
 	g_free(shape);
 }
 
+static struct job *
+first_of(GSequence *queue)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(queue);
+
+	return g_sequence_iter_is_end(iter) ? NULL : g_sequence_get(iter);
+}
+
+static void
+find_heads(struct shape *shape)
+{
+	shape->plain_head = first_of(shape->plain);
+	shape->dated_head = first_of(shape->dated);
+}
+
 void
 shape_insert(struct sched *s, struct job *job)
 {
@@ -141,6 +156,7 @@
 	else
 		job->iter =
 		    g_sequence_insert_sorted(shape->plain, job, by_age, NULL);
+	find_heads(shape);
 	/* A new head may have what the last one lacked: a short run time or
 	 * room that it may take from others. */
 	if (shape->state == SHAPE_BLOCKED &&
@@ -165,8 +181,8 @@
 	g_sequence_remove(job->iter);
 	job->iter = NULL;
 	job->shape = NULL;
-	if (g_sequence_get_length(shape->plain) > 0 ||
-	    g_sequence_get_length(shape->dated) > 0)
+	find_heads(shape);
+	if (shape->plain_head != NULL || shape->dated_head != NULL)
 		return;
 	list_remove(s, shape);
 	g_hash_table_remove(s->by_key, &shape->key);
@@ -180,19 +196,11 @@
 	return job->spec.deadline_ms != 0 && now_ms + PRESSURE_SLACK_MS >= last;
 }
 
-static struct job *
-first_of(GSequence *queue)
-{
-	GSequenceIter *iter = g_sequence_get_begin_iter(queue);
-
-	return g_sequence_iter_is_end(iter) ? NULL : g_sequence_get(iter);
-}
-
 struct job *
 shape_head(const struct shape *shape, int64_t now_ms)
 {
-	struct job *dated = first_of(shape->dated);
-	struct job *plain = first_of(shape->plain);
+	struct job *dated = shape->dated_head;
+	struct job *plain = shape->plain_head;
 
 	if (dated == NULL)
 		return plain;
--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -119,6 +119,8 @@
 	struct team *team;
 	GSequence *plain; /* struct job by age */
 	GSequence *dated; /* struct job by deadline */
+	struct job *plain_head; /* first of each; or NULL */
+	struct job *dated_head;
 	uint64_t tasks; /* waiting */
 	enum shape_state state;
 	guint pos; /* in sched.shapes[state] */
