--- a/bench/sched_load.h
+++ b/bench/sched_load.h
@@ -10,9 +10,9 @@
 	uint32_t workers;
 	uint32_t running; /* tasks at the offered load */
 	double starts_per_s;
-	uint32_t teams;
 	int64_t duration_ms;
 	double offered; /* part of the capacity that the load asks for */
+	uint32_t teams;
 	uint32_t burst; /* short tasks that arrive within one second */
 	uint64_t seed;
 };
--- /dev/null
+++ b/test/learn.cmake
@@ -0,0 +1,1 @@
+bt_test(learn_test SOURCES learn_test.c DEPENDS learn)
