--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -4,6 +4,7 @@
 #include "table.h"
 
 #define CANDIDATES 64 /* workers with room that are compared */
+#define AVOID_COST 1e9 /* above all that spreading takes off a score */
 #define BACKFILL_SCAN 64 /* held workers looked at for backfill */
 
 struct search {
@@ -55,6 +56,8 @@
 	    &w->spec, room, &q->job->spec);
 	double cost = q->spread ? spread_cost(q, w) : 0;
 
+	if (q->job->avoid != NULL && avoids(q->job->avoid, w->spec.id))
+		cost += AVOID_COST;
 	score -= cost;
 	q->found++;
 	if (q->best != NULL && score <= q->score)
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -2,6 +2,12 @@
  * Placement decisions: tables of workers, teams and waiting jobs in, lists of
  * placements out. No I/O, no clock of its own, no knowledge of the log.
  *
+ * Urgent work and deadlines go before others while the team is within its
+ * quota, not counting batch work of its own that could be stopped. A team
+ * without a quota is entitled to its weight's part of all workers; a quota
+ * that is 0 for one resource does not limit that one. Handles of racks and
+ * data centres are used as indices. Job ids are not 0.
+ *
  * The leader mirrors the agreed state into a struct sched; a placement that
  * sched_round() returns is reserved at once and later confirmed by nothing:
  * the caller releases it with sched_end() when the attempt ends or when the
@@ -137,6 +143,9 @@
  * same way after a lost attempt. A gang's tasks are placed all or none. */
 void sched_job_add(struct sched *s, const struct sched_job *job, uint32_t first,
     uint32_t count);
+/* A task of the job failed on a worker: others go first for the next tries.
+ * Kept by job id, for the last few workers of the last thousand such jobs. */
+void sched_job_avoid(struct sched *s, uint64_t job, uint32_t worker);
 /* Forgets the job's waiting tasks (cancelled, ended). */
 void sched_job_remove(struct sched *s, uint64_t job);
 
@@ -146,7 +155,11 @@
 /* An attempt ended or was refused: its room is free again. */
 void sched_end(struct sched *s, uint64_t job, uint32_t task, uint32_t worker);
 
-/* Decides until nothing more fits or limit placements are made. */
+/*
+ * Decides until nothing more fits or limit placements are made; a gang is
+ * placed whole beyond it. While tasks wait it is to be called each 50 ms or so
+ * without changes too: throttled tasks are stopped by time.
+ */
 void sched_decide(
     struct sched *s, int64_t now_ms, size_t limit, struct sched_round *out);
 void sched_round_init(struct sched_round *round);
--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -10,6 +10,8 @@
 #define GRID 32 /* steps of free millicpus, and of free memory */
 #define CELLS (2 * GRID * GRID) /* without and with accelerators */
 #define NO_CELL UINT32_MAX
+#define AVOID_MAX 4 /* workers that a job failed on */
+#define AVOID_JOBS 1024
 #define DIRTY_MAX 32 /* workers; with more, all shapes are tried again */
 
 /* An attempt that holds room on a worker. */
@@ -88,6 +90,13 @@
 	uint32_t count;
 };
 
+/* The last workers that a job's tasks failed on. */
+struct avoid {
+	uint64_t job;
+	uint32_t workers[AVOID_MAX];
+	uint32_t count; /* also of those that made room */
+};
+
 struct job {
 	struct sched_job spec;
 	struct shape *shape; /* while tasks wait */
@@ -96,6 +105,7 @@
 	uint32_t waiting;
 	uint32_t running;
 	GArray *workers; /* uint32_t, one a running task; if it spreads */
+	struct avoid *avoid; /* or NULL */
 	struct reservation *reservation; /* or NULL */
 	int64_t reserved_ms; /* when it was first reserved for; 0: never */
 };
@@ -153,6 +163,8 @@
 	GHashTable *teams; /* struct team by id */
 	int64_t weights; /* sum */
 	GHashTable *jobs; /* struct job by id */
+	GHashTable *avoid; /* struct avoid by job id */
+	GQueue avoid_order; /* struct avoid, oldest first */
 	GHashTable *by_key; /* struct shape by key */
 	GPtrArray *shapes[SHAPE_STATES];
 	size_t waiting; /* tasks */
@@ -219,6 +231,7 @@
 void job_started(struct job *job, uint32_t worker);
 void job_ended(struct job *job, uint32_t worker);
 bool job_spreads(const struct job *job);
+bool avoids(const struct avoid *a, uint32_t worker);
 
 /* shape.c */
 void shape_insert(struct sched *s, struct job *job);
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -243,6 +243,34 @@
 	bed_clear(&b);
 }
 
+/* A task that failed on a worker goes to another one next, if there is one. */
+static void
+test_avoid(void)
+{
+	struct bed b;
+	struct sched_job job;
+	uint32_t first;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 2, 4, 8);
+	job = job_like(&b, KIND_BATCH, 1, 1);
+	sched_job_add(b.s, &job, 0, 1);
+	decide(&b, 0);
+	first = placed(&b, 0)->worker;
+	for (unsigned i = 0; i < 2; i++) {
+		uint32_t worker = placed(&b, 0)->worker;
+
+		sched_end(b.s, job.id, 0, worker);
+		sched_job_avoid(b.s, job.id, worker);
+		sched_job_add(b.s, &job, 0, 1);
+		g_assert_cmpuint(decide(&b, 1), ==, 1);
+		g_assert_true((placed(&b, 0)->worker == first) == (i == 1));
+	}
+	for (uint64_t id = 100; id < 5000; id++)
+		sched_job_avoid(b.s, id, 1); /* bounded: drops the oldest */
+	bed_clear(&b);
+}
+
 /* Tasks of a service by data centre, rack or worker of those placed. */
 static unsigned
 domains(const struct bed *b, uint32_t per)
@@ -915,6 +943,7 @@
 	g_test_add_func("/sched/tight-fit", test_tight_fit);
 	g_test_add_func("/sched/stranding", test_stranding);
 	g_test_add_func("/sched/accelerators-kept", test_accelerators_kept);
+	g_test_add_func("/sched/avoid", test_avoid);
 	g_test_add_func("/sched/spread", test_spread);
 	g_test_add_func("/sched/gang-whole", test_gang_whole);
 	g_test_add_func(
