Shares against entitlement; the benchmark tells millicpus from memory

Cause: teams were ordered by their share of all capacity, so a team with a large quota always came last within it. Change: the share in a round is use against quota, and what is borrowed counts by weight. A policy may take shares within a step as equal and larger tasks first (not used yet). sched_bench prints both resources.

--- a/bench/sched_bench.c
+++ b/bench/sched_bench.c
@@ -46,6 +46,7 @@
 	    samples_quantile(&r->wait_ms[KIND_BATCH], 0.99),
 	    samples_quantile(&r->wait_ms[KIND_GANG], 0.5),
 	    samples_quantile(&r->wait_ms[KIND_GANG], 0.99));
+	printf(" %5.1f %5.1f |", 100 * r->cpu, 100 * r->memory);
 	printf(" %5.1f %5.1f %5.1f | %6.0f %5llu %5llu | %7.0f %6llu\n",
 	    100 * r->packing, 100 * r->stranded, 100 * r->shortfall, r->lost_s,
 	    (unsigned long long)r->stops, (unsigned long long)r->throttles,
@@ -66,7 +67,7 @@
 	    (unsigned long long)spec->seed);
 	printf("  policy      round us p50    p99      max  placed/s |"
 	       " urgent ms p50 p99 | batch ms p50 p99 | gang ms p50 p99 |"
-	       " used%% strand%% short%% | lost s stops throttles |"
+	       " cpu%% mem%% | used%% strand%% short%% | lost s stops throttles |"
 	       " waiting mean, end\n");
 	for (unsigned i = 0; i < G_N_ELEMENTS(policies); i++) {
 		struct replay_result result;
--- a/bench/sched_replay.c
+++ b/bench/sched_replay.c
@@ -321,6 +321,8 @@
 {
 	struct resources used = { 0 };
 	double strand = 0;
+	double cpu;
+	double memory;
 
 	for (guint i = 0; i < r->load->workers->len; i++) {
 		resources_add(&used, &r->workers[i].used, 1);
@@ -329,9 +331,11 @@
 		    &r->workers[i]);
 	}
 	r->samples++;
-	r->result->packing +=
-	    MAX((double)used.millicpus / (double)r->load->total.millicpus,
-		(double)used.memory / (double)r->load->total.memory);
+	cpu = (double)used.millicpus / (double)r->load->total.millicpus;
+	memory = (double)used.memory / (double)r->load->total.memory;
+	r->result->cpu += cpu;
+	r->result->memory += memory;
+	r->result->packing += MAX(cpu, memory);
 	r->result->stranded += strand / r->load->workers->len;
 	r->result->waiting_mean += (double)sched_waiting_tasks(r->sched);
 	sample_teams(r);
@@ -366,6 +370,8 @@
 	double n = (double)MAX(r->samples, 1);
 
 	result->packing /= n;
+	result->cpu /= n;
+	result->memory /= n;
 	result->stranded /= n;
 	result->waiting_mean /= n;
 	result->waiting = sched_waiting_tasks(r->sched);
--- a/bench/sched_replay.h
+++ b/bench/sched_replay.h
@@ -17,6 +17,8 @@
 	uint64_t rounds;
 	double decide_s; /* wall time in all rounds */
 	double packing; /* dominant resource used, mean over time */
+	double cpu; /* millicpus used */
+	double memory;
 	double stranded; /* free capacity that no task can use */
 	double shortfall; /* largest mean shortfall of a team's share */
 	double lost_s; /* run time of stopped tasks */
--- a/lib/sched/fair.c
+++ b/lib/sched/fair.c
@@ -33,8 +33,8 @@
 	return whole > 0 ? (double)part / (double)whole : 0;
 }
 
-static double
-dominant(const struct resources *part, const struct resources *whole)
+double
+dominant_part(const struct resources *part, const struct resources *whole)
 {
 	double share = ratio(part->millicpus, whole->millicpus);
 
@@ -57,7 +57,7 @@
 
 	/* Without a quota a team is entitled to its weight's part of all. */
 	if (resources_equal(&t->quota, &none))
-		return dominant(sum, &s->total) * (double)s->weights <=
+		return dominant_part(sum, &s->total) * (double)s->weights <=
 		    (double)t->weight;
 	return below(sum->millicpus, t->quota.millicpus) &&
 	    below(sum->memory, t->quota.memory) &&
@@ -86,9 +86,17 @@
 }
 
 double
-team_weighted(const struct sched *s, const struct team *t)
+team_ratio(const struct sched *s, const struct team *t)
 {
-	return dominant(&t->used, &s->total) / (double)t->weight;
+	struct resources none = { 0 };
+	double ratio;
+
+	if (resources_equal(&t->quota, &none))
+		return dominant_part(&t->used, &s->total) * (double)s->weights /
+		    (double)t->weight;
+	ratio = dominant_part(&t->used, &t->quota);
+	/* What is borrowed counts by weight. */
+	return ratio <= 1 ? ratio : 1 + (ratio - 1) / (double)t->weight;
 }
 
 double
@@ -97,5 +105,5 @@
 	const struct team *t =
 	    g_hash_table_lookup(s->teams, GUINT_TO_POINTER(id));
 
-	return t != NULL ? dominant(&t->used, &s->total) : 0;
+	return t != NULL ? dominant_part(&t->used, &s->total) : 0;
 }
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -23,7 +23,8 @@
 struct turn {
 	struct shape *shape;
 	enum class class;
-	double share;
+	double share; /* of what the team is entitled to */
+	double size; /* of a task; larger ones first */
 	int64_t submitted_ms;
 	uint64_t job;
 };
@@ -137,7 +138,11 @@
 
 	if (!s->policy->fair)
 		return turn;
-	turn.share = team_weighted(s, shape->team);
+	turn.share = team_ratio(s, shape->team);
+	if (s->policy->share_step > 0)
+		turn.share = floor(turn.share / s->policy->share_step);
+	if (s->policy->large_first)
+		turn.size = dominant_part(&shape->key.resources, &s->total);
 	if (first_class(s, job))
 		return turn;
 	within = team_within(s, shape->team, &job->spec.resources);
@@ -157,6 +162,8 @@
 		return a->class < b->class;
 	if (a->share != b->share)
 		return a->share < b->share;
+	if (a->size != b->size)
+		return a->size > b->size;
 	if (a->submitted_ms != b->submitted_ms)
 		return a->submitted_ms < b->submitted_ms;
 	return a->job < b->job;
--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -219,8 +219,11 @@
 /* The same without what could be stopped for its urgent work. */
 bool team_within_fixed(
     const struct sched *s, const struct team *t, const struct resources *more);
-/* Dominant share of all capacity by weight. */
-double team_weighted(const struct sched *s, const struct team *t);
+/* The largest part that an amount takes of a whole, over its resources. */
+double dominant_part(
+    const struct resources *part, const struct resources *whole);
+/* Use against what the team is entitled to; 1: all of it. */
+double team_ratio(const struct sched *s, const struct team *t);
 
 /* job.c */
 struct job *job_get(const struct sched *s, uint64_t id);
