Packing: slots count as a resource, services apart, larger tasks first

Change: scores know the free slots; services go to empty workers in both policies; within a class teams whose shares are close are equal and the larger task goes first; a gang reserves after a wait of its own (gang_ms).

--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -50,10 +50,12 @@
 }
 
 static void
-consider(struct search *q, struct worker *w, const struct resources *room)
+consider(struct search *q, struct worker *w, const struct resources *free,
+    int64_t slots)
 {
+	struct sched_room room = { *free, slots };
 	double score = q->s->policy->score[q->job->spec.kind](
-	    &w->spec, room, &q->job->spec);
+	    &w->spec, &room, &q->job->spec);
 	double cost = q->spread ? spread_cost(q, w) : 0;
 
 	if (q->job->avoid != NULL && avoids(q->job->avoid, w->spec.id))
@@ -73,7 +75,7 @@
 	struct search *q = arg;
 
 	if (has_room(w, &w->avail, w->avail_slots, q->job))
-		consider(q, w, &w->avail);
+		consider(q, w, &w->avail, w->avail_slots);
 	return q->found;
 }
 
@@ -213,7 +215,7 @@
 				return;
 			if (has_room(w, &w->spare, w->spare_slots, q->job) &&
 			    backfill_allowed(s, w, q->job, first_class))
-				consider(q, w, &w->spare);
+				consider(q, w, &w->spare, w->spare_slots);
 		}
 	}
 }
@@ -231,7 +233,7 @@
 		if (w->holds->len > 0 &&
 		    has_room(w, &w->spare, w->spare_slots, q->job) &&
 		    backfill_allowed(s, w, q->job, first_class))
-			consider(q, w, &w->spare);
+			consider(q, w, &w->spare, w->spare_slots);
 	}
 }
 
--- a/lib/sched/policy.c
+++ b/lib/sched/policy.c
@@ -1,8 +1,8 @@
 /* The policies in use and the baselines, as tables of scores. */
-#include <math.h>
-
 #include "table.h"
 
+#define TIGHTNESS 0.5 /* weight of the dominant resource against stranding */
+
 static double
 part(int64_t amount, int64_t whole)
 {
@@ -14,13 +14,15 @@
 	double cpu;
 	double memory;
 	double accelerators;
+	double slots;
 };
 
 static struct left
-left_after(const struct sched_worker *w, const struct resources *free,
+left_after(const struct sched_worker *w, const struct sched_room *room,
     const struct resources *need)
 {
 	const struct resources *cap = &w->capacity;
+	const struct resources *free = &room->free;
 
 	return (struct left){
 		.cpu = part(free->millicpus - need->millicpus, cap->millicpus),
@@ -45,40 +47,56 @@
 	return cpu >= memory ? left->cpu : left->memory;
 }
 
-/* Millicpus without memory to go with them, or the other way round. */
+/* Millicpus or memory that lack the other, or a slot, to go with them. */
 static double
-stranded(double cpu, double memory)
+stranded(double cpu, double memory, double slots)
 {
-	return fabs(cpu - memory);
+	return MAX(cpu, memory) - MIN(MIN(cpu, memory), slots);
 }
 
+/* What a task without accelerators costs on a worker that has free ones. */
 static double
-tight(const struct sched_worker *w, const struct resources *free,
+accelerators_left(const struct left *left, const struct resources *need)
+{
+	return need->accelerators == 0 && left->accelerators > 0
+	    ? 1 + left->accelerators
+	    : 0;
+}
+
+static double
+tight(const struct sched_worker *w, const struct sched_room *room,
     const struct sched_job *job)
 {
-	struct left left = left_after(w, free, &job->resources);
-	double before = stranded(part(free->millicpus, w->capacity.millicpus),
-	    part(free->memory, w->capacity.memory));
-	double after = stranded(left.cpu, left.memory);
-	double idle = left.accelerators * (job->resources.accelerators == 0);
-
-	return -dominant_left(w, &left, &job->resources) - (after - before) -
-	    idle;
+	struct left left = left_after(w, room, &job->resources);
+	double before =
+	    stranded(part(room->free.millicpus, w->capacity.millicpus),
+		part(room->free.memory, w->capacity.memory),
+		part(room->slots, w->slots));
+	double after = stranded(left.cpu, left.memory, left.slots);
+	double idle = accelerators_left(&left, &job->resources);
+
+	return -TIGHTNESS * dominant_left(w, &left, &job->resources) -
+	    (after - before) - idle;
 }
 
-/* The emptiest worker: services then share no worker that they needn't. */
+/*
+ * The emptiest worker. Services stay for long: packed together they would
+ * strand the rest of their worker for as long, while beside batch work that
+ * comes and goes their worker is filled.
+ */
 static double
-loose(const struct sched_worker *w, const struct resources *free,
+loose(const struct sched_worker *w, const struct sched_room *room,
     const struct sched_job *job)
 {
-	struct left left = left_after(w, free, &job->resources);
+	struct left left = left_after(w, room, &job->resources);
 
-	return MIN(left.cpu, left.memory) - stranded(left.cpu, left.memory) -
-	    left.accelerators * (job->resources.accelerators == 0);
+	return MIN(left.cpu, left.memory) -
+	    stranded(left.cpu, left.memory, left.slots) -
+	    accelerators_left(&left, &job->resources);
 }
 
 static double
-any(const struct sched_worker *w, const struct resources *free,
+any(const struct sched_worker *w, const struct sched_room *room,
     const struct sched_job *job)
 {
 	return 0;
@@ -86,10 +104,10 @@
 
 /* The usual best fit: least left over all resources. */
 static double
-least_left(const struct sched_worker *w, const struct resources *free,
+least_left(const struct sched_worker *w, const struct sched_room *room,
     const struct sched_job *job)
 {
-	struct left left = left_after(w, free, &job->resources);
+	struct left left = left_after(w, room, &job->resources);
 
 	return -(left.cpu + left.memory + left.accelerators);
 }
@@ -103,24 +121,30 @@
 	.reserve = true,
 	.preempt = true,
 	.scan = SCHED_SCAN_INDEX,
+	.share_step = 0.2,
+	.large_first = true,
 	.throttle_ms = 100,
 	.starved_ms = 5000,
-	.strict_ms = 10000,
+	.gang_ms = 0,
+	.strict_ms = 3000,
 	.reclaim_ms = 5000,
 };
 
 const struct sched_policy sched_packing = {
 	.name = "packing",
-	.score = { [KIND_SERVICE] = tight,
+	.score = { [KIND_SERVICE] = loose,
 	    [KIND_BATCH] = tight,
 	    [KIND_GANG] = tight },
 	.fair = true,
 	.reserve = true,
 	.preempt = true,
 	.scan = SCHED_SCAN_INDEX,
+	.share_step = 1,
+	.large_first = true,
 	.throttle_ms = 300,
 	.starved_ms = 30000,
-	.strict_ms = 60000,
+	.gang_ms = 10000,
+	.strict_ms = 5000,
 	.reclaim_ms = 30000,
 };
 
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -313,10 +313,12 @@
 starves(const struct sched *s, const struct shape *shape, const struct job *job)
 {
 	int64_t since = MAX(job->spec.submitted_ms, shape->placed_ms);
+	bool gang = job->spec.kind == KIND_GANG;
 
 	return s->policy->reserve && job->reservation == NULL &&
 	    s->now_ms >= shape->reserve_ms &&
-	    s->now_ms - since >= s->policy->starved_ms;
+	    s->now_ms - since >=
+	    (gang ? s->policy->gang_ms : s->policy->starved_ms);
 }
 
 /* Whether room may be taken from others for a blocked shape now. */
@@ -454,7 +456,8 @@
 make_room(struct sched *s, struct shape *shape, struct job *job,
     struct sched_round *out)
 {
-	if (s->policy->reserve && job->spec.kind == KIND_GANG)
+	if (s->policy->reserve && job->spec.kind == KIND_GANG &&
+	    waited(s, job) >= s->policy->gang_ms)
 		reserve_make(s, job);
 	if (may_preempt(s, shape, job)) {
 		bool urgent = first_class(s, job);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -95,6 +95,12 @@
 	struct resources largest; /* the largest that would fit, now or ever */
 };
 
+/* What a worker has for a task. */
+struct sched_room {
+	struct resources free;
+	int64_t slots;
+};
+
 /* Which workers a policy looks at for a task. */
 enum sched_scan {
 	SCHED_SCAN_INDEX, /* some tight ones from the index */
@@ -106,9 +112,9 @@
 /* A way to choose; the policy in use and the baselines are such tables. */
 struct sched_policy {
 	const char *name;
-	/* Higher is better; -INFINITY never. */
+	/* Higher is better. */
 	double (*score[KIND_COUNT])(const struct sched_worker *w,
-	    const struct resources *free, const struct sched_job *job);
+	    const struct sched_room *room, const struct sched_job *job);
 	bool fair; /* teams by weighted dominant share; else by age */
 	bool reserve; /* gangs reserve, others backfill */
 	bool preempt; /* urgent work may take room from batch */
@@ -117,6 +123,7 @@
 	bool large_first; /* of equal shares: the larger task, not the older */
 	int64_t throttle_ms; /* before a throttled task is stopped */
 	int64_t starved_ms; /* wait for room before it is reserved */
+	int64_t gang_ms; /* the same for a gang */
 	int64_t strict_ms; /* a reservation takes backfill until then */
 	int64_t reclaim_ms; /* wait before borrowed room is reclaimed */
 };
--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -220,8 +220,8 @@
 bool team_within_fixed(
     const struct sched *s, const struct team *t, const struct resources *more);
 /* The largest part that an amount takes of a whole, over its resources. */
-double dominant_part(
-    const struct resources *part, const struct resources *whole);
+double
+dominant_part(const struct resources *part, const struct resources *whole);
 /* Use against what the team is entitled to; 1: all of it. */
 double team_ratio(const struct sched *s, const struct team *t);
 
