Packing: entitlement counts after a wait, borrowed room goes by size

Change: in the packing policy a team's being within quota counts once a job has waited 10 s, and shares no longer order what is borrowed. Starvation is bounded by reservations as before; the waiting policy keeps both orders.

--- a/lib/sched/policy.c
+++ b/lib/sched/policy.c
@@ -1,4 +1,6 @@
 /* The policies in use and the baselines, as tables of scores. */
+#include <math.h>
+
 #include "table.h"
 
 #define TIGHTNESS 0.5 /* weight of the dominant resource against stranding */
@@ -139,8 +141,9 @@
 	.reserve = true,
 	.preempt = true,
 	.scan = SCHED_SCAN_INDEX,
-	.share_step = 1,
+	.share_step = INFINITY,
 	.large_first = true,
+	.fair_ms = 10000,
 	.throttle_ms = 300,
 	.starved_ms = 30000,
 	.gang_ms = 10000,
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -125,6 +125,12 @@
 	    team_within_fixed(s, job->shape->team, &job->spec.resources);
 }
 
+static int64_t
+waited(const struct sched *s, const struct job *job)
+{
+	return s->now_ms - job->spec.submitted_ms;
+}
+
 static struct turn
 turn_of(const struct sched *s, struct shape *shape)
 {
@@ -145,7 +151,8 @@
 		turn.size = dominant_part(&shape->key.resources, &s->total);
 	if (first_class(s, job))
 		return turn;
-	within = team_within(s, shape->team, &job->spec.resources);
+	within = waited(s, job) >= s->policy->fair_ms &&
+	    team_within(s, shape->team, &job->spec.resources);
 	if (job->spec.urgent)
 		turn.class = CLASS_URGENT_OVER;
 	else if (job_pressed(job, s->now_ms))
@@ -302,12 +309,6 @@
 	}
 }
 
-static int64_t
-waited(const struct sched *s, const struct job *job)
-{
-	return s->now_ms - job->spec.submitted_ms;
-}
-
 /* Whether a shape has neither room nor progress for long. */
 static bool
 starves(const struct sched *s, const struct shape *shape, const struct job *job)
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -119,9 +119,11 @@
 	bool reserve; /* gangs reserve, others backfill */
 	bool preempt; /* urgent work may take room from batch */
 	enum sched_scan scan;
-	double share_step; /* shares this close are equal; 0: exact */
+	double share_step; /* shares this close are equal; 0: exact,
+				INFINITY: shares give no order */
 	bool large_first; /* of equal shares: the larger task, not the older */
 	int64_t throttle_ms; /* before a throttled task is stopped */
+	int64_t fair_ms; /* wait before being within quota goes first */
 	int64_t starved_ms; /* wait for room before it is reserved */
 	int64_t gang_ms; /* the same for a gang */
 	int64_t strict_ms; /* a reservation takes backfill until then */
