Stopped work counts with what it lost before; tests of starvation

Cause: a task that was stopped and started again is the newest, so the order of least lost work stopped it again each time. Change: lost run time is kept by job and counts for its next tries. Tests: the second stop falls on another job; a team within its quota amid an endless stream of work that can't be stopped starts within the stated bounds, in both policies.

--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -24,7 +24,7 @@
 	job->spec = *spec;
 	job->ranges = g_array_new(FALSE, FALSE, sizeof(struct range));
 	job->workers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	job->avoid = g_hash_table_lookup(s->avoid, &spec->id);
+	job->history = g_hash_table_lookup(s->history, &spec->id);
 	g_hash_table_insert(s->jobs, &job->spec.id, job);
 	return job;
 }
@@ -139,57 +139,6 @@
 	job_release(s, job);
 }
 
-static void
-forget_oldest_avoid(struct sched *s)
-{
-	struct avoid *oldest = g_queue_pop_head(&s->avoid_order);
-	struct job *job = job_get(s, oldest->job);
-
-	if (job != NULL)
-		job->avoid = NULL;
-	g_hash_table_remove(s->avoid, &oldest->job);
-}
-
-static struct avoid *
-avoid_ensure(struct sched *s, uint64_t id)
-{
-	struct avoid *a = g_hash_table_lookup(s->avoid, &id);
-
-	if (a != NULL)
-		return a;
-	if (s->avoid_order.length >= AVOID_JOBS)
-		forget_oldest_avoid(s);
-	a = g_new0(struct avoid, 1);
-	a->job = id;
-	g_hash_table_insert(s->avoid, &a->job, a);
-	g_queue_push_tail(&s->avoid_order, a);
-	return a;
-}
-
-void
-sched_job_avoid(struct sched *s, uint64_t id, uint32_t worker)
-{
-	struct avoid *a = avoid_ensure(s, id);
-	struct job *job = job_get(s, id);
-
-	if (job != NULL)
-		job->avoid = a;
-	if (avoids(a, worker))
-		return;
-	a->workers[a->count % AVOID_MAX] = worker;
-	a->count++;
-}
-
-bool
-avoids(const struct avoid *a, uint32_t worker)
-{
-	for (uint32_t i = 0; i < MIN(a->count, AVOID_MAX); i++) {
-		if (a->workers[i] == worker)
-			return true;
-	}
-	return false;
-}
-
 size_t
 sched_waiting_tasks(const struct sched *s)
 {
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -58,7 +58,7 @@
 	    &w->spec, &room, &q->job->spec);
 	double cost = q->spread ? spread_cost(q, w) : 0;
 
-	if (q->job->avoid != NULL && avoids(q->job->avoid, w->spec.id))
+	if (history_avoids(q->job->history, w->spec.id))
 		cost += AVOID_COST;
 	score -= cost;
 	q->found++;
--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -33,8 +33,7 @@
 	const struct run *x = *(struct run *const *)a;
 	const struct run *y = *(struct run *const *)b;
 
-	return (x->started_ms < y->started_ms) -
-	    (x->started_ms > y->started_ms);
+	return (x->worth_ms < y->worth_ms) - (x->worth_ms > y->worth_ms);
 }
 
 /* Lists the eligible runs of a worker, least lost work first. */
@@ -73,7 +72,11 @@
 	return slots > 0 && resources_fit(need, room);
 }
 
-/* The lost run time if room for need is made on w; -1 if it can't be. */
+/*
+ * The lost run time if room for need is made on w; -1 if it can't be. What a
+ * job lost before counts again, so that it is not always the same that is
+ * stopped.
+ */
 static int64_t
 cost_of(const struct sched *s, const struct worker *w,
     const struct resources *need, bool reclaim)
@@ -90,7 +93,7 @@
 
 		resources_add(&room, &run->resources, 1);
 		slots++;
-		lost += s->now_ms - run->started_ms;
+		lost += s->now_ms - run->worth_ms;
 	}
 	g_ptr_array_unref(victims);
 	return fits(&room, slots, need) ? lost : -1;
@@ -156,7 +159,7 @@
 		struct worker *w = worker_get(s, run->worker);
 		int64_t lost;
 
-		if (s->now_ms - run->started_ms >= best.lost_ms ||
+		if (s->now_ms - run->worth_ms >= best.lost_ms ||
 		    looked++ >= LOOK_MAX)
 			break;
 		if (!eligible(s, run, reclaim) || !may_hold(w, job) ||
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -61,9 +61,9 @@
 	s->teams = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	s->jobs =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, job_free);
-	s->avoid =
+	s->history =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	g_queue_init(&s->avoid_order);
+	g_queue_init(&s->history_order);
 	s->by_key =
 	    g_hash_table_new_full(shape_hash, shape_equal, NULL, shape_free);
 	for (unsigned i = 0; i < SHAPE_STATES; i++)
@@ -85,8 +85,8 @@
 	g_hash_table_unref(s->by_key);
 	g_hash_table_unref(s->jobs);
 	g_hash_table_unref(s->teams);
-	g_queue_clear(&s->avoid_order);
-	g_hash_table_unref(s->avoid);
+	g_queue_clear(&s->history_order);
+	g_hash_table_unref(s->history);
 	for (unsigned i = 0; i < SHAPE_STATES; i++)
 		g_ptr_array_unref(s->shapes[i]);
 	g_ptr_array_unref(s->reservations);
--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -11,7 +11,6 @@
 #define CELLS (2 * GRID * GRID) /* without and with accelerators */
 #define NO_CELL UINT32_MAX
 #define AVOID_MAX 4 /* workers that a job failed on */
-#define AVOID_JOBS 1024
 #define DIRTY_MAX 256 /* workers; with more, all shapes are tried again */
 
 /* An attempt that holds room on a worker. */
@@ -22,11 +21,12 @@
 	struct resources resources;
 	struct team *team;
 	int64_t started_ms;
+	int64_t worth_ms; /* the start, less what its job lost to stops */
 	bool fixed; /* a service's: does not end by itself */
 	bool throttled;
 	bool stopping;
 	struct hold *hold; /* the need it makes room for; or NULL */
-	GList link; /* in sched.preemptible, by start */
+	GList link; /* in sched.preemptible, by worth_ms */
 	bool linked;
 };
 
@@ -90,11 +90,12 @@
 	uint32_t count;
 };
 
-/* The last workers that a job's tasks failed on. */
-struct avoid {
+/* What went wrong with a job's tasks. */
+struct history {
 	uint64_t job;
-	uint32_t workers[AVOID_MAX];
-	uint32_t count; /* also of those that made room */
+	uint32_t avoid[AVOID_MAX]; /* workers that tasks failed on */
+	uint32_t avoided; /* also those that made room */
+	int64_t lost_ms; /* run time of its tasks that were stopped */
 };
 
 struct job {
@@ -105,7 +106,7 @@
 	uint32_t waiting;
 	uint32_t running;
 	GArray *workers; /* uint32_t, one a running task; if it spreads */
-	struct avoid *avoid; /* or NULL */
+	struct history *history; /* or NULL */
 	struct reservation *reservation; /* or NULL */
 	int64_t reserved_ms; /* when it was first reserved for; 0: never */
 };
@@ -163,8 +164,8 @@
 	GHashTable *teams; /* struct team by id */
 	int64_t weights; /* sum */
 	GHashTable *jobs; /* struct job by id */
-	GHashTable *avoid; /* struct avoid by job id */
-	GQueue avoid_order; /* struct avoid, oldest first */
+	GHashTable *history; /* struct history by job id */
+	GQueue history_order; /* struct history, oldest first */
 	GHashTable *by_key; /* struct shape by key */
 	GPtrArray *shapes[SHAPE_STATES];
 	size_t waiting; /* tasks */
@@ -234,7 +235,10 @@
 void job_started(struct job *job, uint32_t worker);
 void job_ended(struct job *job, uint32_t worker);
 bool job_spreads(const struct job *job);
-bool avoids(const struct avoid *a, uint32_t worker);
+
+/* history.c */
+struct history *history_ensure(struct sched *s, uint64_t job);
+bool history_avoids(const struct history *h, uint32_t worker);
 
 /* shape.c */
 void shape_insert(struct sched *s, struct job *job);
--- a/lib/sched/worker.c
+++ b/lib/sched/worker.c
@@ -279,7 +279,7 @@
 	return NULL;
 }
 
-/* Lists a run among those that room can be taken from, by start. */
+/* Lists a run among those that room can be taken from. */
 static void
 link_preemptible(struct sched *s, struct run *run)
 {
@@ -291,7 +291,7 @@
 	while (after != NULL) {
 		const struct run *other = after->data;
 
-		if (other->started_ms <= run->started_ms)
+		if (other->worth_ms <= run->worth_ms)
 			break;
 		after = after->prev;
 	}
@@ -333,6 +333,9 @@
 	run->team = team_get(s, job->spec.team);
 	run->fixed = job->spec.kind == KIND_SERVICE;
 	run->started_ms = started_ms;
+	run->worth_ms = started_ms;
+	if (job->history != NULL)
+		run->worth_ms -= job->history->lost_ms;
 	g_ptr_array_add(w->runs, run);
 	job->running++;
 	job_started(job, w->spec.id);
@@ -352,6 +355,9 @@
 	if (run == NULL)
 		return;
 	job = run->job;
+	if (run->stopping)
+		history_ensure(s, job_id)->lost_ms +=
+		    MAX(s->now_ms - run->started_ms, 0);
 	if (run->linked)
 		g_queue_unlink(&s->preemptible, &run->link);
 	if (run->throttled)
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -266,7 +266,7 @@
 		g_assert_cmpuint(decide(&b, 1), ==, 1);
 		g_assert_true((placed(&b, 0)->worker == first) == (i == 1));
 	}
-	for (uint64_t id = 100; id < 5000; id++)
+	for (uint64_t id = 100; id < 9000; id++)
 		sched_job_avoid(b.s, id, 1); /* bounded: drops the oldest */
 	bed_clear(&b);
 }
@@ -626,6 +626,99 @@
 	bed_clear(&b);
 }
 
+/* What was stopped before and restarted counts with all its lost work. */
+static void
+test_preempt_in_turn(void)
+{
+	struct bed b;
+	struct sched_job victim;
+	struct sched_job other;
+	struct sched_job job;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 1, 4, 8);
+	victim = job_like(&b, KIND_BATCH, 4, 4);
+	sched_running(b.s, &victim, 0, 1, 0);
+	b.now_ms = 4000;
+	job = job_like(&b, KIND_BATCH, 4, 4);
+	job.urgent = true;
+	sched_job_add(b.s, &job, 0, 1);
+	decide(&b, 0);
+	decide(&b, sched_waiting.throttle_ms);
+	g_assert_cmpuint(preempted(&b, 0)->job, ==, victim.id);
+	sched_end(b.s, victim.id, 0, 1);
+	sched_job_add(b.s, &victim, 0, 1);
+	decide(&b, 1);
+	add_workers(&b, 2, 4, 8);
+	other = job_like(&b, KIND_BATCH, 4, 4);
+	sched_running(b.s, &other, 0, 2, b.now_ms - 1000);
+	sched_end(b.s, job.id, 0, where(&b, job.id, 0));
+	g_assert_cmpuint(decide(&b, 1), ==, 1); /* the victim, newest now */
+	job.id = b.next_job++;
+	sched_job_add(b.s, &job, 0, 1);
+	decide(&b, 1);
+	g_assert_cmpuint(preempted(&b, 0)->job, ==, other.id);
+	bed_clear(&b);
+}
+
+/*
+ * A team within its quota amid an endless stream of another's work that can't
+ * be stopped: each of its tasks waits no longer than the bounds and a run.
+ */
+static void
+test_team_within_quota(void)
+{
+	static const struct sched_policy *const policies[] = { &sched_waiting,
+		&sched_packing };
+
+	for (unsigned i = 0; i < G_N_ELEMENTS(policies); i++) {
+		struct bed b;
+		struct resources quota = { 8 * CORE, 16 * GIB, 0 };
+		GArray *running =
+		    g_array_new(FALSE, FALSE, sizeof(struct sched_placement));
+		GArray *ends = g_array_new(FALSE, FALSE, sizeof(int64_t));
+		struct sched_job large;
+		int64_t bound = policies[i]->fair_ms + policies[i]->starved_ms +
+		    policies[i]->strict_ms + 6000;
+		unsigned started = 0;
+
+		bed_init(&b, policies[i]);
+		add_workers(&b, 4, 4, 8);
+		sched_team_set(b.s, 1, 1, &quota);
+		sched_team_set(b.s, 2, 1, &quota);
+		large.id = 0;
+		while (b.now_ms < 300000) {
+			struct sched_job small = job_like(&b, KIND_BATCH, 1, 1);
+			int64_t end_ms;
+
+			small.idempotent = false;
+			sched_job_add(b.s, &small, 0, 4);
+			if (large.id == 0) {
+				large = job_like(&b, KIND_BATCH, 4, 8);
+				large.team = 2;
+				sched_job_add(b.s, &large, 0, 1);
+			}
+			decide(&b, 500);
+			end_ms = b.now_ms + 4000;
+			g_array_append_vals(running, b.round.placements->data,
+			    b.round.placements->len);
+			while (ends->len < running->len)
+				g_array_append_val(ends, end_ms);
+			g_assert_cmpint(
+			    b.now_ms - large.submitted_ms, <=, bound);
+			if (where(&b, large.id, 0) != NONE) {
+				large.id = 0;
+				started++;
+			}
+			end_due(&b, running, ends);
+		}
+		g_assert_cmpuint(started, >=, 300000 / bound);
+		g_array_unref(running);
+		g_array_unref(ends);
+		bed_clear(&b);
+	}
+}
+
 /* Room that comes from elsewhere in time: nothing is stopped. */
 static void
 test_preempt_resume(void)
@@ -955,6 +1048,8 @@
 	g_test_add_func("/sched/fair-share", test_fair_share);
 	g_test_add_func("/sched/reclaim", test_reclaim);
 	g_test_add_func("/sched/preempt", test_preempt);
+	g_test_add_func("/sched/preempt-in-turn", test_preempt_in_turn);
+	g_test_add_func("/sched/team-within-quota", test_team_within_quota);
 	g_test_add_func("/sched/preempt-resume", test_preempt_resume);
 	g_test_add_func("/sched/preempt-cancelled", test_preempt_cancelled);
 	g_test_add_func("/sched/urgent-gang", test_urgent_gang);
