--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -24,6 +24,7 @@
 	job->spec = *spec;
 	job->ranges = g_array_new(FALSE, FALSE, sizeof(struct range));
 	job->workers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	job->history = g_hash_table_lookup(s->history, &spec->id);
 	g_hash_table_insert(s->jobs, &job->spec.id, job);
 	return job;
 }
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -23,7 +23,8 @@
 struct turn {
 	struct shape *shape;
 	enum class class;
-	double share;
+	double share; /* of what the team is entitled to */
+	double size; /* of a task; larger ones first */
 	int64_t submitted_ms;
 	uint64_t job;
 };
@@ -60,6 +61,9 @@
 	s->teams = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	s->jobs = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, sched_job_free);
+	s->history =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	g_queue_init(&s->history_order);
 	s->by_key =
 	    g_hash_table_new_full(shape_hash, shape_equal, NULL, shape_free);
 	for (unsigned i = 0; i < SHAPE_STATES; i++)
@@ -81,6 +85,8 @@
 	g_hash_table_unref(s->by_key);
 	g_hash_table_unref(s->jobs);
 	g_hash_table_unref(s->teams);
+	g_queue_clear(&s->history_order);
+	g_hash_table_unref(s->history);
 	for (unsigned i = 0; i < SHAPE_STATES; i++)
 		g_ptr_array_unref(s->shapes[i]);
 	g_ptr_array_unref(s->reservations);
@@ -119,6 +125,12 @@
 	    team_within_fixed(s, job->shape->team, &job->spec.resources);
 }
 
+static int64_t
+waited(const struct sched *s, const struct job *job)
+{
+	return s->now_ms - job->spec.submitted_ms;
+}
+
 static struct turn
 turn_of(const struct sched *s, struct shape *shape)
 {
@@ -132,10 +144,15 @@
 
 	if (!s->policy->fair)
 		return turn;
-	turn.share = team_weighted(s, shape->team);
+	turn.share = team_ratio(s, shape->team);
+	if (s->policy->share_step > 0)
+		turn.share = floor(turn.share / s->policy->share_step);
+	if (s->policy->large_first)
+		turn.size = dominant_part(&shape->key.resources, &s->total);
 	if (first_class(s, job))
 		return turn;
-	within = team_within(s, shape->team, &job->spec.resources);
+	within = waited(s, job) >= s->policy->fair_ms &&
+	    team_within(s, shape->team, &job->spec.resources);
 	if (job->spec.urgent)
 		turn.class = CLASS_URGENT_OVER;
 	else if (job_pressed(job, s->now_ms))
@@ -152,6 +169,8 @@
 		return a->class < b->class;
 	if (a->share != b->share)
 		return a->share < b->share;
+	if (a->size != b->size)
+		return a->size > b->size;
 	if (a->submitted_ms != b->submitted_ms)
 		return a->submitted_ms < b->submitted_ms;
 	return a->job < b->job;
@@ -181,6 +200,13 @@
 	}
 }
 
+static void
+heap_order(GArray *heap)
+{
+	for (guint i = heap->len / 2; i > 0; i--)
+		heap_down(heap, i - 1);
+}
+
 static void
 heap_build(struct sched *s, GArray *heap)
 {
@@ -191,8 +217,7 @@
 
 		g_array_append_val(heap, turn);
 	}
-	for (guint i = heap->len / 2; i > 0; i--)
-		heap_down(heap, i - 1);
+	heap_order(heap);
 }
 
 static void
@@ -204,16 +229,29 @@
 	heap_down(heap, 0);
 }
 
-/* A batch task that some changed worker may have room for. */
+/* Whether a worker may have room for a shape's next task. */
+static bool
+may_fit(
+    const struct sched *s, const struct worker *w, const struct shape *shape)
+{
+	const struct resources *need = &shape->key.resources;
+	const struct job *job;
+
+	if (w->avail_slots > 0 && resources_fit(need, &w->avail))
+		return true;
+	if (w->holds->len == 0 || w->spare_slots <= 0 ||
+	    !resources_fit(need, &w->spare))
+		return false;
+	job = shape_head(shape, s->now_ms);
+	return backfill_allowed(s, w, job, job->spec.urgent);
+}
+
+/* Whether some changed worker may have room for a shape's next task. */
 static bool
 fits_changed(const struct sched *s, const struct shape *shape)
 {
 	for (guint i = 0; i < s->changed->len; i++) {
-		const struct worker *w = s->changed->pdata[i];
-		const struct resources *room =
-		    w->strict_holds > 0 ? &w->avail : &w->spare;
-
-		if (resources_fit(&shape->key.resources, room))
+		if (may_fit(s, s->changed->pdata[i], shape))
 			return true;
 	}
 	return false;
@@ -283,21 +321,17 @@
 	}
 }
 
-static int64_t
-waited(const struct sched *s, const struct job *job)
-{
-	return s->now_ms - job->spec.submitted_ms;
-}
-
 /* Whether a shape has neither room nor progress for long. */
 static bool
 starves(const struct sched *s, const struct shape *shape, const struct job *job)
 {
 	int64_t since = MAX(job->spec.submitted_ms, shape->placed_ms);
+	bool gang = job->spec.kind == KIND_GANG;
 
 	return s->policy->reserve && job->reservation == NULL &&
 	    s->now_ms >= shape->reserve_ms &&
-	    s->now_ms - since >= s->policy->starved_ms;
+	    s->now_ms - since >=
+	    (gang ? s->policy->gang_ms : s->policy->starved_ms);
 }
 
 /* Whether room may be taken from others for a blocked shape now. */
@@ -435,7 +469,8 @@
 make_room(struct sched *s, struct shape *shape, struct job *job,
     struct sched_round *out)
 {
-	if (s->policy->reserve && job->spec.kind == KIND_GANG)
+	if (s->policy->reserve && job->spec.kind == KIND_GANG &&
+	    waited(s, job) >= s->policy->gang_ms)
 		reserve_make(s, job);
 	if (may_preempt(s, shape, job)) {
 		bool urgent = first_class(s, job);
@@ -453,6 +488,45 @@
 		reserve_make(s, job);
 }
 
+/* Forgets changed workers that are full by now. */
+static void
+drop_full(struct sched *s)
+{
+	guint kept = 0;
+
+	for (guint i = 0; i < s->changed->len; i++) {
+		struct worker *w = s->changed->pdata[i];
+
+		if (MAX(w->avail_slots, w->spare_slots) > 0)
+			s->changed->pdata[kept++] = w;
+	}
+	g_ptr_array_set_size(s->changed, (gint)kept);
+}
+
+/*
+ * Takes off the heap what was woken for room that others have got by now.
+ * Most of what wakes for a freed place loses it to the first in order.
+ */
+static void
+heap_filter(struct sched *s, GArray *heap)
+{
+	struct turn *turns = (struct turn *)(void *)heap->data;
+	guint kept = 0;
+
+	drop_full(s);
+	for (guint i = 0; i < heap->len; i++) {
+		struct shape *shape = turns[i].shape;
+
+		if (shape->woken != s->round || shape->key.kind == KIND_GANG ||
+		    fits_changed(s, shape))
+			turns[kept++] = turns[i];
+		else
+			shape_set_state(s, shape, SHAPE_BLOCKED);
+	}
+	g_array_set_size(heap, kept);
+	heap_order(heap);
+}
+
 /* Places a shape's next task or gang; false if it has no room. */
 static bool
 place_next(struct sched *s, struct shape *shape, struct sched_round *out)
@@ -478,6 +552,8 @@
 static void
 run_turns(struct sched *s, GArray *heap, size_t limit, struct sched_round *out)
 {
+	bool filter = false; /* room has gone since the last time */
+
 	while (heap->len > 0 && out->placements->len < limit) {
 		struct turn *top = &g_array_index(heap, struct turn, 0);
 		struct shape *shape = top->shape;
@@ -486,8 +562,12 @@
 		if (!place_next(s, shape, out)) {
 			shape_set_state(s, shape, SHAPE_BLOCKED);
 			heap_pop(heap);
+			if (filter && shape->woken == s->round)
+				heap_filter(s, heap);
+			filter = false;
 			continue;
 		}
+		filter = true;
 		/* The last task takes its shape with it. */
 		if (g_hash_table_lookup(s->by_key, &key) == NULL) {
 			heap_pop(heap);
