bulrushctl and the example configurations

Operators had no tool. bulrushctl speaks the HTTP interface with one small file a group of commands behind a table. Every request it sends can be sent again (a key, a version, or a name makes it idempotent), so an answer that is lost leads to the same request through the next entry, until the deadline; exit 3 is kept for a change whose end is not known, exit 1 for what certainly did not run. The examples describe both firms with their own sizes, teams, policies and jobs.

ctl_test: 15 cases against a scripted entry, clean under the address and undefined-behaviour checks. A stop of the test's entry before its loop had started was forgotten and hung the test; it is an event now.

--- /dev/null
+++ b/bulrushctl/change.c
@@ -0,0 +1,300 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+
+#define POLL_MS 100 /* between looks at the versions in force */
+
+static struct {
+	char *author;
+	gboolean wait;
+	gint64 if_version;
+} opt = { .if_version = -1 };
+
+static const GOptionEntry apply_options[] = {
+	{ "author", 0, 0, G_OPTION_ARG_STRING, &opt.author,
+	    "who makes the change (default: the user)", "NAME" },
+	{ "wait", 0, 0, G_OPTION_ARG_NONE, &opt.wait,
+	    "until every node has it in force", NULL },
+	{ "if-version", 0, 0, G_OPTION_ARG_INT64, &opt.if_version,
+	    "only if this version is in force", "N" },
+	{ NULL },
+};
+
+int64_t
+config_version(const json_t *body)
+{
+	return json_integer_value(json_object_get(body, "version"));
+}
+
+static enum ctl_exit
+run_check(struct ctl *ctl, int argc, char **argv)
+{
+	struct dir *dir = dir_load(argv[0]);
+	struct config *c = dir == NULL ? NULL : dir_check(ctl, dir);
+	char *digest;
+	json_t *body;
+
+	if (c == NULL) {
+		dir_free(dir);
+		return EXIT_REFUSED;
+	}
+	digest = dir_digest(dir);
+	body = json_pack("{s:s,s:i,s:i,s:i,s:s}", "outcome", "done", "sites",
+	    (int)dir->files->len - 1, "teams", (int)c->teams->len, "services",
+	    (int)c->services->len, "digest", digest);
+	if (ctl->json)
+		print_json(body);
+	else
+		print_object(body);
+	json_decref(body);
+	g_free(digest);
+	config_unref(c);
+	dir_free(dir);
+	return EXIT_DONE;
+}
+
+/* Prints the end that a change came to. */
+static void
+show_applied(
+    struct ctl *ctl, int64_t version, const char *digest, const char *what)
+{
+	json_t *body = json_pack("{s:s,s:s,s:I,s:s}", "outcome", "done",
+	    "state", what, "version", (json_int_t)version, "digest", digest);
+
+	if (ctl->json)
+		print_json(body);
+	else
+		printf("version %" G_GINT64_FORMAT " %s\n", version, what);
+	json_decref(body);
+}
+
+static char *
+put_body(const struct dir *dir, int64_t version)
+{
+	json_t *overlays = json_object();
+	const struct config_text *base = dir_base(dir);
+	json_t *body;
+	char *text;
+
+	for (guint i = 1; i < dir->files->len; i++) {
+		const struct config_text *t = dir->files->pdata[i];
+
+		json_object_set_new(
+		    overlays, t->name, json_stringn(t->text, t->len));
+	}
+	body = json_pack("{s:I,s:s,s:o,s:o}", "version", (json_int_t)version,
+	    "author", opt.author == NULL ? g_get_user_name() : opt.author,
+	    "base", json_stringn(base->text, base->len), "overlays", overlays);
+	text = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	return text;
+}
+
+/* Tells whose change is in force in place of this one. */
+static void
+tell_winner(const struct reply *reply)
+{
+	ctl_error("version %" G_GINT64_FORMAT " in force is by %s, digest %s",
+	    config_version(reply->body), reply_string(reply, "author"),
+	    reply_string(reply, "digest"));
+}
+
+/*
+ * Sends the change as a version. A conflict whose winner has the same digest
+ * is this very change, made by another: that is no failure.
+ */
+static enum ctl_exit
+put_config(
+    struct ctl *ctl, const struct dir *dir, const char *digest, int64_t version)
+{
+	char *body = put_body(dir, version);
+	struct request req = {
+		.method = EVHTTP_REQ_PUT, .path = "/v1/config", .body = body
+	};
+	struct reply reply;
+	enum ctl_exit end = ctl_call(ctl, &req, &reply);
+	bool same = strcmp(reply_string(&reply, "digest"), digest) == 0;
+
+	if (end == EXIT_REFUSED && reply.status == 409 && same)
+		end = EXIT_DONE;
+	if (end == EXIT_REFUSED && reply.status == 409)
+		tell_winner(&reply);
+	if (end == EXIT_UNKNOWN)
+		ctl_error("apply can safely be run again");
+	if (end == EXIT_REFUSED && ctl->json && reply.body != NULL)
+		print_json(reply.body);
+	reply_clear(&reply);
+	free(body);
+	return end;
+}
+
+/* The names of nodes that are behind a version; NULL: none is. */
+static char *
+nodes_behind(const json_t *body, int64_t version)
+{
+	GString *s = g_string_new(NULL);
+	size_t i;
+	json_t *node;
+
+	json_array_foreach(json_object_get(body, "nodes"), i, node)
+	{
+		const char *name =
+		    json_string_value(json_object_get(node, "name"));
+
+		if (config_version(node) < version)
+			g_string_append_printf(
+			    s, " %s", name == NULL ? "?" : name);
+	}
+	if (config_version(body) < version && s->len == 0)
+		g_string_append(s, " cell");
+	return g_string_free(s, s->len == 0);
+}
+
+/* Waits until every node has the version in force. */
+static enum ctl_exit
+wait_in_force(struct ctl *ctl, int64_t version)
+{
+	int64_t deadline = mono_ms() + ctl->timeout_ms;
+	struct request req = { .method = EVHTTP_REQ_GET, .path = "/v1/config" };
+	struct reply reply;
+	char *behind = NULL;
+	enum ctl_exit end;
+
+	for (;;) {
+		end = ctl_call(ctl, &req, &reply);
+		g_free(behind);
+		behind = end == EXIT_DONE ? nodes_behind(reply.body, version)
+					  : g_strdup(" cell");
+		reply_clear(&reply);
+		if (end != EXIT_DONE || behind == NULL ||
+		    mono_ms() + POLL_MS >= deadline)
+			break;
+		client_sleep(ctl->client, POLL_MS);
+	}
+	if (behind != NULL) {
+		ctl_error("version %" G_GINT64_FORMAT
+			  " is accepted but not yet in force at:%s",
+		    version, behind);
+		end = EXIT_REFUSED;
+	}
+	g_free(behind);
+	return end;
+}
+
+/* Says whether the version in force is the one that --if-version asks for. */
+static bool
+version_wanted(const struct reply *reply)
+{
+	if (opt.if_version < 0 || opt.if_version == config_version(reply->body))
+		return true;
+	ctl_error("conflict: --if-version=%" G_GINT64_FORMAT, opt.if_version);
+	tell_winner(reply);
+	return false;
+}
+
+/* Says whether the cell has this folder's files in force. */
+static bool
+same_texts(const struct reply *reply, const char *digest)
+{
+	struct dir *dir = dir_from_reply(reply->body);
+	char *theirs = dir_digest(dir);
+	bool same = strcmp(theirs, digest) == 0;
+
+	g_free(theirs);
+	dir_free(dir);
+	return same && config_version(reply->body) > 0;
+}
+
+static enum ctl_exit
+apply(struct ctl *ctl, const struct dir *dir, const char *digest)
+{
+	struct request req = { .method = EVHTTP_REQ_GET, .path = "/v1/config" };
+	struct reply reply;
+	enum ctl_exit end = ctl_call(ctl, &req, &reply);
+	int64_t version = config_version(reply.body);
+	bool same = false;
+
+	if (end == EXIT_DONE) {
+		same = same_texts(&reply, digest);
+		if (!same && !version_wanted(&reply))
+			end = EXIT_REFUSED;
+	}
+	reply_clear(&reply);
+	if (end != EXIT_DONE)
+		return end;
+	if (!same) {
+		version++;
+		end = put_config(ctl, dir, digest, version);
+	}
+	if (end == EXIT_DONE && opt.wait)
+		end = wait_in_force(ctl, version);
+	if (end == EXIT_DONE)
+		show_applied(ctl, version, digest,
+		    same           ? "was accepted before"
+			: opt.wait ? "is in force everywhere"
+				   : "is accepted");
+	return end;
+}
+
+static enum ctl_exit
+run_apply(struct ctl *ctl, int argc, char **argv)
+{
+	struct dir *dir = dir_load(argv[0]);
+	struct config *c = dir == NULL ? NULL : dir_check(ctl, dir);
+	enum ctl_exit end = EXIT_REFUSED;
+	char *digest;
+
+	if (c != NULL) {
+		digest = dir_digest(dir);
+		end = apply(ctl, dir, digest);
+		g_free(digest);
+	}
+	config_unref(c);
+	dir_free(dir);
+	return end;
+}
+
+/* Prints all but the texts, which the json format has. */
+static void
+show_config(const json_t *body)
+{
+	json_t *brief = json_copy((json_t *)body);
+
+	json_object_del(brief, "base");
+	json_object_del(brief, "overlays");
+	print_object(brief);
+	json_decref(brief);
+}
+
+static enum ctl_exit
+run_config(struct ctl *ctl, int argc, char **argv)
+{
+	return ctl_get(ctl, "/v1/config", show_config);
+}
+
+const struct command command_check = {
+	.name = "check",
+	.args = "DIR",
+	.summary = "check a configuration folder",
+	.min_args = 1,
+	.max_args = 1,
+	.run = run_check,
+};
+
+const struct command command_apply = {
+	.name = "apply",
+	.args = "DIR",
+	.summary = "put a configuration folder in force",
+	.min_args = 1,
+	.max_args = 1,
+	.options = apply_options,
+	.run = run_apply,
+};
+
+const struct command command_config = {
+	.name = "config",
+	.args = "",
+	.summary = "show the configuration in force",
+	.run = run_config,
+};
--- /dev/null
+++ b/bulrushctl/main.c
@@ -0,0 +1,334 @@
+/*
+ * bulrushctl: checks and applies configurations, submits and follows jobs
+ * and shows a cell's state, over the HTTP interface of its entries.
+ */
+#include <locale.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+
+#define TIMEOUT_MS 10000
+
+static const struct command *const commands[] = {
+	&command_check,
+	&command_plan,
+	&command_apply,
+	&command_config,
+	&command_submit,
+	&command_get,
+	&command_cancel,
+	&command_status,
+	&command_nodes,
+	&command_workers,
+	&command_teams,
+	&command_trace,
+	&command_drain,
+	&command_replica,
+};
+
+/* Where GLib stores the common options. */
+static struct {
+	char *format;
+	char *entry;
+	gint64 timeout_ms;
+	gboolean version;
+} common = { .timeout_ms = TIMEOUT_MS };
+
+static const GOptionEntry common_options[] = {
+	{ "format", 0, 0, G_OPTION_ARG_STRING, &common.format,
+	    "text (default) or json", "FORMAT" },
+	{ "entry", 0, 0, G_OPTION_ARG_STRING, &common.entry,
+	    "entries to ask, in order; also BULRUSHTIDE_ENTRY",
+	    "IP:PORT[,...]" },
+	{ "timeout-ms", 0, 0, G_OPTION_ARG_INT64, &common.timeout_ms,
+	    "give up after this long (default 10000)", "N" },
+	{ "version", 0, 0, G_OPTION_ARG_NONE, &common.version,
+	    "print the version", NULL },
+	{ NULL },
+};
+
+void
+ctl_error(const char *format, ...)
+{
+	va_list ap;
+	char *s;
+
+	va_start(ap, format);
+	s = g_strdup_vprintf(format, ap);
+	va_end(ap);
+	fflush(stdout);
+	fprintf(stderr, "bulrushctl: %s\n", s);
+	g_free(s);
+}
+
+char *
+ctl_path(const char *prefix, const char *segment)
+{
+	char *escaped = g_uri_escape_string(segment, NULL, FALSE);
+	char *path = g_strconcat(prefix, escaped, NULL);
+
+	g_free(escaped);
+	return path;
+}
+
+/* The exit code that a reply's outcome asks for. */
+static enum ctl_exit
+outcome_exit(const struct request *req, const struct reply *reply)
+{
+	const char *outcome = reply_string(reply, "outcome");
+
+	if (strcmp(outcome, outcome_name(OUT_UNKNOWN)) == 0)
+		return EXIT_UNKNOWN;
+	if (reply->status >= 300)
+		return EXIT_REFUSED;
+	if (strcmp(outcome, outcome_name(OUT_ACCEPTED)) == 0 ||
+	    strcmp(outcome, outcome_name(OUT_DONE)) == 0 || *outcome == '\0')
+		return EXIT_DONE;
+	if (req->cancels && strcmp(outcome, outcome_name(OUT_CANCELLED)) == 0)
+		return EXIT_DONE;
+	return EXIT_REFUSED;
+}
+
+/* Tells a reply that is no success: outcome, reason, message, when to come. */
+static void
+tell_reply(const struct reply *reply)
+{
+	const char *outcome = reply_string(reply, "outcome");
+	const char *reason = reply_string(reply, "reason");
+	const char *message = reply_string(reply, "message");
+
+	ctl_error("%s%s%s%s%s%s", *outcome == '\0' ? "refused" : outcome,
+	    *reason == '\0' ? "" : " (", reason, *reason == '\0' ? "" : ")",
+	    *message == '\0' ? "" : ": ", message);
+	if (reply->retry_after_ms >= 0)
+		ctl_error("retry after %" G_GINT64_FORMAT " s",
+		    reply->retry_after_ms / 1000);
+}
+
+static bool
+open_client(struct ctl *ctl)
+{
+	GError *err = NULL;
+
+	if (ctl->client != NULL)
+		return true;
+	if (ctl->entries == NULL) {
+		ctl_error(
+		    "no entry: give --entry=IP:PORT or BULRUSHTIDE_ENTRY");
+		return false;
+	}
+	ctl->client = client_new(ctl->entries, ctl->timeout_ms, &err);
+	if (ctl->client != NULL)
+		return true;
+	ctl_error("%s", err->message);
+	g_error_free(err);
+	return false;
+}
+
+/* A read without an answer has failed; a change may have taken effect. */
+static enum ctl_exit
+tell_no_answer(const struct ctl *ctl, const struct request *req)
+{
+	bool read = req->method == EVHTTP_REQ_GET;
+
+	ctl_error("%s: no certain answer within %" G_GINT64_FORMAT " ms",
+	    read ? "failed" : "unknown", ctl->timeout_ms + req->hold_ms);
+	return read ? EXIT_REFUSED : EXIT_UNKNOWN;
+}
+
+enum ctl_exit
+ctl_call(struct ctl *ctl, const struct request *req, struct reply *reply)
+{
+	enum ctl_exit end;
+
+	*reply = (struct reply){ .retry_after_ms = -1 };
+	if (!open_client(ctl))
+		return EXIT_USAGE;
+	switch (client_call(ctl->client, req, reply)) {
+	case CALL_NOT_SENT:
+		ctl_error(
+		    "not-run: no entry of %s could be reached", ctl->entries);
+		return EXIT_REFUSED;
+	case CALL_UNKNOWN:
+		return tell_no_answer(ctl, req);
+	case CALL_ANSWERED:
+		break;
+	}
+	end = outcome_exit(req, reply);
+	if (end != EXIT_DONE)
+		tell_reply(reply);
+	return end;
+}
+
+enum ctl_exit
+ctl_get(struct ctl *ctl, const char *path, void (*show)(const json_t *body))
+{
+	struct request req = { .method = EVHTTP_REQ_GET, .path = path };
+	struct reply reply;
+	enum ctl_exit end = ctl_call(ctl, &req, &reply);
+
+	if (reply.body != NULL && ctl->json)
+		print_json(reply.body);
+	else if (end == EXIT_DONE)
+		show(reply.body);
+	reply_clear(&reply);
+	return end;
+}
+
+static const struct command *
+find_command(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(commands[i]->name, name) == 0)
+			return commands[i];
+	}
+	return NULL;
+}
+
+/* The list of commands for the help text; caller frees. */
+static char *
+command_list(void)
+{
+	GString *s = g_string_new("Commands:\n");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		g_string_append_printf(
+		    s, "  %-8s %s\n", commands[i]->name, commands[i]->summary);
+	g_string_append(s, "\nbulrushctl COMMAND --help tells its options.");
+	return g_string_free(s, FALSE);
+}
+
+/* Parses options out of argv; false after telling a fault. */
+static bool
+parse_options(GOptionContext *ctx, int *argc, char ***argv)
+{
+	GError *err = NULL;
+
+	if (g_option_context_parse(ctx, argc, argv, &err))
+		return true;
+	ctl_error("%s", err->message);
+	g_error_free(err);
+	return false;
+}
+
+/* Parses the options before the command. */
+static bool
+parse_leading(int *argc, char ***argv)
+{
+	GOptionContext *ctx = g_option_context_new("COMMAND [ARGUMENT...]");
+	char *list = command_list();
+	bool good;
+
+	g_option_context_add_main_entries(ctx, common_options, NULL);
+	g_option_context_set_strict_posix(ctx, TRUE);
+	g_option_context_set_description(ctx, list);
+	good = parse_options(ctx, argc, argv);
+	g_option_context_free(ctx);
+	g_free(list);
+	return good;
+}
+
+/* Parses the options after the command's name and checks its arguments. */
+static bool
+parse_command(const struct command *cmd, int *argc, char ***argv)
+{
+	GOptionContext *ctx = g_option_context_new(cmd->args);
+	char *name = g_strconcat("bulrushctl ", cmd->name, NULL);
+	bool good;
+
+	g_option_context_add_main_entries(ctx, common_options, NULL);
+	if (cmd->options != NULL)
+		g_option_context_add_main_entries(ctx, cmd->options, NULL);
+	g_option_context_set_summary(ctx, cmd->summary);
+	g_set_prgname(name);
+	good = parse_options(ctx, argc, argv);
+	if (good && *argc > 1 && strcmp((*argv)[1], "--") == 0) {
+		(*argv)++;
+		(*argc)--;
+	}
+	if (good && (*argc - 1 < cmd->min_args || *argc - 1 > cmd->max_args)) {
+		ctl_error("usage: %s %s", name, cmd->args);
+		good = false;
+	}
+	g_option_context_free(ctx);
+	g_free(name);
+	return good;
+}
+
+/* Takes the common options over; false after telling a fault. */
+static bool
+take_common(struct ctl *ctl)
+{
+	const char *format = common.format == NULL ? "text" : common.format;
+	const char *entry = common.entry;
+
+	ctl->json = strcmp(format, "json") == 0;
+	if (!ctl->json && strcmp(format, "text") != 0) {
+		ctl_error("--format: found %s, allowed text or json", format);
+		return false;
+	}
+	if (common.timeout_ms < 1 || common.timeout_ms > INT32_MAX) {
+		ctl_error("--timeout-ms: found %" G_GINT64_FORMAT
+			  ", allowed 1 to %d",
+		    common.timeout_ms, INT32_MAX);
+		return false;
+	}
+	if (entry == NULL)
+		entry = g_getenv("BULRUSHTIDE_ENTRY");
+	ctl->entries = g_strdup(entry);
+	ctl->timeout_ms = common.timeout_ms;
+	return true;
+}
+
+static enum ctl_exit
+run(int argc, char **argv)
+{
+	struct ctl ctl = { 0 };
+	const struct command *cmd;
+	enum ctl_exit end;
+
+	if (!parse_leading(&argc, &argv))
+		return EXIT_USAGE;
+	if (common.version) {
+		puts("bulrushctl " BULRUSHTIDE_VERSION);
+		return EXIT_DONE;
+	}
+	if (argc < 2) {
+		ctl_error(
+		    "usage: bulrushctl COMMAND [ARGUMENT...]; see --help");
+		return EXIT_USAGE;
+	}
+	cmd = find_command(argv[1]);
+	if (cmd == NULL) {
+		ctl_error("no such command: %s; see --help", argv[1]);
+		return EXIT_USAGE;
+	}
+	argv++;
+	argc--;
+	if (!parse_command(cmd, &argc, &argv) || !take_common(&ctl))
+		return EXIT_USAGE;
+	end = cmd->run(&ctl, argc - 1, argv + 1);
+	client_free(ctl.client);
+	g_free(ctl.entries);
+	return end;
+}
+
+int
+main(int argc, char **argv)
+{
+	enum ctl_exit end;
+
+	setlocale(LC_CTYPE, "");
+	signal(SIGPIPE, SIG_IGN);
+	end = run(argc, argv);
+	if (fflush(stdout) != 0) {
+		ctl_error("standard output can't be written");
+		end = end == EXIT_DONE ? EXIT_REFUSED : end;
+	}
+	g_free(common.format);
+	g_free(common.entry);
+	return end;
+}
--- /dev/null
+++ b/bulrushctl/output.c
@@ -0,0 +1,166 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+
+#define GAP 2 /* blanks between columns */
+
+void
+print_json(const json_t *value)
+{
+	json_dumpf(value, stdout, JSON_ENCODE_ANY | JSON_COMPACT);
+	putchar('\n');
+}
+
+/* A value in one table field; nested values as JSON; caller frees. */
+static char *
+field_text(const json_t *value)
+{
+	char *json;
+	char *s;
+
+	if (value == NULL || json_is_null(value))
+		return g_strdup("-");
+	if (json_is_string(value) && *json_string_value(value) != '\0')
+		return g_strescape(json_string_value(value), NULL);
+	json = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+	s = g_strdup(json);
+	free(json);
+	return s;
+}
+
+static bool
+is_table(const json_t *value)
+{
+	return json_is_array(value) && json_is_object(json_array_get(value, 0));
+}
+
+/* The keys of all rows, in the order in which they first stand. */
+static GPtrArray *
+table_columns(const json_t *list)
+{
+	GPtrArray *columns = g_ptr_array_new();
+	size_t i;
+	json_t *row;
+	const char *key;
+	json_t *value;
+
+	json_array_foreach(list, i, row)
+	{
+		json_object_foreach(row, key, value)
+		{
+			if (!g_ptr_array_find_with_equal_func(
+				columns, key, g_str_equal, NULL))
+				g_ptr_array_add(columns, (char *)key);
+		}
+	}
+	return columns;
+}
+
+static size_t
+column_width(const json_t *list, const char *key)
+{
+	size_t width = g_utf8_strlen(key, -1);
+	size_t i;
+	json_t *row;
+
+	json_array_foreach(list, i, row)
+	{
+		char *s = field_text(json_object_get(row, key));
+
+		width = MAX(width, (size_t)g_utf8_strlen(s, -1));
+		g_free(s);
+	}
+	return width;
+}
+
+/* Prints one field; the last of a row has no blanks after it. */
+static void
+print_field(const char *s, size_t width, bool last)
+{
+	size_t len = g_utf8_strlen(s, -1);
+
+	fputs(s, stdout);
+	if (last)
+		putchar('\n');
+	else
+		printf("%*s", (int)(width - len + GAP), "");
+}
+
+static void
+print_titles(const GPtrArray *columns, const size_t *widths)
+{
+	for (guint i = 0; i < columns->len; i++) {
+		char *title = g_ascii_strup(columns->pdata[i], -1);
+
+		print_field(title, widths[i], i + 1 == columns->len);
+		g_free(title);
+	}
+}
+
+void
+print_table(const json_t *list)
+{
+	GPtrArray *columns = table_columns(list);
+	size_t *widths = g_new(size_t, columns->len + 1);
+	size_t row;
+	json_t *object;
+
+	for (guint i = 0; i < columns->len; i++)
+		widths[i] = column_width(list, columns->pdata[i]);
+	print_titles(columns, widths);
+	json_array_foreach(list, row, object)
+	{
+		for (guint i = 0; i < columns->len; i++) {
+			char *s = field_text(
+			    json_object_get(object, columns->pdata[i]));
+
+			print_field(s, widths[i], i + 1 == columns->len);
+			g_free(s);
+		}
+	}
+	g_free(widths);
+	g_ptr_array_unref(columns);
+}
+
+static size_t
+scalars_width(const json_t *object)
+{
+	size_t width = 0;
+	const char *key;
+	json_t *value;
+
+	json_object_foreach((json_t *)object, key, value)
+	{
+		if (!is_table(value))
+			width = MAX(width, (size_t)g_utf8_strlen(key, -1));
+	}
+	return width;
+}
+
+void
+print_object(const json_t *object)
+{
+	size_t width = scalars_width(object);
+	const char *key;
+	json_t *value;
+
+	json_object_foreach((json_t *)object, key, value)
+	{
+		char *s;
+
+		if (is_table(value))
+			continue;
+		s = field_text(value);
+		print_field(key, width, false);
+		puts(s);
+		g_free(s);
+	}
+	json_object_foreach((json_t *)object, key, value)
+	{
+		if (!is_table(value))
+			continue;
+		printf("\n%s:\n", key);
+		print_table(value);
+	}
+}
--- /dev/null
+++ b/test/ctl_test.c
@@ -0,0 +1,647 @@
+/* bulrushctl against a scripted entry: exit codes, output, resending. */
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/thread.h>
+#include <glib/gstdio.h>
+
+#include "base.h"
+
+#define STEPS_MAX 8
+#define LOSE (-1) /* close the connection without an answer */
+#define HANG (-2) /* never answer */
+
+/* What the entry does with one request. */
+struct step {
+	int status; /* of the answer, or LOSE, or HANG */
+	const char *body;
+	const char *retry_after; /* NULL: no such header */
+};
+
+/* What the entry saw of one request. */
+struct seen {
+	enum evhttp_cmd_type method;
+	char *uri;
+	char *key;
+	char *body;
+};
+
+/* An entry that follows a script in a thread of its own. */
+struct entry {
+	struct event_base *base;
+	struct evhttp *http;
+	uint16_t port;
+	const struct step *steps;
+	int seen_count;
+	struct seen seen[STEPS_MAX];
+	GThread *thread;
+};
+
+/* The end of one run of bulrushctl. */
+struct run {
+	int exit;
+	char *out;
+	char *err;
+};
+
+static void
+note_request(struct entry *e, struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t len = evbuffer_get_length(in);
+	const char *body = (const char *)evbuffer_pullup(in, -1);
+
+	g_assert_cmpint(e->seen_count, <, STEPS_MAX);
+	e->seen[e->seen_count++] = (struct seen){
+		.method = evhttp_request_get_command(req),
+		.uri = g_strdup(evhttp_request_get_uri(req)),
+		.key = g_strdup(evhttp_find_header(
+		    evhttp_request_get_input_headers(req), "Idempotency-Key")),
+		.body = g_strndup(body == NULL ? "" : body, len),
+	};
+}
+
+static void
+cut(struct evhttp_request *req)
+{
+	struct evhttp_connection *c = evhttp_request_get_connection(req);
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(c);
+
+	shutdown(bufferevent_getfd(bev), SHUT_RDWR);
+	evhttp_send_reply(req, 200, NULL, NULL);
+}
+
+static void
+on_request(struct evhttp_request *req, void *arg)
+{
+	struct entry *e = arg;
+	const struct step *step = &e->steps[e->seen_count];
+	struct evbuffer *body;
+
+	note_request(e, req);
+	if (step->status == HANG)
+		return;
+	if (step->status == LOSE) {
+		cut(req);
+		return;
+	}
+	body = evbuffer_new();
+	evbuffer_add_printf(body, "%s", step->body);
+	if (step->retry_after != NULL)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+		    "Retry-After", step->retry_after);
+	evhttp_send_reply(req, step->status, NULL, body);
+	evbuffer_free(body);
+}
+
+static void *
+entry_loop(void *arg)
+{
+	struct entry *e = arg;
+
+	event_base_loop(e->base, EVLOOP_NO_EXIT_ON_EMPTY);
+	return NULL;
+}
+
+static struct entry *
+entry_start(const struct step *steps)
+{
+	struct entry *e = g_new0(struct entry, 1);
+	struct evhttp_bound_socket *s;
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+
+	e->steps = steps;
+	e->base = event_base_new();
+	e->http = evhttp_new(e->base);
+	evhttp_set_allowed_methods(e->http, 0xffff);
+	evhttp_set_gencb(e->http, on_request, e);
+	s = evhttp_bind_socket_with_handle(e->http, "127.0.0.1", 0);
+	g_assert_nonnull(s);
+	getsockname(
+	    evhttp_bound_socket_get_fd(s), (struct sockaddr *)&sin, &len);
+	e->port = ntohs(sin.sin_port);
+	e->thread = g_thread_new("entry", entry_loop, e);
+	return e;
+}
+
+static void
+on_stop(evutil_socket_t fd, short what, void *arg)
+{
+	event_base_loopbreak(arg);
+}
+
+/*
+ * Ends the thread; what it saw stays readable. An event, since a break asked
+ * for before the loop starts is forgotten.
+ */
+static void
+entry_stop(struct entry *e)
+{
+	struct timeval now = { 0 };
+
+	event_base_once(e->base, -1, EV_TIMEOUT, on_stop, e->base, &now);
+	g_thread_join(e->thread);
+	evhttp_free(e->http);
+	event_base_free(e->base);
+}
+
+static void
+entry_free(struct entry *e)
+{
+	for (int i = 0; i < e->seen_count; i++) {
+		g_free(e->seen[i].uri);
+		g_free(e->seen[i].key);
+		g_free(e->seen[i].body);
+	}
+	g_free(e);
+}
+
+/* Runs bulrushctl with arguments that blanks part. */
+static struct run
+run_ctl(const char *args)
+{
+	char *line = g_strconcat(BULRUSHCTL " ", args, NULL);
+	char **argv = g_strsplit(line, " ", -1);
+	struct run r = { 0 };
+	GError *err = NULL;
+	int status;
+
+	g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, &r.out,
+	    &r.err, &status, &err);
+	g_assert_no_error(err);
+	g_assert_true(WIFEXITED(status));
+	r.exit = WEXITSTATUS(status);
+	g_test_message("%s: exit %d: %s%s", args, r.exit, r.out, r.err);
+	g_strfreev(argv);
+	g_free(line);
+	return r;
+}
+
+/* Runs against a scripted entry; the entry's notes go to seen. */
+static struct run
+run_with(const char *args, const struct step *steps, struct entry **seen)
+{
+	struct entry *e = entry_start(steps);
+	char *all = g_strdup_printf("--entry=127.0.0.1:%u %s", e->port, args);
+	struct run r = run_ctl(all);
+
+	entry_stop(e);
+	g_free(all);
+	if (seen != NULL)
+		*seen = e;
+	else
+		entry_free(e);
+	return r;
+}
+
+static void
+run_clear(struct run *r)
+{
+	g_free(r->out);
+	g_free(r->err);
+}
+
+static void
+assert_has(const char *text, const char *part)
+{
+	if (strstr(text, part) == NULL)
+		g_error("wanted: %s\ngot: %s", part, text);
+}
+
+/* A new folder with a base file; removed by folder_remove(). */
+static char *
+folder_make(const char *base)
+{
+	char *dir = g_dir_make_tmp("ctl-XXXXXX", NULL);
+	char *file = g_build_filename(dir, "base.yaml", NULL);
+
+	g_assert_true(g_file_set_contents(file, base, -1, NULL));
+	g_free(file);
+	return dir;
+}
+
+static void
+folder_remove(char *dir)
+{
+	char *file = g_build_filename(dir, "base.yaml", NULL);
+
+	g_unlink(file);
+	g_rmdir(dir);
+	g_free(file);
+	g_free(dir);
+}
+
+/* Runs with the folder in place of %s. */
+static struct run
+run_dir(const char *args, const char *dir, const struct step *steps,
+    struct entry **seen)
+{
+	char **parts = g_strsplit(args, "%s", 2);
+	char *all = g_strjoin(dir, parts[0], parts[1], NULL);
+	struct run r =
+	    steps == NULL ? run_ctl(all) : run_with(all, steps, seen);
+
+	g_free(all);
+	g_strfreev(parts);
+	return r;
+}
+
+static const char job_file[] = EXAMPLES "/halvorsen/jobs/stock-check.json";
+
+static void
+test_usage(void)
+{
+	static const char *const bad[] = { "", "fly", "check", "get 1 2",
+		"--format=xml status", "status --timeout-ms=0", "status",
+		"--entry=nowhere:1 status", "--entry=127.0.0.1:0 status",
+		"cancel", "cancel 1 --team=a", "replica add a",
+		"replica move a@127.0.0.1:1", "submit --nope x",
+		"submit --wait-ms=-1 x", "--nope" };
+
+	g_unsetenv("BULRUSHTIDE_ENTRY");
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		struct run r = run_ctl(bad[i]);
+
+		g_assert_cmpint(r.exit, ==, 2);
+		g_assert_cmpstr(r.out, ==, "");
+		g_assert_true(g_str_has_prefix(r.err, "bulrushctl: "));
+		run_clear(&r);
+	}
+}
+
+static void
+test_check(void)
+{
+	char *dir = folder_make("teams: {a: {weight: 0}}\nx: 1\n");
+	struct run r = run_dir("check %s", dir, NULL, NULL);
+
+	g_assert_cmpint(r.exit, ==, 1);
+	assert_has(
+	    r.err, "bulrushctl: base.yaml:1: teams.a.weight: found \"0\", ");
+	assert_has(r.err, "bulrushctl: base.yaml:2: x: found an unknown key");
+	run_clear(&r);
+	r = run_dir("check --format=json %s", dir, NULL, NULL);
+	assert_has(r.out, "\"key\":\"teams.a.weight\"");
+	run_clear(&r);
+	folder_remove(dir);
+	r = run_ctl("check /nowhere");
+	g_assert_cmpint(r.exit, ==, 1);
+	run_clear(&r);
+}
+
+static void
+test_examples(void)
+{
+	struct run r = run_ctl("check " EXAMPLES "/halvorsen");
+
+	g_assert_cmpint(r.exit, ==, 0);
+	assert_has(r.out, "sites     4\n");
+	run_clear(&r);
+	r = run_ctl("check " EXAMPLES "/stollenwerk");
+	g_assert_cmpint(r.exit, ==, 0);
+	assert_has(r.out, "sites     3\n");
+	run_clear(&r);
+}
+
+static void
+test_plan(void)
+{
+	char *from = folder_make("teams: {a: {}}\n");
+	char *to = folder_make(
+	    "teams: {a: {weight: 2}}\nservices: {s: {team: a, resources: "
+	    "{millicpus: 1, memory: 1}}}\n");
+	char *args = g_strdup_printf("plan --from %s %s", from, to);
+	struct run r = run_ctl(args);
+
+	g_assert_cmpint(r.exit, ==, 0);
+	assert_has(r.out, "~ team a: weight 1 -> 2\n+ service s: team a");
+	assert_has(r.out, "\naffects team a: s\n");
+	run_clear(&r);
+	r = run_dir("plan %s", to,
+	    (struct step[]){ { .status = 200,
+		.body =
+		    "{\"version\":4,\"base\":\"teams: {a: {weight: 2}}\","
+		    "\"overlays\":{\"x\":\"services: {s: {team: a, resources: "
+		    "{millicpus: 1, memory: 1}}}\"}}" } },
+	    NULL);
+	g_assert_cmpstr(r.out, ==, "version 4 is in force\nno change\n");
+	run_clear(&r);
+	g_free(args);
+	folder_remove(from);
+	folder_remove(to);
+}
+
+#define AT_4 "{\"version\":4,\"base\":\"\",\"overlays\":{}}"
+#define NODES(n)                                                   \
+	"{\"version\":5,\"base\":\"\",\"overlays\":{},\"nodes\":[" \
+	"{\"name\":\"a\",\"version\":5},{\"name\":\"b\",\"version\":" #n "}]}"
+
+/* A lost answer: the same version and body again, and the first answer. */
+static void
+test_apply_lost(void)
+{
+	static const struct step steps[] = { { .status = 200, .body = AT_4 },
+		{ .status = LOSE },
+		{ .status = 202,
+		    .body = "{\"outcome\":\"accepted\",\"version\":5}" },
+		{ .status = 200, .body = NODES(4) },
+		{ .status = 200, .body = NODES(5) } };
+	char *dir = folder_make("teams: {a: {}}\n");
+	struct entry *e;
+	struct run r = run_dir("apply --wait --author=ann %s", dir, steps, &e);
+
+	g_assert_cmpint(r.exit, ==, 0);
+	assert_has(r.out, "version 5 is in force everywhere");
+	g_assert_cmpint(e->seen_count, ==, 5);
+	g_assert_cmpint(e->seen[1].method, ==, EVHTTP_REQ_PUT);
+	g_assert_cmpstr(e->seen[1].body, ==,
+	    "{\"version\":5,\"author\":\"ann\",\"base\":\"teams: {a: {}}\\n\","
+	    "\"overlays\":{}}");
+	g_assert_cmpstr(e->seen[2].body, ==, e->seen[1].body);
+	run_clear(&r);
+	entry_free(e);
+	folder_remove(dir);
+}
+
+static void
+test_apply_conflict(void)
+{
+	static const struct step steps[] = { { .status = 200, .body = AT_4 },
+		{ .status = 409,
+		    .body = "{\"outcome\":\"conflict\",\"reason\":\"version\","
+			    "\"version\":5,\"author\":\"bob\",\"digest\":"
+			    "\"d1\"}" } };
+	char *dir = folder_make("teams: {a: {}}\n");
+	struct entry *e;
+	struct run r = run_dir("apply %s", dir, steps, NULL);
+
+	g_assert_cmpint(r.exit, ==, 1);
+	assert_has(r.err, "version 5 in force is by bob, digest d1");
+	run_clear(&r);
+	r = run_dir("apply --if-version=3 %s", dir, steps, &e);
+	g_assert_cmpint(r.exit, ==, 1);
+	g_assert_cmpint(e->seen_count, ==, 1);
+	run_clear(&r);
+	entry_free(e);
+	folder_remove(dir);
+}
+
+/* What is in force already is not sent again. */
+static void
+test_apply_same(void)
+{
+	char *dir = folder_make("teams: {a: {}}\n");
+	struct entry *e;
+	struct run r = run_dir("apply %s", dir,
+	    (struct step[]){ { .status = 200,
+		.body = "{\"version\":4,\"base\":\"teams: {a: {}}\\n\"}" } },
+	    &e);
+
+	g_assert_cmpint(r.exit, ==, 0);
+	g_assert_cmpint(e->seen_count, ==, 1);
+	assert_has(r.out, "version 4 was accepted before");
+	run_clear(&r);
+	entry_free(e);
+	folder_remove(dir);
+}
+
+static void
+test_apply_unknown(void)
+{
+	static const struct step steps[] = { { .status = 200, .body = AT_4 },
+		{ .status = HANG } };
+	char *dir = folder_make("teams: {a: {}}\n");
+	struct run r = run_dir("--timeout-ms=400 apply %s", dir, steps, NULL);
+
+	g_assert_cmpint(r.exit, ==, 3);
+	assert_has(r.err, "unknown");
+	run_clear(&r);
+	folder_remove(dir);
+}
+
+#define ACCEPTED "{\"outcome\":\"accepted\",\"job\":7}"
+
+static struct run
+run_submit(const char *options, const struct step *steps, struct entry **seen)
+{
+	char *args = g_strdup_printf("submit %s %s", options, job_file);
+	struct run r = run_with(args, steps, seen);
+
+	g_free(args);
+	return r;
+}
+
+/* The key stays the same after a lost answer and a refusal. */
+static void
+test_submit_resend(void)
+{
+	static const struct step steps[] = { { .status = LOSE },
+		{ .status = 503,
+		    .body = "{\"outcome\":\"not-run\"}",
+		    .retry_after = "0" },
+		{ .status = 504, .body = "{\"outcome\":\"unknown\"}" },
+		{ .status = 502, .body = "no JSON" },
+		{ .status = 202, .body = ACCEPTED } };
+	struct entry *e;
+	struct run r = run_submit("--wait-ms=50", steps, &e);
+
+	g_assert_cmpint(r.exit, ==, 0);
+	assert_has(r.out, "job      7\n");
+	g_assert_cmpint(e->seen_count, ==, 5);
+	g_assert_nonnull(e->seen[0].key);
+	for (int i = 0; i < 5; i++) {
+		g_assert_cmpstr(e->seen[i].uri, ==, "/v1/jobs?wait_ms=50");
+		g_assert_cmpstr(e->seen[i].key, ==, e->seen[0].key);
+		g_assert_cmpstr(e->seen[i].body, ==, e->seen[0].body);
+	}
+	run_clear(&r);
+	entry_free(e);
+}
+
+/* One case each of a scripted answer and the exit it leads to. */
+static const struct answer {
+	const char *args;
+	struct step step;
+	int exit;
+	const char *err;
+} answers[] = {
+	{ "get 7",
+	    { .status = 200, .body = "{\"outcome\":\"done\",\"job\":7}" }, 0,
+	    "" },
+	{ "get 7",
+	    { .status = 200, .body = "{\"outcome\":\"failed\",\"job\":7}" }, 1,
+	    "bulrushctl: failed" },
+	{ "get 7",
+	    { .status = 200, .body = "{\"outcome\":\"unknown\",\"job\":7}" }, 3,
+	    "bulrushctl: unknown" },
+	{ "get 7",
+	    { .status = 404,
+		.body = "{\"outcome\":\"invalid\",\"reason\":\"no-job\","
+			"\"message\":\"there is no job 7\"}" },
+	    1, "bulrushctl: invalid (no-job): there is no job 7\n" },
+	{ "get 7 --timeout-ms=300", { .status = HANG }, 1,
+	    "failed: no certain answer" },
+	{ "cancel 7",
+	    { .status = 200, .body = "{\"outcome\":\"cancelled\",\"job\":7}" },
+	    0, "" },
+	{ "cancel 7 --timeout-ms=300", { .status = HANG }, 3, "unknown" },
+	{ "drain e1", { .status = 503, .body = "{\"outcome\":\"not-run\"}" }, 1,
+	    "bulrushctl: not-run" },
+	{ "drain e1",
+	    { .status = 503,
+		.body = "{\"outcome\":\"not-run\"}",
+		.retry_after = "3600" },
+	    1, "retry after 3600 s" },
+	{ "drain e1", { .status = 202, .body = "{\"outcome\":\"accepted\"}" },
+	    0, "" },
+};
+
+static void
+test_answers(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		struct step steps[STEPS_MAX];
+		struct run r;
+
+		for (int j = 0; j < STEPS_MAX; j++)
+			steps[j] = answers[i].step;
+		r = run_with(answers[i].args, steps, NULL);
+		g_assert_cmpint(r.exit, ==, answers[i].exit);
+		assert_has(r.err, answers[i].err);
+		run_clear(&r);
+	}
+}
+
+/* A job that may have been taken says its key; a second entry can answer. */
+static void
+test_submit_unknown(void)
+{
+	struct run r = run_submit("--key=k1 --timeout-ms=300",
+	    (struct step[]){ { .status = HANG } }, NULL);
+
+	g_assert_cmpint(r.exit, ==, 3);
+	assert_has(r.err, "--key=k1");
+	run_clear(&r);
+}
+
+/* Entries that can't be reached: certainly not run. */
+static void
+test_unreachable(void)
+{
+	struct entry *e = entry_start(NULL);
+	char *args = g_strdup_printf(
+	    "--entry=127.0.0.1:%u --timeout-ms=300 drain a", e->port);
+	struct run r;
+
+	entry_stop(e);
+	r = run_ctl(args);
+	g_assert_cmpint(r.exit, ==, 1);
+	assert_has(r.err, "not-run");
+	run_clear(&r);
+	entry_free(e);
+	g_free(args);
+}
+
+static void
+test_second_entry(void)
+{
+	struct entry *gone = entry_start(NULL);
+	struct entry *e =
+	    entry_start((struct step[]){ { .status = 202, .body = ACCEPTED } });
+	char *args = g_strdup_printf("--entry=127.0.0.1:%u,127.0.0.1:%u "
+				     "submit %s",
+	    gone->port, e->port, job_file);
+	struct run r;
+
+	entry_stop(gone);
+	r = run_ctl(args);
+	entry_stop(e);
+	g_assert_cmpint(r.exit, ==, 0);
+	g_assert_cmpint(e->seen_count, ==, 1);
+	run_clear(&r);
+	entry_free(e);
+	entry_free(gone);
+	g_free(args);
+}
+
+static void
+test_bodies(void)
+{
+	static const struct step ok[] = { { .status = 202,
+	    .body = "{\"outcome\":\"accepted\"}" } };
+	static const struct {
+		const char *args;
+		const char *uri;
+		const char *body;
+	} cases[] = {
+		{ "replica add r4@127.0.0.1:5", "/v1/replicas",
+		    "{\"action\":\"add\",\"name\":\"r4\",\"address\":"
+		    "\"127.0.0.1:5\"}" },
+		{ "replica remove r4", "/v1/replicas",
+		    "{\"action\":\"remove\",\"name\":\"r4\"}" },
+		{ "drain a/b", "/v1/nodes/a%2Fb/drain", "{}" },
+		{ "cancel --team=t --prefix=x-", "/v1/jobs/cancel",
+		    "{\"team\":\"t\",\"name_prefix\":\"x-\"}" },
+		{ "cancel 9", "/v1/jobs/9", "" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct entry *e;
+		struct run r = run_with(cases[i].args, ok, &e);
+
+		g_assert_cmpint(r.exit, ==, 0);
+		g_assert_cmpstr(e->seen[0].uri, ==, cases[i].uri);
+		g_assert_cmpstr(e->seen[0].body, ==, cases[i].body);
+		run_clear(&r);
+		entry_free(e);
+	}
+}
+
+static void
+test_tables(void)
+{
+	static const struct step steps[] = { { .status = 200,
+	    .body = "{\"nodes\":[{\"name\":\"entry-1\",\"version\":3},"
+		    "{\"name\":\"r\",\"version\":12,\"x\":null}]}" } };
+	struct run r = run_with("nodes", steps, NULL);
+
+	g_assert_cmpstr(r.out, ==,
+	    "NAME     VERSION  X\n"
+	    "entry-1  3        -\n"
+	    "r        12       -\n");
+	run_clear(&r);
+	r = run_with("--format=json nodes", steps, NULL);
+	assert_has(r.out, steps[0].body);
+	run_clear(&r);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	evthread_use_pthreads();
+	signal(SIGPIPE, SIG_IGN);
+	g_test_add_func("/ctl/usage", test_usage);
+	g_test_add_func("/ctl/check", test_check);
+	g_test_add_func("/ctl/examples", test_examples);
+	g_test_add_func("/ctl/plan", test_plan);
+	g_test_add_func("/ctl/apply-lost", test_apply_lost);
+	g_test_add_func("/ctl/apply-conflict", test_apply_conflict);
+	g_test_add_func("/ctl/apply-same", test_apply_same);
+	g_test_add_func("/ctl/apply-unknown", test_apply_unknown);
+	g_test_add_func("/ctl/submit-resend", test_submit_resend);
+	g_test_add_func("/ctl/submit-unknown", test_submit_unknown);
+	g_test_add_func("/ctl/answers", test_answers);
+	g_test_add_func("/ctl/unreachable", test_unreachable);
+	g_test_add_func("/ctl/second-entry", test_second_entry);
+	g_test_add_func("/ctl/bodies", test_bodies);
+	g_test_add_func("/ctl/tables", test_tables);
+	return g_test_run();
+}
