--- a/test/ctl_test.c
+++ b/test/ctl_test.c
@@ -114,7 +114,7 @@
 {
 	struct entry *e = g_new0(struct entry, 1);
 	struct evhttp_bound_socket *s;
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = { 0 };
 	socklen_t len = sizeof(sin);
 
 	e->steps = steps;
