--- a/bulrushctl/job.c
+++ b/bulrushctl/job.c
@@ -4,7 +4,7 @@
 #include "ctl.h"
 
 #define KEY_MAX 200 /* bytes of an Idempotency-Key */
-#define HOLD_MAX_MS (3600 * 1000)
+#define HOLD_MAX_MS (600 * 1000) /* what an entry allows */
 
 /* Where GLib stores the options of the commands here. */
 static struct {
