--- a/bulrushctl/change.c
+++ b/bulrushctl/change.c
@@ -18,7 +18,7 @@
 	    "until every node has it in force", NULL },
 	{ "if-version", 0, 0, G_OPTION_ARG_INT64, &opt.if_version,
 	    "only if this version is in force", "N" },
-	{ NULL },
+	{ .long_name = NULL },
 };
 
 int64_t
--- a/bulrushctl/job.c
+++ b/bulrushctl/job.c
@@ -19,13 +19,13 @@
 	    "Idempotency-Key (default: drawn at random)", "KEY" },
 	{ "wait-ms", 0, 0, G_OPTION_ARG_INT64, &opt.wait_ms,
 	    "wait so long for the job's end", "N" },
-	{ NULL },
+	{ .long_name = NULL },
 };
 
 static const GOptionEntry get_options[] = {
 	{ "wait-ms", 0, 0, G_OPTION_ARG_INT64, &opt.wait_ms,
 	    "wait so long for the job's end", "N" },
-	{ NULL },
+	{ .long_name = NULL },
 };
 
 static const GOptionEntry cancel_options[] = {
@@ -33,7 +33,7 @@
 	    "cancel jobs of this team", "TEAM" },
 	{ "prefix", 0, 0, G_OPTION_ARG_STRING, &opt.prefix,
 	    "whose names begin so", "PREFIX" },
-	{ NULL },
+	{ .long_name = NULL },
 };
 
 /* Sends a request about a job and prints its reply. */
--- a/bulrushctl/main.c
+++ b/bulrushctl/main.c
@@ -47,7 +47,7 @@
 	    "give up after this long (default 10000)", "N" },
 	{ "version", 0, 0, G_OPTION_ARG_NONE, &common.version,
 	    "print the version", NULL },
-	{ NULL },
+	{ .long_name = NULL },
 };
 
 void
--- a/bulrushctl/plan.c
+++ b/bulrushctl/plan.c
@@ -10,7 +10,7 @@
 static const GOptionEntry plan_options[] = {
 	{ "from", 0, 0, G_OPTION_ARG_FILENAME, &opt.from,
 	    "compare with this folder; ask no cell", "DIR" },
-	{ NULL },
+	{ .long_name = NULL },
 };
 
 /* Teams and the services of theirs that a change touches. */
--- a/lib/config/config.c
+++ b/lib/config/config.c
@@ -165,7 +165,8 @@
 	for (guint i = 0; services != NULL && i < services->entries->len; i++) {
 		const struct node_entry *e = services->entries->pdata[i];
 		const struct node *team = node_get(e->value, "team");
-		char *path = g_strconcat("services.", e->key, NULL);
+		char *name = g_strescape(e->key, NULL);
+		char *path = g_strconcat("services.", name, NULL);
 		char *key = g_strconcat(path, ".team", NULL);
 
 		if (!e->value->bad)
@@ -177,6 +178,7 @@
 			    node_found(team), g_strdup("a team under teams"));
 		g_free(key);
 		g_free(path);
+		g_free(name);
 	}
 }
 
@@ -268,18 +270,20 @@
 merge_overlay(
     struct node *whole, const struct config_text *overlay, GPtrArray *faults)
 {
-	char *file = g_strconcat("sites/", overlay->name, ".yaml", NULL);
+	char *site = g_strescape(overlay->name, NULL);
+	char *file = g_strconcat("sites/", site, ".yaml", NULL);
 	struct node *root = parse_file(file, overlay, faults);
 
 	if (!site_valid(overlay->name))
 		fault_add(faults, "sites", 0, "",
-		    g_strescape(overlay->name, NULL),
+		    g_strdup_printf("\"%s\"", site),
 		    g_strdup("1 to 63 letters, digits, '-', '.' and '_' as a "
 			     "site's name"));
 	if (root != NULL && whole != NULL)
 		node_merge(whole, root);
 	node_unref(root);
 	g_free(file);
+	g_free(site);
 	return root != NULL;
 }
 
--- a/lib/config/node.c
+++ b/lib/config/node.c
@@ -466,7 +466,8 @@
 	if (yaml_parser_initialize(&b.yaml) == 0)
 		g_error("config: out of memory");
 	yaml_parser_set_encoding(&b.yaml, YAML_UTF8_ENCODING);
-	yaml_parser_set_input_string(&b.yaml, (const unsigned char *)text, len);
+	yaml_parser_set_input_string(
+	    &b.yaml, (const unsigned char *)(text == NULL ? "" : text), len);
 	root = build_stream(&b);
 	yaml_parser_delete(&b.yaml);
 	if (!b.fatal)
--- a/lib/config/rules.c
+++ b/lib/config/rules.c
@@ -35,7 +35,7 @@
 	    .max = DAY_MS },
 	{ "gang", RULE_INT, .offset = POLICY(lease_ms[KIND_GANG]), .min = 100,
 	    .max = DAY_MS },
-	{ NULL },
+	{ .key = NULL },
 };
 
 static const struct rule stalled_rules[] = {
@@ -47,7 +47,7 @@
 	    .max = 366 * DAY_MS },
 	{ "urgent", RULE_INT, .offset = POLICY(stalled_urgent_ms), .min = 1,
 	    .max = 366 * DAY_MS },
-	{ NULL },
+	{ .key = NULL },
 };
 
 const struct rule policy_rules[] = {
@@ -71,7 +71,7 @@
 	{ "pending_max", RULE_INT, .offset = POLICY(pending_max), .min = 1,
 	    .max = 1000000 },
 	{ "stalled_ms", RULE_MAP, .sub = stalled_rules },
-	{ NULL },
+	{ .key = NULL },
 };
 
 static const struct rule quota_rules[] = {
@@ -81,13 +81,13 @@
 	    .max = QUOTA_MEMORY_MAX },
 	{ "accelerators", RULE_INT, .offset = TEAM(quota.accelerators),
 	    .min = 0, .max = QUOTA_MAX },
-	{ NULL },
+	{ .key = NULL },
 };
 
 const struct rule team_rules[] = {
 	{ "weight", RULE_INT, .offset = TEAM(weight), .min = 1, .max = 1000 },
 	{ "quota", RULE_MAP, .sub = quota_rules },
-	{ NULL },
+	{ .key = NULL },
 };
 
 static const struct rule resource_rules[] = {
@@ -99,7 +99,7 @@
 	    .max = TASK_MEMORY_MAX },
 	{ "accelerators", RULE_INT, .offset = SERVICE(resources.accelerators),
 	    .min = 0, .max = 1024 },
-	{ NULL },
+	{ .key = NULL },
 };
 
 const struct rule service_rules[] = {
@@ -114,7 +114,7 @@
 	    .min = 1, .max = HOUR_MS },
 	{ "payload", RULE_JSON, .offset = SERVICE(payload), .min = 0,
 	    .max = PAYLOAD_MAX },
-	{ NULL },
+	{ .key = NULL },
 };
 
 /* How a type is read, described and shown. A NULL field: check only. */
--- a/lib/wire/shape.c
+++ b/lib/wire/shape.c
@@ -93,8 +93,11 @@
 static bool
 get_str(const msgpack_object *o, void *out)
 {
-	if (o->type != MSGPACK_OBJECT_STR ||
-	    memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL)
+	if (o->type != MSGPACK_OBJECT_STR)
+		return false;
+	if (o->via.str.size == 0)
+		return true;
+	if (memchr(o->via.str.ptr, '\0', o->via.str.size) != NULL)
 		return false;
 	*(char **)out = g_strndup(o->via.str.ptr, o->via.str.size);
 	return true;
--- a/test/config_test.c
+++ b/test/config_test.c
@@ -64,6 +64,10 @@
 	g_assert_cmpuint(c->services->len, ==, 0);
 	config_unref(config_ref(c));
 	config_unref(c);
+	c = config_parse(&(struct config_text){ "base.yaml", NULL, 0 }, NULL, 0,
+	    config_faults_new());
+	g_assert_nonnull(c);
+	config_unref(c);
 }
 
 static void
@@ -143,6 +147,7 @@
 	{ "teams: !!set {}\n", NULL, "found a tag" },
 	{ "teams: {? [a] : b}\n", NULL, "no plain name" },
 	{ "teams: {a: \"\\x01\"}\n", NULL, "found a control character" },
+	{ DESK, "services: {\"\\x01\": {}}\n", "services.\\001.team: found" },
 	{ "teams: \x01\n", NULL, "control characters are not allowed" },
 	{ "teams: [\n", NULL, "base.yaml:2: " },
 	{ "- a\n", NULL, "found a list, allowed a mapping" },
