bulrushctl: plain columns for nested values, one line an error

Values of objects inside a reply stood as JSON in one field; they are columns and lines of their own now (used.millicpus), and names stand first. A message of several lines (the faults of a configuration) gets the prefix on each line. Both have cases in ctl_test.

--- a/bulrushctl/ctl.h
+++ b/bulrushctl/ctl.h
@@ -70,8 +70,9 @@
 void print_json(const json_t *value);
 
 /*
- * Prints an object as plain text: scalars as "key value" lines, then each
- * list of objects as a table under its key.
+ * Prints an object as plain text: scalars as "key value" lines, those of
+ * objects inside as "key.key value", then each list of objects as a table
+ * under its key.
  */
 void print_object(const json_t *object);
 
--- a/bulrushctl/main.c
+++ b/bulrushctl/main.c
@@ -98,14 +98,19 @@
 {
 	const char *outcome = reply_string(reply, "outcome");
 	const char *reason = reply_string(reply, "reason");
-	const char *message = reply_string(reply, "message");
+	char **lines = g_strsplit(reply_string(reply, "message"), "\n", -1);
 
 	ctl_error("%s%s%s%s%s%s", *outcome == '\0' ? "refused" : outcome,
 	    *reason == '\0' ? "" : " (", reason, *reason == '\0' ? "" : ")",
-	    *message == '\0' ? "" : ": ", message);
+	    lines[0] == NULL ? "" : ": ", lines[0] == NULL ? "" : lines[0]);
+	for (size_t i = 1; lines[0] != NULL && lines[i] != NULL; i++) {
+		if (*lines[i] != '\0')
+			ctl_error("%s", lines[i]);
+	}
 	if (reply->retry_after_ms >= 0)
 		ctl_error("retry after %" G_GINT64_FORMAT " s",
 		    reply->retry_after_ms / 1000);
+	g_strfreev(lines);
 }
 
 static bool
--- a/bulrushctl/output.c
+++ b/bulrushctl/output.c
@@ -35,10 +35,29 @@
 	return json_is_array(value) && json_is_object(json_array_get(value, 0));
 }
 
-/* The keys of all rows, in the order in which they first stand. */
+/* Columns that stand first, in this order, where a table has them. */
+static const char *const first_columns[] = {
+	"name",
+	"task",
+	"attempt",
+	"team",
+	"state",
+	"status",
+	"worker",
+};
+
+static bool
+has_column(const GPtrArray *columns, const char *key)
+{
+	return g_ptr_array_find_with_equal_func(
+	    (GPtrArray *)columns, key, g_str_equal, NULL);
+}
+
+/* The keys of all rows: the first columns, then as they stand. */
 static GPtrArray *
 table_columns(const json_t *list)
 {
+	GPtrArray *found = g_ptr_array_new();
 	GPtrArray *columns = g_ptr_array_new();
 	size_t i;
 	json_t *row;
@@ -49,11 +68,19 @@
 	{
 		json_object_foreach(row, key, value)
 		{
-			if (!g_ptr_array_find_with_equal_func(
-				columns, key, g_str_equal, NULL))
-				g_ptr_array_add(columns, (char *)key);
+			if (!has_column(found, key))
+				g_ptr_array_add(found, (char *)key);
 		}
 	}
+	for (i = 0; i < G_N_ELEMENTS(first_columns); i++) {
+		if (has_column(found, first_columns[i]))
+			g_ptr_array_add(columns, (char *)first_columns[i]);
+	}
+	for (i = 0; i < found->len; i++) {
+		if (!has_column(columns, found->pdata[i]))
+			g_ptr_array_add(columns, found->pdata[i]);
+	}
+	g_ptr_array_unref(found);
 	return columns;
 }
 
@@ -98,8 +125,8 @@
 	}
 }
 
-void
-print_table(const json_t *list)
+static void
+print_rows(const json_t *list)
 {
 	GPtrArray *columns = table_columns(list);
 	size_t *widths = g_new(size_t, columns->len + 1);
@@ -123,6 +150,45 @@
 	g_ptr_array_unref(columns);
 }
 
+/* Adds an object's values to flat; those of objects inside as KEY.KEY. */
+static void
+flatten(json_t *flat, const char *prefix, const json_t *object)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach((json_t *)object, key, value)
+	{
+		char *path = g_strconcat(prefix, key, NULL);
+		char *sub = g_strconcat(path, ".", NULL);
+
+		if (json_is_object(value))
+			flatten(flat, sub, value);
+		else
+			json_object_set(flat, path, value);
+		g_free(sub);
+		g_free(path);
+	}
+}
+
+void
+print_table(const json_t *list)
+{
+	json_t *flat = json_array();
+	size_t i;
+	json_t *row;
+
+	json_array_foreach(list, i, row)
+	{
+		json_t *object = json_object();
+
+		flatten(object, "", row);
+		json_array_append_new(flat, object);
+	}
+	print_rows(flat);
+	json_decref(flat);
+}
+
 static size_t
 scalars_width(const json_t *object)
 {
@@ -139,13 +205,16 @@
 }
 
 void
-print_object(const json_t *object)
+print_object(const json_t *nested)
 {
-	size_t width = scalars_width(object);
+	json_t *object = json_object();
+	size_t width;
 	const char *key;
 	json_t *value;
 
-	json_object_foreach((json_t *)object, key, value)
+	flatten(object, "", nested);
+	width = scalars_width(object);
+	json_object_foreach(object, key, value)
 	{
 		char *s;
 
@@ -156,11 +225,12 @@
 		puts(s);
 		g_free(s);
 	}
-	json_object_foreach((json_t *)object, key, value)
+	json_object_foreach(object, key, value)
 	{
 		if (!is_table(value))
 			continue;
 		printf("\n%s:\n", key);
 		print_table(value);
 	}
+	json_decref(object);
 }
--- a/test/ctl_test.c
+++ b/test/ctl_test.c
@@ -486,6 +486,10 @@
 		.body = "{\"outcome\":\"invalid\",\"reason\":\"no-job\","
 			"\"message\":\"there is no job 7\"}" },
 	    1, "bulrushctl: invalid (no-job): there is no job 7\n" },
+	{ "get 7",
+	    { .status = 400,
+		.body = "{\"outcome\":\"invalid\",\"message\":\"a\\nb\"}" },
+	    1, "bulrushctl: invalid: a\nbulrushctl: b\n" },
 	{ "get 7 --timeout-ms=300", { .status = HANG }, 1,
 	    "failed: no certain answer" },
 	{ "cancel 7",
@@ -617,6 +621,14 @@
 	    "entry-1  3        -\n"
 	    "r        12       -\n");
 	run_clear(&r);
+	r = run_with("status",
+	    (struct step[]){ { .status = 200,
+		.body = "{\"leader\":\"r1\",\"used\":{\"cores\":2},"
+			"\"rows\":[{\"a\":{\"b\":1},\"name\":\"x\"}]}" } },
+	    NULL);
+	g_assert_cmpstr(r.out, ==,
+	    "leader      r1\nused.cores  2\n\nrows:\nNAME  A.B\nx     1\n");
+	run_clear(&r);
 	r = run_with("--format=json nodes", steps, NULL);
 	assert_has(r.out, steps[0].body);
 	run_clear(&r);
