--- a/bulrushtided/clients.c
+++ b/bulrushtided/clients.c
@@ -276,8 +276,8 @@
 
 /* One row for each frame a session may send. */
 struct frame_row {
-	enum frame_type type;
 	void (*take)(struct leader *l, struct client *c, void *msg);
+	enum frame_type type;
 	bool joined_only;
 };
 
@@ -336,12 +336,12 @@
 }
 
 static const struct frame_row rows[] = {
-	{ FRAME_JOIN, row_join, false },
-	{ FRAME_REQUEST, row_request, true },
-	{ FRAME_REPORT, row_report, true },
-	{ FRAME_SPAN, row_span, true },
-	{ FRAME_ORDER_RESULT, row_result, true },
-	{ FRAME_WORKER_HEALTH, row_health, true },
+	{ row_join, FRAME_JOIN, false },
+	{ row_request, FRAME_REQUEST, true },
+	{ row_report, FRAME_REPORT, true },
+	{ row_span, FRAME_SPAN, true },
+	{ row_result, FRAME_ORDER_RESULT, true },
+	{ row_health, FRAME_WORKER_HEALTH, true },
 };
 
 void
