--- a/lib/raft/replicate.c
+++ b/lib/raft/replicate.c
@@ -193,9 +193,9 @@
 	msg_send(r, m);
 }
 
-/* Sends one batch from next on. */
+/* Sends one batch from next to at most last. */
 static void
-send_entries(struct raft *r, struct peer *p)
+send_entries(struct raft *r, struct peer *p, uint64_t last)
 {
 	struct raft_msg *m = msg_to(r, RAFT_MSG_APPEND, p->id);
 	struct raft_entry *e;
@@ -207,7 +207,8 @@
 	m->context = r->round;
 	m->entries =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)raft_entry_unref);
-	while ((e = log_at(&r->log, p->next)) != NULL) {
+	while (p->next <= last) {
+		e = log_at(&r->log, p->next);
 		bytes += g_bytes_get_size(e->data) + ENTRY_OVERHEAD;
 		if (m->entries->len > 0 && bytes > r->append_max)
 			break;
@@ -219,19 +220,30 @@
 	msg_send(r, m);
 }
 
+/*
+ * A learner gets committed entries only. With a longer log than any voter it
+ * could refuse the votes that a candidate needs which counts it as promoted,
+ * and can't campaign itself.
+ */
+static uint64_t
+last_for(const struct raft *r, const struct peer *p)
+{
+	return p->learner ? r->commit : log_last(&r->log);
+}
+
 static void
 peer_flush(struct raft *r, struct peer *p)
 {
+	uint64_t last = last_for(r, p);
 	bool sent = false;
 
 	if (p->state == PEER_SNAPSHOT || p->next <= r->log.base)
 		sent = peer_send_chunk(r, p);
-	if (p->state == PEER_REPLICATE)
-		while (p->next <= log_last(&r->log) && p->next > r->log.base &&
-		    p->window_count < r->inflight_max) {
-			send_entries(r, p);
-			sent = true;
-		}
+	while (p->state == PEER_REPLICATE && p->next <= last &&
+	    p->next > r->log.base && p->window_count < r->inflight_max) {
+		send_entries(r, p, last);
+		sent = true;
+	}
 	if (p->beat && !sent)
 		send_heartbeat(r, p);
 	p->beat = false;
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -335,6 +335,17 @@
 	raft_stored(r, 1, 1);
 	g_assert_cmpuint(raft_commit(r), ==, 1);
 	raft_free(r);
+	r = core(1, 3);
+	elect(r);
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 1, 1, 0);
+	propose(r);
+	out = take(r);
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 1, 2, 0);
+	g_assert_cmpuint(raft_commit(r), ==, 1);
+	raft_out_clear(&out);
+	raft_stored(r, 2, 1);
+	g_assert_cmpuint(raft_commit(r), ==, 2);
+	raft_free(r);
 }
 
 /* A follower acknowledges what is synced, heartbeats at once. */
@@ -562,6 +573,32 @@
 	raft_free(r);
 }
 
+/* A learner is sent nothing that is not committed. */
+static void
+test_learner_committed(void)
+{
+	struct raft_conf conf = conf_of(1, 3);
+	struct raft *r;
+	uint64_t last;
+
+	conf.members.member[2].learner = true;
+	r = raft_new(&conf);
+	elect(r);
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 1, 1, 0);
+	turn(r);
+	g_assert_cmpuint(raft_commit(r), ==, 1);
+	g_assert_nonnull(last_sent(RAFT_MSG_APPEND, 3)->entries);
+	last = propose(r);
+	turn(r);
+	g_assert_nonnull(last_sent(RAFT_MSG_APPEND, 2));
+	g_assert_null(last_sent(RAFT_MSG_APPEND, 3));
+	reply(r, RAFT_MSG_APPEND_REPLY, 3, 1, 1, 0);
+	reply(r, RAFT_MSG_APPEND_REPLY, 2, 1, last, 0);
+	turn(r);
+	g_assert_cmpuint(last_sent(RAFT_MSG_APPEND, 3)->entries->len, ==, 1);
+	raft_free(r);
+}
+
 /* The founding three as in seed 108: demoted, not committed, longest log. */
 static void
 test_demoted_may_lead(void)
@@ -909,6 +946,7 @@
 	g_test_add_func("/raft/prevote", test_prevote);
 	g_test_add_func("/raft/members", test_members);
 	g_test_add_func("/raft/members-rollback", test_members_rollback);
+	g_test_add_func("/raft/learner-committed", test_learner_committed);
 	g_test_add_func("/raft/demoted-may-lead", test_demoted_may_lead);
 	g_test_add_func("/raft/transfer", test_transfer);
 	g_test_add_func("/raft/disable", test_disable);
