--- a/lib/sched/worker.c
+++ b/lib/sched/worker.c
@@ -2,7 +2,7 @@
 #include "table.h"
 
 struct worker *
-worker_get(const struct sched *s, uint32_t id)
+sched_worker_get(const struct sched *s, uint32_t id)
 {
 	return id < s->workers->len ? s->workers->pdata[id] : NULL;
 }
@@ -221,7 +221,7 @@
 void
 sched_worker_set(struct sched *s, const struct sched_worker *spec)
 {
-	struct worker *w = worker_get(s, spec->id);
+	struct worker *w = sched_worker_get(s, spec->id);
 	bool same = w != NULL && same_class(&w->spec, spec);
 
 	if (same && w->spec.rack == spec->rack && w->spec.flags == spec->flags)
@@ -247,7 +247,7 @@
 void
 sched_worker_remove(struct sched *s, uint32_t id)
 {
-	struct worker *w = worker_get(s, id);
+	struct worker *w = sched_worker_get(s, id);
 
 	if (w == NULL)
 		return;
@@ -279,7 +279,7 @@
 	return NULL;
 }
 
-/* Lists a run among those that room can be taken from, by start. */
+/* Lists a run among those that room can be taken from. */
 static void
 link_preemptible(struct sched *s, struct run *run)
 {
@@ -291,7 +291,7 @@
 	while (after != NULL) {
 		const struct run *other = after->data;
 
-		if (other->started_ms <= run->started_ms)
+		if (other->worth_ms <= run->worth_ms)
 			break;
 		after = after->prev;
 	}
@@ -333,6 +333,9 @@
 	run->team = team_get(s, job->spec.team);
 	run->fixed = job->spec.kind == KIND_SERVICE;
 	run->started_ms = started_ms;
+	run->worth_ms = started_ms;
+	if (job->history != NULL)
+		run->worth_ms -= job->history->lost_ms;
 	g_ptr_array_add(w->runs, run);
 	job->running++;
 	job_started(job, w->spec.id);
@@ -345,13 +348,16 @@
 void
 sched_end(struct sched *s, uint64_t job_id, uint32_t task, uint32_t id)
 {
-	struct worker *w = worker_get(s, id);
+	struct worker *w = sched_worker_get(s, id);
 	struct run *run = w != NULL ? worker_run(w, job_id, task) : NULL;
 	struct job *job;
 
 	if (run == NULL)
 		return;
 	job = run->job;
+	if (run->stopping)
+		history_ensure(s, job_id)->lost_ms +=
+		    MAX(s->now_ms - run->started_ms, 0);
 	if (run->linked)
 		g_queue_unlink(&s->preemptible, &run->link);
 	if (run->throttled)
@@ -369,7 +375,7 @@
 sched_running(struct sched *s, const struct sched_job *spec, uint32_t task,
     uint32_t id, int64_t started_ms)
 {
-	struct worker *w = worker_get(s, id);
+	struct worker *w = sched_worker_get(s, id);
 	struct job *job;
 
 	if (w == NULL || worker_run(w, spec->id, task) != NULL)
@@ -382,7 +388,7 @@
 bool
 sched_worker_used(const struct sched *s, uint32_t id, struct resources *used)
 {
-	const struct worker *w = worker_get(s, id);
+	const struct worker *w = sched_worker_get(s, id);
 
 	if (w == NULL)
 		return false;
