Cell, api: a sentence with every refusal and waiting reason

Cause: replies of a running node showed the reason word again as its message. Change: each refusal of the cell and each waiting reason has a sentence. Conclusion: the tests ask for a message with every refusal.

--- a/lib/api/reply.c
+++ b/lib/api/reply.c
@@ -1,6 +1,8 @@
 /*
  * Reply bodies. Results and payloads are put in as they came.
  */
+#include <string.h>
+
 #include <jansson.h>
 
 #include "api.h"
@@ -73,6 +75,30 @@
 	put_member(g, "message", message == NULL ? reason : message);
 }
 
+/* Sentences for the reasons for which a job waits. */
+static const struct {
+	const char *reason;
+	const char *message;
+} waiting[] = {
+	{ "turn", "other work comes first" },
+	{ "room", "no worker has room for a task now" },
+	{ "gang-room", "there is room for some of the tasks only" },
+	{ "quota", "the team has its share, and other teams wait" },
+	{ "reserved", "the room is kept for a job that needs it as a whole" },
+	{ "never-fits", "a task is larger than any known worker" },
+	{ "no-worker", "no worker is known in the places allowed" },
+};
+
+static const char *
+waiting_sentence(const char *reason)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++) {
+		if (strcmp(waiting[i].reason, reason) == 0)
+			return waiting[i].message;
+	}
+	return reason;
+}
+
 /* Why a job has ended otherwise than done. */
 static const struct {
 	const char *reason;
@@ -152,8 +178,10 @@
 		put_reason(g, end_reasons[job->outcome].reason,
 		    end_reasons[job->outcome].message);
 		put_results(g, job);
-	} else {
-		put_reason(g, waiting_reason, waiting_message);
+	} else if (waiting_reason != NULL) {
+		put_reason(g, waiting_reason,
+		    waiting_message == NULL ? waiting_sentence(waiting_reason)
+					    : waiting_message);
 	}
 	g_string_append_c(g, '}');
 	return g_string_free(g, FALSE);
--- a/lib/cell/configure.c
+++ b/lib/cell/configure.c
@@ -68,13 +68,16 @@
     struct cell *c, const struct version *winner, struct cell_result *res)
 {
 	if (winner == NULL) {
-		result_refuse(res, OUT_CONFLICT, "version-not-next", NULL);
+		result_refuse(res, OUT_CONFLICT, "version-not-next",
+		    g_strdup("a change must be numbered one above the version "
+			     "in force"));
 		res->version = c->config_version;
 		res->author = g_strdup(cell_config_author(c));
 		res->digest = g_strdup(cell_config_digest(c));
 		return;
 	}
-	result_refuse(res, OUT_CONFLICT, "version-taken", NULL);
+	result_refuse(res, OUT_CONFLICT, "version-taken",
+	    g_strdup("another change of this number was accepted first"));
 	res->version = winner->version;
 	res->author = g_strdup(winner->author);
 	res->digest = g_strdup(winner->digest);
--- a/lib/cell/jobs.c
+++ b/lib/cell/jobs.c
@@ -171,7 +171,8 @@
 	}
 	j = find_job(c, cmd->u.cancel.job);
 	if (j == NULL) {
-		result_refuse(res, OUT_INVALID, "unknown-job", NULL);
+		result_refuse(res, OUT_INVALID, "unknown-job",
+		    g_strdup("no job of this id is kept"));
 		return;
 	}
 	res->job = j->pub.id;
@@ -198,20 +199,30 @@
 	job_settle(c, j);
 }
 
-/* Says why a spec can't be taken; NULL if it can. */
-static const char *
-spec_fault(const struct cell *c, const struct cell_spec *s)
+/* Refuses a spec that can't be taken; false if it can. */
+static bool
+refuse_spec(
+    const struct cell *c, const struct cell_spec *s, struct cell_result *res)
 {
 	const struct resources *r = &s->resources;
-
-	if (s->tasks == 0)
-		return "no-tasks";
-	if (r->millicpus == 0 && r->memory == 0 && r->accelerators == 0)
-		return "no-resources";
-	if (c->config->teams->len > 0 &&
-	    config_team(c->config, s->team) == NULL)
-		return "unknown-team";
-	return NULL;
+	const char *reason = NULL;
+	const char *message = NULL;
+
+	if (s->tasks == 0) {
+		reason = "no-tasks";
+		message = "a job has one task or more";
+	} else if (r->millicpus == 0 && r->memory == 0 &&
+	    r->accelerators == 0) {
+		reason = "no-resources";
+		message = "a task needs some resources";
+	} else if (c->config->teams->len > 0 &&
+	    config_team(c->config, s->team) == NULL) {
+		reason = "unknown-team";
+		message = "the configuration in force has no such team";
+	}
+	if (reason != NULL)
+		result_refuse(res, OUT_INVALID, reason, g_strdup(message));
+	return reason != NULL;
 }
 
 /* Answers a resend; false if the key is new. */
@@ -256,19 +267,16 @@
     struct cell *c, const struct cell_cmd *cmd, struct cell_result *res)
 {
 	const struct cell_spec *spec = &cmd->u.submit.spec;
-	const char *fault;
 	struct job *j;
 
 	if (answer_known(c, cmd, res))
 		return;
-	fault = spec_fault(c, spec);
-	if (fault != NULL) {
-		result_refuse(res, OUT_INVALID, fault, NULL);
+	if (refuse_spec(c, spec, res))
 		return;
-	}
 	/* No key is kept: the caller may send the same request again. */
 	if (c->pending_jobs >= (uint64_t)c->config->policy.pending_max) {
-		result_refuse(res, OUT_NOT_RUN, "queue-full", NULL);
+		result_refuse(res, OUT_NOT_RUN, "queue-full",
+		    g_strdup("as many jobs wait as the configuration allows"));
 		return;
 	}
 	j = job_new(c, spec);
--- a/lib/cell/tasks.c
+++ b/lib/cell/tasks.c
@@ -287,11 +287,13 @@
 	if (j == NULL || i >= j->pub.spec.tasks ||
 	    j->pub.task[i].state != TASK_ASSIGNED ||
 	    j->pub.task[i].attempt != cmd->u.preempt.attempt) {
-		result_refuse(res, OUT_CONFLICT, "not-assigned", NULL);
+		result_refuse(res, OUT_CONFLICT, "not-assigned",
+		    g_strdup("the attempt is not the task's running one"));
 		return;
 	}
 	if (j->pub.spec.kind != KIND_BATCH || !j->pub.spec.idempotent) {
-		result_refuse(res, OUT_INVALID, "not-preemptible", NULL);
+		result_refuse(res, OUT_INVALID, "not-preemptible",
+		    g_strdup("only idempotent batch tasks give way"));
 		return;
 	}
 	stop_task(c, j, i);
@@ -422,5 +424,6 @@
 		res->count++;
 	}
 	if (res->count == 0 && starts->len > 0)
-		result_refuse(res, OUT_NOT_RUN, "refused", NULL);
+		result_refuse(res, OUT_NOT_RUN, "refused",
+		    g_strdup("no start was possible any more"));
 }
--- a/lib/cell/workers.c
+++ b/lib/cell/workers.c
@@ -147,12 +147,14 @@
 	bool set_aside = cmd->u.worker_state.set_aside;
 
 	if (w == NULL) {
-		result_refuse(res, OUT_INVALID, "unknown-worker", NULL);
+		result_refuse(res, OUT_INVALID, "unknown-worker",
+		    g_strdup("no worker of this id is known"));
 		return;
 	}
 	res->worker = w->pub.id;
 	if (epoch != 0 && epoch != w->pub.epoch) {
-		result_refuse(res, OUT_CONFLICT, "old-epoch", NULL);
+		result_refuse(res, OUT_CONFLICT, "old-epoch",
+		    g_strdup("the worker has a newer session"));
 		return;
 	}
 	if (w->pub.state == WORKER_LOST && state != WORKER_LOST) {
--- a/test/api_test.c
+++ b/test/api_test.c
@@ -373,6 +373,9 @@
 	assert_key(item, "task", "1.0");
 	assert_key(item, "worker", "w1");
 	json_decref(j);
+	j = parsed(api_job(c, cell_job(c, 1), "room", NULL));
+	assert_key(j, "message", "no worker has room for a task now");
+	json_decref(j);
 	end.u.end.result = g_bytes_new_static("{\"n\": 1.10}", 11);
 	apply(c, &end);
 	g_bytes_unref(end.u.end.result);
--- a/test/cell_test.c
+++ b/test/cell_test.c
@@ -106,6 +106,7 @@
 {
 	struct cell_cmd cmd = { .type = CMD_START };
 	struct cell_result res;
+	uint64_t started;
 
 	cmd.u.start.all_or_none = cell_job(c, job)->spec.kind == KIND_GANG;
 	cmd.u.start.starts =
@@ -117,7 +118,9 @@
 	}
 	res = do_cmd(c, &cmd);
 	g_array_unref(cmd.u.start.starts);
-	return res.count;
+	started = res.count;
+	cell_result_clear(&res);
+	return started;
 }
 
 void
@@ -152,6 +155,17 @@
 	do_cmd(c, &cmd);
 }
 
+/* Applies a command that must be refused for the reason. */
+static void
+assert_refused(struct cell *c, struct cell_cmd *cmd, const char *reason)
+{
+	struct cell_result r = do_cmd(c, cmd);
+
+	g_assert_cmpstr(r.reason, ==, reason);
+	g_assert_nonnull(r.message);
+	cell_result_clear(&r);
+}
+
 static enum cell_task_state
 state(const struct cell *c, uint64_t job, uint32_t task)
 {
@@ -337,7 +351,7 @@
 
 	do_start(c, again, 1, w);
 	do_start(c, once, 1, w);
-	g_assert_cmpstr(do_cmd(c, &old).reason, ==, "old-epoch");
+	assert_refused(c, &old, "old-epoch");
 	do_state(c, w, WORKER_LOST);
 	g_assert_cmpint(state(c, again, 0), ==, TASK_PENDING);
 	g_assert_cmpint(state(c, once, 0), ==, TASK_UNKNOWN);
@@ -485,6 +499,7 @@
 	struct cell *c = small_cell(&w);
 	uint64_t j = do_submit(c, KIND_BATCH, 4, false);
 	struct cell_cmd wave = { .type = CMD_CANCEL };
+	struct cell_cmd unknown = { .type = CMD_CANCEL };
 
 	do_start(c, j, 3, w);
 	g_assert_cmpuint(do_cancel(c, j).count, ==, 1);
@@ -498,7 +513,8 @@
 	g_assert_cmpint(state(c, j, 2), ==, TASK_CANCELLED);
 	g_assert_cmpint(cell_job(c, j)->outcome, ==, OUT_CANCELLED);
 	g_assert_cmpuint(do_cancel(c, j).count, ==, 0);
-	g_assert_cmpint(do_cancel(c, 999).outcome, ==, OUT_INVALID);
+	unknown.u.cancel.job = 999;
+	assert_refused(c, &unknown, "unknown-job");
 	do_submit(c, KIND_BATCH, 1, true);
 	do_submit(c, KIND_GANG, 2, true);
 	wave.u.cancel.team = "press";
@@ -544,14 +560,14 @@
 	struct cell_cmd cmd = { .type = CMD_PREEMPT,
 		.u.preempt = { .job = j, .attempt = 1 } };
 
-	g_assert_cmpstr(do_cmd(c, &cmd).reason, ==, "not-assigned");
+	assert_refused(c, &cmd, "not-assigned");
 	do_start(c, j, 1, w);
 	do_start(c, once, 1, w);
 	g_assert_cmpuint(do_cmd(c, &cmd).count, ==, 1);
 	do_end(c, j, 0, END_STOPPED);
 	g_assert_cmpint(state(c, j, 0), ==, TASK_PENDING);
 	cmd.u.preempt.job = once;
-	g_assert_cmpstr(do_cmd(c, &cmd).reason, ==, "not-preemptible");
+	assert_refused(c, &cmd, "not-preemptible");
 	cell_free(c);
 }
 
@@ -597,13 +613,14 @@
 	g_assert_cmpint(r.outcome, ==, OUT_ACCEPTED);
 	cell_result_clear(&r);
 	cmd.u.submit.spec.team = "nobody";
-	g_assert_cmpstr(do_cmd(c, &cmd).reason, ==, "unknown-team");
+	assert_refused(c, &cmd, "unknown-team");
 	cmd.u.submit.spec.team = "desk";
 	g_assert_cmpint(do_cmd(c, &cmd).outcome, ==, OUT_ACCEPTED);
 	cmd.u.submit.key = "k2";
 	r = do_cmd(c, &cmd);
 	g_assert_cmpint(r.outcome, ==, OUT_NOT_RUN);
 	g_assert_cmpstr(r.reason, ==, "queue-full");
+	cell_result_clear(&r);
 	/* A refused request may come again under its key. */
 	do_cancel(c, 1);
 	g_assert_cmpint(do_cmd(c, &cmd).outcome, ==, OUT_ACCEPTED);
