--- a/lib/cell/configure.c
+++ b/lib/cell/configure.c
@@ -28,7 +28,7 @@
 parse_texts(
     const char *base, const GArray *overlays, char **faults, char **digest)
 {
-	struct config_text text = { "base", base, strlen(base) };
+	struct config_text text = { "base.yaml", base, strlen(base) };
 	struct config_text *more = g_new0(struct config_text, overlays->len);
 	GPtrArray *found = config_faults_new();
 	struct config *config;
