Cell tests: slots, refused starts, wrong workers, forgotten services

Cause: a trial with single faults put into the library passed three of them: one slot too many, an attempt number used up by a refused gang, an end sent for another worker. Change: rule tests for these and for a service job that is dropped while an older one runs; the random workers have few slots.

--- a/test/cell_random.c
+++ b/test/cell_random.c
@@ -230,14 +230,15 @@
 {
 	static char *const names[] = { "w1", "w2", "w3", "w4" };
 	int64_t cores = rng_below(&r->rng, 10) ? 4 : 2;
+	size_t name = rng_below(&r->rng, G_N_ELEMENTS(names));
 	struct cell_cmd cmd = { .type = CMD_WORKER,
-		.u.announce.worker = { .name = names[rng_below(&r->rng, 4)],
+		.u.announce.worker = { .name = names[name],
 		    .address = "10.0.1.1:90",
 		    .rack = "r1",
 		    .data_center = "salem",
 		    .incarnation = rng_below(&r->rng, 8) / 7,
 		    .capacity = { cores * 1000, 64 * GIB, 0 },
-		    .slots = 6,
+		    .slots = name < 2 ? 3 : 6,
 		    .connections = 64,
 		    .home = (uint32_t)rng_below(&r->rng, 4) } };
 
--- a/test/cell_test.c
+++ b/test/cell_test.c
@@ -296,6 +296,26 @@
 	cell_free(c);
 }
 
+/* The job in the middle is dropped before the oldest has stopped. */
+static void
+test_service_replace_forgotten(void)
+{
+	uint32_t w;
+	struct cell *c = small_cell(&w);
+	struct cell_cmd later = { .type = CMD_EXPIRE, .at_ms = 7200 * 1000 };
+
+	set_config(c, 1, 500);
+	do_start(c, 1, 1, w);
+	set_config(c, 1, 600);
+	set_config(c, 1, 700);
+	g_assert_cmpint(cell_job(c, 2)->state, ==, JOB_ENDED);
+	do_cmd(c, &later);
+	g_assert_null(cell_job(c, 2));
+	do_start(c, 3, 1, w);
+	g_assert_cmpint(state(c, 1, 0), ==, TASK_STOPPING);
+	cell_free(c);
+}
+
 static void
 test_announce(void)
 {
@@ -394,11 +414,19 @@
 	do_end(c, j, 1, END_DONE);
 	g_assert_cmpuint(
 	    g_bytes_get_size(cell_job(c, j)->task[1].result), ==, 2);
+	late.u.end.job = once;
+	late.u.end.task = 0;
 	late.u.end.attempt = 1;
+	do_start(c, once, 1, w);
+	late.u.end.worker = w + 1;
+	g_assert_cmpint(do_cmd(c, &late).outcome, ==, OUT_ACCEPTED);
+	g_assert_cmpint(state(c, once, 0), ==, TASK_ASSIGNED);
+	late.u.end.job = j;
+	late.u.end.task = 1;
+	late.u.end.worker = w;
 	g_assert_cmpint(do_cmd(c, &late).outcome, ==, OUT_ACCEPTED);
 	g_assert_cmpint(state(c, j, 1), ==, TASK_DONE);
 	g_assert_cmpint(cell_job(c, j)->outcome, ==, OUT_FAILED);
-	do_start(c, once, 1, w);
 	do_end(c, once, 0, END_NOT_STARTED);
 	g_assert_cmpint(state(c, once, 0), ==, TASK_PENDING);
 	do_start(c, once, 1, w);
@@ -431,6 +459,7 @@
 	/* Two cores are left. */
 	g_assert_cmpuint(do_start(c, g, 3, w), ==, 0);
 	g_assert_cmpint(refused, ==, 3);
+	g_assert_cmpuint(cell_job(c, g)->task[0].attempt, ==, 0);
 	g_assert_cmpuint(do_start(c, j, 10, w), ==, 2);
 	g_assert_cmpint(refused, ==, 11);
 	for (uint32_t i = 0; i < 4; i++)
@@ -442,6 +471,10 @@
 	aside.u.worker_state.set_aside = false;
 	do_cmd(c, &aside);
 	g_assert_cmpuint(do_start(c, g, 3, w), ==, 3);
+	/* Eight slots on 64 cores. */
+	w = do_worker(c, "w2", 1, 1, 64);
+	g_assert_cmpuint(
+	    do_start(c, do_submit(c, KIND_BATCH, 9, true), 9, w), ==, 8);
 	cell_free(c);
 }
 
@@ -778,6 +811,8 @@
 	g_test_add_func("/cell/config-versions", test_config_versions);
 	g_test_add_func("/cell/service-resize", test_service_resize);
 	g_test_add_func("/cell/service-replace", test_service_replace);
+	g_test_add_func(
+	    "/cell/service-replace-forgotten", test_service_replace_forgotten);
 	g_test_add_func("/cell/announce", test_announce);
 	g_test_add_func("/cell/worker-lost", test_worker_lost);
 	g_test_add_func("/cell/ends", test_ends);
