--- a/test/cell_test.c
+++ b/test/cell_test.c
@@ -106,6 +106,7 @@
 {
 	struct cell_cmd cmd = { .type = CMD_START };
 	struct cell_result res;
+	uint64_t started;
 
 	cmd.u.start.all_or_none = cell_job(c, job)->spec.kind == KIND_GANG;
 	cmd.u.start.starts =
@@ -117,7 +118,9 @@
 	}
 	res = do_cmd(c, &cmd);
 	g_array_unref(cmd.u.start.starts);
-	return res.count;
+	started = res.count;
+	cell_result_clear(&res);
+	return started;
 }
 
 void
@@ -152,6 +155,17 @@
 	do_cmd(c, &cmd);
 }
 
+/* Applies a command that must be refused for the reason. */
+static void
+assert_refused(struct cell *c, struct cell_cmd *cmd, const char *reason)
+{
+	struct cell_result r = do_cmd(c, cmd);
+
+	g_assert_cmpstr(r.reason, ==, reason);
+	g_assert_nonnull(r.message);
+	cell_result_clear(&r);
+}
+
 static enum cell_task_state
 state(const struct cell *c, uint64_t job, uint32_t task)
 {
@@ -282,6 +296,26 @@
 	cell_free(c);
 }
 
+/* The job in the middle is dropped before the oldest has stopped. */
+static void
+test_service_replace_forgotten(void)
+{
+	uint32_t w;
+	struct cell *c = small_cell(&w);
+	struct cell_cmd later = { .type = CMD_EXPIRE, .at_ms = 7200 * 1000 };
+
+	set_config(c, 1, 500);
+	do_start(c, 1, 1, w);
+	set_config(c, 1, 600);
+	set_config(c, 1, 700);
+	g_assert_cmpint(cell_job(c, 2)->state, ==, JOB_ENDED);
+	do_cmd(c, &later);
+	g_assert_null(cell_job(c, 2));
+	do_start(c, 3, 1, w);
+	g_assert_cmpint(state(c, 1, 0), ==, TASK_STOPPING);
+	cell_free(c);
+}
+
 static void
 test_announce(void)
 {
@@ -337,7 +371,7 @@
 
 	do_start(c, again, 1, w);
 	do_start(c, once, 1, w);
-	g_assert_cmpstr(do_cmd(c, &old).reason, ==, "old-epoch");
+	assert_refused(c, &old, "old-epoch");
 	do_state(c, w, WORKER_LOST);
 	g_assert_cmpint(state(c, again, 0), ==, TASK_PENDING);
 	g_assert_cmpint(state(c, once, 0), ==, TASK_UNKNOWN);
@@ -380,11 +414,19 @@
 	do_end(c, j, 1, END_DONE);
 	g_assert_cmpuint(
 	    g_bytes_get_size(cell_job(c, j)->task[1].result), ==, 2);
+	late.u.end.job = once;
+	late.u.end.task = 0;
 	late.u.end.attempt = 1;
+	do_start(c, once, 1, w);
+	late.u.end.worker = w + 1;
+	g_assert_cmpint(do_cmd(c, &late).outcome, ==, OUT_ACCEPTED);
+	g_assert_cmpint(state(c, once, 0), ==, TASK_ASSIGNED);
+	late.u.end.job = j;
+	late.u.end.task = 1;
+	late.u.end.worker = w;
 	g_assert_cmpint(do_cmd(c, &late).outcome, ==, OUT_ACCEPTED);
 	g_assert_cmpint(state(c, j, 1), ==, TASK_DONE);
 	g_assert_cmpint(cell_job(c, j)->outcome, ==, OUT_FAILED);
-	do_start(c, once, 1, w);
 	do_end(c, once, 0, END_NOT_STARTED);
 	g_assert_cmpint(state(c, once, 0), ==, TASK_PENDING);
 	do_start(c, once, 1, w);
@@ -417,6 +459,7 @@
 	/* Two cores are left. */
 	g_assert_cmpuint(do_start(c, g, 3, w), ==, 0);
 	g_assert_cmpint(refused, ==, 3);
+	g_assert_cmpuint(cell_job(c, g)->task[0].attempt, ==, 0);
 	g_assert_cmpuint(do_start(c, j, 10, w), ==, 2);
 	g_assert_cmpint(refused, ==, 11);
 	for (uint32_t i = 0; i < 4; i++)
@@ -428,6 +471,10 @@
 	aside.u.worker_state.set_aside = false;
 	do_cmd(c, &aside);
 	g_assert_cmpuint(do_start(c, g, 3, w), ==, 3);
+	/* Eight slots on 64 cores. */
+	w = do_worker(c, "w2", 1, 1, 64);
+	g_assert_cmpuint(
+	    do_start(c, do_submit(c, KIND_BATCH, 9, true), 9, w), ==, 8);
 	cell_free(c);
 }
 
@@ -485,6 +532,7 @@
 	struct cell *c = small_cell(&w);
 	uint64_t j = do_submit(c, KIND_BATCH, 4, false);
 	struct cell_cmd wave = { .type = CMD_CANCEL };
+	struct cell_cmd unknown = { .type = CMD_CANCEL };
 
 	do_start(c, j, 3, w);
 	g_assert_cmpuint(do_cancel(c, j).count, ==, 1);
@@ -498,7 +546,8 @@
 	g_assert_cmpint(state(c, j, 2), ==, TASK_CANCELLED);
 	g_assert_cmpint(cell_job(c, j)->outcome, ==, OUT_CANCELLED);
 	g_assert_cmpuint(do_cancel(c, j).count, ==, 0);
-	g_assert_cmpint(do_cancel(c, 999).outcome, ==, OUT_INVALID);
+	unknown.u.cancel.job = 999;
+	assert_refused(c, &unknown, "unknown-job");
 	do_submit(c, KIND_BATCH, 1, true);
 	do_submit(c, KIND_GANG, 2, true);
 	wave.u.cancel.team = "press";
@@ -544,14 +593,14 @@
 	struct cell_cmd cmd = { .type = CMD_PREEMPT,
 		.u.preempt = { .job = j, .attempt = 1 } };
 
-	g_assert_cmpstr(do_cmd(c, &cmd).reason, ==, "not-assigned");
+	assert_refused(c, &cmd, "not-assigned");
 	do_start(c, j, 1, w);
 	do_start(c, once, 1, w);
 	g_assert_cmpuint(do_cmd(c, &cmd).count, ==, 1);
 	do_end(c, j, 0, END_STOPPED);
 	g_assert_cmpint(state(c, j, 0), ==, TASK_PENDING);
 	cmd.u.preempt.job = once;
-	g_assert_cmpstr(do_cmd(c, &cmd).reason, ==, "not-preemptible");
+	assert_refused(c, &cmd, "not-preemptible");
 	cell_free(c);
 }
 
@@ -597,13 +646,14 @@
 	g_assert_cmpint(r.outcome, ==, OUT_ACCEPTED);
 	cell_result_clear(&r);
 	cmd.u.submit.spec.team = "nobody";
-	g_assert_cmpstr(do_cmd(c, &cmd).reason, ==, "unknown-team");
+	assert_refused(c, &cmd, "unknown-team");
 	cmd.u.submit.spec.team = "desk";
 	g_assert_cmpint(do_cmd(c, &cmd).outcome, ==, OUT_ACCEPTED);
 	cmd.u.submit.key = "k2";
 	r = do_cmd(c, &cmd);
 	g_assert_cmpint(r.outcome, ==, OUT_NOT_RUN);
 	g_assert_cmpstr(r.reason, ==, "queue-full");
+	cell_result_clear(&r);
 	/* A refused request may come again under its key. */
 	do_cancel(c, 1);
 	g_assert_cmpint(do_cmd(c, &cmd).outcome, ==, OUT_ACCEPTED);
@@ -680,6 +730,63 @@
 	cell_free(c);
 }
 
+static void
+assert_round_trip(const struct cell_cmd *cmd)
+{
+	GBytes *bytes = cell_cmd_encode(cmd);
+	GBytes *again;
+	struct cell_cmd out;
+	GError *err = NULL;
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+
+	cell_cmd_decode(data, len, &out, &err);
+	g_assert_no_error(err);
+	again = cell_cmd_encode(&out);
+	g_assert_true(g_bytes_equal(bytes, again));
+	cell_cmd_clear(&out);
+	g_bytes_unref(again);
+	g_bytes_unref(bytes);
+}
+
+static void
+test_empty_strings(void)
+{
+	struct cell_cmd config = { .type = CMD_CONFIG,
+		.u.config = { 1, "", "", NULL } };
+	struct cell_cmd cancel = { .type = CMD_CANCEL,
+		.u.cancel = { 0, "", "" } };
+	struct cell_cmd end = { .type = CMD_END };
+	struct cell_cmd submit = submit_cmd("", "", KIND_BATCH, 1, false);
+	struct cell_overlay overlay = { "salem", "" };
+	struct cell *c = cell_new();
+	struct cell *other = cell_new();
+	struct cell_result r;
+	GBytes *snapshot;
+	GError *err = NULL;
+
+	config.u.config.overlays =
+	    g_array_new(FALSE, FALSE, sizeof(struct cell_overlay));
+	g_array_append_val(config.u.config.overlays, overlay);
+	end.u.end.result = g_bytes_new_static("", 0);
+	assert_round_trip(&config);
+	assert_round_trip(&cancel);
+	assert_round_trip(&end);
+	assert_round_trip(&submit);
+	r = do_cmd(c, &config);
+	g_assert_cmpint(r.outcome, ==, OUT_ACCEPTED);
+	cell_result_clear(&r);
+	snapshot = cell_snapshot(c);
+	cell_restore(other, snapshot, &err);
+	g_assert_no_error(err);
+	g_assert_cmpuint(cell_config_version(other), ==, 1);
+	g_bytes_unref(snapshot);
+	g_bytes_unref(end.u.end.result);
+	g_array_unref(config.u.config.overlays);
+	cell_free(c);
+	cell_free(other);
+}
+
 /* What a start adds to the log at the target load. */
 static void
 test_start_is_small(void)
@@ -704,6 +811,8 @@
 	g_test_add_func("/cell/config-versions", test_config_versions);
 	g_test_add_func("/cell/service-resize", test_service_resize);
 	g_test_add_func("/cell/service-replace", test_service_replace);
+	g_test_add_func(
+	    "/cell/service-replace-forgotten", test_service_replace_forgotten);
 	g_test_add_func("/cell/announce", test_announce);
 	g_test_add_func("/cell/worker-lost", test_worker_lost);
 	g_test_add_func("/cell/ends", test_ends);
@@ -716,6 +825,7 @@
 	g_test_add_func("/cell/keys", test_keys);
 	g_test_add_func("/cell/admission", test_admission);
 	g_test_add_func("/cell/damaged", test_damaged);
+	g_test_add_func("/cell/empty-strings", test_empty_strings);
 	g_test_add_func("/cell/start-is-small", test_start_is_small);
 	add_random_tests();
 	return g_test_run();
