--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -10,7 +10,8 @@
 #define GRID 32 /* steps of free millicpus, and of free memory */
 #define CELLS (2 * GRID * GRID) /* without and with accelerators */
 #define NO_CELL UINT32_MAX
-#define DIRTY_MAX 32 /* workers; with more, all shapes are tried again */
+#define AVOID_MAX 4 /* workers that a job failed on */
+#define DIRTY_MAX 256 /* workers; with more, all shapes are tried again */
 
 /* An attempt that holds room on a worker. */
 struct run {
@@ -20,11 +21,12 @@
 	struct resources resources;
 	struct team *team;
 	int64_t started_ms;
+	int64_t worth_ms; /* the start, less what its job lost to stops */
 	bool fixed; /* a service's: does not end by itself */
 	bool throttled;
 	bool stopping;
 	struct hold *hold; /* the need it makes room for; or NULL */
-	GList link; /* in sched.preemptible, by start */
+	GList link; /* in sched.preemptible, by worth_ms */
 	bool linked;
 };
 
@@ -88,6 +90,14 @@
 	uint32_t count;
 };
 
+/* What went wrong with a job's tasks. */
+struct history {
+	uint64_t job;
+	uint32_t avoid[AVOID_MAX]; /* workers that tasks failed on */
+	uint32_t avoided; /* also those that made room */
+	int64_t lost_ms; /* run time of its tasks that were stopped */
+};
+
 struct job {
 	struct sched_job spec;
 	struct shape *shape; /* while tasks wait */
@@ -96,6 +106,7 @@
 	uint32_t waiting;
 	uint32_t running;
 	GArray *workers; /* uint32_t, one a running task; if it spreads */
+	struct history *history; /* or NULL */
 	struct reservation *reservation; /* or NULL */
 	int64_t reserved_ms; /* when it was first reserved for; 0: never */
 };
@@ -119,6 +130,8 @@
 	struct team *team;
 	GSequence *plain; /* struct job by age */
 	GSequence *dated; /* struct job by deadline */
+	struct job *plain_head; /* first of each; or NULL */
+	struct job *dated_head;
 	uint64_t tasks; /* waiting */
 	enum shape_state state;
 	guint pos; /* in sched.shapes[state] */
@@ -151,6 +164,8 @@
 	GHashTable *teams; /* struct team by id */
 	int64_t weights; /* sum */
 	GHashTable *jobs; /* struct job by id */
+	GHashTable *history; /* struct history by job id */
+	GQueue history_order; /* struct history, oldest first */
 	GHashTable *by_key; /* struct shape by key */
 	GPtrArray *shapes[SHAPE_STATES];
 	size_t waiting; /* tasks */
@@ -181,7 +196,7 @@
     unsigned enough, index_visit *fn, void *arg);
 
 /* worker.c */
-struct worker *worker_get(const struct sched *s, uint32_t id);
+struct worker *sched_worker_get(const struct sched *s, uint32_t id);
 bool worker_usable(const struct worker *w);
 bool worker_allowed(const struct worker *w, uint64_t data_centers);
 /* Recounts what is available after a change; grown: shapes may fit again. */
@@ -205,19 +220,26 @@
 /* The same without what could be stopped for its urgent work. */
 bool team_within_fixed(
     const struct sched *s, const struct team *t, const struct resources *more);
-/* Dominant share of all capacity by weight. */
-double team_weighted(const struct sched *s, const struct team *t);
+/* The largest part that an amount takes of a whole, over its resources. */
+double
+dominant_part(const struct resources *part, const struct resources *whole);
+/* Use against what the team is entitled to; 1: all of it. */
+double team_ratio(const struct sched *s, const struct team *t);
 
 /* job.c */
 struct job *job_get(const struct sched *s, uint64_t id);
 struct job *job_ensure(struct sched *s, const struct sched_job *spec);
-void job_free(void *job);
+void sched_job_free(void *job);
 uint32_t job_take(struct sched *s, struct job *job); /* next waiting task */
 void job_release(struct sched *s, struct job *job); /* frees it if unused */
 void job_started(struct job *job, uint32_t worker);
 void job_ended(struct job *job, uint32_t worker);
 bool job_spreads(const struct job *job);
 
+/* history.c */
+struct history *history_ensure(struct sched *s, uint64_t job);
+bool history_avoids(const struct history *h, uint32_t worker);
+
 /* shape.c */
 void shape_insert(struct sched *s, struct job *job);
 void shape_remove(struct sched *s, struct job *job);
