--- a/test/fuzz.cmake
+++ b/test/fuzz.cmake
@@ -23,3 +23,4 @@
 bt_fuzz(frame SOURCES ${CMAKE_SOURCE_DIR}/bulrushtided/proto.c
     DEPENDS raft cell wire)
 target_include_directories(frame_fuzz PRIVATE ${CMAKE_SOURCE_DIR}/bulrushtided)
+bt_fuzz(body DEPENDS api)
