bulrushctl: test against a real process; submit tells its trace

ctl_cell_test runs one process of both roles, a stand-in worker and the tool: apply, plan, conflict, submit with its result, resend, trace, cancel, drain. A submission's reply is shown with the id of its trace, without which bulrushctl trace had nothing to be asked for.

--- a/bulrushctl/job.c
+++ b/bulrushctl/job.c
@@ -36,13 +36,17 @@
 	{ .long_name = NULL },
 };
 
-/* Sends a request about a job and prints its reply. */
+/* Sends a request about a job and prints its reply; a submission's with the
+ * id under which its spans can be read. */
 static enum ctl_exit
 job_call(struct ctl *ctl, const struct request *req)
 {
 	struct reply reply;
 	enum ctl_exit end = ctl_call(ctl, req, &reply);
 
+	if (reply.body != NULL && req->key != NULL)
+		json_object_set_new(reply.body, "trace",
+		    json_string(client_trace(ctl->client)));
 	if (reply.body != NULL && ctl->json)
 		print_json(reply.body);
 	else if (reply.body != NULL &&
--- a/test/ctl.cmake
+++ b/test/ctl.cmake
@@ -1,6 +1,9 @@
-bt_test(ctl_test SOURCES ctl_test.c DEPENDS config)
-target_compile_definitions(ctl_test PRIVATE
-    BULRUSHCTL="$<TARGET_FILE:bulrushctl>"
-    EXAMPLES="${CMAKE_SOURCE_DIR}/examples")
-add_dependencies(ctl_test bulrushctl)
+foreach(part ctl_test ctl_cell_test)
+	bt_test(${part} SOURCES ${part}.c ctl_run.c proc.c DEPENDS base)
+	target_compile_definitions(${part} PRIVATE
+	    BULRUSHCTL="$<TARGET_FILE:bulrushctl>"
+	    EXAMPLES="${CMAKE_SOURCE_DIR}/examples")
+	add_dependencies(${part} bulrushctl)
+endforeach()
 target_link_libraries(ctl_test PRIVATE event_pthreads)
+add_dependencies(ctl_cell_test bulrushtided fakeworker)
--- a/test/ctl_test.c
+++ b/test/ctl_test.c
@@ -2,7 +2,6 @@
 #include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -11,7 +10,7 @@
 #include <event2/thread.h>
 #include <glib/gstdio.h>
 
-#include "base.h"
+#include "ctl_run.h"
 
 #define STEPS_MAX 8
 #define LOSE (-1) /* close the connection without an answer */
@@ -43,13 +42,6 @@
 	GThread *thread;
 };
 
-/* The end of one run of bulrushctl. */
-struct run {
-	int exit;
-	char *out;
-	char *err;
-};
-
 static void
 note_request(struct entry *e, struct evhttp_request *req)
 {
@@ -163,27 +155,6 @@
 	g_free(e);
 }
 
-/* Runs bulrushctl with arguments that blanks part. */
-static struct run
-run_ctl(const char *args)
-{
-	char *line = g_strconcat(BULRUSHCTL " ", args, NULL);
-	char **argv = g_strsplit(line, " ", -1);
-	struct run r = { 0 };
-	GError *err = NULL;
-	int status;
-
-	g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, &r.out,
-	    &r.err, &status, &err);
-	g_assert_no_error(err);
-	g_assert_true(WIFEXITED(status));
-	r.exit = WEXITSTATUS(status);
-	g_test_message("%s: exit %d: %s%s", args, r.exit, r.out, r.err);
-	g_strfreev(argv);
-	g_free(line);
-	return r;
-}
-
 /* Runs against a scripted entry; the entry's notes go to seen. */
 static struct run
 run_with(const char *args, const struct step *steps, struct entry **seen)
@@ -201,20 +172,6 @@
 	return r;
 }
 
-static void
-run_clear(struct run *r)
-{
-	g_free(r->out);
-	g_free(r->err);
-}
-
-static void
-assert_has(const char *text, const char *part)
-{
-	if (strstr(text, part) == NULL)
-		g_error("wanted: %s\ngot: %s", part, text);
-}
-
 /* A new folder with a base file; removed by folder_remove(). */
 static char *
 folder_make(const char *base)
