--- a/bulrushctl/output.c
+++ b/bulrushctl/output.c
@@ -19,9 +19,10 @@
 	char *json;
 	char *s;
 
-	if (value == NULL || json_is_null(value))
+	if (value == NULL || json_is_null(value) ||
+	    g_strcmp0(json_string_value(value), "") == 0)
 		return g_strdup("-");
-	if (json_is_string(value) && *json_string_value(value) != '\0')
+	if (json_is_string(value))
 		return g_strescape(json_string_value(value), NULL);
 	json = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
 	s = g_strdup(json);
--- a/bulrushctl/view.c
+++ b/bulrushctl/view.c
@@ -30,12 +30,6 @@
 	show_list(body, "teams");
 }
 
-static void
-show_spans(const json_t *body)
-{
-	show_list(body, "spans");
-}
-
 static enum ctl_exit
 run_status(struct ctl *ctl, int argc, char **argv)
 {
@@ -60,16 +54,6 @@
 	return ctl_get(ctl, "/v1/teams", show_teams);
 }
 
-static enum ctl_exit
-run_trace(struct ctl *ctl, int argc, char **argv)
-{
-	char *path = ctl_path("/v1/trace/", argv[0]);
-	enum ctl_exit end = ctl_get(ctl, path, show_spans);
-
-	g_free(path);
-	return end;
-}
-
 const struct command command_status = {
 	.name = "status",
 	.args = "",
@@ -97,12 +81,3 @@
 	.summary = "list teams, their quotas and shares",
 	.run = run_teams,
 };
-
-const struct command command_trace = {
-	.name = "trace",
-	.args = "ID",
-	.summary = "list the spans of a request",
-	.min_args = 1,
-	.max_args = 1,
-	.run = run_trace,
-};
--- a/test/ctl_test.c
+++ b/test/ctl_test.c
@@ -591,6 +591,27 @@
 	run_clear(&r);
 }
 
+/* Spans as a tree by parent, in the order of their starts. */
+static void
+test_trace(void)
+{
+	struct run r = run_with("trace 12",
+	    (struct step[]){ { .status = 200,
+		.body = "{\"spans\":[{\"span\":\"b\",\"parent\":\"a\","
+			"\"name\":\"commit\",\"node\":\"r1\",\"note\":\"\","
+			"\"start_us\":3500,\"duration_us\":250},"
+			"{\"span\":\"a\",\"parent\":\"x\",\"name\":\"entry\","
+			"\"node\":\"e1\",\"note\":\"202\",\"start_us\":2000,"
+			"\"duration_us\":3000}]}" } },
+	    NULL);
+
+	g_assert_cmpstr(r.out, ==,
+	    "START_MS  DURATION_MS  NODE  SPAN      NOTE\n"
+	    "0.000     3.000        e1    entry     202\n"
+	    "1.500     0.250        r1      commit  -\n");
+	run_clear(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -612,5 +633,6 @@
 	g_test_add_func("/ctl/second-entry", test_second_entry);
 	g_test_add_func("/ctl/bodies", test_bodies);
 	g_test_add_func("/ctl/tables", test_tables);
+	g_test_add_func("/ctl/trace", test_trace);
 	return g_test_run();
 }
