Tests: a gang amid urgent streams and amid large tasks that reserve

Cause: taking the strict bound out of reservations failed no test. Change: the test of a gang amid a stream runs with urgent tasks, which may use held room until the bound, and with large tasks that starve themselves. Conclusion: without the strict bound the urgent stream now fails the test.

--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -405,12 +405,34 @@
 	}
 }
 
+/* An endless stream of batch work, and how long it really runs. */
+struct stream {
+	int64_t cores;
+	uint32_t tasks; /* every 500 ms */
+	int64_t runtime_ms; /* declared as 1000 */
+	bool urgent;
+	bool unlike; /* each job has a shape of its own */
+};
+
+static void
+add_stream(struct bed *b, const struct stream *stream, unsigned turn)
+{
+	struct sched_job job = job_like(b, KIND_BATCH, stream->cores, 1);
+
+	job.urgent = stream->urgent;
+	if (stream->unlike) {
+		job.resources.memory += turn;
+		job.team = 2 + turn % 20;
+	}
+	sched_job_add(b->s, &job, 0, stream->tasks);
+}
+
 /*
- * An endless stream of small tasks that run four times as long as declared:
- * the gang starts within the strict bound and the longest run time.
+ * How long a gang waits that needs all but one of four workers, amid a stream.
+ * Its team has the last one already: others' shares are less.
  */
-static void
-test_gang_amid_stream(void)
+static int64_t
+gang_wait(const struct stream *stream)
 {
 	struct bed b;
 	uint64_t gang = 0;
@@ -421,28 +443,46 @@
 
 	bed_init(&b, &sched_waiting);
 	add_workers(&b, 4, 4, 8);
-	for (unsigned turn = 0; gang == 0 || where(&b, gang, 0) == NONE;
-	     turn++) {
-		int64_t end_ms = b.now_ms + 500 + 4000;
+	add(&b, KIND_SERVICE, 4, 4, 1);
+	for (unsigned turn = 0;
+	     turn < 400 && (gang == 0 || where(&b, gang, 0) == NONE); turn++) {
+		int64_t end_ms = b.now_ms + 500 + stream->runtime_ms;
 
 		if (turn == 20) {
-			gang = add(&b, KIND_GANG, 4, 4, 4);
+			gang = add(&b, KIND_GANG, 4, 4, 3);
 			added_ms = b.now_ms;
 		}
-		add(&b, KIND_BATCH, 1, 1, 4);
+		add_stream(&b, stream, turn);
 		decide(&b, 500);
 		g_array_append_vals(
 		    running, b.round.placements->data, b.round.placements->len);
 		while (ends->len < running->len)
 			g_array_append_val(ends, end_ms);
-		g_assert_cmpuint(turn, <, 200);
 		end_due(&b, running, ends);
 	}
-	g_assert_cmpint(
-	    b.now_ms - added_ms, <=, sched_waiting.strict_ms + 4000 + 1000);
 	g_array_unref(running);
 	g_array_unref(ends);
+	added_ms = b.now_ms - added_ms;
 	bed_clear(&b);
+	return added_ms;
+}
+
+/*
+ * Small tasks that run four times as long as declared, urgent ones, and large
+ * ones that starve and reserve too: the gang starts within the strict bound,
+ * the run time, and for the last what came before it.
+ */
+static void
+test_gang_amid_stream(void)
+{
+	int64_t bound = sched_waiting.strict_ms + 4000 + 1000;
+	struct stream small = { 1, 4, 4000, false, false };
+	struct stream urgent = { 1, 4, 4000, true, false };
+	struct stream large = { 4, 2, 2000, false, true };
+
+	g_assert_cmpint(gang_wait(&small), <=, bound);
+	g_assert_cmpint(gang_wait(&urgent), <=, bound);
+	g_assert_cmpint(gang_wait(&large), <=, 10000 + bound);
 }
 
 /* Short work may use the room that a gang waits for; long work may not. */
