Lifted throttles in a list of their own; when to decide again

Cause: a caller that takes every order but SCHED_THROTTLE for a stop would have stopped what SCHED_RESUME meant to let run; and a caller that decides only on changes would never stop what was throttled. A burst of urgent work in a full cell searched victims for all of it in one round. Change: struct sched_round has resumes, the enumerator is gone; sched_next_ms() says when to decide again without a change; a round makes room for 16 new needs, the next rounds for the rest.

--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -2,6 +2,7 @@
 #include "table.h"
 
 #define LOOK_MAX 64 /* workers whose victims are compared */
+#define NEEDS_A_ROUND 16 /* new ones; a burst is spread over rounds */
 #define NEEDS_MAX 256 /* tasks that room is being made for */
 #define GIVE_UP_MS 10000 /* for a victim to end before another is sought */
 
@@ -262,11 +263,13 @@
 		return preempt_gang(s, job, reclaim, out);
 	if (job->reservation != NULL && !job->reservation->preempt)
 		reserve_drop(s, job->reservation);
-	if (reserved_tasks(job) >= job->waiting || needs(s) >= NEEDS_MAX)
+	if (reserved_tasks(job) >= job->waiting || needs(s) >= NEEDS_MAX ||
+	    s->round_needs >= NEEDS_A_ROUND)
 		return false;
 	best = cheapest(s, job, reclaim);
 	if (best.worker == NULL)
 		return false;
+	s->round_needs++;
 	take_room(s, reserve_hold(s, job, best.worker, 1), reclaim, out);
 	return true;
 }
@@ -344,6 +347,12 @@
 	}
 }
 
+bool
+preempt_spread(const struct sched *s)
+{
+	return s->round_needs >= NEEDS_A_ROUND;
+}
+
 void
 preempt_forget(struct sched *s, const struct hold *hold)
 {
@@ -360,11 +369,16 @@
 {
 	for (guint i = s->throttled->len; i > 0; i--) {
 		struct run *run = s->throttled->pdata[i - 1];
+		struct sched_placement p = {
+			.job = run->job->spec.id,
+			.task = run->task,
+			.worker = run->worker,
+		};
 
 		if (run->hold != NULL || run->stopping)
 			continue;
 		run->throttled = false;
 		g_ptr_array_remove_index_fast(s->throttled, i - 1);
-		order(run, 0, SCHED_RESUME, out);
+		g_array_append_val(out->resumes, p);
 	}
 }
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -36,6 +36,8 @@
 	    g_array_new(FALSE, FALSE, sizeof(struct sched_placement));
 	round->preemptions =
 	    g_array_new(FALSE, FALSE, sizeof(struct sched_preemption));
+	round->resumes =
+	    g_array_new(FALSE, FALSE, sizeof(struct sched_placement));
 }
 
 void
@@ -43,6 +45,7 @@
 {
 	g_array_unref(round->placements);
 	g_array_unref(round->preemptions);
+	g_array_unref(round->resumes);
 	*round = (struct sched_round){ 0 };
 }
 
@@ -482,6 +485,8 @@
 		} else {
 			preempt_queue(s, shape->dated, out);
 			preempt_queue(s, shape->plain, out);
+			if (preempt_spread(s))
+				shape->preempt_ms = s->now_ms;
 		}
 	}
 	if (starves(s, shape, job))
@@ -603,8 +608,10 @@
 
 	g_array_set_size(out->placements, 0);
 	g_array_set_size(out->preemptions, 0);
+	g_array_set_size(out->resumes, 0);
 	s->now_ms = now_ms;
 	s->round++;
+	s->round_needs = 0;
 	resort(s);
 	reserve_age(s);
 	use_all_reserved(s, limit, out);
@@ -619,3 +626,13 @@
 	preempt_resume(s, out);
 	g_ptr_array_set_size(s->changed, 0);
 }
+
+int64_t
+sched_next_ms(const struct sched *s)
+{
+	if (s->shapes[SHAPE_READY]->len > 0 || s->dirty->len > 0)
+		return s->now_ms;
+	if (s->shapes[SHAPE_BLOCKED]->len > 0 || s->throttled->len > 0)
+		return s->now_ms + SWEEP_MS;
+	return -1;
+}
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -60,8 +60,7 @@
 /* A running task to take room from. */
 enum sched_preempt_how {
 	SCHED_THROTTLE, /* first; its room counts as used until it ends */
-	SCHED_CHECKPOINT_STOP, /* the room is still needed */
-	SCHED_RESUME /* the room came from elsewhere: lift the throttle */
+	SCHED_CHECKPOINT_STOP /* the room is still needed */
 };
 struct sched_preemption {
 	uint64_t job;
@@ -75,6 +74,8 @@
 struct sched_round {
 	GArray *placements; /* struct sched_placement; a gang's are adjacent */
 	GArray *preemptions; /* struct sched_preemption */
+	GArray *resumes; /* struct sched_placement: throttled, and the room
+			    came from elsewhere */
 };
 
 /* Why a job waits. */
@@ -173,6 +174,8 @@
  */
 void sched_decide(
     struct sched *s, int64_t now_ms, size_t limit, struct sched_round *out);
+/* When to decide again at the latest if nothing changes; -1: not needed. */
+int64_t sched_next_ms(const struct sched *s);
 void sched_round_init(struct sched_round *round);
 void sched_round_clear(struct sched_round *round);
 
--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -173,6 +173,7 @@
 	GPtrArray *throttled; /* struct run: no stop or resume ordered yet */
 	GQueue preemptible; /* struct run.link, oldest first */
 	uint64_t round;
+	unsigned round_needs; /* that this round makes room for */
 	int64_t now_ms;
 	uint64_t starving; /* job that reserves before all others; 0: none */
 	int64_t sweep_ms; /* when to look for starving shapes again */
@@ -288,6 +289,8 @@
 /* Orders room to be made for one more task; false if none can be. */
 bool preempt_for(
     struct sched *s, struct job *job, bool reclaim, struct sched_round *out);
+/* Whether more needs have to wait for the next round. */
+bool preempt_spread(const struct sched *s);
 /* Stops what was throttled long enough; gives up on what never ends. */
 void preempt_escalate(struct sched *s, struct sched_round *out);
 /* Frees a hold's throttled runs of it. */
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -95,6 +95,14 @@
 	return &g_array_index(b->round.preemptions, struct sched_preemption, i);
 }
 
+/* The job of the only run whose throttle the last round lifts. */
+static uint64_t
+resumed(const struct bed *b)
+{
+	g_assert_cmpuint(b->round.resumes->len, ==, 1);
+	return g_array_index(b->round.resumes, struct sched_placement, 0).job;
+}
+
 /* Where a job's task was put in the last round. */
 static uint32_t
 where(const struct bed *b, uint64_t job, uint32_t task)
@@ -123,10 +131,13 @@
 
 	bed_init(&b, &sched_waiting);
 	add_workers(&b, 2, 4, 8);
+	decide(&b, 0);
+	g_assert_cmpint(sched_next_ms(b.s), ==, -1);
 	add(&b, KIND_BATCH, 3, 2, 4);
 	g_assert_cmpuint(decide(&b, 0), ==, 2);
 	g_assert_cmpuint(sched_waiting_tasks(b.s), ==, 2);
 	job = add(&b, KIND_BATCH, 0, 0, 40);
+	g_assert_cmpint(sched_next_ms(b.s), ==, 0);
 	g_assert_cmpuint(decide(&b, 0), ==, 14); /* of 16 slots */
 	g_assert_cmpstr(why(&b, job).resource, ==, "slots");
 	bed_clear(&b);
@@ -646,6 +657,7 @@
 	sched_job_add(b.s, &job, 0, 1);
 	decide(&b, 0);
 	g_assert_cmpuint(b.round.preemptions->len, ==, 1);
+	g_assert_cmpint(sched_next_ms(b.s), >, b.now_ms);
 	g_assert_cmpint(preempted(&b, 0)->how, ==, SCHED_THROTTLE);
 	g_assert_cmpuint(preempted(&b, 0)->worker, ==, 3); /* least lost */
 	g_assert_cmpuint(preempted(&b, 0)->for_job, ==, job.id);
@@ -775,9 +787,8 @@
 	sched_end(b.s, 1, 0, 1);
 	g_assert_cmpuint(decide(&b, 10), ==, 1);
 	g_assert_cmpuint(placed(&b, 0)->worker, ==, 1);
-	g_assert_cmpuint(b.round.preemptions->len, ==, 1);
-	g_assert_cmpint(preempted(&b, 0)->how, ==, SCHED_RESUME);
-	g_assert_cmpuint(preempted(&b, 0)->job, ==, 3);
+	g_assert_cmpuint(b.round.preemptions->len, ==, 0);
+	g_assert_cmpuint(resumed(&b), ==, 3);
 	bed_clear(&b);
 }
 
@@ -798,7 +809,33 @@
 	sched_job_remove(b.s, job.id);
 	g_assert_cmpuint(sched_waiting_tasks(b.s), ==, 0);
 	decide(&b, 1000);
-	g_assert_cmpint(preempted(&b, 0)->how, ==, SCHED_RESUME);
+	g_assert_cmpuint(resumed(&b), ==, 3);
+	bed_clear(&b);
+}
+
+/* A burst of urgent work spreads its needs over rounds, all in the end. */
+static void
+test_urgent_burst(void)
+{
+	struct bed b;
+	struct sched_job job;
+	unsigned throttled = 0;
+
+	bed_init(&b, &sched_packing); /* its throttles last for 300 ms */
+	add_workers(&b, 60, 4, 8);
+	add(&b, KIND_BATCH, 4, 4, 60);
+	g_assert_cmpuint(decide(&b, 0), ==, 60);
+	for (unsigned i = 0; i < 50; i++) {
+		job = job_like(&b, KIND_BATCH, 4, 4);
+		job.urgent = true;
+		sched_job_add(b.s, &job, 0, 1);
+	}
+	for (unsigned i = 0; i < 5; i++) {
+		decide(&b, 50);
+		g_assert_cmpuint(b.round.preemptions->len, <=, 16);
+		throttled += b.round.preemptions->len;
+	}
+	g_assert_cmpuint(throttled, ==, 50);
 	bed_clear(&b);
 }
 
@@ -1092,6 +1129,7 @@
 	g_test_add_func("/sched/team-within-quota", test_team_within_quota);
 	g_test_add_func("/sched/preempt-resume", test_preempt_resume);
 	g_test_add_func("/sched/preempt-cancelled", test_preempt_cancelled);
+	g_test_add_func("/sched/urgent-burst", test_urgent_burst);
 	g_test_add_func("/sched/urgent-gang", test_urgent_gang);
 	g_test_add_func("/sched/large-batch", test_large_batch);
 	g_test_add_func("/sched/random", test_random);
