--- a/bench/sched_bench.c
+++ b/bench/sched_bench.c
@@ -2,10 +2,12 @@
  * Placement decisions replayed on tables: the policies in use beside first
  * fit, best fit and round robin, on equal seeded inputs.
  *
- * usage: sched_bench [-p POLICY] [SCENARIO...]
+ * usage: sched_bench [-p POLICY] [-s N] [SCENARIO...]; N is added to the seeds
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "sched_replay.h"
 
@@ -181,15 +183,26 @@
 int
 main(int argc, char **argv)
 {
-	bool only = argc > 2 && strcmp(argv[1], "-p") == 0;
-	const char *policy = only ? argv[2] : NULL;
-	int skip = only ? 3 : 1;
-
+	const char *policy = NULL;
+	uint64_t more = 0;
+	int option;
+
+	while ((option = getopt(argc, argv, "p:s:")) != -1) {
+		if (option == 'p')
+			policy = optarg;
+		else if (option == 's')
+			more = strtoull(optarg, NULL, 10);
+		else
+			return 2;
+	}
 	for (unsigned i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-		if (wanted(argc - skip, argv + skip, scenarios[i].name))
-			run_scenario(&scenarios[i], policy);
+		struct load_spec spec = scenarios[i];
+
+		spec.seed += more;
+		if (wanted(argc - optind, argv + optind, spec.name))
+			run_scenario(&spec, policy);
 	}
-	if (wanted(argc - skip, argv + skip, "growth"))
+	if (wanted(argc - optind, argv + optind, "growth"))
 		run_all_growth();
 	return 0;
 }
