--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -1,7 +1,8 @@
 /* Reservations: room kept for a gang, or for a task that waited too long. */
 #include "table.h"
 
-#define RESERVATIONS_MAX 16 /* without those that preempt */
+#define WORKERS_A_RESERVATION 100 /* held room is idle, so it is bounded */
+#define RESERVATIONS_MIN 2
 #define SLOTS_ENOUGH 512 /* possible starts that are compared */
 #define HOPELESS_MS 5000 /* before a job without enough workers tries again */
 #define RUNTIME_GUESS_MS 60000 /* of a run whose time is not known */
@@ -335,6 +336,12 @@
 		job->shape->reserve_ms = s->now_ms + HOPELESS_MS;
 }
 
+static guint
+reservations_max(const struct sched *s)
+{
+	return MAX(RESERVATIONS_MIN, s->workers->len / WORKERS_A_RESERVATION);
+}
+
 bool
 reserve_make(struct sched *s, struct job *job)
 {
@@ -346,7 +353,7 @@
 		return true;
 	if (s->now_ms < job->shape->reserve_ms)
 		return false;
-	if (reserved_jobs(s) >= RESERVATIONS_MAX ||
+	if (reserved_jobs(s) >= reservations_max(s) ||
 	    (s->starving != 0 && s->starving != job->spec.id))
 		return false;
 	starts = g_array_new(FALSE, FALSE, sizeof(struct start));
