Index steps narrow for small amounts; processor time in the benchmark

Cause: in a full cell most workers have little left, and steps of equal width put those with too little into the cells that a small task looks at. Change: steps grow with the square root of the amount; services ask the index after 512 workers; sched_bench measures processor time, since the machine runs other work.

--- a/bench/sched_replay.h
+++ b/bench/sched_replay.h
@@ -10,12 +10,12 @@
 };
 
 struct replay_result {
-	struct samples round_us; /* wall time of sched_decide */
+	struct samples round_us; /* processor time of sched_decide */
 	struct samples wait_ms[KIND_COUNT]; /* without the urgent */
 	struct samples urgent_ms;
 	uint64_t placements;
 	uint64_t rounds;
-	double decide_s; /* wall time in all rounds */
+	double decide_s; /* processor time in all rounds */
 	double packing; /* dominant resource used, mean over time */
 	double cpu; /* millicpus used */
 	double memory;
--- a/lib/sched/index.c
+++ b/lib/sched/index.c
@@ -1,4 +1,6 @@
 /* The index of workers by what is available on them. */
+#include <math.h>
+
 #include "table.h"
 
 void
@@ -6,8 +8,8 @@
 {
 	for (unsigned i = 0; i < CELLS; i++)
 		ix->cells[i] = g_ptr_array_new();
-	ix->cpu_step = 1;
-	ix->memory_step = 1;
+	ix->most.millicpus = 1;
+	ix->most.memory = 1;
 }
 
 void
@@ -17,10 +19,16 @@
 		g_ptr_array_unref(ix->cells[i]);
 }
 
+/*
+ * Steps are narrow for small amounts: in a full cell most workers have little
+ * left, and those with too little should not share a cell with the others.
+ */
 static unsigned
-step_of(int64_t amount, int64_t step)
+step_of(int64_t amount, int64_t most)
 {
-	return (unsigned)CLAMP(amount / step, 0, GRID - 1);
+	double part = (double)MAX(amount, 0) / (double)most;
+
+	return (unsigned)MIN(GRID * sqrt(part), GRID - 1);
 }
 
 static uint32_t
@@ -54,8 +62,8 @@
 index_put(struct index *ix, struct worker *w)
 {
 	unsigned acc = w->avail.accelerators > 0;
-	unsigned cpu = step_of(w->avail.millicpus, ix->cpu_step);
-	unsigned memory = step_of(w->avail.memory, ix->memory_step);
+	unsigned cpu = step_of(w->avail.millicpus, ix->most.millicpus);
+	unsigned memory = step_of(w->avail.memory, ix->most.memory);
 
 	w->cell = cell_of(acc, cpu, memory);
 	w->cell_pos = ix->cells[w->cell]->len;
@@ -79,8 +87,8 @@
 walk_layer(const struct index *ix, unsigned acc, const struct resources *need,
     unsigned enough, index_visit *fn, void *arg)
 {
-	unsigned cpu = step_of(need->millicpus, ix->cpu_step);
-	unsigned memory = step_of(need->memory, ix->memory_step);
+	unsigned cpu = step_of(need->millicpus, ix->most.millicpus);
+	unsigned memory = step_of(need->memory, ix->most.memory);
 	unsigned last = 2 * (GRID - 1) - cpu - memory;
 
 	for (unsigned left = 0; left <= last; left++) {
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -4,6 +4,7 @@
 #include "table.h"
 
 #define CANDIDATES 64 /* workers with room that are compared */
+#define SPREAD_SCAN 512 /* workers looked at before the index is asked */
 #define AVOID_COST 1e9 /* above all that spreading takes off a score */
 #define BACKFILL_SCAN 64 /* held workers looked at for backfill */
 
@@ -116,7 +117,7 @@
 
 /*
  * Workers across all domains, until none can spread better than the best of
- * those with room.
+ * those with room. In a full cell few have room: the index then knows them.
  */
 static void
 scan_domains(struct search *q)
@@ -125,7 +126,7 @@
 	guint step = stride(workers->len);
 	guint at = q->s->cursor % MAX(workers->len, 1);
 
-	for (guint i = 0; i < workers->len; i++) {
+	for (guint i = 0; i < MIN(workers->len, SPREAD_SCAN); i++) {
 		if (workers->pdata[at] != NULL)
 			visit(q, workers->pdata[at]);
 		at = (at + step) % workers->len;
@@ -133,6 +134,9 @@
 			break;
 	}
 	q->s->cursor = at;
+	if (q->best == NULL || q->cost > q->least)
+		index_walk(
+		    &q->s->index, &q->job->spec.resources, UINT_MAX, visit, q);
 }
 
 /* The least cost that a worker of any allowed data centre can have. */
--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -147,8 +147,7 @@
 struct index {
 	GPtrArray *cells[CELLS]; /* struct worker */
 	uint32_t occupied[2][GRID]; /* bit m: cell of memory step m */
-	int64_t cpu_step;
-	int64_t memory_step;
+	struct resources most; /* of any worker */
 };
 
 struct sched {
--- a/lib/sched/worker.c
+++ b/lib/sched/worker.c
@@ -155,17 +155,16 @@
 fit_steps(struct sched *s, const struct resources *capacity)
 {
 	struct index *ix = &s->index;
-	int64_t cpu = capacity->millicpus / GRID + 1;
-	int64_t memory = capacity->memory / GRID + 1;
 
-	if (cpu <= ix->cpu_step && memory <= ix->memory_step)
+	if (capacity->millicpus <= ix->most.millicpus &&
+	    capacity->memory <= ix->most.memory)
 		return;
 	for (guint i = 0; i < s->workers->len; i++) {
 		if (s->workers->pdata[i] != NULL)
 			index_drop(ix, s->workers->pdata[i]);
 	}
-	ix->cpu_step = MAX(cpu, ix->cpu_step);
-	ix->memory_step = MAX(memory, ix->memory_step);
+	ix->most.millicpus = MAX(capacity->millicpus, ix->most.millicpus);
+	ix->most.memory = MAX(capacity->memory, ix->most.memory);
 	for (guint i = 0; i < s->workers->len; i++) {
 		if (s->workers->pdata[i] != NULL)
 			worker_refresh(s, s->workers->pdata[i], false);
