Slow rounds: fewer starts compared, preemptible runs in a tree

Cause: a new reservation compared 512 starts for one task (600 us), and a run whose job had lost work was put far down a list that was walked (460 us).

--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -15,7 +15,7 @@
 bool
 run_preemptible(const struct run *run)
 {
-	return run->linked && !run->stopping && run->hold == NULL;
+	return run->iter != NULL && !run->stopping && run->hold == NULL;
 }
 
 /* Whether a run may be stopped for this kind of need. */
@@ -151,15 +151,20 @@
 {
 	struct cost best = { .lost_ms = INT64_MAX };
 	unsigned looked = 0;
+	GSequenceIter *iter;
 
 	best.worker = surplus(s, job);
 	if (best.worker != NULL)
 		return best;
-	for (GList *l = s->preemptible.tail; l != NULL; l = l->prev) {
-		const struct run *run = l->data;
-		struct worker *w = worker_get(s, run->worker);
+	iter = g_sequence_get_end_iter(s->preemptible);
+	while (!g_sequence_iter_is_begin(iter)) {
+		const struct run *run;
+		struct worker *w;
 		int64_t lost;
 
+		iter = g_sequence_iter_prev(iter);
+		run = g_sequence_get(iter);
+		w = worker_get(s, run->worker);
 		if (s->now_ms - run->worth_ms >= best.lost_ms ||
 		    looked++ >= LOOK_MAX)
 			break;
--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -3,7 +3,7 @@
 
 #define WORKERS_A_RESERVATION 100 /* held room is idle, so it is bounded */
 #define RESERVATIONS_MIN 2
-#define SLOTS_ENOUGH 512 /* possible starts that are compared */
+#define SLOTS_ENOUGH 128 /* possible starts that are compared */
 #define HOPELESS_MS 5000 /* before a job without enough workers tries again */
 #define RUNTIME_GUESS_MS 60000 /* of a run whose time is not known */
 
@@ -369,7 +369,7 @@
 			break;
 	}
 	/* Each reservation looks at other workers first. */
-	s->cursor += SLOTS_ENOUGH / 8;
+	s->cursor += SLOTS_ENOUGH / 2;
 	enough = starts->len >= n;
 	if (enough) {
 		g_array_sort(starts, by_time);
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -72,7 +72,7 @@
 	for (unsigned i = 0; i < SHAPE_STATES; i++)
 		s->shapes[i] = g_ptr_array_new();
 	s->reservations = g_ptr_array_new();
-	g_queue_init(&s->preemptible);
+	s->preemptible = g_sequence_new(NULL);
 	s->rack_tasks = g_array_new(FALSE, TRUE, sizeof(uint32_t));
 	s->center_tasks = g_array_new(FALSE, TRUE, sizeof(uint32_t));
 	return s;
@@ -88,6 +88,7 @@
 	g_hash_table_unref(s->by_key);
 	g_hash_table_unref(s->jobs);
 	g_hash_table_unref(s->teams);
+	g_sequence_free(s->preemptible);
 	g_queue_clear(&s->history_order);
 	g_hash_table_unref(s->history);
 	for (unsigned i = 0; i < SHAPE_STATES; i++)
--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -26,8 +26,7 @@
 	bool throttled;
 	bool stopping;
 	struct hold *hold; /* the need it makes room for; or NULL */
-	GList link; /* in sched.preemptible, by worth_ms */
-	bool linked;
+	GSequenceIter *iter; /* in sched.preemptible; or NULL */
 };
 
 /* Room on one worker that is kept for the tasks of a reservation. */
@@ -170,7 +169,7 @@
 	size_t waiting; /* tasks */
 	GPtrArray *reservations;
 	GPtrArray *throttled; /* struct run: no stop or resume ordered yet */
-	GQueue preemptible; /* struct run.link, oldest first */
+	GSequence *preemptible; /* struct run by worth_ms */
 	uint64_t round;
 	unsigned round_needs; /* that this round makes room for */
 	int64_t now_ms;
--- a/lib/sched/worker.c
+++ b/lib/sched/worker.c
@@ -278,28 +278,24 @@
 	return NULL;
 }
 
+static gint
+by_worth(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct run *x = a;
+	const struct run *y = b;
+
+	return (x->worth_ms > y->worth_ms) - (x->worth_ms < y->worth_ms);
+}
+
 /* Lists a run among those that room can be taken from. */
 static void
-link_preemptible(struct sched *s, struct run *run)
+list_preemptible(struct sched *s, struct run *run)
 {
-	GList *after = s->preemptible.tail;
-
 	if (run->job->spec.kind != KIND_BATCH || run->job->spec.urgent ||
 	    !run->job->spec.idempotent)
 		return;
-	while (after != NULL) {
-		const struct run *other = after->data;
-
-		if (other->worth_ms <= run->worth_ms)
-			break;
-		after = after->prev;
-	}
-	run->link.data = run;
-	run->linked = true;
-	if (after == NULL)
-		g_queue_push_head_link(&s->preemptible, &run->link);
-	else
-		g_queue_insert_after_link(&s->preemptible, after, &run->link);
+	run->iter =
+	    g_sequence_insert_sorted(s->preemptible, run, by_worth, NULL);
 }
 
 /* Books an attempt's room, or gives it back with sign -1. */
@@ -311,7 +307,7 @@
 	resources_add(&w->free, &run->resources, -sign);
 	w->free_slots -= sign;
 	resources_add(&team->used, &run->resources, sign);
-	if (run->linked)
+	if (run->iter != NULL)
 		resources_add(&team->soft, &run->resources, sign);
 	if (!run->fixed)
 		return;
@@ -338,7 +334,7 @@
 	g_ptr_array_add(w->runs, run);
 	job->running++;
 	job_started(job, w->spec.id);
-	link_preemptible(s, run);
+	list_preemptible(s, run);
 	book(w, run, 1);
 	worker_refresh(s, w, false);
 	return run;
@@ -357,11 +353,11 @@
 	if (run->stopping)
 		history_ensure(s, job_id)->lost_ms +=
 		    MAX(s->now_ms - run->started_ms, 0);
-	if (run->linked)
-		g_queue_unlink(&s->preemptible, &run->link);
 	if (run->throttled)
 		g_ptr_array_remove_fast(s->throttled, run);
 	book(w, run, -1);
+	if (run->iter != NULL)
+		g_sequence_remove(run->iter);
 	mark_over(w);
 	g_ptr_array_remove_fast(w->runs, run);
 	job->running--;
