Service calls through entries

Change: the leader tells entries which tasks take calls (confirmed starts only) and divides each worker's connections: a part grows only when no other entry holds more than its own; services.c drives lib/calls and sends tries, a call that is not idempotent over a connection of its own.

--- a/bulrushtided/clients.c
+++ b/bulrushtided/clients.c
@@ -132,8 +132,15 @@
 	proto_send(c->link, FRAME_JOINED, &joined);
 	push_config(l, c, body);
 	g_bytes_unref(body);
-	if (e != NULL)
+	if (e != NULL) {
+		struct lentry *le =
+		    g_hash_table_lookup(l->entries, GUINT_TO_POINTER(e->id));
+
+		le->division = le->pushed = c->division;
 		workers_push_all(l, c);
+		targets_push_all(l, c);
+		targets_divide(l);
+	}
 	log_info(
 	    "leader", "%s %s joined", c->entry ? "entry" : "node", c->name);
 }
@@ -195,6 +202,7 @@
 	c->incarnation = join->incarnation;
 	c->entry = join->entry;
 	c->config = join->config;
+	c->division = join->division;
 	if (!l->active) {
 		struct joined joined = { .accepted = false,
 			.leader =
@@ -222,6 +230,8 @@
 			workers_leave_home(l, c->entry_id);
 	}
 	c->config = report->config;
+	c->division = report->division;
+	targets_divided(l, c);
 	c->report_seq = report->seq;
 	c->report_waits = true;
 	l->grants_due = true;
--- a/bulrushtided/leader_impl.h
+++ b/bulrushtided/leader_impl.h
@@ -21,6 +21,7 @@
 	uint32_t entry_id;
 	bool draining;
 	uint64_t config; /* version it has in force */
+	uint64_t division; /* that it uses */
 	uint64_t report_seq; /* newest report not yet granted */
 	bool report_waits;
 	int64_t heard_ms;
@@ -31,6 +32,10 @@
 	uint32_t id;
 	int64_t granted_until; /* certainly no renewal after this */
 	bool gone_proposed;
+	/* Part of the workers' connections that it may hold, 1 in division;
+	 * 0: none. */
+	uint64_t division;
+	uint64_t pushed; /* the division it was told last */
 };
 
 struct lworker {
@@ -180,6 +185,19 @@
 void workers_leave_home(struct leader *l, uint32_t entry);
 struct lworker *workers_find(const struct leader *l, uint32_t id);
 
+/* targets.c */
+/* Divides the workers' connections anew among the entries. */
+void targets_divide(struct leader *l);
+/* An entry said which division it uses. */
+void targets_divided(struct leader *l, struct client *c);
+/* A service's task runs, or no longer takes calls. */
+void targets_changed(struct leader *l, const struct cell_job *job,
+    uint32_t task, uint32_t worker, bool gone);
+/* Sends all targets to an entry that has joined. */
+void targets_push_all(struct leader *l, struct client *c);
+/* A worker's tasks take calls or, when it leaves, no longer. */
+void targets_worker(struct leader *l, const struct cell_worker *w);
+
 /* reports.c */
 char *reports_status(struct leader *l);
 char *reports_nodes(struct leader *l);
--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -9,6 +9,7 @@
 #include "node.h"
 #include "peers.h"
 #include "replica.h"
+#include "services.h"
 #include "session.h"
 #include "web.h"
 
@@ -129,6 +130,33 @@
 		home_order(node->home, order);
 }
 
+static void
+on_target(void *arg, const struct target_push *push)
+{
+	struct node *node = arg;
+
+	if (node->services != NULL)
+		services_target(node->services, push);
+}
+
+static void
+on_targets(void *arg, const struct targets_push *push)
+{
+	struct node *node = arg;
+
+	if (node->services != NULL)
+		services_sync(node->services, push);
+}
+
+static void
+on_division(void *arg, uint64_t division)
+{
+	struct node *node = arg;
+
+	if (node->services != NULL)
+		services_division(node->services, division);
+}
+
 static void
 on_leave(void *arg)
 {
@@ -138,6 +166,9 @@
 static const struct session_ops session_ops = {
 	.worker = on_worker,
 	.order = on_order,
+	.target = on_target,
+	.targets = on_targets,
+	.division = on_division,
 	.leave = on_leave,
 };
 
@@ -224,6 +255,8 @@
 	    tracer_new(conf->name, TRACE_SPANS, conf->trace_permille);
 	if (conf->entry)
 		node->home = home_new(node);
+	if (conf->entry)
+		node->services = services_new(node);
 	node->session = session_new(node, &session_ops, node);
 	node->web = web_new(node, err);
 	if (node->web == NULL || (conf->replica && !start_replica(node, err))) {
@@ -304,6 +337,7 @@
 	if (node->drain_timer != NULL)
 		event_free(node->drain_timer);
 	web_free(node->web);
+	services_free(node->services);
 	home_free(node->home);
 	session_free(node->session);
 	peers_free(node->peers);
--- a/bulrushtided/orders.c
+++ b/bulrushtided/orders.c
@@ -240,6 +240,7 @@
 	struct leader *l = arg;
 	const struct cell_task *t = &job->task[task];
 
+	targets_changed(l, job, task, t->worker, true);
 	send_order(l, job, task, t->worker, t->attempt, ORDER_STOP);
 }
 
@@ -258,6 +259,7 @@
 		job_span(l, job->id, "task", a->assigned_us, end_names[how]);
 	sched_end(l->sched, job->id, task, worker);
 	g_hash_table_remove(l->attempts, &key);
+	targets_changed(l, job, task, worker, true);
 	send_order(l, job, task, worker, attempt, ORDER_FORGET);
 	l->dirty = true;
 }
@@ -355,6 +357,20 @@
 	(void)leader_propose(l, &cmd);
 }
 
+/* A worker has taken a start order: a service's task takes calls now. */
+static void
+confirm(struct leader *l, struct lattempt *a)
+{
+	const struct cell_job *job = cell_job(l->cell, a->job);
+	const struct cell_worker *w = cell_worker(l->cell, a->worker);
+
+	if (a->confirmed || job == NULL || w == NULL)
+		return;
+	a->confirmed = true;
+	if (job->task[a->task].state == TASK_ASSIGNED && w->state == WORKER_UP)
+		targets_changed(l, job, a->task, a->worker, false);
+}
+
 void
 orders_result(struct leader *l, const struct order_result *result)
 {
@@ -369,7 +385,7 @@
 		return;
 	}
 	if (result->outcome == ORDER_DONE)
-		a->confirmed = true;
+		confirm(l, a);
 	else if (!a->confirmed)
 		propose_end(l, a, END_NOT_STARTED);
 }
--- a/bulrushtided/session.c
+++ b/bulrushtided/session.c
@@ -36,6 +36,7 @@
 	GHashTable *pending; /* request id -> struct pending */
 	struct config_push config;
 	bool has_config;
+	uint64_t division;
 };
 
 static void
@@ -52,6 +53,7 @@
 {
 	struct report report = { .seq = ++s->report_seq,
 		.config = s->config.version,
+		.division = s->division,
 		.draining = s->node->draining };
 
 	s->reported_ms = mono_ms();
@@ -223,6 +225,25 @@
 		s->ops->target(s->arg, msg);
 }
 
+static void
+row_targets(struct session *s, void *msg)
+{
+	if (s->ops->targets != NULL)
+		s->ops->targets(s->arg, msg);
+}
+
+static void
+row_division(struct session *s, void *msg)
+{
+	const struct division_push *push = msg;
+
+	s->division = push->division;
+	if (s->ops->division != NULL)
+		s->ops->division(s->arg, push->division);
+	/* The others' shares may grow once this one is known to hold. */
+	send_report(s);
+}
+
 static const struct frame_row rows[] = {
 	{ FRAME_JOINED, row_joined },
 	{ FRAME_REPLY, row_reply },
@@ -231,6 +252,8 @@
 	{ FRAME_WORKER, row_worker },
 	{ FRAME_ORDER, row_order },
 	{ FRAME_TARGET, row_target },
+	{ FRAME_TARGETS, row_targets },
+	{ FRAME_DIVISION, row_division },
 };
 
 static void
@@ -276,7 +299,8 @@
 		.data_center = c->data_center,
 		.incarnation = s->node->incarnation,
 		.entry = c->entry && !s->node->draining,
-		.config = s->config.version };
+		.config = s->config.version,
+		.division = s->division };
 
 	s->up = true;
 	s->heard_ms = mono_ms();
@@ -460,6 +484,12 @@
 	return &s->config;
 }
 
+uint64_t
+session_division(const struct session *s)
+{
+	return s->division;
+}
+
 const char *
 session_leader(const struct session *s)
 {
--- a/bulrushtided/web.c
+++ b/bulrushtided/web.c
@@ -2,6 +2,7 @@
 
 #include "api.h"
 #include "home.h"
+#include "services.h"
 #include "session.h"
 #include "web.h"
 
@@ -369,6 +370,15 @@
 	pass_name(arg, req, OP_LEAVE, req->param[0]);
 }
 
+static void
+call_service(void *arg, struct http_request *req)
+{
+	struct web *w = arg;
+
+	if (serves(w, req))
+		services_call(w->node->services, req);
+}
+
 static void
 get_workers(void *arg, struct http_request *req)
 {
@@ -464,6 +474,7 @@
 	{ EVHTTP_REQ_GET, "/v1/workers", get_workers },
 	{ EVHTTP_REQ_DELETE, "/v1/workers/*", delete_worker },
 	{ EVHTTP_REQ_POST, "/v1/tasks/*/*/end", post_end },
+	{ EVHTTP_REQ_POST, "/v1/services/*/call", call_service },
 	{ EVHTTP_REQ_PUT, "/v1/config", put_config },
 	{ EVHTTP_REQ_GET, "/v1/config", get_config },
 	{ EVHTTP_REQ_GET, "/v1/status", get_status },
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -269,12 +269,11 @@
 }
 
 static void
-send_reply(struct http_request *req, int status, const char *type, char *text,
-    int retry_after_s)
+send_reply(struct http_request *req, int status, const char *type,
+    const void *body, size_t len, int retry_after_s)
 {
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req->ev);
 	struct evbuffer *out = evbuffer_new();
-	size_t len = strlen(text);
 	char number[24];
 
 	evhttp_add_header(headers, "Content-Type", type);
@@ -284,9 +283,8 @@
 	}
 	if (req->server->stopping)
 		evhttp_add_header(headers, "Connection", "close");
-	evbuffer_add(out, text, len);
+	evbuffer_add(out, body, len);
 	totals.bytes_out += len + 100;
-	g_free(text);
 	/* Frees the request itself if the caller is gone by now. */
 	evhttp_send_reply(req->ev, status, NULL, out);
 	evbuffer_free(out);
@@ -296,12 +294,22 @@
 void
 http_reply(struct http_request *req, int status, char *json, int retry_after_s)
 {
-	send_reply(req, status, "application/json", json, retry_after_s);
+	send_reply(
+	    req, status, "application/json", json, strlen(json), retry_after_s);
+	g_free(json);
 }
 
 void
 http_reply_text(
     struct http_request *req, int status, const char *type, char *text)
 {
-	send_reply(req, status, type, text, 0);
+	send_reply(req, status, type, text, strlen(text), 0);
+	g_free(text);
+}
+
+void
+http_reply_bytes(struct http_request *req, int status, const char *type,
+    const void *body, size_t len)
+{
+	send_reply(req, status, type, body, len, 0);
 }
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -66,6 +66,10 @@
 void http_reply_text(
     struct http_request *req, int status, const char *type, char *text);
 
+/* The same with a body of any bytes, which are copied. */
+void http_reply_bytes(struct http_request *req, int status, const char *type,
+    const void *body, size_t len);
+
 struct http_stats {
 	uint64_t bytes_in; /* bodies and headers, without TCP/IP headers */
 	uint64_t bytes_out;
@@ -77,6 +81,9 @@
 /* A peer that requests are sent to, one after another. */
 struct http_peer;
 
+/* What http_answer's why says when nothing can have reached the peer. */
+#define HTTP_NO_CONNECTION "no connection"
+
 /*
  * Gets the answer: status 0 means none came (why says so), and the request
  * may or may not have been taken. body is valid during the call only.
@@ -92,6 +99,8 @@
 void http_send(struct http_peer *p, enum evhttp_cmd_type method,
     const char *path, const char *const *headers, const void *body, size_t len,
     int timeout_ms, http_answer *answer, void *arg);
+/* The content type of the answer that is being given; "" if it has none. */
+const char *http_peer_type(const struct http_peer *p);
 int http_peer_outstanding(const struct http_peer *p);
 
 #endif
