Resolve the merge of sched in preempt.c

Cause: the merge was recorded with conflict markers in preempt.c, which left this commit's parent not building. Change: the file of the merged branch, with the names that main gave. Seen: builds; sched_test passes.

--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -156,21 +156,15 @@
 	best.worker = surplus(s, job);
 	if (best.worker != NULL)
 		return best;
-<<<<<<< HEAD
-	for (GList *l = s->preemptible.tail; l != NULL; l = l->prev) {
-		const struct run *run = l->data;
-		struct worker *w = sched_worker_get(s, run->worker);
-=======
 	iter = g_sequence_get_end_iter(s->preemptible);
 	while (!g_sequence_iter_is_begin(iter)) {
 		const struct run *run;
 		struct worker *w;
->>>>>>> sched
 		int64_t lost;
 
 		iter = g_sequence_iter_prev(iter);
 		run = g_sequence_get(iter);
-		w = worker_get(s, run->worker);
+		w = sched_worker_get(s, run->worker);
 		if (s->now_ms - run->worth_ms >= best.lost_ms ||
 		    looked++ >= LOOK_MAX)
 			break;
