Cost of the leader and the entries: shapes once, rounds spaced, heartbeat 2 s

Cause: at 76 starts/s (7.6 jobs/s of ten tasks, 426 workers, 3 replicas, 4 entries) the leader sent 32.4 KB/s, of which most were start orders that repeat the job's payload; with 76 jobs/s it used 80 ms/s and 188 syncs/s; entries spent 24 ms/s and 41 KB/s on heartbeats once a second. Change: a job's shape goes to a home once and a start is a few integers; rounds of storing and sending run at once up to a burst and are spaced 20 ms beyond it; ends are answered without a body between processes; heartbeat_ms 2000, suspect_ms 2600 with 2700 as its bound, so that no silent worker gets work after 3 s; idle timers fewer.

--- a/bulrushtided/clients.c
+++ b/bulrushtided/clients.c
@@ -9,6 +9,7 @@
 {
 	struct client *c = arg;
 
+	g_hash_table_unref(c->shapes);
 	g_free(c->name);
 	g_free(c->address);
 	g_free(c->region);
@@ -77,9 +78,11 @@
 		g_free(json);
 		return;
 	}
-	reply.body = g_bytes_new_take(json, strlen(json));
+	if (json != NULL)
+		reply.body = g_bytes_new_take(json, strlen(json));
 	proto_send(c->link, FRAME_REPLY, &reply);
-	g_bytes_unref(reply.body);
+	if (reply.body != NULL)
+		g_bytes_unref(reply.body);
 }
 
 static void
@@ -127,6 +130,7 @@
 	GBytes *body = g_bytes_new_take(text, strlen(text));
 
 	c->joined = true;
+	g_hash_table_remove_all(c->shapes);
 	c->entry_id = e == NULL ? 0 : e->id;
 	joined.entry = c->entry_id;
 	proto_send(c->link, FRAME_JOINED, &joined);
@@ -369,6 +373,8 @@
 		c->serial = ++l->next_serial;
 		c->link = link;
 		c->name = g_strdup(name);
+		c->shapes = g_hash_table_new_full(
+		    g_int64_hash, g_int64_equal, g_free, NULL);
 		g_ptr_array_add(l->clients, c);
 	}
 	c->heard_ms = mono_ms();
--- a/bulrushtided/home.c
+++ b/bulrushtided/home.c
@@ -13,7 +13,7 @@
 	uint64_t job;
 	uint32_t task;
 	uint32_t attempt;
-	GBytes *start;
+	bool wanted; /* a start is ordered */
 	struct trace_context trace; /* of the job's request */
 	uint64_t trace_parent;
 	int64_t ordered_us;
@@ -46,8 +46,16 @@
 	GHashTable *held; /* job and task -> struct held */
 };
 
+/* What a job's start orders have in common. */
+struct order_shape {
+	uint64_t job;
+	int64_t lease_ms;
+	struct cell_spec spec;
+};
+
 struct home {
 	struct node *node;
+	GHashTable *shapes; /* job -> struct order_shape */
 	struct event *timer;
 	GHashTable *by_id; /* worker id -> struct homed */
 	GHashTable *by_name; /* not owned */
@@ -65,10 +73,8 @@
 {
 	struct held *a = arg;
 
-	if (--a->refs > 0)
-		return;
-	g_bytes_unref(a->start);
-	g_free(a);
+	if (--a->refs == 0)
+		g_free(a);
 }
 
 static void
@@ -216,6 +222,25 @@
 	return g_bytes_new_take(text, strlen(text));
 }
 
+/* Renders a start order from the job's shape. */
+static void
+post_start(struct held *a)
+{
+	struct homed *w = a->worker;
+	const struct order_shape *shape =
+	    g_hash_table_lookup(w->home->shapes, &a->job);
+	char *text;
+	GBytes *body;
+
+	if (shape == NULL)
+		return;
+	text = api_start_order(&shape->spec, a->job, a->task, a->attempt,
+	    w->epoch, shape->lease_ms);
+	body = g_bytes_new_take(text, strlen(text));
+	post(a, ORDER_START, "/tasks", body);
+	g_bytes_unref(body);
+}
+
 /* Sends the order that the attempt needs now, one at a time. Orders go out
  * only under a grant and on a session that has not lapsed. */
 static void
@@ -235,8 +260,8 @@
 		g_free(path);
 		return;
 	}
-	if (!a->started && !a->stop && a->start != NULL)
-		post(a, ORDER_START, "/tasks", a->start);
+	if (!a->started && !a->stop && a->wanted)
+		post_start(a);
 }
 
 /* Tells a worker its new epoch and home; it may not know this entry yet. */
@@ -373,6 +398,35 @@
 	return a;
 }
 
+static void
+shape_free(void *arg)
+{
+	struct order_shape *s = arg;
+
+	cell_spec_clear(&s->spec);
+	g_free(s);
+}
+
+void
+home_shape(struct home *h, const struct shape_push *push)
+{
+	struct order_shape *s;
+
+	if (push->gone) {
+		g_hash_table_remove(h->shapes, &push->job);
+		return;
+	}
+	s = g_new0(struct order_shape, 1);
+	s->job = push->job;
+	s->lease_ms = push->lease_ms;
+	s->spec.name = g_strdup(push->name);
+	s->spec.resources = (struct resources){ push->millicpus, push->memory,
+		push->accelerators };
+	s->spec.payload =
+	    push->payload == NULL ? NULL : g_bytes_ref(push->payload);
+	g_hash_table_replace(h->shapes, &s->job, s);
+}
+
 void
 home_order(struct home *h, const struct order *order)
 {
@@ -389,10 +443,8 @@
 	}
 	if (a == NULL || a->attempt != order->attempt)
 		a = add_held(w, order);
-	if (order->type == ORDER_START && order->body != NULL) {
-		if (a->start != NULL)
-			g_bytes_unref(a->start);
-		a->start = g_bytes_ref(order->body);
+	if (order->type == ORDER_START) {
+		a->wanted = true;
 		if (a->started)
 			report_result(a, ORDER_START, ORDER_DONE);
 	}
@@ -497,6 +549,8 @@
 	h->node = node;
 	h->by_id = g_hash_table_new_full(NULL, NULL, NULL, homed_free);
 	h->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	h->shapes = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, shape_free);
 	h->timer = node_timer(node, SCAN_MS, on_timer, h);
 	return h;
 }
@@ -509,5 +563,6 @@
 	event_free(h->timer);
 	g_hash_table_unref(h->by_name);
 	g_hash_table_unref(h->by_id);
+	g_hash_table_unref(h->shapes);
 	g_free(h);
 }
--- a/bulrushtided/home.h
+++ b/bulrushtided/home.h
@@ -13,6 +13,7 @@
 
 /* From the leader. */
 void home_worker(struct home *h, const struct worker_push *push);
+void home_shape(struct home *h, const struct shape_push *push);
 void home_order(struct home *h, const struct order *order);
 
 /*
--- a/bulrushtided/leader.c
+++ b/bulrushtided/leader.c
@@ -89,6 +89,7 @@
 	g_hash_table_remove(l->deadlines, &job->id);
 	g_hash_table_remove(l->traces, &job->id);
 	sched_job_remove(l->sched, job->id);
+	orders_job_ended(l, job->id);
 	requests_job_ended(l, job->id);
 }
 
--- a/bulrushtided/leader_impl.h
+++ b/bulrushtided/leader_impl.h
@@ -21,6 +21,7 @@
 	uint32_t entry_id;
 	bool draining;
 	uint64_t config; /* version it has in force */
+	GHashTable *shapes; /* jobs whose shape it has */
 	uint64_t division; /* that it uses */
 	uint64_t report_seq; /* newest report not yet granted */
 	bool report_waits;
@@ -143,6 +144,7 @@
 void clients_send_grants(struct leader *l);
 void clients_scan(struct leader *l, int64_t now);
 void client_free(void *arg);
+/* Takes json over; NULL stands for a plain "accepted". */
 void client_reply(struct leader *l, uint64_t serial, uint64_t request,
     uint32_t status, char *json, uint32_t retry_after_s);
 
@@ -165,6 +167,8 @@
 void orders_lost(struct leader *l, const struct cell_job *job, uint32_t task);
 struct lattempt *
 orders_find(const struct leader *l, uint64_t job, uint32_t task);
+/* A job has ended: its shape is of no more use to the homes. */
+void orders_job_ended(struct leader *l, uint64_t job);
 /* Says why a job waits: a stable word and a sentence (to be freed). */
 const char *orders_why(struct leader *l, uint64_t job, char **message);
 
--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -121,6 +121,15 @@
 		home_worker(node->home, push);
 }
 
+static void
+on_shape(void *arg, const struct shape_push *push)
+{
+	struct node *node = arg;
+
+	if (node->home != NULL)
+		home_shape(node->home, push);
+}
+
 static void
 on_order(void *arg, const struct order *order)
 {
@@ -165,6 +174,7 @@
 
 static const struct session_ops session_ops = {
 	.worker = on_worker,
+	.shape = on_shape,
 	.order = on_order,
 	.target = on_target,
 	.targets = on_targets,
--- a/bulrushtided/orders.c
+++ b/bulrushtided/orders.c
@@ -159,6 +159,41 @@
 	tracer_end(l->node->tracer, &ctx, parent, name, start_us, note, false);
 }
 
+/* Tells a home once what a job's start orders have in common. */
+static void
+push_shape(struct leader *l, struct client *home, const struct cell_job *job)
+{
+	const struct cell_spec *s = &job->spec;
+	struct shape_push push = { .job = job->id,
+		.name = s->name,
+		.millicpus = s->resources.millicpus,
+		.memory = s->resources.memory,
+		.accelerators = s->resources.accelerators,
+		.lease_ms = leader_config(l)->policy.lease_ms[s->kind],
+		.payload = s->payload };
+	uint64_t *key;
+
+	if (g_hash_table_contains(home->shapes, &job->id))
+		return;
+	key = g_new(uint64_t, 1);
+	*key = job->id;
+	g_hash_table_add(home->shapes, key);
+	proto_send(home->link, FRAME_SHAPE, &push);
+}
+
+void
+orders_job_ended(struct leader *l, uint64_t job)
+{
+	struct shape_push push = { .job = job, .gone = true };
+
+	for (guint i = 0; i < l->clients->len; i++) {
+		struct client *c = l->clients->pdata[i];
+
+		if (c->joined && g_hash_table_remove(c->shapes, &job))
+			proto_send(c->link, FRAME_SHAPE, &push);
+	}
+}
+
 /* Sends one order to the home of its worker, if that is connected. */
 static void
 send_order(struct leader *l, const struct cell_job *job, uint32_t task,
@@ -180,17 +215,11 @@
 		return;
 	order.epoch = w->epoch;
 	if (type == ORDER_START) {
-		const struct config_policy *p = &leader_config(l)->policy;
-		char *body = api_start_order(
-		    job, task, w->epoch, p->lease_ms[job->spec.kind]);
-
-		order.body = g_bytes_new_take(body, strlen(body));
+		push_shape(l, home, job);
 		if (trace != NULL)
 			trace_format(trace, header);
 	}
 	proto_send(home->link, FRAME_ORDER, &order);
-	if (order.body != NULL)
-		g_bytes_unref(order.body);
 }
 
 static void
--- a/bulrushtided/peers.c
+++ b/bulrushtided/peers.c
@@ -353,7 +353,7 @@
 		peers_free(p);
 		return NULL;
 	}
-	p->timer = node_timer(node, SCAN_MS / 2, on_timer, p);
+	p->timer = node_timer(node, SCAN_MS, on_timer, p);
 	return p;
 }
 
--- a/bulrushtided/proto.c
+++ b/bulrushtided/proto.c
@@ -82,7 +82,6 @@
 	{ FIELD_U64, offsetof(struct order, job) },
 	{ FIELD_U32, offsetof(struct order, task) },
 	{ FIELD_U32, offsetof(struct order, attempt) },
-	{ FIELD_BYTES, offsetof(struct order, body) },
 	{ FIELD_STR, offsetof(struct order, trace) },
 };
 
@@ -135,6 +134,17 @@
 	{ FIELD_U64S, offsetof(struct targets_push, ids) },
 };
 
+static const struct field shape_push_fields[] = {
+	{ FIELD_U64, offsetof(struct shape_push, job) },
+	{ FIELD_BOOL, offsetof(struct shape_push, gone) },
+	{ FIELD_STR, offsetof(struct shape_push, name) },
+	{ FIELD_I64, offsetof(struct shape_push, millicpus) },
+	{ FIELD_I64, offsetof(struct shape_push, memory) },
+	{ FIELD_I64, offsetof(struct shape_push, accelerators) },
+	{ FIELD_I64, offsetof(struct shape_push, lease_ms) },
+	{ FIELD_BYTES, offsetof(struct shape_push, payload) },
+};
+
 /* Names the fields of one struct as a shape. */
 #define SHAPE(s)                                                           \
 	{                                                                  \
@@ -158,6 +168,7 @@
 	[FRAME_SPAN] = SHAPE(span_push),
 	[FRAME_DIVISION] = SHAPE(division_push),
 	[FRAME_TARGETS] = SHAPE(targets_push),
+	[FRAME_SHAPE] = SHAPE(shape_push),
 };
 
 const struct shape *
--- a/bulrushtided/proto.h
+++ b/bulrushtided/proto.h
@@ -30,6 +30,7 @@
 	FRAME_SPAN,
 	FRAME_DIVISION,
 	FRAME_TARGETS,
+	FRAME_SHAPE,
 	FRAME_COUNT
 };
 
@@ -145,10 +146,21 @@
 	uint64_t job;
 	uint32_t task;
 	uint32_t attempt;
-	GBytes *body; /* of POST /tasks */
 	char *trace; /* traceparent; "" when none */
 };
 
+/* What the start orders of a job have in common; sent once to a home. */
+struct shape_push {
+	uint64_t job;
+	bool gone; /* the job has ended: drop it */
+	char *name;
+	int64_t millicpus;
+	int64_t memory; /* bytes */
+	int64_t accelerators;
+	int64_t lease_ms;
+	GBytes *payload;
+};
+
 enum order_outcome { ORDER_DONE, ORDER_REFUSED /* never started */ };
 
 struct order_result {
--- a/bulrushtided/replica.c
+++ b/bulrushtided/replica.c
@@ -15,6 +15,15 @@
 #define KEEP_ENTRIES 1000 /* for followers that lag */
 #define FORM_ALL_MS 1500 /* wait this long for all named replicas */
 
+/*
+ * A round of storing and sending runs at once while rounds are rare. Beyond
+ * a burst they are spaced out, so that many entries share one sync and one
+ * message when the load is high.
+ */
+#define PUMP_BURST 20
+#define PUMP_REFILL_MS 25 /* one more round at once for each */
+#define PUMP_GAP_MS 20 /* between rounds once the burst is used up */
+
 /* What an entry of type RAFT_DATA holds, by its first byte. */
 #define TAG_COMMAND 'C'
 #define TAG_FORM 'F' /* the cell's id, 8 bytes big-endian */
@@ -53,6 +62,8 @@
 	struct event *tick;
 	struct event *pump;
 	bool pump_due;
+	int64_t pumped_ms;
+	int64_t tokens_ms; /* rounds at once, in PUMP_REFILL_MS each */
 	int64_t opened_ms;
 	bool forming; /* the form record is proposed */
 	bool led;
@@ -132,14 +143,36 @@
 	}
 }
 
-/* Asks for a pump at the end of this round of the loop. */
+/* Returns how long the next round has to wait, in milliseconds. */
+static int64_t
+pump_delay(struct replica *r)
+{
+	int64_t now = mono_ms();
+	int64_t since = now - r->pumped_ms;
+
+	r->pumped_ms = now;
+	r->tokens_ms = MIN(r->tokens_ms + since, PUMP_BURST * PUMP_REFILL_MS);
+	if (r->tokens_ms >= PUMP_REFILL_MS) {
+		r->tokens_ms -= PUMP_REFILL_MS;
+		return 0;
+	}
+	return PUMP_GAP_MS;
+}
+
+/* Asks for a round at the end of this turn of the loop, or a little later. */
 static void
 schedule(struct replica *r)
 {
+	struct timeval tv = { 0 };
+
 	if (r->pump_due)
 		return;
 	r->pump_due = true;
-	event_active(r->pump, 0, 0);
+	tv.tv_usec = pump_delay(r) * 1000;
+	if (tv.tv_usec == 0)
+		event_active(r->pump, 0, 0);
+	else
+		event_add(r->pump, &tv);
 }
 
 /* Storage is gone: nothing more is acknowledged and nothing led. */
--- a/bulrushtided/requests.c
+++ b/bulrushtided/requests.c
@@ -265,6 +265,16 @@
 	propose(l, c, req, cmd, announced);
 }
 
+/* The end is durable: a reply without a body, there are many of them. */
+static void
+ended(struct leader *l, struct waiter *w, const struct cell_result *result)
+{
+	if (result->outcome == OUT_ACCEPTED)
+		client_reply(l, w->client, w->request, HTTP_OK, NULL, 0);
+	else
+		reply_result(l, w, result);
+}
+
 static void
 take_end(struct leader *l, struct client *c, const struct request *req,
     struct cell_cmd *cmd)
@@ -278,7 +288,7 @@
 		return;
 	}
 	cmd->u.end.worker = w->id;
-	propose(l, c, req, cmd, reply_result);
+	propose(l, c, req, cmd, ended);
 }
 
 static void
--- a/bulrushtided/services.c
+++ b/bulrushtided/services.c
@@ -52,6 +52,7 @@
 struct services {
 	struct node *node;
 	struct event *timer;
+	bool ticking;
 	struct calls *calls;
 	uint64_t division;
 	GHashTable *services; /* name -> struct service */
@@ -134,6 +135,7 @@
 }
 
 static void drive(struct services *s);
+static void tick(struct services *s);
 
 void
 services_target(struct services *s, const struct target_push *push)
@@ -433,6 +435,7 @@
 	c->handle = step.call;
 	g_hash_table_insert(s->open, GUINT_TO_POINTER(c->handle), c);
 	act(s, &step);
+	tick(s);
 }
 
 guint
@@ -441,13 +444,26 @@
 	return g_hash_table_size(s->open);
 }
 
+/* Waiting calls are looked at again soon; none needs no timer. */
+static void
+tick(struct services *s)
+{
+	static const struct timeval tv = { 0, TICK_MS * 1000 };
+
+	if (s->ticking || g_hash_table_size(s->open) == 0)
+		return;
+	s->ticking = true;
+	event_add(s->timer, &tv);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct services *s = arg;
 
-	if (g_hash_table_size(s->open) > 0)
-		drive(s);
+	s->ticking = false;
+	drive(s);
+	tick(s);
 }
 
 static void
@@ -473,7 +489,7 @@
 	    g_int64_hash, g_int64_equal, NULL, target_free);
 	s->callees = g_hash_table_new_full(NULL, NULL, NULL, callee_free);
 	s->open = g_hash_table_new_full(NULL, NULL, NULL, call_free);
-	s->timer = node_timer(node, TICK_MS, on_timer, s);
+	s->timer = event_new(node->base, -1, 0, on_timer, s);
 	return s;
 }
 
--- a/bulrushtided/session.c
+++ b/bulrushtided/session.c
@@ -3,6 +3,7 @@
 #include "session.h"
 
 #define DIAL_AGAIN_MS 200
+#define TICK_MS 100
 #define SENT_REPORTS 16 /* reports whose sending times are kept */
 #define REQUESTS_MAX 4096
 
@@ -211,6 +212,13 @@
 		s->ops->worker(s->arg, msg);
 }
 
+static void
+row_shape(struct session *s, void *msg)
+{
+	if (s->ops->shape != NULL)
+		s->ops->shape(s->arg, msg);
+}
+
 static void
 row_order(struct session *s, void *msg)
 {
@@ -250,6 +258,7 @@
 	{ FRAME_GRANT, row_grant },
 	{ FRAME_CONFIG, row_config },
 	{ FRAME_WORKER, row_worker },
+	{ FRAME_SHAPE, row_shape },
 	{ FRAME_ORDER, row_order },
 	{ FRAME_TARGET, row_target },
 	{ FRAME_TARGETS, row_targets },
@@ -407,7 +416,7 @@
 	s->leader = g_strdup("");
 	s->pending = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, pending_free);
-	s->timer = node_timer(node, 50, on_timer, s);
+	s->timer = node_timer(node, TICK_MS, on_timer, s);
 	return s;
 }
 
--- a/bulrushtided/session.h
+++ b/bulrushtided/session.h
@@ -16,6 +16,7 @@
 
 struct session_ops {
 	void (*worker)(void *arg, const struct worker_push *push);
+	void (*shape)(void *arg, const struct shape_push *push);
 	void (*order)(void *arg, const struct order *order);
 	void (*config)(void *arg, const struct config_push *push);
 	void (*target)(void *arg, const struct target_push *push);
--- a/lib/api/api.h
+++ b/lib/api/api.h
@@ -100,8 +100,9 @@
 char *api_teams(const struct cell *c);
 char *api_config(const struct cell *c);
 
-/* The body of POST /tasks to a worker. */
-char *api_start_order(const struct cell_job *job, uint32_t task, uint64_t epoch,
-    int64_t lease_ms);
+/* The body of POST /tasks to a worker; of spec it uses name, resources and
+ * payload. */
+char *api_start_order(const struct cell_spec *spec, uint64_t job, uint32_t task,
+    uint32_t attempt, uint64_t epoch, int64_t lease_ms);
 
 #endif
--- a/lib/api/reply.c
+++ b/lib/api/reply.c
@@ -334,18 +334,18 @@
 }
 
 char *
-api_start_order(
-    const struct cell_job *job, uint32_t task, uint64_t epoch, int64_t lease_ms)
+api_start_order(const struct cell_spec *spec, uint64_t job, uint32_t task,
+    uint32_t attempt, uint64_t epoch, int64_t lease_ms)
 {
 	GString *g = g_string_new(NULL);
 
 	g_string_append_printf(g,
 	    "{\"job\":" U64 ",\"task\":\"" U64 ".%u\",\"attempt\":%u,"
 	    "\"epoch\":" U64 ",\"lease_ms\":" I64,
-	    job->id, job->id, task, job->task[task].attempt, epoch, lease_ms);
-	put_member(g, "name", job->spec.name);
-	put_resources(g, "resources", &job->spec.resources);
-	put_raw_member(g, "payload", job->spec.payload);
+	    job, job, task, attempt, epoch, lease_ms);
+	put_member(g, "name", spec->name);
+	put_resources(g, "resources", &spec->resources);
+	put_raw_member(g, "payload", spec->payload);
 	g_string_append_c(g, '}');
 	return g_string_free(g, FALSE);
 }
--- a/lib/config/config.c
+++ b/lib/config/config.c
@@ -9,8 +9,8 @@
 
 static const struct config_policy default_policy = {
 	.favour = FAVOUR_WAITING,
-	.heartbeat_ms = 1000,
-	.suspect_ms = 2500,
+	.heartbeat_ms = 2000,
+	.suspect_ms = 2600,
 	.lease_ms = { [KIND_SERVICE] = 300000,
 	    [KIND_BATCH] = 10000,
 	    [KIND_GANG] = 10000 },
--- a/lib/config/rules.c
+++ b/lib/config/rules.c
@@ -54,9 +54,10 @@
 	{ "favour", RULE_WORD, .offset = POLICY(favour),
 	    .words = favour_words },
 	{ "heartbeat_ms", RULE_INT, .offset = POLICY(heartbeat_ms), .min = 20,
-	    .max = 60000 },
+	    .max = 2650 },
+	/* With the home's and the leader's checks it stays under 3 s. */
 	{ "suspect_ms", RULE_INT, .offset = POLICY(suspect_ms), .min = 40,
-	    .max = 600000 },
+	    .max = 2700 },
 	{ "lease_ms", RULE_MAP, .sub = lease_rules },
 	{ "retries", RULE_INT, .offset = POLICY(retries), .min = 0,
 	    .max = 100 },
