test: ten faults of a running cell

Change: fault_test: no fault, planned stops of entry, leader and worker, kill -9 of leader, entry and worker, a worker paused past its lease, an entry and a leader cut off in silence, held orders, calls while a worker is killed; all judged by the checker. The harness stops processes gracefully, chooses entries as a balancer would and proxies the way to each worker.

--- a/test/cluster.c
+++ b/test/cluster.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "checker.h"
@@ -18,6 +19,7 @@
 	char *programs; /* folder of this test's program */
 	GPtrArray *procs; /* struct proc */
 	GPtrArray *links; /* char *, FROM-TO */
+	GPtrArray *cut; /* struct proc that are isolated */
 	FILE *record; /* the callers' recording */
 	struct event_base *base;
 	struct pool *pool;
@@ -198,11 +200,20 @@
 	return a.body;
 }
 
+/* The next entry that runs and is not cut off, as a balancer would choose. */
 static char *
 take_entry(struct cluster *c)
 {
-	return g_strdup_printf(
-	    "e%u", c->next_entry++ % (guint)c->conf->entries);
+	for (int i = 0; i < c->conf->entries; i++) {
+		char *name = g_strdup_printf(
+		    "e%u", c->next_entry++ % (guint)c->conf->entries);
+		struct proc *p = proc_named(c, name);
+
+		if (p->pid != 0 && !g_ptr_array_find(c->cut, p, NULL))
+			return name;
+		g_free(name);
+	}
+	g_error("cluster: no entry is left");
 }
 
 /* Asks the entries in turn until one answers 200 or the time is over. */
@@ -300,6 +311,7 @@
 	c->dir = g_dir_make_tmp("bulrushtide-cluster-XXXXXX", NULL);
 	c->procs = g_ptr_array_new_with_free_func(proc_free);
 	c->links = g_ptr_array_new_with_free_func(g_free);
+	c->cut = g_ptr_array_new();
 	c->base = event_base_new();
 	c->pool = pool_new(c->base, ANSWER_MS);
 	path = g_strdup_printf("%s/callers.record", c->dir);
@@ -333,36 +345,28 @@
 void
 cluster_free(struct cluster *c)
 {
-	bool ok = true;
+	bool ok = !g_test_failed();
 
+	/* A process that should run and does not has ended by a fault. */
 	for (guint i = 0; i < c->procs->len; i++) {
 		struct proc *p = c->procs->pdata[i];
 
-		if (p->pid != 0 && (p->name[0] == 'r' || p->name[0] == 'e'))
-			kill(p->pid, SIGTERM);
-	}
-	for (guint i = 0; i < c->procs->len; i++) {
-		struct proc *p = c->procs->pdata[i];
-		int status;
-
-		if (p->pid == 0 || (p->name[0] != 'r' && p->name[0] != 'e'))
+		if (p->pid == 0 || waitpid(p->pid, NULL, WNOHANG) == 0)
 			continue;
-		status = proc_wait(p);
-		ok = ok && status == 0;
-		if (status != 0)
-			g_test_message("%s ended with wait status %d; logs "
-				       "are in %s",
-			    p->name, status, c->dir);
+		g_test_message("%s has ended; logs are in %s", p->name, c->dir);
+		p->pid = 0;
+		ok = false;
 	}
 	g_ptr_array_unref(c->procs);
 	fclose(c->record);
 	pool_free(c->pool);
 	event_base_free(c->base);
-	if (ok && !g_test_failed())
+	if (ok)
 		remove_tree(c->dir);
 	else
 		g_test_fail();
 	g_ptr_array_unref(c->links);
+	g_ptr_array_unref(c->cut);
 	g_free(c->leader);
 	g_free(c->programs);
 	g_free(c->ip);
@@ -370,6 +374,19 @@
 	g_free(c);
 }
 
+void
+cluster_stop(struct cluster *c, const char *name)
+{
+	struct proc *p = proc_named(c, name);
+	int status;
+
+	g_assert_cmpint(kill(p->pid, SIGTERM), ==, 0);
+	status = proc_wait(p);
+	if (status != 0)
+		g_error("cluster: %s ended with wait status %d; logs are in %s",
+		    name, status, c->dir);
+}
+
 /* Writes a caller's event. Takes the object over. */
 static void
 note(struct cluster *c, const char *event, json_t *line)
@@ -432,6 +449,7 @@
 void
 cluster_isolate(struct cluster *c, const char *name)
 {
+	g_ptr_array_add(c->cut, proc_named(c, name));
 	for (guint i = 0; i < c->links->len; i++) {
 		const char *link = c->links->pdata[i];
 		char **end = g_strsplit(link, "-", 2);
@@ -445,33 +463,50 @@
 void
 cluster_heal(struct cluster *c)
 {
+	g_ptr_array_set_size(c->cut, 0);
 	proxy_line(c, "heal *\n");
 }
 
+/* How often a worker's record has the text. */
+static int
+count_in_record(struct cluster *c, const char *worker, const char *text)
+{
+	char *path = g_strdup_printf("%s/%s.record", c->dir, worker);
+	char *content = NULL;
+	int n = 0;
+
+	if (g_file_get_contents(path, &content, NULL, NULL)) {
+		for (const char *s = content; (s = strstr(s, text)) != NULL;
+		     s++)
+			n++;
+	}
+	g_free(content);
+	g_free(path);
+	return n;
+}
+
 void
 cluster_await_event(
     struct cluster *c, const char *worker, const char *event, int count)
 {
-	char *path = g_strdup_printf("%s/%s.record", c->dir, worker);
 	char *word = g_strdup_printf("\"event\":\"%s\"", event);
-	int have = 0;
+	int have = -1;
 
 	for (int64_t end = mono_ms() + AWAIT_MS;
 	     have < count && mono_ms() < end; g_usleep(POLL_US)) {
-		char *text = NULL;
-
 		have = 0;
-		if (!g_file_get_contents(path, &text, NULL, NULL))
-			continue;
-		for (const char *s = text; (s = strstr(s, word)) != NULL; s++)
-			have++;
-		g_free(text);
+		for (guint i = 0; i < c->procs->len; i++) {
+			const struct proc *p = c->procs->pdata[i];
+
+			if (worker == NULL || strcmp(worker, p->name) == 0)
+				have += count_in_record(c, p->name, word);
+		}
 	}
 	if (have < count)
 		g_error("cluster: %s has %d of %d events %s; logs are in %s",
-		    worker, have, count, event, c->dir);
+		    worker != NULL ? worker : "all", have, count, event,
+		    c->dir);
 	g_free(word);
-	g_free(path);
 }
 
 json_t *
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -26,13 +26,16 @@
 /* Starts all and waits until the workers are up; fails the test if not. */
 struct cluster *cluster_new(const struct cluster_conf *conf);
 
-/* Stops all; daemons that run must exit 0. */
+/* Kills all; fails the test if one that should run has ended. */
 void cluster_free(struct cluster *c);
 
 /* Sends a signal to one process. SIGKILL also waits for its end. */
 void cluster_signal(struct cluster *c, const char *name, int sig);
 
-/* Starts a killed process again with its old arguments. */
+/* Stops one process gracefully; it must exit 0. */
+void cluster_stop(struct cluster *c, const char *name);
+
+/* Starts an ended process again with its old arguments. */
 void cluster_restart(struct cluster *c, const char *name);
 
 /* One fault command, as in faultproxy.c, for links whose names match. */
@@ -53,7 +56,7 @@
 /* Waits until a process answers /readyz with the status. */
 void cluster_await_ready(struct cluster *c, const char *name, int status);
 
-/* Waits until the worker's record has that many of an event. */
+/* Waits until the worker's record has that many of an event; NULL: all. */
 void cluster_await_event(
     struct cluster *c, const char *worker, const char *event, int count);
 
--- a/test/fakeworker.c
+++ b/test/fakeworker.c
@@ -86,10 +86,11 @@
 {
 	const struct plan *p = w->plan;
 	json_t *more = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:i}", "address",
-	    w->address, "rack", p->rack, "data_center", p->data_center,
-	    "millicpus", (json_int_t)p->millicpus, "memory_bytes",
-	    (json_int_t)p->memory, "accelerators", (json_int_t)p->accelerators,
-	    "slots", p->slots, "connections", p->connections);
+	    p->announced != NULL ? p->announced : w->address, "rack", p->rack,
+	    "data_center", p->data_center, "millicpus",
+	    (json_int_t)p->millicpus, "memory_bytes", (json_int_t)p->memory,
+	    "accelerators", (json_int_t)p->accelerators, "slots", p->slots,
+	    "connections", p->connections);
 
 	json_object_update(body, more);
 	json_decref(more);
@@ -444,6 +445,10 @@
 			   "needed\n");
 		ok = false;
 	}
+	if (p->rack == NULL)
+		p->rack = g_strdup("rack-1");
+	if (p->data_center == NULL)
+		p->data_center = g_strdup("dc-1");
 	if (entry != NULL)
 		p->entries = g_strsplit(entry, ",", -1);
 	g_free(entry);
@@ -454,8 +459,6 @@
 main(int argc, char **argv)
 {
 	struct program p = { .plan = {
-				 .rack = g_strdup("rack-1"),
-				 .data_center = g_strdup("dc-1"),
 				 .millicpus = 64000,
 				 .memory = 128LL << 30,
 				 .slots = 8,
--- a/test/fault_test.c
+++ b/test/fault_test.c
@@ -6,14 +6,25 @@
 #define JOBS 24
 #define SHORT_MS 100
 #define LONG_MS 1200
+#define SLOTS 6 /* of a worker, as in flags */
 
-static const char base[] =
-    "policy:\n"
-    "  heartbeat_ms: 200\n"
-    "  suspect_ms: 800\n"
-    "  lease_ms: {service: 4000, batch: 2000, gang: 2000}\n"
-    "teams:\n"
-    "  team: {weight: 1}\n";
+#define BASE                                                     \
+	"policy:\n"                                              \
+	"  heartbeat_ms: 200\n"                                  \
+	"  suspect_ms: 800\n"                                    \
+	"  lease_ms: {service: 4000, batch: 2000, gang: 2000}\n" \
+	"teams:\n"                                               \
+	"  team: {weight: 1}\n"
+
+static const char base[] = BASE;
+static const char base_with_service[] =
+    BASE "services:\n"
+	 "  desk:\n"
+	 "    team: team\n"
+	 "    tasks: 4\n"
+	 "    resources: {millicpus: 3000, memory: 1MiB}\n"
+	 "    spread: none\n"
+	 "    call_timeout_ms: 1000\n";
 
 static const char *const flags[] = { "--millicpus=4000", "--slots=6", NULL };
 
@@ -172,6 +183,92 @@
 	finish(c);
 }
 
+/* Planned stops cut nothing: every job is done, none is unknown. */
+static void
+test_planned_stops(void)
+{
+	struct cluster *c = cluster_new(&conf);
+	char *leader = g_strdup(cluster_leader(c));
+	const char *const order[] = { "e0", leader, "w0" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(order); i++) {
+		char *name = g_strdup_printf("stop-%s", order[i]);
+		struct wave w = { c, name, LONG_MS / 2, { 0 } };
+
+		submit(&w, 0, JOBS / 2);
+		cluster_stop(c, order[i]);
+		submit(&w, JOBS / 2, JOBS);
+		await_all(&w, false);
+		cluster_restart(c, order[i]);
+		if (order[i][0] == 'e')
+			cluster_await_ready(c, order[i], 200);
+		g_free(name);
+	}
+	finish(c);
+	g_free(leader);
+}
+
+/* The leader is cut off in silence; the old one must not act meanwhile. */
+static void
+test_leader_cut(void)
+{
+	struct cluster *c = cluster_new(&conf);
+	struct wave w = { c, "cut", LONG_MS, { 0 } };
+	char *leader = g_strdup(cluster_leader(c));
+
+	submit(&w, 0, JOBS / 2);
+	cluster_isolate(c, leader);
+	submit(&w, JOBS / 2, JOBS);
+	await_all(&w, true);
+	g_assert_cmpstr(cluster_leader(c), !=, leader);
+	cluster_heal(c);
+	finish(c);
+	g_free(leader);
+}
+
+/* Orders to one worker are held for a while and then all arrive. */
+static void
+test_orders_held(void)
+{
+	struct cluster *c = cluster_new(&conf);
+	struct wave w = { c, "held", SHORT_MS, { 0 } };
+
+	cluster_fault(c, "cut", "w0", NULL, NULL);
+	submit(&w, 0, JOBS);
+	/* All but what w0 has slots for. */
+	cluster_await_event(c, NULL, "told", JOBS - SLOTS);
+	cluster_heal(c);
+	await_all(&w, true);
+	finish(c);
+}
+
+/* Calls of a service while a worker of it is killed. */
+static void
+test_calls(void)
+{
+	struct cluster_conf with = conf;
+	struct cluster *c;
+	int done = 0;
+
+	with.base = base_with_service;
+	c = cluster_new(&with);
+	cluster_await_event(c, NULL, "start", 4);
+	for (int i = 0; i < 4 * JOBS; i++) {
+		char *key = g_strdup_printf("call-%d", i);
+		enum outcome o = cluster_call(
+		    c, i % 2 == 0 ? "e0" : "e1", "desk", key, false);
+
+		done += o == OUT_DONE;
+		if (i == JOBS)
+			cluster_signal(c, "w0", SIGKILL);
+		g_free(key);
+	}
+	/* Three of four tasks still serve. */
+	g_assert_cmpint(done, >=, 2 * JOBS);
+	cluster_restart(c, "w0");
+	finish(c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -182,5 +279,9 @@
 	g_test_add_func("/fault/worker-killed", test_worker_killed);
 	g_test_add_func("/fault/worker-paused", test_worker_paused);
 	g_test_add_func("/fault/entry-cut", test_entry_cut);
+	g_test_add_func("/fault/planned-stops", test_planned_stops);
+	g_test_add_func("/fault/leader-cut", test_leader_cut);
+	g_test_add_func("/fault/orders-held", test_orders_held);
+	g_test_add_func("/fault/calls", test_calls);
 	return g_test_run();
 }
