--- a/bench/sched_bench.c
+++ b/bench/sched_bench.c
@@ -2,7 +2,8 @@
  * Placement decisions replayed on tables: the policies in use beside first
  * fit, best fit and round robin, on equal seeded inputs.
  *
- * usage: sched_bench [-p POLICY] [-s N] [SCENARIO...]; N is added to the seeds
+ * usage: sched_bench [-p POLICY] [-n RUNS] [SCENARIO...]; with RUNS the means
+ * of so many seeds
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,6 +15,7 @@
 #define GIB (1LL << 30)
 #define CORE 1000LL /* millicpus */
 #define GROWTH_ROUNDS 2000
+#define SEED_STEP 10 /* between the seeds of several runs */
 
 static const struct load_spec scenarios[] = {
 	{ "today", 50, 300, 9, 1800000, 0.85, 15, 0, 1 },
@@ -28,61 +30,130 @@
 static const struct sched_policy *const policies[] = { &sched_waiting,
 	&sched_packing, &sched_first_fit, &sched_best_fit, &sched_round_robin };
 
+/* The columns of a line, and what they are taken from. */
+enum column {
+	ROUND_P50,
+	ROUND_P99,
+	ROUND_MAX,
+	RATE,
+	URGENT_P50,
+	URGENT_P99,
+	BATCH_P50,
+	BATCH_P99,
+	GANG_P50,
+	GANG_P99,
+	CPU,
+	MEMORY,
+	USED,
+	STRANDED,
+	SHORTFALL,
+	LOST,
+	STOPS,
+	THROTTLES,
+	WAITING,
+	LEFT,
+	COLUMNS
+};
+
+static const char *const formats[COLUMNS] = {
+	[ROUND_P50] = " %5.0f",
+	[ROUND_P99] = " %5.0f",
+	[ROUND_MAX] = " %6.0f",
+	[RATE] = " %8.0f |",
+	[URGENT_P50] = " %5.0f",
+	[URGENT_P99] = " %6.0f |",
+	[BATCH_P50] = " %5.0f",
+	[BATCH_P99] = " %6.0f |",
+	[GANG_P50] = " %5.0f",
+	[GANG_P99] = " %6.0f |",
+	[CPU] = " %5.1f",
+	[MEMORY] = " %5.1f",
+	[USED] = " %5.1f",
+	[STRANDED] = " %5.1f",
+	[SHORTFALL] = " %5.1f |",
+	[LOST] = " %6.0f",
+	[STOPS] = " %4.0f",
+	[THROTTLES] = " %4.0f |",
+	[WAITING] = " %6.0f",
+	[LEFT] = " %6.0f\n",
+};
+
+static const char header[] =
+    "  policy      round us p50 p99 max  placed/s | urgent ms p50 p99 |"
+    " batch ms p50 p99 | gang ms p50 p99 |"
+    " cpu% mem% used% strand% short% | lost s stops throttles |"
+    " waiting mean, end\n";
+
 static void
-print_decisions(struct replay_result *r, const char *name)
+add_result(double *sum, struct replay_result *r)
 {
-	printf("  %-11s %7.0f %7.0f %8.0f %9.0f |", name,
-	    samples_quantile(&r->round_us, 0.5),
-	    samples_quantile(&r->round_us, 0.99),
-	    samples_quantile(&r->round_us, 1.0),
-	    (double)r->placements / r->decide_s);
+	struct samples *batch = &r->wait_ms[KIND_BATCH];
+	struct samples *gang = &r->wait_ms[KIND_GANG];
+
+	sum[ROUND_P50] += samples_quantile(&r->round_us, 0.5);
+	sum[ROUND_P99] += samples_quantile(&r->round_us, 0.99);
+	sum[ROUND_MAX] += samples_quantile(&r->round_us, 1);
+	sum[RATE] += (double)r->placements / r->decide_s;
+	sum[URGENT_P50] += samples_quantile(&r->urgent_ms, 0.5);
+	sum[URGENT_P99] += samples_quantile(&r->urgent_ms, 0.99);
+	sum[BATCH_P50] += samples_quantile(batch, 0.5);
+	sum[BATCH_P99] += samples_quantile(batch, 0.99);
+	sum[GANG_P50] += samples_quantile(gang, 0.5);
+	sum[GANG_P99] += samples_quantile(gang, 0.99);
+	sum[CPU] += 100 * r->cpu;
+	sum[MEMORY] += 100 * r->memory;
+	sum[USED] += 100 * r->packing;
+	sum[STRANDED] += 100 * r->stranded;
+	sum[SHORTFALL] += 100 * r->shortfall;
+	sum[LOST] += r->lost_s;
+	sum[STOPS] += (double)r->stops;
+	sum[THROTTLES] += (double)r->throttles;
+	sum[WAITING] += r->waiting_mean;
+	sum[LEFT] += (double)r->waiting;
 }
 
 static void
-print_outcome(struct replay_result *r)
+print_line(const char *name, const double *sum, unsigned runs)
 {
-	printf(" %6.0f %7.0f | %6.0f %7.0f | %6.0f %7.0f |",
-	    samples_quantile(&r->urgent_ms, 0.5),
-	    samples_quantile(&r->urgent_ms, 0.99),
-	    samples_quantile(&r->wait_ms[KIND_BATCH], 0.5),
-	    samples_quantile(&r->wait_ms[KIND_BATCH], 0.99),
-	    samples_quantile(&r->wait_ms[KIND_GANG], 0.5),
-	    samples_quantile(&r->wait_ms[KIND_GANG], 0.99));
-	printf(" %5.1f %5.1f |", 100 * r->cpu, 100 * r->memory);
-	printf(" %5.1f %5.1f %5.1f | %6.0f %5llu %5llu | %7.0f %6llu\n",
-	    100 * r->packing, 100 * r->stranded, 100 * r->shortfall, r->lost_s,
-	    (unsigned long long)r->stops, (unsigned long long)r->throttles,
-	    r->waiting_mean, (unsigned long long)r->waiting);
+	printf("  %-11s", name);
+	for (unsigned i = 0; i < COLUMNS; i++)
+		printf(formats[i], sum[i] / runs);
 	fflush(stdout);
 }
 
+/* Runs a scenario with several seeds; each line shows the means. */
 static void
-run_scenario(const struct load_spec *spec, const char *policy)
+run_scenario(const struct load_spec *spec, const char *policy, unsigned runs)
 {
-	struct load load;
+	double sums[G_N_ELEMENTS(policies)][COLUMNS] = { { 0 } };
 
-	load_make(&load, spec);
-	printf("%s: %u workers, %u teams, %u jobs in %lld s, load %.0f%%, "
-	       "seed %llu\n",
-	    spec->name, spec->workers, spec->teams, load.jobs->len,
+	printf("%s: %u workers, %u teams, %lld s, load %.0f%%, seed %llu, "
+	       "mean of %u\n%s",
+	    spec->name, spec->workers, spec->teams,
 	    (long long)spec->duration_ms / 1000, 100 * spec->offered,
-	    (unsigned long long)spec->seed);
-	printf(
-	    "  policy      round us p50    p99      max  placed/s |"
-	    " urgent ms p50 p99 | batch ms p50 p99 | gang ms p50 p99 |"
-	    " cpu%% mem%% | used%% strand%% short%% | lost s stops throttles |"
-	    " waiting mean, end\n");
+	    (unsigned long long)spec->seed, runs, header);
+	for (unsigned run = 0; run < runs; run++) {
+		struct load_spec one = *spec;
+		struct load load;
+
+		one.seed += (uint64_t)SEED_STEP * run;
+		load_make(&load, &one);
+		for (unsigned i = 0; i < G_N_ELEMENTS(policies); i++) {
+			struct replay_result result;
+
+			if (policy != NULL &&
+			    strcmp(policy, policies[i]->name) != 0)
+				continue;
+			replay(&load, policies[i], &result);
+			add_result(sums[i], &result);
+			replay_result_clear(&result);
+		}
+		load_clear(&load);
+	}
 	for (unsigned i = 0; i < G_N_ELEMENTS(policies); i++) {
-		struct replay_result result;
-
-		if (policy != NULL && strcmp(policy, policies[i]->name) != 0)
-			continue;
-		replay(&load, policies[i], &result);
-		print_decisions(&result, policies[i]->name);
-		print_outcome(&result);
-		replay_result_clear(&result);
+		if (sums[i][RATE] > 0)
+			print_line(policies[i]->name, sums[i], runs);
 	}
-	load_clear(&load);
 }
 
 /* A job of the growth measure; its shape is told by number. */
@@ -184,23 +255,22 @@
 main(int argc, char **argv)
 {
 	const char *policy = NULL;
-	uint64_t more = 0;
+	unsigned runs = 1;
 	int option;
 
-	while ((option = getopt(argc, argv, "p:s:")) != -1) {
+	while ((option = getopt(argc, argv, "p:n:")) != -1) {
 		if (option == 'p')
 			policy = optarg;
-		else if (option == 's')
-			more = strtoull(optarg, NULL, 10);
+		else if (option == 'n')
+			runs = (unsigned)strtoul(optarg, NULL, 10);
 		else
 			return 2;
 	}
 	for (unsigned i = 0; i < G_N_ELEMENTS(scenarios); i++) {
-		struct load_spec spec = scenarios[i];
+		const struct load_spec *spec = &scenarios[i];
 
-		spec.seed += more;
-		if (wanted(argc - optind, argv + optind, spec.name))
-			run_scenario(&spec, policy);
+		if (wanted(argc - optind, argv + optind, spec->name))
+			run_scenario(spec, policy, MAX(runs, 1));
 	}
 	if (wanted(argc - optind, argv + optind, "growth"))
 		run_all_growth();
