Cell: a declared service's own ends count as failures

Cause: a back-off by failures does not see a service that ends as done at every start, and never forgets the failures of one that has run well for months. Change: any end of its own counts; a run of ten minutes starts the count anew. Conclusion: a test holds both.

--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -79,7 +79,7 @@
 struct cell_task {
 	enum cell_task_state state;
 	uint32_t attempt; /* the last one; from 1; 0: none yet */
-	uint32_t failures;
+	uint32_t failures; /* of a service: since it last ran for long */
 	uint32_t worker; /* of the assigned attempt; else 0 */
 	bool ran; /* an ended attempt ran or may have run */
 	bool lost; /* an attempt's end was never learnt */
--- a/lib/cell/tasks.c
+++ b/lib/cell/tasks.c
@@ -4,6 +4,8 @@
  */
 #include "internal.h"
 
+#define SERVICE_STABLE_MS (10 * 60 * 1000) /* a run after which all is well */
+
 bool
 task_held(enum cell_task_state state)
 {
@@ -222,6 +224,21 @@
 	c->watch.stop(c->watch_arg, &j->pub, i);
 }
 
+/*
+ * Counts a failed attempt. A declared service is not to end, so any end of its
+ * own counts; one that ran long enough starts the count anew.
+ */
+static void
+count_failure(
+    struct cell *c, const struct job *j, struct cell_task *t, enum cell_end how)
+{
+	if (j->pub.spec.kind == KIND_SERVICE &&
+	    c->time_ms - t->started_ms >= SERVICE_STABLE_MS)
+		t->failures = 0;
+	if (how == END_FAILED || (how == END_DONE && j->pub.from_config))
+		t->failures++;
+}
+
 void
 end_attempt(struct cell *c, struct job *j, uint32_t i, enum cell_end how,
     GBytes *result)
@@ -232,7 +249,7 @@
 
 	worker_release(find_worker(c, worker), j, i);
 	t->worker = 0;
-	t->failures += how == END_FAILED;
+	count_failure(c, j, t, how);
 	t->ran = t->ran || how != END_NOT_STARTED;
 	t->lost = t->lost || how == END_LOST;
 	/* Set before the state is chosen: what a gang's stop leads to. */
--- a/test/cell_test.c
+++ b/test/cell_test.c
@@ -296,6 +296,27 @@
 	cell_free(c);
 }
 
+/* Restarts are told apart from a service that fails at every start. */
+static void
+test_service_failures(void)
+{
+	uint32_t w;
+	struct cell *c = small_cell(&w);
+	struct cell_cmd later = { .type = CMD_EXPIRE, .at_ms = 3600 * 1000 };
+
+	set_config(c, 1, 500);
+	for (uint32_t i = 0; i < 6; i++) {
+		g_assert_cmpuint(cell_job(c, 1)->task[0].failures, ==, i);
+		g_assert_cmpuint(do_start(c, 1, 1, w), ==, 1);
+		do_end(c, 1, 0, i % 2 ? END_DONE : END_FAILED);
+	}
+	do_start(c, 1, 1, w);
+	do_cmd(c, &later);
+	do_end(c, 1, 0, END_FAILED);
+	g_assert_cmpuint(cell_job(c, 1)->task[0].failures, ==, 1);
+	cell_free(c);
+}
+
 /* The job in the middle is dropped before the oldest has stopped. */
 static void
 test_service_replace_forgotten(void)
@@ -813,6 +834,7 @@
 	g_test_add_func("/cell/service-replace", test_service_replace);
 	g_test_add_func(
 	    "/cell/service-replace-forgotten", test_service_replace_forgotten);
+	g_test_add_func("/cell/service-failures", test_service_failures);
 	g_test_add_func("/cell/announce", test_announce);
 	g_test_add_func("/cell/worker-lost", test_worker_lost);
 	g_test_add_func("/cell/ends", test_ends);
