Graceful stop: waits are answered, hand-over is bounded; the harness checks exits

Cause: a long poll held a stopping entry for its whole bound and was then cut; an entry that nobody can take workers over from waited 10 s. Change: a draining process's waits are answered with the job as it is; workers get 3 s to move; cluster_free() asks for exit 0 of all daemons again, besides that none has ended.

--- a/bulrushtided/clients.c
+++ b/bulrushtided/clients.c
@@ -230,6 +230,7 @@
 	if (report->draining && !c->draining) {
 		c->draining = true;
 		log_info("leader", "%s drains", c->name);
+		requests_flush(l, c);
 		if (c->entry_id != 0)
 			workers_leave_home(l, c->entry_id);
 	}
--- a/bulrushtided/leader_impl.h
+++ b/bulrushtided/leader_impl.h
@@ -154,6 +154,8 @@
 void requests_read_round(struct leader *l);
 void requests_read_done(struct leader *l, bool ok);
 void requests_job_ended(struct leader *l, uint64_t job);
+/* Answers a draining process's waits with the jobs as they are. */
+void requests_flush(struct leader *l, const struct client *c);
 void requests_scan(struct leader *l, int64_t now);
 void read_wait_free(void *arg);
 
--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -283,31 +283,41 @@
 	event_base_dispatch(node->base);
 }
 
+/*
+ * Says whether the graceful stop may end: requests are answered and workers
+ * have another home, or nobody can take them over.
+ */
+static bool
+drained(struct node *node, int64_t since_ms)
+{
+	guint homed = node->home == NULL ? 0 : home_count(node->home);
+	guint calls =
+	    node->services == NULL ? 0 : services_open(node->services);
+
+	if (since_ms < DRAIN_LEAST_MS || web_pending(node->web) > 0 ||
+	    calls > 0)
+		return false;
+	return homed == 0 || since_ms >= HAND_OVER_MS;
+}
+
 /* Ends the loop once nothing is in flight, or at the bound. */
 static void
 on_drain(evutil_socket_t fd, short what, void *arg)
 {
 	struct node *node = arg;
-	guint homed = node->home == NULL ? 0 : home_count(node->home);
-	int pending = web_pending(node->web);
-	bool late = mono_ms() >= node->drain_until;
+	int64_t since_ms = mono_ms() - node->drain_until + DRAIN_MS;
 
 	if (node->replica != NULL)
 		(void)replica_hand_over(node->replica);
-	if (pending == 0 && homed == 0)
-		web_stop(node->web);
-	if ((pending > 0 || homed > 0 ||
-		mono_ms() < node->drain_until - DRAIN_MS + DRAIN_LEAST_MS) &&
-	    !late)
-		return;
-	if (late)
-		log_warn("node",
-		    "stops at its bound with %d requests unanswered and %u "
-		    "workers homed",
-		    pending, homed);
-	else
+	if (drained(node, since_ms)) {
 		log_info("node", "has drained and stops");
-	event_base_loopbreak(node->base);
+		event_base_loopbreak(node->base);
+	} else if (since_ms >= DRAIN_MS) {
+		log_warn("node",
+		    "stops at its bound with %d requests unanswered",
+		    web_pending(node->web));
+		event_base_loopbreak(node->base);
+	}
 }
 
 void
--- a/bulrushtided/node.h
+++ b/bulrushtided/node.h
@@ -21,6 +21,7 @@
 #define DIAL_MS 1000 /* a connection attempt is given up */
 #define SCAN_MS 250 /* periodic checks of tables */
 #define DRAIN_MS 10000 /* a graceful stop takes at most this long */
+#define HAND_OVER_MS 3000 /* workers get another home within this */
 #define DRAIN_LEAST_MS 1000 /* the balancer sees /readyz before we stop */
 
 #define TRACE_SPANS 4096 /* kept in each process */
--- a/bulrushtided/requests.c
+++ b/bulrushtided/requests.c
@@ -91,9 +91,11 @@
     int64_t wait_ms)
 {
 	const struct cell_job *job = cell_job(l->cell, id);
+	const struct client *c = client_by_serial(l, client);
 	struct job_wait *w;
 
-	if (job == NULL || job->state == JOB_ENDED || wait_ms <= 0) {
+	if (job == NULL || job->state == JOB_ENDED || wait_ms <= 0 ||
+	    c == NULL || c->draining) {
 		reply_job(l, client, request, id);
 		return;
 	}
@@ -495,8 +497,10 @@
 		clients_send_grants(l);
 }
 
-void
-requests_job_ended(struct leader *l, uint64_t job)
+/* Answers the waits that match, each with its job as it is now. */
+static void
+answer_waits(struct leader *l,
+    bool (*match)(const struct job_wait *w, const void *key), const void *key)
 {
 	GList *next;
 
@@ -504,28 +508,46 @@
 		struct job_wait *w = i->data;
 
 		next = i->next;
-		if (w->job != job)
+		if (!match(w, key))
 			continue;
 		g_queue_delete_link(&l->job_waits, i);
-		reply_job(l, w->client, w->request, job);
+		reply_job(l, w->client, w->request, w->job);
 		g_free(w);
 	}
 }
 
-/* Answers the waits that are due with the job as it is. */
+static bool
+of_job(const struct job_wait *w, const void *key)
+{
+	return w->job == *(const uint64_t *)key;
+}
+
+static bool
+of_client(const struct job_wait *w, const void *key)
+{
+	return w->client == *(const uint64_t *)key;
+}
+
+static bool
+due(const struct job_wait *w, const void *key)
+{
+	return w->due_ms <= *(const int64_t *)key;
+}
+
 void
-requests_scan(struct leader *l, int64_t now)
+requests_job_ended(struct leader *l, uint64_t job)
 {
-	GList *next;
+	answer_waits(l, of_job, &job);
+}
 
-	for (GList *i = l->job_waits.head; i != NULL; i = next) {
-		struct job_wait *w = i->data;
+void
+requests_flush(struct leader *l, const struct client *c)
+{
+	answer_waits(l, of_client, &c->serial);
+}
 
-		next = i->next;
-		if (w->due_ms > now)
-			continue;
-		g_queue_delete_link(&l->job_waits, i);
-		reply_job(l, w->client, w->request, w->job);
-		g_free(w);
-	}
+void
+requests_scan(struct leader *l, int64_t now)
+{
+	answer_waits(l, due, &now);
 }
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -342,6 +342,12 @@
 	return c;
 }
 
+static bool
+is_daemon(const struct proc *p)
+{
+	return p->name[0] == 'r' || p->name[0] == 'e';
+}
+
 void
 cluster_free(struct cluster *c)
 {
@@ -357,6 +363,26 @@
 		p->pid = 0;
 		ok = false;
 	}
+	/* All daemons stop gracefully at the same time. */
+	for (guint i = 0; i < c->procs->len; i++) {
+		struct proc *p = c->procs->pdata[i];
+
+		if (p->pid != 0 && is_daemon(p))
+			kill(p->pid, SIGTERM);
+	}
+	for (guint i = 0; i < c->procs->len; i++) {
+		struct proc *p = c->procs->pdata[i];
+		int status;
+
+		if (p->pid == 0 || !is_daemon(p))
+			continue;
+		status = proc_wait(p);
+		ok = ok && status == 0;
+		if (status != 0)
+			g_test_message("%s ended with wait status %d; logs "
+				       "are in %s",
+			    p->name, status, c->dir);
+	}
 	g_ptr_array_unref(c->procs);
 	fclose(c->record);
 	pool_free(c->pool);
