Leader learns from ends: run times, failing workers, stalled jobs; homes rebalance

Change: observe.c drives lib/learn (run times) and lib/health (set aside, probe one task at a time); jobs past their bound show in status, metric and log; services move off a leaving worker one by one after calls have ended; homes move to where rendezvous hashing puts them after an entry joins; usage goes from heartbeats to the leader when it changes.

--- a/bulrushtided/clients.c
+++ b/bulrushtided/clients.c
@@ -144,6 +144,7 @@
 		workers_push_all(l, c);
 		targets_push_all(l, c);
 		targets_divide(l);
+		l->rebalance = true;
 	}
 	log_info(
 	    "leader", "%s %s joined", c->entry ? "entry" : "node", c->name);
@@ -350,11 +351,18 @@
 	tracer_add(l->node->tracer, &span);
 }
 
+static void
+row_usage(struct leader *l, struct client *c, void *msg)
+{
+	observe_usage(l, msg);
+}
+
 static const struct frame_row rows[] = {
 	{ row_join, FRAME_JOIN, false },
 	{ row_request, FRAME_REQUEST, true },
 	{ row_report, FRAME_REPORT, true },
 	{ row_span, FRAME_SPAN, true },
+	{ row_usage, FRAME_USAGE, true },
 	{ row_result, FRAME_ORDER_RESULT, true },
 	{ row_health, FRAME_WORKER_HEALTH, true },
 };
--- a/bulrushtided/home.c
+++ b/bulrushtided/home.c
@@ -24,6 +24,8 @@
 	int64_t lost_ms; /* a start order got no answer then; 0: never */
 	int64_t retry_ms;
 	int64_t due_ms;
+	int64_t millicpus; /* in use as last reported */
+	int64_t memory;
 	int refs; /* the table and the order on its way */
 	bool forgotten;
 };
@@ -464,6 +466,39 @@
 	send_next(a);
 }
 
+/* Says whether a figure moved by more than a tenth. */
+static bool
+moved(int64_t from, int64_t to)
+{
+	int64_t by = to > from ? to - from : from - to;
+
+	return by * 10 > from;
+}
+
+/* Passes usage on where it has changed. */
+static void
+report_usage(struct homed *w, const struct api_worker *beat)
+{
+	for (guint i = 0; beat->running != NULL && i < beat->running->len;
+	     i++) {
+		const struct api_attempt *r =
+		    &g_array_index(beat->running, struct api_attempt, i);
+		uint64_t key = held_key(r->job, r->task);
+		struct held *a = g_hash_table_lookup(w->held, &key);
+		struct usage_report report = { r->job, r->task, r->attempt,
+			r->millicpus, r->memory };
+
+		if (a == NULL || a->attempt != r->attempt || r->millicpus < 0 ||
+		    r->memory < 0 ||
+		    (!moved(a->millicpus, r->millicpus) &&
+			!moved(a->memory, r->memory)))
+			continue;
+		a->millicpus = r->millicpus;
+		a->memory = r->memory;
+		session_send(w->home->node->session, FRAME_USAGE, &report);
+	}
+}
+
 char *
 home_heartbeat(struct home *h, const struct api_worker *beat)
 {
@@ -480,6 +515,7 @@
 		return NULL;
 	w->heard_ms = w->renewed_ms = now;
 	w->told = true;
+	report_usage(w, beat);
 	if (w->silent) {
 		w->silent = false;
 		report_health(w, HEALTH_HEARD);
--- a/bulrushtided/leader.c
+++ b/bulrushtided/leader.c
@@ -2,6 +2,8 @@
 
 #include "leader_impl.h"
 
+#define LEARN_NAMES 4096 /* kinds of jobs whose sizes are remembered */
+
 int64_t
 leader_now(const struct leader *l)
 {
@@ -140,6 +142,9 @@
 	l->racks = names_new();
 	l->data_centers = names_new();
 	l->sched = sched_new(&sched_waiting);
+	l->learn = learn_new(LEARN_NAMES);
+	l->health = health_new(&health_defaults);
+	l->stalled = g_array_new(FALSE, FALSE, sizeof(struct stalled));
 	watch = (struct cell_watch){ .config = on_config,
 		.entry = workers_entry_changed,
 		.worker = workers_changed,
@@ -186,6 +191,9 @@
 	g_queue_clear_full(&l->job_waits, g_free);
 	g_queue_clear_full(&l->delays, g_free);
 	sched_free(g_steal_pointer(&l->sched));
+	learn_free(g_steal_pointer(&l->learn));
+	health_free(g_steal_pointer(&l->health));
+	g_clear_pointer(&l->stalled, g_array_unref);
 }
 
 void
@@ -245,6 +253,7 @@
 	workers_scan(l, now);
 	orders_scan(l, now);
 	requests_scan(l, now);
+	observe_scan(l, now);
 	if (l->dirty)
 		orders_round(l);
 }
--- a/bulrushtided/leader_impl.h
+++ b/bulrushtided/leader_impl.h
@@ -3,7 +3,9 @@
 #ifndef LEADER_IMPL_H
 #define LEADER_IMPL_H
 
+#include "health.h"
 #include "leader.h"
+#include "learn.h"
 #include "replica.h"
 #include "sched.h"
 
@@ -45,6 +47,8 @@
 	uint64_t epoch;
 	bool silent;
 	int64_t lapsed_ms; /* when the shortest lease had run out; 0: not */
+	bool probing; /* takes one task at a time */
+	int64_t draining_ms; /* since when it leaves; 0: not */
 	bool closing; /* a WORKER_STATE record is proposed */
 	bool moving; /* a change of home is proposed */
 };
@@ -96,6 +100,13 @@
 	struct request request;
 };
 
+/* A job that waits or runs past its bound. */
+struct stalled {
+	uint64_t job;
+	const char *reason;
+	int64_t since_ms; /* waiting or running for so long */
+};
+
 struct leader {
 	struct node *node;
 	struct cell *cell; /* the replica's */
@@ -119,6 +130,11 @@
 	uint64_t read_context;
 	bool grants_due;
 	struct sched *sched;
+	struct learn *learn;
+	struct health *health;
+	GArray *stalled; /* struct stalled, of the last look */
+	int64_t looked_ms;
+	bool rebalance; /* an entry joined: homes may be better elsewhere */
 	bool dirty; /* something changed that a placement round may use */
 	GHashTable *teams; /* names to handles */
 	GHashTable *racks;
@@ -187,6 +203,10 @@
 /* Chooses a worker's home; 0 if no entry can be one. */
 uint32_t workers_choose_home(struct leader *l, const char *name,
     const char *data_center, uint32_t avoid);
+/* Mirrors a worker into the placement tables anew. */
+void workers_mirror(struct leader *l, uint32_t id);
+/* The same for one that is probed, after what it runs has changed. */
+void workers_refresh(struct leader *l, uint32_t id);
 /* Moves all workers away from an entry that drains. */
 void workers_leave_home(struct leader *l, uint32_t entry);
 struct lworker *workers_find(const struct leader *l, uint32_t id);
@@ -204,6 +224,15 @@
 /* A worker's tasks take calls or, when it leaves, no longer. */
 void targets_worker(struct leader *l, const struct cell_worker *w);
 
+/* observe.c */
+uint64_t observe_name(const struct cell_spec *spec);
+/* An attempt has ended on a worker. */
+void observe_ended(struct leader *l, const struct cell_job *job,
+    const struct lattempt *a, enum cell_end how);
+void observe_usage(struct leader *l, const struct usage_report *report);
+/* Looks for jobs past their bounds and workers whose probe is due. */
+void observe_scan(struct leader *l, int64_t now);
+
 /* reports.c */
 char *reports_status(struct leader *l);
 char *reports_nodes(struct leader *l);
--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -49,6 +49,11 @@
 	c->elections =
 	    counter_new(r, COUNTER_TOTAL, "bulrushtide_leaderships_total", "",
 		"Times this replica became the leader.");
+	c->stalled = counter_new(r, COUNTER_GAUGE, "bulrushtide_jobs_stalled",
+	    "", "Jobs that wait or run past their bound.");
+	c->set_aside =
+	    counter_new(r, COUNTER_GAUGE, "bulrushtide_workers_set_aside", "",
+		"Workers that fail what they start.");
 	c->pending = counter_new(r, COUNTER_GAUGE, "bulrushtide_tasks_pending",
 	    "", "Tasks that wait for a worker.");
 	c->running = counter_new(r, COUNTER_GAUGE, "bulrushtide_tasks_running",
@@ -307,8 +312,12 @@
 	struct node *node = arg;
 	int64_t since_ms = mono_ms() - node->drain_until + DRAIN_MS;
 
-	if (node->replica != NULL)
+	/* Again now and then: a transfer may fail, and another replica that
+	 * stops too may hand leadership back. */
+	if (node->replica != NULL && mono_ms() >= node->hand_over_ms) {
+		node->hand_over_ms = mono_ms() + DRAIN_LEAST_MS;
 		(void)replica_hand_over(node->replica);
+	}
 	if (drained(node, since_ms)) {
 		log_info("node", "has drained and stops");
 		event_base_loopbreak(node->base);
@@ -365,6 +374,8 @@
 	replica_free(node->replica);
 	tracer_free(node->tracer);
 	registry_free(node->counters.registry);
+	/* Closed connections are freed by calls that the loop still owes. */
+	event_base_loop(node->base, EVLOOP_NONBLOCK);
 	event_base_free(node->base);
 	conf_clear(&node->conf);
 	g_free(node);
--- a/bulrushtided/node.h
+++ b/bulrushtided/node.h
@@ -66,6 +66,8 @@
 	struct counter *lost;
 	struct counter *commits;
 	struct counter *elections;
+	struct counter *stalled;
+	struct counter *set_aside;
 	struct counter *pending;
 	struct counter *running;
 	struct counter *wal_bytes;
@@ -94,6 +96,7 @@
 	struct web *web;
 	bool draining;
 	int64_t drain_until;
+	int64_t hand_over_ms; /* when to hand leadership over next */
 	struct event *drain_timer;
 	bool failed; /* storage failed: serves nothing */
 };
--- a/bulrushtided/orders.c
+++ b/bulrushtided/orders.c
@@ -48,7 +48,6 @@
 sched_spec(struct leader *l, const struct cell_job *job)
 {
 	const struct cell_spec *s = &job->spec;
-	GString *key = g_string_new(s->team);
 	struct sched_job sj = { .id = job->id,
 		.team = leader_handle(l->teams, s->team),
 		.kind = s->kind,
@@ -62,10 +61,8 @@
 
 	if (s->deadline_ms > 0)
 		sj.deadline_ms = job->submitted_ms + s->deadline_ms;
-	g_string_append_c(key, '/');
-	g_string_append(key, s->name);
-	sj.name_hash = hash64(key->str, key->len);
-	g_string_free(key, TRUE);
+	sj.name_hash = observe_name(s);
+	sj.runtime_ms = learn_runtime_ms(l->learn, sj.name_hash, s->runtime_ms);
 	return sj;
 }
 
@@ -244,6 +241,7 @@
 	struct lattempt *a = note_attempt(l, job, task);
 
 	count_wait(l, job, task);
+	workers_refresh(l, a->worker);
 	job_span(l, job->id, "place",
 	    mono_us() - (leader_now(l) - job->submitted_ms) * 1000,
 	    cell_worker(l->cell, a->worker)->name);
@@ -284,11 +282,14 @@
 
 	if (how == END_LOST)
 		l->node->counters.lost->value++;
-	if (a != NULL)
+	if (a != NULL) {
 		job_span(l, job->id, "task", a->assigned_us, end_names[how]);
+		observe_ended(l, job, a, how);
+	}
 	sched_end(l->sched, job->id, task, worker);
 	g_hash_table_remove(l->attempts, &key);
 	targets_changed(l, job, task, worker, true);
+	workers_refresh(l, worker);
 	send_order(l, job, task, worker, attempt, ORDER_FORGET);
 	l->dirty = true;
 }
--- a/bulrushtided/proto.c
+++ b/bulrushtided/proto.c
@@ -145,6 +145,14 @@
 	{ FIELD_BYTES, offsetof(struct shape_push, payload) },
 };
 
+static const struct field usage_report_fields[] = {
+	{ FIELD_U64, offsetof(struct usage_report, job) },
+	{ FIELD_U32, offsetof(struct usage_report, task) },
+	{ FIELD_U32, offsetof(struct usage_report, attempt) },
+	{ FIELD_I64, offsetof(struct usage_report, millicpus) },
+	{ FIELD_I64, offsetof(struct usage_report, memory) },
+};
+
 /* Names the fields of one struct as a shape. */
 #define SHAPE(s)                                                           \
 	{                                                                  \
@@ -169,6 +177,7 @@
 	[FRAME_DIVISION] = SHAPE(division_push),
 	[FRAME_TARGETS] = SHAPE(targets_push),
 	[FRAME_SHAPE] = SHAPE(shape_push),
+	[FRAME_USAGE] = SHAPE(usage_report),
 };
 
 const struct shape *
--- a/bulrushtided/proto.h
+++ b/bulrushtided/proto.h
@@ -31,6 +31,7 @@
 	FRAME_DIVISION,
 	FRAME_TARGETS,
 	FRAME_SHAPE,
+	FRAME_USAGE,
 	FRAME_COUNT
 };
 
@@ -185,6 +186,15 @@
 	uint32_t health;
 };
 
+/* What an attempt was seen to use; sent when it has changed. */
+struct usage_report {
+	uint64_t job;
+	uint32_t task;
+	uint32_t attempt;
+	int64_t millicpus;
+	int64_t memory; /* bytes */
+};
+
 /* One running task of a service, for calls. */
 struct target_push {
 	char *service;
--- a/bulrushtided/reports.c
+++ b/bulrushtided/reports.c
@@ -85,6 +85,23 @@
 	    (json_int_t)r->accelerators);
 }
 
+static json_t *
+stalled(const struct leader *l)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < l->stalled->len; i++) {
+		const struct stalled *s =
+		    &g_array_index(l->stalled, struct stalled, i);
+
+		json_array_append_new(list,
+		    json_pack("{s:I,s:s,s:I}", "job", (json_int_t)s->job,
+			"reason", s->reason, "for_ms",
+			(json_int_t)s->since_ms));
+	}
+	return list;
+}
+
 char *
 reports_status(struct leader *l)
 {
@@ -95,7 +112,7 @@
 
 	cell_each_worker(l->cell, sum_worker, &s);
 	o = json_pack(
-	    "{s:s,s:s,s:I,s:s,s:{s:I,s:I,s:I,s:I},s:I,s:I,s:I,s:o,s:o,s:o}",
+	    "{s:s,s:s,s:I,s:s,s:{s:I,s:I,s:I,s:I},s:I,s:I,s:I,s:o,s:o,s:o,s:o}",
 	    "outcome", "done", "leader", l->node->conf.name, "config_version",
 	    (json_int_t)cell_config_version(l->cell), "config_digest",
 	    cell_config_digest(l->cell), "workers", "up",
@@ -106,8 +123,8 @@
 	    (json_int_t)cell_pending_jobs(l->cell), "pending_tasks",
 	    (json_int_t)sched_waiting_tasks(l->sched), "running_tasks",
 	    (json_int_t)g_hash_table_size(l->attempts), "offered",
-	    resources_json(&s.capacity), "used", resources_json(&s.used),
-	    "replica", json_loads(wrapped, 0, NULL));
+	    resources_json(&s.capacity), "stalled", stalled(l), "used",
+	    resources_json(&s.used), "replica", json_loads(wrapped, 0, NULL));
 	g_free(wrapped);
 	g_free(replica);
 	return dump(o);
--- a/bulrushtided/workers.c
+++ b/bulrushtided/workers.c
@@ -3,6 +3,9 @@
 
 #include "leader_impl.h"
 
+#define EVICT_MS 3000 /* calls to a leaving worker's services end first */
+#define MOVES_MAX 8 /* homes that move in one look */
+
 struct lworker *
 workers_find(const struct leader *l, uint32_t id)
 {
@@ -19,6 +22,9 @@
 		.rack = leader_handle(l->racks, w->rack),
 		.data_center = leader_handle(l->data_centers, w->data_center) };
 
+	/* One more than it runs: a probe. */
+	if (lw->probing)
+		sw.slots = MIN(w->slots, w->running + 1);
 	if (w->state == WORKER_DRAINING)
 		sw.flags |= SCHED_DRAINING;
 	if (w->set_aside)
@@ -30,6 +36,25 @@
 	l->dirty = true;
 }
 
+void
+workers_mirror(struct leader *l, uint32_t id)
+{
+	const struct cell_worker *w = cell_worker(l->cell, id);
+	struct lworker *lw = workers_find(l, id);
+
+	if (w != NULL && lw != NULL)
+		mirror(l, w, lw);
+}
+
+void
+workers_refresh(struct leader *l, uint32_t id)
+{
+	const struct lworker *lw = workers_find(l, id);
+
+	if (lw != NULL && lw->probing)
+		workers_mirror(l, id);
+}
+
 static void
 push(struct leader *l, uint32_t entry, const struct cell_worker *w, bool gone)
 {
@@ -83,6 +108,10 @@
 		lw->closing = false;
 	}
 	lw->moving = false;
+	if (w->state != WORKER_DRAINING)
+		lw->draining_ms = 0;
+	else if (lw->draining_ms == 0)
+		lw->draining_ms = mono_ms();
 	lw->home = w->home;
 	mirror(l, w, lw);
 	if (w->state != WORKER_UP)
@@ -349,6 +378,64 @@
 		    now + with_drift(GRANT_MS) + with_drift(shortest_lease(l));
 }
 
+/* Moves one service task at a time off a worker that leaves, once calls that
+ * were on their way to it have been answered. */
+struct evict {
+	struct leader *leader;
+	bool found;
+};
+
+static bool
+evict_one(void *arg, const struct cell_job *job, uint32_t task)
+{
+	struct evict *e = arg;
+	struct cell_cmd cmd = { .type = CMD_PREEMPT };
+
+	if (job->spec.kind != KIND_SERVICE)
+		return true;
+	e->found = true;
+	if (job->task[task].state != TASK_ASSIGNED)
+		return false;
+	cmd.u.preempt.job = job->id;
+	cmd.u.preempt.task = task;
+	cmd.u.preempt.attempt = job->task[task].attempt;
+	(void)leader_propose(e->leader, &cmd);
+	return false;
+}
+
+static void
+scan_draining(struct leader *l, const struct lworker *lw, int64_t now)
+{
+	struct evict e = { l, false };
+
+	if (now - lw->draining_ms >= EVICT_MS)
+		cell_each_attempt(l->cell, lw->id, evict_one, &e);
+}
+
+/* After an entry has joined, a few homes at a time move to where rendezvous
+ * hashing puts them now. */
+static void
+rebalance(struct leader *l)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int moves = 0;
+
+	g_hash_table_iter_init(&iter, l->workers);
+	while (
+	    moves < MOVES_MAX && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct lworker *lw = value;
+		const struct cell_worker *w = cell_worker(l->cell, lw->id);
+
+		if (w == NULL || w->state != WORKER_UP || lw->silent ||
+		    lw->moving || lw->lapsed_ms != 0)
+			continue;
+		move(l, w, lw, 0);
+		moves += lw->moving;
+	}
+	l->rebalance = moves > 0;
+}
+
 void
 workers_scan(struct leader *l, int64_t now)
 {
@@ -361,7 +448,11 @@
 
 		if (lw->home == 0)
 			scan_homeless(l, lw, now);
+		if (lw->draining_ms != 0)
+			scan_draining(l, lw, now);
 		if (lw->lapsed_ms != 0 && now >= lw->lapsed_ms)
 			scan_lapsed(l, lw, now);
 	}
+	if (l->rebalance)
+		rebalance(l);
 }
--- a/lib/cell/tasks.c
+++ b/lib/cell/tasks.c
@@ -294,6 +294,20 @@
 	res->count = 1;
 }
 
+/*
+ * Says whether a task may be stopped and started again: idempotent batch work
+ * for room, and a service's task when its worker leaves.
+ */
+static bool
+preemptible(const struct cell *c, const struct job *j, uint32_t i)
+{
+	const struct cell_worker *w = cell_worker(c, j->pub.task[i].worker);
+
+	if (j->pub.spec.kind == KIND_SERVICE)
+		return w != NULL && w->state == WORKER_DRAINING;
+	return j->pub.spec.kind == KIND_BATCH && j->pub.spec.idempotent;
+}
+
 void
 apply_preempt(
     struct cell *c, const struct cell_cmd *cmd, struct cell_result *res)
@@ -308,7 +322,7 @@
 		    g_strdup("the attempt is not the task's running one"));
 		return;
 	}
-	if (j->pub.spec.kind != KIND_BATCH || !j->pub.spec.idempotent) {
+	if (!preemptible(c, j, i)) {
 		result_refuse(res, OUT_INVALID, "not-preemptible",
 		    g_strdup("only idempotent batch tasks give way"));
 		return;
