Room made for a service is not all in one domain

Cause: spreading was kept where room was free, but not where it was taken from batch work or reserved: the least lost work of both tasks could lie in one rack. Change: preemption and reservation pass over workers that would bring all tasks of a job that spreads into one domain, unless there is no other. Conclusion: 26 placement tests pass; without the change the new one fails.

--- a/lib/sched/job.c
+++ b/lib/sched/job.c
@@ -13,6 +13,38 @@
 	return job->spec.spread != SPREAD_NONE;
 }
 
+static bool
+same_domain(
+    const struct job *job, const struct worker *a, const struct worker *b)
+{
+	return job->spec.spread == SPREAD_RACK
+	    ? a->spec.rack == b->spec.rack
+	    : a->spec.data_center == b->spec.data_center;
+}
+
+bool
+job_gathers(
+    const struct sched *s, const struct job *job, const struct worker *w)
+{
+	const struct reservation *r = job->reservation;
+
+	if (!job_spreads(job) || (job->workers->len == 0 && r == NULL))
+		return false;
+	for (guint i = 0; i < job->workers->len; i++) {
+		uint32_t id = g_array_index(job->workers, uint32_t, i);
+
+		if (!same_domain(job, sched_worker_get(s, id), w))
+			return false;
+	}
+	for (guint i = 0; r != NULL && i < r->holds->len; i++) {
+		const struct hold *h = r->holds->pdata[i];
+
+		if (!same_domain(job, h->worker, w))
+			return false;
+	}
+	return true;
+}
+
 struct job *
 job_ensure(struct sched *s, const struct sched_job *spec)
 {
--- a/lib/sched/preempt.c
+++ b/lib/sched/preempt.c
@@ -113,16 +113,19 @@
 	return false;
 }
 
+/* apart: not where all tasks of a job that spreads would be together. */
 static bool
-may_hold(const struct worker *w, const struct job *job)
+may_hold(const struct sched *s, const struct worker *w, const struct job *job,
+    bool apart)
 {
-	return worker_usable(w) && worker_allowed(w, job->spec.data_centers) &&
+	return worker_usable(w) && !(apart && job_gathers(s, job, w)) &&
+	    worker_allowed(w, job->spec.data_centers) &&
 	    (job->spec.kind != KIND_SERVICE || w->holds->len == 0);
 }
 
 /* A worker where more room is about to come free than is needed so far. */
 static struct worker *
-surplus(const struct sched *s, const struct job *job)
+surplus(const struct sched *s, const struct job *job, bool apart)
 {
 	for (guint i = 0; i < s->reservations->len; i++) {
 		const struct reservation *r = s->reservations->pdata[i];
@@ -133,7 +136,7 @@
 			int64_t slots;
 
 			coming_room(h->worker, &room, &slots);
-			if (may_hold(h->worker, job) &&
+			if (may_hold(s, h->worker, job, apart) &&
 			    !held_strictly(h->worker) &&
 			    fits(&room, slots, &job->spec.resources))
 				return h->worker;
@@ -147,13 +150,13 @@
  * run time of its newest one, so the walk ends once that exceeds the best.
  */
 static struct cost
-cheapest(const struct sched *s, const struct job *job, bool reclaim)
+cheapest(const struct sched *s, const struct job *job, bool reclaim, bool apart)
 {
 	struct cost best = { .lost_ms = INT64_MAX };
 	unsigned looked = 0;
 	GSequenceIter *iter;
 
-	best.worker = surplus(s, job);
+	best.worker = surplus(s, job, apart);
 	if (best.worker != NULL)
 		return best;
 	iter = g_sequence_get_end_iter(s->preemptible);
@@ -168,7 +171,7 @@
 		if (s->now_ms - run->worth_ms >= best.lost_ms ||
 		    looked++ >= LOOK_MAX)
 			break;
-		if (!eligible(s, run, reclaim) || !may_hold(w, job) ||
+		if (!eligible(s, run, reclaim) || !may_hold(s, w, job, apart) ||
 		    held_strictly(w))
 			continue;
 		lost = cost_of(s, w, &job->spec.resources, reclaim);
@@ -271,7 +274,9 @@
 	if (reserved_tasks(job) >= job->waiting || needs(s) >= NEEDS_MAX ||
 	    s->round_needs >= NEEDS_A_ROUND)
 		return false;
-	best = cheapest(s, job, reclaim);
+	best = cheapest(s, job, reclaim, true);
+	if (best.worker == NULL)
+		best = cheapest(s, job, reclaim, false);
 	if (best.worker == NULL)
 		return false;
 	s->round_needs++;
--- a/lib/sched/reserve.c
+++ b/lib/sched/reserve.c
@@ -342,6 +342,25 @@
 	return MAX(RESERVATIONS_MIN, s->workers->len / WORKERS_A_RESERVATION);
 }
 
+/* Lists starts until there is a choice among them. */
+static void
+gather_starts(struct sched *s, const struct job *job, uint32_t n, bool apart,
+    GArray *starts)
+{
+	for (guint i = 0; i < s->workers->len; i++) {
+		guint at = (s->cursor + i) % s->workers->len;
+		struct worker *w = s->workers->pdata[at];
+		uint32_t most = 0;
+
+		if (w != NULL && !(apart && job_gathers(s, job, w)))
+			most = room_in_the_end(w, job, false, n);
+		if (most > 0)
+			list_starts(s, w, job, most, starts);
+		if (starts->len >= MAX(SLOTS_ENOUGH, 4 * n))
+			break;
+	}
+}
+
 bool
 reserve_make(struct sched *s, struct job *job)
 {
@@ -357,16 +376,10 @@
 	    (s->starving != 0 && s->starving != job->spec.id))
 		return false;
 	starts = g_array_new(FALSE, FALSE, sizeof(struct start));
-	for (guint i = 0; i < s->workers->len; i++) {
-		guint at = (s->cursor + i) % s->workers->len;
-		struct worker *w = s->workers->pdata[at];
-		uint32_t most =
-		    w != NULL ? room_in_the_end(w, job, false, n) : 0;
-
-		if (most > 0)
-			list_starts(s, w, job, most, starts);
-		if (starts->len >= MAX(SLOTS_ENOUGH, 4 * n))
-			break;
+	gather_starts(s, job, n, true, starts);
+	if (starts->len < n) {
+		g_array_set_size(starts, 0);
+		gather_starts(s, job, n, false, starts);
 	}
 	/* Each reservation looks at other workers first. */
 	s->cursor += SLOTS_ENOUGH / 2;
--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -234,6 +234,9 @@
 void job_started(struct job *job, uint32_t worker);
 void job_ended(struct job *job, uint32_t worker);
 bool job_spreads(const struct job *job);
+/* Whether w would bring all tasks of a job that spreads into one domain. */
+bool job_gathers(
+    const struct sched *s, const struct job *job, const struct worker *w);
 
 /* history.c */
 struct history *history_ensure(struct sched *s, uint64_t job);
--- a/test/sched_test.c
+++ b/test/sched_test.c
@@ -813,6 +813,33 @@
 	bed_clear(&b);
 }
 
+/* Room that is made for a service is not all made in one rack. */
+static void
+test_preempt_spread(void)
+{
+	struct bed b;
+	struct sched_job job;
+
+	bed_init(&b, &sched_waiting);
+	add_workers(&b, 4, 4, 8);
+	for (uint32_t worker = 1; worker <= 4; worker++) {
+		job = job_like(&b, KIND_BATCH, 4, 4);
+		/* The least work is lost in one rack, workers 2 and 3. */
+		sched_running(
+		    b.s, &job, 0, worker, worker / 2 == 1 ? 900 : 100);
+	}
+	b.now_ms = 1000;
+	job = job_like(&b, KIND_SERVICE, 4, 4);
+	job.urgent = true;
+	job.spread = SPREAD_RACK;
+	sched_job_add(b.s, &job, 0, 2);
+	decide(&b, 0);
+	g_assert_cmpuint(b.round.preemptions->len, ==, 2);
+	g_assert_cmpuint(
+	    preempted(&b, 0)->worker / 2, !=, preempted(&b, 1)->worker / 2);
+	bed_clear(&b);
+}
+
 /* A burst of urgent work spreads its needs over rounds, all in the end. */
 static void
 test_urgent_burst(void)
@@ -1129,6 +1156,7 @@
 	g_test_add_func("/sched/team-within-quota", test_team_within_quota);
 	g_test_add_func("/sched/preempt-resume", test_preempt_resume);
 	g_test_add_func("/sched/preempt-cancelled", test_preempt_cancelled);
+	g_test_add_func("/sched/preempt-spread", test_preempt_spread);
 	g_test_add_func("/sched/urgent-burst", test_urgent_burst);
 	g_test_add_func("/sched/urgent-gang", test_urgent_gang);
 	g_test_add_func("/sched/large-batch", test_large_batch);
