bulrushctl apply: tell how many nodes have the version

"In force everywhere" claimed more than is known: a node that is cut off is not in the list. The text gives the number of connected nodes, the json format stable words.

--- a/bulrushctl/change.c
+++ b/bulrushctl/change.c
@@ -54,18 +54,33 @@
 	return EXIT_DONE;
 }
 
+/* How far a change has come. */
+struct progress {
+	int64_t version;
+	bool before; /* it was in force already: nothing was sent */
+	size_t nodes; /* connected nodes that have it; 0: not waited for */
+};
+
 /* Prints the end that a change came to. */
 static void
-show_applied(
-    struct ctl *ctl, int64_t version, const char *digest, const char *what)
+show_applied(struct ctl *ctl, const struct progress *p, const char *digest)
 {
-	json_t *body = json_pack("{s:s,s:s,s:I,s:s}", "outcome", "done",
-	    "state", what, "version", (json_int_t)version, "digest", digest);
+	const char *state = p->before ? "unchanged" : "accepted";
+	json_t *body =
+	    json_pack("{s:s,s:s,s:I,s:s}", "outcome", "done", "state", state,
+		"version", (json_int_t)p->version, "digest", digest);
 
+	if (p->nodes > 0)
+		json_object_set_new(
+		    body, "nodes", json_integer((json_int_t)p->nodes));
 	if (ctl->json)
 		print_json(body);
 	else
-		printf("version %" G_GINT64_FORMAT " %s\n", version, what);
+		printf("version %" G_GINT64_FORMAT " %s accepted%s\n",
+		    p->version, p->before ? "was" : "is",
+		    p->before ? " before" : "");
+	if (!ctl->json && p->nodes > 0)
+		printf("in force at all %zu connected nodes\n", p->nodes);
 	json_decref(body);
 }
 
@@ -151,9 +166,9 @@
 	return g_string_free(s, s->len == 0);
 }
 
-/* Waits until every node has the version in force. */
+/* Waits until every connected node has the version in force. */
 static enum ctl_exit
-wait_in_force(struct ctl *ctl, int64_t version)
+wait_in_force(struct ctl *ctl, struct progress *p)
 {
 	int64_t deadline = mono_ms() + ctl->timeout_ms;
 	struct request req = { .method = EVHTTP_REQ_GET, .path = "/v1/config" };
@@ -164,8 +179,10 @@
 	for (;;) {
 		end = ctl_call(ctl, &req, &reply);
 		g_free(behind);
-		behind = end == EXIT_DONE ? nodes_behind(reply.body, version)
+		behind = end == EXIT_DONE ? nodes_behind(reply.body, p->version)
 					  : g_strdup(" cell");
+		p->nodes =
+		    json_array_size(json_object_get(reply.body, "nodes"));
 		reply_clear(&reply);
 		if (end != EXIT_DONE || behind == NULL ||
 		    mono_ms() + POLL_MS >= deadline)
@@ -175,7 +192,7 @@
 	if (behind != NULL) {
 		ctl_error("version %" G_GINT64_FORMAT
 			  " is accepted but not yet in force at:%s",
-		    version, behind);
+		    p->version, behind);
 		end = EXIT_REFUSED;
 	}
 	g_free(behind);
@@ -212,28 +229,24 @@
 	struct request req = { .method = EVHTTP_REQ_GET, .path = "/v1/config" };
 	struct reply reply;
 	enum ctl_exit end = ctl_call(ctl, &req, &reply);
-	int64_t version = config_version(reply.body);
-	bool same = false;
+	struct progress p = { .version = config_version(reply.body) };
 
 	if (end == EXIT_DONE) {
-		same = same_texts(&reply, digest);
-		if (!same && !version_wanted(&reply))
+		p.before = same_texts(&reply, digest);
+		if (!p.before && !version_wanted(&reply))
 			end = EXIT_REFUSED;
 	}
 	reply_clear(&reply);
 	if (end != EXIT_DONE)
 		return end;
-	if (!same) {
-		version++;
-		end = put_config(ctl, dir, digest, version);
+	if (!p.before) {
+		p.version++;
+		end = put_config(ctl, dir, digest, p.version);
 	}
 	if (end == EXIT_DONE && opt.wait)
-		end = wait_in_force(ctl, version);
+		end = wait_in_force(ctl, &p);
 	if (end == EXIT_DONE)
-		show_applied(ctl, version, digest,
-		    same           ? "was accepted before"
-			: opt.wait ? "is in force everywhere"
-				   : "is accepted");
+		show_applied(ctl, &p, digest);
 	return end;
 }
 
