--- a/bulrushtided/leader_impl.h
+++ b/bulrushtided/leader_impl.h
@@ -21,6 +21,8 @@
 	uint32_t entry_id;
 	bool draining;
 	uint64_t config; /* version it has in force */
+	GHashTable *shapes; /* jobs whose shape it has */
+	uint64_t division; /* that it uses */
 	uint64_t report_seq; /* newest report not yet granted */
 	bool report_waits;
 	int64_t heard_ms;
@@ -31,6 +33,10 @@
 	uint32_t id;
 	int64_t granted_until; /* certainly no renewal after this */
 	bool gone_proposed;
+	/* Part of the workers' connections that it may hold, 1 in division;
+	 * 0: none. */
+	uint64_t division;
+	uint64_t pushed; /* the division it was told last */
 };
 
 struct lworker {
@@ -138,6 +144,7 @@
 void clients_send_grants(struct leader *l);
 void clients_scan(struct leader *l, int64_t now);
 void client_free(void *arg);
+/* Takes json over; NULL stands for a plain "accepted". */
 void client_reply(struct leader *l, uint64_t serial, uint64_t request,
     uint32_t status, char *json, uint32_t retry_after_s);
 
@@ -160,6 +167,8 @@
 void orders_lost(struct leader *l, const struct cell_job *job, uint32_t task);
 struct lattempt *
 orders_find(const struct leader *l, uint64_t job, uint32_t task);
+/* A job has ended: its shape is of no more use to the homes. */
+void orders_job_ended(struct leader *l, uint64_t job);
 /* Says why a job waits: a stable word and a sentence (to be freed). */
 const char *orders_why(struct leader *l, uint64_t job, char **message);
 
@@ -180,6 +189,19 @@
 void workers_leave_home(struct leader *l, uint32_t entry);
 struct lworker *workers_find(const struct leader *l, uint32_t id);
 
+/* targets.c */
+/* Divides the workers' connections anew among the entries. */
+void targets_divide(struct leader *l);
+/* An entry said which division it uses. */
+void targets_divided(struct leader *l, struct client *c);
+/* A service's task runs, or no longer takes calls. */
+void targets_changed(struct leader *l, const struct cell_job *job,
+    uint32_t task, uint32_t worker, bool gone);
+/* Sends all targets to an entry that has joined. */
+void targets_push_all(struct leader *l, struct client *c);
+/* A worker's tasks take calls or, when it leaves, no longer. */
+void targets_worker(struct leader *l, const struct cell_worker *w);
+
 /* reports.c */
 char *reports_status(struct leader *l);
 char *reports_nodes(struct leader *l);
--- a/bulrushtided/node.h
+++ b/bulrushtided/node.h
@@ -51,6 +51,7 @@
 struct leader;
 struct session;
 struct home;
+struct services;
 struct web;
 struct peers;
 
@@ -88,6 +89,7 @@
 	struct leader *leader; /* replicas only */
 	struct session *session;
 	struct home *home; /* entries only */
+	struct services *services; /* entries only */
 	struct web *web;
 	bool draining;
 	int64_t drain_until;
--- a/bulrushtided/proto.c
+++ b/bulrushtided/proto.c
@@ -16,6 +16,7 @@
 	{ FIELD_U64, offsetof(struct join, incarnation) },
 	{ FIELD_BOOL, offsetof(struct join, entry) },
 	{ FIELD_U64, offsetof(struct join, config) },
+	{ FIELD_U64, offsetof(struct join, division) },
 };
 
 static const struct field joined_fields[] = {
@@ -45,6 +46,7 @@
 static const struct field report_fields[] = {
 	{ FIELD_U64, offsetof(struct report, seq) },
 	{ FIELD_U64, offsetof(struct report, config) },
+	{ FIELD_U64, offsetof(struct report, division) },
 	{ FIELD_BOOL, offsetof(struct report, draining) },
 };
 
@@ -80,7 +82,6 @@
 	{ FIELD_U64, offsetof(struct order, job) },
 	{ FIELD_U32, offsetof(struct order, task) },
 	{ FIELD_U32, offsetof(struct order, attempt) },
-	{ FIELD_BYTES, offsetof(struct order, body) },
 	{ FIELD_STR, offsetof(struct order, trace) },
 };
 
@@ -101,14 +102,15 @@
 
 static const struct field target_push_fields[] = {
 	{ FIELD_STR, offsetof(struct target_push, service) },
+	{ FIELD_STR, offsetof(struct target_push, team) },
 	{ FIELD_U64, offsetof(struct target_push, job) },
 	{ FIELD_U32, offsetof(struct target_push, task) },
-	{ FIELD_U32, offsetof(struct target_push, attempt) },
 	{ FIELD_U32, offsetof(struct target_push, worker) },
 	{ FIELD_STR, offsetof(struct target_push, address) },
 	{ FIELD_BOOL, offsetof(struct target_push, gone) },
 	{ FIELD_BOOL, offsetof(struct target_push, idempotent) },
 	{ FIELD_I64, offsetof(struct target_push, timeout_ms) },
+	{ FIELD_I64, offsetof(struct target_push, slots) },
 	{ FIELD_I64, offsetof(struct target_push, connections) },
 };
 
@@ -124,6 +126,25 @@
 	{ FIELD_STR, offsetof(struct span_push, note) },
 };
 
+static const struct field division_push_fields[] = {
+	{ FIELD_U64, offsetof(struct division_push, division) },
+};
+
+static const struct field targets_push_fields[] = {
+	{ FIELD_U64S, offsetof(struct targets_push, ids) },
+};
+
+static const struct field shape_push_fields[] = {
+	{ FIELD_U64, offsetof(struct shape_push, job) },
+	{ FIELD_BOOL, offsetof(struct shape_push, gone) },
+	{ FIELD_STR, offsetof(struct shape_push, name) },
+	{ FIELD_I64, offsetof(struct shape_push, millicpus) },
+	{ FIELD_I64, offsetof(struct shape_push, memory) },
+	{ FIELD_I64, offsetof(struct shape_push, accelerators) },
+	{ FIELD_I64, offsetof(struct shape_push, lease_ms) },
+	{ FIELD_BYTES, offsetof(struct shape_push, payload) },
+};
+
 /* Names the fields of one struct as a shape. */
 #define SHAPE(s)                                                           \
 	{                                                                  \
@@ -145,6 +166,9 @@
 	[FRAME_WORKER_HEALTH] = SHAPE(health_report),
 	[FRAME_TARGET] = SHAPE(target_push),
 	[FRAME_SPAN] = SHAPE(span_push),
+	[FRAME_DIVISION] = SHAPE(division_push),
+	[FRAME_TARGETS] = SHAPE(targets_push),
+	[FRAME_SHAPE] = SHAPE(shape_push),
 };
 
 const struct shape *
@@ -155,6 +179,14 @@
 	return &shapes[type];
 }
 
+uint64_t
+proto_target_id(uint64_t job, uint32_t task, uint32_t worker)
+{
+	uint64_t parts[] = { job, task, worker };
+
+	return hash64(parts, sizeof(parts)) | 1;
+}
+
 void
 proto_send_empty(struct link *l, enum frame_type type)
 {
--- a/bulrushtided/proto.h
+++ b/bulrushtided/proto.h
@@ -28,6 +28,9 @@
 	FRAME_LEAVE,
 	FRAME_TARGET,
 	FRAME_SPAN,
+	FRAME_DIVISION,
+	FRAME_TARGETS,
+	FRAME_SHAPE,
 	FRAME_COUNT
 };
 
@@ -49,6 +52,7 @@
 	uint64_t incarnation;
 	bool entry; /* takes callers and may be a home */
 	uint64_t config; /* version it holds */
+	uint64_t division; /* of connections that it uses */
 };
 
 struct joined {
@@ -97,6 +101,7 @@
 struct report {
 	uint64_t seq;
 	uint64_t config; /* version in force at the sender */
+	uint64_t division; /* of connections, in force at the sender */
 	bool draining;
 };
 
@@ -141,10 +146,21 @@
 	uint64_t job;
 	uint32_t task;
 	uint32_t attempt;
-	GBytes *body; /* of POST /tasks */
 	char *trace; /* traceparent; "" when none */
 };
 
+/* What the start orders of a job have in common; sent once to a home. */
+struct shape_push {
+	uint64_t job;
+	bool gone; /* the job has ended: drop it */
+	char *name;
+	int64_t millicpus;
+	int64_t memory; /* bytes */
+	int64_t accelerators;
+	int64_t lease_ms;
+	GBytes *payload;
+};
+
 enum order_outcome { ORDER_DONE, ORDER_REFUSED /* never started */ };
 
 struct order_result {
@@ -172,15 +188,29 @@
 /* One running task of a service, for calls. */
 struct target_push {
 	char *service;
+	char *team;
 	uint64_t job;
 	uint32_t task;
-	uint32_t attempt;
 	uint32_t worker;
-	char *address;
+	char *address; /* of the worker */
 	bool gone;
 	bool idempotent;
 	int64_t timeout_ms;
-	int64_t connections; /* the receiver's share of the worker's */
+	int64_t slots; /* of the worker */
+	int64_t connections; /* of the worker */
+};
+
+/* All targets that may take calls; the receiver drops any other. */
+struct targets_push {
+	GArray *ids; /* uint64_t, of proto_target_id() */
+};
+
+/*
+ * How a worker's connections are divided: the receiver may hold one part in
+ * division of them; 0: none. It acknowledges in its reports.
+ */
+struct division_push {
+	uint64_t division;
 };
 
 /* One span of a trace, sent to the leader, which keeps them all. */
@@ -199,6 +229,9 @@
 /* The shape of a frame type; NULL for PING, RAFT and unknown ones. */
 const struct shape *proto_shape(int type);
 
+/* Names a target: a task on the worker that it runs on; never 0. */
+uint64_t proto_target_id(uint64_t job, uint32_t task, uint32_t worker);
+
 /* Sends a frame that is its type number only. */
 void proto_send_empty(struct link *l, enum frame_type type);
 
--- a/bulrushtided/session.c
+++ b/bulrushtided/session.c
@@ -3,6 +3,7 @@
 #include "session.h"
 
 #define DIAL_AGAIN_MS 200
+#define TICK_MS 100
 #define SENT_REPORTS 16 /* reports whose sending times are kept */
 #define REQUESTS_MAX 4096
 
@@ -36,6 +37,7 @@
 	GHashTable *pending; /* request id -> struct pending */
 	struct config_push config;
 	bool has_config;
+	uint64_t division;
 };
 
 static void
@@ -52,6 +54,7 @@
 {
 	struct report report = { .seq = ++s->report_seq,
 		.config = s->config.version,
+		.division = s->division,
 		.draining = s->node->draining };
 
 	s->reported_ms = mono_ms();
@@ -209,6 +212,13 @@
 		s->ops->worker(s->arg, msg);
 }
 
+static void
+row_shape(struct session *s, void *msg)
+{
+	if (s->ops->shape != NULL)
+		s->ops->shape(s->arg, msg);
+}
+
 static void
 row_order(struct session *s, void *msg)
 {
@@ -223,14 +233,36 @@
 		s->ops->target(s->arg, msg);
 }
 
+static void
+row_targets(struct session *s, void *msg)
+{
+	if (s->ops->targets != NULL)
+		s->ops->targets(s->arg, msg);
+}
+
+static void
+row_division(struct session *s, void *msg)
+{
+	const struct division_push *push = msg;
+
+	s->division = push->division;
+	if (s->ops->division != NULL)
+		s->ops->division(s->arg, push->division);
+	/* The others' shares may grow once this one is known to hold. */
+	send_report(s);
+}
+
 static const struct frame_row rows[] = {
 	{ FRAME_JOINED, row_joined },
 	{ FRAME_REPLY, row_reply },
 	{ FRAME_GRANT, row_grant },
 	{ FRAME_CONFIG, row_config },
 	{ FRAME_WORKER, row_worker },
+	{ FRAME_SHAPE, row_shape },
 	{ FRAME_ORDER, row_order },
 	{ FRAME_TARGET, row_target },
+	{ FRAME_TARGETS, row_targets },
+	{ FRAME_DIVISION, row_division },
 };
 
 static void
@@ -276,7 +308,8 @@
 		.data_center = c->data_center,
 		.incarnation = s->node->incarnation,
 		.entry = c->entry && !s->node->draining,
-		.config = s->config.version };
+		.config = s->config.version,
+		.division = s->division };
 
 	s->up = true;
 	s->heard_ms = mono_ms();
@@ -383,7 +416,7 @@
 	s->leader = g_strdup("");
 	s->pending = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, pending_free);
-	s->timer = node_timer(node, 50, on_timer, s);
+	s->timer = node_timer(node, TICK_MS, on_timer, s);
 	return s;
 }
 
@@ -460,6 +493,12 @@
 	return &s->config;
 }
 
+uint64_t
+session_division(const struct session *s)
+{
+	return s->division;
+}
+
 const char *
 session_leader(const struct session *s)
 {
--- a/bulrushtided/session.h
+++ b/bulrushtided/session.h
@@ -16,9 +16,12 @@
 
 struct session_ops {
 	void (*worker)(void *arg, const struct worker_push *push);
+	void (*shape)(void *arg, const struct shape_push *push);
 	void (*order)(void *arg, const struct order *order);
 	void (*config)(void *arg, const struct config_push *push);
 	void (*target)(void *arg, const struct target_push *push);
+	void (*targets)(void *arg, const struct targets_push *push);
+	void (*division)(void *arg, uint64_t division);
 	/* The leader asks this process to drain. */
 	void (*leave)(void *arg);
 };
@@ -55,6 +58,8 @@
 /* Returns the configuration version held, 0 if none. */
 uint64_t session_config_version(const struct session *s);
 const struct config_push *session_config(const struct session *s);
+/* The division of connections that this process uses; 0: none. */
+uint64_t session_division(const struct session *s);
 const char *session_leader(const struct session *s);
 
 #endif
--- a/bulrushtided/workers.c
+++ b/bulrushtided/workers.c
@@ -85,6 +85,8 @@
 	lw->moving = false;
 	lw->home = w->home;
 	mirror(l, w, lw);
+	if (w->state != WORKER_UP)
+		targets_worker(l, w);
 	if (w->state == WORKER_LOST)
 		push(l, w->home, w, true);
 	else
@@ -115,6 +117,7 @@
 
 	if (gone) {
 		g_hash_table_remove(l->entries, GUINT_TO_POINTER(entry));
+		targets_divide(l);
 		if (c == NULL)
 			return;
 		/* It was only late: it has to join anew. */
@@ -126,6 +129,8 @@
 	if (e == NULL) {
 		e = g_new0(struct lentry, 1);
 		e->id = entry;
+		/* Until it says which part it holds it may hold all. */
+		e->division = 1;
 		g_hash_table_insert(l->entries, GUINT_TO_POINTER(entry), e);
 	}
 	/* An earlier leader, or an earlier process of the entry, may have had
--- a/lib/httpd/client.c
+++ b/lib/httpd/client.c
@@ -21,6 +21,7 @@
 	GQueue calls; /* struct call, unanswered */
 	bool freed;
 	bool busy; /* inside an answer */
+	const char *type; /* of the answer being given */
 };
 
 static struct evhttp_connection *
@@ -93,6 +94,12 @@
 	return (int)p->calls.length;
 }
 
+const char *
+http_peer_type(const struct http_peer *p)
+{
+	return p->type == NULL ? "" : p->type;
+}
+
 static const char *
 error_word(enum evhttp_request_error error)
 {
@@ -106,7 +113,7 @@
 	case EVREQ_HTTP_DATA_TOO_LONG:
 		return "answer too long";
 	default:
-		return "connection failed";
+		return "connection lost";
 	}
 }
 
@@ -133,9 +140,14 @@
 		return;
 	g_queue_remove(&p->calls, c);
 	p->busy = true;
+	p->type = ev == NULL
+	    ? NULL
+	    : evhttp_find_header(
+		  evhttp_request_get_input_headers(ev), "Content-Type");
 	c->answer(c->arg, status, len == 0 ? NULL : evbuffer_pullup(in, -1),
 	    len, status != 0 ? NULL : c->why);
 	p->busy = false;
+	p->type = NULL;
 	g_free(c);
 }
 
@@ -153,7 +165,7 @@
 	c->peer = p;
 	c->answer = answer;
 	c->arg = arg;
-	c->why = "connection failed";
+	c->why = HTTP_NO_CONNECTION;
 	evhttp_request_set_error_cb(ev, on_error);
 	evhttp_connection_set_timeout_tv(conn, &tv);
 	evhttp_add_header(out, "Host", p->host);
