--- a/test/ctl_cell_test.c
+++ b/test/ctl_cell_test.c
@@ -133,6 +133,27 @@
 	expect("trace 0123456789abcdef0123456789abcdef", 1, "", "invalid");
 }
 
+/* Every example job is taken under its firm's configuration. */
+static void
+check_examples(const char *firm)
+{
+	char *apply = g_strdup_printf("apply --wait %s/%s", EXAMPLES, firm);
+	char *path = g_build_filename(EXAMPLES, firm, "jobs", NULL);
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	expect(apply, 0, "in force at all 1 connected nodes", "");
+	while ((name = g_dir_read_name(dir)) != NULL) {
+		char *submit = g_strdup_printf("submit %s/%s", path, name);
+
+		expect(submit, 0, "outcome  accepted", "");
+		g_free(submit);
+	}
+	g_dir_close(dir);
+	g_free(path);
+	g_free(apply);
+}
+
 static void
 check_drain(struct fixture *f)
 {
@@ -147,6 +168,9 @@
 {
 	check_configs();
 	check_jobs(f);
+	check_examples("halvorsen");
+	check_examples("stollenwerk");
+	expect("cancel --team=render --prefix=stud-", 0, "jobs     1", "");
 	check_drain(f);
 }
 
