Service calls: short timeouts blame no target; a changed timeout arrives

Cause: a call whose time left is less than the way to a worker and back was counted as a target's failure. On a running node 30 calls with Request-Timeout-Ms: 5 ejected one of two healthy targets. And a changed call_timeout_ms never reached entries that knew the targets already. Change: the deadline given to lib/calls is earlier by both ways, so that such a call is refused with reason deadline and nothing is counted; a new configuration sends the targets again.

--- a/bulrushtided/clients.c
+++ b/bulrushtided/clients.c
@@ -111,8 +111,12 @@
 	for (guint i = 0; i < l->clients->len; i++) {
 		struct client *c = l->clients->pdata[i];
 
-		if (c->joined)
-			push_config(l, c, body);
+		if (!c->joined)
+			continue;
+		push_config(l, c, body);
+		/* A service's time for calls may have changed. */
+		if (c->entry)
+			targets_push_all(l, c);
 	}
 	g_bytes_unref(body);
 }
--- a/bulrushtided/services.c
+++ b/bulrushtided/services.c
@@ -430,7 +430,9 @@
 	request = (struct calls_request){ .service = v->handle,
 		.team = v->team,
 		.idempotent = v->idempotent,
-		.deadline_ms = c->deadline_ms };
+		/* A call that can't come back in time is not sent: a target
+		 * would be blamed for it. */
+		.deadline_ms = c->deadline_ms - 2 * HOP_MS };
 	step = calls_begin(s->calls, &request, now);
 	c->handle = step.call;
 	g_hash_table_insert(s->open, GUINT_TO_POINTER(c->handle), c);
--- /dev/null
+++ b/test/call_test.c
@@ -0,0 +1,98 @@
+/* Service calls through an entry to real processes. */
+#include <string.h>
+
+#include "cluster.h"
+
+#define CALLS 40
+#define TRIES_MAX 2000 /* until a change has arrived */
+#define TRY_MS 20
+
+#define BASE(timeout)                                            \
+	"policy:\n"                                              \
+	"  heartbeat_ms: 200\n"                                  \
+	"  suspect_ms: 800\n"                                    \
+	"  lease_ms: {service: 4000, batch: 2000, gang: 2000}\n" \
+	"teams:\n"                                               \
+	"  team: {weight: 1}\n"                                  \
+	"services:\n"                                            \
+	"  desk:\n"                                              \
+	"    team: team\n"                                       \
+	"    tasks: 2\n"                                         \
+	"    resources: {millicpus: 3000, memory: 1MiB}\n"       \
+	"    call_timeout_ms: " timeout "\n"
+
+static const char *const flags[] = { "--millicpus=4000", NULL };
+
+static const struct cluster_conf conf = { .replicas = 1,
+	.entries = 1,
+	.workers = 2,
+	.base = BASE("5"),
+	.worker_flags = flags };
+
+/* Calls the service; says whether the status and reason are these. */
+static bool
+call(struct cluster *c, int status, const char *reason)
+{
+	json_t *body = json_pack("{s:i}", "article", 144);
+	int got = 0;
+	json_t *reply = cluster_http(
+	    c, "e0", "POST", "/v1/services/desk/call", NULL, body, &got);
+	const char *why = json_string_value(json_object_get(reply, "reason"));
+	bool ok =
+	    got == status && (reason == NULL || g_strcmp0(why, reason) == 0);
+
+	json_decref(reply);
+	json_decref(body);
+	return ok;
+}
+
+static void
+await(struct cluster *c, int status, const char *reason)
+{
+	for (int i = 0; i < TRIES_MAX; i++) {
+		if (call(c, status, reason))
+			return;
+		g_usleep(TRY_MS * 1000);
+	}
+	g_error("call_test: no reply %d %s", status, reason);
+}
+
+static void
+set_base(struct cluster *c, const char *base)
+{
+	json_t *body = json_pack("{s:i,s:s}", "version", 2, "base", base);
+	int status = 0;
+	json_t *reply =
+	    cluster_http(c, "e0", "PUT", "/v1/config", NULL, body, &status);
+
+	g_assert_cmpint(status, ==, 200);
+	json_decref(reply);
+	json_decref(body);
+}
+
+/* Calls that can't come back in time are no fault of the targets. */
+static void
+test_short_timeouts(void)
+{
+	struct cluster *c = cluster_new(&conf);
+
+	cluster_await_event(c, NULL, "start", 2);
+	await(c, 503, "deadline");
+	for (int i = 0; i < CALLS; i++)
+		g_assert_true(call(c, 503, "deadline"));
+	set_base(c, BASE("5000"));
+	await(c, 200, NULL);
+	for (int i = 0; i < CALLS; i++)
+		g_assert_true(call(c, 200, NULL));
+	cluster_await_event(c, "w0", "call", 1);
+	cluster_await_event(c, "w1", "call", 1);
+	cluster_free(c);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/call/short-timeouts", test_short_timeouts);
+	return g_test_run();
+}
