Lost start orders are fenced by a new epoch; rounds by time; throttles are lifted

Cause: review of the home. A start order without an answer may take effect much later (a cut that heals, a network that holds bytes); a worker's 503 or 404 in the meantime was taken for 'never ran', also when an earlier process of the entry had sent the order. Change: such an answer is final only once the worker has taken an epoch newer than the lost order's; the home asks for one, and an entry's new process gets new epochs for its workers. The placement library asks for rounds by time, lifts throttles and avoids workers that failed the task: wired. Tests: cell_test epoch-renewed, preempt-service; web_test for bad input on a real daemon (first run next).

--- a/bulrushtided/home.c
+++ b/bulrushtided/home.c
@@ -4,6 +4,7 @@
 #include "session.h"
 
 #define ORDER_TIMEOUT_MS 2000
+#define THROTTLE_PERCENT 25 /* of full speed */
 #define RETRY_FIRST_MS 200
 #define RETRY_MAX_MS 2000
 
@@ -21,7 +22,7 @@
 	bool stop; /* a stop is wanted */
 	bool stopped; /* the worker has taken the stop order */
 	bool busy; /* an order is on its way */
-	int64_t lost_ms; /* a start order got no answer then; 0: never */
+	uint64_t lost_epoch; /* a start order of it got no answer; 0: none */
 	int64_t retry_ms;
 	int64_t due_ms;
 	int64_t millicpus; /* in use as last reported */
@@ -45,6 +46,7 @@
 	bool lapsed;
 	bool told; /* the worker knows this epoch */
 	bool telling; /* POST /lease is on its way */
+	uint64_t telling_epoch;
 	GHashTable *held; /* job and task -> struct held */
 };
 
@@ -137,16 +139,29 @@
 }
 
 /*
- * Says whether no start order of ours can still reach the worker: one that
- * got no answer may, until the lease it would need has run out.
+ * Says whether no start order of ours can still take effect: one that got no
+ * answer, or that an earlier home sent, may, however late, until the worker
+ * has taken a newer epoch.
  */
 static bool
 settled(const struct held *a)
 {
-	const struct config_push *c =
-	    session_config(a->worker->home->node->session);
+	return a->worker->told && a->lost_epoch < a->worker->epoch;
+}
 
-	return a->lost_ms == 0 || mono_ms() - a->lost_ms > c->lease_ms;
+/* The worker refuses the attempt or does not know it. That is final only if
+ * no earlier order is still on its way; else a new epoch has to come first. */
+static void
+refused(struct held *a, enum order_type type)
+{
+	if (settled(a)) {
+		a->stopped = type == ORDER_STOP;
+		report_result(a, type, ORDER_REFUSED);
+		return;
+	}
+	if (a->lost_epoch == a->worker->epoch)
+		report_health(a->worker, HEALTH_REFENCE);
+	retry_later(a);
 }
 
 static void
@@ -170,15 +185,12 @@
 		report_result(a, ORDER_START, ORDER_DONE);
 	} else if (status == 200 && s->type == ORDER_STOP) {
 		a->stopped = true;
-	} else if (status == 503 && s->type == ORDER_START) {
-		/* Refused for want of room: it has not run and won't. */
-		report_result(a, ORDER_START, ORDER_REFUSED);
-	} else if (status == 404 && s->type == ORDER_STOP && settled(a)) {
-		a->stopped = true;
-		report_result(a, ORDER_STOP, ORDER_REFUSED);
+	} else if ((status == 503 && s->type == ORDER_START) ||
+	    (status == 404 && s->type == ORDER_STOP)) {
+		refused(a, s->type);
 	} else {
 		if (status == 0 && s->type == ORDER_START)
-			a->lost_ms = mono_ms();
+			a->lost_epoch = s->epoch;
 		retry_later(a);
 	}
 	if (status == 200) {
@@ -200,6 +212,7 @@
 
 	s->held = a;
 	s->type = type;
+	s->epoch = a->worker->epoch;
 	a->refs++;
 	a->busy = true;
 	trace_format(&a->trace, trace);
@@ -273,6 +286,8 @@
 	struct homed *w = arg;
 
 	w->telling = false;
+	if (w->telling_epoch != w->epoch)
+		return;
 	/* Counted from the answer: the worker may have taken it until now. */
 	w->renewed_ms = mono_ms();
 	if (status != 200)
@@ -291,6 +306,7 @@
 	if (w->telling || w->lapsed || !session_granted(node->session))
 		return;
 	w->telling = true;
+	w->telling_epoch = w->epoch;
 	text = g_strdup_printf("{\"epoch\":%" G_GUINT64_FORMAT
 			       ",\"home\":\"%s\",\"lease_ms\":%" G_GINT64_FORMAT
 			       ",\"heartbeat_ms\":%" G_GINT64_FORMAT "}",
@@ -400,6 +416,24 @@
 	return a;
 }
 
+/* Orders a checkpoint, or a speed in percent of full; sent once. */
+static void
+post_speed(struct held *a, enum order_type type, const char *verb, int percent)
+{
+	char *path = attempt_path(a, verb);
+	char *text = percent < 0
+	    ? g_strdup_printf(
+		  "{\"epoch\":%" G_GUINT64_FORMAT "}", a->worker->epoch)
+	    : g_strdup_printf("{\"epoch\":%" G_GUINT64_FORMAT
+			      ",\"percent\":%d}",
+		  a->worker->epoch, percent);
+	GBytes *body = g_bytes_new_take(text, strlen(text));
+
+	post(a, type, path, body);
+	g_bytes_unref(body);
+	g_free(path);
+}
+
 static void
 shape_free(void *arg)
 {
@@ -452,18 +486,14 @@
 	}
 	if (order->type == ORDER_STOP)
 		a->stop = true;
-	if (order->type == ORDER_CHECKPOINT || order->type == ORDER_THROTTLE) {
-		char *path = attempt_path(a,
-		    order->type == ORDER_CHECKPOINT ? "checkpoint"
-						    : "throttle");
-		GBytes *body = epoch_body(w);
-
-		post(a, order->type, path, body);
-		g_bytes_unref(body);
-		g_free(path);
-		return;
-	}
-	send_next(a);
+	if (order->type == ORDER_CHECKPOINT)
+		post_speed(a, order->type, "checkpoint", -1);
+	else if (order->type == ORDER_THROTTLE)
+		post_speed(a, order->type, "throttle", THROTTLE_PERCENT);
+	else if (order->type == ORDER_RESUME)
+		post_speed(a, order->type, "throttle", 100);
+	else
+		send_next(a);
 }
 
 /* Says whether a figure moved by more than a tenth. */
@@ -514,7 +544,7 @@
 	    !session_granted(h->node->session))
 		return NULL;
 	w->heard_ms = w->renewed_ms = now;
-	w->told = true;
+	w->told |= beat->epoch == w->epoch;
 	report_usage(w, beat);
 	if (w->silent) {
 		w->silent = false;
--- a/bulrushtided/leader.c
+++ b/bulrushtided/leader.c
@@ -254,7 +254,7 @@
 	orders_scan(l, now);
 	requests_scan(l, now);
 	observe_scan(l, now);
-	if (l->dirty)
+	if (l->dirty || orders_due(l))
 		orders_round(l);
 }
 
--- a/bulrushtided/leader_impl.h
+++ b/bulrushtided/leader_impl.h
@@ -179,6 +179,8 @@
 void orders_load(struct leader *l);
 void orders_watch(struct cell_watch *watch);
 void orders_round(struct leader *l);
+/* Says whether a round is due although nothing has changed. */
+bool orders_due(const struct leader *l);
 void orders_scan(struct leader *l, int64_t now);
 void orders_resend(struct leader *l, struct client *c, uint32_t worker);
 void orders_result(struct leader *l, const struct order_result *result);
--- a/bulrushtided/orders.c
+++ b/bulrushtided/orders.c
@@ -282,6 +282,8 @@
 
 	if (how == END_LOST)
 		l->node->counters.lost->value++;
+	if (how == END_FAILED || how == END_NOT_STARTED)
+		sched_job_avoid(l->sched, job->id, worker);
 	if (a != NULL) {
 		job_span(l, job->id, "task", a->assigned_us, end_names[how]);
 		observe_ended(l, job, a, how);
@@ -481,6 +483,26 @@
 	(void)leader_propose(l, &cmd);
 }
 
+bool
+orders_due(const struct leader *l)
+{
+	int64_t next = sched_next_ms(l->sched);
+
+	return next >= 0 && leader_now(l) >= next;
+}
+
+/* Lifts the throttle of a task whose room is no longer asked for. */
+static void
+resume(struct leader *l, const struct sched_placement *p)
+{
+	const struct cell_job *job = cell_job(l->cell, p->job);
+
+	if (job != NULL && p->task < job->spec.tasks &&
+	    job->task[p->task].state == TASK_ASSIGNED)
+		send_order(l, job, p->task, p->worker,
+		    job->task[p->task].attempt, ORDER_RESUME);
+}
+
 void
 orders_round(struct leader *l)
 {
@@ -507,6 +529,9 @@
 		propose_preempt(l,
 		    &g_array_index(
 			round.preemptions, struct sched_preemption, i));
+	for (i = 0; i < round.resumes->len; i++)
+		resume(l,
+		    &g_array_index(round.resumes, struct sched_placement, i));
 	l->dirty = round.placements->len >= ROUND_MAX;
 	sched_round_clear(&round);
 }
--- a/bulrushtided/proto.h
+++ b/bulrushtided/proto.h
@@ -137,6 +137,7 @@
 	ORDER_STOP,
 	ORDER_CHECKPOINT,
 	ORDER_THROTTLE,
+	ORDER_RESUME, /* lifts a throttle */
 	ORDER_FORGET /* the attempt ended: drop what is kept of it */
 };
 
@@ -174,6 +175,8 @@
 };
 
 enum worker_health {
+	HEALTH_REFENCE, /* a start order is lost on its way: a new epoch is
+			   needed before anybody may say it never ran */
 	HEALTH_SILENT, /* no word for suspect_ms */
 	HEALTH_HEARD, /* heard again */
 	HEALTH_LAPSED /* shortest lease run out; never renewed again
--- a/bulrushtided/workers.c
+++ b/bulrushtided/workers.c
@@ -300,6 +300,19 @@
 	cell_each_worker(l->cell, leave_one, &leave);
 }
 
+/* Gives a worker a new epoch at its home: older orders are void with it. */
+static void
+refence(struct leader *l, const struct cell_worker *w, struct lworker *lw)
+{
+	struct cell_cmd cmd = { .type = CMD_WORKER };
+
+	if (lw->moving || lw->lapsed_ms != 0)
+		return;
+	cmd.u.announce.worker = *w;
+	cmd.u.announce.fresh = true;
+	lw->moving = leader_propose(l, &cmd) != 0;
+}
+
 void
 workers_health(
     struct leader *l, struct client *c, const struct health_report *report)
@@ -310,6 +323,10 @@
 	if (lw == NULL || w == NULL || lw->epoch != report->epoch ||
 	    lw->home != c->entry_id)
 		return;
+	if (report->health == HEALTH_REFENCE) {
+		refence(l, w, lw);
+		return;
+	}
 	if (report->health == HEALTH_LAPSED && lw->lapsed_ms == 0)
 		lw->lapsed_ms = mono_ms();
 	lw->silent = report->health != HEALTH_HEARD;
--- a/lib/cell/workers.c
+++ b/lib/cell/workers.c
@@ -12,11 +12,29 @@
 	*to = g_strdup(from);
 }
 
+/*
+ * An entry's new process does not know which orders the old one has sent:
+ * they are void once its workers have taken a new epoch.
+ */
+static void
+renew_epochs(struct cell *c, uint32_t entry)
+{
+	for (guint i = 0; i < c->workers->len; i++) {
+		struct worker *w = g_ptr_array_index(c->workers, i);
+
+		if (w->pub.home != entry || w->pub.state == WORKER_LOST)
+			continue;
+		w->pub.epoch = ++c->last_epoch;
+		c->watch.worker(c->watch_arg, w->pub.id);
+	}
+}
+
 void
 apply_entry(struct cell *c, const struct cell_cmd *cmd, struct cell_result *res)
 {
 	const struct cell_entry *in = &cmd->u.entry;
 	const struct cell_entry *known = cell_entry_named(c, in->name);
+	bool restarted = known != NULL && known->incarnation != in->incarnation;
 	struct cell_entry *e;
 
 	if (known != NULL) {
@@ -32,6 +50,8 @@
 	set_string(&e->data_center, in->data_center);
 	e->incarnation = in->incarnation;
 	c->watch.entry(c->watch_arg, e->id, false);
+	if (restarted)
+		renew_epochs(c, e->id);
 }
 
 void
--- a/test/cell_test.c
+++ b/test/cell_test.c
@@ -408,6 +408,66 @@
 	cell_free(c);
 }
 
+/* Orders that an entry's old process or a lost session sent must be void. */
+static void
+test_epoch_renewed(void)
+{
+	uint32_t w;
+	struct cell *c = small_cell(&w);
+	uint64_t job = do_submit(c, KIND_BATCH, 1, false);
+	uint64_t epoch = cell_worker(c, w)->epoch;
+	const struct cell_entry *e = cell_entry(c, cell_worker(c, w)->home);
+	struct cell_cmd entry = { .type = CMD_ENTRY };
+	struct cell_cmd fresh = { .type = CMD_WORKER };
+	struct cell_result r;
+
+	do_start(c, job, 1, w);
+	entry.u.entry = *e;
+	entry.u.entry.incarnation = e->incarnation + 1;
+	r = do_cmd(c, &entry);
+	cell_result_clear(&r);
+	g_assert_cmpuint(cell_worker(c, w)->epoch, >, epoch);
+	epoch = cell_worker(c, w)->epoch;
+	fresh.u.announce.worker = *cell_worker(c, w);
+	fresh.u.announce.fresh = true;
+	r = do_cmd(c, &fresh);
+	cell_result_clear(&r);
+	g_assert_cmpuint(cell_worker(c, w)->epoch, >, epoch);
+	/* The attempt is kept: only the orders are void. */
+	g_assert_cmpint(state(c, job, 0), ==, TASK_ASSIGNED);
+	cell_free(c);
+}
+
+/* A service's task is stopped for its worker's leave, and only for it. */
+static void
+test_preempt_service(void)
+{
+	uint32_t w;
+	struct cell *c = small_cell(&w);
+	uint64_t job = do_submit(c, KIND_SERVICE, 1, false);
+	struct cell_result r;
+
+	do_start(c, job, 1, w);
+	for (int i = 0; i < 2; i++) {
+		struct cell_cmd cmd = { .type = CMD_PREEMPT };
+
+		cmd.u.preempt.job = job;
+		cmd.u.preempt.attempt = 1;
+		if (i == 0) {
+			assert_refused(c, &cmd, "not-preemptible");
+			r = do_state(c, w, WORKER_DRAINING);
+		} else {
+			r = do_cmd(c, &cmd);
+		}
+		g_assert_cmpint(r.outcome, ==, OUT_ACCEPTED);
+		cell_result_clear(&r);
+	}
+	g_assert_cmpint(state(c, job, 0), ==, TASK_STOPPING);
+	do_end(c, job, 0, END_STOPPED);
+	g_assert_cmpint(state(c, job, 0), ==, TASK_PENDING);
+	cell_free(c);
+}
+
 static void
 test_ends(void)
 {
@@ -836,6 +896,8 @@
 	    "/cell/service-replace-forgotten", test_service_replace_forgotten);
 	g_test_add_func("/cell/service-failures", test_service_failures);
 	g_test_add_func("/cell/announce", test_announce);
+	g_test_add_func("/cell/epoch-renewed", test_epoch_renewed);
+	g_test_add_func("/cell/preempt-service", test_preempt_service);
 	g_test_add_func("/cell/worker-lost", test_worker_lost);
 	g_test_add_func("/cell/ends", test_ends);
 	g_test_add_func("/cell/start-bounds", test_start_bounds);
--- /dev/null
+++ b/test/web_test.c
@@ -0,0 +1,251 @@
+/* Bad input on the HTTP listener of a real daemon: a 4xx or 503 with a stable
+ * reason, nothing stored, and the daemon goes on. */
+#include <arpa/inet.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "proc.h"
+
+#define BIG_BODY (1200 * 1024) /* over the bound of a body */
+#define BIG_HEADER (16 * 1024) /* over the bound of headers */
+#define TRIES_MAX 3000
+#define TRY_US 20000
+
+static struct proc *daemon_proc;
+static char *dir;
+
+static int
+dial(void)
+{
+	char **part = g_strsplit(daemon_proc->address, ":", 2);
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	struct timeval tv = { 30, 0 };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	inet_pton(AF_INET, part[0], &sin.sin_addr);
+	sin.sin_port = htons((uint16_t)g_ascii_strtoull(part[1], NULL, 10));
+	g_strfreev(part);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* Sends bytes as they are and reads until the daemon closes. */
+static char *
+raw(const char *text, size_t len)
+{
+	GString *reply = g_string_new(NULL);
+	char buf[4096];
+	int fd = dial();
+	ssize_t n;
+
+	if (fd < 0)
+		return g_string_free(reply, FALSE);
+	/* The daemon may close before it has read all of a long request. */
+	for (size_t done = 0; done < len; done += (size_t)n) {
+		n = send(fd, text + done, len - done, MSG_NOSIGNAL);
+		if (n <= 0)
+			break;
+	}
+	shutdown(fd, SHUT_WR);
+	while ((n = recv(fd, buf, sizeof(buf), 0)) > 0)
+		g_string_append_len(reply, buf, n);
+	close(fd);
+	return g_string_free(reply, FALSE);
+}
+
+static char *
+request(const char *method, const char *path, const char *key, const char *body)
+{
+	char *text = g_strdup_printf(
+	    "%s %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n%s%s%s"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    method, path,
+	    key == NULL ? "" : "Idempotency-Key: ", key == NULL ? "" : key,
+	    key == NULL ? "" : "\r\n", strlen(body), body);
+	char *reply = raw(text, strlen(text));
+
+	g_free(text);
+	return reply;
+}
+
+static int
+status_of(const char *reply)
+{
+	if (!g_str_has_prefix(reply, "HTTP/1.1 "))
+		return 0;
+	return (int)g_ascii_strtoll(reply + strlen("HTTP/1.1 "), NULL, 10);
+}
+
+static void
+await(const char *path, int status)
+{
+	for (int i = 0; i < TRIES_MAX; i++) {
+		char *reply = request("GET", path, NULL, "");
+		int got = status_of(reply);
+
+		g_free(reply);
+		if (got == status)
+			return;
+		g_usleep(TRY_US);
+	}
+	g_error("web_test: %s does not answer %d", path, status);
+}
+
+struct bad {
+	const char *method;
+	const char *path;
+	const char *key;
+	const char *body;
+	int status;
+	const char *reason;
+};
+
+#define JOB(rest) "{\"team\":\"t\",\"name\":\"n\",\"kind\":\"batch\"," rest "}"
+#define SIZE "\"resources\":{\"millicpus\":1,\"memory_bytes\":1}"
+
+static const struct bad bad[] = {
+	{ "POST", "/v1/jobs", "k", "{", 400, "invalid-body" },
+	{ "POST", "/v1/jobs", "k", "", 400, "invalid-body" },
+	{ "POST", "/v1/jobs", "k", "[]", 400, "invalid-body" },
+	{ "POST", "/v1/jobs", "k", JOB(SIZE ",\"extra\":1"), 400,
+	    "invalid-body" },
+	{ "POST", "/v1/jobs", "k", JOB(SIZE ",\"tasks\":0"), 400,
+	    "invalid-body" },
+	{ "POST", "/v1/jobs", "k",
+	    JOB("\"resources\":{\"millicpus\":0,\"memory_bytes\":1}"), 400,
+	    "invalid-body" },
+	{ "POST", "/v1/jobs", "k", JOB(SIZE ",\"tasks\":1e99"), 400,
+	    "invalid-body" },
+	{ "POST", "/v1/jobs", NULL, JOB(SIZE), 400, "invalid-key" },
+	{ "POST", "/v1/jobs?wait_ms=-1", "k", JOB(SIZE), 400, "invalid-query" },
+	{ "GET", "/v1/jobs/x", NULL, "", 404, "no-such-job" },
+	{ "GET", "/v1/jobs/99", NULL, "", 404, "no-such-job" },
+	{ "DELETE", "/v1/jobs/99", NULL, "", 404, "unknown-job" },
+	{ "DELETE", "/v1/jobs", NULL, "", 405, "method-not-allowed" },
+	{ "GET", "/nothing", NULL, "", 404, "no-such-path" },
+	{ "PUT", "/v1/config", NULL, "{\"version\":1,\"base\":\"a: [\"}", 400,
+	    "invalid" },
+	{ "PUT", "/v1/config", NULL, "{\"version\":2,\"base\":\"\"}", 409,
+	    "version" },
+	{ "POST", "/v1/workers", NULL, "{\"name\":\"\"}", 400, "invalid-body" },
+	{ "POST", "/v1/tasks/1/1/end", NULL,
+	    "{\"worker\":\"w\",\"epoch\":1,\"status\":\"done\"}", 400,
+	    "invalid-path" },
+	{ "POST", "/v1/services/none/call", NULL, "x", 503, "no-target" },
+	{ "GET", "/v1/trace/zz", NULL, "", 404, "no-such-trace" },
+	{ "POST", "/v1/nodes/none/drain", NULL, "", 404, "no-such-node" },
+	{ "POST", "/v1/replicas", NULL, "{\"action\":\"grow\"}", 400,
+	    "invalid-body" },
+};
+
+static void
+test_bad_requests(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		const struct bad *b = &bad[i];
+		char *reply = request(b->method, b->path, b->key, b->body);
+
+		if (status_of(reply) != b->status ||
+		    strstr(reply, b->reason) == NULL)
+			g_error("web_test: case %zu, wanted %d %s, got %s", i,
+			    b->status, b->reason, reply);
+		g_free(reply);
+	}
+}
+
+/* What no parser of ours sees: the bounds of the listener. */
+static void
+test_bounds(void)
+{
+	char *big = g_strnfill(BIG_BODY, 'x');
+	char *reply = request("POST", "/v1/jobs", "k", big);
+	char *text;
+	int status = status_of(reply);
+
+	g_assert_true(status == 413 || status == 400 || status == 0);
+	g_free(reply);
+	big[BIG_HEADER] = '\0';
+	text = g_strdup_printf("GET /healthz HTTP/1.1\r\nX: %s\r\n\r\n", big);
+	reply = raw(text, strlen(text));
+	g_assert_cmpint(status_of(reply), !=, 200);
+	g_free(reply);
+	g_free(text);
+	g_free(big);
+	reply = raw("\0\1\2\3 nonsense\r\n\r\n", 17);
+	g_assert_cmpint(status_of(reply), !=, 200);
+	g_free(reply);
+	reply = raw("POST /v1/jobs HTTP/1.1\r\nContent-Length: -5\r\n\r\n", 47);
+	g_assert_cmpint(status_of(reply), !=, 200);
+	g_free(reply);
+}
+
+/* After all that nothing is stored, and good requests are served. */
+static void
+test_goes_on(void)
+{
+	char *reply = request("GET", "/v1/status", NULL, "");
+
+	g_assert_cmpint(status_of(reply), ==, 200);
+	g_assert_nonnull(strstr(reply, "\"pending_jobs\":0"));
+	g_assert_nonnull(strstr(reply, "\"config_version\":0"));
+	g_free(reply);
+	reply = request("POST", "/v1/jobs", "k", JOB(SIZE));
+	g_assert_cmpint(status_of(reply), ==, 202);
+	g_free(reply);
+	reply = request("POST", "/v1/jobs", "k", JOB(SIZE ",\"tasks\":2"));
+	g_assert_cmpint(status_of(reply), ==, 409);
+	g_free(reply);
+	reply = request("GET", "/metrics", NULL, "");
+	g_assert_nonnull(strstr(reply, "bulrushtide_tasks_pending"));
+	g_free(reply);
+}
+
+static void
+start_daemon(void)
+{
+	GPtrArray *argv = g_ptr_array_new();
+	char *programs = programs_dir();
+	char *ip = loopback_ip();
+	char *http = free_address(ip);
+	char *peer = free_address(ip);
+
+	dir = g_dir_make_tmp("bulrushtide-web-XXXXXX", NULL);
+	add_arg(argv, "%s/../bulrushtided/bulrushtided", programs);
+	add_arg(argv, "--name=one");
+	add_arg(argv, "--http=%s", http);
+	add_arg(argv, "--peer=%s", peer);
+	add_arg(argv, "--replicas=one@%s", peer);
+	add_arg(argv, "--data-dir=%s/data", dir);
+	daemon_proc = proc_new("one", dir, argv);
+	daemon_proc->address = http;
+	proc_start(daemon_proc, false);
+	await("/readyz", 200);
+	g_free(programs);
+	g_free(ip);
+	g_free(peer);
+}
+
+int
+main(int argc, char **argv)
+{
+	int failed;
+
+	g_test_init(&argc, &argv, NULL);
+	start_daemon();
+	g_test_add_func("/web/bad-requests", test_bad_requests);
+	g_test_add_func("/web/bounds", test_bounds);
+	g_test_add_func("/web/goes-on", test_goes_on);
+	failed = g_test_run();
+	kill(daemon_proc->pid, SIGTERM);
+	g_assert_cmpint(proc_wait(daemon_proc), ==, 0);
+	proc_free(daemon_proc);
+	if (failed == 0)
+		remove_tree(dir);
+	g_free(dir);
+	return failed;
+}
