test: addresses of a harness are never the same twice

Cause: 2 of 9 runs of fault_test, three side by side, failed: a replica found its port taken, as a closed socket's port could be given out again. Change: ports are counted up below the range that connecting takes, and tried. Conclusion: the failures were the harness's own.

--- a/test/proc.c
+++ b/test/proc.c
@@ -9,6 +9,8 @@
 #include "proc.h"
 
 #define LINE_MAX_BYTES 512
+#define FIRST_PORT 20000
+#define LAST_PORT 32000
 #define FD_MAX 256 /* no test program opens more */
 
 char *
@@ -30,18 +32,31 @@
 	    pid >> 8 & 0xff, 1 + (pid & 0xff) % 254);
 }
 
-char *
-free_address(const char *ip)
+/* Says whether a socket can be bound to the address now. */
+static bool
+can_bind(const char *ip, int port)
 {
-	struct sockaddr_in sa = { .sin_family = AF_INET };
-	socklen_t len = sizeof(sa);
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+		.sin_port = htons((uint16_t)port) };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool ok;
 
 	inet_pton(AF_INET, ip, &sa.sin_addr);
-	g_assert_cmpint(bind(fd, (struct sockaddr *)&sa, len), ==, 0);
-	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&sa, &len), ==, 0);
+	ok = bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0;
 	close(fd);
-	return g_strdup_printf("%s:%d", ip, ntohs(sa.sin_port));
+	return ok;
+}
+
+char *
+free_address(const char *ip)
+{
+	/* Never the same twice, and below the ports that connecting takes. */
+	static int next = FIRST_PORT;
+
+	while (next < LAST_PORT && !can_bind(ip, next))
+		next++;
+	g_assert_cmpint(next, <, LAST_PORT);
+	return g_strdup_printf("%s:%d", ip, next++);
 }
 
 void
