--- a/bulrushtided/clients.c
+++ b/bulrushtided/clients.c
@@ -9,6 +9,7 @@
 {
 	struct client *c = arg;
 
+	g_hash_table_unref(c->shapes);
 	g_free(c->name);
 	g_free(c->address);
 	g_free(c->region);
@@ -77,9 +78,11 @@
 		g_free(json);
 		return;
 	}
-	reply.body = g_bytes_new_take(json, strlen(json));
+	if (json != NULL)
+		reply.body = g_bytes_new_take(json, strlen(json));
 	proto_send(c->link, FRAME_REPLY, &reply);
-	g_bytes_unref(reply.body);
+	if (reply.body != NULL)
+		g_bytes_unref(reply.body);
 }
 
 static void
@@ -108,8 +111,12 @@
 	for (guint i = 0; i < l->clients->len; i++) {
 		struct client *c = l->clients->pdata[i];
 
-		if (c->joined)
-			push_config(l, c, body);
+		if (!c->joined)
+			continue;
+		push_config(l, c, body);
+		/* A service's time for calls may have changed. */
+		if (c->entry)
+			targets_push_all(l, c);
 	}
 	g_bytes_unref(body);
 }
@@ -127,6 +134,7 @@
 	GBytes *body = g_bytes_new_take(text, strlen(text));
 
 	c->joined = true;
+	g_hash_table_remove_all(c->shapes);
 	c->entry_id = e == NULL ? 0 : e->id;
 	joined.entry = c->entry_id;
 	proto_send(c->link, FRAME_JOINED, &joined);
@@ -140,6 +148,7 @@
 		workers_push_all(l, c);
 		targets_push_all(l, c);
 		targets_divide(l);
+		l->rebalance = true;
 	}
 	log_info(
 	    "leader", "%s %s joined", c->entry ? "entry" : "node", c->name);
@@ -226,6 +235,7 @@
 	if (report->draining && !c->draining) {
 		c->draining = true;
 		log_info("leader", "%s drains", c->name);
+		requests_flush(l, c);
 		if (c->entry_id != 0)
 			workers_leave_home(l, c->entry_id);
 	}
@@ -345,11 +355,18 @@
 	tracer_add(l->node->tracer, &span);
 }
 
+static void
+row_usage(struct leader *l, struct client *c, void *msg)
+{
+	observe_usage(l, msg);
+}
+
 static const struct frame_row rows[] = {
 	{ row_join, FRAME_JOIN, false },
 	{ row_request, FRAME_REQUEST, true },
 	{ row_report, FRAME_REPORT, true },
 	{ row_span, FRAME_SPAN, true },
+	{ row_usage, FRAME_USAGE, true },
 	{ row_result, FRAME_ORDER_RESULT, true },
 	{ row_health, FRAME_WORKER_HEALTH, true },
 };
@@ -369,6 +386,8 @@
 		c->serial = ++l->next_serial;
 		c->link = link;
 		c->name = g_strdup(name);
+		c->shapes = g_hash_table_new_full(
+		    g_int64_hash, g_int64_equal, g_free, NULL);
 		g_ptr_array_add(l->clients, c);
 	}
 	c->heard_ms = mono_ms();
--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -49,6 +49,11 @@
 	c->elections =
 	    counter_new(r, COUNTER_TOTAL, "bulrushtide_leaderships_total", "",
 		"Times this replica became the leader.");
+	c->stalled = counter_new(r, COUNTER_GAUGE, "bulrushtide_jobs_stalled",
+	    "", "Jobs that wait or run past their bound.");
+	c->set_aside =
+	    counter_new(r, COUNTER_GAUGE, "bulrushtide_workers_set_aside", "",
+		"Workers that fail what they start.");
 	c->pending = counter_new(r, COUNTER_GAUGE, "bulrushtide_tasks_pending",
 	    "", "Tasks that wait for a worker.");
 	c->running = counter_new(r, COUNTER_GAUGE, "bulrushtide_tasks_running",
@@ -121,6 +126,15 @@
 		home_worker(node->home, push);
 }
 
+static void
+on_shape(void *arg, const struct shape_push *push)
+{
+	struct node *node = arg;
+
+	if (node->home != NULL)
+		home_shape(node->home, push);
+}
+
 static void
 on_order(void *arg, const struct order *order)
 {
@@ -165,6 +179,7 @@
 
 static const struct session_ops session_ops = {
 	.worker = on_worker,
+	.shape = on_shape,
 	.order = on_order,
 	.target = on_target,
 	.targets = on_targets,
@@ -273,31 +288,45 @@
 	event_base_dispatch(node->base);
 }
 
+/*
+ * Says whether the graceful stop may end: requests are answered and workers
+ * have another home, or nobody can take them over.
+ */
+static bool
+drained(struct node *node, int64_t since_ms)
+{
+	guint homed = node->home == NULL ? 0 : home_count(node->home);
+	guint calls =
+	    node->services == NULL ? 0 : services_open(node->services);
+
+	if (since_ms < DRAIN_LEAST_MS || web_pending(node->web) > 0 ||
+	    calls > 0)
+		return false;
+	return homed == 0 || since_ms >= HAND_OVER_MS;
+}
+
 /* Ends the loop once nothing is in flight, or at the bound. */
 static void
 on_drain(evutil_socket_t fd, short what, void *arg)
 {
 	struct node *node = arg;
-	guint homed = node->home == NULL ? 0 : home_count(node->home);
-	int pending = web_pending(node->web);
-	bool late = mono_ms() >= node->drain_until;
+	int64_t since_ms = mono_ms() - node->drain_until + DRAIN_MS;
 
-	if (node->replica != NULL)
+	/* Again now and then: a transfer may fail, and another replica that
+	 * stops too may hand leadership back. */
+	if (node->replica != NULL && mono_ms() >= node->hand_over_ms) {
+		node->hand_over_ms = mono_ms() + DRAIN_LEAST_MS;
 		(void)replica_hand_over(node->replica);
-	if (pending == 0 && homed == 0)
-		web_stop(node->web);
-	if ((pending > 0 || homed > 0 ||
-		mono_ms() < node->drain_until - DRAIN_MS + DRAIN_LEAST_MS) &&
-	    !late)
-		return;
-	if (late)
-		log_warn("node",
-		    "stops at its bound with %d requests unanswered and %u "
-		    "workers homed",
-		    pending, homed);
-	else
+	}
+	if (drained(node, since_ms)) {
 		log_info("node", "has drained and stops");
-	event_base_loopbreak(node->base);
+		event_base_loopbreak(node->base);
+	} else if (since_ms >= DRAIN_MS) {
+		log_warn("node",
+		    "stops at its bound with %d requests unanswered",
+		    web_pending(node->web));
+		event_base_loopbreak(node->base);
+	}
 }
 
 void
@@ -345,6 +374,8 @@
 	replica_free(node->replica);
 	tracer_free(node->tracer);
 	registry_free(node->counters.registry);
+	/* Closed connections are freed by calls that the loop still owes. */
+	event_base_loop(node->base, EVLOOP_NONBLOCK);
 	event_base_free(node->base);
 	conf_clear(&node->conf);
 	g_free(node);
--- a/bulrushtided/node.h
+++ b/bulrushtided/node.h
@@ -21,6 +21,7 @@
 #define DIAL_MS 1000 /* a connection attempt is given up */
 #define SCAN_MS 250 /* periodic checks of tables */
 #define DRAIN_MS 10000 /* a graceful stop takes at most this long */
+#define HAND_OVER_MS 3000 /* workers get another home within this */
 #define DRAIN_LEAST_MS 1000 /* the balancer sees /readyz before we stop */
 
 #define TRACE_SPANS 4096 /* kept in each process */
@@ -65,6 +66,8 @@
 	struct counter *lost;
 	struct counter *commits;
 	struct counter *elections;
+	struct counter *stalled;
+	struct counter *set_aside;
 	struct counter *pending;
 	struct counter *running;
 	struct counter *wal_bytes;
@@ -93,6 +96,7 @@
 	struct web *web;
 	bool draining;
 	int64_t drain_until;
+	int64_t hand_over_ms; /* when to hand leadership over next */
 	struct event *drain_timer;
 	bool failed; /* storage failed: serves nothing */
 };
--- a/bulrushtided/orders.c
+++ b/bulrushtided/orders.c
@@ -48,7 +48,6 @@
 sched_spec(struct leader *l, const struct cell_job *job)
 {
 	const struct cell_spec *s = &job->spec;
-	GString *key = g_string_new(s->team);
 	struct sched_job sj = { .id = job->id,
 		.team = leader_handle(l->teams, s->team),
 		.kind = s->kind,
@@ -62,10 +61,8 @@
 
 	if (s->deadline_ms > 0)
 		sj.deadline_ms = job->submitted_ms + s->deadline_ms;
-	g_string_append_c(key, '/');
-	g_string_append(key, s->name);
-	sj.name_hash = hash64(key->str, key->len);
-	g_string_free(key, TRUE);
+	sj.name_hash = observe_name(s);
+	sj.runtime_ms = learn_runtime_ms(l->learn, sj.name_hash, s->runtime_ms);
 	return sj;
 }
 
@@ -159,6 +156,41 @@
 	tracer_end(l->node->tracer, &ctx, parent, name, start_us, note, false);
 }
 
+/* Tells a home once what a job's start orders have in common. */
+static void
+push_shape(struct leader *l, struct client *home, const struct cell_job *job)
+{
+	const struct cell_spec *s = &job->spec;
+	struct shape_push push = { .job = job->id,
+		.name = s->name,
+		.millicpus = s->resources.millicpus,
+		.memory = s->resources.memory,
+		.accelerators = s->resources.accelerators,
+		.lease_ms = leader_config(l)->policy.lease_ms[s->kind],
+		.payload = s->payload };
+	uint64_t *key;
+
+	if (g_hash_table_contains(home->shapes, &job->id))
+		return;
+	key = g_new(uint64_t, 1);
+	*key = job->id;
+	g_hash_table_add(home->shapes, key);
+	proto_send(home->link, FRAME_SHAPE, &push);
+}
+
+void
+orders_job_ended(struct leader *l, uint64_t job)
+{
+	struct shape_push push = { .job = job, .gone = true };
+
+	for (guint i = 0; i < l->clients->len; i++) {
+		struct client *c = l->clients->pdata[i];
+
+		if (c->joined && g_hash_table_remove(c->shapes, &job))
+			proto_send(c->link, FRAME_SHAPE, &push);
+	}
+}
+
 /* Sends one order to the home of its worker, if that is connected. */
 static void
 send_order(struct leader *l, const struct cell_job *job, uint32_t task,
@@ -180,17 +212,11 @@
 		return;
 	order.epoch = w->epoch;
 	if (type == ORDER_START) {
-		const struct config_policy *p = &leader_config(l)->policy;
-		char *body = api_start_order(
-		    job, task, w->epoch, p->lease_ms[job->spec.kind]);
-
-		order.body = g_bytes_new_take(body, strlen(body));
+		push_shape(l, home, job);
 		if (trace != NULL)
 			trace_format(trace, header);
 	}
 	proto_send(home->link, FRAME_ORDER, &order);
-	if (order.body != NULL)
-		g_bytes_unref(order.body);
 }
 
 static void
@@ -215,6 +241,7 @@
 	struct lattempt *a = note_attempt(l, job, task);
 
 	count_wait(l, job, task);
+	workers_refresh(l, a->worker);
 	job_span(l, job->id, "place",
 	    mono_us() - (leader_now(l) - job->submitted_ms) * 1000,
 	    cell_worker(l->cell, a->worker)->name);
@@ -255,11 +282,14 @@
 
 	if (how == END_LOST)
 		l->node->counters.lost->value++;
-	if (a != NULL)
+	if (a != NULL) {
 		job_span(l, job->id, "task", a->assigned_us, end_names[how]);
+		observe_ended(l, job, a, how);
+	}
 	sched_end(l->sched, job->id, task, worker);
 	g_hash_table_remove(l->attempts, &key);
 	targets_changed(l, job, task, worker, true);
+	workers_refresh(l, worker);
 	send_order(l, job, task, worker, attempt, ORDER_FORGET);
 	l->dirty = true;
 }
--- a/bulrushtided/proto.h
+++ b/bulrushtided/proto.h
@@ -30,6 +30,8 @@
 	FRAME_SPAN,
 	FRAME_DIVISION,
 	FRAME_TARGETS,
+	FRAME_SHAPE,
+	FRAME_USAGE,
 	FRAME_COUNT
 };
 
@@ -145,10 +147,21 @@
 	uint64_t job;
 	uint32_t task;
 	uint32_t attempt;
-	GBytes *body; /* of POST /tasks */
 	char *trace; /* traceparent; "" when none */
 };
 
+/* What the start orders of a job have in common; sent once to a home. */
+struct shape_push {
+	uint64_t job;
+	bool gone; /* the job has ended: drop it */
+	char *name;
+	int64_t millicpus;
+	int64_t memory; /* bytes */
+	int64_t accelerators;
+	int64_t lease_ms;
+	GBytes *payload;
+};
+
 enum order_outcome { ORDER_DONE, ORDER_REFUSED /* never started */ };
 
 struct order_result {
@@ -173,6 +186,15 @@
 	uint32_t health;
 };
 
+/* What an attempt was seen to use; sent when it has changed. */
+struct usage_report {
+	uint64_t job;
+	uint32_t task;
+	uint32_t attempt;
+	int64_t millicpus;
+	int64_t memory; /* bytes */
+};
+
 /* One running task of a service, for calls. */
 struct target_push {
 	char *service;
