--- a/test/fault_test.c
+++ b/test/fault_test.c
@@ -226,6 +226,43 @@
 	g_free(leader);
 }
 
+/* The whole control side ends at once: what was accepted is on disk. */
+static void
+test_all_replicas_killed(void)
+{
+	struct cluster *c = cluster_new(&conf);
+	struct wave w = { c, "all", SHORT_MS, { 0 } };
+	const char *const names[] = { "r0", "r1", "r2" };
+
+	submit(&w, 0, JOBS / 2);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		cluster_signal(c, names[i], SIGKILL);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		cluster_restart(c, names[i]);
+	submit(&w, JOBS / 2, JOBS);
+	await_all(&w, true);
+	finish(c);
+}
+
+/* Leader and a busy worker are lost together. */
+static void
+test_leader_and_worker_killed(void)
+{
+	struct cluster *c = cluster_new(&conf);
+	struct wave w = { c, "two", LONG_MS, { 0 } };
+	char *leader = g_strdup(cluster_leader(c));
+
+	submit(&w, 0, JOBS);
+	cluster_await_event(c, "w0", "start", 1);
+	cluster_signal(c, "w0", SIGKILL);
+	cluster_signal(c, leader, SIGKILL);
+	await_all(&w, true);
+	cluster_restart(c, "w0");
+	cluster_restart(c, leader);
+	finish(c);
+	g_free(leader);
+}
+
 /* Orders to one worker are held for a while and then all arrive. */
 static void
 test_orders_held(void)
@@ -281,6 +318,9 @@
 	g_test_add_func("/fault/entry-cut", test_entry_cut);
 	g_test_add_func("/fault/planned-stops", test_planned_stops);
 	g_test_add_func("/fault/leader-cut", test_leader_cut);
+	g_test_add_func("/fault/all-replicas-killed", test_all_replicas_killed);
+	g_test_add_func(
+	    "/fault/leader-and-worker-killed", test_leader_and_worker_killed);
 	g_test_add_func("/fault/orders-held", test_orders_held);
 	g_test_add_func("/fault/calls", test_calls);
 	return g_test_run();
