No second cell beside a formed one; requests that may be proposed are kept

Cause: by hand, a reader of the code made an accepted configuration revert: a replica restarted without knowing the cell's id said so, and a replica with an emptied disk took it for an unformed neighbour and founded the cell anew under its old identity. Also from the code: a request sent to two leaders was answered not-run when the second could not propose it, though the first may have. Change: a replica says that it is formed as soon as its log holds the cell's first record, also before it knows the id, and an empty one then waits; a leader that does not propose says 'again' and the sender keeps the request. The status lists members with vote, connection and stored index.

--- a/bulrushtided/peers.c
+++ b/bulrushtided/peers.c
@@ -26,6 +26,7 @@
 	bool replica;
 	uint64_t node;
 	uint64_t cell;
+	bool formed;
 	int64_t made_ms;
 	int64_t heard_ms;
 };
@@ -40,6 +41,7 @@
 	GPtrArray *conns; /* struct conn */
 	uint64_t id;
 	uint64_t cell;
+	bool formed;
 	int64_t pinged_ms;
 };
 
@@ -51,6 +53,7 @@
 		.name = p->node->conf.name,
 		.node = p->id,
 		.cell = p->cell,
+		.formed = p->formed,
 		.replica = true };
 
 	proto_send(c->link, FRAME_HELLO, &hello);
@@ -176,6 +179,7 @@
 	c->replica = hello.replica;
 	c->node = hello.node;
 	c->cell = hello.cell;
+	c->formed = hello.formed;
 	shape_clear(proto_shape(FRAME_HELLO), &hello);
 	if (!c->replica)
 		return;
@@ -373,10 +377,11 @@
 }
 
 void
-peers_identify(struct peers *p, uint64_t node, uint64_t cell)
+peers_identify(struct peers *p, uint64_t node, uint64_t cell, bool formed)
 {
 	p->id = node;
 	p->cell = cell;
+	p->formed = formed;
 	for (guint i = 0; i < p->conns->len; i++) {
 		struct conn *c = p->conns->pdata[i];
 
@@ -418,15 +423,19 @@
 }
 
 void
-peers_each(struct peers *p,
-    void (*fn)(void *arg, const char *name, uint64_t node, uint64_t cell),
+peers_each(struct peers *p, void (*fn)(void *arg, const struct peer_info *peer),
     void *arg)
 {
 	for (guint i = 0; i < p->peers->len; i++) {
 		struct peer *peer = p->peers->pdata[i];
-
-		if (peer->conn != NULL && peer->conn->name != NULL)
-			fn(arg, peer->name, peer->conn->node, peer->conn->cell);
+		struct peer_info info = { .name = peer->name };
+
+		if (peer->conn == NULL || peer->conn->name == NULL)
+			continue;
+		info.node = peer->conn->node;
+		info.cell = peer->conn->cell;
+		info.formed = peer->conn->formed;
+		fn(arg, &info);
 	}
 }
 
--- a/bulrushtided/peers.h
+++ b/bulrushtided/peers.h
@@ -7,6 +7,14 @@
 
 #include "node.h"
 
+/* What a connected replica says of itself. */
+struct peer_info {
+	const char *name;
+	uint64_t node; /* replica id; 0: none yet */
+	uint64_t cell; /* 0: not known yet */
+	bool formed; /* its log tells of a cell */
+};
+
 struct peers_ops {
 	/* A Raft message from the replica with that id. */
 	void (*raft)(void *arg, uint64_t from, const void *data, size_t len);
@@ -22,15 +30,14 @@
 void peers_free(struct peers *p);
 
 /* Sets what this replica says in its hello; says it again to all. */
-void peers_identify(struct peers *p, uint64_t node, uint64_t cell);
+void peers_identify(struct peers *p, uint64_t node, uint64_t cell, bool formed);
 
 /* Sends a Raft message; dropped when the replica is not connected. */
 void peers_send_raft(struct peers *p, uint64_t to, GBytes *message);
 
 /* Calls fn for each replica that is connected. */
 void peers_each(struct peers *p,
-    void (*fn)(void *arg, const char *name, uint64_t node, uint64_t cell),
-    void *arg);
+    void (*fn)(void *arg, const struct peer_info *peer), void *arg);
 
 /* Returns the name of a connected replica, or NULL. */
 const char *peers_name(const struct peers *p, uint64_t node);
--- a/bulrushtided/proto.c
+++ b/bulrushtided/proto.c
@@ -5,6 +5,7 @@
 	{ FIELD_STR, offsetof(struct hello, name) },
 	{ FIELD_U64, offsetof(struct hello, node) },
 	{ FIELD_U64, offsetof(struct hello, cell) },
+	{ FIELD_BOOL, offsetof(struct hello, formed) },
 	{ FIELD_BOOL, offsetof(struct hello, replica) },
 };
 
--- a/bulrushtided/proto.h
+++ b/bulrushtided/proto.h
@@ -41,6 +41,7 @@
 	char *name;
 	uint64_t node; /* replica id; 0: none yet, or no replica */
 	uint64_t cell; /* 0: belongs to none yet */
+	bool formed; /* the log tells of a cell, also if its id is not known */
 	bool replica;
 };
 
@@ -91,9 +92,12 @@
 	char *trace; /* traceparent; "" when none */
 };
 
+/* A reply's status when the request was not taken and should come again. */
+#define REPLY_AGAIN 0
+
 struct reply {
 	uint64_t id;
-	uint32_t status; /* HTTP status */
+	uint32_t status; /* HTTP status, or REPLY_AGAIN */
 	uint32_t retry_after_s;
 	GBytes *body; /* JSON */
 };
--- a/bulrushtided/replica.c
+++ b/bulrushtided/replica.c
@@ -64,6 +64,7 @@
 	bool pump_due;
 	int64_t pumped_ms;
 	int64_t tokens_ms; /* rounds at once, in PUMP_REFILL_MS each */
+	bool has_form; /* the log holds a cell's first record */
 	int64_t opened_ms;
 	bool forming; /* the form record is proposed */
 	bool led;
@@ -224,6 +225,14 @@
 	return g_byte_array_free_to_bytes(a);
 }
 
+/* Says who this replica is; formed as soon as its log tells of a cell. */
+static void
+identify(struct replica *r)
+{
+	peers_identify(r->node->peers, r->identity.node, r->cell_id,
+	    r->has_form || r->cell_id != 0);
+}
+
 /* Takes over the cell's id once it is agreed. */
 static void
 set_cell(struct replica *r, uint64_t cell)
@@ -231,7 +240,7 @@
 	if (cell == 0 || r->cell_id == cell)
 		return;
 	r->cell_id = cell;
-	peers_identify(r->node->peers, r->identity.node, cell);
+	identify(r);
 	log_info("replica", "belongs to cell %016" G_GINT64_MODIFIER "x", cell);
 }
 
@@ -309,6 +318,23 @@
 	return true;
 }
 
+static bool
+is_form(const struct raft_entry *e)
+{
+	size_t len;
+	const uint8_t *data = g_bytes_get_data(e->data, &len);
+
+	return e->type == RAFT_DATA && len == 9 && data[0] == TAG_FORM;
+}
+
+static void
+note_form(struct replica *r, GPtrArray *entries)
+{
+	for (guint i = 0; !r->has_form && entries != NULL && i < entries->len;
+	     i++)
+		r->has_form = is_form(entries->pdata[i]);
+}
+
 static void
 write_batch(struct replica *r, struct raft_out *out,
     const struct raft_snapshot *snapshot)
@@ -451,23 +477,25 @@
 	r->raft = raft_new(&conf);
 	wal_start(r->wal, on_wal_done, r);
 	wal_image_clear(&r->image);
-	peers_identify(r->node->peers, r->identity.node, r->cell_id);
+	identify(r);
 }
 
 /* What the connected replicas say of themselves. */
 struct census {
 	guint seen;
+	bool formed; /* one holds a cell's first record */
 	uint64_t cell;
 };
 
 static void
-count_peer(void *arg, const char *name, uint64_t node, uint64_t cell)
+count_peer(void *arg, const struct peer_info *peer)
 {
 	struct census *c = arg;
 
 	c->seen++;
-	if (cell != 0)
-		c->cell = cell;
+	c->formed |= peer->formed;
+	if (peer->cell != 0)
+		c->cell = peer->cell;
 }
 
 /*
@@ -495,6 +523,10 @@
 		start_raft(r);
 		return;
 	}
+	/* A replica of a cell will know the cell's id once it has a leader:
+	 * to found another one now would lose what that cell has agreed. */
+	if (c.formed)
+		return;
 	if (c.seen <= named / 2 || (c.seen < named && !waited))
 		return;
 	if (!store_identity(r, replica_id(r->node->conf.name, 1), 0))
@@ -534,14 +566,16 @@
  * alone, so any leader can go on with it.
  */
 static void
-tend_member(void *arg, const char *name, uint64_t node, uint64_t cell)
+tend_member(void *arg, const struct peer_info *peer)
 {
 	struct replica *r = arg;
+	const char *name = peer->name;
+	uint64_t node = peer->node;
 	const struct raft_member *mine = member_with(r, node);
 	const struct raft_member *old = member_named(r, name, node);
 	uint64_t index = 0;
 
-	if (node == 0 || cell != r->cell_id)
+	if (node == 0 || peer->cell != r->cell_id)
 		return;
 	if (mine == NULL && old != NULL)
 		index = raft_propose_member(r->raft, node, true, false);
@@ -593,6 +627,11 @@
 	if (out.hard_changed || out.entries->len > 0 || out.snapshot != NULL ||
 	    out.late->len > 0)
 		write_batch(r, &out, out.snapshot);
+	if (!r->has_form) {
+		note_form(r, out.entries);
+		if (r->has_form)
+			identify(r);
+	}
 	apply_all(r, out.committed);
 	answer_reads(r, &out);
 	maybe_form(r);
@@ -645,6 +684,7 @@
 		return NULL;
 	}
 	r->cell_id = r->identity.cell;
+	note_form(r, r->image.entries);
 	if (r->image.truncated > 0)
 		log_warn("replica",
 		    "cut a torn tail of %" G_GUINT64_FORMAT
@@ -666,7 +706,7 @@
 void
 replica_start(struct replica *r)
 {
-	peers_identify(r->node->peers, 0, r->cell_id);
+	identify(r);
 	if (r->identity.node != 0)
 		start_raft(r);
 	r->tick = node_timer(r->node, TICK_MS, on_tick, r);
@@ -778,12 +818,12 @@
 };
 
 static void
-match_name(void *arg, const char *name, uint64_t node, uint64_t cell)
+match_name(void *arg, const struct peer_info *peer)
 {
 	struct wanted *w = arg;
 
-	if (strcmp(name, w->name) == 0)
-		w->node = node;
+	if (strcmp(peer->name, w->name) == 0)
+		w->node = peer->node;
 }
 
 const char *
@@ -855,18 +895,53 @@
 	[RAFT_LEADER] = "leader",
 };
 
+/* One JSON object a member: who it is, whether it votes, how far it is. */
+static void
+append_member(
+    const struct replica *r, GString *out, const struct raft_member *m)
+{
+	bool self = m->id == r->identity.node;
+	const char *name =
+	    self ? r->node->conf.name : peers_name(r->node->peers, m->id);
+	uint64_t at =
+	    self ? raft_last_index(r->raft) : raft_match(r->raft, m->id);
+
+	g_string_append_printf(out,
+	    "%s{\"name\":\"%s\",\"id\":\"%016" G_GINT64_MODIFIER
+	    "x\",\"voter\":%s,\"connected\":%s,\"stored\":%" G_GUINT64_FORMAT
+	    "}",
+	    out->len > 0 ? "," : "", name == NULL ? "" : name, m->id,
+	    m->learner ? "false" : "true", name == NULL ? "false" : "true", at);
+}
+
+static char *
+members_json(const struct replica *r)
+{
+	const struct raft_members *m = raft_members(r->raft);
+	GString *out = g_string_new(NULL);
+
+	for (int i = 0; i < m->count; i++)
+		append_member(r, out, &m->member[i]);
+	return g_string_free(out, FALSE);
+}
+
 char *
 replica_status(const struct replica *r)
 {
+	char *members;
+	char *json;
+
 	if (r->raft == NULL)
 		return g_strdup("\"role\":\"waiting\"");
-	return g_strdup_printf(
+	members = members_json(r);
+	json = g_strdup_printf(
 	    "\"role\":\"%s\",\"term\":%" G_GUINT64_FORMAT
 	    ",\"commit\":%" G_GUINT64_FORMAT ",\"applied\":%" G_GUINT64_FORMAT
 	    ",\"last\":%" G_GUINT64_FORMAT ",\"first\":%" G_GUINT64_FORMAT
-	    ",\"leader\":\"%s\",\"members\":%d",
+	    ",\"leader\":\"%s\",\"members\":[%s]",
 	    role_names[raft_role(r->raft)], raft_term(r->raft),
 	    raft_commit(r->raft), r->applied, raft_last_index(r->raft),
-	    raft_first_index(r->raft), replica_leader_name(r),
-	    raft_members(r->raft)->count);
+	    raft_first_index(r->raft), replica_leader_name(r), members);
+	g_free(members);
+	return json;
 }
--- a/bulrushtided/requests.c
+++ b/bulrushtided/requests.c
@@ -21,6 +21,16 @@
 	g_free(r);
 }
 
+/*
+ * This leader has not proposed the request. An earlier one may have: the
+ * sender keeps it and sends it again, or says truthfully that it can't know.
+ */
+static void
+pass_over(struct leader *l, uint64_t client, uint64_t request)
+{
+	client_reply(l, client, request, REPLY_AGAIN, NULL, 0);
+}
+
 /* Refuses a request that certainly has no effect. */
 static void
 refuse(struct leader *l, uint64_t client, uint64_t request, const char *why)
@@ -207,7 +217,7 @@
 	struct waiter *w = leader_propose_wait(l, cmd, fn);
 
 	if (w == NULL) {
-		refuse(l, c->serial, req->id, "the leader has changed");
+		pass_over(l, c->serial, req->id);
 		return;
 	}
 	w->client = c->serial;
@@ -488,8 +498,7 @@
 		if (ok)
 			answer_read(l, r);
 		else
-			refuse(l, r->client, r->request.id,
-			    "leadership could not be confirmed");
+			pass_over(l, r->client, r->request.id);
 	}
 	if (reads != NULL)
 		g_ptr_array_unref(reads);
--- a/bulrushtided/session.c
+++ b/bulrushtided/session.c
@@ -6,6 +6,7 @@
 #define TICK_MS 100
 #define SENT_REPORTS 16 /* reports whose sending times are kept */
 #define REQUESTS_MAX 4096
+#define AGAIN_MS 200
 
 /* A request without an answer yet. */
 struct pending {
@@ -13,7 +14,8 @@
 	session_answer *answer;
 	void *arg;
 	int64_t due_ms;
-	bool sent;
+	int sends; /* to a leader that may have proposed it */
+	int64_t again_ms; /* when to send it again; 0: it is on its way */
 };
 
 struct session {
@@ -71,6 +73,14 @@
 	s->dial_at_ms = mono_ms() + DIAL_AGAIN_MS;
 }
 
+static void
+send_request(struct session *s, struct pending *p)
+{
+	p->sends++;
+	p->again_ms = 0;
+	proto_send(s->link, FRAME_REQUEST, &p->request);
+}
+
 static void
 resend_all(struct session *s)
 {
@@ -81,8 +91,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pending *p = value;
 
-		p->sent = true;
-		proto_send(s->link, FRAME_REQUEST, &p->request);
+		send_request(s, p);
 	}
 }
 
@@ -134,6 +143,11 @@
 	/* A late answer to a request that was given up on. */
 	if (p == NULL)
 		return;
+	if (reply->status == REPLY_AGAIN) {
+		p->sends--;
+		p->again_ms = mono_ms() + AGAIN_MS;
+		return;
+	}
 	body = reply->body == NULL ? "" : g_bytes_get_data(reply->body, &len);
 	g_hash_table_steal(s->pending, &reply->id);
 	p->answer(p->arg, (int)reply->status, body, len,
@@ -342,6 +356,21 @@
 		redirect(s, NULL);
 }
 
+static void
+send_again(struct session *s, int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->pending);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pending *p = value;
+
+		if (p->again_ms != 0 && p->again_ms <= now)
+			send_request(s, p);
+	}
+}
+
 static void
 give_up_overdue(struct session *s, int64_t now)
 {
@@ -361,7 +390,7 @@
 	for (guint i = 0; i < overdue->len; i++) {
 		struct pending *p = overdue->pdata[i];
 
-		p->answer(p->arg, 0, NULL, 0, 1, p->sent);
+		p->answer(p->arg, 0, NULL, 0, 1, p->sends > 0);
 		pending_free(p);
 	}
 	g_ptr_array_unref(overdue);
@@ -402,6 +431,8 @@
 		send_report(s);
 		tracer_drain(s->node->tracer, push_span, s);
 	}
+	if (s->joined)
+		send_again(s, now);
 	give_up_overdue(s, now);
 }
 
@@ -457,8 +488,7 @@
 	g_hash_table_insert(s->pending, &p->request.id, p);
 	if (!s->joined)
 		return;
-	p->sent = true;
-	proto_send(s->link, FRAME_REQUEST, &p->request);
+	send_request(s, p);
 }
 
 bool
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -439,6 +439,16 @@
 		note(c, "killed", json_pack("{s:s}", "worker", name));
 }
 
+void
+cluster_lose_disk(struct cluster *c, const char *name)
+{
+	char *path = g_strdup_printf("%s/data-%s", c->dir, name);
+
+	g_assert_cmpint(proc_named(c, name)->pid, ==, 0);
+	remove_tree(path);
+	g_free(path);
+}
+
 void
 cluster_restart(struct cluster *c, const char *name)
 {
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -38,6 +38,9 @@
 /* Starts an ended process again with its old arguments. */
 void cluster_restart(struct cluster *c, const char *name);
 
+/* Removes the data folder of a replica that does not run. */
+void cluster_lose_disk(struct cluster *c, const char *name);
+
 /* One fault command, as in faultproxy.c, for links whose names match. */
 void cluster_fault(struct cluster *c, const char *verb, const char *from,
     const char *to, const char *arg);
