--- a/bench/bench_cell.c
+++ b/bench/bench_cell.c
@@ -205,6 +205,7 @@
 	add_arg(argv, "--rack=rack-%d", part);
 	add_arg(argv, "--data-center=dc-%d", part % DATA_CENTERS);
 	add_arg(argv, "--seed=%d", part + 1);
+	add_arg(argv, "--answer-ms=%d", c->load.answer_ms);
 	add_arg(argv, "--count=%d", count);
 	if (count > 0)
 		g_ptr_array_add(c->procs, proc_new(name, c->dir, argv));
--- a/bench/bench_cell.h
+++ b/bench/bench_cell.h
@@ -18,6 +18,7 @@
 	int tasks; /* of each job that is submitted */
 	int teams;
 	double config_changes; /* a second */
+	int answer_ms; /* of the stand-ins; their connections close after it */
 	int seconds;
 };
 
--- a/bench/capacity_bench.c
+++ b/bench/capacity_bench.c
@@ -39,7 +39,7 @@
 	[VAR_RUNNING] = { "running", { 200, 800, 1500 }, 2600 },
 	[VAR_STARTS] = { "starts/s", { 5, 20, 60 }, 76 },
 	[VAR_TEAMS] = { "teams", { 10, 40, 130 }, 130 },
-	[VAR_CONFIG_CHANGES] = { "changes/s", { 0, 0.5, 2 }, 310.0 / 86400 },
+	[VAR_CONFIG_CHANGES] = { "changes/s", { 0.5, 0, 2 }, 310.0 / 86400 },
 	[VAR_ENTRIES] = { "entries", { 2, 4, 8 }, 4 },
 };
 
@@ -257,6 +257,7 @@
 		.tasks = 10,
 		.teams = 130,
 		.config_changes = 310.0 / 86400,
+		.answer_ms = 1000,
 		.seconds = 10 };
 	gboolean all_sizes = FALSE;
 	gboolean restarts = FALSE;
@@ -276,6 +277,9 @@
 		{ "teams", 0, 0, G_OPTION_ARG_INT, &load.teams, "Teams", "N" },
 		{ "config-changes", 0, 0, G_OPTION_ARG_DOUBLE,
 		    &load.config_changes, "Changes a second", "X" },
+		{ "answer-ms", 0, 0, G_OPTION_ARG_INT, &load.answer_ms,
+		    "Idle time after which a stand-in closes a connection",
+		    "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &load.seconds,
 		    "Length of the measured part", "N" },
 		{ "sweep", 0, 0, G_OPTION_ARG_NONE, &all_sizes,
