Leases hold per attempt; strays are stopped; a replica's file is split in three

Cause: a reader made a task run in two places by putting a shorter lease_ms in force: the leader freed attempts by the lease now in force, workers keep the one of their start order. From review: a start that is not confirmed may have been taken until the session's lapse; a worker that goes on with an attempt that is over was told nothing; a 404 to a stop under a new leader and home was taken for 'never started'; a gang that is being stopped was offered to the placement tables by a new leader.

--- a/bulrushtided/home.c
+++ b/bulrushtided/home.c
@@ -5,6 +5,7 @@
 
 #define ORDER_TIMEOUT_MS 2000
 #define THROTTLE_PERCENT 25 /* of full speed */
+#define STRAY_MS 2000 /* after a session begins, before strays are stopped */
 #define RETRY_FIRST_MS 200
 #define RETRY_MAX_MS 2000
 
@@ -15,6 +16,7 @@
 	uint32_t task;
 	uint32_t attempt;
 	bool wanted; /* a start is ordered */
+	int64_t lease_ms;
 	struct trace_context trace; /* of the job's request */
 	uint64_t trace_parent;
 	int64_t ordered_us;
@@ -41,6 +43,8 @@
 	bool draining;
 	struct http_peer *peer;
 	int64_t renewed_ms; /* no renewal was sent after this */
+	int64_t granted_until; /* the worker takes no order after this */
+	int64_t pushed_ms; /* when the leader told of this session */
 	int64_t heard_ms;
 	bool silent;
 	bool lapsed;
@@ -53,7 +57,6 @@
 /* What a job's start orders have in common. */
 struct order_shape {
 	uint64_t job;
-	int64_t lease_ms;
 	struct cell_spec spec;
 };
 
@@ -130,6 +133,18 @@
 
 static void send_next(struct held *a);
 
+/* The worker may count a lease from now. */
+static void
+extend(struct homed *w)
+{
+	const struct config_push *config =
+	    session_config(w->home->node->session);
+
+	w->renewed_ms = mono_ms();
+	w->granted_until =
+	    MAX(w->granted_until, w->renewed_ms + config->lease_ms);
+}
+
 static void
 retry_later(struct held *a)
 {
@@ -179,6 +194,8 @@
 	}
 	if (status == 200 && s->type == ORDER_START) {
 		a->started = true;
+		/* Its lease may count from when the worker took it. */
+		extend(a->worker);
 		tracer_end(a->worker->home->node->tracer, &a->trace,
 		    a->trace_parent, "home", a->ordered_us, a->worker->name,
 		    false);
@@ -249,8 +266,8 @@
 
 	if (shape == NULL)
 		return;
-	text = api_start_order(&shape->spec, a->job, a->task, a->attempt,
-	    w->epoch, shape->lease_ms);
+	text = api_start_order(
+	    &shape->spec, a->job, a->task, a->attempt, w->epoch, a->lease_ms);
 	body = g_bytes_new_take(text, strlen(text));
 	post(a, ORDER_START, "/tasks", body);
 	g_bytes_unref(body);
@@ -289,7 +306,7 @@
 	if (w->telling_epoch != w->epoch)
 		return;
 	/* Counted from the answer: the worker may have taken it until now. */
-	w->renewed_ms = mono_ms();
+	extend(w);
 	if (status != 200)
 		return;
 	w->told = true;
@@ -387,7 +404,9 @@
 	w->incarnation = push->incarnation;
 	w->epoch = push->epoch;
 	w->silent = w->lapsed = w->told = false;
-	w->renewed_ms = w->heard_ms = now;
+	w->heard_ms = w->pushed_ms = now;
+	/* An earlier home may have renewed it until now. */
+	extend(w);
 	tell(w);
 }
 
@@ -454,7 +473,6 @@
 	}
 	s = g_new0(struct order_shape, 1);
 	s->job = push->job;
-	s->lease_ms = push->lease_ms;
 	s->spec.name = g_strdup(push->name);
 	s->spec.resources = (struct resources){ push->millicpus, push->memory,
 		push->accelerators };
@@ -481,6 +499,7 @@
 		a = add_held(w, order);
 	if (order->type == ORDER_START) {
 		a->wanted = true;
+		a->lease_ms = order->lease_ms;
 		if (a->started)
 			report_result(a, ORDER_START, ORDER_DONE);
 	}
@@ -505,6 +524,34 @@
 	return by * 10 > from;
 }
 
+static void
+on_stray_answer(
+    void *arg, int status, const void *body, size_t len, const char *why)
+{
+	/* The next heartbeat shows whether it still runs. */
+}
+
+/* An attempt that the leader holds to be over must not go on. */
+static void
+stop_stray(struct homed *w, const struct api_attempt *r)
+{
+	char *path;
+	char *text;
+
+	/* Until then the leader may not have told of all attempts. */
+	if (mono_ms() - w->pushed_ms < STRAY_MS)
+		return;
+	log_warn("home", "worker %s still runs %" G_GUINT64_FORMAT ".%u/%u",
+	    w->name, r->job, r->task, r->attempt);
+	path = g_strdup_printf("/tasks/%" G_GUINT64_FORMAT ".%u/%u/stop",
+	    r->job, r->task, r->attempt);
+	text = g_strdup_printf("{\"epoch\":%" G_GUINT64_FORMAT "}", w->epoch);
+	http_send(w->peer, EVHTTP_REQ_POST, path, NULL, text, strlen(text),
+	    ORDER_TIMEOUT_MS, on_stray_answer, NULL);
+	g_free(text);
+	g_free(path);
+}
+
 /* Passes usage on where it has changed. */
 static void
 report_usage(struct homed *w, const struct api_worker *beat)
@@ -518,6 +565,8 @@
 		struct usage_report report = { r->job, r->task, r->attempt,
 			r->millicpus, r->memory };
 
+		if (a == NULL || a->attempt != r->attempt)
+			stop_stray(w, r);
 		if (a == NULL || a->attempt != r->attempt || r->millicpus < 0 ||
 		    r->memory < 0 ||
 		    (!moved(a->millicpus, r->millicpus) &&
@@ -543,7 +592,8 @@
 	    (beat->epoch != 0 && beat->epoch != w->epoch) ||
 	    !session_granted(h->node->session))
 		return NULL;
-	w->heard_ms = w->renewed_ms = now;
+	w->heard_ms = now;
+	extend(w);
 	w->told |= beat->epoch == w->epoch;
 	report_usage(w, beat);
 	if (w->silent) {
@@ -577,7 +627,7 @@
 	}
 	if (!w->told && !w->silent)
 		tell(w);
-	if (w->lapsed || w->telling || now - w->renewed_ms < c->lease_ms)
+	if (w->lapsed || w->telling || now < w->granted_until)
 		return;
 	w->lapsed = true;
 	report_health(w, HEALTH_LAPSED);
--- a/bulrushtided/leader_impl.h
+++ b/bulrushtided/leader_impl.h
@@ -46,7 +46,8 @@
 	uint32_t home;
 	uint64_t epoch;
 	bool silent;
-	int64_t lapsed_ms; /* when the shortest lease had run out; 0: not */
+	int64_t lapsed_ms; /* when its session was over; 0: it is not */
+	int64_t renewed_ms; /* no renewal was sent after this */
 	bool probing; /* takes one task at a time */
 	int64_t draining_ms; /* since when it leaves; 0: not */
 	bool closing; /* a WORKER_STATE record is proposed */
--- /dev/null
+++ b/bulrushtided/members.c
@@ -0,0 +1,202 @@
+/* Membership of the replicas, as operators see and change it. */
+#include <string.h>
+
+#include "replica_impl.h"
+
+/* Returns the first member of that name, or NULL. */
+static const struct raft_member *
+member_named(const struct replica *r, const char *name, uint64_t but)
+{
+	const struct raft_members *m = raft_members(r->raft);
+
+	for (int i = 0; i < m->count; i++)
+		if (m->member[i].id != but &&
+		    replica_same_name(m->member[i].id, name))
+			return &m->member[i];
+	return NULL;
+}
+
+static const struct raft_member *
+member_with(const struct replica *r, uint64_t id)
+{
+	const struct raft_members *m = raft_members(r->raft);
+
+	for (int i = 0; i < m->count; i++)
+		if (m->member[i].id == id)
+			return &m->member[i];
+	return NULL;
+}
+
+/*
+ * A connected replica whose name is a member under another id has lost its
+ * disk. It becomes a learner, then the old id is removed, then the learner
+ * is promoted once it has caught up: each step is seen from the membership
+ * alone, so any leader can go on with it.
+ */
+static void
+tend_member(void *arg, const struct peer_info *peer)
+{
+	struct replica *r = arg;
+	const char *name = peer->name;
+	uint64_t node = peer->node;
+	const struct raft_member *mine = member_with(r, node);
+	const struct raft_member *old = member_named(r, name, node);
+	uint64_t index = 0;
+
+	if (node == 0 || peer->cell != r->cell_id)
+		return;
+	if (mine == NULL && old != NULL)
+		index = raft_propose_member(r->raft, node, true, false);
+	else if (mine != NULL && old != NULL && mine->learner)
+		index = raft_propose_member(r->raft, old->id, false, true);
+	else if (mine != NULL && mine->learner)
+		index = raft_propose_member(r->raft, node, false, false);
+	if (index == 0)
+		return;
+	log_info("replica",
+	    "membership of %s changes at entry %" G_GUINT64_FORMAT, name,
+	    index);
+	replica_schedule(r);
+}
+
+void
+replica_tend_members(struct replica *r)
+{
+	if (replica_leads(r))
+		peers_each(r->node->peers, tend_member, r);
+}
+
+/* The connected replica of a name. */
+struct wanted {
+	const char *name;
+	uint64_t node;
+};
+
+static void
+match_name(void *arg, const struct peer_info *peer)
+{
+	struct wanted *w = arg;
+
+	if (strcmp(peer->name, w->name) == 0)
+		w->node = peer->node;
+}
+
+const char *
+replica_add(struct replica *r, const char *name)
+{
+	struct wanted w = { .name = name };
+
+	if (!replica_leads(r))
+		return "this replica does not lead";
+	if (member_named(r, name, 0) != NULL)
+		return "a replica of that name is a member";
+	if (raft_members(r->raft)->count >= RAFT_MEMBERS_MAX)
+		return "the membership is at its bound";
+	peers_each(r->node->peers, match_name, &w);
+	if (w.node == 0)
+		return "no replica of that name is connected: start it first";
+	if (raft_propose_member(r->raft, w.node, true, false) == 0)
+		return "another membership change is in flight";
+	replica_schedule(r);
+	return NULL;
+}
+
+const char *
+replica_remove(struct replica *r, const char *name)
+{
+	const struct raft_member *m;
+
+	if (!replica_leads(r))
+		return "this replica does not lead";
+	m = member_named(r, name, 0);
+	if (m == NULL)
+		return "no replica of that name is a member";
+	if (raft_propose_member(r->raft, m->id, false, true) == 0)
+		return "another membership change is in flight";
+	replica_schedule(r);
+	return NULL;
+}
+
+bool
+replica_hand_over(struct replica *r)
+{
+	const struct raft_members *m;
+	uint64_t best = RAFT_NONE;
+	uint64_t match = 0;
+
+	if (r->raft == NULL || raft_role(r->raft) != RAFT_LEADER)
+		return false;
+	m = raft_members(r->raft);
+	for (int i = 0; i < m->count; i++) {
+		uint64_t id = m->member[i].id;
+		uint64_t at = raft_match(r->raft, id);
+
+		if (id == r->identity.node || m->member[i].learner ||
+		    peers_name(r->node->peers, id) == NULL || at < match)
+			continue;
+		best = id;
+		match = at;
+	}
+	if (best == RAFT_NONE || !raft_transfer(r->raft, best))
+		return false;
+	replica_schedule(r);
+	return true;
+}
+
+static const char *const role_names[] = {
+	[RAFT_FOLLOWER] = "follower",
+	[RAFT_PRECANDIDATE] = "candidate",
+	[RAFT_CANDIDATE] = "candidate",
+	[RAFT_LEADER] = "leader",
+};
+
+/* One JSON object a member: who it is, whether it votes, how far it is. */
+static void
+append_member(
+    const struct replica *r, GString *out, const struct raft_member *m)
+{
+	bool self = m->id == r->identity.node;
+	const char *name =
+	    self ? r->node->conf.name : peers_name(r->node->peers, m->id);
+	uint64_t at =
+	    self ? raft_last_index(r->raft) : raft_match(r->raft, m->id);
+
+	g_string_append_printf(out,
+	    "%s{\"name\":\"%s\",\"id\":\"%016" G_GINT64_MODIFIER
+	    "x\",\"voter\":%s,\"connected\":%s,\"stored\":%" G_GUINT64_FORMAT
+	    "}",
+	    out->len > 0 ? "," : "", name == NULL ? "" : name, m->id,
+	    m->learner ? "false" : "true", name == NULL ? "false" : "true", at);
+}
+
+static char *
+members_json(const struct replica *r)
+{
+	const struct raft_members *m = raft_members(r->raft);
+	GString *out = g_string_new(NULL);
+
+	for (int i = 0; i < m->count; i++)
+		append_member(r, out, &m->member[i]);
+	return g_string_free(out, FALSE);
+}
+
+char *
+replica_status(const struct replica *r)
+{
+	char *members;
+	char *json;
+
+	if (r->raft == NULL)
+		return g_strdup("\"role\":\"waiting\"");
+	members = members_json(r);
+	json = g_strdup_printf(
+	    "\"role\":\"%s\",\"term\":%" G_GUINT64_FORMAT
+	    ",\"commit\":%" G_GUINT64_FORMAT ",\"applied\":%" G_GUINT64_FORMAT
+	    ",\"last\":%" G_GUINT64_FORMAT ",\"first\":%" G_GUINT64_FORMAT
+	    ",\"leader\":\"%s\",\"members\":[%s]",
+	    role_names[raft_role(r->raft)], raft_term(r->raft),
+	    raft_commit(r->raft), r->applied, raft_last_index(r->raft),
+	    raft_first_index(r->raft), replica_leader_name(r), members);
+	g_free(members);
+	return json;
+}
--- a/bulrushtided/orders.c
+++ b/bulrushtided/orders.c
@@ -107,7 +107,9 @@
     void *arg, const struct cell_job *job, uint32_t first, uint32_t count)
 {
 	struct leader *l = arg;
-	uint32_t failures = job->task[first].failures;
+	const struct cell_task *t = &job->task[first];
+	/* A worker that refused a start counts like a failure here. */
+	uint32_t failures = t->failures + (t->attempt > 0 && !t->ran ? 1 : 0);
 	struct delayed *d;
 
 	note_deadline(l, job);
@@ -166,7 +168,6 @@
 		.millicpus = s->resources.millicpus,
 		.memory = s->resources.memory,
 		.accelerators = s->resources.accelerators,
-		.lease_ms = leader_config(l)->policy.lease_ms[s->kind],
 		.payload = s->payload };
 	uint64_t *key;
 
@@ -212,6 +213,7 @@
 		return;
 	order.epoch = w->epoch;
 	if (type == ORDER_START) {
+		order.lease_ms = job->task[task].lease_ms;
 		push_shape(l, home, job);
 		if (trace != NULL)
 			trace_format(trace, header);
@@ -323,6 +325,9 @@
 	if (job->state != JOB_ACTIVE)
 		return true;
 	note_deadline(l, job);
+	/* A gang that is being stopped waits again as a whole, later. */
+	bool offered = !job->regroup;
+
 	sj = sched_spec(l, job);
 	for (uint32_t i = 0; i <= job->spec.tasks; i++) {
 		bool pending =
@@ -330,7 +335,7 @@
 
 		if (pending)
 			continue;
-		if (i > first)
+		if (i > first && offered)
 			sched_job_add(l->sched, &sj, first, i - first);
 		first = i + 1;
 		if (i == job->spec.tasks || !held(job->task[i].state))
@@ -412,7 +417,8 @@
 	    a->worker != result->worker)
 		return;
 	if (result->type == ORDER_STOP) {
-		/* The worker does not know the attempt: it has not started. */
+		/* The worker does not know the attempt. It may have run under
+		 * an earlier leader, of which we know nothing. */
 		propose_end(l, a, a->confirmed ? END_STOPPED : END_NOT_STARTED);
 		return;
 	}
--- a/bulrushtided/proto.c
+++ b/bulrushtided/proto.c
@@ -83,6 +83,7 @@
 	{ FIELD_U64, offsetof(struct order, job) },
 	{ FIELD_U32, offsetof(struct order, task) },
 	{ FIELD_U32, offsetof(struct order, attempt) },
+	{ FIELD_I64, offsetof(struct order, lease_ms) },
 	{ FIELD_STR, offsetof(struct order, trace) },
 };
 
@@ -99,6 +100,7 @@
 	{ FIELD_U32, offsetof(struct health_report, worker) },
 	{ FIELD_U64, offsetof(struct health_report, epoch) },
 	{ FIELD_U32, offsetof(struct health_report, health) },
+	{ FIELD_I64, offsetof(struct health_report, silent_ms) },
 };
 
 static const struct field target_push_fields[] = {
@@ -142,7 +144,6 @@
 	{ FIELD_I64, offsetof(struct shape_push, millicpus) },
 	{ FIELD_I64, offsetof(struct shape_push, memory) },
 	{ FIELD_I64, offsetof(struct shape_push, accelerators) },
-	{ FIELD_I64, offsetof(struct shape_push, lease_ms) },
 	{ FIELD_BYTES, offsetof(struct shape_push, payload) },
 };
 
--- a/bulrushtided/proto.h
+++ b/bulrushtided/proto.h
@@ -152,6 +152,7 @@
 	uint64_t job;
 	uint32_t task;
 	uint32_t attempt;
+	int64_t lease_ms; /* of the attempt */
 	char *trace; /* traceparent; "" when none */
 };
 
@@ -163,7 +164,6 @@
 	int64_t millicpus;
 	int64_t memory; /* bytes */
 	int64_t accelerators;
-	int64_t lease_ms;
 	GBytes *payload;
 };
 
@@ -191,6 +191,7 @@
 	uint32_t worker;
 	uint64_t epoch;
 	uint32_t health;
+	int64_t silent_ms; /* since the last renewal can have been sent */
 };
 
 /* What an attempt was seen to use; sent when it has changed. */
--- a/bulrushtided/replica.c
+++ b/bulrushtided/replica.c
@@ -2,18 +2,11 @@
 
 #include "mailbox.h"
 #include "peers.h"
-#include "replica.h"
-#include "wal.h"
+#include "replica_impl.h"
 
 #define TICK_MS 100
-#define ELECTION_TICKS 10
-#define HEARTBEAT_TICKS 2
-#define APPEND_MAX (256 * 1024)
-#define INFLIGHT_MAX 16
-#define CHUNK_BYTES (128 * 1024)
 #define SNAPSHOT_ENTRIES 10000 /* applied since the last snapshot */
 #define KEEP_ENTRIES 1000 /* for followers that lag */
-#define FORM_ALL_MS 1500 /* wait this long for all named replicas */
 
 /*
  * A round of storing and sending runs at once while rounds are rare. Beyond
@@ -42,34 +35,6 @@
 	char *failed; /* NULL: synced */
 };
 
-struct replica {
-	struct node *node;
-	const struct replica_ops *ops;
-	void *arg;
-	struct wal *wal;
-	struct wal_image image;
-	struct wal_identity identity;
-	struct mailbox *mailbox;
-	struct raft *raft; /* NULL: not formed or joined yet */
-	struct cell *cell;
-	uint64_t cell_id;
-	uint64_t applied;
-	uint64_t applied_term;
-	struct raft_members applied_members;
-	uint64_t snapshot_index;
-	uint64_t next_ticket;
-	GQueue tickets; /* struct ticket, in order */
-	struct event *tick;
-	struct event *pump;
-	bool pump_due;
-	int64_t pumped_ms;
-	int64_t tokens_ms; /* rounds at once, in PUMP_REFILL_MS each */
-	bool has_form; /* the log holds a cell's first record */
-	int64_t opened_ms;
-	bool forming; /* the form record is proposed */
-	bool led;
-};
-
 static void
 put_u64(uint8_t *p, uint64_t v)
 {
@@ -87,22 +52,6 @@
 	return v;
 }
 
-/*
- * A replica id carries its name's hash in the upper half, so that a disk
- * that comes back empty is known to replace the old one of that name.
- */
-static uint64_t
-replica_id(const char *name, uint32_t nonce)
-{
-	return hash64(name, strlen(name)) << 32 | nonce;
-}
-
-static bool
-same_name(uint64_t id, const char *name)
-{
-	return id >> 32 == replica_id(name, 0) >> 32;
-}
-
 static void
 ticket_free(void *arg)
 {
@@ -121,8 +70,8 @@
 	g_free(s);
 }
 
-static void
-on_wal_done(void *arg, uint64_t ticket, const GError *err)
+void
+replica_wal_done(void *arg, uint64_t ticket, const GError *err)
 {
 	struct replica *r = arg;
 	struct synced *s = g_new0(struct synced, 1);
@@ -161,8 +110,8 @@
 }
 
 /* Asks for a round at the end of this turn of the loop, or a little later. */
-static void
-schedule(struct replica *r)
+void
+replica_schedule(struct replica *r)
 {
 	struct timeval tv = { 0 };
 
@@ -186,7 +135,7 @@
 	    "replica", "storage failed, this replica steps down: %s", why);
 	r->node->failed = true;
 	raft_disable(r->raft);
-	schedule(r);
+	replica_schedule(r);
 }
 
 static void
@@ -212,7 +161,7 @@
 		ticket_free(t);
 	}
 	synced_free(s);
-	schedule(r);
+	replica_schedule(r);
 }
 
 static GBytes *
@@ -226,8 +175,8 @@
 }
 
 /* Says who this replica is; formed as soon as its log tells of a cell. */
-static void
-identify(struct replica *r)
+void
+replica_identify(struct replica *r)
 {
 	peers_identify(r->node->peers, r->identity.node, r->cell_id,
 	    r->has_form || r->cell_id != 0);
@@ -240,7 +189,7 @@
 	if (cell == 0 || r->cell_id == cell)
 		return;
 	r->cell_id = cell;
-	identify(r);
+	replica_identify(r);
 	log_info("replica", "belongs to cell %016" G_GINT64_MODIFIER "x", cell);
 }
 
@@ -418,184 +367,7 @@
 	data = tagged(TAG_FORM, id, sizeof(id));
 	r->forming = raft_propose(r->raft, data) != 0;
 	g_bytes_unref(data);
-	schedule(r);
-}
-
-/* Stores the identity, which is synced before the replica takes part. */
-static bool
-store_identity(struct replica *r, uint64_t node, uint64_t cell)
-{
-	GError *err = NULL;
-
-	r->identity.node = node;
-	r->identity.cell = cell;
-	g_strlcpy(
-	    r->identity.name, r->node->conf.name, sizeof(r->identity.name));
-	if (wal_set_identity(r->wal, &r->identity, &err))
-		return true;
-	log_error("replica", "can't store the identity: %s", err->message);
-	g_clear_error(&err);
-	r->node->failed = true;
-	return false;
-}
-
-static struct raft_members
-founders(struct replica *r)
-{
-	struct raft_members m = { 0 };
-	GArray *named = r->node->conf.replicas;
-
-	for (guint i = 0; i < named->len; i++) {
-		struct named_replica *n =
-		    &g_array_index(named, struct named_replica, i);
-
-		m.member[m.count++] =
-		    (struct raft_member){ .id = replica_id(n->name, 1) };
-	}
-	return m;
-}
-
-static void
-start_raft(struct replica *r)
-{
-	struct raft_conf conf = { .id = r->identity.node,
-		.election_ticks = ELECTION_TICKS,
-		.heartbeat_ticks = HEARTBEAT_TICKS,
-		.append_max = APPEND_MAX,
-		.inflight_max = INFLIGHT_MAX,
-		.chunk_bytes = CHUNK_BYTES,
-		.seed = random_id(),
-		.hard = r->image.hard,
-		.snapshot = r->image.snapshot,
-		.entries = r->image.entries };
-
-	/* Only a founder takes the named replicas for the membership. */
-	if ((uint32_t)r->identity.node == 1)
-		conf.members = founders(r);
-	if (r->image.snapshot == NULL)
-		r->applied_members = conf.members;
-	r->raft = raft_new(&conf);
-	wal_start(r->wal, on_wal_done, r);
-	wal_image_clear(&r->image);
-	identify(r);
-}
-
-/* What the connected replicas say of themselves. */
-struct census {
-	guint seen;
-	bool formed; /* one holds a cell's first record */
-	uint64_t cell;
-};
-
-static void
-count_peer(void *arg, const struct peer_info *peer)
-{
-	struct census *c = arg;
-
-	c->seen++;
-	c->formed |= peer->formed;
-	if (peer->cell != 0)
-		c->cell = peer->cell;
-}
-
-/*
- * An empty replica joins the cell that it hears of under a new identity. It
- * founds one when no replica has heard of a cell and a majority is there.
- */
-static void
-maybe_found(struct replica *r)
-{
-	struct census c = { .seen = 1 };
-	guint named = r->node->conf.replicas->len;
-	bool waited = mono_ms() - r->opened_ms > FORM_ALL_MS;
-
-	if (r->node->failed)
-		return;
-	peers_each(r->node->peers, count_peer, &c);
-	if (c.cell != 0) {
-		uint32_t nonce = (uint32_t)random_id() | 2;
-
-		if (!store_identity(
-			r, replica_id(r->node->conf.name, nonce), c.cell))
-			return;
-		r->cell_id = c.cell;
-		log_info("replica", "joins an existing cell as a learner");
-		start_raft(r);
-		return;
-	}
-	/* A replica of a cell will know the cell's id once it has a leader:
-	 * to found another one now would lose what that cell has agreed. */
-	if (c.formed)
-		return;
-	if (c.seen <= named / 2 || (c.seen < named && !waited))
-		return;
-	if (!store_identity(r, replica_id(r->node->conf.name, 1), 0))
-		return;
-	log_info(
-	    "replica", "founds a cell with %u of %u replicas", c.seen, named);
-	start_raft(r);
-}
-
-/* Returns the first member of that name, or NULL. */
-static const struct raft_member *
-member_named(const struct replica *r, const char *name, uint64_t but)
-{
-	const struct raft_members *m = raft_members(r->raft);
-
-	for (int i = 0; i < m->count; i++)
-		if (m->member[i].id != but && same_name(m->member[i].id, name))
-			return &m->member[i];
-	return NULL;
-}
-
-static const struct raft_member *
-member_with(const struct replica *r, uint64_t id)
-{
-	const struct raft_members *m = raft_members(r->raft);
-
-	for (int i = 0; i < m->count; i++)
-		if (m->member[i].id == id)
-			return &m->member[i];
-	return NULL;
-}
-
-/*
- * A connected replica whose name is a member under another id has lost its
- * disk. It becomes a learner, then the old id is removed, then the learner
- * is promoted once it has caught up: each step is seen from the membership
- * alone, so any leader can go on with it.
- */
-static void
-tend_member(void *arg, const struct peer_info *peer)
-{
-	struct replica *r = arg;
-	const char *name = peer->name;
-	uint64_t node = peer->node;
-	const struct raft_member *mine = member_with(r, node);
-	const struct raft_member *old = member_named(r, name, node);
-	uint64_t index = 0;
-
-	if (node == 0 || peer->cell != r->cell_id)
-		return;
-	if (mine == NULL && old != NULL)
-		index = raft_propose_member(r->raft, node, true, false);
-	else if (mine != NULL && old != NULL && mine->learner)
-		index = raft_propose_member(r->raft, old->id, false, true);
-	else if (mine != NULL && mine->learner)
-		index = raft_propose_member(r->raft, node, false, false);
-	if (index == 0)
-		return;
-	log_info("replica",
-	    "membership of %s changes at entry %" G_GUINT64_FORMAT, name,
-	    index);
-	schedule(r);
-}
-
-static void
-tend_members(struct replica *r)
-{
-	if (replica_leads(r))
-		peers_each(r->node->peers, tend_member, r);
+	replica_schedule(r);
 }
 
 static void
@@ -630,7 +402,7 @@
 	if (!r->has_form) {
 		note_form(r, out.entries);
 		if (r->has_form)
-			identify(r);
+			replica_identify(r);
 	}
 	apply_all(r, out.committed);
 	answer_reads(r, &out);
@@ -649,12 +421,12 @@
 	r->node->counters.wal_bytes->value = (int64_t)stats.bytes;
 	r->node->counters.wal_fsyncs->value = (int64_t)stats.fsyncs;
 	if (r->raft == NULL) {
-		maybe_found(r);
+		replica_found(r);
 		return;
 	}
 	raft_tick(r->raft);
-	tend_members(r);
-	schedule(r);
+	replica_tend_members(r);
+	replica_schedule(r);
 }
 
 struct replica *
@@ -706,9 +478,9 @@
 void
 replica_start(struct replica *r)
 {
-	identify(r);
+	replica_identify(r);
 	if (r->identity.node != 0)
-		start_raft(r);
+		replica_start_raft(r);
 	r->tick = node_timer(r->node, TICK_MS, on_tick, r);
 }
 
@@ -748,7 +520,7 @@
 	}
 	if (m->from == from && m->to == r->identity.node) {
 		raft_step(r->raft, m);
-		schedule(r);
+		replica_schedule(r);
 	}
 	raft_msg_free(m);
 }
@@ -800,148 +572,13 @@
 	wrapped = tagged(TAG_COMMAND, data, len);
 	index = raft_propose(r->raft, wrapped);
 	g_bytes_unref(wrapped);
-	schedule(r);
+	replica_schedule(r);
 	return index;
 }
 
 bool
 replica_read(struct replica *r, uint64_t context)
 {
-	schedule(r);
+	replica_schedule(r);
 	return replica_leads(r) && raft_read(r->raft, context);
 }
-
-/* The connected replica of a name. */
-struct wanted {
-	const char *name;
-	uint64_t node;
-};
-
-static void
-match_name(void *arg, const struct peer_info *peer)
-{
-	struct wanted *w = arg;
-
-	if (strcmp(peer->name, w->name) == 0)
-		w->node = peer->node;
-}
-
-const char *
-replica_add(struct replica *r, const char *name)
-{
-	struct wanted w = { .name = name };
-
-	if (!replica_leads(r))
-		return "this replica does not lead";
-	if (member_named(r, name, 0) != NULL)
-		return "a replica of that name is a member";
-	if (raft_members(r->raft)->count >= RAFT_MEMBERS_MAX)
-		return "the membership is at its bound";
-	peers_each(r->node->peers, match_name, &w);
-	if (w.node == 0)
-		return "no replica of that name is connected: start it first";
-	if (raft_propose_member(r->raft, w.node, true, false) == 0)
-		return "another membership change is in flight";
-	schedule(r);
-	return NULL;
-}
-
-const char *
-replica_remove(struct replica *r, const char *name)
-{
-	const struct raft_member *m;
-
-	if (!replica_leads(r))
-		return "this replica does not lead";
-	m = member_named(r, name, 0);
-	if (m == NULL)
-		return "no replica of that name is a member";
-	if (raft_propose_member(r->raft, m->id, false, true) == 0)
-		return "another membership change is in flight";
-	schedule(r);
-	return NULL;
-}
-
-bool
-replica_hand_over(struct replica *r)
-{
-	const struct raft_members *m;
-	uint64_t best = RAFT_NONE;
-	uint64_t match = 0;
-
-	if (r->raft == NULL || raft_role(r->raft) != RAFT_LEADER)
-		return false;
-	m = raft_members(r->raft);
-	for (int i = 0; i < m->count; i++) {
-		uint64_t id = m->member[i].id;
-		uint64_t at = raft_match(r->raft, id);
-
-		if (id == r->identity.node || m->member[i].learner ||
-		    peers_name(r->node->peers, id) == NULL || at < match)
-			continue;
-		best = id;
-		match = at;
-	}
-	if (best == RAFT_NONE || !raft_transfer(r->raft, best))
-		return false;
-	schedule(r);
-	return true;
-}
-
-static const char *const role_names[] = {
-	[RAFT_FOLLOWER] = "follower",
-	[RAFT_PRECANDIDATE] = "candidate",
-	[RAFT_CANDIDATE] = "candidate",
-	[RAFT_LEADER] = "leader",
-};
-
-/* One JSON object a member: who it is, whether it votes, how far it is. */
-static void
-append_member(
-    const struct replica *r, GString *out, const struct raft_member *m)
-{
-	bool self = m->id == r->identity.node;
-	const char *name =
-	    self ? r->node->conf.name : peers_name(r->node->peers, m->id);
-	uint64_t at =
-	    self ? raft_last_index(r->raft) : raft_match(r->raft, m->id);
-
-	g_string_append_printf(out,
-	    "%s{\"name\":\"%s\",\"id\":\"%016" G_GINT64_MODIFIER
-	    "x\",\"voter\":%s,\"connected\":%s,\"stored\":%" G_GUINT64_FORMAT
-	    "}",
-	    out->len > 0 ? "," : "", name == NULL ? "" : name, m->id,
-	    m->learner ? "false" : "true", name == NULL ? "false" : "true", at);
-}
-
-static char *
-members_json(const struct replica *r)
-{
-	const struct raft_members *m = raft_members(r->raft);
-	GString *out = g_string_new(NULL);
-
-	for (int i = 0; i < m->count; i++)
-		append_member(r, out, &m->member[i]);
-	return g_string_free(out, FALSE);
-}
-
-char *
-replica_status(const struct replica *r)
-{
-	char *members;
-	char *json;
-
-	if (r->raft == NULL)
-		return g_strdup("\"role\":\"waiting\"");
-	members = members_json(r);
-	json = g_strdup_printf(
-	    "\"role\":\"%s\",\"term\":%" G_GUINT64_FORMAT
-	    ",\"commit\":%" G_GUINT64_FORMAT ",\"applied\":%" G_GUINT64_FORMAT
-	    ",\"last\":%" G_GUINT64_FORMAT ",\"first\":%" G_GUINT64_FORMAT
-	    ",\"leader\":\"%s\",\"members\":[%s]",
-	    role_names[raft_role(r->raft)], raft_term(r->raft),
-	    raft_commit(r->raft), r->applied, raft_last_index(r->raft),
-	    raft_first_index(r->raft), replica_leader_name(r), members);
-	g_free(members);
-	return json;
-}
--- /dev/null
+++ b/bulrushtided/replica_impl.h
@@ -0,0 +1,66 @@
+/* Shared by the files of a replica: replica.c, founding.c and members.c. */
+#ifndef REPLICA_IMPL_H
+#define REPLICA_IMPL_H
+
+#include "mailbox.h"
+#include "peers.h"
+#include "replica.h"
+#include "wal.h"
+
+struct replica {
+	struct node *node;
+	const struct replica_ops *ops;
+	void *arg;
+	struct wal *wal;
+	struct wal_image image;
+	struct wal_identity identity;
+	struct mailbox *mailbox;
+	struct raft *raft; /* NULL: not formed or joined yet */
+	struct cell *cell;
+	uint64_t cell_id;
+	uint64_t applied;
+	uint64_t applied_term;
+	struct raft_members applied_members;
+	uint64_t snapshot_index;
+	uint64_t next_ticket;
+	GQueue tickets; /* struct ticket, in order */
+	struct event *tick;
+	struct event *pump;
+	bool pump_due;
+	int64_t pumped_ms;
+	int64_t tokens_ms; /* rounds at once, in PUMP_REFILL_MS each */
+	bool waits; /* for a cell that is formed and has no leader yet */
+	bool has_form; /* the log holds a cell's first record */
+	int64_t opened_ms;
+	bool forming; /* the form record is proposed */
+	bool led;
+};
+
+/* replica.c */
+/* Asks for a round of storing and sending. */
+void replica_schedule(struct replica *r);
+/* Says who this replica is; formed as soon as its log tells of a cell. */
+void replica_identify(struct replica *r);
+/* From the file thread: a batch is synced or has failed. */
+void replica_wal_done(void *arg, uint64_t ticket, const GError *err);
+
+/* founding.c */
+/*
+ * A replica id carries its name's hash in the upper half, so that a disk
+ * that comes back empty is known to replace the old one of that name.
+ */
+uint64_t replica_id_of(const char *name, uint32_t nonce);
+bool replica_same_name(uint64_t id, const char *name);
+/* Starts the consensus core from what the disk holds. */
+void replica_start_raft(struct replica *r);
+/*
+ * An empty replica joins the cell that it hears of under a new identity. It
+ * founds one when no replica has heard of a cell and a majority is there.
+ */
+void replica_found(struct replica *r);
+
+/* members.c */
+/* Replaces members that lost their disk, one change at a time. */
+void replica_tend_members(struct replica *r);
+
+#endif
--- a/bulrushtided/workers.c
+++ b/bulrushtided/workers.c
@@ -327,8 +327,10 @@
 		refence(l, w, lw);
 		return;
 	}
-	if (report->health == HEALTH_LAPSED && lw->lapsed_ms == 0)
+	if (report->health == HEALTH_LAPSED && lw->lapsed_ms == 0) {
 		lw->lapsed_ms = mono_ms();
+		lw->renewed_ms = lw->lapsed_ms - report->silent_ms;
+	}
 	lw->silent = report->health != HEALTH_HEARD;
 	if (report->health != HEALTH_HEARD)
 		log_info("leader", "worker %s is %s", w->name,
@@ -349,13 +351,13 @@
 lapse_one(void *arg, const struct cell_job *job, uint32_t task)
 {
 	struct lapse *lapse = arg;
-	const struct config_policy *p = &leader_config(lapse->leader)->policy;
-	int64_t lease = p->lease_ms[job->spec.kind];
-	int64_t shortest = shortest_lease(lapse->leader);
+	const struct lattempt *a = orders_find(lapse->leader, job->id, task);
+	/* A start that is not confirmed may have been taken until the lapse,
+	 * and its lease counted from there. */
+	int64_t from = a != NULL && a->confirmed ? lapse->worker->renewed_ms
+						 : lapse->worker->lapsed_ms;
 
-	/* The home waited the shortest lease; its clock may run fast. */
-	if (lapse->now >= lapse->worker->lapsed_ms + with_drift(lease) -
-		shortest + lease * DRIFT_PERMILLE / 1000)
+	if (lapse->now >= from + with_drift(job->task[task].lease_ms))
 		orders_lost(lapse->leader, job, task);
 	lapse->held++;
 	return true;
@@ -371,9 +373,10 @@
 	if (w == NULL || w->state == WORKER_LOST)
 		return;
 	cell_each_attempt(l->cell, lw->id, lapse_one, &lapse);
+	/* Its session is over on its own clock too, however slow that is. */
 	if (lapse.held > 0 || lw->closing ||
-	    now < lw->lapsed_ms +
-		    2 * DRIFT_PERMILLE * shortest_lease(l) / 1000 + 1)
+	    now < lw->lapsed_ms + with_drift(shortest_lease(l)) -
+		    shortest_lease(l))
 		return;
 	cmd.u.worker_state.worker = lw->id;
 	cmd.u.worker_state.epoch = lw->epoch;
@@ -390,9 +393,11 @@
 	if (w == NULL || w->state == WORKER_LOST || w->home != 0)
 		return;
 	move(l, w, lw, 0);
-	if (!lw->moving && lw->lapsed_ms == 0)
-		lw->lapsed_ms =
-		    now + with_drift(GRANT_MS) + with_drift(shortest_lease(l));
+	if (lw->moving || lw->lapsed_ms != 0)
+		return;
+	/* Its home may have renewed it until its own grant ended. */
+	lw->renewed_ms = now + with_drift(GRANT_MS);
+	lw->lapsed_ms = lw->renewed_ms + with_drift(shortest_lease(l));
 }
 
 /* Moves one service task at a time off a worker that leaves, once calls that
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -85,6 +85,7 @@
 	bool lost; /* an attempt's end was never learnt */
 	GBytes *result; /* whole, or NULL */
 	int64_t started_ms; /* cell time of the last assignment */
+	int64_t lease_ms; /* that the last attempt was started under */
 	int64_t ended_ms;
 };
 
--- a/lib/cell/snapshot.c
+++ b/lib/cell/snapshot.c
@@ -4,6 +4,8 @@
  */
 #include "internal.h"
 
+#define TASK_FIELDS 10 /* that put_task() writes */
+
 #define SNAPSHOT_FORMAT 1
 #define SNAPSHOT_FIELDS 13
 
@@ -64,6 +66,7 @@
 	put_bytes(pk, t->result);
 	msgpack_pack_int64(pk, t->started_ms);
 	msgpack_pack_int64(pk, t->ended_ms);
+	msgpack_pack_int64(pk, t->lease_ms);
 }
 
 static gboolean
@@ -85,7 +88,7 @@
 	msgpack_pack_uint64(pk, j->replaces);
 	msgpack_pack_int64(pk, j->pub.submitted_ms);
 	msgpack_pack_int64(pk, j->pub.ended_ms);
-	msgpack_pack_array(pk, 9 * (size_t)j->pub.spec.tasks);
+	msgpack_pack_array(pk, TASK_FIELDS * (size_t)j->pub.spec.tasks);
 	for (uint32_t i = 0; i < j->pub.spec.tasks; i++)
 		put_task(pk, &j->pub.task[i]);
 	return FALSE;
@@ -222,6 +225,7 @@
 	t->result = get_bytes(r, CELL_RESULT_MAX);
 	t->started_ms = get_i64(r);
 	t->ended_ms = get_i64(r);
+	t->lease_ms = get_i64(r);
 }
 
 /* Books an attempt that the tables name; false if its worker is not there. */
--- a/lib/cell/tasks.c
+++ b/lib/cell/tasks.c
@@ -389,6 +389,9 @@
 	struct job *j = find_job(c, s->job);
 
 	j->pub.task[s->task].started_ms = c->time_ms;
+	/* It holds for the attempt whatever the configuration says later. */
+	j->pub.task[s->task].lease_ms =
+	    c->config->policy.lease_ms[j->pub.spec.kind];
 	c->watch.assigned(c->watch_arg, &j->pub, s->task);
 	if (j->replaces != 0)
 		retire_older(c, j);
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -545,6 +545,28 @@
 	g_free(word);
 }
 
+void
+cluster_await_log(struct cluster *c, const char *name, const char *text)
+{
+	const struct proc *p = proc_named(c, name);
+	bool found = false;
+
+	for (int64_t end = mono_ms() + AWAIT_MS; !found && mono_ms() < end;
+	     g_usleep(POLL_US)) {
+		char *log = NULL;
+		const char *last;
+
+		if (!g_file_get_contents(p->log, &log, NULL, NULL))
+			continue;
+		last = g_strrstr(log, " serves on ");
+		found = last != NULL && strstr(last, text) != NULL;
+		g_free(log);
+	}
+	if (!found)
+		g_error("cluster: %s has not logged \"%s\"; logs are in %s",
+		    name, text, c->dir);
+}
+
 json_t *
 cluster_batch(const char *key, int64_t run_ms, bool idempotent)
 {
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -63,6 +63,9 @@
 void cluster_await_event(
     struct cluster *c, const char *worker, const char *event, int count);
 
+/* Waits until a process has logged the text since its last start. */
+void cluster_await_log(struct cluster *c, const char *name, const char *text);
+
 /* A batch job of one task that answers with its key. Free the result. */
 json_t *cluster_batch(const char *key, int64_t run_ms, bool idempotent);
 
--- a/test/recover_test.c
+++ b/test/recover_test.c
@@ -18,6 +18,14 @@
     "teams:\n"
     "  team: {weight: 1}\n";
 
+static const char base_longer[] =
+    "policy:\n"
+    "  heartbeat_ms: 200\n"
+    "  suspect_ms: 800\n"
+    "  lease_ms: {service: 8000, batch: 8000, gang: 8000}\n"
+    "teams:\n"
+    "  team: {weight: 1}\n";
+
 static const char *const flags[] = { "--millicpus=8000", NULL };
 
 static const struct cluster_conf conf = { .replicas = 3,
@@ -203,6 +211,79 @@
 	cluster_free(c);
 }
 
+/*
+ * A replica that missed a change meets one whose disk is empty, while the
+ * others are down: they must not found a cell of their own, in which the
+ * change was never made.
+ */
+static void
+test_no_second_cell(void)
+{
+	struct cluster *c = cluster_new(&conf);
+	char *behind = follower(c);
+	const char *emptied = strcmp(behind, "r0") == 0 ? "r1" : "r0";
+	int status = 0;
+
+	cluster_signal(c, behind, SIGKILL);
+	json_decref(
+	    put_config(c, "e0", 2, "op", "  x: {weight: 1}\n", &status));
+	g_assert_cmpint(status, ==, 200);
+	for (int i = 0; i < 3; i++) {
+		char name[] = { 'r', (char)('0' + i), '\0' };
+
+		if (strcmp(name, behind) != 0)
+			cluster_signal(c, name, SIGKILL);
+	}
+	cluster_lose_disk(c, emptied);
+	cluster_restart(c, behind);
+	cluster_restart(c, emptied);
+	cluster_await_log(c, emptied, "waits for the cell");
+	cluster_restart(c, "r2");
+	await_number(c, NULL, "config_version", 2);
+	await_voters(c, emptied);
+	cluster_free(c);
+	g_free(behind);
+}
+
+/*
+ * Leases are made shorter while attempts run under longer ones: those that a
+ * paused worker holds must not start elsewhere before their own leases end.
+ */
+static void
+test_shorter_lease(void)
+{
+	struct cluster_conf longer = conf;
+	struct cluster *c;
+	uint64_t job[2 * WAVE];
+	int status = 0;
+
+	longer.base = base_longer;
+	c = cluster_new(&longer);
+	for (int i = 0; i < 2 * WAVE; i++) {
+		char *key = g_strdup_printf("lease-%d", i);
+		json_t *spec = cluster_batch(key, 12 * RUN_MS, true);
+
+		job[i] = cluster_submit(c, key, spec);
+		json_decref(spec);
+		g_free(key);
+	}
+	cluster_await_event(c, "w0", "start", 1);
+	json_decref(put_config(c, "e0", 2, "op", "", &status));
+	g_assert_cmpint(status, ==, 200);
+	cluster_signal(c, "w0", SIGSTOP);
+	for (int i = 0; i < 2 * WAVE; i++) {
+		char *key = g_strdup_printf("lease-%d", i);
+
+		g_assert_cmpint(
+		    cluster_await_job(c, key, job[i]), ==, OUT_DONE);
+		g_free(key);
+	}
+	cluster_signal(c, "w0", SIGCONT);
+	wave(c, "after");
+	cluster_judge(c);
+	cluster_free(c);
+}
+
 /* The version in force at a node, as the leader was told; -1: not known. */
 static json_int_t
 version_at(struct cluster *c, const char *name)
@@ -306,6 +387,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/recover/lost-disk", test_lost_disk);
 	g_test_add_func("/recover/operators-race", test_operators_race);
+	g_test_add_func("/recover/no-second-cell", test_no_second_cell);
+	g_test_add_func("/recover/shorter-lease", test_shorter_lease);
 	g_test_add_func("/recover/many-changes", test_many_changes);
 	g_test_add_func("/recover/rolling-restart", test_rolling_restart);
 	return g_test_run();
