--- a/bench/capacity_bench.c
+++ b/bench/capacity_bench.c
@@ -35,7 +35,7 @@
 #define BASE 1
 
 static const struct range ranges[VAR_COUNT] = {
-	[VAR_WORKERS] = { "workers", { 100, 200, 400 }, 430 },
+	[VAR_WORKERS] = { "workers", { 150, 250, 400 }, 430 },
 	[VAR_RUNNING] = { "running", { 200, 800, 1500 }, 2600 },
 	[VAR_STARTS] = { "starts/s", { 5, 20, 60 }, 76 },
 	[VAR_TEAMS] = { "teams", { 10, 40, 130 }, 130 },
@@ -228,7 +228,7 @@
 static void
 run_restarts(const struct load *load)
 {
-	static const int jobs[] = { 500, 2000, 4000 };
+	static const int jobs[] = { 1000, 4000, 7300 };
 	struct bench_cell *c = bench_cell_new(load);
 	int filled = 0;
 
