--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -318,6 +318,13 @@
 		node->hand_over_ms = mono_ms() + DRAIN_LEAST_MS;
 		(void)replica_hand_over(node->replica);
 	}
+	/* The balancer has seen /readyz by now. What is already accepted is
+	 * answered in the next look. */
+	if (since_ms >= DRAIN_LEAST_MS && !node->stopped) {
+		node->stopped = true;
+		web_stop(node->web);
+		return;
+	}
 	if (drained(node, since_ms)) {
 		log_info("node", "has drained and stops");
 		event_base_loopbreak(node->base);
@@ -336,6 +343,7 @@
 		return;
 	log_info("node", "drains: takes no new work");
 	node->draining = true;
+	web_drain(node->web);
 	node->drain_until = mono_ms() + DRAIN_MS;
 	session_drain(node->session);
 	node->drain_timer = node_timer(node, SCAN_MS / 2, on_drain, node);
--- a/bulrushtided/node.h
+++ b/bulrushtided/node.h
@@ -95,6 +95,7 @@
 	struct services *services; /* entries only */
 	struct web *web;
 	bool draining;
+	bool stopped; /* takes no connection */
 	int64_t drain_until;
 	int64_t hand_over_ms; /* when to hand leadership over next */
 	struct event *drain_timer;
--- a/bulrushtided/replica_impl.h
+++ b/bulrushtided/replica_impl.h
@@ -33,7 +33,6 @@
 	bool has_form; /* the log holds a cell's first record */
 	int64_t opened_ms;
 	bool forming; /* the form record is proposed */
-	bool led;
 };
 
 /* replica.c */
--- a/bulrushtided/session.c
+++ b/bulrushtided/session.c
@@ -511,26 +511,8 @@
 		send_report(s);
 }
 
-uint64_t
-session_config_version(const struct session *s)
-{
-	return s->config.version;
-}
-
 const struct config_push *
 session_config(const struct session *s)
 {
 	return &s->config;
 }
-
-uint64_t
-session_division(const struct session *s)
-{
-	return s->division;
-}
-
-const char *
-session_leader(const struct session *s)
-{
-	return s->joined ? s->leader : "";
-}
--- a/bulrushtided/session.h
+++ b/bulrushtided/session.h
@@ -55,11 +55,7 @@
 /* Reports at once that this process drains. */
 void session_drain(struct session *s);
 
-/* Returns the configuration version held, 0 if none. */
-uint64_t session_config_version(const struct session *s);
+/* Returns the configuration held. */
 const struct config_push *session_config(const struct session *s);
-/* The division of connections that this process uses; 0: none. */
-uint64_t session_division(const struct session *s);
-const char *session_leader(const struct session *s);
 
 #endif
--- a/bulrushtided/web.c
+++ b/bulrushtided/web.c
@@ -511,6 +511,12 @@
 	g_free(w);
 }
 
+void
+web_drain(struct web *w)
+{
+	httpd_close_kept(w->httpd);
+}
+
 void
 web_stop(struct web *w)
 {
--- a/bulrushtided/web.h
+++ b/bulrushtided/web.h
@@ -7,8 +7,11 @@
 struct web *web_new(struct node *node, GError **err);
 void web_free(struct web *w);
 
-/* Stops taking connections; returns the number of unanswered requests. */
+/* Asks callers to close kept connections; they go to another entry next. */
+void web_drain(struct web *w);
+/* Takes no new connection. */
 void web_stop(struct web *w);
+/* Requests that are not answered yet. */
 int web_pending(const struct web *w);
 
 #endif
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -21,7 +21,7 @@
 	void *arg;
 	int pending;
 	GHashTable *connections; /* struct evhttp_connection *, open */
-	bool stopping;
+	bool closing;
 };
 
 static struct http_stats totals;
@@ -204,10 +204,15 @@
 	return h;
 }
 
+void
+httpd_close_kept(struct httpd *h)
+{
+	h->closing = true;
+}
+
 void
 httpd_stop_accepting(struct httpd *h)
 {
-	h->stopping = true;
 	evconnlistener_disable(h->listener);
 }
 
@@ -281,7 +286,7 @@
 		g_snprintf(number, sizeof(number), "%d", retry_after_s);
 		evhttp_add_header(headers, "Retry-After", number);
 	}
-	if (req->server->stopping)
+	if (req->server->closing)
 		evhttp_add_header(headers, "Connection", "close");
 	evbuffer_add(out, body, len);
 	totals.bytes_out += len + 100;
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -42,7 +42,9 @@
 /* Listens on "IP:PORT" and serves count routes. */
 struct httpd *httpd_new(struct event_base *base, const char *address,
     const struct http_route *routes, size_t count, void *arg, GError **err);
-/* Takes no new connection; open ones are answered with Connection: close. */
+/* From now on answers ask the caller to close the connection. */
+void httpd_close_kept(struct httpd *h);
+/* Takes no new connection. */
 void httpd_stop_accepting(struct httpd *h);
 /* Requests taken and not yet answered. */
 int httpd_pending(const struct httpd *h);
--- a/test/faketask.c
+++ b/test/faketask.c
@@ -400,9 +400,10 @@
 		refuse(w, req, HTTP_CONFLICT, "epoch", "", 0, epoch);
 		return;
 	}
-	w->lease_ms = lease_ms;
-	renew(w, mono_ms());
-	answer(req, 200, "renewed");
+	/* It tells epoch and home only: how long it was on its way nobody
+	 * knows. The heartbeat that goes out now renews. */
+	set_timer(w->beat, 0);
+	answer(req, 200, "taken");
 }
 
 /* False if there is no such attempt here. */
--- a/test/fakeworker.c
+++ b/test/fakeworker.c
@@ -5,6 +5,8 @@
 
 #include "fakeworker.h"
 
+#define LIST_EVERY 10 /* heartbeats from one list to the next at most */
+
 #define HEARTBEAT_MS 500 /* until an entry has told another */
 #define RETRY_BASE_MS 100
 #define RETRY_MAX_MS 2000
@@ -131,6 +133,10 @@
 	check_leases(w);
 	if (status == 200) {
 		w->failures = 0;
+		if (w->listing != 0) {
+			w->listed = w->listing;
+			w->unlisted = 0;
+		}
 		take_answer(w, body);
 		wait = w->sent_ms + w->heartbeat_ms - mono_ms();
 	} else {
@@ -147,6 +153,25 @@
 }
 
 /* Heartbeat, or announcement when home is not known or does not answer. */
+/* Lists what runs when that has changed, and now and then for its usage. */
+static void
+add_running(struct fakeworker *w, json_t *body, bool announce)
+{
+	json_t *running = running_json(w);
+	char *text = json_dumps(running, JSON_COMPACT);
+	uint64_t hash = hash64(text, strlen(text));
+
+	free(text);
+	w->listing = 0;
+	if (!announce && hash == w->listed && w->unlisted + 1 < LIST_EVERY) {
+		w->unlisted++;
+		json_decref(running);
+		return;
+	}
+	w->listing = hash;
+	json_object_set_new(body, "running", running);
+}
+
 static void
 on_beat(evutil_socket_t fd, short what, void *arg)
 {
@@ -161,9 +186,9 @@
 	}
 	announce = w->home == NULL || w->failures > 0;
 	w->asked = g_strdup(announce ? any_entry(w) : w->home);
-	body = json_pack("{s:s,s:I,s:I,s:o}", "name", w->name, "incarnation",
-	    (json_int_t)w->incarnation, "epoch", (json_int_t)w->epoch,
-	    "running", running_json(w));
+	body = json_pack("{s:s,s:I,s:I}", "name", w->name, "incarnation",
+	    (json_int_t)w->incarnation, "epoch", (json_int_t)w->epoch);
+	add_running(w, body, announce);
 	if (announce) {
 		add_announcement(w, body);
 		record(w, "announce", "{s:s,s:I,s:I,s:I,s:i}", "entry",
--- a/test/fakeworker.h
+++ b/test/fakeworker.h
@@ -94,6 +94,9 @@
 	char *asked; /* entry that it went to; NULL: none in flight */
 	bool ask_again; /* another one is due when the answer is here */
 	guint next_entry;
+	uint64_t listed; /* hash of the attempts in the last answered list */
+	uint64_t listing; /* of the list on its way; 0: none */
+	int unlisted; /* heartbeats since without a list */
 	int failures; /* heartbeats in a row without an answer of 200 */
 	struct event *beat;
 	struct event *lease_timer;
