An announcement that renews a lease tells the worker's home

Cause: review. A worker that announced itself again, unchanged, through another entry had its lease renewed by the answer, while its home counted from its own last answer: the home could report a lapse up to one silence bound early, and attempts were freed while the worker still held them. An announcement kept for a second leader could be older than the worker's new process. Change: each announcement gives a new epoch, which the home is told of and counts from; announcements are not sent to a second leader.

--- a/bulrushtided/requests.c
+++ b/bulrushtided/requests.c
@@ -249,7 +249,9 @@
 
 /*
  * A worker keeps its home unless it came through another entry because its
- * home does not hear it; a session that has lapsed gets a new epoch.
+ * home does not hear it. It gets a new epoch in any case: the answer renews
+ * its lease, and the home has to count from there as well, which it does when
+ * it is told of the epoch.
  */
 static void
 take_announce(struct leader *l, struct client *c, const struct request *req,
@@ -262,7 +264,7 @@
 	    client_by_entry(l, known->home) != NULL &&
 	    !client_by_entry(l, known->home)->draining;
 
-	cmd->u.announce.fresh = lw != NULL && lw->lapsed_ms != 0;
+	cmd->u.announce.fresh = true;
 	if (live && lw != NULL && lw->silent && c->entry_id != 0 &&
 	    c->entry_id != known->home && !c->draining)
 		w->home = c->entry_id;
--- a/bulrushtided/session.c
+++ b/bulrushtided/session.c
@@ -14,6 +14,7 @@
 	session_answer *answer;
 	void *arg;
 	int64_t due_ms;
+	bool once;
 	int sends; /* to a leader that may have proposed it */
 	int64_t again_ms; /* when to send it again; 0: it is on its way */
 };
@@ -91,7 +92,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pending *p = value;
 
-		send_request(s, p);
+		/* One that may be stale is given up on in the next look. */
+		if (p->once && p->sends > 0)
+			p->due_ms = 0;
+		else
+			send_request(s, p);
 	}
 }
 
@@ -482,6 +487,7 @@
 		.name = g_strdup(call->name),
 		.body = call->body == NULL ? NULL : g_bytes_ref(call->body),
 		.trace = g_strdup(call->trace) };
+	p->once = call->once;
 	p->answer = answer;
 	p->arg = arg;
 	p->due_ms = mono_ms() + call->wait_ms + call->timeout_ms;
--- a/bulrushtided/session.h
+++ b/bulrushtided/session.h
@@ -35,6 +35,7 @@
 	const char *name;
 	GBytes *body;
 	const char *trace;
+	bool once; /* not sent again to another leader: it may be stale */
 };
 
 struct session *
--- a/bulrushtided/web.c
+++ b/bulrushtided/web.c
@@ -126,6 +126,7 @@
 {
 	GBytes *body = cell_cmd_encode(cmd);
 	struct session_call call = { .op = op,
+		.once = op == OP_ANNOUNCE,
 		.body = body,
 		.name = name,
 		.wait_ms = wait_ms,
