--- a/bulrushtided/main.c
+++ b/bulrushtided/main.c
@@ -37,6 +37,14 @@
 	return "a whole number from 0 to 1000";
 }
 
+static const char *
+check_entries(const char *value)
+{
+	if (g_ascii_string_to_unsigned(value, 10, 50, 1000000, NULL, NULL))
+		return NULL;
+	return "a whole number from 50 to 1000000";
+}
+
 /* Splits NAME@IP:PORT,...; false if a part is malformed or doubled. */
 static bool
 split_replicas(const char *value, GArray *out)
@@ -96,6 +104,8 @@
 	    "NAME@IP:PORT,... of all replicas" },
 	{ "data-dir", "DIR", NULL, false, NULL,
 	    "Folder for the log (replicas)" },
+	{ "snapshot-entries", "N", "10000", false, check_entries,
+	    "Log entries from one snapshot to the next (replicas)" },
 	{ "trace-permille", "N", "1000", false, check_permille,
 	    "Requests of 1000 that are traced when no traceparent says so" },
 	{ "log-level", "LEVEL", "info", false, check_level,
@@ -150,6 +160,8 @@
 		.replicas =
 		    g_array_new(FALSE, TRUE, sizeof(struct named_replica)) };
 
+	conf.snapshot_entries =
+	    g_ascii_strtoull(settings_get(s, "snapshot-entries"), NULL, 10);
 	conf.trace_permille =
 	    (int)strtol(settings_get(s, "trace-permille"), NULL, 10);
 	(void)split_replicas(settings_get(s, "replicas"), conf.replicas);
--- a/bulrushtided/node.h
+++ b/bulrushtided/node.h
@@ -45,6 +45,7 @@
 	bool entry;
 	bool replica;
 	GArray *replicas; /* struct named_replica */
+	uint64_t snapshot_entries; /* applied from one snapshot to the next */
 	int trace_permille; /* of requests without a traceparent */
 };
 
--- a/bulrushtided/replica.c
+++ b/bulrushtided/replica.c
@@ -5,8 +5,7 @@
 #include "replica_impl.h"
 
 #define TICK_MS 100
-#define SNAPSHOT_ENTRIES 10000 /* applied since the last snapshot */
-#define KEEP_ENTRIES 1000 /* for followers that lag */
+#define KEEP_PART 10 /* of the entries, kept for followers that lag */
 
 /*
  * A round of storing and sending runs at once while rounds are rare. Beyond
@@ -314,6 +313,7 @@
 static void
 maybe_snapshot(struct replica *r)
 {
+	uint64_t every = r->node->conf.snapshot_entries;
 	struct raft_snapshot s = { .index = r->applied,
 		.term = r->applied_term,
 		.members = r->applied_members };
@@ -324,7 +324,7 @@
 	size_t len;
 	const void *p;
 
-	if (r->applied - r->snapshot_index < SNAPSHOT_ENTRIES)
+	if (r->applied - r->snapshot_index < every)
 		return;
 	state = cell_snapshot(r->cell);
 	p = g_bytes_get_data(state, &len);
@@ -334,7 +334,7 @@
 	g_byte_array_append(data, p, (guint)len);
 	g_bytes_unref(state);
 	s.data = g_byte_array_free_to_bytes(data);
-	raft_compact(r->raft, &s, KEEP_ENTRIES);
+	raft_compact(r->raft, &s, every / KEEP_PART);
 	write_batch(r, &none, &s);
 	g_bytes_unref(s.data);
 	r->snapshot_index = r->applied;
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -103,6 +103,8 @@
 	if (peer != NULL) {
 		add_arg(argv, "--peer=%s", peer);
 		add_arg(argv, "--data-dir=%s/data-%s", c->dir, name);
+		/* Few, so that every test takes and sends snapshots. */
+		add_arg(argv, "--snapshot-entries=100");
 	}
 	p = add_proc(c, name, argv);
 	p->address = http;
--- a/test/recover_test.c
+++ b/test/recover_test.c
@@ -328,6 +328,7 @@
 	}
 	cluster_restart(c, down);
 	cluster_restart(c, "e1");
+	cluster_await_log(c, down, "restored a snapshot");
 	cluster_await_ready(c, "e1", 200);
 	for (int i = 0; i < TRIES_MAX && version != CHANGES; i++) {
 		json_int_t now = version_at(c, "e1");
