Tests: a leader and an entry that sleep past their time and wake

Change: /fault/leader-paused, /fault/entry-paused; the leader logs an entry that is gone (the first form of the test waited for a line that is not written once the entry is out). Seen: both pass.

--- a/bulrushtided/workers.c
+++ b/bulrushtided/workers.c
@@ -145,6 +145,8 @@
 		.leader = l->node->conf.name };
 
 	if (gone) {
+		log_info("leader", "entry %s is gone: its grant has run out",
+		    cell_entry(l->cell, entry)->name);
 		g_hash_table_remove(l->entries, GUINT_TO_POINTER(entry));
 		targets_divide(l);
 		if (c == NULL)
--- a/test/fault_test.c
+++ b/test/fault_test.c
@@ -110,6 +110,42 @@
 	g_free(leader);
 }
 
+/* The leader sleeps while another one leads, and wakes: it must not act on
+ * what it knew. */
+static void
+test_leader_paused(void)
+{
+	struct cluster *c = cluster_new(&conf);
+	struct wave w = { c, "sleep", LONG_MS, { 0 } };
+	char *leader = g_strdup(cluster_leader(c));
+
+	submit(&w, 0, JOBS / 2);
+	cluster_signal(c, leader, SIGSTOP);
+	submit(&w, JOBS / 2, JOBS);
+	await_all(&w, true);
+	g_assert_cmpstr(cluster_leader(c), !=, leader);
+	cluster_signal(c, leader, SIGCONT);
+	finish(c);
+	g_free(leader);
+}
+
+/* An entry sleeps past its grant, loses its workers, and wakes. */
+static void
+test_entry_paused(void)
+{
+	struct cluster *c = cluster_new(&conf);
+	struct wave w = { c, "nap", LONG_MS, { 0 } };
+
+	submit(&w, 0, JOBS / 2);
+	cluster_signal(c, "e0", SIGSTOP);
+	cluster_await_log(c, cluster_leader(c), "entry e0 is gone");
+	cluster_signal(c, "e0", SIGCONT);
+	cluster_await_ready(c, "e0", 200);
+	submit(&w, JOBS / 2, JOBS);
+	await_all(&w, true);
+	finish(c);
+}
+
 static void
 test_entry_killed(void)
 {
@@ -312,6 +348,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/fault/none", test_no_fault);
 	g_test_add_func("/fault/leader-killed", test_leader_killed);
+	g_test_add_func("/fault/leader-paused", test_leader_paused);
+	g_test_add_func("/fault/entry-paused", test_entry_paused);
 	g_test_add_func("/fault/entry-killed", test_entry_killed);
 	g_test_add_func("/fault/worker-killed", test_worker_killed);
 	g_test_add_func("/fault/worker-paused", test_worker_paused);
