A start confirmed after its worker's lapse keeps the later bound

A start order's answer that came after the home had reported the lapse made the leader free the attempt by the last renewal before it, though a worker may count the lease from when it took the order. Change: such an answer does not confirm; the bound from the lapse stays. No test of its own.

--- a/bulrushtided/orders.c
+++ b/bulrushtided/orders.c
@@ -400,9 +400,14 @@
 {
 	const struct cell_job *job = cell_job(l->cell, a->job);
 	const struct cell_worker *w = cell_worker(l->cell, a->worker);
+	const struct lworker *lw = workers_find(l, a->worker);
 
 	if (a->confirmed || job == NULL || w == NULL)
 		return;
+	/* An answer after the lapse: its lease counts from the lapse, not from
+	 * the last renewal before it. */
+	if (lw != NULL && lw->lapsed_ms != 0)
+		return;
 	a->confirmed = true;
 	if (job->task[a->task].state == TASK_ASSIGNED && w->state == WORKER_UP)
 		targets_changed(l, job, a->task, a->worker, false);
