One guard before msgpack-c, one shortest lease, one way to open a frame

Change: lib/cell and lib/raft call pack_sane(); config_shortest_lease(); proto_open() and proto_close(); the dead fields are gone. No behaviour is meant to change and no test was touched.

--- a/bulrushtided/clients.c
+++ b/bulrushtided/clients.c
@@ -95,10 +95,8 @@
 		.body = body,
 		.heartbeat_ms = p->heartbeat_ms,
 		.suspect_ms = p->suspect_ms,
-		.lease_ms = p->lease_ms[0] };
+		.lease_ms = config_shortest_lease(leader_config(l)) };
 
-	for (int i = 1; i < KIND_COUNT; i++)
-		push.lease_ms = MIN(push.lease_ms, p->lease_ms[i]);
 	proto_send(c->link, FRAME_CONFIG, &push);
 }
 
@@ -377,7 +375,6 @@
 {
 	struct leader *l = arg;
 	struct client *c = find_link(l, link);
-	const struct shape *shape = proto_shape(type);
 	GError *err = NULL;
 	void *msg;
 
@@ -396,16 +393,15 @@
 			continue;
 		if (rows[i].joined_only && (!c->joined || !l->active))
 			return;
-		msg = g_malloc0(shape->size);
-		if (shape_decode(data, len, shape, msg, &err)) {
-			rows[i].take(l, c, msg);
-			shape_clear(shape, msg);
-		} else {
+		msg = proto_open(type, data, len, &err);
+		if (msg == NULL) {
 			log_warn("leader", "dropped a frame of %s: %s", name,
 			    err->message);
 			g_clear_error(&err);
+			return;
 		}
-		g_free(msg);
+		rows[i].take(l, c, msg);
+		proto_close(type, msg);
 		return;
 	}
 	log_warn("leader", "dropped a frame of %s: type %d is not known", name,
--- a/bulrushtided/peers.c
+++ b/bulrushtided/peers.c
@@ -27,7 +27,6 @@
 	uint64_t node;
 	uint64_t cell;
 	bool formed;
-	int64_t made_ms;
 	int64_t heard_ms;
 };
 
@@ -242,7 +241,7 @@
 	c->peers = p;
 	c->link = l;
 	c->dialled = dialled;
-	c->made_ms = c->heard_ms = mono_ms();
+	c->heard_ms = mono_ms();
 	link_set_arg(l, c);
 	g_ptr_array_add(p->conns, c);
 	return c;
--- a/bulrushtided/proto.c
+++ b/bulrushtided/proto.c
@@ -190,6 +190,25 @@
 	return &shapes[type];
 }
 
+void *
+proto_open(int type, const void *data, size_t len, GError **err)
+{
+	const struct shape *shape = proto_shape(type);
+	void *msg = g_malloc0(shape->size);
+
+	if (shape_decode(data, len, shape, msg, err))
+		return msg;
+	g_free(msg);
+	return NULL;
+}
+
+void
+proto_close(int type, void *msg)
+{
+	shape_clear(proto_shape(type), msg);
+	g_free(msg);
+}
+
 uint64_t
 proto_target_id(uint64_t job, uint32_t task, uint32_t worker)
 {
--- a/bulrushtided/proto.h
+++ b/bulrushtided/proto.h
@@ -247,6 +247,11 @@
 /* The shape of a frame type; NULL for PING, RAFT and unknown ones. */
 const struct shape *proto_shape(int type);
 
+/* Decodes a frame that has a shape into a new struct; NULL with err. */
+void *proto_open(int type, const void *data, size_t len, GError **err);
+/* Frees what proto_open() gave. */
+void proto_close(int type, void *msg);
+
 /* Names a target: a task on the worker that it runs on; never 0. */
 uint64_t proto_target_id(uint64_t job, uint32_t task, uint32_t worker);
 
--- a/bulrushtided/reports.c
+++ b/bulrushtided/reports.c
@@ -150,10 +150,8 @@
     const struct cell_entry *home)
 {
 	const struct config_policy *p = &leader_config(l)->policy;
-	int64_t lease = p->lease_ms[0];
+	int64_t lease = config_shortest_lease(leader_config(l));
 
-	for (int i = 1; i < KIND_COUNT; i++)
-		lease = MIN(lease, p->lease_ms[i]);
 	return dump(json_pack("{s:s,s:s,s:I,s:I,s:I}", "outcome", "accepted",
 	    "home", home->address, "epoch", (json_int_t)worker->epoch,
 	    "lease_ms", (json_int_t)lease, "heartbeat_ms",
--- a/bulrushtided/session.c
+++ b/bulrushtided/session.c
@@ -289,7 +289,6 @@
 {
 	struct session *s = arg;
 	int type = shape_type(data, len);
-	const struct shape *shape = proto_shape(type);
 	GError *err = NULL;
 	void *msg;
 
@@ -301,16 +300,15 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
 		if ((int)rows[i].type != type)
 			continue;
-		msg = g_malloc0(shape->size);
-		if (shape_decode(data, len, shape, msg, &err)) {
-			rows[i].take(s, msg);
-			shape_clear(shape, msg);
-		} else {
+		msg = proto_open(type, data, len, &err);
+		if (msg == NULL) {
 			log_warn(
 			    "session", "dropped a frame: %s", err->message);
 			g_clear_error(&err);
+			return;
 		}
-		g_free(msg);
+		rows[i].take(s, msg);
+		proto_close(type, msg);
 		return;
 	}
 }
--- a/bulrushtided/workers.c
+++ b/bulrushtided/workers.c
@@ -122,18 +122,6 @@
 		push(l, w->home, w, false);
 }
 
-/* The shortest lease of all kinds, in milliseconds. */
-static int64_t
-shortest_lease(const struct leader *l)
-{
-	const struct config_policy *p = &leader_config(l)->policy;
-	int64_t ms = p->lease_ms[0];
-
-	for (int i = 1; i < KIND_COUNT; i++)
-		ms = MIN(ms, p->lease_ms[i]);
-	return ms;
-}
-
 void
 workers_entry_changed(void *arg, uint32_t entry, bool gone)
 {
@@ -377,8 +365,9 @@
 	cell_each_attempt(l->cell, lw->id, lapse_one, &lapse);
 	/* Its session is over on its own clock too, however slow that is. */
 	if (lapse.held > 0 || lw->closing ||
-	    now < lw->lapsed_ms + with_drift(shortest_lease(l)) -
-		    shortest_lease(l))
+	    now < lw->lapsed_ms +
+		    with_drift(config_shortest_lease(leader_config(l))) -
+		    config_shortest_lease(leader_config(l)))
 		return;
 	cmd.u.worker_state.worker = lw->id;
 	cmd.u.worker_state.epoch = lw->epoch;
@@ -399,41 +388,34 @@
 		return;
 	/* Its home may have renewed it until its own grant ended. */
 	lw->renewed_ms = now + with_drift(GRANT_MS);
-	lw->lapsed_ms = lw->renewed_ms + with_drift(shortest_lease(l));
+	lw->lapsed_ms = lw->renewed_ms +
+	    with_drift(config_shortest_lease(leader_config(l)));
 }
 
 /* Moves one service task at a time off a worker that leaves, once calls that
  * were on their way to it have been answered. */
-struct evict {
-	struct leader *leader;
-	bool found;
-};
-
 static bool
 evict_one(void *arg, const struct cell_job *job, uint32_t task)
 {
-	struct evict *e = arg;
+	struct leader *l = arg;
 	struct cell_cmd cmd = { .type = CMD_PREEMPT };
 
 	if (job->spec.kind != KIND_SERVICE)
 		return true;
-	e->found = true;
 	if (job->task[task].state != TASK_ASSIGNED)
 		return false;
 	cmd.u.preempt.job = job->id;
 	cmd.u.preempt.task = task;
 	cmd.u.preempt.attempt = job->task[task].attempt;
-	(void)leader_propose(e->leader, &cmd);
+	(void)leader_propose(l, &cmd);
 	return false;
 }
 
 static void
 scan_draining(struct leader *l, const struct lworker *lw, int64_t now)
 {
-	struct evict e = { l, false };
-
 	if (now - lw->draining_ms >= EVICT_MS)
-		cell_each_attempt(l->cell, lw->id, evict_one, &e);
+		cell_each_attempt(l->cell, lw->id, evict_one, l);
 }
 
 /* After an entry has joined, a few homes at a time move to where rendezvous
--- a/lib/cell/codec.c
+++ b/lib/cell/codec.c
@@ -2,105 +2,7 @@
 #include <string.h>
 
 #include "codec.h"
-
-#define DEPTH_MAX 16 /* arrays within arrays */
-
-/* What a msgpack lead byte announces. */
-struct item {
-	size_t head; /* bytes of the lead and its length field */
-	size_t body; /* bytes that follow */
-	size_t count; /* elements, if an array */
-	bool array;
-};
-
-static size_t
-big_endian(const uint8_t *p, size_t len)
-{
-	size_t v = 0;
-
-	for (size_t i = 0; i < len; i++)
-		v = v << 8 | p[i];
-	return v;
-}
-
-/* Reads a length field of the given width; false if data is too short. */
-static bool
-wide_item(const uint8_t *p, size_t len, size_t width, struct item *it)
-{
-	if (len < 1 + width)
-		return false;
-	it->head = 1 + width;
-	it->body = big_endian(p + 1, width);
-	return true;
-}
-
-/* Only the types that this project writes are known. */
-static bool
-read_item(const uint8_t *p, size_t len, struct item *it)
-{
-	uint8_t b = p[0];
-
-	*it = (struct item){ .head = 1 };
-	if (b <= 0x7f || b >= 0xe0 || b == 0xc0 || b == 0xc2 || b == 0xc3)
-		return true;
-	if (b >= 0xa0 && b <= 0xbf) {
-		it->body = b & 0x1f;
-		return true;
-	}
-	if (b >= 0x90 && b <= 0x9f) {
-		it->array = true;
-		it->count = b & 0x0f;
-		return true;
-	}
-	if (b >= 0xc4 && b <= 0xc6)
-		return wide_item(p, len, (size_t)1 << (b - 0xc4), it);
-	if (b >= 0xd9 && b <= 0xdb)
-		return wide_item(p, len, (size_t)1 << (b - 0xd9), it);
-	if (b >= 0xcc && b <= 0xd3) {
-		it->body = (size_t)1 << ((b - 0xcc) & 3);
-		return true;
-	}
-	if (b != 0xdc && b != 0xdd)
-		return false;
-	if (!wide_item(p, len, b == 0xdc ? 2 : 4, it))
-		return false;
-	it->array = true;
-	it->count = it->body;
-	it->body = 0;
-	return true;
-}
-
-/*
- * Checks lengths and depth before the library reads the data: it allocates
- * what a length field claims, however short the data is.
- */
-static bool
-lengths_ok(const uint8_t *p, size_t len)
-{
-	size_t open[DEPTH_MAX];
-	int depth = 0;
-	size_t off = 0;
-
-	do {
-		struct item it;
-
-		if (off >= len || !read_item(p + off, len - off, &it) ||
-		    it.body > len - off - it.head ||
-		    it.count > len - off - it.head)
-			return false;
-		off += it.head + it.body;
-		if (depth > 0)
-			open[depth - 1]--;
-		if (it.array) {
-			if (depth == DEPTH_MAX)
-				return false;
-			open[depth++] = it.count;
-		}
-		while (depth > 0 && open[depth - 1] == 0)
-			depth--;
-	} while (depth > 0);
-	return off == len;
-}
+#include "pack.h"
 
 bool
 codec_open(msgpack_unpacked *u, const void *data, size_t len, struct reader *r)
@@ -109,7 +11,7 @@
 
 	msgpack_unpacked_init(u);
 	*r = (struct reader){ .ok = false };
-	if (len == 0 || !lengths_ok(data, len))
+	if (!pack_sane(data, len))
 		return false;
 	if (msgpack_unpack_next(u, data, len, &off) != MSGPACK_UNPACK_SUCCESS)
 		return false;
--- a/lib/config/config.c
+++ b/lib/config/config.c
@@ -384,3 +384,13 @@
 	}
 	return NULL;
 }
+
+int64_t
+config_shortest_lease(const struct config *c)
+{
+	int64_t ms = c->policy.lease_ms[0];
+
+	for (int i = 1; i < KIND_COUNT; i++)
+		ms = MIN(ms, c->policy.lease_ms[i]);
+	return ms;
+}
--- a/lib/config/config.h
+++ b/lib/config/config.h
@@ -108,6 +108,9 @@
  */
 GPtrArray *config_diff(const struct config *from, const struct config *to);
 
+/* The shortest lease of all kinds, in milliseconds. */
+int64_t config_shortest_lease(const struct config *c);
+
 const char *spread_name(enum spread spread);
 bool spread_parse(const char *name, enum spread *spread);
 const struct config_team *config_team(const struct config *c, const char *name);
--- a/lib/raft/codec.c
+++ b/lib/raft/codec.c
@@ -4,6 +4,8 @@
  */
 #include <msgpack.h>
 
+#include "pack.h"
+
 #include "core.h"
 
 /* Fields in the order of their mask bits. */
@@ -214,48 +216,6 @@
 	return buffer_finish(&buffer);
 }
 
-/*
- * Says whether no array claims more values than there are bytes left: the
- * library allocates an array before it reads the values.
- */
-static bool
-arrays_fit(const uint8_t *p, size_t len)
-{
-	size_t i = 0, n, pending = 1;
-	uint8_t b;
-
-	while (i < len && pending > 0) {
-		b = p[i++];
-		n = 0;
-		pending--;
-		if ((b & 0xf0) == 0x90) /* fixarray */
-			pending += b & 0x0f;
-		else if (b == 0xdc && len - i >= 2) { /* array 16 */
-			pending += (size_t)p[i] << 8 | p[i + 1];
-			n = 2;
-		} else if (b >= 0xcc && b <= 0xcf) /* uint 8 to 64 */
-			n = (size_t)1 << (b - 0xcc);
-		else if (b == 0xdd && len - i >= 4) { /* array 32 */
-			pending += (size_t)p[i] << 24 | (size_t)p[i + 1] << 16 |
-			    (size_t)p[i + 2] << 8 | p[i + 3];
-			n = 4;
-		} else if (b == 0xc4 && len - i >= 1) /* bin 8 */
-			n = 1 + (size_t)p[i];
-		else if (b == 0xc5 && len - i >= 2) /* bin 16 */
-			n = 2 + ((size_t)p[i] << 8 | p[i + 1]);
-		else if (b == 0xc6 && len - i >= 4) /* bin 32 */
-			n = 4 +
-			    ((size_t)p[i] << 24 | (size_t)p[i + 1] << 16 |
-				(size_t)p[i + 2] << 8 | p[i + 3]);
-		else if (b > 0x7f) /* not a positive fixint */
-			return false;
-		if (n > len - i || pending > len - i - n)
-			return false;
-		i += n;
-	}
-	return pending == 0 && i == len;
-}
-
 /* The values of an array, read one by one. */
 struct cursor {
 	const msgpack_object *at;
@@ -400,7 +360,7 @@
 	size_t used = 0;
 
 	msgpack_unpacked_init(unpacked);
-	if (!arrays_fit(data, len))
+	if (!pack_sane(data, len))
 		return false;
 	return msgpack_unpack_next(unpacked, data, len, &used) ==
 	    MSGPACK_UNPACK_SUCCESS &&
