--- a/bulrushtided/leader.c
+++ b/bulrushtided/leader.c
@@ -264,7 +264,7 @@
 	struct leader *l = g_new0(struct leader, 1);
 
 	l->node = node;
-	l->cell = replica_cell(node->replica);
+	l->cell = node->cell;
 	l->clients = g_ptr_array_new_with_free_func(client_free);
 	g_queue_init(&l->job_waits);
 	g_queue_init(&l->delays);
--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -111,6 +111,12 @@
 	    (ru.ru_utime.tv_sec + ru.ru_stime.tv_sec) * INT64_C(1000000) +
 	    ru.ru_utime.tv_usec + ru.ru_stime.tv_usec;
 	c->rss_bytes->value = resident_bytes();
+	if (node->replica != NULL) {
+		struct wal_stats stats = replica_wal_stats(node->replica);
+
+		c->wal_bytes->value = (int64_t)stats.bytes;
+		c->wal_fsyncs->value = (int64_t)stats.fsyncs;
+	}
 	c->net_in->value =
 	    (int64_t)(link_stats()->bytes_in + http_stats()->bytes_in);
 	c->net_out->value =
@@ -215,12 +221,35 @@
 static const struct peers_ops peers_ops = { on_raft, on_session_frame,
 	on_session_down };
 
-static void
-on_applied(void *arg, uint64_t index, struct cell_result *result)
+static bool
+on_apply(
+    void *arg, uint64_t index, const void *data, size_t len, GError **err)
+{
+	struct node *node = arg;
+	struct cell_result result = { 0 };
+
+	if (!cell_apply(node->cell, data, len, &result, err))
+		return false;
+	node->counters.commits->value++;
+	leader_applied(node->leader, index, &result);
+	cell_result_clear(&result);
+	return true;
+}
+
+static GBytes *
+on_snapshot(void *arg)
 {
 	struct node *node = arg;
 
-	leader_applied(node->leader, index, result);
+	return cell_snapshot(node->cell);
+}
+
+static bool
+on_restore(void *arg, GBytes *state, GError **err)
+{
+	struct node *node = arg;
+
+	return cell_restore(node->cell, state, err);
 }
 
 static void
@@ -239,13 +268,73 @@
 	leader_read_done(node->leader, context, ok);
 }
 
-static const struct replica_ops replica_ops = { on_applied, on_advanced,
-	on_read };
+static void
+on_send(void *arg, uint64_t to, GBytes *message)
+{
+	struct node *node = arg;
+
+	peers_send_raft(node->peers, to, message);
+}
+
+static void
+on_identify(void *arg, uint64_t id, uint64_t cell, bool formed)
+{
+	struct node *node = arg;
+
+	peers_identify(node->peers, id, cell, formed);
+}
+
+static void
+on_each_peer(void *arg, replica_peer_fn *fn, void *fn_arg)
+{
+	struct node *node = arg;
+
+	peers_each(node->peers, fn, fn_arg);
+}
+
+static void
+on_storage_failed(void *arg)
+{
+	struct node *node = arg;
+
+	node->failed = true;
+}
+
+static const struct replica_ops replica_ops = { .apply = on_apply,
+	.snapshot = on_snapshot,
+	.restore = on_restore,
+	.advanced = on_advanced,
+	.read = on_read,
+	.send = on_send,
+	.identify = on_identify,
+	.each_peer = on_each_peer,
+	.failed = on_storage_failed };
+
+static GPtrArray *
+founder_names(const struct node_conf *conf)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < conf->replicas->len; i++)
+		g_ptr_array_add(names,
+		    g_strdup(g_array_index(
+			conf->replicas, struct named_replica, i)
+				 .name));
+	return names;
+}
 
 static bool
 start_replica(struct node *node, GError **err)
 {
-	node->replica = replica_new(node, &replica_ops, node, err);
+	struct replica_conf conf = { .base = node->base,
+		.name = node->conf.name,
+		.data_dir = node->conf.data_dir,
+		.snapshot_entries = node->conf.snapshot_entries,
+		.founders = founder_names(&node->conf) };
+
+	node->cell = cell_new();
+	node->replica = replica_new(&conf, &replica_ops, node, err);
+	g_ptr_array_unref(conf.founders);
 	if (node->replica == NULL)
 		return false;
 	node->leader = leader_new(node);
@@ -380,6 +469,7 @@
 	peers_free(node->peers);
 	leader_free(node->leader);
 	replica_free(node->replica);
+	cell_free(node->cell);
 	tracer_free(node->tracer);
 	registry_free(node->counters.registry);
 	/* Closed connections are freed by calls that the loop still owes. */
--- a/bulrushtided/node.h
+++ b/bulrushtided/node.h
@@ -56,6 +56,7 @@
 struct services;
 struct web;
 struct peers;
+struct cell;
 
 /* Counters that parts share. */
 struct node_counters {
@@ -90,6 +91,7 @@
 	struct tracer *tracer;
 	struct peers *peers; /* replicas only */
 	struct replica *replica; /* replicas only */
+	struct cell *cell; /* replicas only: the agreed state */
 	struct leader *leader; /* replicas only */
 	struct session *session;
 	struct home *home; /* entries only */
--- a/bulrushtided/peers.h
+++ b/bulrushtided/peers.h
@@ -6,14 +6,7 @@
 #define PEERS_H
 
 #include "node.h"
-
-/* What a connected replica says of itself. */
-struct peer_info {
-	const char *name;
-	uint64_t node; /* replica id; 0: none yet */
-	uint64_t cell; /* 0: not known yet */
-	bool formed; /* its log tells of a cell */
-};
+#include "replica.h"
 
 struct peers_ops {
 	/* A Raft message from the replica with that id. */
--- a/lib/cell/codec.c
+++ b/lib/base/codec.c
@@ -95,6 +95,22 @@
 	return (int64_t)get_below(r, CODEC_AMOUNT_MAX + 1);
 }
 
+/* Returns any number; 0 if the next element is none. */
+double
+get_double(struct reader *r)
+{
+	if (r->ok && r->left > 0 &&
+	    (r->p->type == MSGPACK_OBJECT_FLOAT32 ||
+		r->p->type == MSGPACK_OBJECT_FLOAT64)) {
+		double v = r->p->via.f64;
+
+		r->left--;
+		r->p++;
+		return v;
+	}
+	return (double)get_i64(r);
+}
+
 bool
 get_bool(struct reader *r)
 {
--- a/lib/cell/codec.h
+++ b/lib/base/codec.h
@@ -31,6 +31,7 @@
 uint64_t get_below(struct reader *r, uint64_t below);
 int64_t get_i64(struct reader *r);
 int64_t get_amount(struct reader *r);
+double get_double(struct reader *r);
 bool get_bool(struct reader *r);
 char *get_str(struct reader *r, size_t max);
 GBytes *get_bytes(struct reader *r, size_t max);
--- /dev/null
+++ b/lib/cellnode/cellnode.c
@@ -0,0 +1,629 @@
+#include "impl.h"
+
+#define SCAN_MS 25 /* asks, founding, the graceful stop */
+#define FOUND_AFTER_MS 400 /* all processes have started by then */
+#define HAND_OVER_MS 500 /* between tries to hand leadership over */
+
+/* --- consensus and state --- */
+
+static bool
+on_apply(
+    void *arg, uint64_t index, const void *data, size_t len, GError **err)
+{
+	struct cellnode *n = arg;
+	enum flow_outcome outcome;
+
+	if (!flow_apply(n->flow, data, len, &outcome, err))
+		return false;
+	dispatch_applied(n->dispatch, index, outcome);
+	return true;
+}
+
+static GBytes *
+on_snapshot(void *arg)
+{
+	struct cellnode *n = arg;
+
+	return flow_snapshot(n->flow);
+}
+
+static bool
+on_restore(void *arg, GBytes *state, GError **err)
+{
+	struct cellnode *n = arg;
+
+	return flow_restore(n->flow, state, err);
+}
+
+/* Takes up or lays down leadership, and tells all processes. */
+static void
+on_advanced(void *arg)
+{
+	struct cellnode *n = arg;
+	bool leads = replica_leads(n->replica);
+	uint64_t term = leads ? replica_term(n->replica) : 0;
+
+	if (dispatch_leads(n->dispatch) &&
+	    (!leads || mesh_leads_in(n->mesh) != term)) {
+		dispatch_resign(n->dispatch);
+		gate_moved(n->gate);
+	}
+	mesh_leads(n->mesh, term);
+	if (leads && !dispatch_leads(n->dispatch)) {
+		dispatch_lead(n->dispatch, term);
+		gate_moved(n->gate);
+	}
+	dispatch_advanced(n->dispatch);
+}
+
+static void
+on_read(void *arg, uint64_t context, bool ok)
+{
+	struct cellnode *n = arg;
+
+	dispatch_confirmed(n->dispatch, context, ok);
+}
+
+static void
+on_send(void *arg, uint64_t to, GBytes *message)
+{
+	struct cellnode *n = arg;
+
+	mesh_send_raft(n->mesh, to, message);
+}
+
+static void
+on_identify(void *arg, uint64_t id, uint64_t cell, bool formed)
+{
+	struct cellnode *n = arg;
+
+	mesh_identify(n->mesh, id, cell, formed);
+}
+
+struct peer_walk {
+	replica_peer_fn *fn;
+	void *arg;
+};
+
+static void
+walk_peer(void *arg, struct mesh_link *l)
+{
+	struct peer_walk *w = arg;
+	const struct mesh_hello *h = mesh_peer(l);
+	struct peer_info info = { .name = h->name,
+		.node = h->node,
+		.cell = h->cell,
+		.formed = h->formed };
+
+	if (h->replica)
+		w->fn(w->arg, &info);
+}
+
+static void
+on_each_peer(void *arg, replica_peer_fn *fn, void *fn_arg)
+{
+	struct cellnode *n = arg;
+	struct peer_walk w = { fn, fn_arg };
+
+	mesh_each(n->mesh, true, walk_peer, &w);
+}
+
+static void
+on_storage_failed(void *arg)
+{
+	struct cellnode *n = arg;
+
+	n->failed = true;
+}
+
+static const struct replica_ops replica_ops = { .apply = on_apply,
+	.snapshot = on_snapshot,
+	.restore = on_restore,
+	.advanced = on_advanced,
+	.read = on_read,
+	.send = on_send,
+	.identify = on_identify,
+	.each_peer = on_each_peer,
+	.failed = on_storage_failed };
+
+/* --- processes --- */
+
+static uint64_t
+serial_of(const struct cellnode *n, struct mesh_link *l)
+{
+	gpointer found = g_hash_table_lookup(n->processes, l);
+
+	return found == NULL ? 0 : *(uint64_t *)found;
+}
+
+static struct mesh_link *
+link_of(const struct cellnode *n, uint64_t process)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, n->processes);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		if (*(uint64_t *)value == process)
+			return key;
+	return NULL;
+}
+
+static void
+process_link(struct cellnode *n, struct mesh_link *l, bool up)
+{
+	uint64_t process = serial_of(n, l);
+
+	if (up && process == 0) {
+		uint64_t *serial = g_new(uint64_t, 1);
+
+		*serial = ++n->last_process;
+		g_hash_table_insert(n->processes, l, serial);
+		dispatch_process(n->dispatch, *serial, true);
+	} else if (!up && process != 0) {
+		dispatch_process(n->dispatch, process, false);
+		g_hash_table_remove(n->processes, l);
+	}
+}
+
+static void
+on_link(void *arg, struct mesh_link *l, bool up)
+{
+	struct cellnode *n = arg;
+
+	if (!mesh_dialled(l)) {
+		process_link(n, l, up);
+		return;
+	}
+	/* Another leader may be known now, or none any more. */
+	if (!up || mesh_peer(l)->term != 0)
+		gate_moved(n->gate);
+}
+
+static void
+on_raft(void *arg, uint64_t from, const void *data, size_t len)
+{
+	struct cellnode *n = arg;
+
+	if (n->replica != NULL)
+		replica_message(n->replica, from, data, len);
+}
+
+/* --- the policy service --- */
+
+/* A consultation for the process at the other end of a link. */
+struct consulting {
+	struct cellnode *node;
+	char *leader;
+};
+
+static struct mesh_link *
+leader_link(struct cellnode *n, const char *name)
+{
+	struct mesh_link *l = mesh_leader(n->mesh);
+
+	return l != NULL && strcmp(mesh_peer(l)->name, name) == 0 ? l : NULL;
+}
+
+static void
+send_permits(void *arg, uint64_t query, const struct agent_permits *permits)
+{
+	struct consulting *c = arg;
+	struct mesh_link *l = leader_link(c->node, c->leader);
+	GString *rows = g_string_new(NULL);
+	struct permits msg = { .query = query, .answered = permits != NULL };
+
+	for (guint i = 0; permits != NULL && i < permits->good->len; i++) {
+		const struct agent_permit *p =
+		    &g_array_index(permits->good, struct agent_permit, i);
+
+		g_string_append_printf(rows, "%s\t%s\n", p->worker, p->permit);
+	}
+	if (permits != NULL)
+		msg.valid_ms = permits->valid_ms;
+	msg.rows = rows->str;
+	if (l != NULL)
+		frame_send(l, FRAME_PERMITS, &msg);
+	g_string_free(rows, TRUE);
+	g_free(c->leader);
+	g_free(c);
+}
+
+static void
+take_consult(struct cellnode *n, struct mesh_link *l, const struct consult *msg)
+{
+	struct consulting *c = g_new0(struct consulting, 1);
+	char **workers =
+	    g_strsplit(msg->workers == NULL ? "" : msg->workers, "\n", -1);
+	struct agent_query q = { .job = msg->job,
+		.round = msg->round,
+		.step = msg->step,
+		.workers = workers };
+
+	c->node = n;
+	c->leader = g_strdup(mesh_peer(l)->name);
+	adviser_ask(n->adviser, &q, send_permits, c, msg->query);
+	g_strfreev(workers);
+}
+
+static void
+take_permits(struct cellnode *n, struct mesh_link *l, const struct permits *msg)
+{
+	struct agent_permits permits;
+	char **rows = g_strsplit(msg->rows == NULL ? "" : msg->rows, "\n", -1);
+
+	agent_permits_init(&permits);
+	permits.valid_ms = msg->valid_ms;
+	for (int i = 0; rows[i] != NULL; i++) {
+		char *tab = strchr(rows[i], '\t');
+		struct agent_permit p;
+
+		if (tab == NULL)
+			continue;
+		p.worker = g_strndup(rows[i], (gsize)(tab - rows[i]));
+		p.permit = g_strdup(tab + 1);
+		g_array_append_val(permits.good, p);
+	}
+	dispatch_permits(n->dispatch, serial_of(n, l), msg->query,
+	    msg->answered ? &permits : NULL);
+	agent_permits_clear(&permits);
+	g_strfreev(rows);
+}
+
+static void
+own_permits(void *arg, uint64_t query, const struct agent_permits *permits)
+{
+	struct cellnode *n = arg;
+
+	dispatch_permits(n->dispatch, 0, query, permits);
+}
+
+/* --- frames --- */
+
+static void
+take_found(struct cellnode *n)
+{
+	if (n->first_start && n->replica != NULL)
+		(void)replica_found_alone(n->replica);
+}
+
+static void
+take_frame(struct cellnode *n, struct mesh_link *l, int type, void *msg)
+{
+	switch (type) {
+	case FRAME_ASK:
+		dispatch_ask(n->dispatch, serial_of(n, l), msg);
+		break;
+	case FRAME_ANSWER:
+		gate_answer(n->gate, msg);
+		break;
+	case FRAME_CONSULT:
+		take_consult(n, l, msg);
+		break;
+	default:
+		take_permits(n, l, msg);
+	}
+}
+
+static void
+on_frame(void *arg, struct mesh_link *l, int type, const void *data, size_t len)
+{
+	struct cellnode *n = arg;
+	union {
+		struct ask ask;
+		struct answer answer;
+		struct consult consult;
+		struct permits permits;
+	} msg = { 0 };
+	GError *err = NULL;
+
+	if (type == FRAME_FOUND) {
+		take_found(n);
+		return;
+	}
+	if (type > FRAME_FOUND)
+		return;
+	if (!shape_decode(data, len, frame_shape(type), &msg, &err)) {
+		log_warn("cellnode", "event=frame-dropped peer=%s why=\"%s\"",
+		    mesh_peer(l)->name, err->message);
+		g_clear_error(&err);
+		return;
+	}
+	/* The shape leaves out empty bytes. */
+	if (type == FRAME_ASK && msg.ask.body == NULL)
+		msg.ask.body = g_bytes_new_static("", 0);
+	if (type == FRAME_ASK && msg.ask.host == NULL)
+		msg.ask.host = g_strdup("");
+	if (type == FRAME_ASK && msg.ask.path == NULL)
+		msg.ask.path = g_strdup("");
+	if (type == FRAME_ANSWER && msg.answer.text == NULL)
+		msg.answer.text = g_bytes_new_static("", 0);
+	take_frame(n, l, type, &msg);
+	shape_clear(frame_shape(type), &msg);
+}
+
+static const struct mesh_ops mesh_ops = { .raft = on_raft,
+	.frame = on_frame,
+	.link = on_link };
+
+/* --- dispatch --- */
+
+static uint64_t
+on_propose(void *arg, GBytes *command)
+{
+	struct cellnode *n = arg;
+
+	return replica_propose(n->replica, command);
+}
+
+static void
+on_answer(void *arg, uint64_t process, const struct answer *a)
+{
+	struct cellnode *n = arg;
+	struct mesh_link *l;
+
+	if (process == 0) {
+		gate_answer(n->gate, a);
+		return;
+	}
+	l = link_of(n, process);
+	if (l != NULL)
+		frame_send(l, FRAME_ANSWER, a);
+}
+
+static bool
+on_consult(void *arg, uint64_t process, uint64_t query,
+    const struct agent_query *q)
+{
+	struct cellnode *n = arg;
+	struct consult msg = { .query = query,
+		.job = q->job,
+		.round = q->round,
+		.step = q->step };
+	struct mesh_link *l;
+
+	if (process == 0) {
+		adviser_ask(n->adviser, q, own_permits, n, query);
+		return true;
+	}
+	l = link_of(n, process);
+	if (l == NULL)
+		return false;
+	msg.workers = g_strjoinv("\n", q->workers);
+	frame_send(l, FRAME_CONSULT, &msg);
+	g_free(msg.workers);
+	return true;
+}
+
+static bool
+on_confirm(void *arg, uint64_t context)
+{
+	struct cellnode *n = arg;
+
+	return replica_read(n->replica, context);
+}
+
+static const struct dispatch_ops dispatch_ops = { .propose = on_propose,
+	.answer = on_answer,
+	.consult = on_consult,
+	.confirm = on_confirm };
+
+/* --- founding, stopping --- */
+
+/* What the first seed knows of the others before the cell is founded. */
+struct survey {
+	struct mesh_link *best; /* the replica whose name comes first */
+	bool formed;
+};
+
+static void
+survey_link(void *arg, struct mesh_link *l)
+{
+	struct survey *s = arg;
+	const struct mesh_hello *h = mesh_peer(l);
+
+	if (!h->replica)
+		return;
+	s->formed |= h->formed || h->cell != 0 || h->node != 0;
+	if (s->best == NULL || strcmp(h->name, mesh_peer(s->best)->name) < 0)
+		s->best = l;
+}
+
+/*
+ * At the first start of the whole system all processes are told the same
+ * seeds: the first of them founds the cell, or, having no disk, names the
+ * one replica that does.
+ */
+static void
+maybe_found(struct cellnode *n)
+{
+	static const uint8_t found = FRAME_FOUND;
+	struct survey s = { 0 };
+	GBytes *frame;
+
+	if (!n->first_start || n->found_sent || n->seeds->len == 0 ||
+	    strcmp(n->seeds->pdata[0], n->address) != 0)
+		return;
+	mesh_each(n->mesh, true, survey_link, &s);
+	mesh_each(n->mesh, false, survey_link, &s);
+	if (s.formed) {
+		n->found_sent = true;
+		return;
+	}
+	if (n->replica != NULL) {
+		n->found_sent = true;
+		(void)replica_found_alone(n->replica);
+		return;
+	}
+	if (s.best == NULL || mono_ms() - n->started_ms < FOUND_AFTER_MS)
+		return;
+	n->found_sent = true;
+	frame = g_bytes_new_static(&found, sizeof(found));
+	mesh_send(s.best, frame);
+	g_bytes_unref(frame);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct cellnode *n = arg;
+	int64_t now = mono_ms();
+
+	maybe_found(n);
+	gate_scan(n->gate, now);
+	if (!n->draining || n->replica == NULL || now < n->hand_over_ms)
+		return;
+	n->hand_over_ms = now + HAND_OVER_MS;
+	(void)replica_hand_over(n->replica);
+}
+
+void
+cellnode_drain(struct cellnode *n)
+{
+	if (n->draining)
+		return;
+	log_info("cellnode", "event=drain leads=%d pending=%u",
+	    dispatch_leads(n->dispatch), gate_pending(n->gate));
+	n->draining = true;
+}
+
+bool
+cellnode_draining(const struct cellnode *n)
+{
+	return n->draining;
+}
+
+bool
+cellnode_ready(struct cellnode *n)
+{
+	return !n->draining && !n->failed &&
+	    (dispatch_leads(n->dispatch) || mesh_leader(n->mesh) != NULL);
+}
+
+bool
+cellnode_failed(const struct cellnode *n)
+{
+	return n->failed;
+}
+
+guint
+cellnode_pending(const struct cellnode *n)
+{
+	return gate_pending(n->gate);
+}
+
+void
+cellnode_ask(struct cellnode *n, const struct ask *ask, int64_t timeout_ms,
+    cellnode_answer *fn, void *arg)
+{
+	gate_ask(n->gate, ask, timeout_ms, fn, arg);
+}
+
+static GPtrArray *
+copy_list(GPtrArray *list)
+{
+	GPtrArray *copy = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < list->len; i++)
+		g_ptr_array_add(copy, g_strdup(list->pdata[i]));
+	return copy;
+}
+
+void
+cellnode_reseed(struct cellnode *n, GPtrArray *seeds)
+{
+	g_ptr_array_unref(n->seeds);
+	n->seeds = copy_list(seeds);
+	mesh_seed(n->mesh, n->seeds);
+}
+
+char *
+cellnode_status(struct cellnode *n)
+{
+	struct mesh_link *l = mesh_leader(n->mesh);
+	char *replica = n->replica == NULL ? g_strdup("\"role\":\"entry\"")
+					   : replica_status(n->replica);
+	char *json = g_strdup_printf(
+	    "\"name\":\"%s\",\"follows\":\"%s\",\"config\":%" G_GUINT64_FORMAT
+	    ",%s",
+	    n->name, l == NULL ? "" : mesh_peer(l)->name,
+	    flow_config(n->flow)->version, replica);
+
+	g_free(replica);
+	return json;
+}
+
+static bool
+open_replica(struct cellnode *n, const struct cellnode_conf *conf, GError **err)
+{
+	struct replica_conf rc = { .base = n->base,
+		.name = conf->name,
+		.data_dir = conf->data_dir,
+		.snapshot_entries = conf->snapshot_entries };
+
+	n->replica = replica_new(&rc, &replica_ops, n, err);
+	return n->replica != NULL;
+}
+
+struct cellnode *
+cellnode_new(struct event_base *base, const struct cellnode_conf *conf,
+    struct registry *registry, GError **err)
+{
+	struct timeval tv = { .tv_usec = SCAN_MS * 1000 };
+	struct cellnode *n = g_new0(struct cellnode, 1);
+	struct dispatch_conf dc = conf->dispatch;
+	struct mesh_conf mc = { .base = base,
+		.name = conf->name,
+		.address = conf->peer_address,
+		.replica = conf->data_dir != NULL };
+
+	n->base = base;
+	n->name = g_strdup(conf->name);
+	n->address = g_strdup(conf->peer_address);
+	n->first_start = conf->first_start;
+	n->seeds = copy_list(conf->seeds);
+	n->started_ms = mono_ms();
+	n->flow = flow_new();
+	n->agent = dc.agent;
+	dc.base = base;
+	dc.flow = n->flow;
+	dc.registry = registry;
+	n->processes = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	n->gate = gate_new(n);
+	n->adviser = adviser_new(base, conf->advice_address, dc.agent);
+	n->dispatch = dispatch_new(&dc, &dispatch_ops, n);
+	dispatch_process(n->dispatch, 0, true);
+	n->mesh = mesh_new(&mc, &mesh_ops, n, err);
+	if (n->mesh == NULL ||
+	    (mc.replica && !open_replica(n, conf, err))) {
+		cellnode_free(n);
+		return NULL;
+	}
+	mesh_seed(n->mesh, n->seeds);
+	if (n->replica != NULL)
+		replica_start(n->replica);
+	n->timer = event_new(base, -1, EV_PERSIST, on_timer, n);
+	event_add(n->timer, &tv);
+	return n;
+}
+
+void
+cellnode_free(struct cellnode *n)
+{
+	if (n == NULL)
+		return;
+	if (n->timer != NULL)
+		event_free(n->timer);
+	mesh_free(n->mesh);
+	gate_free(n->gate);
+	dispatch_free(n->dispatch);
+	adviser_free(n->adviser);
+	replica_free(n->replica);
+	flow_free(n->flow);
+	g_hash_table_unref(n->processes);
+	g_ptr_array_unref(n->seeds);
+	g_free(n->name);
+	g_free(n->address);
+	g_free(n);
+}
--- /dev/null
+++ b/lib/dispatch/impl.h
@@ -0,0 +1,263 @@
+/* Shared by the files of the dispatch library. */
+#ifndef DISPATCH_IMPL_H
+#define DISPATCH_IMPL_H
+
+#include <string.h>
+
+#include "dispatch.h"
+#include "health.h"
+#include "httpd.h"
+#include "logs.h"
+#include "plan.h"
+
+#define SCAN_MS 50 /* periodic look at leases, queries and occurrences */
+#define ORDER_LINES 3 /* connections for orders to one worker */
+
+/* Leases, in ms. A worker's clock may be this much slow, in thousandths. */
+#define DRIFT_PERMILLE 25
+#define LEASE_MS 4500 /* outlives an election after a lost leader */
+#define LOOK_WAIT_MS 1000 /* a look that shows no end is answered by then */
+#define LOOK_SLACK_MS 600 /* beyond that it counts as unanswered */
+#define ORDER_MS 500 /* an order is sent again after this */
+#define STALE_MS 1400 /* no new work without an answer for so long */
+#define AUTHORITY_MS 900 /* leadership holds after a confirmed round */
+
+enum run_state {
+	RUN_PROPOSED, /* its room is reserved */
+	RUN_ORDERED, /* committed; the start order is out or due */
+	RUN_TAKEN, /* the worker has it, or had it */
+	RUN_ENDING /* its end is proposed */
+};
+
+/* A run that is held, or about to be. */
+struct lrun {
+	struct flow_run of;
+	struct hand *hand;
+	enum run_state state;
+	struct resources need;
+	bool stopping; /* a stop is wanted */
+	bool calling; /* an order about it is unanswered */
+	bool unsure; /* a start order went unanswered */
+	int64_t taken_ms; /* when the worker is known to have had it */
+	int64_t again_ms; /* when to send its order again; 0: not due */
+	int tries;
+	int64_t started_ms;
+	uint64_t seen; /* serial of the last look that showed it */
+	char *saved; /* newest checkpoint seen */
+	char *permit;
+};
+
+/* A worker and our session with it. */
+struct hand {
+	struct dispatch *d;
+	uint32_t id;
+	char *name;
+	char *address;
+	int64_t born_ms;
+	struct http_peer *look;
+	struct http_peer *line[ORDER_LINES];
+	bool looking;
+	int64_t look_sent_ms;
+	int64_t look_due_ms;
+	int64_t clock_ms; /* its clock as it told last ... */
+	int64_t clock_at_ms; /* ... and when that came in, by ours */
+	int64_t granted_ms; /* end of its lease on its clock; 0: none by us */
+	int64_t foreign_ms; /* an earlier leader's lease may last until then */
+	bool held; /* has answered a look in this term */
+	bool left; /* has said goodbye */
+	bool dead; /* this life is over */
+	bool closing; /* its removal is proposed */
+	bool lapsed; /* holds nothing, for certain */
+	uint64_t taken; /* ends up to this number are durable */
+	uint64_t proposed; /* ends up to this number are proposed */
+	bool ends_due; /* that proposal isn't applied yet */
+	uint64_t looks; /* serial of the last look */
+	int64_t heard_ms; /* when it answered last; 0: not yet */
+	int64_t beat_ms; /* when it spoke of itself last */
+	int64_t beat_seq;
+	struct resources used; /* by runs that are held or reserved */
+	GPtrArray *runs; /* struct lrun */
+	double pace; /* learnt: how many times as long work takes here */
+	int refusals; /* starts refused in a row */
+	int64_t shun_ms; /* takes no new work until then */
+	enum health_state health;
+};
+
+/* A step that needs the policy service's word on workers. */
+struct permit_set {
+	uint64_t job;
+	uint32_t round;
+	uint32_t step;
+	GHashTable *permits; /* worker id to struct permit */
+	GHashTable *barred; /* ids of workers that are not allowed */
+	GArray *asking; /* uint32_t: ids in the query in flight */
+	uint64_t query; /* in flight; 0: none */
+	int64_t due_ms; /* of the step's job: the more urgent goes first */
+	int64_t again_ms; /* not to be asked for before */
+	int failures;
+};
+
+struct permit {
+	char *text; /* NULL: allowed, but the permit has to be renewed */
+	int64_t until_ms;
+};
+
+/* A process that can consult the policy service. */
+struct adviser {
+	uint64_t process;
+	uint64_t query; /* in flight; 0: none */
+	int64_t since_ms;
+	int64_t rest_ms; /* not used until then, after a failure */
+};
+
+/* What to do once a log position is applied. */
+struct wait {
+	uint64_t index;
+	uint64_t process;
+	uint64_t ask;
+	uint64_t job;
+	uint32_t hand; /* whose ends were proposed */
+	uint64_t number; /* of the last of these ends */
+	int64_t began_ms;
+	GArray *starts; /* struct flow_start that were proposed, or NULL */
+	void (*fn)(
+	    struct dispatch *d, struct wait *w, enum flow_outcome outcome);
+};
+
+struct meters {
+	struct counter *accepted;
+	struct counter *refused;
+	struct counter *starts;
+	struct counter *stops;
+	struct counter *lost;
+	struct counter *failed;
+	struct counter *resends;
+	struct counter *looks;
+	struct counter *consults;
+	struct counter *running;
+	struct counter *waiting;
+	struct counter *workers;
+	struct timer *wait;
+	struct timer *commit;
+	struct timer *consult;
+	struct timer *round;
+};
+
+struct dispatch {
+	struct dispatch_conf conf;
+	const struct dispatch_ops *ops;
+	void *arg;
+	struct event *timer;
+	struct event *round;
+	bool round_due;
+	struct meters meter;
+	bool active;
+	uint64_t term;
+	bool fenced; /* a worker knows a higher term */
+	int64_t led_ms; /* when leadership began */
+	GHashTable *hands; /* worker id to struct hand */
+	GHashTable *runs; /* struct lrun, a set by task */
+	GHashTable *sets; /* struct permit_set, a set by step */
+	GHashTable *waits; /* log index to struct wait */
+	GPtrArray *advisers; /* struct adviser; kept when not leading */
+	uint64_t last_query;
+	GQueue reads; /* struct pending_read, until leadership is confirmed */
+	uint64_t context; /* of the last confirmation asked for */
+	int64_t context_sent_ms; /* boot clock */
+	bool confirming;
+	int64_t authority_ms; /* boot clock: leadership holds until then */
+	struct health *health;
+	GHashTable *runtimes; /* queue name to struct runtime */
+	GHashTable *racks; /* names to numbers */
+	GHashTable *cancels; /* jobs whose cancel is proposed */
+	int64_t rounded_ms;
+	int64_t swept_ms;
+};
+
+/* dispatch.c */
+int64_t boot_ms(void); /* also counts time that the VM was suspended */
+uint64_t dispatch_propose(struct dispatch *d, struct flow_cmd *cmd);
+/* Proposes and notes what is to be done then; NULL: not leading. */
+struct wait *dispatch_propose_wait(struct dispatch *d, struct flow_cmd *cmd,
+    void (*fn)(struct dispatch *, struct wait *, enum flow_outcome));
+/* Says whether orders may go out: leadership is confirmed. */
+bool dispatch_may_act(const struct dispatch *d);
+/* Asks for a placement round soon. */
+void dispatch_dirty(struct dispatch *d);
+/* A task as logs name it: JOB.ROUND.STEP.INDEX/RUN; static storage. */
+const char *run_name(const struct flow_run *of);
+
+/* runs.c */
+struct lrun *run_find(const struct dispatch *d, const struct flow_run *of);
+struct lrun *run_add(struct dispatch *d, struct hand *h,
+    const struct flow_run *of, const struct resources *need);
+void run_remove(struct lrun *r);
+void run_start(struct lrun *r); /* sends the start order */
+void run_stop(struct lrun *r); /* sends a stop order */
+/* Sends a stop of a run that the agreed state does not know there. */
+void run_stop_stray(struct hand *h, const struct flow_run *of);
+/* Proposes that runs have ended; how is given in each. */
+uint64_t runs_end(struct dispatch *d, GArray *ends);
+void run_end(struct lrun *r, enum flow_end_how how, const char *why);
+void runs_scan(struct dispatch *d, int64_t now);
+guint run_hash(gconstpointer p);
+gboolean run_equal(gconstpointer a, gconstpointer b);
+void run_free(void *arg);
+
+/* hands.c */
+struct hand *hand_find(const struct dispatch *d, uint32_t id);
+void hands_load(struct dispatch *d);
+void hand_changed(void *arg, uint32_t worker);
+void hand_free(void *arg);
+void hands_scan(struct dispatch *d, int64_t now);
+/* The life has ended: nothing of it runs any more. */
+void hand_dead(struct hand *h, const char *why);
+/* Says whether new work may go there. */
+bool hand_open(const struct hand *h, int64_t now);
+/* The end of a lease that is sent now, on the worker's clock; noted. */
+int64_t hand_grant(struct hand *h, int64_t now);
+void hand_clock(struct hand *h, int64_t clock_ms, int64_t now);
+/* The connection with the fewest unanswered orders. */
+struct http_peer *hand_line(struct hand *h);
+/* Sends the next look as soon as it may be. */
+void hand_look(struct hand *h, int64_t now);
+/* A higher fence is known to a worker. */
+void hand_fenced(struct hand *h);
+
+/* permits.c */
+struct permit_set *permits_of(
+    struct dispatch *d, const struct flow_job *job, uint32_t round, uint32_t step);
+/* The permit for a worker that holds for a while, or NULL. */
+const char *
+permit_for(const struct permit_set *s, uint32_t worker, int64_t now);
+/* The permit was refused by the worker. */
+void permit_void(struct dispatch *d, const struct flow_run *of, uint32_t worker);
+/* Asks about workers that have room (struct plan_room *), if it may help. */
+void permits_want(struct dispatch *d, struct permit_set *s,
+    const struct plan_need *need, GPtrArray *rooms, int64_t now);
+void permits_forget(struct dispatch *d, const struct flow_job *job);
+void permits_scan(struct dispatch *d, int64_t now);
+void permit_set_free(void *arg);
+guint permit_hash(gconstpointer p);
+gboolean permit_equal(gconstpointer a, gconstpointer b);
+
+/* What is learnt of a queue's tasks. */
+struct runtime {
+	double ratio; /* of real run time to the estimate, smoothed */
+	uint32_t count;
+};
+
+/* round.c */
+void round_run(struct dispatch *d, int64_t now);
+/* Learns from a run that ended as done. */
+void round_learn(struct dispatch *d, const struct flow_job *job,
+    const struct lrun *r, int64_t ran_ms);
+/* The objective of a job from acceptance to its end, in ms. */
+int64_t round_objective_ms(const struct dispatch *d, const struct flow_job *job);
+
+/* asks.c */
+void asks_take(struct dispatch *d, uint64_t process, const struct ask *ask);
+void asks_confirmed(struct dispatch *d, bool ok);
+void asks_drop(struct dispatch *d);
+
+#endif
--- /dev/null
+++ b/lib/dispatch/round.c
@@ -0,0 +1,441 @@
+/* A placement round: what waits, in order, onto the workers' free room. */
+#include "impl.h"
+
+#define LEARN_WEIGHT 0.05 /* of one run in a queue's and worker's mean */
+#define RATIO_MOST 5.0 /* one run's ratio is cut to this */
+#define STARTS_MAX 512 /* in one command */
+#define PERMIT_WORKERS 30 /* that an objective counts a query with */
+
+/* A claim with what it is about. */
+struct claim {
+	struct plan_claim plan;
+	const struct flow_job *job;
+	const struct flow_round *round;
+	uint32_t step;
+};
+
+struct round {
+	struct dispatch *d;
+	int64_t now; /* monotonic */
+	int64_t cell_now; /* of the agreed state's clock */
+	GPtrArray *rooms; /* struct plan_room */
+	GArray *claims; /* struct claim */
+	GArray *starts; /* struct flow_start */
+	struct resources most; /* largest free amounts of any one room */
+	uint64_t serial;
+};
+
+static struct runtime *
+runtime_of(struct dispatch *d, const char *queue)
+{
+	struct runtime *t = g_hash_table_lookup(d->runtimes, queue);
+
+	if (t != NULL)
+		return t;
+	t = g_new0(struct runtime, 1);
+	t->ratio = 1;
+	g_hash_table_insert(d->runtimes, g_strdup(queue), t);
+	return t;
+}
+
+void
+round_learn(struct dispatch *d, const struct flow_job *job,
+    const struct lrun *r, int64_t ran_ms)
+{
+	const struct flow_step *step = flow_step_of(job, r->of.step);
+	struct runtime *t = runtime_of(d, job->queue->name);
+	double ratio;
+
+	if (step->runtime_ms <= 0 || (step->gang && step->count > 1))
+		return;
+	ratio = MIN((double)ran_ms / (double)step->runtime_ms, RATIO_MOST);
+	t->count++;
+	t->ratio +=
+	    (ratio - t->ratio) * MAX(LEARN_WEIGHT, 1.0 / t->count);
+	r->hand->pace +=
+	    (ratio / MAX(t->ratio, 0.1) - r->hand->pace) * LEARN_WEIGHT;
+}
+
+static int64_t
+permit_ms(const struct flow_queue *q)
+{
+	return q->advised ? (int64_t)(q->advice_ms +
+				PERMIT_WORKERS * q->advice_worker_ms)
+			  : 0;
+}
+
+/* The longest chain of work of a job that is not done yet, in ms. */
+static int64_t
+chain_ms(const struct flow_job *job, const struct flow_round *round)
+{
+	GPtrArray *steps = job->spec.steps;
+	int64_t *to = g_newa(int64_t, steps->len);
+	int64_t longest = 0;
+
+	for (guint i = 0; i < steps->len; i++) {
+		const struct flow_step *s = steps->pdata[i];
+		bool done = round != NULL &&
+		    round->stage[i].done == round->stage[i].count;
+
+		to[i] = 0;
+		for (guint k = 0; k < s->after->len; k++)
+			to[i] = MAX(
+			    to[i], to[g_array_index(s->after, uint32_t, k)]);
+		if (!done)
+			to[i] += s->runtime_ms + permit_ms(job->queue);
+		longest = MAX(longest, to[i]);
+	}
+	return longest;
+}
+
+int64_t
+round_objective_ms(const struct dispatch *d, const struct flow_job *job)
+{
+	if (job->spec.steps == NULL)
+		return 0;
+	return job->queue->target_ms +
+	    (int64_t)(job->queue->slack * (double)chain_ms(job, NULL));
+}
+
+static uint32_t
+rack_number(struct dispatch *d, const char *rack)
+{
+	gpointer known;
+
+	if (rack == NULL || *rack == '\0')
+		return 0;
+	known = g_hash_table_lookup(d->racks, rack);
+	if (known == NULL) {
+		known =
+		    GUINT_TO_POINTER(g_hash_table_size(d->racks) + 1);
+		g_hash_table_insert(d->racks, g_strdup(rack), known);
+	}
+	return GPOINTER_TO_UINT(known);
+}
+
+static void
+collect_rooms(struct round *rd)
+{
+	struct dispatch *d = rd->d;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->hands);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct hand *h = value;
+		const struct flow_worker *w;
+		struct plan_room *room;
+
+		if (!hand_open(h, rd->now))
+			continue;
+		w = flow_worker(d->conf.flow, h->id);
+		room = g_new0(struct plan_room, 1);
+		room->worker = h->id;
+		room->capacity = room->free = w->capacity;
+		resources_add(&room->free, &h->used, -1);
+		room->rack = rack_number(d, w->rack);
+		room->pace = h->pace;
+		g_ptr_array_add(rd->rooms, room);
+	}
+}
+
+/* Says whether a task waits and is not proposed already. */
+static bool
+waits(const struct dispatch *d, const struct flow_job *job,
+    const struct flow_round *round, uint32_t step, uint32_t index)
+{
+	struct flow_run of = { job->id, round->number, step, index, 0 };
+
+	return round->stage[step].task[index].state == FLOW_PENDING &&
+	    run_find(d, &of) == NULL;
+}
+
+static void
+claim_step(struct round *rd, const struct flow_job *job,
+    const struct flow_round *round, uint32_t step, int64_t left_ms)
+{
+	const struct flow_stage *st = &round->stage[step];
+	const struct flow_step *s = flow_step_of(job, step);
+	struct claim c = { .job = job, .round = round, .step = step };
+
+	if (st->pending == 0 || !flow_ready(job, round, step))
+		return;
+	/* A gang starts anew once all of its last run has ended. */
+	if (s->gang &&
+	    (st->pending < st->count || !waits(rd->d, job, round, step, 0)))
+		return;
+	c.plan = (struct plan_claim){ .accepted_ms = round->due_ms,
+		.objective_ms = round_objective_ms(rd->d, job),
+		.left_ms = left_ms,
+		.priority = job->queue->priority,
+		.filler = s->filler,
+		.serial = rd->serial++ };
+	g_array_append_val(rd->claims, c);
+}
+
+static void
+claim_job(void *arg, const struct flow_job *job)
+{
+	struct round *rd = arg;
+	struct runtime *t = runtime_of(rd->d, job->queue->name);
+
+	for (guint i = 0; i < job->rounds->len; i++) {
+		const struct flow_round *round = job->rounds->pdata[i];
+		int64_t left;
+
+		if (round->due_ms > rd->cell_now || round->open == 0)
+			continue;
+		left = (int64_t)((double)chain_ms(job, round) * t->ratio);
+		for (guint s = 0; s < job->spec.steps->len; s++)
+			claim_step(rd, job, round, s, left);
+	}
+}
+
+static gint
+by_turn(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct claim *x = a;
+	const struct claim *y = b;
+	const struct round *rd = arg;
+
+	return plan_compare(&x->plan, &y->plan, rd->cell_now);
+}
+
+static bool
+has_label(const struct flow_worker *w, const char *label)
+{
+	if (label == NULL)
+		return true;
+	for (guint i = 0; i < w->labels->len; i++)
+		if (strcmp(w->labels->pdata[i], label) == 0)
+			return true;
+	return false;
+}
+
+/* How many tasks of an occurrence's step a worker holds. */
+static uint32_t
+held_there(const struct hand *h, const struct claim *c)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < h->runs->len; i++) {
+		const struct lrun *r = h->runs->pdata[i];
+
+		n += r->of.job == c->job->id &&
+		    r->of.round == c->round->number && r->of.step == c->step;
+	}
+	return n;
+}
+
+/* The rooms that the step's declaration and queue allow. */
+static GPtrArray *
+allowed_rooms(struct round *rd, const struct claim *c,
+    const struct flow_step *step)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < rd->rooms->len; i++) {
+		struct plan_room *room = rd->rooms->pdata[i];
+		const struct flow_worker *w =
+		    flow_worker(rd->d->conf.flow, room->worker);
+
+		if (strcmp(w->pool, c->job->queue->pool) != 0 ||
+		    !has_label(w, step->label))
+			continue;
+		room->same = step->per_worker == 0
+		    ? 0
+		    : held_there(hand_find(rd->d, room->worker), c);
+		g_ptr_array_add(out, room);
+	}
+	return out;
+}
+
+static GPtrArray *
+permitted(const struct permit_set *set, GPtrArray *rooms, int64_t now)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < rooms->len; i++) {
+		struct plan_room *room = rooms->pdata[i];
+
+		if (permit_for(set, room->worker, now) != NULL)
+			g_ptr_array_add(out, room);
+	}
+	return out;
+}
+
+/* Reserves a task's room; the start is proposed with the round's others. */
+static void
+reserve(struct round *rd, const struct claim *c, uint32_t index, uint32_t run,
+    uint32_t worker, const char *permit)
+{
+	struct flow_start s = { .of = { c->job->id, c->round->number, c->step,
+				    index, run },
+		.worker = worker };
+	struct lrun *r = run_add(rd->d, hand_find(rd->d, worker), &s.of,
+	    &flow_step_of(c->job, c->step)->need);
+
+	r->permit = g_strdup(permit);
+	g_array_append_val(rd->starts, s);
+}
+
+/* All members of a gang get the same number, above all that were used. */
+static uint32_t
+next_run(const struct flow_stage *st, bool gang, uint32_t index)
+{
+	uint32_t run = st->task[index].run;
+
+	for (uint32_t i = 0; gang && i < st->count; i++)
+		run = MAX(run, st->task[i].run);
+	return run + 1;
+}
+
+/* Places what fits of a claim; returns how many tasks. */
+static uint32_t
+place(struct round *rd, const struct claim *c, struct plan_need *need,
+    GPtrArray *rooms, const struct permit_set *set)
+{
+	const struct flow_stage *st = &c->round->stage[c->step];
+	uint32_t *pick = g_new(uint32_t, need->count);
+	uint32_t placed = plan_place(
+	    (struct plan_room **)rooms->pdata, rooms->len, need, pick);
+	uint32_t done = 0;
+
+	for (uint32_t i = 0; done < placed && i < st->count; i++) {
+		struct plan_room *room = rooms->pdata[pick[done]];
+
+		if (!waits(rd->d, c->job, c->round, c->step, i))
+			continue;
+		reserve(rd, c, i, next_run(st, need->gang, i), room->worker,
+		    set == NULL ? NULL
+				: permit_for(set, room->worker, rd->now));
+		done++;
+	}
+	g_free(pick);
+	return placed;
+}
+
+static uint32_t
+count_waiting(const struct round *rd, const struct claim *c)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < c->round->stage[c->step].count; i++)
+		n += waits(rd->d, c->job, c->round, c->step, i);
+	return n;
+}
+
+static void
+serve_claim(struct round *rd, const struct claim *c)
+{
+	const struct flow_step *step = flow_step_of(c->job, c->step);
+	struct plan_need need = { .count = count_waiting(rd, c),
+		.each = step->need,
+		.gang = step->gang,
+		.colocated = step->colocated,
+		.data_rack = rack_number(rd->d, step->data_rack),
+		.far = rd->d->conf.far,
+		.per_worker = step->per_worker };
+	GPtrArray *rooms;
+	uint32_t placed = 0;
+
+	if (need.count == 0 || !resources_fit(&need.each, &rd->most))
+		return;
+	if (step->filler)
+		need.each.millicpus = 0;
+	rooms = allowed_rooms(rd, c, step);
+	if (c->job->queue->advised) {
+		struct permit_set *set =
+		    permits_of(rd->d, c->job, c->round->number, c->step);
+		GPtrArray *ready = permitted(set, rooms, rd->now);
+
+		if (ready->len > 0)
+			placed = place(rd, c, &need, ready, set);
+		need.count -= placed;
+		if (need.count > 0)
+			permits_want(rd->d, set, &need, rooms, rd->now);
+		g_ptr_array_unref(ready);
+	} else {
+		(void)place(rd, c, &need, rooms, NULL);
+	}
+	g_ptr_array_unref(rooms);
+}
+
+static void
+find_most(struct round *rd)
+{
+	for (guint i = 0; i < rd->rooms->len; i++) {
+		const struct plan_room *room = rd->rooms->pdata[i];
+
+		rd->most.millicpus =
+		    MAX(rd->most.millicpus, room->free.millicpus);
+		rd->most.memory = MAX(rd->most.memory, room->free.memory);
+		rd->most.accelerators =
+		    MAX(rd->most.accelerators, room->free.accelerators);
+	}
+}
+
+/* Gives back the room of starts that the agreed state did not take. */
+static void
+starts_applied(struct dispatch *d, struct wait *w, enum flow_outcome outcome)
+{
+	for (guint i = 0; i < w->starts->len; i++) {
+		const struct flow_start *s =
+		    &g_array_index(w->starts, struct flow_start, i);
+		struct lrun *r = run_find(d, &s->of);
+
+		if (r != NULL && r->state == RUN_PROPOSED &&
+		    r->of.run == s->of.run)
+			run_remove(r);
+	}
+}
+
+static void
+propose_starts(struct round *rd)
+{
+	struct flow_cmd cmd = { .type = FLOW_CMD_START,
+		.u.starts = rd->starts };
+	struct wait *w;
+
+	if (rd->starts->len == 0)
+		return;
+	w = dispatch_propose_wait(rd->d, &cmd, starts_applied);
+	if (w != NULL) {
+		w->starts = g_array_ref(rd->starts);
+		return;
+	}
+	for (guint i = 0; i < rd->starts->len; i++) {
+		struct lrun *r = run_find(rd->d,
+		    &g_array_index(rd->starts, struct flow_start, i).of);
+
+		if (r != NULL)
+			run_remove(r);
+	}
+}
+
+void
+round_run(struct dispatch *d, int64_t now)
+{
+	struct round rd = { .d = d,
+		.now = now,
+		.cell_now =
+		    MAX(g_get_real_time() / 1000, flow_time_ms(d->conf.flow)),
+		.rooms = g_ptr_array_new_with_free_func(g_free),
+		.claims = g_array_new(FALSE, TRUE, sizeof(struct claim)),
+		.starts = g_array_new(FALSE, TRUE, sizeof(struct flow_start)) };
+
+	flow_each_open(d->conf.flow, claim_job, &rd);
+	d->meter.waiting->value = rd.claims->len;
+	if (rd.claims->len > 0) {
+		collect_rooms(&rd);
+		find_most(&rd);
+		g_array_sort_with_data(rd.claims, by_turn, &rd);
+	}
+	for (guint i = 0; i < rd.claims->len && rd.starts->len < STARTS_MAX;
+	     i++)
+		serve_claim(&rd, &g_array_index(rd.claims, struct claim, i));
+	propose_starts(&rd);
+	g_ptr_array_unref(rd.rooms);
+	g_array_unref(rd.claims);
+	g_array_unref(rd.starts);
+}
--- /dev/null
+++ b/lib/flow/internal.h
@@ -0,0 +1,42 @@
+/* Tables that the files of the flow library share. */
+#ifndef FLOW_INTERNAL_H
+#define FLOW_INTERNAL_H
+
+#include <string.h>
+
+#include "codec.h"
+#include "flow.h"
+
+struct flow {
+	struct flow_watch watch;
+	void *watch_arg;
+	int64_t time_ms;
+	struct flow_config config;
+	uint32_t last_worker;
+	GHashTable *workers; /* id to struct flow_worker */
+	GHashTable *names; /* name to struct flow_worker */
+	GHashTable *jobs; /* id to struct flow_job */
+	GQueue open; /* struct flow_job, not over or with runs to stop */
+	GQueue ended; /* struct flow_job, in the order of their end */
+	GHashTable *waiting; /* queue name to number of jobs */
+};
+
+/* spec.c */
+void spec_put(msgpack_packer *pk, const struct flow_spec *s);
+void spec_get(struct reader *r, struct flow_spec *s);
+void queue_put(msgpack_packer *pk, const struct flow_queue *q);
+struct flow_queue *queue_get(struct reader *r);
+void config_put(msgpack_packer *pk, const struct flow_config *c);
+void config_get(struct reader *r, struct flow_config *c);
+void worker_put(msgpack_packer *pk, const struct flow_worker *w);
+void worker_get(struct reader *r, struct flow_worker *w);
+
+/* flow.c */
+void job_free(void *arg);
+void round_free(void *arg);
+struct flow_round *round_new(const struct flow_job *job, uint32_t number);
+void flow_clear(struct flow *f);
+void worker_add(struct flow *f, struct flow_worker *w);
+void waiting_add(struct flow *f, const char *queue, int by);
+
+#endif
--- /dev/null
+++ b/lib/flow/snapshot.c
@@ -0,0 +1,287 @@
+/* The whole state as one msgpack array, and the check of its counts. */
+#include "internal.h"
+
+#define SNAPSHOT_FORMAT 1
+
+static void
+stage_put(msgpack_packer *pk, const struct flow_stage *st)
+{
+	msgpack_pack_uint32(pk, st->failed_run);
+	msgpack_pack_array(pk, st->count);
+	for (uint32_t i = 0; i < st->count; i++) {
+		const struct flow_task *t = &st->task[i];
+
+		msgpack_pack_array(pk, 6);
+		msgpack_pack_uint8(pk, (uint8_t)t->state);
+		msgpack_pack_uint32(pk, t->run);
+		msgpack_pack_uint32(pk, t->failures);
+		msgpack_pack_uint32(pk, t->worker);
+		msgpack_pack_int64(pk, t->held_ms);
+		put_str(pk, t->saved);
+	}
+}
+
+static void
+stage_get(struct reader *r, struct flow_stage *st)
+{
+	uint32_t failed_run = (uint32_t)get_u64(r);
+	struct reader a = get_array(r);
+
+	st->failed_run = failed_run;
+	r->ok = r->ok && a.ok && a.left == st->count;
+	st->pending = 0;
+	for (uint32_t i = 0; r->ok && i < st->count; i++) {
+		struct flow_task *t = &st->task[i];
+		struct reader row = get_array(&a);
+
+		t->state =
+		    (enum flow_task_state)get_below(&row, FLOW_DONE + 1);
+		t->run = (uint32_t)get_u64(&row);
+		t->failures = (uint32_t)get_u64(&row);
+		t->worker = (uint32_t)get_u64(&row);
+		t->held_ms = get_i64(&row);
+		t->saved = get_str(&row, FLOW_TEXT_MAX);
+		r->ok = codec_done(&row);
+		st->pending += t->state == FLOW_PENDING;
+		st->held += t->state == FLOW_HELD;
+		st->done += t->state == FLOW_DONE;
+	}
+}
+
+static void
+job_put(msgpack_packer *pk, const struct flow_job *job)
+{
+	guint steps = job->rounds == NULL ? 0 : job->spec.steps->len;
+	guint rounds = job->rounds == NULL ? 0 : job->rounds->len;
+
+	msgpack_pack_array(pk, 9);
+	msgpack_pack_uint64(pk, job->id);
+	msgpack_pack_uint8(pk, (uint8_t)job->state);
+	queue_put(pk, job->queue);
+	msgpack_pack_int64(pk, job->accepted_ms);
+	msgpack_pack_int64(pk, job->ended_ms);
+	msgpack_pack_uint32(pk, job->opened);
+	msgpack_pack_uint32(pk, job->closed);
+	if (job->rounds == NULL)
+		msgpack_pack_nil(pk);
+	else
+		spec_put(pk, &job->spec);
+	msgpack_pack_array(pk, rounds * (1 + 2 * steps));
+	for (guint i = 0; i < rounds; i++) {
+		const struct flow_round *round = job->rounds->pdata[i];
+
+		msgpack_pack_uint32(pk, round->number);
+		for (guint s = 0; s < steps; s++)
+			stage_put(pk, &round->stage[s]);
+	}
+}
+
+static void
+rounds_get(struct reader *r, struct flow_job *job)
+{
+	struct reader a = get_array(r);
+
+	while (a.ok && a.left > 0) {
+		struct flow_round *round =
+		    round_new(job, (uint32_t)get_u64(&a));
+
+		g_ptr_array_add(job->rounds, round);
+		for (guint s = 0; s < job->spec.steps->len; s++) {
+			struct flow_stage *st = &round->stage[s];
+
+			stage_get(&a, st);
+			round->open -= st->done == st->count;
+			round->held += st->held;
+		}
+		job->held += round->held;
+	}
+	r->ok = r->ok && a.ok;
+}
+
+static void
+job_get(struct flow *f, struct reader *r)
+{
+	struct reader a = get_array(r);
+	struct flow_job *job = g_new0(struct flow_job, 1);
+
+	job->id = get_u64(&a);
+	job->state = (enum flow_job_state)get_below(&a, FLOW_CANCELLED + 1);
+	job->queue = queue_get(&a);
+	job->accepted_ms = get_i64(&a);
+	job->ended_ms = get_i64(&a);
+	job->opened = (uint32_t)get_u64(&a);
+	job->closed = (uint32_t)get_u64(&a);
+	if (a.ok && a.left > 0 && a.p->type != MSGPACK_OBJECT_NIL) {
+		spec_get(&a, &job->spec);
+		job->rounds = g_ptr_array_new();
+		if (a.ok)
+			rounds_get(&a, job);
+	} else {
+		(void)get_str(&a, 0);
+		(void)get_array(&a);
+	}
+	r->ok = r->ok && codec_done(&a);
+	if (!r->ok) {
+		job_free(job);
+		return;
+	}
+	g_hash_table_insert(f->jobs, &job->id, job);
+	g_queue_push_tail(job->rounds == NULL ? &f->ended : &f->open, job);
+	if (job->state == FLOW_QUEUED)
+		waiting_add(f, job->queue->name, 1);
+}
+
+static void
+put_job_row(void *data, void *arg)
+{
+	job_put(arg, data);
+}
+
+GBytes *
+flow_snapshot(const struct flow *f)
+{
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+	GHashTableIter iter;
+	gpointer value;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 6);
+	msgpack_pack_uint32(&pk, SNAPSHOT_FORMAT);
+	msgpack_pack_int64(&pk, f->time_ms);
+	msgpack_pack_uint32(&pk, f->last_worker);
+	config_put(&pk, &f->config);
+	msgpack_pack_array(&pk, g_hash_table_size(f->workers));
+	g_hash_table_iter_init(&iter, f->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		worker_put(&pk, value);
+	msgpack_pack_array(&pk, f->ended.length + f->open.length);
+	g_queue_foreach((GQueue *)&f->ended, put_job_row, &pk);
+	g_queue_foreach((GQueue *)&f->open, put_job_row, &pk);
+	return codec_take(&buf);
+}
+
+/* A newer life of a name is the one that the name stands for. */
+static void
+restore_worker(struct flow *f, struct flow_worker *w)
+{
+	struct flow_worker *known = g_hash_table_lookup(f->names, w->name);
+
+	worker_add(f, w);
+	if (known != NULL && known->id > w->id)
+		g_hash_table_insert(f->names, known->name, known);
+}
+
+static void
+restore(struct flow *f, struct reader *r)
+{
+	struct reader list;
+
+	r->ok = r->ok && get_u64(r) == SNAPSHOT_FORMAT;
+	f->time_ms = get_i64(r);
+	f->last_worker = (uint32_t)get_u64(r);
+	config_get(r, &f->config);
+	list = get_array(r);
+	while (list.ok && list.left > 0) {
+		struct flow_worker *w = g_new0(struct flow_worker, 1);
+
+		worker_get(&list, w);
+		if (list.ok) {
+			restore_worker(f, w);
+		} else {
+			flow_worker_clear(w);
+			g_free(w);
+		}
+	}
+	r->ok = r->ok && list.ok;
+	list = get_array(r);
+	while (list.ok && list.left > 0)
+		job_get(f, &list);
+	r->ok = r->ok && list.ok;
+}
+
+bool
+flow_restore(struct flow *f, GBytes *data, GError **err)
+{
+	msgpack_unpacked u;
+	struct reader r;
+	gsize len;
+	const void *p = g_bytes_get_data(data, &len);
+	bool ok = codec_open(&u, p, len, &r);
+
+	flow_clear(f);
+	if (ok) {
+		restore(f, &r);
+		ok = codec_done(&r);
+	}
+	codec_close(&u);
+	if (!ok)
+		g_set_error_literal(err, BT_ERROR, ERR_CORRUPT,
+		    "a snapshot of jobs can't be decoded");
+	return ok;
+}
+
+static bool
+off(GError **err, const struct flow_job *job, const char *what)
+{
+	g_set_error(err, BT_ERROR, ERR_INVALID,
+	    "job %016" G_GINT64_MODIFIER "x: %s", job->id, what);
+	return false;
+}
+
+static bool
+check_stage(const struct flow *f, const struct flow_job *job,
+    const struct flow_stage *st, GError **err)
+{
+	uint32_t count[3] = { 0 };
+
+	for (uint32_t i = 0; i < st->count; i++) {
+		count[st->task[i].state]++;
+		if ((st->task[i].state == FLOW_HELD) !=
+		    (st->task[i].worker != 0))
+			return off(err, job, "a task's worker and state differ");
+	}
+	if (count[FLOW_PENDING] != st->pending ||
+	    count[FLOW_HELD] != st->held || count[FLOW_DONE] != st->done)
+		return off(err, job, "a step's counts are off");
+	return true;
+}
+
+static bool
+check_job(const struct flow *f, const struct flow_job *job, GError **err)
+{
+	uint32_t held = 0;
+
+	for (guint i = 0; job->rounds != NULL && i < job->rounds->len; i++) {
+		const struct flow_round *round = job->rounds->pdata[i];
+		uint32_t open = 0;
+		uint32_t in_round = 0;
+
+		for (guint s = 0; s < job->spec.steps->len; s++) {
+			if (!check_stage(f, job, &round->stage[s], err))
+				return false;
+			open += round->stage[s].done < round->stage[s].count;
+			in_round += round->stage[s].held;
+		}
+		if (open != round->open || in_round != round->held)
+			return off(err, job, "an occurrence's counts are off");
+		held += in_round;
+	}
+	if (held != job->held)
+		return off(err, job, "the count of held tasks is off");
+	return true;
+}
+
+bool
+flow_check(const struct flow *f, GError **err)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, f->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!check_job(f, value, err))
+			return false;
+	return true;
+}
--- /dev/null
+++ b/lib/flow/spec.c
@@ -0,0 +1,434 @@
+/* Encodings of what a command or a snapshot is made of. */
+#include "internal.h"
+
+#define HOST_MAX 1024 /* bytes of a host name or path prefix */
+#define QUEUES_MAX 10000 /* in one configuration */
+#define LABELS_MAX 64 /* of one worker */
+#define DOCUMENT_MAX (4 * 1024 * 1024) /* bytes of a configuration */
+
+struct flow_step *
+flow_step_new(void)
+{
+	struct flow_step *s = g_new0(struct flow_step, 1);
+
+	s->after = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	return s;
+}
+
+void
+flow_step_free(void *arg)
+{
+	struct flow_step *s = arg;
+
+	if (s->after != NULL)
+		g_array_unref(s->after);
+	g_free(s->label);
+	g_free(s->data_rack);
+	g_free(s->image);
+	g_free(s);
+}
+
+void
+flow_spec_clear(struct flow_spec *spec)
+{
+	g_free(spec->payload);
+	if (spec->steps != NULL)
+		g_ptr_array_unref(spec->steps);
+	*spec = (struct flow_spec){ 0 };
+}
+
+enum step_flag {
+	STEP_GANG = 1,
+	STEP_COLOCATED = 2,
+	STEP_CHECKPOINTS = 4,
+	STEP_DUPLICATES = 8,
+	STEP_LASTING = 16,
+	STEP_FILLER = 32
+};
+
+static uint32_t
+step_flags(const struct flow_step *s)
+{
+	return (s->gang ? STEP_GANG : 0) | (s->colocated ? STEP_COLOCATED : 0) |
+	    (s->checkpoints ? STEP_CHECKPOINTS : 0) |
+	    (s->duplicates ? STEP_DUPLICATES : 0) |
+	    (s->lasting ? STEP_LASTING : 0) | (s->filler ? STEP_FILLER : 0);
+}
+
+static void
+step_put(msgpack_packer *pk, const struct flow_step *s)
+{
+	msgpack_pack_array(pk, 13);
+	msgpack_pack_uint32(pk, s->count);
+	put_resources(pk, &s->need);
+	msgpack_pack_int64(pk, s->runtime_ms);
+	msgpack_pack_array(pk, s->after->len);
+	for (guint i = 0; i < s->after->len; i++)
+		msgpack_pack_uint32(pk, g_array_index(s->after, uint32_t, i));
+	msgpack_pack_uint32(pk, step_flags(s));
+	put_str(pk, s->label);
+	put_str(pk, s->data_rack);
+	put_str(pk, s->image);
+	msgpack_pack_uint32(pk, s->per_worker);
+	msgpack_pack_uint32(pk, s->may_miss);
+	msgpack_pack_int64(pk, s->tail_ms);
+}
+
+static struct flow_step *
+step_get(struct reader *r, uint32_t number)
+{
+	struct reader a = get_array(r);
+	struct flow_step *s = flow_step_new();
+	struct reader after;
+	uint32_t flags;
+
+	s->count = (uint32_t)get_below(&a, FLOW_TASKS_MAX + 1);
+	get_resources(&a, &s->need);
+	s->runtime_ms = get_amount(&a);
+	after = get_array(&a);
+	while (after.ok && after.left > 0) {
+		uint32_t step = (uint32_t)get_below(&after, number);
+
+		g_array_append_val(s->after, step);
+	}
+	flags = (uint32_t)get_u64(&a);
+	s->gang = flags & STEP_GANG;
+	s->colocated = flags & STEP_COLOCATED;
+	s->checkpoints = flags & STEP_CHECKPOINTS;
+	s->duplicates = flags & STEP_DUPLICATES;
+	s->lasting = flags & STEP_LASTING;
+	s->filler = flags & STEP_FILLER;
+	s->label = get_str(&a, FLOW_TEXT_MAX);
+	s->data_rack = get_str(&a, FLOW_TEXT_MAX);
+	s->image = get_str(&a, FLOW_TEXT_MAX);
+	s->per_worker = (uint32_t)get_u64(&a);
+	s->may_miss = (uint32_t)get_u64(&a);
+	s->tail_ms = get_amount(&a);
+	r->ok = r->ok && after.ok && codec_done(&a);
+	return s;
+}
+
+void
+spec_put(msgpack_packer *pk, const struct flow_spec *s)
+{
+	msgpack_pack_array(pk, 5);
+	put_str(pk, s->payload);
+	msgpack_pack_array(pk, s->steps->len);
+	for (guint i = 0; i < s->steps->len; i++)
+		step_put(pk, s->steps->pdata[i]);
+	msgpack_pack_uint32(pk, s->times);
+	msgpack_pack_int64(pk, s->first_ms);
+	msgpack_pack_int64(pk, s->every_ms);
+}
+
+void
+spec_get(struct reader *r, struct flow_spec *s)
+{
+	struct reader a = get_array(r);
+	struct reader steps;
+
+	s->payload = get_str(&a, FLOW_PAYLOAD_MAX);
+	s->steps = g_ptr_array_new_with_free_func(flow_step_free);
+	steps = get_array(&a);
+	steps.ok = steps.ok && steps.left <= FLOW_STEPS_MAX;
+	while (steps.ok && steps.left > 0)
+		g_ptr_array_add(s->steps, step_get(&steps, s->steps->len));
+	s->times = (uint32_t)get_u64(&a);
+	s->first_ms = get_amount(&a);
+	s->every_ms = get_amount(&a);
+	r->ok = r->ok && steps.ok && codec_done(&a);
+}
+
+struct flow_queue *
+flow_queue_new(void)
+{
+	struct flow_queue *q = g_new0(struct flow_queue, 1);
+
+	q->refs = 1;
+	return q;
+}
+
+void
+flow_queue_unref(struct flow_queue *q)
+{
+	if (q == NULL || --q->refs > 0)
+		return;
+	g_free(q->name);
+	g_free(q->host);
+	g_free(q->prefix);
+	g_free(q->pool);
+	g_free(q);
+}
+
+void
+queue_put(msgpack_packer *pk, const struct flow_queue *q)
+{
+	msgpack_pack_array(pk, 12);
+	put_str(pk, q->name);
+	put_str(pk, q->host);
+	put_str(pk, q->prefix);
+	put_str(pk, q->pool);
+	msgpack_pack_uint32(pk, q->priority);
+	msgpack_pack_uint32(pk, q->attempts);
+	msgpack_pack_double(pk, q->slack);
+	msgpack_pack_int64(pk, q->target_ms);
+	put_bool(pk, q->advised);
+	msgpack_pack_double(pk, q->advice_ms);
+	msgpack_pack_double(pk, q->advice_worker_ms);
+	msgpack_pack_int64(pk, q->ticket_ms);
+}
+
+struct flow_queue *
+queue_get(struct reader *r)
+{
+	struct reader a = get_array(r);
+	struct flow_queue *q = flow_queue_new();
+
+	q->name = get_str(&a, HOST_MAX);
+	q->host = get_str(&a, HOST_MAX);
+	q->prefix = get_str(&a, HOST_MAX);
+	q->pool = get_str(&a, HOST_MAX);
+	q->priority = (uint32_t)get_u64(&a);
+	q->attempts = (uint32_t)get_u64(&a);
+	q->slack = get_double(&a);
+	q->target_ms = get_amount(&a);
+	q->advised = get_bool(&a);
+	q->advice_ms = get_double(&a);
+	q->advice_worker_ms = get_double(&a);
+	q->ticket_ms = get_amount(&a);
+	r->ok = r->ok && codec_done(&a) && q->name != NULL &&
+	    q->host != NULL && q->prefix != NULL && q->pool != NULL;
+	return q;
+}
+
+void
+flow_pool_free(void *arg)
+{
+	struct flow_pool *p = arg;
+
+	g_free(p->name);
+	g_free(p->health_path);
+	g_free(p);
+}
+
+void
+flow_config_clear(struct flow_config *c)
+{
+	if (c->document != NULL)
+		g_bytes_unref(c->document);
+	if (c->queues != NULL)
+		g_ptr_array_unref(c->queues);
+	if (c->pools != NULL)
+		g_ptr_array_unref(c->pools);
+	*c = (struct flow_config){ 0 };
+}
+
+void
+config_put(msgpack_packer *pk, const struct flow_config *c)
+{
+	guint queues = c->queues == NULL ? 0 : c->queues->len;
+	guint pools = c->pools == NULL ? 0 : c->pools->len;
+
+	msgpack_pack_array(pk, 4);
+	msgpack_pack_uint64(pk, c->version);
+	put_bytes(pk, c->document);
+	msgpack_pack_array(pk, queues);
+	for (guint i = 0; i < queues; i++)
+		queue_put(pk, c->queues->pdata[i]);
+	msgpack_pack_array(pk, pools);
+	for (guint i = 0; i < pools; i++) {
+		const struct flow_pool *p = c->pools->pdata[i];
+
+		msgpack_pack_array(pk, 4);
+		put_str(pk, p->name);
+		put_str(pk, p->health_path);
+		put_bool(pk, p->guarded);
+		put_bool(pk, p->standby);
+	}
+}
+
+static struct flow_pool *
+pool_get(struct reader *r)
+{
+	struct reader a = get_array(r);
+	struct flow_pool *p = g_new0(struct flow_pool, 1);
+
+	p->name = get_str(&a, HOST_MAX);
+	p->health_path = get_str(&a, HOST_MAX);
+	p->guarded = get_bool(&a);
+	p->standby = get_bool(&a);
+	r->ok = r->ok && codec_done(&a) && p->name != NULL;
+	return p;
+}
+
+static void
+queue_drop(void *arg)
+{
+	flow_queue_unref(arg);
+}
+
+void
+flow_config_init(struct flow_config *c)
+{
+	*c = (struct flow_config){ 0 };
+	c->queues = g_ptr_array_new_with_free_func(queue_drop);
+	c->pools = g_ptr_array_new_with_free_func(flow_pool_free);
+}
+
+void
+config_get(struct reader *r, struct flow_config *c)
+{
+	struct reader a = get_array(r);
+	struct reader list;
+
+	flow_config_init(c);
+	c->version = get_u64(&a);
+	c->document = get_bytes(&a, DOCUMENT_MAX);
+	list = get_array(&a);
+	list.ok = list.ok && list.left <= QUEUES_MAX;
+	while (list.ok && list.left > 0)
+		g_ptr_array_add(c->queues, queue_get(&list));
+	r->ok = r->ok && list.ok;
+	list = get_array(&a);
+	while (list.ok && list.left > 0)
+		g_ptr_array_add(c->pools, pool_get(&list));
+	r->ok = r->ok && list.ok && codec_done(&a);
+}
+
+void
+flow_worker_clear(struct flow_worker *w)
+{
+	g_free(w->name);
+	g_free(w->address);
+	g_free(w->pool);
+	g_free(w->data_center);
+	g_free(w->rack);
+	g_free(w->vm);
+	if (w->labels != NULL)
+		g_ptr_array_unref(w->labels);
+	*w = (struct flow_worker){ 0 };
+}
+
+void
+flow_worker_copy(struct flow_worker *to, const struct flow_worker *from)
+{
+	*to = *from;
+	to->name = g_strdup(from->name);
+	to->address = g_strdup(from->address);
+	to->pool = g_strdup(from->pool);
+	to->data_center = g_strdup(from->data_center);
+	to->rack = g_strdup(from->rack);
+	to->vm = g_strdup(from->vm);
+	to->labels = g_ptr_array_new_with_free_func(g_free);
+	for (guint i = 0; from->labels != NULL && i < from->labels->len; i++)
+		g_ptr_array_add(to->labels, g_strdup(from->labels->pdata[i]));
+}
+
+void
+worker_put(msgpack_packer *pk, const struct flow_worker *w)
+{
+	guint labels = w->labels == NULL ? 0 : w->labels->len;
+
+	msgpack_pack_array(pk, 13);
+	msgpack_pack_uint32(pk, w->id);
+	put_str(pk, w->name);
+	put_str(pk, w->address);
+	msgpack_pack_int64(pk, w->born_ms);
+	put_str(pk, w->pool);
+	put_str(pk, w->data_center);
+	put_str(pk, w->rack);
+	put_str(pk, w->vm);
+	msgpack_pack_array(pk, labels);
+	for (guint i = 0; i < labels; i++)
+		put_str(pk, w->labels->pdata[i]);
+	put_resources(pk, &w->capacity);
+	put_bool(pk, w->draining);
+}
+
+void
+worker_get(struct reader *r, struct flow_worker *w)
+{
+	struct reader a = get_array(r);
+	struct reader labels;
+
+	w->id = (uint32_t)get_u64(&a);
+	w->name = get_str(&a, HOST_MAX);
+	w->address = get_str(&a, HOST_MAX);
+	w->born_ms = get_i64(&a);
+	w->pool = get_str(&a, HOST_MAX);
+	w->data_center = get_str(&a, HOST_MAX);
+	w->rack = get_str(&a, HOST_MAX);
+	w->vm = get_str(&a, HOST_MAX);
+	w->labels = g_ptr_array_new_with_free_func(g_free);
+	labels = get_array(&a);
+	labels.ok = labels.ok && labels.left <= LABELS_MAX;
+	while (labels.ok && labels.left > 0)
+		g_ptr_array_add(w->labels, get_str(&labels, HOST_MAX));
+	get_resources(&a, &w->capacity);
+	w->draining = get_bool(&a);
+	r->ok = r->ok && labels.ok && codec_done(&a) && w->name != NULL &&
+	    w->address != NULL && w->pool != NULL;
+}
+
+/* Encodes one part as an array of its own. */
+#define ENCODE(put, part)                                                      \
+	msgpack_sbuffer buf;                                                   \
+	msgpack_packer pk;                                                     \
+                                                                               \
+	msgpack_sbuffer_init(&buf);                                            \
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);                 \
+	msgpack_pack_array(&pk, 1);                                            \
+	put(&pk, part);                                                        \
+	return codec_take(&buf)
+
+/* Decodes what ENCODE made; clears the part and returns false if it can't. */
+#define DECODE(get, part, clear)                                               \
+	msgpack_unpacked u;                                                    \
+	struct reader r;                                                       \
+	bool ok = codec_open(&u, data, len, &r);                               \
+                                                                               \
+	memset(part, 0, sizeof(*(part)));                                      \
+	if (ok) {                                                              \
+		get(&r, part);                                                 \
+		ok = codec_done(&r);                                           \
+	}                                                                      \
+	codec_close(&u);                                                       \
+	if (!ok)                                                               \
+		clear(part);                                                   \
+	return ok
+
+GBytes *
+flow_spec_encode(const struct flow_spec *spec)
+{
+	ENCODE(spec_put, spec);
+}
+
+bool
+flow_spec_decode(const void *data, size_t len, struct flow_spec *spec)
+{
+	DECODE(spec_get, spec, flow_spec_clear);
+}
+
+GBytes *
+flow_worker_encode(const struct flow_worker *w)
+{
+	ENCODE(worker_put, w);
+}
+
+bool
+flow_worker_decode(const void *data, size_t len, struct flow_worker *w)
+{
+	DECODE(worker_get, w, flow_worker_clear);
+}
+
+GBytes *
+flow_config_encode(const struct flow_config *c)
+{
+	ENCODE(config_put, c);
+}
+
+bool
+flow_config_decode(const void *data, size_t len, struct flow_config *c)
+{
+	DECODE(config_get, c, flow_config_clear);
+}
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -65,7 +65,8 @@
 	for (size_t i = 0; i < h->count; i++) {
 		const struct http_route *r = &h->routes[i];
 
-		if (!match(r->pattern, req->path, req->param))
+		if (strcmp(r->pattern, HTTP_ANY_PATH) != 0 &&
+		    !match(r->pattern, req->path, req->param))
 			continue;
 		if (r->method == req->method)
 			return r;
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -29,6 +29,8 @@
 	struct httpd *server;
 };
 
+#define HTTP_ANY_PATH "**" /* a pattern that every path matches */
+
 typedef void http_handler(void *arg, struct http_request *req);
 
 struct http_route {
--- /dev/null
+++ b/lib/plan/plan.c
@@ -0,0 +1,169 @@
+#include "plan.h"
+
+/* What running slower costs against a tighter fit, in shares of a worker. */
+#define PACE_WEIGHT 0.6
+
+enum plan_tier
+plan_tier(const struct plan_claim *c, int64_t now_ms)
+{
+	int64_t end_ms = now_ms + c->left_ms - c->accepted_ms;
+
+	if (c->filler)
+		return PLAN_FILLER;
+	if (end_ms <= c->objective_ms)
+		return PLAN_IN_TIME;
+	if (end_ms <= c->objective_ms * PLAN_LATE_TIMES)
+		return PLAN_LATE;
+	return PLAN_OVERDUE;
+}
+
+static int64_t
+latest_start(const struct plan_claim *c)
+{
+	return c->accepted_ms + c->objective_ms - c->left_ms;
+}
+
+int
+plan_compare(
+    const struct plan_claim *a, const struct plan_claim *b, int64_t now_ms)
+{
+	enum plan_tier ta = plan_tier(a, now_ms);
+	enum plan_tier tb = plan_tier(b, now_ms);
+	int64_t la = latest_start(a);
+	int64_t lb = latest_start(b);
+
+	if (ta != tb)
+		return ta < tb ? -1 : 1;
+	if (la != lb)
+		return la < lb ? -1 : 1;
+	if (a->priority != b->priority)
+		return a->priority < b->priority ? -1 : 1;
+	return a->serial < b->serial ? -1 : a->serial > b->serial;
+}
+
+static int64_t
+times(int64_t have, int64_t each)
+{
+	return each <= 0 ? INT32_MAX : MAX(have, 0) / each;
+}
+
+uint32_t
+plan_fits(const struct plan_room *room, const struct plan_need *need)
+{
+	int64_t n = times(room->free.millicpus, need->each.millicpus);
+
+	n = MIN(n, times(room->free.memory, need->each.memory));
+	n = MIN(n, times(room->free.accelerators, need->each.accelerators));
+	if (need->per_worker > 0)
+		n = MIN(n,
+		    (int64_t)need->per_worker -
+			MIN(room->same, need->per_worker));
+	return (uint32_t)MIN(n, (int64_t)need->count);
+}
+
+static double
+share(int64_t part, int64_t whole)
+{
+	return whole <= 0 ? 0 : (double)part / (double)whole;
+}
+
+/* Lower is better: what stays free, and how much longer the work takes. */
+static double
+cost(const struct plan_room *room, const struct plan_need *need)
+{
+	double cpu = share(room->free.millicpus - need->each.millicpus,
+	    room->capacity.millicpus);
+	double memory = share(
+	    room->free.memory - need->each.memory, room->capacity.memory);
+	double pace = room->pace;
+
+	if (need->data_rack != 0 && room->rack != need->data_rack)
+		pace *= need->far;
+	return MAX(cpu, memory) + (pace - 1) * PACE_WEIGHT;
+}
+
+static void
+take(struct plan_room *room, const struct plan_need *need, int sign)
+{
+	resources_add(&room->free, &need->each, -sign);
+	room->same += sign;
+}
+
+/* Places as many tasks as fit on the rooms of a rack (0: any). */
+static uint32_t
+place_on(struct plan_room **rooms, guint count, const struct plan_need *need,
+    uint32_t rack, uint32_t *pick)
+{
+	uint32_t placed = 0;
+
+	while (placed < need->count) {
+		double best_cost = 0;
+		int best = -1;
+
+		for (guint i = 0; i < count; i++) {
+			double c;
+
+			if ((rack != 0 && rooms[i]->rack != rack) ||
+			    plan_fits(rooms[i], need) == 0)
+				continue;
+			c = cost(rooms[i], need);
+			if (best >= 0 && c >= best_cost)
+				continue;
+			best = (int)i;
+			best_cost = c;
+		}
+		if (best < 0)
+			break;
+		take(rooms[best], need, 1);
+		pick[placed++] = (uint32_t)best;
+	}
+	return placed;
+}
+
+static void
+undo(struct plan_room **rooms, const struct plan_need *need,
+    const uint32_t *pick, uint32_t placed)
+{
+	for (uint32_t i = 0; i < placed; i++)
+		take(rooms[pick[i]], need, -1);
+}
+
+/* Tries each rack that could hold all tasks; the first that does is taken. */
+static bool
+place_on_one_rack(struct plan_room **rooms, guint count,
+    const struct plan_need *need, uint32_t *pick)
+{
+	GHashTable *tried = g_hash_table_new(NULL, NULL);
+	bool done = false;
+
+	for (guint i = 0; !done && i < count; i++) {
+		uint32_t rack = rooms[i]->rack;
+		uint32_t placed;
+
+		if (rack == 0 ||
+		    !g_hash_table_add(tried, GUINT_TO_POINTER(rack)))
+			continue;
+		placed = place_on(rooms, count, need, rack, pick);
+		done = placed == need->count;
+		if (!done)
+			undo(rooms, need, pick, placed);
+	}
+	g_hash_table_unref(tried);
+	return done;
+}
+
+uint32_t
+plan_place(struct plan_room **rooms, guint count, const struct plan_need *need,
+    uint32_t *pick)
+{
+	uint32_t placed;
+
+	if (need->colocated && place_on_one_rack(rooms, count, need, pick))
+		return need->count;
+	placed = place_on(rooms, count, need, 0, pick);
+	if (need->gang && placed < need->count) {
+		undo(rooms, need, pick, placed);
+		return 0;
+	}
+	return placed;
+}
--- /dev/null
+++ b/lib/plan/plan.h
@@ -0,0 +1,72 @@
+/*
+ * Decisions about waiting work, without clock or I/O: in which order steps
+ * get their turn, and which workers take their tasks.
+ */
+#ifndef PLAN_H
+#define PLAN_H
+
+#include "base.h"
+
+/* How a step that waits stands against its job's objective. */
+enum plan_tier {
+	PLAN_IN_TIME, /* can end within the objective */
+	PLAN_LATE, /* can still earn the smaller credit of a late end */
+	PLAN_OVERDUE, /* only owed: it must end, whenever */
+	PLAN_FILLER /* takes what is left */
+};
+
+/* A step of a job that could start now. */
+struct plan_claim {
+	int64_t accepted_ms;
+	int64_t objective_ms; /* from acceptance to the end */
+	int64_t left_ms; /* estimated work from here to the job's end */
+	uint32_t priority; /* 0 is the most urgent */
+	bool filler;
+	uint64_t serial; /* of acceptance; settles ties */
+};
+
+#define PLAN_LATE_TIMES 3 /* objectives after which an end earns nothing */
+
+enum plan_tier plan_tier(const struct plan_claim *c, int64_t now_ms);
+
+/*
+ * Orders by tier, then by the time by which a claim must start; below 0 if a
+ * goes first. Answers bursts of urgent small jobs beside large gangs: work
+ * that can't be in time any more yields to work that can.
+ */
+int plan_compare(
+    const struct plan_claim *a, const struct plan_claim *b, int64_t now_ms);
+
+/* What a worker offers. */
+struct plan_room {
+	uint32_t worker;
+	struct resources free;
+	struct resources capacity;
+	uint32_t rack;
+	double pace; /* how many times as long work takes here; 1: usual */
+	uint32_t same; /* tasks of the step that it has already */
+};
+
+struct plan_need {
+	uint32_t count; /* tasks to place */
+	struct resources each;
+	bool gang; /* all or none */
+	bool colocated; /* on one rack if possible */
+	uint32_t data_rack; /* 0: none */
+	double far; /* how many times as long off that rack */
+	uint32_t per_worker; /* 0: any number */
+};
+
+/*
+ * Chooses a room for each task: the tightest fit among the quick ones, so
+ * that large gaps stay whole for large tasks. Takes what it chose out of the
+ * rooms' free amounts. pick gets indexes into rooms; returns how many were
+ * placed (all or 0 for a gang).
+ */
+uint32_t plan_place(struct plan_room **rooms, guint count,
+    const struct plan_need *need, uint32_t *pick);
+
+/* How many tasks of a size fit into a room. */
+uint32_t plan_fits(const struct plan_room *room, const struct plan_need *need);
+
+#endif
--- a/bulrushtided/founding.c
+++ b/lib/replica/founding.c
@@ -31,28 +31,27 @@
 	r->identity.node = node;
 	r->identity.cell = cell;
 	g_strlcpy(
-	    r->identity.name, r->node->conf.name, sizeof(r->identity.name));
+	    r->identity.name, r->name, sizeof(r->identity.name));
 	if (wal_set_identity(r->wal, &r->identity, &err))
 		return true;
 	log_error("replica", "can't store the identity: %s", err->message);
 	g_clear_error(&err);
-	r->node->failed = true;
+	r->failed = true;
 	return false;
 }
 
 static struct raft_members
-founders(struct replica *r)
+founders(const struct replica *r)
 {
 	struct raft_members m = { 0 };
-	GArray *named = r->node->conf.replicas;
-
-	for (guint i = 0; i < named->len; i++) {
-		struct named_replica *n =
-		    &g_array_index(named, struct named_replica, i);
 
+	if (r->founders == NULL)
 		m.member[m.count++] =
-		    (struct raft_member){ .id = replica_id_of(n->name, 1) };
-	}
+		    (struct raft_member){ .id = r->identity.node };
+	for (guint i = 0; r->founders != NULL && i < r->founders->len; i++)
+		m.member[m.count++] = (struct raft_member){
+			.id = replica_id_of(r->founders->pdata[i], FOUNDER_NONCE)
+		};
 	return m;
 }
 
@@ -71,7 +70,7 @@
 		.entries = r->image.entries };
 
 	/* Only a founder takes the named replicas for the membership. */
-	if ((uint32_t)r->identity.node == 1)
+	if ((uint32_t)r->identity.node == FOUNDER_NONCE)
 		conf.members = founders(r);
 	if (r->image.snapshot == NULL)
 		r->applied_members = conf.members;
@@ -103,17 +102,17 @@
 replica_found(struct replica *r)
 {
 	struct census c = { .seen = 1 };
-	guint named = r->node->conf.replicas->len;
+	guint named = r->founders == NULL ? 0 : r->founders->len;
 	bool waited = mono_ms() - r->opened_ms > FORM_ALL_MS;
 
-	if (r->node->failed)
+	if (r->failed)
 		return;
-	peers_each(r->node->peers, count_peer, &c);
+	r->ops->each_peer(r->arg, count_peer, &c);
 	if (c.cell != 0) {
 		uint32_t nonce = (uint32_t)random_id() | 2;
 
 		if (!store_identity(
-			r, replica_id_of(r->node->conf.name, nonce), c.cell))
+			r, replica_id_of(r->name, nonce), c.cell))
 			return;
 		r->cell_id = c.cell;
 		log_info("replica", "joins an existing cell as a learner");
@@ -129,11 +128,22 @@
 		r->waits = true;
 		return;
 	}
-	if (c.seen <= named / 2 || (c.seen < named && !waited))
+	if (r->founders == NULL || c.seen <= named / 2 || (c.seen < named && !waited))
 		return;
-	if (!store_identity(r, replica_id_of(r->node->conf.name, 1), 0))
+	if (!store_identity(r, replica_id_of(r->name, FOUNDER_NONCE), 0))
 		return;
 	log_info(
 	    "replica", "founds a cell with %u of %u replicas", c.seen, named);
 	replica_start_raft(r);
 }
+
+bool
+replica_found_alone(struct replica *r)
+{
+	if (r->failed || r->identity.node != 0 ||
+	    !store_identity(r, replica_id_of(r->name, FOUNDER_NONCE), 0))
+		return false;
+	log_info("replica", "founds a cell");
+	replica_start_raft(r);
+	return true;
+}
--- a/bulrushtided/members.c
+++ b/lib/replica/members.c
@@ -3,6 +3,14 @@
 
 #include "replica_impl.h"
 
+/*
+ * An open membership drops a member that was not connected for so long, as
+ * its VM may be gone for good. Longer than a restart, a freeze or a cut link
+ * usually lasts; one that comes back later is added again.
+ */
+#define ABSENT_MS 12000
+#define MEMBERS_LEAST 3 /* an open membership does not shrink below this */
+
 /* Returns the first member of that name, or NULL. */
 static const struct raft_member *
 member_named(const struct replica *r, const char *name, uint64_t but)
@@ -27,6 +35,13 @@
 	return NULL;
 }
 
+/* Says whether every connected replica is to be a member. */
+static bool
+is_open(const struct replica *r)
+{
+	return r->founders == NULL;
+}
+
 /*
  * A connected replica whose name is a member under another id has lost its
  * disk. It becomes a learner, then the old id is removed, then the learner
@@ -45,7 +60,8 @@
 
 	if (node == 0 || peer->cell != r->cell_id)
 		return;
-	if (mine == NULL && old != NULL)
+	if (mine == NULL && (old != NULL || is_open(r)) &&
+	    raft_members(r->raft)->count < RAFT_MEMBERS_MAX)
 		index = raft_propose_member(r->raft, node, true, false);
 	else if (mine != NULL && old != NULL && mine->learner)
 		index = raft_propose_member(r->raft, old->id, false, true);
@@ -59,11 +75,64 @@
 	replica_schedule(r);
 }
 
+/* Returns since when a member is not connected; 0: it is. */
+static int64_t
+absent_since(struct replica *r, uint64_t id, int64_t now)
+{
+	int64_t *since = g_hash_table_lookup(r->absent, &id);
+
+	if (id == r->identity.node || replica_peer_name(r, id) != NULL) {
+		g_hash_table_remove(r->absent, &id);
+		return 0;
+	}
+	if (since != NULL)
+		return *since;
+	since = g_new(int64_t, 1);
+	*since = now;
+	g_hash_table_insert(r->absent, g_memdup2(&id, sizeof(id)), since);
+	return now;
+}
+
+/* Removes one member that has been away for too long. */
+static void
+drop_absent(struct replica *r)
+{
+	const struct raft_members *m = raft_members(r->raft);
+	int64_t now = mono_ms();
+	uint64_t gone = RAFT_NONE;
+	int present = 0;
+
+	for (int i = 0; i < m->count; i++) {
+		int64_t since = absent_since(r, m->member[i].id, now);
+
+		if (since == 0)
+			present++;
+		else if (now - since > ABSENT_MS)
+			gone = m->member[i].id;
+	}
+	if (gone == RAFT_NONE || m->count <= MEMBERS_LEAST ||
+	    present <= (m->count - 1) / 2)
+		return;
+	if (raft_propose_member(r->raft, gone, false, true) == 0)
+		return;
+	log_warn("replica",
+	    "drops member %016" G_GINT64_MODIFIER
+	    "x: not connected for over %d ms",
+	    gone, ABSENT_MS);
+	g_hash_table_remove(r->absent, &gone);
+	replica_schedule(r);
+}
+
 void
 replica_tend_members(struct replica *r)
 {
-	if (replica_leads(r))
-		peers_each(r->node->peers, tend_member, r);
+	if (!replica_leads(r)) {
+		g_hash_table_remove_all(r->absent);
+		return;
+	}
+	r->ops->each_peer(r->arg, tend_member, r);
+	if (is_open(r))
+		drop_absent(r);
 }
 
 /* The connected replica of a name. */
@@ -72,6 +141,24 @@
 	uint64_t node;
 };
 
+static void
+match_node(void *arg, const struct peer_info *peer)
+{
+	struct wanted *w = arg;
+
+	if (peer->node == w->node)
+		w->name = peer->name;
+}
+
+const char *
+replica_peer_name(const struct replica *r, uint64_t node)
+{
+	struct wanted w = { .node = node };
+
+	r->ops->each_peer(r->arg, match_node, &w);
+	return w.name;
+}
+
 static void
 match_name(void *arg, const struct peer_info *peer)
 {
@@ -92,7 +179,7 @@
 		return "a replica of that name is a member";
 	if (raft_members(r->raft)->count >= RAFT_MEMBERS_MAX)
 		return "the membership is at its bound";
-	peers_each(r->node->peers, match_name, &w);
+	r->ops->each_peer(r->arg, match_name, &w);
 	if (w.node == 0)
 		return "no replica of that name is connected: start it first";
 	if (raft_propose_member(r->raft, w.node, true, false) == 0)
@@ -132,7 +219,7 @@
 		uint64_t at = raft_match(r->raft, id);
 
 		if (id == r->identity.node || m->member[i].learner ||
-		    peers_name(r->node->peers, id) == NULL || at < match)
+		    replica_peer_name(r, id) == NULL || at < match)
 			continue;
 		best = id;
 		match = at;
@@ -157,7 +244,7 @@
 {
 	bool self = m->id == r->identity.node;
 	const char *name =
-	    self ? r->node->conf.name : peers_name(r->node->peers, m->id);
+	    self ? r->name : replica_peer_name(r, m->id);
 	uint64_t at =
 	    self ? raft_last_index(r->raft) : raft_match(r->raft, m->id);
 
--- a/bulrushtided/replica.c
+++ b/lib/replica/replica.c
@@ -1,7 +1,5 @@
 #include <string.h>
 
-#include "mailbox.h"
-#include "peers.h"
 #include "replica_impl.h"
 
 #define TICK_MS 100
@@ -87,7 +85,7 @@
 		struct raft_msg *m = messages->pdata[i];
 		GBytes *bytes = raft_msg_encode(m);
 
-		peers_send_raft(r->node->peers, m->to, bytes);
+		r->ops->send(r->arg, m->to, bytes);
 		g_bytes_unref(bytes);
 	}
 }
@@ -128,12 +126,13 @@
 static void
 fail(struct replica *r, const char *why)
 {
-	if (r->node->failed)
+	if (r->failed)
 		return;
 	log_error(
 	    "replica", "storage failed, this replica steps down: %s", why);
-	r->node->failed = true;
+	r->failed = true;
 	raft_disable(r->raft);
+	r->ops->failed(r->arg);
 	replica_schedule(r);
 }
 
@@ -177,7 +176,7 @@
 void
 replica_identify(struct replica *r)
 {
-	peers_identify(r->node->peers, r->identity.node, r->cell_id,
+	r->ops->identify(r->arg, r->identity.node, r->cell_id,
 	    r->has_form || r->cell_id != 0);
 }
 
@@ -195,7 +194,6 @@
 static void
 apply_data(struct replica *r, const struct raft_entry *e)
 {
-	struct cell_result result = { 0 };
 	GError *err = NULL;
 	size_t len;
 	const uint8_t *data = g_bytes_get_data(e->data, &len);
@@ -205,13 +203,10 @@
 		return;
 	}
 	if (len == 0 || data[0] != TAG_COMMAND ||
-	    !cell_apply(r->cell, data + 1, len - 1, &result, &err))
+	    !r->ops->apply(r->arg, e->index, data + 1, len - 1, &err))
 		g_error("replica: entry %" G_GUINT64_FORMAT
 			" can't be applied: %s",
 		    e->index, err == NULL ? "unknown tag" : err->message);
-	r->node->counters.commits->value++;
-	r->ops->applied(r->arg, e->index, &result);
-	cell_result_clear(&result);
 }
 
 static void
@@ -240,7 +235,7 @@
 	}
 }
 
-/* A snapshot is the cell's id and the cell's state. */
+/* A snapshot is the cell's id and the state machine's state. */
 static bool
 restore(struct replica *r, const struct raft_snapshot *s, GError **err)
 {
@@ -254,7 +249,7 @@
 	}
 	state =
 	    g_bytes_new_from_bytes(s->data, 8, g_bytes_get_size(s->data) - 8);
-	ok = cell_restore(r->cell, state, err);
+	ok = r->ops->restore(r->arg, state, err);
 	g_bytes_unref(state);
 	if (!ok)
 		return false;
@@ -313,7 +308,7 @@
 static void
 maybe_snapshot(struct replica *r)
 {
-	uint64_t every = r->node->conf.snapshot_entries;
+	uint64_t every = r->snapshot_entries;
 	struct raft_snapshot s = { .index = r->applied,
 		.term = r->applied_term,
 		.members = r->applied_members };
@@ -326,7 +321,7 @@
 
 	if (r->applied - r->snapshot_index < every)
 		return;
-	state = cell_snapshot(r->cell);
+	state = r->ops->snapshot(r->arg);
 	p = g_bytes_get_data(state, &len);
 	data = g_byte_array_sized_new((guint)len + 8);
 	put_u64(id, r->cell_id);
@@ -416,10 +411,7 @@
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct replica *r = arg;
-	struct wal_stats stats = wal_stats(r->wal);
 
-	r->node->counters.wal_bytes->value = (int64_t)stats.bytes;
-	r->node->counters.wal_fsyncs->value = (int64_t)stats.fsyncs;
 	if (r->raft == NULL) {
 		replica_found(r);
 		return;
@@ -430,28 +422,33 @@
 }
 
 struct replica *
-replica_new(
-    struct node *node, const struct replica_ops *ops, void *arg, GError **err)
+replica_new(const struct replica_conf *conf, const struct replica_ops *ops,
+    void *arg, GError **err)
 {
 	struct replica *r = g_new0(struct replica, 1);
 
-	r->node = node;
+	r->base = conf->base;
+	r->name = g_strdup(conf->name);
+	r->snapshot_entries = conf->snapshot_entries;
+	if (conf->founders != NULL)
+		r->founders = g_ptr_array_ref(conf->founders);
+	r->absent = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, g_free, g_free);
 	r->ops = ops;
 	r->arg = arg;
 	r->opened_ms = mono_ms();
 	g_queue_init(&r->tickets);
-	r->cell = cell_new();
-	r->wal = wal_open(node->conf.data_dir, &r->image, err);
+	r->wal = wal_open(conf->data_dir, &r->image, err);
 	if (r->wal == NULL) {
 		replica_free(r);
 		return NULL;
 	}
 	r->identity = r->image.identity;
 	if (r->identity.node != 0 &&
-	    strcmp(r->identity.name, node->conf.name) != 0) {
+	    strcmp(r->identity.name, conf->name) != 0) {
 		g_set_error(err, BT_ERROR, ERR_INVALID,
 		    "--data-dir: the folder belongs to replica %s, not %s",
-		    r->identity.name, node->conf.name);
+		    r->identity.name, conf->name);
 		replica_free(r);
 		return NULL;
 	}
@@ -466,22 +463,25 @@
 		replica_free(r);
 		return NULL;
 	}
-	r->mailbox = mailbox_new(node->base, take_synced, r, err);
+	r->mailbox = mailbox_new(r->base, take_synced, r, err);
 	if (r->mailbox == NULL) {
 		replica_free(r);
 		return NULL;
 	}
-	r->pump = event_new(node->base, -1, 0, on_pump, r);
+	r->pump = event_new(r->base, -1, 0, on_pump, r);
 	return r;
 }
 
 void
 replica_start(struct replica *r)
 {
+	struct timeval tv = { .tv_usec = TICK_MS * 1000 };
+
 	replica_identify(r);
 	if (r->identity.node != 0)
 		replica_start_raft(r);
-	r->tick = node_timer(r->node, TICK_MS, on_tick, r);
+	r->tick = event_new(r->base, -1, EV_PERSIST, on_tick, r);
+	event_add(r->tick, &tv);
 }
 
 void
@@ -500,7 +500,10 @@
 	g_queue_clear_full(&r->tickets, ticket_free);
 	if (r->raft != NULL)
 		raft_free(r->raft);
-	cell_free(r->cell);
+	if (r->founders != NULL)
+		g_ptr_array_unref(r->founders);
+	g_hash_table_unref(r->absent);
+	g_free(r->name);
 	g_free(r);
 }
 
@@ -525,16 +528,22 @@
 	raft_msg_free(m);
 }
 
-struct cell *
-replica_cell(const struct replica *r)
+struct wal_stats
+replica_wal_stats(const struct replica *r)
+{
+	return wal_stats(r->wal);
+}
+
+bool
+replica_has_identity(const struct replica *r)
 {
-	return r->cell;
+	return r->identity.node != 0;
 }
 
 bool
 replica_leads(const struct replica *r)
 {
-	return r->raft != NULL && !r->node->failed &&
+	return r->raft != NULL && !r->failed &&
 	    raft_role(r->raft) == RAFT_LEADER && raft_settled(r->raft) &&
 	    r->cell_id != 0;
 }
@@ -554,8 +563,8 @@
 	if (id == RAFT_NONE)
 		return "";
 	if (id == r->identity.node)
-		return r->node->conf.name;
-	name = peers_name(r->node->peers, id);
+		return r->name;
+	name = replica_peer_name(r, id);
 	return name == NULL ? "" : name;
 }
 
--- a/bulrushtided/replica_impl.h
+++ b/lib/replica/replica_impl.h
@@ -2,13 +2,15 @@
 #ifndef REPLICA_IMPL_H
 #define REPLICA_IMPL_H
 
+#include "logs.h"
 #include "mailbox.h"
-#include "peers.h"
 #include "replica.h"
-#include "wal.h"
 
 struct replica {
-	struct node *node;
+	struct event_base *base;
+	char *name;
+	uint64_t snapshot_entries;
+	GPtrArray *founders; /* char *, or NULL */
 	const struct replica_ops *ops;
 	void *arg;
 	struct wal *wal;
@@ -16,7 +18,6 @@
 	struct wal_identity identity;
 	struct mailbox *mailbox;
 	struct raft *raft; /* NULL: not formed or joined yet */
-	struct cell *cell;
 	uint64_t cell_id;
 	uint64_t applied;
 	uint64_t applied_term;
@@ -33,6 +34,8 @@
 	bool has_form; /* the log holds a cell's first record */
 	int64_t opened_ms;
 	bool forming; /* the form record is proposed */
+	bool failed; /* storage failed: leads and acknowledges nothing */
+	GHashTable *absent; /* member id to when it was seen last, in ms */
 };
 
 /* replica.c */
@@ -44,6 +47,8 @@
 void replica_wal_done(void *arg, uint64_t ticket, const GError *err);
 
 /* founding.c */
+#define FOUNDER_NONCE 1 /* the lower half of a founder's id */
+
 /*
  * A replica id carries its name's hash in the upper half, so that a disk
  * that comes back empty is known to replace the old one of that name.
@@ -61,5 +66,7 @@
 /* members.c */
 /* Replaces members that lost their disk, one change at a time. */
 void replica_tend_members(struct replica *r);
+/* The name of a connected replica, or NULL. */
+const char *replica_peer_name(const struct replica *r, uint64_t node);
 
 #endif
