--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -331,6 +331,7 @@
 		.data_dir = node->conf.data_dir,
 		.snapshot_entries = node->conf.snapshot_entries,
 		.gap_ms = ROUND_GAP_MS,
+		.tick_ms = REPLICA_TICK_MS,
 		.founders = founder_names(&node->conf) };
 
 	node->cell = cell_new();
--- a/bulrushtided/node.h
+++ b/bulrushtided/node.h
@@ -27,6 +27,7 @@
 /* Between rounds of a replica under load: keeps the leader near 2% of a core
  * at the target size (docs/CAPACITY.md). */
 #define ROUND_GAP_MS 20
+#define REPLICA_TICK_MS 100 /* an election after 1 to 2 s: survives a pause */
 
 #define TRACE_SPANS 4096 /* kept in each process */
 
--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -3,6 +3,9 @@
 #define SCAN_MS 25 /* asks, founding, the graceful stop */
 #define FOUND_AFTER_MS 400 /* all processes have started by then */
 #define COMMIT_GAP_MS 2 /* a job waits for three commits; a sync takes 6 to 9 */
+/* An election after 400 to 800 ms: urgent jobs have under 2 s in all, and a
+ * follower answers within two syncs, 20 ms. */
+#define REPLICA_TICK_MS 40
 #define HAND_OVER_MS 500 /* between tries to hand leadership over */
 
 /* --- consensus and state --- */
@@ -562,7 +565,8 @@
 		.name = conf->name,
 		.data_dir = conf->data_dir,
 		.snapshot_entries = conf->snapshot_entries,
-		.gap_ms = COMMIT_GAP_MS };
+		.gap_ms = COMMIT_GAP_MS,
+		.tick_ms = REPLICA_TICK_MS };
 
 	n->replica = replica_new(&rc, &replica_ops, n, err);
 	return n->replica != NULL;
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -5,7 +5,7 @@
 
 #define ROUND_GAP_MS 8 /* between placement rounds */
 #define FORGET_EVERY_MS 5000
-#define CONFIRM_MS 150 /* between confirmations of leadership */
+#define CONFIRM_MS 80 /* between confirmations of leadership */
 
 int64_t
 boot_ms(void)
--- a/lib/dispatch/hands.c
+++ b/lib/dispatch/hands.c
@@ -148,13 +148,15 @@
 int64_t
 hand_grant(struct hand *h, int64_t now)
 {
-	int64_t until;
+	int64_t clock_ms = h->clock_ms + (now - h->clock_at_ms);
 
 	if (h->clock_at_ms == 0)
 		return 0;
-	until = h->clock_ms + (now - h->clock_at_ms) + lease_ms(h->d);
-	h->granted_ms = MAX(h->granted_ms, until);
-	return until;
+	/* A silent worker's lease has to end some time, whatever is sent. */
+	if (now - h->heard_ms > STALE_MS)
+		return h->granted_ms > clock_ms ? h->granted_ms : 0;
+	h->granted_ms = MAX(h->granted_ms, clock_ms + lease_ms(h->d));
+	return h->granted_ms;
 }
 
 /* When every lease of this life is over for certain, by our clock. */
@@ -370,6 +372,7 @@
 			g_free(r->saved);
 			r->saved = g_strdup(a->saved);
 		}
+		round_progress(r, a->percent, now);
 	}
 }
 
@@ -476,6 +479,19 @@
 		hand_dead(h, "has left and answers no longer");
 }
 
+/* How long a look may wait for an end. */
+static int
+look_wait_ms(const struct hand *h, int64_t now)
+{
+	for (guint i = 0; i < h->runs->len; i++) {
+		const struct lrun *r = h->runs->pdata[i];
+
+		if (now - r->started_ms < YOUNG_MS)
+			return LOOK_YOUNG_MS;
+	}
+	return LOOK_WAIT_MS;
+}
+
 void
 hand_look(struct hand *h, int64_t now)
 {
@@ -492,7 +508,7 @@
 		h->look = http_peer_new(d->conf.base, h->address, NULL);
 	if (h->held) {
 		look.until_ms = hand_grant(h, now);
-		look.wait_ms = LOOK_WAIT_MS;
+		look.wait_ms = look_wait_ms(h, now);
 	}
 	l = g_new0(struct look, 1);
 	*l = (struct look){ .d = d, .term = d->term, .worker = h->id };
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -17,10 +17,14 @@
 #define DRIFT_PERMILLE 25
 #define LEASE_MS 4500 /* outlives an election after a lost leader */
 #define LOOK_WAIT_MS 1000 /* a look that shows no end is answered by then */
+#define LOOK_YOUNG_MS 400 /* the same while a young run may turn out slow */
+#define YOUNG_MS 3000
 #define LOOK_SLACK_MS 600 /* beyond that it counts as unanswered */
 #define ORDER_MS 500 /* an order is sent again after this */
 #define STALE_MS 1400 /* no new work without an answer for so long */
-#define AUTHORITY_MS 900 /* leadership holds after a confirmed round */
+/* Leadership holds so long after a confirmed round was sent: below the least
+ * election time of a cellnode's replicas, 10 ticks of 40 ms. */
+#define AUTHORITY_MS 350
 
 enum run_state {
 	RUN_PROPOSED, /* its room is reserved */
@@ -43,6 +47,8 @@
 	int tries;
 	int64_t started_ms;
 	bool yielded; /* stopped to make way for other work */
+	int64_t percent; /* of its work, as seen last ... */
+	int64_t percent_ms; /* ... and since when it is that */
 	uint64_t seen; /* serial of the last look that showed it */
 	char *saved; /* newest checkpoint seen */
 	char *permit;
@@ -82,7 +88,8 @@
 	struct flow_run hold;
 	int64_t hold_ms;
 	GPtrArray *runs; /* struct lrun */
-	double pace; /* learnt: how many times as long work takes here */
+	double pace; /* learnt: how many times as long work takes here ... */
+	int64_t pace_ms; /* ... when that was learnt */
 	int refusals; /* starts refused in a row */
 	int64_t shun_ms; /* takes no new work until then */
 	enum health_state health;
@@ -112,6 +119,7 @@
 	uint64_t process;
 	uint64_t query; /* in flight; 0: none */
 	int64_t since_ms;
+	int64_t due_ms; /* no answer is expected after that */
 	int64_t rest_ms; /* not used until then, after a failure */
 };
 
@@ -177,6 +185,7 @@
 	GHashTable *cancels; /* jobs whose cancel is proposed */
 	int64_t rounded_ms;
 	int64_t swept_ms;
+	int64_t load_ms; /* when the load was logged last */
 };
 
 /* dispatch.c */
@@ -219,7 +228,10 @@
 void hand_dead(struct hand *h, const char *why);
 /* Says whether new work may go there. */
 bool hand_open(const struct hand *h, int64_t now);
-/* The end of a lease that is sent now, on the worker's clock; noted. */
+/*
+ * The end of a lease that is sent now, on the worker's clock; noted. Not later
+ * than before for a worker that is silent; 0: there is none to be had.
+ */
 int64_t hand_grant(struct hand *h, int64_t now);
 void hand_clock(struct hand *h, int64_t clock_ms, int64_t now);
 /* The connection with the fewest unanswered orders. */
@@ -273,6 +285,8 @@
 /* Learns from a run that ended as done. */
 void round_learn(struct dispatch *d, const struct flow_job *job,
     const struct lrun *r, int64_t ran_ms);
+/* Notes a run's progress; one that stands still is moved. */
+void round_progress(struct lrun *r, int64_t percent, int64_t now);
 /* The objective of a job from acceptance to its end, in ms. */
 int64_t round_objective_ms(struct dispatch *d, const struct flow_job *job);
 
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -1,7 +1,8 @@
 /* The policy service: which workers may run a step, and until when. */
 #include "impl.h"
 
-#define QUERY_MS 4000 /* a query without an answer is given up */
+#define QUERY_TIMES 3 /* the time that a query should take is given to it */
+#define QUERY_LEAST_MS 400 /* beyond that: links, a short queue there */
 #define AGAIN_MS 100 /* before a step is asked for again after a failure */
 #define REST_MS 400 /* a process whose query failed asks no more so long */
 #define MARGIN_MS 300 /* a permit is not used so near its end */
@@ -175,7 +176,7 @@
 
 static void
 send_query(struct dispatch *d, struct permit_set *s, struct adviser *a,
-    GPtrArray *names, int64_t now)
+    const struct flow_queue *queue, GPtrArray *names, int64_t now)
 {
 	struct agent_query q = { .job = s->job,
 		.round = s->round,
@@ -189,6 +190,9 @@
 	}
 	a->query = s->query = query;
 	a->since_ms = now;
+	a->due_ms = now + QUERY_LEAST_MS +
+	    (int64_t)(QUERY_TIMES *
+		(queue->advice_ms + queue->advice_worker_ms * names->len));
 	d->meter.consults->value++;
 	log_info("dispatch",
 	    "event=consult query=%" G_GUINT64_FORMAT " step=%016"
@@ -229,7 +233,8 @@
 	}
 	if (names->len > 0 && (!need->gang || found >= need->count)) {
 		g_ptr_array_add(names, NULL);
-		send_query(d, s, a, names, now);
+		send_query(d, s, a, flow_job(d->conf.flow, s->job)->queue,
+		    names, now);
 	}
 	g_ptr_array_unref(names);
 }
@@ -342,7 +347,7 @@
 	for (guint i = 0; i < d->advisers->len; i++) {
 		struct adviser *a = d->advisers->pdata[i];
 
-		if (a->query != 0 && now - a->since_ms > QUERY_MS) {
+		if (a->query != 0 && now > a->due_ms) {
 			a->query = 0;
 			a->rest_ms = now + REST_MS;
 		}
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -1,9 +1,17 @@
 /* A placement round: what waits, in order, onto the workers' free room. */
+#include <math.h>
+
 #include "impl.h"
 
-#define PACE_WEIGHT 0.05 /* of one run in a worker's mean */
-#define PACE_MOST 4.0 /* one run counts as slow by this at most */
+#define PACE_WEIGHT 0.1 /* of one run in a worker's mean */
+#define PACE_MOST 8.0 /* one run counts as slow by this at most */
+#define STUCK_MS 1500 /* a run that makes no progress for so long is moved */
+#define STUCK_SHUN_MS 2000 /* its worker gets no new work for so long */
+#define PACE_FADE_MS 4000 /* what is known of a worker's pace fades */
+#define BELIEF_LEAST 20 /* runs seen before a worker is judged by them */
+#define MOVES_MAX 3 /* runs of one task that may be moved */
 #define STARTS_MAX 512 /* in one command */
+#define LOAD_LINE_MS 1000
 #define PERMIT_WORKERS 30 /* that an objective counts a query with */
 
 static struct plan_belief *
@@ -18,6 +26,26 @@
 	return b;
 }
 
+/* What is known of a worker's pace now: it fades towards the usual. */
+static double
+pace_now(const struct hand *h, int64_t now)
+{
+	double age = (double)(now - h->pace_ms) / PACE_FADE_MS;
+
+	return 1 + (h->pace - 1) * exp(-age);
+}
+
+/* Adds what one run showed. */
+static void
+pace_seen(struct hand *h, double pace, int64_t now)
+{
+	double known = pace_now(h, now);
+	double seen = MIN(pace, PACE_MOST);
+
+	h->pace = known + (seen - known) * PACE_WEIGHT;
+	h->pace_ms = now;
+}
+
 void
 round_learn(struct dispatch *d, const struct flow_job *job,
     const struct lrun *r, int64_t ran_ms)
@@ -34,8 +62,33 @@
 	plan_learn(b, step->runtime_ms, ran_ms);
 	if (step->gang && step->count > 1)
 		return;
-	r->hand->pace +=
-	    (MIN(pace, PACE_MOST) - r->hand->pace) * PACE_WEIGHT;
+	if (b->seen > BELIEF_LEAST)
+		pace_seen(r->hand, pace, mono_ms());
+}
+
+void
+round_progress(struct lrun *r, int64_t percent, int64_t now)
+{
+	struct dispatch *d = r->hand->d;
+	const struct flow_job *job = flow_job(d->conf.flow, r->of.job);
+	const struct flow_step *step;
+
+	if (r->percent_ms == 0 || percent != r->percent)
+		r->percent_ms = now;
+	r->percent = percent;
+	if (job == NULL || flow_over(job) || r->stopping || percent >= 100 ||
+	    r->of.run > MOVES_MAX || now - r->percent_ms < STUCK_MS)
+		return;
+	step = flow_step_of(job, r->of.step);
+	if (step->lasting || step->filler)
+		return;
+	log_info("dispatch",
+	    "event=stop run=%s worker=%s why=stuck percent=%" G_GINT64_FORMAT
+	    " still_ms=%" G_GINT64_FORMAT,
+	    run_name(&r->of), r->hand->name, percent, now - r->percent_ms);
+	d->meter.stops->value++;
+	r->hand->shun_ms = now + STUCK_SHUN_MS;
+	run_stop(r);
 }
 
 static int64_t
@@ -129,7 +182,7 @@
 		room->capacity = room->free = w->capacity;
 		resources_add(&room->free, &h->used, -1);
 		room->rack = rack_number(d, w->rack);
-		room->pace = h->pace;
+		room->pace = pace_now(h, rd->now);
 		g_ptr_array_add(rd->rooms, room);
 	}
 }
@@ -418,6 +471,45 @@
 	}
 }
 
+/* One line a second: how full the workers are, and what waits. */
+static void
+log_load(struct round *rd)
+{
+	struct dispatch *d = rd->d;
+	struct resources used = { 0 };
+	struct resources all = { 0 };
+	guint tiers[PLAN_FILLER + 1] = { 0 };
+	GHashTableIter iter;
+	gpointer value;
+
+	if (rd->now - d->load_ms < LOAD_LINE_MS)
+		return;
+	d->load_ms = rd->now;
+	g_hash_table_iter_init(&iter, d->hands);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct hand *h = value;
+
+		if (!hand_open(h, rd->now))
+			continue;
+		resources_add(&used, &h->used, 1);
+		resources_add(&all,
+		    &flow_worker(d->conf.flow, h->id)->capacity, 1);
+	}
+	for (guint i = 0; i < rd->claims->len; i++)
+		tiers[plan_tier(
+		    &g_array_index(rd->claims, struct claim, i).plan,
+		    rd->cell_now)]++;
+	log_info("dispatch",
+	    "event=load workers=%u runs=%u cores_used=%" G_GINT64_FORMAT
+	    " cores=%" G_GINT64_FORMAT " memory_used_mb=%" G_GINT64_FORMAT
+	    " memory_mb=%" G_GINT64_FORMAT
+	    " waiting_in_time=%u waiting_late=%u waiting_overdue=%u",
+	    g_hash_table_size(d->hands), g_hash_table_size(d->runs),
+	    used.millicpus / 1000, all.millicpus / 1000, used.memory >> 20,
+	    all.memory >> 20, tiers[PLAN_IN_TIME], tiers[PLAN_LATE],
+	    tiers[PLAN_OVERDUE]);
+}
+
 void
 round_run(struct dispatch *d, int64_t now)
 {
@@ -440,6 +532,7 @@
 	     i++)
 		serve_claim(&rd, &g_array_index(rd.claims, struct claim, i));
 	propose_starts(&rd);
+	log_load(&rd);
 	g_ptr_array_unref(rd.rooms);
 	g_array_unref(rd.claims);
 	g_array_unref(rd.starts);
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -272,6 +272,10 @@
 	order.payload = job->spec.payload;
 	order.saved = task->saved;
 	order.until_ms = hand_grant(h, now);
+	if (order.until_ms == 0) {
+		r->again_ms = now + AGAIN_MS;
+		return;
+	}
 	r->calling = true;
 	r->again_ms = 0;
 	send_order(h, &r->of, false, false, d->conf.agent->start(&order));
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -2,7 +2,6 @@
 
 #include "replica_impl.h"
 
-#define TICK_MS 100
 #define KEEP_PART 10 /* of the entries, kept for followers that lag */
 
 /*
@@ -429,6 +428,7 @@
 	r->name = g_strdup(conf->name);
 	r->snapshot_entries = conf->snapshot_entries;
 	r->gap_ms = conf->gap_ms;
+	r->tick_ms = conf->tick_ms;
 	if (conf->founders != NULL)
 		r->founders = g_ptr_array_ref(conf->founders);
 	r->absent = g_hash_table_new_full(
@@ -474,7 +474,7 @@
 void
 replica_start(struct replica *r)
 {
-	struct timeval tv = { .tv_usec = TICK_MS * 1000 };
+	struct timeval tv = { .tv_usec = r->tick_ms * 1000 };
 
 	replica_identify(r);
 	if (r->identity.node != 0)
--- a/lib/replica/replica.h
+++ b/lib/replica/replica.h
@@ -30,6 +30,8 @@
 	/* Between rounds of storing and sending under load: a longer gap costs
 	 * less processor time, a shorter one commits sooner. */
 	int64_t gap_ms;
+	/* An election starts after 10 to 20 ticks without a leader. */
+	int64_t tick_ms;
 	/* Names of the replicas that found a cell together (char *), or NULL:
 	 * the owner calls replica_found_alone() on one of them, and every
 	 * other connected replica is added to the membership. */
--- a/lib/replica/replica_impl.h
+++ b/lib/replica/replica_impl.h
@@ -11,6 +11,7 @@
 	char *name;
 	uint64_t snapshot_entries;
 	int64_t gap_ms;
+	int64_t tick_ms;
 	GPtrArray *founders; /* char *, or NULL */
 	const struct replica_ops *ops;
 	void *arg;
