--- a/lib/dispatch/asks.c
+++ b/lib/dispatch/asks.c
@@ -6,6 +6,21 @@
 #define JOB_DIGITS 16 /* of a job's id, hexadecimal */
 #define RETRY_MS 1000 /* told with a refusal that nothing better is known of */
 
+/*
+ * An answer about a job at work is held so long in case the job ends: callers
+ * ask when its last task has just ended, which takes a look and a commit to
+ * be known here, and would come back much later.
+ */
+#define STATE_HOLD_MS 150
+
+/* A caller that gets a job's state when it ends, or at the bound. */
+struct watcher {
+	uint64_t process;
+	uint64_t ask;
+	uint64_t job;
+	int64_t due_ms;
+};
+
 /* A read that waits until leadership is confirmed anew. */
 struct pending_read {
 	uint64_t process;
@@ -137,6 +152,19 @@
 	w->began_ms = mono_ms();
 }
 
+static void
+watch_job(struct dispatch *d, uint64_t process, const struct ask *ask,
+    uint64_t job)
+{
+	struct watcher *w = g_new0(struct watcher, 1);
+
+	*w = (struct watcher){ .process = process,
+		.ask = ask->id,
+		.job = job,
+		.due_ms = mono_ms() + STATE_HOLD_MS };
+	g_queue_push_tail(&d->watchers, w);
+}
+
 static void
 ask_state(struct dispatch *d, uint64_t process, const struct ask *ask)
 {
@@ -148,9 +176,52 @@
 	job = flow_job(d->conf.flow, id);
 	if (job == NULL)
 		reply_text(d, process, ask, ASK_NO_JOB, "");
-	else
+	else if (job->state != FLOW_RUNNING)
 		reply_text(
 		    d, process, ask, ASK_DONE, flow_state_name(job->state));
+	else
+		watch_job(d, process, ask, id);
+}
+
+static void
+tell_watcher(struct dispatch *d, struct watcher *w)
+{
+	const struct flow_job *job = flow_job(d->conf.flow, w->job);
+	struct ask ask = { .id = w->ask };
+
+	if (job == NULL)
+		reply_text(d, w->process, &ask, ASK_NO_JOB, "");
+	else
+		reply_text(d, w->process, &ask, ASK_DONE,
+		    flow_state_name(job->state));
+	g_free(w);
+}
+
+void
+asks_job_over(struct dispatch *d, const struct flow_job *job)
+{
+	GList *next;
+
+	for (GList *i = d->watchers.head; i != NULL; i = next) {
+		struct watcher *w = i->data;
+
+		next = i->next;
+		if (w->job != job->id)
+			continue;
+		g_queue_delete_link(&d->watchers, i);
+		tell_watcher(d, w);
+	}
+}
+
+/* All are held for as long: the first is due first. */
+void
+asks_scan(struct dispatch *d, int64_t now)
+{
+	struct watcher *w;
+
+	while ((w = g_queue_peek_head(&d->watchers)) != NULL &&
+	    w->due_ms <= now)
+		tell_watcher(d, g_queue_pop_head(&d->watchers));
 }
 
 static void
@@ -419,6 +490,7 @@
 asks_drop(struct dispatch *d)
 {
 	g_queue_clear_full(&d->reads, g_free);
+	g_queue_clear_full(&d->watchers, g_free);
 }
 
 typedef void ask_fn(
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -177,6 +177,7 @@
 	hands_scan(d, now);
 	runs_scan(d, now);
 	permits_scan(d, now);
+	asks_scan(d, now);
 	flow_each_open(d->conf.flow, open_due, d);
 	sweep(d, now);
 	d->meter.running->value = g_hash_table_size(d->runs);
@@ -198,6 +199,7 @@
 		    job->ended_ms - job->accepted_ms,
 		    round_objective_ms(d, job));
 		permits_forget(d, job);
+		asks_job_over(d, job);
 	}
 	dispatch_dirty(d);
 }
@@ -442,6 +444,7 @@
 	d->arg = arg;
 	d->advisers = g_ptr_array_new_with_free_func(adviser_free);
 	g_queue_init(&d->reads);
+	g_queue_init(&d->watchers);
 	meters_new(&d->meter, conf->registry);
 	d->timer = event_new(conf->base, -1, EV_PERSIST, on_timer, d);
 	event_add(d->timer, &tv);
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -175,6 +175,7 @@
 	GPtrArray *advisers; /* struct adviser; kept when not leading */
 	uint64_t last_query;
 	GQueue reads; /* struct pending_read, until leadership is confirmed */
+	GQueue watchers; /* struct watcher: callers that ask for a job's state */
 	uint64_t context; /* of the last confirmation asked for */
 	int64_t context_sent_ms; /* boot clock */
 	bool confirming;
@@ -309,5 +310,8 @@
 void asks_take(struct dispatch *d, uint64_t process, const struct ask *ask);
 void asks_confirmed(struct dispatch *d, bool ok);
 void asks_drop(struct dispatch *d);
+/* Answers those who wait for a job that is over now. */
+void asks_job_over(struct dispatch *d, const struct flow_job *job);
+void asks_scan(struct dispatch *d, int64_t now);
 
 #endif
