--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -222,8 +222,7 @@
 	on_session_down };
 
 static bool
-on_apply(
-    void *arg, uint64_t index, const void *data, size_t len, GError **err)
+on_apply(void *arg, uint64_t index, const void *data, size_t len, GError **err)
 {
 	struct node *node = arg;
 	struct cell_result result = { 0 };
@@ -317,9 +316,9 @@
 
 	for (guint i = 0; i < conf->replicas->len; i++)
 		g_ptr_array_add(names,
-		    g_strdup(g_array_index(
-			conf->replicas, struct named_replica, i)
-				 .name));
+		    g_strdup(
+			g_array_index(conf->replicas, struct named_replica, i)
+			    .name));
 	return names;
 }
 
--- a/lib/cellnode/advise.c
+++ b/lib/cellnode/advise.c
@@ -17,8 +17,8 @@
 };
 
 struct adviser_client *
-adviser_new(struct event_base *base, const char *address,
-    const struct agent_ops *agent)
+adviser_new(
+    struct event_base *base, const char *address, const struct agent_ops *agent)
 {
 	struct adviser_client *c = g_new0(struct adviser_client, 1);
 	GError *err = NULL;
@@ -52,8 +52,7 @@
 	bool ok;
 
 	agent_permits_init(&permits);
-	ok = status == 200 &&
-	    call->client->agent->permits(body, len, &permits);
+	ok = status == 200 && call->client->agent->permits(body, len, &permits);
 	if (!ok)
 		log_info("advise",
 		    "event=policy-call-failed query=%" G_GUINT64_FORMAT
@@ -77,7 +76,8 @@
 		return;
 	}
 	call = g_new0(struct call, 1);
-	*call = (struct call){ .client = c, .query = query, .fn = fn, .arg = arg };
+	*call =
+	    (struct call){ .client = c, .query = query, .fn = fn, .arg = arg };
 	body = c->agent->advise(q);
 	http_send(c->peer, EVHTTP_REQ_POST, c->agent->advise_path, NULL, body,
 	    strlen(body), CALL_MS, on_answer, call);
--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -2,7 +2,8 @@
 
 #define SCAN_MS 25 /* asks, founding, the graceful stop */
 #define FOUND_AFTER_MS 400 /* all processes have started by then */
-#define COMMIT_GAP_MS 2 /* a job waits for three commits; a sync takes 6 to 9 */
+#define COMMIT_GAP_MS 2 /* a job waits for three commits; a sync takes 6 to 9 \
+			 */
 /* An election after 400 to 800 ms: urgent jobs have under 2 s in all, and a
  * follower answers within two syncs, 20 ms. */
 #define REPLICA_TICK_MS 40
@@ -11,8 +12,7 @@
 /* --- consensus and state --- */
 
 static bool
-on_apply(
-    void *arg, uint64_t index, const void *data, size_t len, GError **err)
+on_apply(void *arg, uint64_t index, const void *data, size_t len, GError **err)
 {
 	struct cellnode *n = arg;
 	enum flow_outcome outcome;
@@ -347,9 +347,9 @@
 	shape_clear(frame_shape(type), &msg);
 }
 
-static const struct mesh_ops mesh_ops = { .raft = on_raft,
-	.frame = on_frame,
-	.link = on_link };
+static const struct mesh_ops mesh_ops = {
+	.raft = on_raft, .frame = on_frame, .link = on_link
+};
 
 /* --- dispatch --- */
 
@@ -377,8 +377,8 @@
 }
 
 static bool
-on_consult(void *arg, uint64_t process, uint64_t query,
-    const struct agent_query *q)
+on_consult(
+    void *arg, uint64_t process, uint64_t query, const struct agent_query *q)
 {
 	struct cellnode *n = arg;
 	struct consult msg = { .query = query,
@@ -601,8 +601,7 @@
 	n->dispatch = dispatch_new(&dc, &dispatch_ops, n);
 	dispatch_process(n->dispatch, 0, true);
 	n->mesh = mesh_new(&mc, &mesh_ops, n, err);
-	if (n->mesh == NULL ||
-	    (mc.replica && !open_replica(n, conf, err))) {
+	if (n->mesh == NULL || (mc.replica && !open_replica(n, conf, err))) {
 		cellnode_free(n);
 		return NULL;
 	}
--- a/lib/cellnode/frames.c
+++ b/lib/cellnode/frames.c
@@ -1,9 +1,9 @@
 /* How frames between the processes of a cell are written. */
 #include "impl.h"
 
-#define AT(type, member, kind)                                                 \
-	{                                                                      \
-		kind, offsetof(struct type, member)                            \
+#define AT(type, member, kind)                      \
+	{                                           \
+		kind, offsetof(struct type, member) \
 	}
 
 static const struct field ask_fields[] = { AT(ask, id, FIELD_U64),
--- a/lib/cellnode/gate.c
+++ b/lib/cellnode/gate.c
@@ -47,9 +47,8 @@
 	struct answer a = { .id = p->ask.id,
 		.result = p->sent ? ASK_UNCLEAR : ASK_UNAVAILABLE };
 
-	log_info("gate",
-	    "event=ask-given-up op=%u path=%s result=%s", p->ask.op,
-	    p->ask.path, p->sent ? "unclear" : "not-taken");
+	log_info("gate", "event=ask-given-up op=%u path=%s result=%s",
+	    p->ask.op, p->ask.path, p->sent ? "unclear" : "not-taken");
 	a.text = g_bytes_new_static("", 0);
 	p->fn(p->arg, &a);
 	g_bytes_unref(a.text);
--- a/lib/cellnode/impl.h
+++ b/lib/cellnode/impl.h
@@ -75,8 +75,8 @@
 guint gate_pending(const struct gate *g);
 
 /* advise.c */
-struct adviser_client *adviser_new(
-    struct event_base *base, const char *address, const struct agent_ops *agent);
+struct adviser_client *adviser_new(struct event_base *base, const char *address,
+    const struct agent_ops *agent);
 void adviser_free(struct adviser_client *c);
 /* Consults the policy service; permits are NULL if there was no answer. */
 void adviser_ask(struct adviser_client *c, const struct agent_query *q,
--- a/lib/dispatch/asks.c
+++ b/lib/dispatch/asks.c
@@ -4,7 +4,8 @@
 #include "impl.h"
 
 #define JOB_DIGITS 16 /* of a job's id, hexadecimal */
-#define RETRY_MS 1000 /* told with a refusal that nothing better is known of */
+#define RETRY_MS 1000 /* told with a refusal that nothing better is known of \
+		       */
 
 /*
  * An answer about a job at work is held so long in case the job ends: callers
@@ -61,8 +62,8 @@
 
 /* Finds queue and job of an ask; answers it and returns NULL if it can't. */
 static const struct flow_queue *
-route(struct dispatch *d, uint64_t process, const struct ask *ask,
-    uint64_t *job)
+route(
+    struct dispatch *d, uint64_t process, const struct ask *ask, uint64_t *job)
 {
 	const char *rest = NULL;
 	const struct flow_queue *q =
@@ -153,8 +154,8 @@
 }
 
 static void
-watch_job(struct dispatch *d, uint64_t process, const struct ask *ask,
-    uint64_t job)
+watch_job(
+    struct dispatch *d, uint64_t process, const struct ask *ask, uint64_t job)
 {
 	struct watcher *w = g_new0(struct watcher, 1);
 
@@ -192,8 +193,8 @@
 	if (job == NULL)
 		reply_text(d, w->process, &ask, ASK_NO_JOB, "");
 	else
-		reply_text(d, w->process, &ask, ASK_DONE,
-		    flow_state_name(job->state));
+		reply_text(
+		    d, w->process, &ask, ASK_DONE, flow_state_name(job->state));
 	g_free(w);
 }
 
@@ -219,8 +220,8 @@
 {
 	struct watcher *w;
 
-	while ((w = g_queue_peek_head(&d->watchers)) != NULL &&
-	    w->due_ms <= now)
+	while (
+	    (w = g_queue_peek_head(&d->watchers)) != NULL && w->due_ms <= now)
 		tell_watcher(d, g_queue_pop_head(&d->watchers));
 }
 
@@ -247,8 +248,8 @@
 		return;
 	job = flow_job(d->conf.flow, id);
 	if (job == NULL || flow_over(job)) {
-		reply_text(d, process, ask,
-		    job == NULL ? ASK_NO_JOB : ASK_DONE, "");
+		reply_text(
+		    d, process, ask, job == NULL ? ASK_NO_JOB : ASK_DONE, "");
 		return;
 	}
 	cmd.u.cancel = id;
@@ -278,8 +279,8 @@
 			reply_text(d, process, ask, ASK_NO_JOB, "");
 		return;
 	}
-	g_snprintf(number, sizeof(number), "%u",
-	    flow_waiting(d->conf.flow, q->name));
+	g_snprintf(
+	    number, sizeof(number), "%u", flow_waiting(d->conf.flow, q->name));
 	reply_text(d, process, ask, ASK_DONE, number);
 }
 
@@ -356,8 +357,9 @@
 	flow_each_worker(d->conf.flow, find_later, &later);
 	if (later.found || (known != NULL && known->born_ms > in->born_ms)) {
 		log_info("dispatch",
-		    "event=word-of-an-earlier-life worker=%s born=%"
-		    G_GINT64_FORMAT, in->name, in->born_ms);
+		    "event=word-of-an-earlier-life worker=%s "
+		    "born=%" G_GINT64_FORMAT,
+		    in->name, in->born_ms);
 		reply_text(d, process, ask, ASK_DONE, "");
 		return;
 	}
@@ -459,9 +461,9 @@
 {
 	struct pending_read *r = g_new0(struct pending_read, 1);
 
-	*r = (struct pending_read){ .process = process,
-		.ask = ask->id,
-		.context = d->context + 1 };
+	*r = (struct pending_read){
+		.process = process, .ask = ask->id, .context = d->context + 1
+	};
 	g_queue_push_tail(&d->reads, r);
 	dispatch_advanced(d);
 }
@@ -493,8 +495,8 @@
 	g_queue_clear_full(&d->watchers, g_free);
 }
 
-typedef void ask_fn(
-    struct dispatch *d, uint64_t process, const struct ask *ask);
+typedef void
+ask_fn(struct dispatch *d, uint64_t process, const struct ask *ask);
 
 static ask_fn *const rows[ASK_OP_COUNT] = {
 	[ASK_SUBMIT] = ask_submit,
@@ -510,8 +512,8 @@
 void
 asks_take(struct dispatch *d, uint64_t process, const struct ask *ask)
 {
-	if (ask->op >= ASK_OP_COUNT || ask->host == NULL ||
-	    ask->path == NULL || ask->body == NULL) {
+	if (ask->op >= ASK_OP_COUNT || ask->host == NULL || ask->path == NULL ||
+	    ask->body == NULL) {
 		reply_text(d, process, ask, ASK_INVALID, "malformed ask");
 		return;
 	}
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -21,9 +21,8 @@
 {
 	static char text[64];
 
-	g_snprintf(text, sizeof(text),
-	    "%016" G_GINT64_MODIFIER "x.%u.%u.%u/%u", of->job, of->round,
-	    of->step, of->index, of->run);
+	g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x.%u.%u.%u/%u",
+	    of->job, of->round, of->step, of->index, of->run);
 	return text;
 }
 
@@ -113,7 +112,8 @@
 {
 	if (d->confirming && now - d->context_sent_ms < AUTHORITY_MS)
 		return;
-	if (now - d->context_sent_ms < CONFIRM_MS && g_queue_is_empty(&d->reads))
+	if (now - d->context_sent_ms < CONFIRM_MS &&
+	    g_queue_is_empty(&d->reads))
 		return;
 	d->context_sent_ms = now;
 	d->confirming = d->ops->confirm(d->arg, ++d->context);
@@ -205,8 +205,7 @@
 }
 
 static void
-on_started(
-    void *arg, const struct flow_job *job, const struct flow_start *s)
+on_started(void *arg, const struct flow_job *job, const struct flow_start *s)
 {
 	struct dispatch *d = arg;
 	struct lrun *r = run_find(d, &s->of);
@@ -217,8 +216,7 @@
 
 		if (h == NULL)
 			return;
-		r = run_add(
-		    d, h, &s->of, &flow_step_of(job, s->of.step)->need);
+		r = run_add(d, h, &s->of, &flow_step_of(job, s->of.step)->need);
 	}
 	r->state = RUN_ORDERED;
 	r->started_ms = mono_ms();
@@ -316,15 +314,14 @@
 	d->runs = g_hash_table_new(run_hash, run_equal);
 	d->sets = g_hash_table_new_full(
 	    permit_hash, permit_equal, NULL, permit_set_free);
-	d->waits = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, wait_free);
+	d->waits =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, wait_free);
 	d->health = health_new(&health_defaults);
 	d->beliefs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	d->racks =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	d->cancels = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, NULL);
+	d->racks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	d->cancels =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	for (guint i = 0; i < d->advisers->len; i++)
 		((struct adviser *)d->advisers->pdata[i])->query = 0;
 	flow_set_watch(d->conf.flow, &watch, d);
@@ -391,13 +388,13 @@
 {
 	m->accepted = counter_new(r, COUNTER_TOTAL,
 	    "bulrushtide_step_jobs_accepted_total", "", "Jobs made durable.");
-	m->refused = counter_new(r, COUNTER_TOTAL,
-	    "bulrushtide_step_jobs_refused_total", "",
-	    "Jobs refused before they had any effect.");
+	m->refused =
+	    counter_new(r, COUNTER_TOTAL, "bulrushtide_step_jobs_refused_total",
+		"", "Jobs refused before they had any effect.");
 	m->starts = counter_new(r, COUNTER_TOTAL,
 	    "bulrushtide_step_starts_total", "", "Runs assigned to workers.");
-	m->stops = counter_new(r, COUNTER_TOTAL,
-	    "bulrushtide_step_stops_total", "", "Runs told to stop.");
+	m->stops = counter_new(r, COUNTER_TOTAL, "bulrushtide_step_stops_total",
+	    "", "Runs told to stop.");
 	m->lost = counter_new(r, COUNTER_TOTAL, "bulrushtide_step_lost_total",
 	    "", "Runs that ended with their worker or its lease.");
 	m->failed = counter_new(r, COUNTER_TOTAL,
@@ -407,15 +404,15 @@
 	    "Orders sent again for want of an answer.");
 	m->looks = counter_new(r, COUNTER_TOTAL, "bulrushtide_step_looks_total",
 	    "", "Looks at workers.");
-	m->consults = counter_new(r, COUNTER_TOTAL,
-	    "bulrushtide_step_consults_total", "",
-	    "Calls to the policy service.");
+	m->consults =
+	    counter_new(r, COUNTER_TOTAL, "bulrushtide_step_consults_total", "",
+		"Calls to the policy service.");
 	m->running = counter_new(r, COUNTER_GAUGE, "bulrushtide_step_running",
 	    "", "Runs held or reserved now.");
 	m->waiting = counter_new(r, COUNTER_GAUGE, "bulrushtide_step_waiting",
 	    "", "Steps that wait for room or a permit.");
-	m->workers = counter_new(r, COUNTER_GAUGE, "bulrushtide_step_workers",
-	    "", "Workers known.");
+	m->workers = counter_new(
+	    r, COUNTER_GAUGE, "bulrushtide_step_workers", "", "Workers known.");
 	m->wait = timer_new(r, "bulrushtide_step_wait_seconds", "",
 	    "Time from a job's acceptance to its first start.");
 	m->commit = timer_new(r, "bulrushtide_step_commit_seconds", "",
@@ -433,8 +430,8 @@
 }
 
 struct dispatch *
-dispatch_new(const struct dispatch_conf *conf, const struct dispatch_ops *ops,
-    void *arg)
+dispatch_new(
+    const struct dispatch_conf *conf, const struct dispatch_ops *ops, void *arg)
 {
 	struct timeval tv = { .tv_usec = SCAN_MS * 1000 };
 	struct dispatch *d = g_new0(struct dispatch, 1);
--- a/lib/dispatch/hands.c
+++ b/lib/dispatch/hands.c
@@ -178,8 +178,8 @@
 
 	for (int i = 0; i < ORDER_LINES; i++) {
 		if (h->line[i] == NULL)
-			h->line[i] = http_peer_new(
-			    h->d->conf.base, h->address, NULL);
+			h->line[i] =
+			    http_peer_new(h->d->conf.base, h->address, NULL);
 		if (http_peer_outstanding(h->line[i]) == 0)
 			return h->line[i];
 		if (http_peer_outstanding(h->line[i]) <
@@ -197,16 +197,16 @@
 
 	for (guint i = 0; i < h->runs->len; i++) {
 		struct lrun *r = h->runs->pdata[i];
-		struct flow_end e = { .of = r->of,
-			.how = FLOW_END_STOPPED,
-			.saved = r->saved };
+		struct flow_end e = {
+			.of = r->of, .how = FLOW_END_STOPPED, .saved = r->saved
+		};
 
 		if (r->state == RUN_ENDING || r->state == RUN_PROPOSED)
 			continue;
 		h->d->meter.lost->value++;
 		log_warn("dispatch",
-		    "event=run-lost run=%s worker=%s why=\"%s\" silent_ms=%"
-		    G_GINT64_FORMAT,
+		    "event=run-lost run=%s worker=%s why=\"%s\" "
+		    "silent_ms=%" G_GINT64_FORMAT,
 		    run_name(&r->of), h->name, why,
 		    h->heard_ms == 0 ? -1 : mono_ms() - h->heard_ms);
 		g_array_append_val(ends, e);
@@ -275,8 +275,8 @@
 	if (e->how == AGENT_FAILED)
 		d->meter.failed->value++;
 	changes = g_array_new(FALSE, TRUE, sizeof(struct health_change));
-	health_ended(d->health, h->id, e->of.job, e->how == AGENT_DONE, now,
-	    changes);
+	health_ended(
+	    d->health, h->id, e->of.job, e->how == AGENT_DONE, now, changes);
 	for (guint i = 0; i < changes->len; i++) {
 		struct health_change *c =
 		    &g_array_index(changes, struct health_change, i);
@@ -316,9 +316,9 @@
 	for (guint i = 0; i < report->ends->len; i++) {
 		struct agent_end *e =
 		    &g_array_index(report->ends, struct agent_end, i);
-		struct flow_end end = { .of = e->of,
-			.how = how_of(e->how),
-			.saved = e->saved };
+		struct flow_end end = {
+			.of = e->of, .how = how_of(e->how), .saved = e->saved
+		};
 		struct lrun *r = run_find(d, &e->of);
 
 		if (r != NULL && r->of.run == e->of.run && r->hand == h)
@@ -414,8 +414,8 @@
 	h->heard_ms = now;
 	if (first)
 		log_info("dispatch",
-		    "event=worker-held worker=%s running=%u ends=%u",
-		    h->name, report->running->len, report->ends->len);
+		    "event=worker-held worker=%s running=%u ends=%u", h->name,
+		    report->running->len, report->ends->len);
 	take_ends(h, report, now);
 	take_running(h, report, now);
 	take_missing(h, now);
@@ -435,9 +435,8 @@
 {
 	struct look *l = arg;
 	struct dispatch *d = l->d;
-	struct hand *h = d->active && d->term == l->term
-	    ? hand_find(d, l->worker)
-	    : NULL;
+	struct hand *h =
+	    d->active && d->term == l->term ? hand_find(d, l->worker) : NULL;
 	int64_t now = mono_ms();
 	int64_t clock_ms = -1;
 	enum agent_verdict v;
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -175,7 +175,8 @@
 	GPtrArray *advisers; /* struct adviser; kept when not leading */
 	uint64_t last_query;
 	GQueue reads; /* struct pending_read, until leadership is confirmed */
-	GQueue watchers; /* struct watcher: callers that ask for a job's state */
+	GQueue
+	    watchers; /* struct watcher: callers that ask for a job's state */
 	uint64_t context; /* of the last confirmation asked for */
 	int64_t context_sent_ms; /* boot clock */
 	bool confirming;
@@ -243,13 +244,14 @@
 void hand_fenced(struct hand *h);
 
 /* permits.c */
-struct permit_set *permits_of(
-    struct dispatch *d, const struct flow_job *job, uint32_t round, uint32_t step);
+struct permit_set *permits_of(struct dispatch *d, const struct flow_job *job,
+    uint32_t round, uint32_t step);
 /* The permit for a worker that holds for a while, or NULL. */
 const char *
 permit_for(const struct permit_set *s, uint32_t worker, int64_t now);
 /* The permit was refused by the worker. */
-void permit_void(struct dispatch *d, const struct flow_run *of, uint32_t worker);
+void
+permit_void(struct dispatch *d, const struct flow_run *of, uint32_t worker);
 /* Asks about workers that have room (struct plan_room *), if it may help. */
 void permits_want(struct dispatch *d, struct permit_set *s,
     const struct plan_need *need, GPtrArray *rooms, int64_t now);
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -52,7 +52,9 @@
 permits_of(struct dispatch *d, const struct flow_job *job, uint32_t round,
     uint32_t step)
 {
-	struct permit_set key = { .job = job->id, .round = round, .step = step };
+	struct permit_set key = {
+		.job = job->id, .round = round, .step = step
+	};
 	struct permit_set *s = g_hash_table_lookup(d->sets, &key);
 
 	if (s != NULL)
@@ -84,9 +86,9 @@
 void
 permit_void(struct dispatch *d, const struct flow_run *of, uint32_t worker)
 {
-	struct permit_set key = { .job = of->job,
-		.round = of->round,
-		.step = of->step };
+	struct permit_set key = {
+		.job = of->job, .round = of->round, .step = of->step
+	};
 	struct permit_set *s = g_hash_table_lookup(d->sets, &key);
 	struct permit *p = s == NULL
 	    ? NULL
@@ -155,7 +157,8 @@
 	const struct plan_room *x = *(struct plan_room *const *)a;
 	const struct plan_room *y = *(struct plan_room *const *)b;
 
-	return x->free.millicpus > y->free.millicpus ? -1
+	return x->free.millicpus > y->free.millicpus
+	    ? -1
 	    : x->free.millicpus < y->free.millicpus;
 }
 
@@ -195,8 +198,9 @@
 		(queue->advice_ms + queue->advice_worker_ms * names->len));
 	d->meter.consults->value++;
 	log_info("dispatch",
-	    "event=consult query=%" G_GUINT64_FORMAT " step=%016"
-	    G_GINT64_MODIFIER "x.%u.%u workers=%u process=%" G_GUINT64_FORMAT,
+	    "event=consult query=%" G_GUINT64_FORMAT
+	    " step=%016" G_GINT64_MODIFIER
+	    "x.%u.%u workers=%u process=%" G_GUINT64_FORMAT,
 	    query, s->job, s->round, s->step, names->len - 1, a->process);
 }
 
@@ -233,8 +237,8 @@
 	}
 	if (names->len > 0 && (!need->gang || found >= need->count)) {
 		g_ptr_array_add(names, NULL);
-		send_query(d, s, a, flow_job(d->conf.flow, s->job)->queue,
-		    names, now);
+		send_query(
+		    d, s, a, flow_job(d->conf.flow, s->job)->queue, names, now);
 	}
 	g_ptr_array_unref(names);
 }
@@ -257,8 +261,8 @@
 {
 	struct permit_set *s = set_of_query(d, query);
 
-	log_info("dispatch",
-	    "event=consult-failed query=%" G_GUINT64_FORMAT, query);
+	log_info(
+	    "dispatch", "event=consult-failed query=%" G_GUINT64_FORMAT, query);
 	if (s == NULL)
 		return;
 	s->query = 0;
@@ -323,17 +327,18 @@
 	if (job == NULL)
 		return;
 	s->query = 0;
-	valid = permits->valid_ms > 0 ? permits->valid_ms
-				      : job->queue->ticket_ms;
+	valid =
+	    permits->valid_ms > 0 ? permits->valid_ms : job->queue->ticket_ms;
 	for (guint i = 0; i < permits->good->len; i++)
 		keep_permit(d, s,
 		    &g_array_index(permits->good, struct agent_permit, i),
 		    now + valid - MARGIN_MS);
 	bar_others(s);
 	log_info("dispatch",
-	    "event=permits query=%" G_GUINT64_FORMAT " step=%016"
-	    G_GINT64_MODIFIER "x.%u.%u asked=%u good=%u valid_ms=%"
-	    G_GINT64_FORMAT, query, s->job, s->round, s->step, s->asking->len,
+	    "event=permits query=%" G_GUINT64_FORMAT
+	    " step=%016" G_GINT64_MODIFIER
+	    "x.%u.%u asked=%u good=%u valid_ms=%" G_GINT64_FORMAT,
+	    query, s->job, s->round, s->step, s->asking->len,
 	    permits->good->len, valid);
 }
 
@@ -358,8 +363,9 @@
 		bool alive = s->query == 0;
 
 		for (guint i = 0; !alive && i < d->advisers->len; i++)
-			alive = ((struct adviser *)d->advisers->pdata[i])
-				    ->query == s->query;
+			alive =
+			    ((struct adviser *)d->advisers->pdata[i])->query ==
+			    s->query;
 		if (!alive) {
 			s->query = 0;
 			s->again_ms = now + AGAIN_MS;
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -57,8 +57,8 @@
 	/* One that went on from a checkpoint tells of a part only. */
 	if (step->lasting || (step->checkpoints && r->of.run > 1))
 		return;
-	pace = (double)ran_ms /
-	    (double)MAX(plan_expect(b, step->runtime_ms), 1);
+	pace =
+	    (double)ran_ms / (double)MAX(plan_expect(b, step->runtime_ms), 1);
 	plan_learn(b, step->runtime_ms, ran_ms);
 	if (step->gang && step->count > 1)
 		return;
@@ -94,9 +94,9 @@
 static int64_t
 permit_ms(const struct flow_queue *q)
 {
-	return q->advised ? (int64_t)(q->advice_ms +
-				PERMIT_WORKERS * q->advice_worker_ms)
-			  : 0;
+	return q->advised
+	    ? (int64_t)(q->advice_ms + PERMIT_WORKERS * q->advice_worker_ms)
+	    : 0;
 }
 
 /* The longest chain of work of a job, or of what is open in an occurrence. */
@@ -154,8 +154,7 @@
 		return 0;
 	known = g_hash_table_lookup(d->racks, rack);
 	if (known == NULL) {
-		known =
-		    GUINT_TO_POINTER(g_hash_table_size(d->racks) + 1);
+		known = GUINT_TO_POINTER(g_hash_table_size(d->racks) + 1);
 		g_hash_table_insert(d->racks, g_strdup(rack), known);
 	}
 	return GPOINTER_TO_UINT(known);
@@ -274,8 +273,8 @@
 
 /* The rooms that the step's declaration and queue allow. */
 static GPtrArray *
-allowed_rooms(struct round *rd, const struct claim *c,
-    const struct flow_step *step)
+allowed_rooms(
+    struct round *rd, const struct claim *c, const struct flow_step *step)
 {
 	GPtrArray *out = g_ptr_array_new();
 
@@ -463,8 +462,8 @@
 		return;
 	}
 	for (guint i = 0; i < rd->starts->len; i++) {
-		struct lrun *r = run_find(rd->d,
-		    &g_array_index(rd->starts, struct flow_start, i).of);
+		struct lrun *r = run_find(
+		    rd->d, &g_array_index(rd->starts, struct flow_start, i).of);
 
 		if (r != NULL)
 			run_remove(r);
@@ -492,8 +491,8 @@
 		if (!hand_open(h, rd->now))
 			continue;
 		resources_add(&used, &h->used, 1);
-		resources_add(&all,
-		    &flow_worker(d->conf.flow, h->id)->capacity, 1);
+		resources_add(
+		    &all, &flow_worker(d->conf.flow, h->id)->capacity, 1);
 	}
 	for (guint i = 0; i < rd->claims->len; i++)
 		tiers[plan_tier(
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -20,8 +20,8 @@
 	const struct flow_run *x = &((const struct lrun *)a)->of;
 	const struct flow_run *y = &((const struct lrun *)b)->of;
 
-	return x->job == y->job && x->round == y->round &&
-	    x->step == y->step && x->index == y->index;
+	return x->job == y->job && x->round == y->round && x->step == y->step &&
+	    x->index == y->index;
 }
 
 /* Finds what is known of a task's present run, whatever its number. */
@@ -259,9 +259,9 @@
 	int64_t now = mono_ms();
 	const struct flow_job *job = flow_job(d->conf.flow, r->of.job);
 	const struct flow_task *task = flow_task(d->conf.flow, &r->of, NULL);
-	struct agent_start order = { .of = r->of,
-		.fence = d->term,
-		.permit = r->permit };
+	struct agent_start order = {
+		.of = r->of, .fence = d->term, .permit = r->permit
+	};
 
 	if (r->calling || task == NULL)
 		return;
--- a/lib/dispatch/yield.c
+++ b/lib/dispatch/yield.c
@@ -22,9 +22,9 @@
 static void
 keep(struct hand *h, const struct claim *c, int64_t now)
 {
-	h->hold = (struct flow_run){ .job = c->job->id,
-		.round = c->round->number,
-		.step = c->step };
+	h->hold = (struct flow_run){
+		.job = c->job->id, .round = c->round->number, .step = c->step
+	};
 	h->hold_ms = now + KEEP_MS;
 }
 
@@ -116,8 +116,8 @@
 		if (!v->chosen)
 			continue;
 		log_info("dispatch",
-		    "event=stop run=%s worker=%s why=makes-way for=%016"
-		    G_GINT64_MODIFIER "x",
+		    "event=stop run=%s worker=%s why=makes-way "
+		    "for=%016" G_GINT64_MODIFIER "x",
 		    run_name(&r->of), r->hand->name, c->job->id);
 		r->hand->d->meter.stops->value++;
 		r->yielded = true;
@@ -170,8 +170,8 @@
 }
 
 void
-yield_for(struct round *rd, const struct claim *c,
-    const struct plan_need *need, GPtrArray *rooms, struct permit_set *set)
+yield_for(struct round *rd, const struct claim *c, const struct plan_need *need,
+    GPtrArray *rooms, struct permit_set *set)
 {
 	struct plan_site *sites;
 	struct plan_room *copies;
--- a/lib/flow/command.c
+++ b/lib/flow/command.c
@@ -158,8 +158,8 @@
 static void
 put_job(msgpack_packer *pk, const struct flow_cmd *cmd)
 {
-	msgpack_pack_uint64(pk,
-	    cmd->type == FLOW_CMD_CANCEL ? cmd->u.cancel : cmd->u.round);
+	msgpack_pack_uint64(
+	    pk, cmd->type == FLOW_CMD_CANCEL ? cmd->u.cancel : cmd->u.round);
 }
 
 static void
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -209,8 +209,8 @@
 }
 
 bool
-flow_ready(const struct flow_job *job, const struct flow_round *round,
-    uint32_t step)
+flow_ready(
+    const struct flow_job *job, const struct flow_round *round, uint32_t step)
 {
 	const struct flow_step *s = flow_step_of(job, step);
 
@@ -488,8 +488,8 @@
 		member.index = i;
 		if (st->task[i].state == FLOW_HELD &&
 		    st->task[i].run == of->run)
-			release(f, job, round, &member, FLOW_DONE,
-			    FLOW_END_DONE);
+			release(
+			    f, job, round, &member, FLOW_DONE, FLOW_END_DONE);
 	}
 }
 
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -256,8 +256,8 @@
 int64_t flow_time_ms(const struct flow *f); /* of the last command */
 const struct flow_config *flow_config(const struct flow *f);
 /* Finds the queue of a host and the longest prefix; rest is what follows. */
-const struct flow_queue *flow_route(
-    const struct flow *f, const char *host, const char *path, const char **rest);
+const struct flow_queue *flow_route(const struct flow *f, const char *host,
+    const char *path, const char **rest);
 const struct flow_pool *flow_pool_named(const struct flow *f, const char *name);
 const struct flow_worker *flow_worker(const struct flow *f, uint32_t id);
 const struct flow_worker *
@@ -275,12 +275,13 @@
 /* Jobs of a queue for which nothing has started. */
 uint32_t flow_waiting(const struct flow *f, const char *queue);
 
-const struct flow_round *flow_round(const struct flow_job *job, uint32_t number);
+const struct flow_round *
+flow_round(const struct flow_job *job, uint32_t number);
 const struct flow_task *flow_task(const struct flow *f,
     const struct flow_run *run, const struct flow_job **job);
 /* Says whether all steps that a step waits for are done. */
-bool flow_ready(const struct flow_job *job, const struct flow_round *round,
-    uint32_t step);
+bool flow_ready(
+    const struct flow_job *job, const struct flow_round *round, uint32_t step);
 static inline const struct flow_step *
 flow_step_of(const struct flow_job *job, uint32_t step)
 {
--- a/lib/flow/snapshot.c
+++ b/lib/flow/snapshot.c
@@ -34,8 +34,7 @@
 		struct flow_task *t = &st->task[i];
 		struct reader row = get_array(&a);
 
-		t->state =
-		    (enum flow_task_state)get_below(&row, FLOW_DONE + 1);
+		t->state = (enum flow_task_state)get_below(&row, FLOW_DONE + 1);
 		t->run = (uint32_t)get_u64(&row);
 		t->failures = (uint32_t)get_u64(&row);
 		t->worker = (uint32_t)get_u64(&row);
@@ -240,7 +239,8 @@
 		count[st->task[i].state]++;
 		if ((st->task[i].state == FLOW_HELD) !=
 		    (st->task[i].worker != 0))
-			return off(err, job, "a task's worker and state differ");
+			return off(
+			    err, job, "a task's worker and state differ");
 	}
 	if (count[FLOW_PENDING] != st->pending ||
 	    count[FLOW_HELD] != st->held || count[FLOW_DONE] != st->done)
--- a/lib/flow/spec.c
+++ b/lib/flow/spec.c
@@ -196,8 +196,8 @@
 	q->advice_ms = get_double(&a);
 	q->advice_worker_ms = get_double(&a);
 	q->ticket_ms = get_amount(&a);
-	r->ok = r->ok && codec_done(&a) && q->name != NULL &&
-	    q->host != NULL && q->prefix != NULL && q->pool != NULL;
+	r->ok = r->ok && codec_done(&a) && q->name != NULL && q->host != NULL &&
+	    q->prefix != NULL && q->pool != NULL;
 	return q;
 }
 
@@ -371,30 +371,30 @@
 }
 
 /* Encodes one part as an array of its own. */
-#define ENCODE(put, part)                                                      \
-	msgpack_sbuffer buf;                                                   \
-	msgpack_packer pk;                                                     \
-                                                                               \
-	msgpack_sbuffer_init(&buf);                                            \
-	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);                 \
-	msgpack_pack_array(&pk, 1);                                            \
-	put(&pk, part);                                                        \
+#define ENCODE(put, part)                                      \
+	msgpack_sbuffer buf;                                   \
+	msgpack_packer pk;                                     \
+                                                               \
+	msgpack_sbuffer_init(&buf);                            \
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write); \
+	msgpack_pack_array(&pk, 1);                            \
+	put(&pk, part);                                        \
 	return codec_take(&buf)
 
 /* Decodes what ENCODE made; clears the part and returns false if it can't. */
-#define DECODE(get, part, clear)                                               \
-	msgpack_unpacked u;                                                    \
-	struct reader r;                                                       \
-	bool ok = codec_open(&u, data, len, &r);                               \
-                                                                               \
-	memset(part, 0, sizeof(*(part)));                                      \
-	if (ok) {                                                              \
-		get(&r, part);                                                 \
-		ok = codec_done(&r);                                           \
-	}                                                                      \
-	codec_close(&u);                                                       \
-	if (!ok)                                                               \
-		clear(part);                                                   \
+#define DECODE(get, part, clear)                 \
+	msgpack_unpacked u;                      \
+	struct reader r;                         \
+	bool ok = codec_open(&u, data, len, &r); \
+                                                 \
+	memset(part, 0, sizeof(*(part)));        \
+	if (ok) {                                \
+		get(&r, part);                   \
+		ok = codec_done(&r);             \
+	}                                        \
+	codec_close(&u);                         \
+	if (!ok)                                 \
+		clear(part);                     \
 	return ok
 
 GBytes *
--- a/lib/mesh/mesh.c
+++ b/lib/mesh/mesh.c
@@ -49,9 +49,9 @@
 	uint64_t term;
 };
 
-#define AT(member, kind)                                                       \
-	{                                                                      \
-		kind, offsetof(struct mesh_hello, member)                      \
+#define AT(member, kind)                                  \
+	{                                                 \
+		kind, offsetof(struct mesh_hello, member) \
 	}
 
 static const struct field hello_fields[] = { AT(version, FIELD_U64),
@@ -74,8 +74,8 @@
 		if (l->hello.name == NULL || !l->hello.replica ||
 		    strstr(out->str, l->hello.address) != NULL)
 			continue;
-		g_string_append_printf(out, "%s%s", out->len > 0 ? "," : "",
-		    l->hello.address);
+		g_string_append_printf(
+		    out, "%s%s", out->len > 0 ? "," : "", l->hello.address);
 	}
 	return g_string_free(out, FALSE);
 }
@@ -123,7 +123,8 @@
 	}
 	g_ptr_array_remove_fast(m->links, l);
 	if (l->hello.name != NULL) {
-		log_info("mesh", "event=link-lost peer=%s dialled=%d why=\"%s\"",
+		log_info("mesh",
+		    "event=link-lost peer=%s dialled=%d why=\"%s\"",
 		    l->hello.name, l->peer != NULL, why);
 		m->ops->link(m->arg, l, false);
 	}
@@ -190,8 +191,9 @@
 	if (hello.version != MESH_VERSION || hello.name == NULL ||
 	    hello.address == NULL || !address_parse(hello.address, false) ||
 	    (hello.cell != 0 && m->cell != 0 && hello.cell != m->cell)) {
-		log_warn("mesh", "event=link-refused peer=%s cell=%016"
-		    G_GINT64_MODIFIER "x ours=%016" G_GINT64_MODIFIER "x",
+		log_warn("mesh",
+		    "event=link-refused peer=%s cell=%016" G_GINT64_MODIFIER
+		    "x ours=%016" G_GINT64_MODIFIER "x",
 		    hello.name == NULL ? "" : hello.name, hello.cell, m->cell);
 		shape_clear(&hello_shape, &hello);
 		close_link(l, "faulty hello or another cell");
@@ -336,8 +338,7 @@
 	for (guint i = m->peers->len; i > 0; i--) {
 		struct peer *p = m->peers->pdata[i - 1];
 
-		if (!p->seed && p->l == NULL &&
-		    now - p->seen_ms > FORGET_MS) {
+		if (!p->seed && p->l == NULL && now - p->seen_ms > FORGET_MS) {
 			g_ptr_array_remove_index_fast(m->peers, i - 1);
 			continue;
 		}
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -75,8 +75,8 @@
 {
 	double cpu = share(room->free.millicpus - need->each.millicpus,
 	    room->capacity.millicpus);
-	double memory = share(
-	    room->free.memory - need->each.memory, room->capacity.memory);
+	double memory =
+	    share(room->free.memory - need->each.memory, room->capacity.memory);
 	double pace = room->pace;
 
 	if (need->data_rack != 0 && room->rack != need->data_rack)
--- a/lib/replica/founding.c
+++ b/lib/replica/founding.c
@@ -30,8 +30,7 @@
 
 	r->identity.node = node;
 	r->identity.cell = cell;
-	g_strlcpy(
-	    r->identity.name, r->name, sizeof(r->identity.name));
+	g_strlcpy(r->identity.name, r->name, sizeof(r->identity.name));
 	if (wal_set_identity(r->wal, &r->identity, &err))
 		return true;
 	log_error("replica", "can't store the identity: %s", err->message);
@@ -50,7 +49,8 @@
 		    (struct raft_member){ .id = r->identity.node };
 	for (guint i = 0; r->founders != NULL && i < r->founders->len; i++)
 		m.member[m.count++] = (struct raft_member){
-			.id = replica_id_of(r->founders->pdata[i], FOUNDER_NONCE)
+			.id =
+			    replica_id_of(r->founders->pdata[i], FOUNDER_NONCE)
 		};
 	return m;
 }
@@ -111,8 +111,7 @@
 	if (c.cell != 0) {
 		uint32_t nonce = (uint32_t)random_id() | 2;
 
-		if (!store_identity(
-			r, replica_id_of(r->name, nonce), c.cell))
+		if (!store_identity(r, replica_id_of(r->name, nonce), c.cell))
 			return;
 		r->cell_id = c.cell;
 		log_info("replica", "joins an existing cell as a learner");
@@ -128,7 +127,8 @@
 		r->waits = true;
 		return;
 	}
-	if (r->founders == NULL || c.seen <= named / 2 || (c.seen < named && !waited))
+	if (r->founders == NULL || c.seen <= named / 2 ||
+	    (c.seen < named && !waited))
 		return;
 	if (!store_identity(r, replica_id_of(r->name, FOUNDER_NONCE), 0))
 		return;
--- a/lib/replica/members.c
+++ b/lib/replica/members.c
@@ -243,8 +243,7 @@
     const struct replica *r, GString *out, const struct raft_member *m)
 {
 	bool self = m->id == r->identity.node;
-	const char *name =
-	    self ? r->name : replica_peer_name(r, m->id);
+	const char *name = self ? r->name : replica_peer_name(r, m->id);
 	uint64_t at =
 	    self ? raft_last_index(r->raft) : raft_match(r->raft, m->id);
 
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -431,8 +431,8 @@
 	r->tick_ms = conf->tick_ms;
 	if (conf->founders != NULL)
 		r->founders = g_ptr_array_ref(conf->founders);
-	r->absent = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, g_free);
+	r->absent =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	r->ops = ops;
 	r->arg = arg;
 	r->opened_ms = mono_ms();
