--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -119,7 +119,7 @@
 worker_add(struct flow *f, struct flow_worker *w)
 {
 	g_hash_table_insert(f->workers, GUINT_TO_POINTER(w->id), w);
-	g_hash_table_insert(f->names, w->name, w);
+	g_hash_table_replace(f->names, w->name, w);
 }
 
 void
@@ -306,7 +306,7 @@
 		flow_worker_clear(w);
 		flow_worker_copy(w, in);
 		w->id = id;
-		g_hash_table_insert(f->names, w->name, w);
+		g_hash_table_replace(f->names, w->name, w);
 	}
 	if (f->watch.worker != NULL)
 		f->watch.worker(f->watch_arg, w->id);
--- a/lib/flow/snapshot.c
+++ b/lib/flow/snapshot.c
@@ -169,7 +169,7 @@
 
 	worker_add(f, w);
 	if (known != NULL && known->id > w->id)
-		g_hash_table_insert(f->names, known->name, known);
+		g_hash_table_replace(f->names, known->name, known);
 }
 
 static void
