--- a/lib/dispatch/asks.c
+++ b/lib/dispatch/asks.c
@@ -4,8 +4,9 @@
 #include "impl.h"
 
 #define JOB_DIGITS 16 /* of a job's id, hexadecimal */
-#define RETRY_MS 1000 /* told with a refusal that nothing better is known of \
-		       */
+#define RETRY_MS                                                    \
+	1000 /* told with a refusal that nothing better is known of \
+	      */
 
 /*
  * An answer about a job at work is held so long in case the job ends: callers
--- a/lib/dispatch/hands.c
+++ b/lib/dispatch/hands.c
@@ -153,7 +153,7 @@
 	if (h->clock_at_ms == 0)
 		return 0;
 	/* A silent worker's lease has to end some time, whatever is sent. */
-	if (now - h->heard_ms > STALE_MS)
+	if (h->silent)
 		return h->granted_ms > clock_ms ? h->granted_ms : 0;
 	h->granted_ms = MAX(h->granted_ms, clock_ms + lease_ms(h->d));
 	return h->granted_ms;
@@ -410,6 +410,7 @@
 	}
 	hand_clock(h, report->clock_ms, now);
 	h->held = true;
+	h->silent = false;
 	h->lapsed = false;
 	h->heard_ms = now;
 	if (first)
@@ -463,6 +464,7 @@
 		hand_look(h, now);
 		return;
 	}
+	h->silent = true;
 	h->look_due_ms = now + (h->lapsed ? LOOK_IDLE_MS : LOOK_AGAIN_MS);
 	log_info("dispatch",
 	    "event=look-failed worker=%s verdict=%s status=%d why=\"%s\" "
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -71,6 +71,7 @@
 	int64_t granted_ms; /* end of its lease on its clock; 0: none by us */
 	int64_t foreign_ms; /* an earlier leader's lease may last until then */
 	bool held; /* has answered a look in this term */
+	bool silent; /* did not answer the last look */
 	bool left; /* has said goodbye */
 	bool dead; /* this life is over */
 	bool closing; /* its removal is proposed */
--- a/test/flow_test.c
+++ b/test/flow_test.c
@@ -37,9 +37,9 @@
 	seen->done += how == FLOW_END_DONE;
 }
 
-static const struct flow_watch watch = { .started = on_started,
-	.ended = on_ended,
-	.stop = on_stop };
+static const struct flow_watch watch = {
+	.started = on_started, .ended = on_ended, .stop = on_stop
+};
 
 struct fixture {
 	struct flow *flow;
@@ -382,8 +382,7 @@
 		start(&x, 7, 0, 0, 0, 1, n, w);
 		end(&x, (struct flow_run){ 7, 0, 0, 0, n },
 		    n % 2 ? FLOW_END_DONE : FLOW_END_FAILED, NULL);
-		g_assert_cmpint(
-		    task(&x, 7, 0, 0)->state, ==, FLOW_PENDING);
+		g_assert_cmpint(task(&x, 7, 0, 0)->state, ==, FLOW_PENDING);
 	}
 	(void)add_step(&timed, 1, false);
 	timed.times = 2;
@@ -394,8 +393,7 @@
 	g_assert_cmpint(run(&x, &next), ==, FLOW_ACCEPTED);
 	g_assert_cmpint(run(&x, &next), ==, FLOW_ACCEPTED);
 	g_assert_cmpint(run(&x, &next), ==, FLOW_MISSING);
-	g_assert_cmpint(
-	    flow_round(flow_job(x.flow, 8), 1)->due_ms, ==, 60);
+	g_assert_cmpint(flow_round(flow_job(x.flow, 8), 1)->due_ms, ==, 60);
 	start(&x, 8, 1, 0, 0, 1, 1, w);
 	end(&x, (struct flow_run){ 8, 1, 0, 0, 1 }, FLOW_END_DONE, NULL);
 	g_assert_cmpint(flow_job(x.flow, 8)->state, ==, FLOW_RUNNING);
@@ -477,12 +475,13 @@
 	case 2:
 	case 3:
 	case 4:
-		start(x, job, 0, step, 0, 3, 1 + (uint32_t)rng_below(rng, 9), w);
+		start(
+		    x, job, 0, step, 0, 3, 1 + (uint32_t)rng_below(rng, 9), w);
 		break;
 	default:
 		end(x,
-		    (struct flow_run){ job, 0, step, index,
-			1 + (uint32_t)rng_below(rng, 9) },
+		    (struct flow_run){
+			job, 0, step, index, 1 + (uint32_t)rng_below(rng, 9) },
 		    (enum flow_end_how)rng_below(rng, FLOW_END_COUNT), "cp");
 	}
 }
