--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -69,19 +69,25 @@
 	return whole <= 0 ? 0 : (double)part / (double)whole;
 }
 
-/* Lower is better: what stays free, and how much longer the work takes. */
+/* Lower is better: what stays free of what the task needs most of, and how
+ * much longer the work takes. */
 static double
 cost(const struct plan_room *room, const struct plan_need *need)
 {
-	double cpu = share(room->free.millicpus - need->each.millicpus,
-	    room->capacity.millicpus);
-	double memory =
-	    share(room->free.memory - need->each.memory, room->capacity.memory);
+	const struct resources *all = &room->capacity;
 	double pace = room->pace;
-
+	double left;
+
+	if (share(need->each.millicpus, all->millicpus) >=
+	    share(need->each.memory, all->memory))
+		left = share(room->free.millicpus - need->each.millicpus,
+		    all->millicpus);
+	else
+		left = share(
+		    room->free.memory - need->each.memory, all->memory);
 	if (need->data_rack != 0 && room->rack != need->data_rack)
 		pace *= need->far;
-	return MAX(cpu, memory) + (pace - 1) * PACE_WEIGHT;
+	return left + (pace - 1) * PACE_WEIGHT;
 }
 
 static void
