Rounds look once at what may yield; large gangs' permits

Traced: a gang of 39 tasks never asked the policy service, as no 30 workers were expected to hold it; a query names up to 100 now and one that only learns is sent when room lacks.

The leader was at its share of the processor: each waiting claim judged every run in the cell anew (90 claims x 1,700 runs a round). What may make way is judged once a round, six claims a round may have others make way, and rounds take a fifth of the time at most. Looks wait 1 s again.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -4,6 +4,8 @@
 #include "impl.h"
 
 #define ROUND_GAP_MS 8 /* between placement rounds */
+#define ROUND_SHARE 5 /* a round's time, at most one in so many is spent */
+#define ROUND_GAP_MOST_MS 200
 #define FORGET_EVERY_MS 5000
 #define CONFIRM_MS 80 /* between confirmations of leadership */
 
@@ -88,8 +90,9 @@
 	if (d->round_due || !d->active)
 		return;
 	d->round_due = true;
-	gap = ROUND_GAP_MS - (mono_ms() - d->rounded_ms);
-	tv.tv_usec = CLAMP(gap, 0, ROUND_GAP_MS) * 1000;
+	gap = MAX(ROUND_GAP_MS, d->round_took_us * ROUND_SHARE / 1000);
+	gap = MAX(gap - (mono_ms() - d->rounded_ms), 0);
+	tv.tv_usec = MIN(gap, ROUND_GAP_MOST_MS) * 1000;
 	event_add(d->round, &tv);
 }
 
@@ -104,7 +107,8 @@
 	if (!dispatch_may_act(d))
 		return;
 	round_run(d, d->rounded_ms);
-	timer_add(d->meter.round, (mono_us() - began_us) / 1000);
+	d->round_took_us = mono_us() - began_us;
+	timer_add(d->meter.round, d->round_took_us / 1000);
 }
 
 static void
--- a/lib/dispatch/hands.c
+++ b/lib/dispatch/hands.c
@@ -480,19 +480,6 @@
 		hand_dead(h, "has left and answers no longer");
 }
 
-/* How long a look may wait for an end. */
-static int
-look_wait_ms(const struct hand *h, int64_t now)
-{
-	for (guint i = 0; i < h->runs->len; i++) {
-		const struct lrun *r = h->runs->pdata[i];
-
-		if (now - r->started_ms < YOUNG_MS)
-			return LOOK_YOUNG_MS;
-	}
-	return LOOK_WAIT_MS;
-}
-
 void
 hand_look(struct hand *h, int64_t now)
 {
@@ -509,7 +496,7 @@
 		h->look = http_peer_new(d->conf.base, h->address, NULL);
 	if (h->held) {
 		look.until_ms = hand_grant(h, now);
-		look.wait_ms = look_wait_ms(h, now);
+		look.wait_ms = LOOK_WAIT_MS;
 	}
 	l = g_new0(struct look, 1);
 	*l = (struct look){ .d = d, .term = d->term, .worker = h->id };
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -17,8 +17,6 @@
 #define DRIFT_PERMILLE 25
 #define LEASE_MS 4500 /* outlives an election after a lost leader */
 #define LOOK_WAIT_MS 1000 /* a look that shows no end is answered by then */
-#define LOOK_YOUNG_MS 400 /* the same while a young run may turn out slow */
-#define YOUNG_MS 3000
 #define LOOK_SLACK_MS 600 /* beyond that it counts as unanswered */
 #define ORDER_MS 500 /* an order is sent again after this */
 #define STALE_MS 1400 /* no new work without an answer for so long */
@@ -187,6 +185,7 @@
 	GHashTable *racks; /* names to numbers */
 	GHashTable *cancels; /* jobs whose cancel is proposed */
 	int64_t rounded_ms;
+	int64_t round_took_us;
 	int64_t swept_ms;
 	int64_t load_ms; /* when the load was logged last */
 };
@@ -253,9 +252,12 @@
 /* The permit was refused by the worker. */
 void
 permit_void(struct dispatch *d, const struct flow_run *of, uint32_t worker);
-/* Asks about workers that have room (struct plan_room *), if it may help. */
+/*
+ * Asks about workers that have room (struct plan_room *), if it may help. With
+ * learn it asks also if their room does not suffice, to know more of them.
+ */
 void permits_want(struct dispatch *d, struct permit_set *s,
-    const struct plan_need *need, GPtrArray *rooms, int64_t now);
+    const struct plan_need *need, GPtrArray *rooms, bool learn, int64_t now);
 /* Says whether a worker is known to be allowed, its permit valid or not. */
 bool permit_known(const struct permit_set *s, uint32_t worker);
 void permits_forget(struct dispatch *d, const struct flow_job *job);
@@ -272,12 +274,21 @@
 	uint32_t step;
 };
 
+/* A worker's room, with what else the round needs of it. */
+struct place {
+	struct plan_room room; /* first: plans see this part only */
+	struct hand *hand;
+	const struct flow_worker *worker;
+	GArray *yields; /* struct yield, or NULL: not looked at yet */
+};
+
 /* What a placement round works on. */
 struct round {
 	struct dispatch *d;
 	int64_t now; /* monotonic */
 	int64_t cell_now; /* of the agreed state's clock */
-	GPtrArray *rooms; /* struct plan_room */
+	GPtrArray *rooms; /* struct place */
+	int yields_left; /* claims that others may still make way for */
 	GArray *claims; /* struct claim */
 	GArray *starts; /* struct flow_start */
 	struct resources most; /* largest free amounts of any one room */
@@ -299,6 +310,7 @@
     const struct flow_round *round);
 
 /* yield.c */
+void place_free(void *arg);
 /*
  * Has runs with time to spare make way for a claim that has none; the rooms
  * are kept for it meanwhile. rooms: struct plan_room * that it may use.
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -6,7 +6,8 @@
 #define AGAIN_MS 100 /* before a step is asked for again after a failure */
 #define REST_MS 400 /* a process whose query failed asks no more so long */
 #define MARGIN_MS 300 /* a permit is not used so near its end */
-#define WORKERS_MAX 30 /* named in one query: what objectives count with */
+#define WORKERS_MAX 100 /* the service takes so many in one query */
+#define WORKERS_GANG 30 /* a gang's query names as many as objectives count */
 #define WORKERS_LEAST 6
 #define GOOD_SHARE 0.4 /* of the workers asked about; until learnt */
 #define SPARE 2.5 /* times the room needed that a query looks for */
@@ -204,10 +205,19 @@
 	    query, s->job, s->round, s->step, names->len - 1, a->process);
 }
 
-/* Asks about those of the rooms that are wanted, if that may be enough. */
+/* Says whether a query names enough workers. */
+static bool
+enough(const struct plan_need *need, double found, guint names)
+{
+	guint least = need->gang ? WORKERS_GANG : WORKERS_LEAST;
+
+	return names >= WORKERS_MAX ||
+	    (names >= least && found >= need->count * SPARE);
+}
+
 void
 permits_want(struct dispatch *d, struct permit_set *s,
-    const struct plan_need *need, GPtrArray *rooms, int64_t now)
+    const struct plan_need *need, GPtrArray *rooms, bool learn, int64_t now)
 {
 	struct adviser *a;
 	GPtrArray *names;
@@ -221,21 +231,19 @@
 	names = g_ptr_array_new();
 	g_array_set_size(s->asking, 0);
 	g_ptr_array_sort(rooms, by_free);
-	for (guint i = 0; i < rooms->len && names->len < WORKERS_MAX; i++) {
+	for (guint i = 0; i < rooms->len && !enough(need, found, names->len);
+	     i++) {
 		struct plan_room *room = rooms->pdata[i];
 		uint32_t fits = plan_fits(room, need);
 		double chance;
 
 		if (fits == 0 || !wanted(s, room->worker, now, &chance))
 			continue;
-		if (!need->gang && found >= need->count * SPARE &&
-		    names->len >= WORKERS_LEAST)
-			break;
 		found += fits * chance;
 		g_ptr_array_add(names, hand_find(d, room->worker)->name);
 		g_array_append_val(s->asking, room->worker);
 	}
-	if (names->len > 0 && (!need->gang || found >= need->count)) {
+	if (names->len > 0 && (learn || !need->gang || found >= need->count)) {
 		g_ptr_array_add(names, NULL);
 		send_query(
 		    d, s, a, flow_job(d->conf.flow, s->job)->queue, names, now);
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -11,6 +11,7 @@
 #define BELIEF_LEAST 20 /* runs seen before a worker is judged by them */
 #define MOVES_MAX 3 /* runs of one task that may be moved */
 #define STARTS_MAX 512 /* in one command */
+#define YIELDS_A_ROUND 6 /* claims that others may make way for in one */
 #define LOAD_LINE_MS 1000
 #define PERMIT_WORKERS 30 /* that an objective counts a query with */
 
@@ -170,19 +171,19 @@
 	g_hash_table_iter_init(&iter, d->hands);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct hand *h = value;
-		const struct flow_worker *w;
-		struct plan_room *room;
+		struct place *p;
 
 		if (!hand_open(h, rd->now))
 			continue;
-		w = flow_worker(d->conf.flow, h->id);
-		room = g_new0(struct plan_room, 1);
-		room->worker = h->id;
-		room->capacity = room->free = w->capacity;
-		resources_add(&room->free, &h->used, -1);
-		room->rack = rack_number(d, w->rack);
-		room->pace = pace_now(h, rd->now);
-		g_ptr_array_add(rd->rooms, room);
+		p = g_new0(struct place, 1);
+		p->hand = h;
+		p->worker = flow_worker(d->conf.flow, h->id);
+		p->room.worker = h->id;
+		p->room.capacity = p->room.free = p->worker->capacity;
+		resources_add(&p->room.free, &h->used, -1);
+		p->room.rack = rack_number(d, p->worker->rack);
+		p->room.pace = pace_now(h, rd->now);
+		g_ptr_array_add(rd->rooms, p);
 	}
 }
 
@@ -279,18 +280,15 @@
 	GPtrArray *out = g_ptr_array_new();
 
 	for (guint i = 0; i < rd->rooms->len; i++) {
-		struct plan_room *room = rd->rooms->pdata[i];
-		const struct flow_worker *w =
-		    flow_worker(rd->d->conf.flow, room->worker);
+		struct place *p = rd->rooms->pdata[i];
 
-		if (strcmp(w->pool, c->job->queue->pool) != 0 ||
-		    !has_label(w, step->label) ||
-		    yield_kept(hand_find(rd->d, room->worker), c, rd->now))
+		if (strcmp(p->worker->pool, c->job->queue->pool) != 0 ||
+		    !has_label(p->worker, step->label) ||
+		    yield_kept(p->hand, c, rd->now))
 			continue;
-		room->same = step->per_worker == 0
-		    ? 0
-		    : held_there(hand_find(rd->d, room->worker), c);
-		g_ptr_array_add(out, room);
+		p->room.same =
+		    step->per_worker == 0 ? 0 : held_there(p->hand, c);
+		g_ptr_array_add(out, p);
 	}
 	return out;
 }
@@ -411,7 +409,7 @@
 	if (need.count == 0)
 		yield_done(rd->d, c);
 	else if (set != NULL)
-		permits_want(rd->d, set, &need, rooms, rd->now);
+		permits_want(rd->d, set, &need, rooms, false, rd->now);
 	if (need.count > 0 && !step->filler && pressing(rd, c))
 		yield_for(rd, c, &need, rooms, set);
 	g_ptr_array_unref(ready);
@@ -516,7 +514,8 @@
 		.now = now,
 		.cell_now =
 		    MAX(g_get_real_time() / 1000, flow_time_ms(d->conf.flow)),
-		.rooms = g_ptr_array_new_with_free_func(g_free),
+		.rooms = g_ptr_array_new_with_free_func(place_free),
+		.yields_left = YIELDS_A_ROUND,
 		.claims = g_array_new(FALSE, TRUE, sizeof(struct claim)),
 		.starts = g_array_new(FALSE, TRUE, sizeof(struct flow_start)) };
 
--- a/lib/dispatch/yield.c
+++ b/lib/dispatch/yield.c
@@ -63,43 +63,78 @@
 	return p->accepted_ms + p->objective_ms - p->left_ms - now;
 }
 
-/*
- * Says whether a run may make way: it goes on from a checkpoint, and its job
- * has more time to spare, or can't be in time any more.
- */
+/* A run that goes on from a checkpoint, and how pressed its job is. */
+struct yield {
+	struct lrun *run;
+	int64_t spare_ms; /* INT64_MAX: it can't be in time any more */
+};
+
+void
+place_free(void *arg)
+{
+	struct place *p = arg;
+
+	if (p->yields != NULL)
+		g_array_unref(p->yields);
+	g_free(p);
+}
+
+/* Says whether a run may make way for any claim, and what it has to spare. */
 static bool
-may_yield(struct round *rd, const struct lrun *r, const struct claim *c)
+can_yield(struct round *rd, struct lrun *r, struct yield *y)
 {
-	const struct flow_job *job = flow_job(rd->d->conf.flow, r->of.job);
+	const struct flow_job *job;
 	const struct flow_round *round;
 	const struct flow_step *step;
 	struct plan_claim p;
 
-	if (r->state != RUN_TAKEN || r->stopping || job == NULL ||
-	    flow_over(job) || job == c->job || r->of.run > YIELDS_MAX ||
+	if (r->state != RUN_TAKEN || r->stopping || r->of.run > YIELDS_MAX ||
 	    rd->now - r->started_ms < SETTLED_MS)
 		return false;
+	job = flow_job(rd->d->conf.flow, r->of.job);
+	if (job == NULL || flow_over(job))
+		return false;
 	step = flow_step_of(job, r->of.step);
 	round = flow_round(job, r->of.round);
 	if (!step->checkpoints || step->gang || step->lasting || round == NULL)
 		return false;
 	p = round_standing(rd->d, job, round);
-	if (plan_tier(&p, rd->cell_now) > PLAN_IN_TIME)
-		return true;
-	return spare_ms(&p, rd->cell_now) >
-	    MAX(spare_ms(&c->plan, rd->cell_now), 0) + SPARE_MS;
+	y->run = r;
+	y->spare_ms = plan_tier(&p, rd->cell_now) > PLAN_IN_TIME
+	    ? INT64_MAX
+	    : spare_ms(&p, rd->cell_now);
+	return true;
+}
+
+static const GArray *
+yields_on(struct round *rd, struct place *p)
+{
+	if (p->yields != NULL)
+		return p->yields;
+	p->yields = g_array_new(FALSE, TRUE, sizeof(struct yield));
+	for (guint i = 0; i < p->hand->runs->len; i++) {
+		struct yield y;
+
+		if (can_yield(rd, p->hand->runs->pdata[i], &y))
+			g_array_append_val(p->yields, y);
+	}
+	return p->yields;
 }
 
+/* The runs on a worker that have more time to spare than a claim has. */
 static GArray *
-victims_on(struct round *rd, const struct hand *h, const struct claim *c)
+victims_on(struct round *rd, struct place *p, const struct claim *c)
 {
+	const GArray *yields = yields_on(rd, p);
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct plan_victim));
+	int64_t least = MAX(spare_ms(&c->plan, rd->cell_now), 0) + SPARE_MS;
 
-	for (guint i = 0; i < h->runs->len; i++) {
-		struct lrun *r = h->runs->pdata[i];
-		struct plan_victim v = { .run = r, .need = r->need };
+	for (guint i = 0; i < yields->len; i++) {
+		const struct yield *y = &g_array_index(yields, struct yield, i);
+		struct plan_victim v = { .run = y->run, .need = y->run->need };
 
-		if (may_yield(rd, r, c))
+		if (y->spare_ms > least && !y->run->stopping &&
+		    y->run->of.job != c->job->id)
 			g_array_append_val(out, v);
 	}
 	return out;
@@ -144,7 +179,7 @@
 		g_ptr_array_add(rooms, s->room);
 	}
 	if (set != NULL)
-		permits_want(rd->d, set, need, rooms, rd->now);
+		permits_want(rd->d, set, need, rooms, false, rd->now);
 	g_ptr_array_unref(rooms);
 }
 
@@ -165,7 +200,7 @@
 		copy->free = copy->capacity;
 		g_ptr_array_add(unknown, copy);
 	}
-	permits_want(rd->d, set, need, unknown, rd->now);
+	permits_want(rd->d, set, need, unknown, true, rd->now);
 	g_ptr_array_unref(unknown);
 }
 
@@ -177,19 +212,19 @@
 	struct plan_room *copies;
 	guint count = 0;
 
-	if (kept_any(rd->d, c, rd->now))
+	if (rd->yields_left == 0 || kept_any(rd->d, c, rd->now))
 		return;
+	rd->yields_left--;
 	sites = g_new0(struct plan_site, rooms->len + 1);
 	copies = g_new0(struct plan_room, rooms->len + 1);
 	for (guint i = 0; i < rooms->len; i++) {
-		const struct plan_room *room = rooms->pdata[i];
+		struct place *p = rooms->pdata[i];
 
-		if (set != NULL && !permit_known(set, room->worker))
+		if (set != NULL && !permit_known(set, p->room.worker))
 			continue;
-		copies[count] = *room;
+		copies[count] = p->room;
 		sites[count].room = &copies[count];
-		sites[count].victims =
-		    victims_on(rd, hand_find(rd->d, room->worker), c);
+		sites[count].victims = victims_on(rd, p, c);
 		count++;
 	}
 	if (plan_make_room(sites, count, need))
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -83,8 +83,8 @@
 		left = share(room->free.millicpus - need->each.millicpus,
 		    all->millicpus);
 	else
-		left = share(
-		    room->free.memory - need->each.memory, all->memory);
+		left =
+		    share(room->free.memory - need->each.memory, all->memory);
 	if (need->data_rack != 0 && room->rack != need->data_rack)
 		pace *= need->far;
 	return left + (pace - 1) * PACE_WEIGHT;
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -103,8 +103,7 @@
 
 	n.colocated = true;
 	g_assert_cmpuint(plan_place(rooms, 3, &n, pick), ==, 2);
-	g_assert_cmpuint(
-	    rooms[pick[0]]->rack, ==, rooms[pick[1]]->rack);
+	g_assert_cmpuint(rooms[pick[0]]->rack, ==, rooms[pick[1]]->rack);
 	a = room(1, 20, 1);
 	b = room(2, 20, 2);
 	c = room(3, 20, 3);
@@ -145,8 +144,8 @@
 	guint chosen = 0;
 
 	for (int s = 0; s < 2; s++) {
-		sites[s].victims = g_array_new(
-		    FALSE, TRUE, sizeof(struct plan_victim));
+		sites[s].victims =
+		    g_array_new(FALSE, TRUE, sizeof(struct plan_victim));
 		for (int i = 0; i < 6; i++) {
 			struct plan_victim v = { .need = { 4000, GIB, 0 } };
 
