--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -1,6 +1,7 @@
 #include "impl.h"
 
 #define SCAN_MS 25 /* asks, founding, the graceful stop */
+#define REOPEN_MS 2000 /* between tries to use a disk that has failed */
 #define FOUND_AFTER_MS 400 /* all processes have started by then */
 #define COMMIT_GAP_MS                                           \
 	2 /* a job waits for three commits; a sync takes 6 to 9 \
@@ -119,6 +120,7 @@
 	struct cellnode *n = arg;
 
 	n->failed = true;
+	n->reopen_ms = mono_ms() + REOPEN_MS;
 }
 
 static const struct replica_ops replica_ops = { .apply = on_apply,
@@ -469,12 +471,51 @@
 	g_bytes_unref(frame);
 }
 
+static bool
+open_replica(struct cellnode *n, GError **err)
+{
+	struct replica_conf conf = { .base = n->base,
+		.name = n->name,
+		.data_dir = n->data_dir,
+		.snapshot_entries = n->snapshot_entries,
+		.gap_ms = COMMIT_GAP_MS,
+		.tick_ms = REPLICA_TICK_MS };
+
+	flow_clear(n->flow);
+	n->replica = replica_new(&conf, &replica_ops, n, err);
+	return n->replica != NULL;
+}
+
+/* Serves as an entry meanwhile; the log is read back once the disk works. */
+static void
+reopen(struct cellnode *n, int64_t now)
+{
+	GError *err = NULL;
+
+	if (!n->failed || now < n->reopen_ms)
+		return;
+	n->reopen_ms = now + REOPEN_MS;
+	dispatch_resign(n->dispatch);
+	mesh_leads(n->mesh, 0);
+	replica_free(g_steal_pointer(&n->replica));
+	if (!open_replica(n, &err)) {
+		log_warn(
+		    "cellnode", "event=disk-unusable why=\"%s\"", err->message);
+		g_clear_error(&err);
+		return;
+	}
+	log_info("cellnode", "event=disk-reopened");
+	n->failed = false;
+	replica_start(n->replica);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct cellnode *n = arg;
 	int64_t now = mono_ms();
 
+	reopen(n, now);
 	maybe_found(n);
 	gate_scan(n->gate, now);
 	if (!n->draining || n->replica == NULL || now < n->hand_over_ms)
@@ -502,16 +543,10 @@
 bool
 cellnode_ready(struct cellnode *n)
 {
-	return !n->draining && !n->failed &&
+	return !n->draining &&
 	    (dispatch_leads(n->dispatch) || mesh_leader(n->mesh) != NULL);
 }
 
-bool
-cellnode_failed(const struct cellnode *n)
-{
-	return n->failed;
-}
-
 guint
 cellnode_pending(const struct cellnode *n)
 {
@@ -559,20 +594,6 @@
 	return json;
 }
 
-static bool
-open_replica(struct cellnode *n, const struct cellnode_conf *conf, GError **err)
-{
-	struct replica_conf rc = { .base = n->base,
-		.name = conf->name,
-		.data_dir = conf->data_dir,
-		.snapshot_entries = conf->snapshot_entries,
-		.gap_ms = COMMIT_GAP_MS,
-		.tick_ms = REPLICA_TICK_MS };
-
-	n->replica = replica_new(&rc, &replica_ops, n, err);
-	return n->replica != NULL;
-}
-
 struct cellnode *
 cellnode_new(struct event_base *base, const struct cellnode_conf *conf,
     struct registry *registry, GError **err)
@@ -589,6 +610,8 @@
 	n->name = g_strdup(conf->name);
 	n->address = g_strdup(conf->peer_address);
 	n->first_start = conf->first_start;
+	n->data_dir = g_strdup(conf->data_dir);
+	n->snapshot_entries = conf->snapshot_entries;
 	n->seeds = copy_list(conf->seeds);
 	n->started_ms = mono_ms();
 	n->flow = flow_new();
@@ -602,7 +625,7 @@
 	n->dispatch = dispatch_new(&dc, &dispatch_ops, n);
 	dispatch_process(n->dispatch, 0, true);
 	n->mesh = mesh_new(&mc, &mesh_ops, n, err);
-	if (n->mesh == NULL || (mc.replica && !open_replica(n, conf, err))) {
+	if (n->mesh == NULL || (mc.replica && !open_replica(n, err))) {
 		cellnode_free(n);
 		return NULL;
 	}
@@ -631,5 +654,6 @@
 	g_ptr_array_unref(n->seeds);
 	g_free(n->name);
 	g_free(n->address);
+	g_free(n->data_dir);
 	g_free(n);
 }
--- a/lib/cellnode/cellnode.h
+++ b/lib/cellnode/cellnode.h
@@ -35,8 +35,6 @@
 
 /* Says whether callers may be sent here: a leader is in reach. */
 bool cellnode_ready(struct cellnode *n);
-/* Storage has failed: the process should end. */
-bool cellnode_failed(const struct cellnode *n);
 /* Asks that are not answered yet. */
 guint cellnode_pending(const struct cellnode *n);
 
--- a/lib/cellnode/impl.h
+++ b/lib/cellnode/impl.h
@@ -54,7 +54,10 @@
 	uint64_t last_process;
 	int64_t started_ms;
 	bool found_sent;
-	bool failed;
+	bool failed; /* storage has failed: no replica until it is reopened */
+	int64_t reopen_ms; /* when to try that */
+	char *data_dir;
+	uint64_t snapshot_entries;
 	bool draining;
 	int64_t hand_over_ms; /* when to hand leadership over next */
 };
--- a/lib/dispatch/hands.c
+++ b/lib/dispatch/hands.c
@@ -127,7 +127,7 @@
 		return;
 	}
 	if (h == NULL)
-		h = hand_new(d, w);
+		(void)hand_new(d, w);
 	else
 		hand_take(h, w);
 	log_info("dispatch",
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -404,8 +404,10 @@
 	struct flow_job *job;
 	struct flow_round *round;
 	struct flow_task *task = find_task(f, &s->of, &job, &round);
-	struct flow_stage *st = &round->stage[s->of.step];
+	struct flow_stage *st;
 
+	g_assert(task != NULL);
+	st = &round->stage[s->of.step];
 	task->state = FLOW_HELD;
 	task->run = s->of.run;
 	task->worker = s->worker;
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -234,6 +234,8 @@
 
 struct flow *flow_new(void);
 void flow_free(struct flow *f);
+/* Forgets everything, as in a new one. */
+void flow_clear(struct flow *f);
 void flow_set_watch(struct flow *f, const struct flow_watch *w, void *arg);
 
 /* Applies one encoded command. ERR_CORRUPT if it can't be decoded. */
--- a/lib/flow/internal.h
+++ b/lib/flow/internal.h
@@ -35,7 +35,6 @@
 void job_free(void *arg);
 void round_free(void *arg);
 struct flow_round *round_new(const struct flow_job *job, uint32_t number);
-void flow_clear(struct flow *f);
 void worker_add(struct flow *f, struct flow_worker *w);
 void waiting_add(struct flow *f, const char *queue, int by);
 
--- a/lib/replica/members.c
+++ b/lib/replica/members.c
@@ -5,11 +5,13 @@
 
 /*
  * An open membership drops a member that was not connected for so long, as
- * its VM may be gone for good. Longer than a restart, a freeze or a cut link
- * usually lasts; one that comes back later is added again.
+ * its VM may be gone for good: longer than a restart or an election. One that
+ * comes back is added again. It is dropped sooner when another replica is
+ * there to take its place.
  */
-#define ABSENT_MS 12000
-#define MEMBERS_LEAST 3 /* an open membership does not shrink below this */
+#define ABSENT_MS 5000
+#define ABSENT_REPLACED_MS 1500
+#define VOTERS_LEAST 3 /* an open membership does not shrink below this */
 
 /* Returns the first member of that name, or NULL. */
 static const struct raft_member *
@@ -75,6 +77,19 @@
 	replica_schedule(r);
 }
 
+/* Which voters are connected. */
+struct absence {
+	int voters;
+	int present;
+	uint64_t longest; /* away for longest; RAFT_NONE: nobody is */
+	int64_t since_ms; /* for how long that one is */
+};
+
+struct newcomers {
+	const struct replica *replica;
+	bool any;
+};
+
 /* Returns since when a member is not connected; 0: it is. */
 static int64_t
 absent_since(struct replica *r, uint64_t id, int64_t now)
@@ -93,46 +108,73 @@
 	return now;
 }
 
-/* Removes one member that has been away for too long. */
+/* Finds whether a connected replica is no voter yet. */
 static void
-drop_absent(struct replica *r)
+find_newcomer(void *arg, const struct peer_info *peer)
 {
-	const struct raft_members *m = raft_members(r->raft);
-	int64_t now = mono_ms();
-	uint64_t gone = RAFT_NONE;
-	int present = 0;
+	struct newcomers *n = arg;
+	const struct raft_member *m = member_with(n->replica, peer->node);
 
-	for (int i = 0; i < m->count; i++) {
-		int64_t since = absent_since(r, m->member[i].id, now);
+	n->any |= peer->node != 0 && peer->cell == n->replica->cell_id &&
+	    (m == NULL || m->learner);
+}
 
-		if (since == 0)
-			present++;
-		else if (now - since > ABSENT_MS)
-			gone = m->member[i].id;
-	}
-	if (gone == RAFT_NONE || m->count <= MEMBERS_LEAST ||
-	    present <= (m->count - 1) / 2)
+/* Removes one voter that has been away for too long. */
+static void
+drop_absent(struct replica *r, const struct absence *a, int64_t now)
+{
+	struct newcomers n = { .replica = r };
+	int64_t bound;
+
+	r->ops->each_peer(r->arg, find_newcomer, &n);
+	bound = n.any ? ABSENT_REPLACED_MS : ABSENT_MS;
+	if (a->longest == RAFT_NONE || now - a->since_ms <= bound ||
+	    a->voters <= VOTERS_LEAST || a->present <= (a->voters - 1) / 2)
 		return;
-	if (raft_propose_member(r->raft, gone, false, true) == 0)
+	if (raft_propose_member(r->raft, a->longest, false, true) == 0)
 		return;
 	log_warn("replica",
 	    "drops member %016" G_GINT64_MODIFIER
-	    "x: not connected for over %d ms",
-	    gone, ABSENT_MS);
-	g_hash_table_remove(r->absent, &gone);
+	    "x: not connected for over %" G_GINT64_FORMAT " ms",
+	    a->longest, bound);
 	replica_schedule(r);
 }
 
+/* Notes which voters are connected, also while another replica leads. */
+static struct absence
+look_around(struct replica *r, int64_t now)
+{
+	const struct raft_members *m = raft_members(r->raft);
+	struct absence a = { .longest = RAFT_NONE };
+
+	for (int i = 0; i < m->count; i++) {
+		int64_t since;
+
+		if (m->member[i].learner)
+			continue;
+		a.voters++;
+		since = absent_since(r, m->member[i].id, now);
+		if (since == 0)
+			a.present++;
+		else if (a.longest == RAFT_NONE || since < a.since_ms) {
+			a.longest = m->member[i].id;
+			a.since_ms = since;
+		}
+	}
+	return a;
+}
+
 void
 replica_tend_members(struct replica *r)
 {
-	if (!replica_leads(r)) {
-		g_hash_table_remove_all(r->absent);
+	int64_t now = mono_ms();
+	struct absence a = look_around(r, now);
+
+	if (!replica_leads(r))
 		return;
-	}
-	r->ops->each_peer(r->arg, tend_member, r);
 	if (is_open(r))
-		drop_absent(r);
+		drop_absent(r, &a, now);
+	r->ops->each_peer(r->arg, tend_member, r);
 }
 
 /* The connected replica of a name. */
--- /dev/null
+++ b/test/replica.cmake
@@ -0,0 +1,1 @@
+bt_test(replica_test SOURCES replica_test.c proc.c DEPENDS replica)
