Test of the adapter; the membership test waits until no dead voter counts

replica_test failed four times in /replica/replaced and once in /replica/half. Both waits are stricter now: every voter runs, every replica has the command.

--- a/test/replica_test.c
+++ b/test/replica_test.c
@@ -234,22 +234,30 @@
 	return NULL;
 }
 
-/* The voters as the leader has them; -1: there is none. */
+/*
+ * How many voters there are once all of them run and nobody else waits to be
+ * one; -1 before that. A dead voter that is still counted is a loss that has
+ * not been made good.
+ */
 static int
 voters(struct world *w)
 {
 	struct node *n = leader(w);
 	char *status;
+	bool settled = true;
 	int count = 0;
 
 	if (n == NULL)
 		return -1;
 	status = replica_status(n->replica);
-	for (const char *p = status; (p = strstr(p, "\"voter\":true")) != NULL;
-	     p++)
+	for (const char *p = status; (p = strstr(p, "\"voter\":")) != NULL;
+	     p++) {
+		settled &= g_str_has_prefix(
+		    p, "\"voter\":true,\"connected\":true");
 		count++;
+	}
 	g_free(status);
-	return count;
+	return settled ? count : -1;
 }
 
 /* Commands a letter and waits until every node that runs has it. */
@@ -409,6 +417,7 @@
 	int64_t until;
 
 	command(w, 'a');
+	AWAIT(w, all_have(w, "a"));
 	node_kill(&w->node[0]);
 	node_kill(&w->node[1]);
 	until = mono_ms() + 7000;
