--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -9,6 +9,8 @@
 /* An election after 400 to 800 ms: urgent jobs have under 2 s in all, and a
  * follower answers within two syncs, 20 ms. */
 #define REPLICA_TICK_MS 40
+#define FOUNDED_VOTERS 3 /* the loss of one disk is borne */
+#define FOUNDED_MS 4000 /* more disks would have joined by then */
 #define HAND_OVER_MS 500 /* between tries to hand leadership over */
 
 /* --- consensus and state --- */
@@ -41,12 +43,23 @@
 	return flow_restore(n->flow, state, err);
 }
 
+/*
+ * Says whether what is agreed survives the loss of a disk. A founder is alone
+ * at first: it serves once others vote, or none has come for a while.
+ */
+static bool
+is_safe(const struct cellnode *n)
+{
+	return !n->founded || replica_voters(n->replica) >= FOUNDED_VOTERS ||
+	    mono_ms() - n->started_ms > FOUNDED_MS;
+}
+
 /* Takes up or lays down leadership, and tells all processes. */
 static void
 on_advanced(void *arg)
 {
 	struct cellnode *n = arg;
-	bool leads = replica_leads(n->replica);
+	bool leads = replica_leads(n->replica) && is_safe(n);
 	uint64_t term = leads ? replica_term(n->replica) : 0;
 
 	if (dispatch_leads(n->dispatch) &&
@@ -292,7 +305,7 @@
 take_found(struct cellnode *n)
 {
 	if (n->first_start && n->replica != NULL)
-		(void)replica_found_alone(n->replica);
+		n->founded = replica_found_alone(n->replica);
 }
 
 static void
@@ -460,7 +473,7 @@
 	}
 	if (n->replica != NULL) {
 		n->found_sent = true;
-		(void)replica_found_alone(n->replica);
+		n->founded = replica_found_alone(n->replica);
 		return;
 	}
 	if (s.best == NULL || mono_ms() - n->started_ms < FOUND_AFTER_MS)
--- a/lib/cellnode/impl.h
+++ b/lib/cellnode/impl.h
@@ -54,6 +54,7 @@
 	uint64_t last_process;
 	int64_t started_ms;
 	bool found_sent;
+	bool founded; /* this process has founded the cell */
 	bool failed; /* storage has failed: no replica until it is reopened */
 	int64_t reopen_ms; /* when to try that */
 	char *data_dir;
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -258,6 +258,8 @@
  */
 void permits_want(struct dispatch *d, struct permit_set *s,
     const struct plan_need *need, GPtrArray *rooms, bool learn, int64_t now);
+/* Sorts rooms (struct plan_room *) by what is free, most first. */
+void permits_sort(GPtrArray *rooms);
 /* Says whether a worker is known to be allowed, its permit valid or not. */
 bool permit_known(const struct permit_set *s, uint32_t worker);
 void permits_forget(struct dispatch *d, const struct flow_job *job);
@@ -312,11 +314,12 @@
 /* yield.c */
 void place_free(void *arg);
 /*
- * Has runs with time to spare make way for a claim that has none; the rooms
- * are kept for it meanwhile. rooms: struct plan_room * that it may use.
+ * Keeps rooms (struct place *) for a claim while permits for them are renewed.
+ * With stop, runs that have time to spare make way where room lacks.
  */
-void yield_for(struct round *rd, const struct claim *c,
-    const struct plan_need *need, GPtrArray *rooms, struct permit_set *set);
+void
+yield_for(struct round *rd, const struct claim *c, const struct plan_need *need,
+    GPtrArray *rooms, struct permit_set *set, bool stop);
 /* Says whether a worker is kept for another step. */
 bool yield_kept(const struct hand *h, const struct claim *c, int64_t now);
 void yield_done(struct dispatch *d, const struct claim *c);
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -11,7 +11,7 @@
 #define BELIEF_LEAST 20 /* runs seen before a worker is judged by them */
 #define MOVES_MAX 3 /* runs of one task that may be moved */
 #define STARTS_MAX 512 /* in one command */
-#define YIELDS_A_ROUND 6 /* claims that others may make way for in one */
+#define YIELDS_A_ROUND 8 /* claims that rooms are sought for in one */
 #define LOAD_LINE_MS 1000
 #define PERMIT_WORKERS 30 /* that an objective counts a query with */
 
@@ -375,6 +375,23 @@
 	return plan_tier(&c->plan, rd->cell_now) == PLAN_IN_TIME;
 }
 
+/*
+ * What to do for tasks that found no room, or no permit where there is room.
+ * A gang keeps the rooms that it will use while permits for them are renewed:
+ * otherwise many gangs ask for the same gaps and most ask in vain.
+ */
+static void
+seek_room(struct round *rd, const struct claim *c, const struct plan_need *need,
+    GPtrArray *rooms, struct permit_set *set)
+{
+	bool stop = pressing(rd, c) && !c->plan.filler;
+
+	if (set != NULL && !need->gang)
+		permits_want(rd->d, set, need, rooms, false, rd->now);
+	if (stop || (set != NULL && need->gang))
+		yield_for(rd, c, need, rooms, set, stop);
+}
+
 static void
 serve_claim(struct round *rd, const struct claim *c)
 {
@@ -408,10 +425,8 @@
 	need.count -= placed;
 	if (need.count == 0)
 		yield_done(rd->d, c);
-	else if (set != NULL)
-		permits_want(rd->d, set, &need, rooms, false, rd->now);
-	if (need.count > 0 && !step->filler && pressing(rd, c))
-		yield_for(rd, c, &need, rooms, set);
+	else
+		seek_room(rd, c, &need, rooms, set);
 	g_ptr_array_unref(ready);
 	g_ptr_array_unref(rooms);
 }
--- a/lib/dispatch/yield.c
+++ b/lib/dispatch/yield.c
@@ -123,12 +123,15 @@
 
 /* The runs on a worker that have more time to spare than a claim has. */
 static GArray *
-victims_on(struct round *rd, struct place *p, const struct claim *c)
+victims_on(struct round *rd, struct place *p, const struct claim *c, bool stop)
 {
-	const GArray *yields = yields_on(rd, p);
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct plan_victim));
+	const GArray *yields;
 	int64_t least = MAX(spare_ms(&c->plan, rd->cell_now), 0) + SPARE_MS;
 
+	if (!stop)
+		return out;
+	yields = yields_on(rd, p);
 	for (guint i = 0; i < yields->len; i++) {
 		const struct yield *y = &g_array_index(yields, struct yield, i);
 		struct plan_victim v = { .run = y->run, .need = y->run->need };
@@ -190,6 +193,7 @@
 {
 	GPtrArray *unknown = g_ptr_array_new_with_free_func(g_free);
 
+	permits_sort(rooms);
 	for (guint i = 0; i < rooms->len; i++) {
 		struct plan_room *room = rooms->pdata[i];
 		struct plan_room *copy;
@@ -206,7 +210,7 @@
 
 void
 yield_for(struct round *rd, const struct claim *c, const struct plan_need *need,
-    GPtrArray *rooms, struct permit_set *set)
+    GPtrArray *rooms, struct permit_set *set, bool stop)
 {
 	struct plan_site *sites;
 	struct plan_room *copies;
@@ -224,7 +228,7 @@
 			continue;
 		copies[count] = p->room;
 		sites[count].room = &copies[count];
-		sites[count].victims = victims_on(rd, p, c);
+		sites[count].victims = victims_on(rd, p, c, stop);
 		count++;
 	}
 	if (plan_make_room(sites, count, need))
--- a/lib/httpd/client.c
+++ b/lib/httpd/client.c
@@ -168,9 +168,10 @@
 	c->why = HTTP_NO_CONNECTION;
 	evhttp_request_set_error_cb(ev, on_error);
 	evhttp_connection_set_timeout_tv(conn, &tv);
-	evhttp_add_header(out, "Host", p->host);
 	for (int i = 0; headers != NULL && headers[i] != NULL; i += 2)
 		evhttp_add_header(out, headers[i], headers[i + 1]);
+	if (evhttp_find_header(out, "Host") == NULL)
+		evhttp_add_header(out, "Host", p->host);
 	if (len > 0) {
 		evhttp_add_header(out, "Content-Type", "application/json");
 		evbuffer_add(evhttp_request_get_output_buffer(ev), body, len);
--- a/lib/logs/logs.c
+++ b/lib/logs/logs.c
@@ -84,8 +84,8 @@
 	g_mutex_lock(&lock);
 	if (left_out > 0 && within_rate()) {
 		g_snprintf(note, sizeof(note),
-		    "- warning %s logs: event=lines-left-out count=%"
-		    G_GUINT64_FORMAT "\n",
+		    "- warning %s logs: event=lines-left-out "
+		    "count=%" G_GUINT64_FORMAT "\n",
 		    node_name, left_out);
 		if (put_line(note, strlen(note)))
 			left_out = 0;
--- a/lib/replica/members.c
+++ b/lib/replica/members.c
@@ -328,3 +328,17 @@
 	g_free(members);
 	return json;
 }
+
+int
+replica_voters(const struct replica *r)
+{
+	const struct raft_members *m;
+	int voters = 0;
+
+	if (r->raft == NULL)
+		return 0;
+	m = raft_members(r->raft);
+	for (int i = 0; i < m->count; i++)
+		voters += !m->member[i].learner;
+	return voters;
+}
--- a/lib/replica/replica.h
+++ b/lib/replica/replica.h
@@ -84,6 +84,8 @@
 /* Says whether this replica leads and has applied all that came before. */
 bool replica_leads(const struct replica *r);
 uint64_t replica_term(const struct replica *r);
+/* Members with a vote; 0 before it belongs to a cell. */
+int replica_voters(const struct replica *r);
 /* The leader's name if it is known and connected; "" otherwise. */
 const char *replica_leader_name(const struct replica *r);
 
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -51,21 +51,22 @@
 		struct flow_spec spec;
 		GError *err = NULL;
 
-		g_assert_false(platform_job_decode(
-		    bad[i], strlen(bad[i]), &spec, &err));
+		g_assert_false(
+		    platform_job_decode(bad[i], strlen(bad[i]), &spec, &err));
 		g_assert_error(err, BT_ERROR, ERR_INVALID);
 		g_error_free(err);
 	}
 }
 
-#define ROUTE(name, host, prefix, service, timeout)                            \
-	"{\"name\":\"" name "\",\"host\":\"" host "\",\"pathPrefix\":\"" prefix \
-	"\",\"service\":\"" service "\",\"timeoutMs\":" timeout                \
-	",\"priority\":1,\"maxAttempts\":3,\"slackFactor\":2.2,"               \
-	"\"targetLatencyMs\":1000,\"recommendation\":{\"decisionMs\":12.5,"    \
+#define ROUTE(name, host, prefix, service, timeout)                         \
+	"{\"name\":\"" name "\",\"host\":\"" host                           \
+	"\",\"pathPrefix\":\"" prefix "\",\"service\":\"" service           \
+	"\",\"timeoutMs\":" timeout                                         \
+	",\"priority\":1,\"maxAttempts\":3,\"slackFactor\":2.2,"            \
+	"\"targetLatencyMs\":1000,\"recommendation\":{\"decisionMs\":12.5," \
 	"\"perWorkerMs\":0.17,\"validityMs\":2500}}"
-#define CONFIG(version, routes)                                                \
-	"{\"version\":" version ",\"routes\":[" routes                         \
+#define CONFIG(version, routes)                        \
+	"{\"version\":" version ",\"routes\":[" routes \
 	"],\"services\":[{\"name\":\"s\",\"constraints\":true}]}"
 
 static bool
@@ -82,8 +83,8 @@
 static void
 test_config(void)
 {
-	static const char good[] = CONFIG(
-	    "7", ROUTE("r", "h", "/a/", "s", "3000"));
+	static const char good[] =
+	    CONFIG("7", ROUTE("r", "h", "/a/", "s", "3000"));
 	static const char *const bad[] = {
 		"{\"version\":7,\"routes\":[",
 		CONFIG("0", ROUTE("r", "h", "/a/", "s", "3000")),
@@ -113,9 +114,9 @@
 		g_assert_false(config(bad[i], &c));
 }
 
-#define WORKER                                                                 \
-	"\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","      \
-	"\"slots\":8,\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":0},"  \
+#define WORKER                                                                \
+	"\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","     \
+	"\"slots\":8,\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}," \
 	"\"labels\":[\"a\",\"r1-3\"],\"currentTimeMs\":5,\"born\":99"
 
 static void
@@ -132,8 +133,8 @@
 	GError *err = NULL;
 	int64_t seq;
 
-	g_assert_true(platform_worker_decode(
-	    good, strlen(good), "i-1", &w, &seq, &err));
+	g_assert_true(
+	    platform_worker_decode(good, strlen(good), "i-1", &w, &seq, &err));
 	g_assert_cmpint(seq, ==, 4);
 	g_assert_true(w.draining);
 	g_assert_cmpint(w.born_ms, ==, 99);
@@ -159,8 +160,7 @@
 	struct agent_look look = { .fence = 7, .taken = 57, .wait_ms = 1000 };
 	char *text = platform_agent.start(&s);
 
-	g_assert_nonnull(
-	    strstr(text, "\"task\":\"5c0e7a21d94b36f8.0.1.17\""));
+	g_assert_nonnull(strstr(text, "\"task\":\"5c0e7a21d94b36f8.0.1.17\""));
 	g_assert_nonnull(strstr(text, "\"run\":2"));
 	g_assert_nonnull(strstr(text, "\"checkpoint\":\"cp\""));
 	g_assert_null(strstr(text, "ticket"));
@@ -193,9 +193,8 @@
 	g_assert_cmpint(
 	    verdict(200, "{\"currentTimeMs\":5}", &clock_ms), ==, AGENT_TAKEN);
 	g_assert_cmpint(clock_ms, ==, 5);
-	g_assert_cmpint(verdict(409,
-			    "{\"currentTimeMs\":6,\"reason\":\"old\"}",
-			    &clock_ms),
+	g_assert_cmpint(
+	    verdict(409, "{\"currentTimeMs\":6,\"reason\":\"old\"}", &clock_ms),
 	    ==, AGENT_ENDED);
 	g_assert_cmpint(
 	    verdict(409, "{\"reason\":\"odd\"}", &clock_ms), ==, AGENT_UNCLEAR);
@@ -259,8 +258,7 @@
 	platform_settings_clear(&s);
 	g_assert_false(settings(NODE, &s));
 	g_assert_false(settings(NODE "peer-ports=1,2\ncallers=here\n", &s));
-	g_assert_false(
-	    settings(NODE "peer-ports=1,2\nlease-max-ms=-4\n", &s));
+	g_assert_false(settings(NODE "peer-ports=1,2\nlease-max-ms=-4\n", &s));
 	g_assert_false(settings(NODE "peer-ports=1,2\nfirst-start=7\n", &s));
 }
 
--- a/test/replica_test.c
+++ b/test/replica_test.c
@@ -252,8 +252,8 @@
 	status = replica_status(n->replica);
 	for (const char *p = status; (p = strstr(p, "\"voter\":")) != NULL;
 	     p++) {
-		settled &= g_str_has_prefix(
-		    p, "\"voter\":true,\"connected\":true");
+		settled &=
+		    g_str_has_prefix(p, "\"voter\":true,\"connected\":true");
 		count++;
 	}
 	g_free(status);
