--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -52,6 +52,16 @@
 	char *permit;
 };
 
+/* Room on a worker that is kept for a step while runs that make way for it
+ * are stopping and its permits are renewed. */
+struct keep {
+	uint64_t job;
+	uint32_t round;
+	uint32_t step;
+	struct resources room;
+	int64_t until_ms;
+};
+
 /* A worker and our session with it. */
 struct hand {
 	struct dispatch *d;
@@ -82,10 +92,7 @@
 	int64_t beat_ms; /* when it spoke of itself last */
 	int64_t beat_seq;
 	struct resources used; /* by runs that are held or reserved */
-	/* Kept free for one step until then, while runs that make way for it
-	 * are stopping; job 0: none. */
-	struct flow_run hold;
-	int64_t hold_ms;
+	GArray *keeps; /* struct keep */
 	GPtrArray *runs; /* struct lrun */
 	double pace; /* learnt: how many times as long work takes here ... */
 	int64_t pace_ms; /* ... when that was learnt */
@@ -314,15 +321,19 @@
 /* yield.c */
 void place_free(void *arg);
 /*
- * Keeps rooms (struct place *) for a claim while permits for them are renewed.
- * With stop, runs that have time to spare make way where room lacks.
+ * Has runs with time to spare make way for a claim that has none; the room is
+ * kept for it, and permits are renewed. rooms: struct place * it may use.
  */
-void
-yield_for(struct round *rd, const struct claim *c, const struct plan_need *need,
-    GPtrArray *rooms, struct permit_set *set, bool stop);
-/* Says whether a worker is kept for another step. */
-bool yield_kept(const struct hand *h, const struct claim *c, int64_t now);
-void yield_done(struct dispatch *d, const struct claim *c);
+void yield_for(struct round *rd, const struct claim *c,
+    const struct plan_need *need, GPtrArray *rooms, struct permit_set *set);
+/* What is kept on a worker now, in all. */
+struct resources yield_kept(const struct hand *h, int64_t now);
+/* Gives a claim the room that is kept for it; false if there is none. */
+bool yield_open(struct round *rd, const struct claim *c);
+/* Takes it back, for a claim that was not served whole. */
+void yield_shut(struct round *rd, const struct claim *c);
+/* Keeps nothing for the claim any longer. */
+void yield_done(struct round *rd, const struct claim *c);
 
 /* asks.c */
 void asks_take(struct dispatch *d, uint64_t process, const struct ask *ask);
--- a/test/cellnode.cmake
+++ b/test/cellnode.cmake
@@ -1,3 +1,10 @@
-bt_cases(cellnode SOURCES cellnode_test.c proc.c DEPENDS base httpd
+bt_cases(cellnode SOURCES cellnode_test.c stepcell.c proc.c DEPENDS base httpd
     CASES whole-path losses stops)
 add_dependencies(cellnode_test bulrushtide-platform)
+bt_program(soak SOURCES soak.c stepcell.c proc.c DEPENDS base httpd)
+add_dependencies(soak bulrushtide-platform)
+# Short runs with fixed seeds; more by hand: soak SEED SECONDS.
+foreach(seed 1 2 3)
+	add_test(NAME soak_${seed} COMMAND soak ${seed} 12)
+	set_tests_properties(soak_${seed} PROPERTIES TIMEOUT 300)
+endforeach()
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -192,6 +192,22 @@
 	flow_spec_clear(&spec);
 }
 
+/* A job of one step that goes on from checkpoints, or of one gang. */
+static void
+submit_step(struct leader *l, const char *path, struct flow_step in)
+{
+	struct flow_spec spec = { .payload = g_strdup("work"),
+		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
+	struct flow_step *s = flow_step_new();
+
+	in.after = s->after;
+	*s = in;
+	g_ptr_array_add(spec.steps, s);
+	ask(l, ASK_SUBMIT, path, flow_spec_encode(&spec));
+	g_assert_cmpuint(l->last_result, ==, ASK_DONE);
+	flow_spec_clear(&spec);
+}
+
 static struct leader *
 leader_new(void)
 {
@@ -439,6 +455,39 @@
 	leader_free(l);
 }
 
+/* Work with time to spare makes way for a gang that has none, and goes on
+ * when there is room again. */
+static void
+test_makes_way(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	struct flow_run member = { 0x77, 0, 0, 0, 1 };
+
+	announce(l, a, false);
+	submit_step(l, JOB_PATH,
+	    (struct flow_step){ .count = 4,
+		.need = { 1000, 1 << 20, 0 },
+		.runtime_ms = 60000,
+		.checkpoints = true });
+	AWAIT(l, a->running->len == 4);
+	submit_step(l, "/renders/0000000000000077",
+	    (struct flow_step){ .count = 2,
+		.need = { 1500, 1 << 20, 0 },
+		.runtime_ms = 1500,
+		.gang = true });
+	AWAIT(l, stub_worker_runs(a, &member));
+	g_assert_cmpint(a->stops, ==, 3);
+	g_assert_cmpuint(a->running->len, ==, 3);
+	stub_worker_end(a, &member, AGENT_DONE);
+	member.index = 1;
+	stub_worker_end(a, &member, AGENT_DONE);
+	AWAIT(l, a->running->len == 4);
+	g_assert_cmpint(flow_job(l->flow, JOB)->state, ==, FLOW_RUNNING);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 /* Word of an earlier life that comes after the next one's has no effect. */
 static void
 test_earlier_life(void)
@@ -505,6 +554,7 @@
 	g_test_add_func("/dispatch/stray", test_stray);
 	g_test_add_func("/dispatch/cancel", test_cancel);
 	g_test_add_func("/dispatch/room", test_room);
+	g_test_add_func("/dispatch/makes-way", test_makes_way);
 	g_test_add_func("/dispatch/earlier-life", test_earlier_life);
 	g_test_add_func("/dispatch/state-held", test_state_held);
 	return g_test_run();
--- /dev/null
+++ b/test/stepcell.c
@@ -0,0 +1,503 @@
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <glib/gstdio.h>
+#include <jansson.h>
+
+#include "httpd.h"
+#include "stepcell.h"
+
+#define BEAT_MS 500
+#define CALL_MS 4000
+#define PEER_PORT "7998" /* the same on all addresses, as on the platform */
+#define READY_PORT "7999"
+
+/* One run on a stand-in worker. */
+struct run {
+	char *task;
+	int64_t number;
+	int64_t due_ms;
+};
+
+struct cell_worker {
+	struct cell *cell;
+	char *name;
+	char *address;
+	struct httpd *server;
+	int64_t born_ms;
+	int64_t until_ms; /* its lease; of this process's steady clock */
+	int64_t fence;
+	int64_t last_end;
+	int64_t seq;
+	GArray *runs; /* struct run */
+	GPtrArray *ends; /* json_t rows */
+};
+
+const char cell_config[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"q\",\"host\":\"jobs.example\","
+    "\"pathPrefix\":\"/q/\",\"service\":\"desk\",\"timeoutMs\":3000,"
+    "\"maxAttempts\":2,\"slackFactor\":2,\"targetLatencyMs\":500}],"
+    "\"services\":[{\"name\":\"desk\"}]}";
+
+static void
+on_answer(void *arg, int status, const void *body, size_t len, const char *why)
+{
+	struct cell *c = arg;
+
+	c->answered = true;
+	c->status = status;
+	g_free(c->body);
+	c->body = g_strndup(body == NULL ? "" : body, len);
+}
+
+static void
+turn(struct cell *c)
+{
+	struct timeval tv = { .tv_usec = 10000 };
+
+	event_base_loopexit(c->base, &tv);
+	event_base_dispatch(c->base);
+}
+
+static void
+on_nothing(void *arg, int status, const void *body, size_t len, const char *why)
+{
+}
+
+/* Each worker speaks of itself to one process, another one each time. */
+static void
+beat(struct cell *c)
+{
+	struct http_peer *peer[WORKERS];
+
+	c->beat_ms = mono_ms();
+	for (int i = 0; i < WORKERS; i++) {
+		struct cell_worker *w = c->worker[i];
+		struct cell_node *n = &c->node[(w->seq + i) % NODES];
+		char *path = g_strdup_printf(
+		    "/bulrushtide/instances/%s/heartbeat", w->name);
+		char *body = g_strdup_printf(
+		    "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":\"z\","
+		    "\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":"
+		    "3000,\"memMb\":4096,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+		    "\"born\":%" G_GINT64_FORMAT ",\"seq\":%" G_GINT64_FORMAT
+		    "}",
+		    w->address, w->born_ms, ++w->seq);
+
+		peer[i] = http_peer_new(c->base, n->control, NULL);
+		http_send(peer[i], EVHTTP_REQ_POST, path, NULL, body,
+		    strlen(body), 900, on_nothing, c);
+		g_free(path);
+		g_free(body);
+	}
+	for (int i = 0; i < 4; i++)
+		turn(c);
+	for (int i = 0; i < WORKERS; i++)
+		http_peer_free(peer[i]);
+}
+
+void
+cell_turn(struct cell *c)
+{
+	turn(c);
+	if (mono_ms() - c->beat_ms > BEAT_MS)
+		beat(c);
+}
+
+int
+cell_call(struct cell *c, const char *address, enum evhttp_cmd_type method,
+    const char *path, const char *body)
+{
+	static const char *const headers[] = { "Host", "jobs.example", NULL };
+	struct http_peer *p = http_peer_new(c->base, address, NULL);
+	int64_t limit = mono_ms() + CALL_MS + 1000;
+
+	c->answered = false;
+	c->status = 0;
+	http_send(p, method, path, headers, body,
+	    body == NULL ? 0 : strlen(body), CALL_MS, on_answer, c);
+	while (!c->answered && mono_ms() < limit)
+		cell_turn(c);
+	http_peer_free(p);
+	return c->status;
+}
+
+/* --- the stand-in workers --- */
+
+static struct run *
+run_of(const struct cell_worker *w, const char *task)
+{
+	for (guint i = 0; i < w->runs->len; i++) {
+		struct run *r = &g_array_index(w->runs, struct run, i);
+
+		if (strcmp(r->task, task) == 0)
+			return r;
+	}
+	return NULL;
+}
+
+static void
+list_end(struct cell_worker *w, guint at, const char *how)
+{
+	struct run *r = &g_array_index(w->runs, struct run, at);
+
+	g_ptr_array_add(w->ends,
+	    json_pack("[IsIss]", (json_int_t)++w->last_end, r->task,
+		(json_int_t)r->number, how, ""));
+	g_free(r->task);
+	g_array_remove_index(w->runs, at);
+}
+
+/* Ends what has run long enough, and all once the lease is over. */
+static void
+advance(struct cell_worker *w)
+{
+	int64_t now = mono_ms();
+	GHashTable *done = w->cell->done;
+
+	for (guint i = w->runs->len; i > 0; i--) {
+		struct run *r = &g_array_index(w->runs, struct run, i - 1);
+		int times;
+
+		if (r->due_ms > MIN(now, w->until_ms)) {
+			if (now >= w->until_ms)
+				list_end(w, i - 1, "lapsed");
+			continue;
+		}
+		times = GPOINTER_TO_INT(g_hash_table_lookup(done, r->task));
+		g_hash_table_insert(
+		    done, g_strdup(r->task), GINT_TO_POINTER(times + 1));
+		list_end(w, i - 1, "done");
+	}
+}
+
+static void
+answer(struct http_request *req, int status, json_t *o)
+{
+	char *text = json_dumps(o, 0);
+
+	http_reply(req, status, g_strdup(text), 0);
+	free(text);
+	json_decref(o);
+}
+
+static void
+answer_clock(struct http_request *req)
+{
+	answer(req, 200,
+	    json_pack("{sI}", "currentTimeMs", (json_int_t)mono_ms()));
+}
+
+static void
+refuse(struct http_request *req, const char *reason)
+{
+	answer(req, 409,
+	    json_pack("{sIss}", "currentTimeMs", (json_int_t)mono_ms(),
+		"reason", reason));
+}
+
+/* Reads an order; answers it and returns NULL if its fence is too low. */
+static json_t *
+order(struct cell_worker *w, struct http_request *req)
+{
+	json_t *o = json_loadb(req->body, req->body_len, 0, NULL);
+	json_t *until = json_object_get(o, "deadlineMs");
+	int64_t fence;
+
+	g_assert_nonnull(o);
+	advance(w);
+	fence = json_integer_value(json_object_get(o, "fencingToken"));
+	if (fence < w->fence) {
+		json_decref(o);
+		refuse(req, "fence");
+		return NULL;
+	}
+	w->fence = fence;
+	if (until != NULL)
+		w->until_ms = MAX(w->until_ms, json_integer_value(until));
+	return o;
+}
+
+/* A task that starts here must not run elsewhere, nor have ended as done. */
+static void
+check_start(const struct cell_worker *w, const char *task)
+{
+	for (int i = 0; i < WORKERS; i++) {
+		struct cell_worker *other = w->cell->worker[i];
+
+		advance(other);
+		if (other != w && run_of(other, task) != NULL)
+			g_error("task %s runs on %s and starts on %s", task,
+			    other->name, w->name);
+	}
+	if (g_hash_table_contains(w->cell->done, task))
+		g_error("task %s has ended as done and starts on %s", task,
+		    w->name);
+}
+
+static void
+on_start(void *arg, struct http_request *req)
+{
+	struct cell_worker *w = arg;
+	json_t *o = order(w, req);
+	const char *task;
+	struct run r;
+
+	if (o == NULL)
+		return;
+	task = json_string_value(json_object_get(o, "task"));
+	if (run_of(w, task) == NULL) {
+		check_start(w, task);
+		r.task = g_strdup(task);
+		r.number = json_integer_value(json_object_get(o, "run"));
+		r.due_ms = mono_ms() + WORK_MS;
+		g_array_append_val(w->runs, r);
+	}
+	json_decref(o);
+	answer_clock(req);
+}
+
+static void
+on_stop(void *arg, struct http_request *req)
+{
+	struct cell_worker *w = arg;
+	json_t *o = order(w, req);
+	const char *task;
+
+	if (o == NULL)
+		return;
+	task = json_string_value(json_object_get(o, "task"));
+	for (guint i = w->runs->len; i > 0; i--)
+		if (strcmp(g_array_index(w->runs, struct run, i - 1).task,
+			task) == 0)
+			list_end(w, i - 1, "stopped");
+	json_decref(o);
+	answer_clock(req);
+}
+
+static void
+on_look(void *arg, struct http_request *req)
+{
+	struct cell_worker *w = arg;
+	json_t *o = order(w, req);
+	json_t *running;
+	json_t *ended;
+	json_int_t taken;
+
+	if (o == NULL)
+		return;
+	running = json_array();
+	ended = json_array();
+	taken = json_integer_value(json_object_get(o, "ackCursor"));
+	json_decref(o);
+	while (w->ends->len > 0 &&
+	    json_integer_value(json_array_get(w->ends->pdata[0], 0)) <= taken)
+		g_ptr_array_remove_index(w->ends, 0);
+	for (guint i = 0; i < w->runs->len; i++) {
+		struct run *r = &g_array_index(w->runs, struct run, i);
+
+		json_array_append_new(running,
+		    json_pack("[sIsi]", r->task, (json_int_t)r->number, "",
+			(int)(mono_ms() % 90)));
+	}
+	for (guint i = 0; i < w->ends->len; i++)
+		json_array_append(ended, w->ends->pdata[i]);
+	answer(req, 200,
+	    json_pack("{sIsIsoso}", "currentTimeMs", (json_int_t)mono_ms(),
+		"born", (json_int_t)w->born_ms, "running", running,
+		"endedRuns", ended));
+}
+
+static const struct http_route worker_routes[] = {
+	{ EVHTTP_REQ_POST, "/bulrushtide/run-start", on_start },
+	{ EVHTTP_REQ_POST, "/bulrushtide/run-stop", on_stop },
+	{ EVHTTP_REQ_POST, "/bulrushtide/hold", on_look },
+};
+
+static struct cell_worker *
+worker_new(struct cell *c, int i)
+{
+	struct cell_worker *w = g_new0(struct cell_worker, 1);
+	GError *err = NULL;
+
+	w->cell = c;
+	w->name = g_strdup_printf("w%d", i);
+	w->address = free_address(c->node[i].ip);
+	w->born_ms = g_get_real_time() / 1000;
+	w->runs = g_array_new(FALSE, TRUE, sizeof(struct run));
+	w->ends = g_ptr_array_new_with_free_func((GDestroyNotify)json_decref);
+	w->server = httpd_new(c->base, w->address, worker_routes,
+	    G_N_ELEMENTS(worker_routes), w, &err);
+	g_assert_no_error(err);
+	return w;
+}
+
+static void
+worker_free(struct cell_worker *w)
+{
+	httpd_free(w->server);
+	for (guint i = 0; i < w->runs->len; i++)
+		g_free(g_array_index(w->runs, struct run, i).task);
+	g_array_unref(w->runs);
+	g_ptr_array_unref(w->ends);
+	g_free(w->name);
+	g_free(w->address);
+	g_free(w);
+}
+
+/* --- the processes --- */
+
+void
+cell_start(struct cell *c, int i, bool first)
+{
+	struct cell_node *n = &c->node[i];
+	GPtrArray *argv = g_ptr_array_new();
+	char *dir = programs_dir();
+	char *name = g_strdup_printf("n%d", i);
+	char *text = g_strdup_printf(
+	    "[node]\nname=%s\ndata-center=z\nip=%s\npeer-ports=%s\n"
+	    "seeds=%s:1,%s:1\nfirst-start=%s\ndata-dir=%s\n"
+	    "callers=%s\ncontrol=%s\nready=%s:%s\ngrace-s=4\n"
+	    "lease-max-ms=6000\nretain-s=60\n",
+	    name, n->ip, PEER_PORT, c->node[0].ip, c->node[NODES - 1].ip,
+	    first ? "true" : "false", n->data == NULL ? "" : n->data,
+	    n->callers, n->control, n->ip, READY_PORT);
+
+	g_assert_true(g_file_set_contents(n->settings, text, -1, NULL));
+	add_arg(argv, "%s/../platform/bulrushtide-platform", dir);
+	add_arg(argv, "--settings=%s", n->settings);
+	n->proc = proc_new(name, c->dir, argv);
+	proc_start(n->proc, false);
+	g_free(name);
+	g_free(dir);
+	g_free(text);
+}
+
+void
+cell_kill(struct cell *c, int i)
+{
+	kill(c->node[i].proc->pid, SIGKILL);
+	(void)proc_wait(c->node[i].proc);
+	g_clear_pointer(&c->node[i].proc, proc_free);
+}
+
+void
+cell_wipe(struct cell *c, int i)
+{
+	remove_tree(c->node[i].data);
+	g_assert_cmpint(g_mkdir(c->node[i].data, 0700), ==, 0);
+}
+
+bool
+cell_ready(struct cell *c, int i)
+{
+	char *address =
+	    g_strdup_printf("%s:%s", c->node[i].ip, READY_PORT);
+	int status =
+	    cell_call(c, address, EVHTTP_REQ_GET, "/bulrushtide/ready", NULL);
+
+	g_free(address);
+	return status == 200;
+}
+
+/* An address of its own for each process. */
+static char *
+node_ip(int i)
+{
+	unsigned pid = (unsigned)getpid();
+
+	return g_strdup_printf("127.%d.%u.%u", 251 + i, pid >> 8 & 0xff,
+	    1 + (pid & 0xff) % 254);
+}
+
+struct cell *
+cell_new(void)
+{
+	struct cell *c = g_new0(struct cell, 1);
+
+	c->base = event_base_new();
+	c->dir = g_dir_make_tmp("stepcell-XXXXXX", NULL);
+	c->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (int i = 0; i < NODES; i++) {
+		struct cell_node *n = &c->node[i];
+
+		n->ip = node_ip(i);
+		n->callers = free_address(n->ip);
+		n->control = free_address(n->ip);
+		n->settings = g_strdup_printf("%s/n%d.conf", c->dir, i);
+		if (i >= DISKS)
+			continue;
+		n->data = g_strdup_printf("%s/data%d", c->dir, i);
+		g_assert_cmpint(g_mkdir(n->data, 0700), ==, 0);
+	}
+	for (int i = 0; i < WORKERS; i++)
+		c->worker[i] = worker_new(c, i);
+	for (int i = 0; i < NODES; i++)
+		cell_start(c, i, true);
+	for (int i = 0; i < NODES; i++)
+		CELL_AWAIT(c, cell_ready(c, i));
+	CELL_AWAIT(c,
+	    cell_call(c, c->node[3].control, EVHTTP_REQ_POST,
+		"/bulrushtide/config/replace", cell_config) == 200);
+	return c;
+}
+
+void
+cell_free(struct cell *c)
+{
+	for (int i = 0; i < NODES; i++) {
+		struct cell_node *n = &c->node[i];
+
+		if (n->proc != NULL)
+			cell_kill(c, i);
+		g_free(n->ip);
+		g_free(n->settings);
+		g_free(n->data);
+		g_free(n->callers);
+		g_free(n->control);
+	}
+	for (int i = 0; i < WORKERS; i++)
+		worker_free(c->worker[i]);
+	turn(c);
+	event_base_free(c->base);
+	g_hash_table_unref(c->done);
+	remove_tree(c->dir);
+	g_free(c->dir);
+	g_free(c->body);
+	g_free(c);
+}
+
+bool
+cell_accepted(struct cell *c, int i, const char *path)
+{
+	return cell_call(c, c->node[i].callers, EVHTTP_REQ_POST, path,
+		   "{\"spec\":\"w\",\"steps\":[{\"count\":2,\"cpu\":1000,"
+		   "\"estimatedMs\":300},{\"count\":1,\"cpu\":500,"
+		   "\"after\":[0],\"estimatedMs\":300}]}") == 200;
+}
+
+bool
+cell_state_is(struct cell *c, int i, const char *path, const char *state)
+{
+	char *want = g_strdup_printf("{\"state\":\"%s\"}", state);
+	bool same = cell_call(c, c->node[i].callers, EVHTTP_REQ_GET, path,
+			NULL) == 200 &&
+	    strcmp(c->body, want) == 0;
+
+	g_free(want);
+	return same;
+}
+
+void
+cell_assert_once(struct cell *c, guint tasks)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_assert_cmpuint(g_hash_table_size(c->done), ==, tasks);
+	g_hash_table_iter_init(&iter, c->done);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_assert_cmpint(GPOINTER_TO_INT(value), ==, 1);
+}
