--- a/lib/dispatch/hands.c
+++ b/lib/dispatch/hands.c
@@ -54,7 +54,6 @@
 	h->pace = 1;
 	h->beat_ms = mono_ms();
 	h->runs = g_ptr_array_new();
-	h->keeps = g_array_new(FALSE, FALSE, sizeof(struct keep));
 	hand_take(h, w);
 	g_hash_table_insert(d->hands, GUINT_TO_POINTER(h->id), h);
 	return h;
@@ -72,7 +71,6 @@
 	for (guint i = 0; i < runs->len; i++)
 		run_free(runs->pdata[i]);
 	g_ptr_array_unref(runs);
-	g_array_unref(h->keeps);
 	g_free(h->name);
 	g_free(h->address);
 	g_free(h);
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -52,16 +52,6 @@
 	char *permit;
 };
 
-/* Room on a worker that is kept for a step while runs that make way for it
- * are stopping and its permits are renewed. */
-struct keep {
-	uint64_t job;
-	uint32_t round;
-	uint32_t step;
-	struct resources room;
-	int64_t until_ms;
-};
-
 /* A worker and our session with it. */
 struct hand {
 	struct dispatch *d;
@@ -92,7 +82,10 @@
 	int64_t beat_ms; /* when it spoke of itself last */
 	int64_t beat_seq;
 	struct resources used; /* by runs that are held or reserved */
-	GArray *keeps; /* struct keep */
+	/* Kept free for one step until then, while runs that make way for it
+	 * are stopping; job 0: none. */
+	struct flow_run hold;
+	int64_t hold_ms;
 	GPtrArray *runs; /* struct lrun */
 	double pace; /* learnt: how many times as long work takes here ... */
 	int64_t pace_ms; /* ... when that was learnt */
@@ -265,8 +258,6 @@
  */
 void permits_want(struct dispatch *d, struct permit_set *s,
     const struct plan_need *need, GPtrArray *rooms, bool learn, int64_t now);
-/* Sorts rooms (struct plan_room *) by what is free, most first. */
-void permits_sort(GPtrArray *rooms);
 /* Says whether a worker is known to be allowed, its permit valid or not. */
 bool permit_known(const struct permit_set *s, uint32_t worker);
 void permits_forget(struct dispatch *d, const struct flow_job *job);
@@ -321,19 +312,14 @@
 /* yield.c */
 void place_free(void *arg);
 /*
- * Has runs with time to spare make way for a claim that has none; the room is
- * kept for it, and permits are renewed. rooms: struct place * it may use.
+ * Has runs with time to spare make way for a claim that has none; the rooms
+ * are kept for it meanwhile. rooms: struct plan_room * that it may use.
  */
 void yield_for(struct round *rd, const struct claim *c,
     const struct plan_need *need, GPtrArray *rooms, struct permit_set *set);
-/* What is kept on a worker now, in all. */
-struct resources yield_kept(const struct hand *h, int64_t now);
-/* Gives a claim the room that is kept for it; false if there is none. */
-bool yield_open(struct round *rd, const struct claim *c);
-/* Takes it back, for a claim that was not served whole. */
-void yield_shut(struct round *rd, const struct claim *c);
-/* Keeps nothing for the claim any longer. */
-void yield_done(struct round *rd, const struct claim *c);
+/* Says whether a worker is kept for another step. */
+bool yield_kept(const struct hand *h, const struct claim *c, int64_t now);
+void yield_done(struct dispatch *d, const struct claim *c);
 
 /* asks.c */
 void asks_take(struct dispatch *d, uint64_t process, const struct ask *ask);
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -163,12 +163,6 @@
 	    : x->free.millicpus < y->free.millicpus;
 }
 
-void
-permits_sort(GPtrArray *rooms)
-{
-	g_ptr_array_sort(rooms, by_free);
-}
-
 /* Says whether to ask about a worker; how likely it is allowed. */
 static bool
 wanted(const struct permit_set *s, uint32_t worker, int64_t now, double *chance)
@@ -236,9 +230,7 @@
 		return;
 	names = g_ptr_array_new();
 	g_array_set_size(s->asking, 0);
-	/* One that learns gets them in the order of what is free now. */
-	if (!learn)
-		permits_sort(rooms);
+	g_ptr_array_sort(rooms, by_free);
 	for (guint i = 0; i < rooms->len && !enough(need, found, names->len);
 	     i++) {
 		struct plan_room *room = rooms->pdata[i];
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -11,7 +11,7 @@
 #define BELIEF_LEAST 20 /* runs seen before a worker is judged by them */
 #define MOVES_MAX 3 /* runs of one task that may be moved */
 #define STARTS_MAX 512 /* in one command */
-#define YIELDS_A_ROUND 32 /* claims that rooms are sought for in one */
+#define YIELDS_A_ROUND 6 /* claims that others may make way for in one */
 #define LOAD_LINE_MS 1000
 #define PERMIT_WORKERS 30 /* that an objective counts a query with */
 
@@ -171,7 +171,6 @@
 	g_hash_table_iter_init(&iter, d->hands);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct hand *h = value;
-		struct resources kept;
 		struct place *p;
 
 		if (!hand_open(h, rd->now))
@@ -182,8 +181,6 @@
 		p->room.worker = h->id;
 		p->room.capacity = p->room.free = p->worker->capacity;
 		resources_add(&p->room.free, &h->used, -1);
-		kept = yield_kept(h, rd->now);
-		resources_add(&p->room.free, &kept, -1);
 		p->room.rack = rack_number(d, p->worker->rack);
 		p->room.pace = pace_now(h, rd->now);
 		g_ptr_array_add(rd->rooms, p);
@@ -286,7 +283,8 @@
 		struct place *p = rd->rooms->pdata[i];
 
 		if (strcmp(p->worker->pool, c->job->queue->pool) != 0 ||
-		    !has_label(p->worker, step->label))
+		    !has_label(p->worker, step->label) ||
+		    yield_kept(p->hand, c, rd->now))
 			continue;
 		p->room.same =
 		    step->per_worker == 0 ? 0 : held_there(p->hand, c);
@@ -377,23 +375,6 @@
 	return plan_tier(&c->plan, rd->cell_now) == PLAN_IN_TIME;
 }
 
-/*
- * What to do for tasks that found no room, or no permit where there is room.
- * A gang that can be in time keeps the rooms that it will use while permits
- * for them are renewed: others would fill the gaps meanwhile.
- */
-static void
-seek_room(struct round *rd, const struct claim *c, const struct plan_need *need,
-    GPtrArray *rooms, struct permit_set *set)
-{
-	bool stop = pressing(rd, c) && !c->plan.filler;
-
-	if (set != NULL && !(need->gang && stop))
-		permits_want(rd->d, set, need, rooms, false, rd->now);
-	if (stop)
-		yield_for(rd, c, need, rooms, set);
-}
-
 static void
 serve_claim(struct round *rd, const struct claim *c)
 {
@@ -409,15 +390,12 @@
 	GPtrArray *rooms;
 	GPtrArray *ready;
 	uint32_t placed = 0;
-	bool mine;
 
 	if (need.count == 0 ||
-	    (!resources_fit(&need.each, &rd->most) && !pressing(rd, c) &&
-		!step->gang))
+	    (!resources_fit(&need.each, &rd->most) && !pressing(rd, c)))
 		return;
 	if (step->filler)
 		need.each.millicpus = 0;
-	mine = yield_open(rd, c);
 	rooms = allowed_rooms(rd, c, step);
 	ready = g_ptr_array_ref(rooms);
 	if (c->job->queue->advised) {
@@ -429,11 +407,11 @@
 		placed = place(rd, c, &need, ready, set);
 	need.count -= placed;
 	if (need.count == 0)
-		yield_done(rd, c);
-	else if (mine)
-		yield_shut(rd, c);
-	else
-		seek_room(rd, c, &need, rooms, set);
+		yield_done(rd->d, c);
+	else if (set != NULL)
+		permits_want(rd->d, set, &need, rooms, false, rd->now);
+	if (need.count > 0 && !step->filler && pressing(rd, c))
+		yield_for(rd, c, &need, rooms, set);
 	g_ptr_array_unref(ready);
 	g_ptr_array_unref(rooms);
 }
--- a/lib/dispatch/yield.c
+++ b/lib/dispatch/yield.c
@@ -6,92 +6,55 @@
 #define SETTLED_MS 600 /* a run is not stopped sooner after its start */
 #define YIELDS_MAX 4 /* runs of one task that may make way */
 
-/* Finds what is kept on a worker for a claim, or NULL. */
-static struct keep *
-find_keep(const struct hand *h, const struct claim *c, int64_t now)
-{
-	for (guint i = 0; i < h->keeps->len; i++) {
-		struct keep *k = &g_array_index(h->keeps, struct keep, i);
-
-		if (k->until_ms > now && k->job == c->job->id &&
-		    k->round == c->round->number && k->step == c->step)
-			return k;
-	}
-	return NULL;
-}
-
-struct resources
-yield_kept(const struct hand *h, int64_t now)
-{
-	struct resources sum = { 0 };
-
-	for (guint i = h->keeps->len; i > 0; i--) {
-		struct keep *k = &g_array_index(h->keeps, struct keep, i - 1);
-
-		if (k->until_ms > now)
-			resources_add(&sum, &k->room, 1);
-		else
-			g_array_remove_index_fast(h->keeps, i - 1);
-	}
-	return sum;
-}
-
-/* Adds what is kept for a claim to the rooms' free amounts, or takes it off. */
 static bool
-move_kept(struct round *rd, const struct claim *c, int sign)
+keeps(const struct hand *h, const struct claim *c, int64_t now)
 {
-	bool any = false;
-
-	for (guint i = 0; i < rd->rooms->len; i++) {
-		struct place *p = rd->rooms->pdata[i];
-		const struct keep *k = find_keep(p->hand, c, rd->now);
-
-		if (k == NULL)
-			continue;
-		resources_add(&p->room.free, &k->room, sign);
-		any = true;
-	}
-	return any;
+	return h->hold_ms > now && h->hold.job == c->job->id &&
+	    h->hold.round == c->round->number && h->hold.step == c->step;
 }
 
 bool
-yield_open(struct round *rd, const struct claim *c)
+yield_kept(const struct hand *h, const struct claim *c, int64_t now)
 {
-	return move_kept(rd, c, 1);
+	return h->hold_ms > now && !keeps(h, c, now);
 }
 
-void
-yield_shut(struct round *rd, const struct claim *c)
+static void
+keep(struct hand *h, const struct claim *c, int64_t now)
 {
-	(void)move_kept(rd, c, -1);
+	h->hold = (struct flow_run){
+		.job = c->job->id, .round = c->round->number, .step = c->step
+	};
+	h->hold_ms = now + KEEP_MS;
 }
 
+/* Gives rooms free again that were kept for a claim. */
 void
-yield_done(struct round *rd, const struct claim *c)
+yield_done(struct dispatch *d, const struct claim *c)
 {
-	for (guint i = 0; i < rd->rooms->len; i++) {
-		struct place *p = rd->rooms->pdata[i];
-		struct keep *k = find_keep(p->hand, c, rd->now);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->hands);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct hand *h = value;
 
-		if (k != NULL)
-			k->until_ms = 0;
+		if (keeps(h, c, d->rounded_ms))
+			h->hold_ms = 0;
 	}
 }
 
-/* Keeps room for some tasks; what the round has free shrinks by it. */
-static void
-keep(struct round *rd, struct place *p, const struct claim *c,
-    const struct plan_need *need, uint32_t tasks)
+static bool
+kept_any(const struct dispatch *d, const struct claim *c, int64_t now)
 {
-	struct keep k = { .job = c->job->id,
-		.round = c->round->number,
-		.step = c->step,
-		.until_ms = rd->now + KEEP_MS };
+	GHashTableIter iter;
+	gpointer value;
 
-	for (uint32_t i = 0; i < tasks; i++)
-		resources_add(&k.room, &need->each, 1);
-	resources_add(&p->room.free, &k.room, -1);
-	g_array_append_val(p->hand->keeps, k);
+	g_hash_table_iter_init(&iter, d->hands);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (keeps(value, c, now))
+			return true;
+	return false;
 }
 
 static int64_t
@@ -162,8 +125,8 @@
 static GArray *
 victims_on(struct round *rd, struct place *p, const struct claim *c)
 {
-	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct plan_victim));
 	const GArray *yields = yields_on(rd, p);
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct plan_victim));
 	int64_t least = MAX(spare_ms(&c->plan, rd->cell_now), 0) + SPARE_MS;
 
 	for (guint i = 0; i < yields->len; i++) {
@@ -200,8 +163,7 @@
 /* Stops what was chosen and keeps the rooms; renews what permits lack. */
 static void
 carry_out(struct round *rd, const struct claim *c, const struct plan_need *need,
-    struct plan_site *sites, struct place **places, guint count,
-    struct permit_set *set)
+    struct plan_site *sites, guint count, struct permit_set *set)
 {
 	GPtrArray *rooms = g_ptr_array_new();
 
@@ -211,7 +173,7 @@
 		if (s->tasks == 0)
 			continue;
 		stop_chosen(s, c);
-		keep(rd, places[i], c, need, s->tasks);
+		keep(hand_find(rd->d, s->room->worker), c, rd->now);
 		/* What will be free there, for the tasks that go there. */
 		resources_add(&s->room->free, &need->each, (int)s->tasks);
 		g_ptr_array_add(rooms, s->room);
@@ -228,7 +190,6 @@
 {
 	GPtrArray *unknown = g_ptr_array_new_with_free_func(g_free);
 
-	permits_sort(rooms);
 	for (guint i = 0; i < rooms->len; i++) {
 		struct plan_room *room = rooms->pdata[i];
 		struct plan_room *copy;
@@ -249,33 +210,29 @@
 {
 	struct plan_site *sites;
 	struct plan_room *copies;
-	struct place **places;
 	guint count = 0;
 
-	if (rd->yields_left == 0)
+	if (rd->yields_left == 0 || kept_any(rd->d, c, rd->now))
 		return;
 	rd->yields_left--;
 	sites = g_new0(struct plan_site, rooms->len + 1);
 	copies = g_new0(struct plan_room, rooms->len + 1);
-	places = g_new0(struct place *, rooms->len + 1);
 	for (guint i = 0; i < rooms->len; i++) {
 		struct place *p = rooms->pdata[i];
 
 		if (set != NULL && !permit_known(set, p->room.worker))
 			continue;
 		copies[count] = p->room;
-		places[count] = p;
 		sites[count].room = &copies[count];
 		sites[count].victims = victims_on(rd, p, c);
 		count++;
 	}
 	if (plan_make_room(sites, count, need))
-		carry_out(rd, c, need, sites, places, count, set);
+		carry_out(rd, c, need, sites, count, set);
 	else if (set != NULL)
 		learn_more(rd, need, rooms, set);
 	for (guint i = 0; i < count; i++)
 		g_array_unref(sites[i].victims);
 	g_free(sites);
 	g_free(copies);
-	g_free(places);
 }
--- a/test/cellnode_test.c
+++ b/test/cellnode_test.c
@@ -19,11 +19,12 @@
 	CELL_AWAIT(c, cell_state_is(c, 1, JOB("1"), "completed"));
 	cell_assert_once(c, 3);
 	g_assert_cmpint(
-	    cell_call(c, c->node[2].callers, EVHTTP_REQ_GET, "/q/", NULL), ==, 200);
+	    cell_call(c, c->node[2].callers, EVHTTP_REQ_GET, "/q/", NULL), ==,
+	    200);
 	g_assert_cmpstr(c->body, ==, "{\"waiting\":0}");
 	g_assert_cmpint(
-	    cell_call(c, c->node[2].callers, EVHTTP_REQ_GET, JOB("f"), NULL), ==,
-	    410);
+	    cell_call(c, c->node[2].callers, EVHTTP_REQ_GET, JOB("f"), NULL),
+	    ==, 410);
 	g_assert_cmpint(cell_call(c, c->node[2].callers, EVHTTP_REQ_GET,
 			    "/none/0000000000000001", NULL),
 	    ==, 404);
@@ -79,7 +80,8 @@
 		g_clear_pointer(&c->node[i].proc, proc_free);
 		cell_start(c, i, false);
 		CELL_AWAIT(c, cell_ready(c, i));
-		CELL_AWAIT(c, cell_state_is(c, (i + 1) % NODES, path, "completed"));
+		CELL_AWAIT(
+		    c, cell_state_is(c, (i + 1) % NODES, path, "completed"));
 		g_free(path);
 	}
 	cell_assert_once(c, NODES * 3);
--- a/test/soak.c
+++ b/test/soak.c
@@ -14,7 +14,8 @@
 
 #include "stepcell.h"
 
-#define QUIET_MS 6000 /* after a lost disk, before the next loss of a replica */
+#define QUIET_MS 6000 /* after a lost disk, before the next loss of a replica \
+		       */
 #define STEP_MS 400 /* between faults, up to three times that */
 #define JOBS_MAX 400
 #define SETTLE_MS 90000 /* all accepted jobs are completed by then */
@@ -60,7 +61,7 @@
 	f->until_ms = mono_ms() + 300 + (int64_t)rng_below(&s->rng, 2500);
 	f->paused = kind == 0;
 	printf("soak: %s n%d\n",
-	    kind == 0	    ? "pauses"
+	    kind == 0       ? "pauses"
 		: kind == 1 ? "stops"
 		: kind == 2 ? "kills"
 			    : "kills and wipes",
@@ -193,9 +194,8 @@
 {
 	for (int i = 0; i < NODES; i++) {
 		CELL_AWAIT(s->cell,
-		    cell_call(s->cell, s->cell->node[i].control,
-			EVHTTP_REQ_GET, "/bulrushtide/config/read",
-			NULL) == 200);
+		    cell_call(s->cell, s->cell->node[i].control, EVHTTP_REQ_GET,
+			"/bulrushtide/config/read", NULL) == 200);
 		if (strcmp(s->cell->body, cell_config) == 0)
 			continue;
 		printf("soak: n%d reads back %s\n", i, s->cell->body);
--- a/test/stepcell.c
+++ b/test/stepcell.c
@@ -306,8 +306,8 @@
 		json_array_append(ended, w->ends->pdata[i]);
 	answer(req, 200,
 	    json_pack("{sIsIsoso}", "currentTimeMs", (json_int_t)mono_ms(),
-		"born", (json_int_t)w->born_ms, "running", running,
-		"endedRuns", ended));
+		"born", (json_int_t)w->born_ms, "running", running, "endedRuns",
+		ended));
 }
 
 static const struct http_route worker_routes[] = {
@@ -393,8 +393,7 @@
 bool
 cell_ready(struct cell *c, int i)
 {
-	char *address =
-	    g_strdup_printf("%s:%s", c->node[i].ip, READY_PORT);
+	char *address = g_strdup_printf("%s:%s", c->node[i].ip, READY_PORT);
 	int status =
 	    cell_call(c, address, EVHTTP_REQ_GET, "/bulrushtide/ready", NULL);
 
@@ -408,8 +407,8 @@
 {
 	unsigned pid = (unsigned)getpid();
 
-	return g_strdup_printf("127.%d.%u.%u", 251 + i, pid >> 8 & 0xff,
-	    1 + (pid & 0xff) % 254);
+	return g_strdup_printf(
+	    "127.%d.%u.%u", 251 + i, pid >> 8 & 0xff, 1 + (pid & 0xff) % 254);
 }
 
 struct cell *
--- a/test/stepcell.h
+++ b/test/stepcell.h
@@ -61,20 +61,20 @@
 
 /* Hands in a job of two tasks and one after them. */
 bool cell_accepted(struct cell *c, int node, const char *path);
-bool cell_state_is(
-    struct cell *c, int node, const char *path, const char *state);
+bool
+cell_state_is(struct cell *c, int node, const char *path, const char *state);
 
 /* Every one of so many tasks has ended as done exactly once. */
 void cell_assert_once(struct cell *c, guint tasks);
 
-#define CELL_AWAIT(c, condition)                                               \
-	do {                                                                   \
-		int64_t limit = mono_ms() + AWAIT_LIMIT_MS;                    \
-                                                                               \
-		while (!(condition)) {                                         \
-			g_assert_cmpint(mono_ms(), <, limit);                  \
-			cell_turn(c);                                          \
-		}                                                              \
+#define CELL_AWAIT(c, condition)                              \
+	do {                                                  \
+		int64_t limit = mono_ms() + AWAIT_LIMIT_MS;   \
+                                                              \
+		while (!(condition)) {                        \
+			g_assert_cmpint(mono_ms(), <, limit); \
+			cell_turn(c);                         \
+		}                                             \
 	} while (0)
 
 #endif
