--- /dev/null
+++ b/test/mesh.cmake
@@ -0,0 +1,1 @@
+bt_test(mesh_test SOURCES mesh_test.c proc.c DEPENDS mesh)
--- a/test/soak.c
+++ b/test/soak.c
@@ -14,8 +14,9 @@
 
 #include "stepcell.h"
 
-#define QUIET_MS 6000 /* after a lost disk, before the next loss of a replica \
-		       */
+#define QUIET_MS                                                     \
+	6000 /* after a lost disk, before the next loss of a replica \
+	      */
 #define STEP_MS 400 /* between faults, up to three times that */
 #define JOBS_MAX 400
 #define SETTLE_MS 90000 /* all accepted jobs are completed by then */
