--- a/lib/dispatch/asks.c
+++ b/lib/dispatch/asks.c
@@ -352,7 +352,7 @@
 {
 	const struct flow_worker *known =
 	    flow_worker_named(d->conf.flow, in->name);
-	struct hand *h = known == NULL ? NULL : hand_find(d, known->id);
+	struct holder *h = known == NULL ? NULL : holder_find(d, known->id);
 	struct later later = { .than = in };
 
 	flow_each_worker(d->conf.flow, find_later, &later);
@@ -401,7 +401,7 @@
 {
 	const struct flow_worker *known =
 	    flow_worker_named(d->conf.flow, ask->path);
-	struct hand *h = known == NULL ? NULL : hand_find(d, known->id);
+	struct holder *h = known == NULL ? NULL : holder_find(d, known->id);
 	struct flow_worker w;
 
 	if (h == NULL) {
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -178,14 +178,14 @@
 	if (!d->active)
 		return;
 	confirm(d, boot_ms());
-	hands_scan(d, now);
+	holders_scan(d, now);
 	runs_scan(d, now);
 	permits_scan(d, now);
 	asks_scan(d, now);
 	flow_each_open(d->conf.flow, open_due, d);
 	sweep(d, now);
 	d->meter.running->value = g_hash_table_size(d->runs);
-	d->meter.workers->value = g_hash_table_size(d->hands);
+	d->meter.workers->value = g_hash_table_size(d->holders);
 	dispatch_dirty(d);
 }
 
@@ -216,7 +216,7 @@
 
 	/* Reserved here, unless an earlier leader proposed it. */
 	if (r == NULL) {
-		struct hand *h = hand_find(d, s->worker);
+		struct holder *h = holder_find(d, s->worker);
 
 		if (h == NULL)
 			return;
@@ -231,7 +231,7 @@
 	log_info("dispatch",
 	    "event=start run=%s worker=%s queue=%s waited_ms=%" G_GINT64_FORMAT
 	    " fence=%" G_GUINT64_FORMAT,
-	    run_name(&s->of), r->hand->name, job->queue->name,
+	    run_name(&s->of), r->holder->name, job->queue->name,
 	    flow_time_ms(d->conf.flow) - job->accepted_ms, d->term);
 	run_start(r);
 }
@@ -260,7 +260,7 @@
 		return;
 	d->meter.stops->value++;
 	log_info("dispatch", "event=stop run=%s worker=%s why=job-%s",
-	    run_name(&s->of), r->hand->name, flow_state_name(job->state));
+	    run_name(&s->of), r->holder->name, flow_state_name(job->state));
 	run_stop(r);
 }
 
@@ -275,7 +275,7 @@
 }
 
 static const struct flow_watch watch = { .config = on_config,
-	.worker = hand_changed,
+	.worker = holder_changed,
 	.changed = on_changed,
 	.started = on_started,
 	.ended = on_ended,
@@ -286,7 +286,7 @@
 load_run(void *arg, const struct flow_job *job, const struct flow_start *s)
 {
 	struct dispatch *d = arg;
-	struct hand *h = hand_find(d, s->worker);
+	struct holder *h = holder_find(d, s->worker);
 	struct lrun *r;
 
 	if (h == NULL) {
@@ -314,7 +314,7 @@
 	d->confirming = false;
 	d->authority_ms = 0;
 	d->context_sent_ms = 0;
-	d->hands = g_hash_table_new_full(NULL, NULL, NULL, hand_free);
+	d->holders = g_hash_table_new_full(NULL, NULL, NULL, holder_free);
 	d->runs = g_hash_table_new(run_hash, run_equal);
 	d->sets = g_hash_table_new_full(
 	    permit_hash, permit_equal, NULL, permit_set_free);
@@ -324,12 +324,10 @@
 	d->beliefs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->racks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	d->cancels =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	for (guint i = 0; i < d->advisers->len; i++)
 		((struct adviser *)d->advisers->pdata[i])->query = 0;
 	flow_set_watch(d->conf.flow, &watch, d);
-	hands_load(d);
+	holders_load(d);
 	flow_each_held(d->conf.flow, load_run, d);
 	confirm(d, boot_ms());
 }
@@ -344,12 +342,11 @@
 	flow_set_watch(d->conf.flow, NULL, NULL);
 	asks_drop(d);
 	g_clear_pointer(&d->waits, g_hash_table_unref);
-	g_clear_pointer(&d->hands, g_hash_table_unref);
+	g_clear_pointer(&d->holders, g_hash_table_unref);
 	g_clear_pointer(&d->runs, g_hash_table_unref);
 	g_clear_pointer(&d->sets, g_hash_table_unref);
 	g_clear_pointer(&d->beliefs, g_hash_table_unref);
 	g_clear_pointer(&d->racks, g_hash_table_unref);
-	g_clear_pointer(&d->cancels, g_hash_table_unref);
 	health_free(g_steal_pointer(&d->health));
 }
 
--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -58,12 +58,9 @@
 	struct flow *flow;
 	const struct agent_ops *agent;
 	struct registry *registry;
-	/* Longest lease a worker grants, and drift of its clock. */
-	int64_t lease_max_ms;
-	int64_t gang_wait_ms; /* a gang's members wait so long for each other */
+	int64_t lease_max_ms; /* the longest lease that a worker grants */
 	double far; /* how many times as long work takes far from its data */
 	int64_t retain_ms; /* records of ended jobs are kept so long */
-	bool guarded; /* workers check their room themselves */
 };
 
 struct dispatch_ops {
--- a/lib/dispatch/hands.c
+++ b/lib/dispatch/holders.c
@@ -7,10 +7,10 @@
 #define FOREIGN_MARGIN_MS 400 /* for an earlier leader's last orders */
 #define GONE_MS 8000 /* silent and holding nothing: its record is dropped */
 
-struct hand *
-hand_find(const struct dispatch *d, uint32_t id)
+struct holder *
+holder_find(const struct dispatch *d, uint32_t id)
 {
-	return g_hash_table_lookup(d->hands, GUINT_TO_POINTER(id));
+	return g_hash_table_lookup(d->holders, GUINT_TO_POINTER(id));
 }
 
 static int64_t
@@ -27,7 +27,7 @@
 }
 
 static void
-hand_take(struct hand *h, const struct flow_worker *w)
+holder_take(struct holder *h, const struct flow_worker *w)
 {
 	if (h->address == NULL || strcmp(h->address, w->address) != 0) {
 		http_peer_free(h->look);
@@ -44,25 +44,25 @@
 	h->born_ms = w->born_ms;
 }
 
-static struct hand *
-hand_new(struct dispatch *d, const struct flow_worker *w)
+static struct holder *
+holder_new(struct dispatch *d, const struct flow_worker *w)
 {
-	struct hand *h = g_new0(struct hand, 1);
+	struct holder *h = g_new0(struct holder, 1);
 
 	h->d = d;
 	h->id = w->id;
 	h->pace = 1;
 	h->beat_ms = mono_ms();
 	h->runs = g_ptr_array_new();
-	hand_take(h, w);
-	g_hash_table_insert(d->hands, GUINT_TO_POINTER(h->id), h);
+	holder_take(h, w);
+	g_hash_table_insert(d->holders, GUINT_TO_POINTER(h->id), h);
 	return h;
 }
 
 void
-hand_free(void *arg)
+holder_free(void *arg)
 {
-	struct hand *h = arg;
+	struct holder *h = arg;
 	GPtrArray *runs = h->runs;
 
 	http_peer_free(h->look);
@@ -78,19 +78,19 @@
 
 /* An earlier leader may have renewed its lease just before we took over. */
 static void
-load_hand(void *arg, const struct flow_worker *w)
+load_holder(void *arg, const struct flow_worker *w)
 {
 	struct dispatch *d = arg;
-	struct hand *h = hand_new(d, w);
+	struct holder *h = holder_new(d, w);
 
 	h->foreign_ms =
 	    d->led_ms + stretched(d->conf.lease_max_ms) + FOREIGN_MARGIN_MS;
 }
 
 void
-hands_load(struct dispatch *d)
+holders_load(struct dispatch *d)
 {
-	flow_each_worker(d->conf.flow, load_hand, d);
+	flow_each_worker(d->conf.flow, load_holder, d);
 }
 
 /* A life at the same address that was born earlier has ended. */
@@ -100,36 +100,36 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, d->hands);
+	g_hash_table_iter_init(&iter, d->holders);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct hand *h = value;
+		struct holder *h = value;
 
 		if (h->id != w->id && h->born_ms < w->born_ms &&
 		    strcmp(h->address, w->address) == 0)
-			hand_dead(h, "a later life has its address");
+			holder_dead(h, "a later life has its address");
 		else if (h->id != w->id && h->born_ms < w->born_ms &&
 		    strcmp(h->name, w->name) == 0)
-			hand_dead(h, "a later life has its name");
+			holder_dead(h, "a later life has its name");
 	}
 }
 
 void
-hand_changed(void *arg, uint32_t worker)
+holder_changed(void *arg, uint32_t worker)
 {
 	struct dispatch *d = arg;
 	const struct flow_worker *w = flow_worker(d->conf.flow, worker);
-	struct hand *h = hand_find(d, worker);
+	struct holder *h = holder_find(d, worker);
 
 	if (w == NULL) {
 		while (h != NULL && h->runs->len > 0)
 			run_remove(h->runs->pdata[h->runs->len - 1]);
-		g_hash_table_remove(d->hands, GUINT_TO_POINTER(worker));
+		g_hash_table_remove(d->holders, GUINT_TO_POINTER(worker));
 		return;
 	}
 	if (h == NULL)
-		(void)hand_new(d, w);
+		(void)holder_new(d, w);
 	else
-		hand_take(h, w);
+		holder_take(h, w);
 	log_info("dispatch",
 	    "event=worker id=%u worker=%s address=%s born=%" G_GINT64_FORMAT
 	    " pool=%s draining=%d",
@@ -139,14 +139,14 @@
 }
 
 void
-hand_clock(struct hand *h, int64_t clock_ms, int64_t now)
+holder_clock(struct holder *h, int64_t clock_ms, int64_t now)
 {
 	h->clock_ms = clock_ms;
 	h->clock_at_ms = now;
 }
 
 int64_t
-hand_grant(struct hand *h, int64_t now)
+holder_grant(struct holder *h, int64_t now)
 {
 	int64_t clock_ms = h->clock_ms + (now - h->clock_at_ms);
 
@@ -161,7 +161,7 @@
 
 /* When every lease of this life is over for certain, by our clock. */
 static int64_t
-lapse_ms(const struct hand *h)
+lapse_ms(const struct holder *h)
 {
 	int64_t own = 0;
 
@@ -172,7 +172,7 @@
 }
 
 struct http_peer *
-hand_line(struct hand *h)
+holder_line(struct holder *h)
 {
 	int best = 0;
 
@@ -191,7 +191,7 @@
 
 /* Proposes the end of all that a life held which is over. */
 static void
-end_all(struct hand *h, const char *why)
+end_all(struct holder *h, const char *why)
 {
 	GArray *ends = g_array_new(FALSE, TRUE, sizeof(struct flow_end));
 
@@ -222,7 +222,7 @@
 }
 
 void
-hand_dead(struct hand *h, const char *why)
+holder_dead(struct holder *h, const char *why)
 {
 	if (!h->dead)
 		log_warn("dispatch",
@@ -233,7 +233,7 @@
 }
 
 void
-hand_fenced(struct hand *h)
+holder_fenced(struct holder *h)
 {
 	if (!h->d->fenced)
 		log_warn("dispatch",
@@ -244,7 +244,7 @@
 }
 
 bool
-hand_open(const struct hand *h, int64_t now)
+holder_open(const struct holder *h, int64_t now)
 {
 	const struct flow_worker *w = flow_worker(h->d->conf.flow, h->id);
 
@@ -265,7 +265,7 @@
 }
 
 static void
-judge(struct hand *h, const struct agent_end *e, int64_t now)
+judge(struct holder *h, const struct agent_end *e, int64_t now)
 {
 	struct dispatch *d = h->d;
 	GArray *changes;
@@ -280,7 +280,7 @@
 	for (guint i = 0; i < changes->len; i++) {
 		struct health_change *c =
 		    &g_array_index(changes, struct health_change, i);
-		struct hand *other = hand_find(d, c->worker);
+		struct holder *other = holder_find(d, c->worker);
 
 		if (other == NULL)
 			continue;
@@ -294,18 +294,18 @@
 static void
 ends_applied(struct dispatch *d, struct wait *w, enum flow_outcome outcome)
 {
-	struct hand *h = hand_find(d, w->hand);
+	struct holder *h = holder_find(d, w->holder);
 
 	if (h == NULL)
 		return;
 	h->ends_due = false;
 	h->taken = MAX(h->taken, w->number);
-	hand_look(h, mono_ms());
+	holder_look(h, mono_ms());
 }
 
 /* Proposes the ends that are new; the next look tells that they are kept. */
 static void
-take_ends(struct hand *h, const struct agent_report *report, int64_t now)
+take_ends(struct holder *h, const struct agent_report *report, int64_t now)
 {
 	struct dispatch *d = h->d;
 	struct flow_cmd cmd = { .type = FLOW_CMD_END };
@@ -321,7 +321,7 @@
 		};
 		struct lrun *r = run_find(d, &e->of);
 
-		if (r != NULL && r->of.run == e->of.run && r->hand == h)
+		if (r != NULL && r->of.run == e->of.run && r->holder == h)
 			r->seen = h->looks;
 		if (e->number <= h->proposed)
 			continue;
@@ -334,7 +334,7 @@
 		    agent_how_name(e->how), r != NULL,
 		    r == NULL ? 0 : now - r->started_ms);
 		/* Says nothing of a run on another worker. */
-		if (r != NULL && r->hand == h && r->of.run == e->of.run) {
+		if (r != NULL && r->holder == h && r->of.run == e->of.run) {
 			g_array_append_val(cmd.u.ends, end);
 			r->state = RUN_ENDING;
 		}
@@ -342,7 +342,7 @@
 	if (last > h->proposed) {
 		w = dispatch_propose_wait(d, &cmd, ends_applied);
 		if (w != NULL) {
-			w->hand = h->id;
+			w->holder = h->id;
 			w->number = last;
 			h->proposed = last;
 			h->ends_due = true;
@@ -352,14 +352,14 @@
 }
 
 static void
-take_running(struct hand *h, const struct agent_report *report, int64_t now)
+take_running(struct holder *h, const struct agent_report *report, int64_t now)
 {
 	for (guint i = 0; i < report->running->len; i++) {
 		struct agent_running *a =
 		    &g_array_index(report->running, struct agent_running, i);
 		struct lrun *r = run_find(h->d, &a->of);
 
-		if (r == NULL || r->hand != h || r->of.run != a->of.run) {
+		if (r == NULL || r->holder != h || r->of.run != a->of.run) {
 			run_stop_stray(h, &a->of);
 			continue;
 		}
@@ -382,7 +382,7 @@
  * ordered, and that is not there, is ordered again.
  */
 static void
-take_missing(struct hand *h, int64_t now)
+take_missing(struct holder *h, int64_t now)
 {
 	for (guint i = h->runs->len; i > 0; i--) {
 		struct lrun *r = h->runs->pdata[i - 1];
@@ -399,16 +399,16 @@
 }
 
 static void
-take_report(struct hand *h, const struct agent_report *report, int64_t now)
+take_report(struct holder *h, const struct agent_report *report, int64_t now)
 {
 	bool first = !h->held;
 
 	if (report->born_ms != 0 && report->born_ms != h->born_ms) {
 		if (report->born_ms > h->born_ms)
-			hand_dead(h, "a look was answered by a later life");
+			holder_dead(h, "a look was answered by a later life");
 		return;
 	}
-	hand_clock(h, report->clock_ms, now);
+	holder_clock(h, report->clock_ms, now);
 	h->held = true;
 	h->silent = false;
 	h->lapsed = false;
@@ -436,8 +436,8 @@
 {
 	struct look *l = arg;
 	struct dispatch *d = l->d;
-	struct hand *h =
-	    d->active && d->term == l->term ? hand_find(d, l->worker) : NULL;
+	struct holder *h =
+	    d->active && d->term == l->term ? holder_find(d, l->worker) : NULL;
 	int64_t now = mono_ms();
 	int64_t clock_ms = -1;
 	enum agent_verdict v;
@@ -461,7 +461,7 @@
 			h->look_due_ms = now + LOOK_AGAIN_MS;
 		}
 		agent_report_clear(&report);
-		hand_look(h, now);
+		holder_look(h, now);
 		return;
 	}
 	h->silent = true;
@@ -472,16 +472,16 @@
 	    h->name, agent_verdict_name(v), status, why == NULL ? "" : why,
 	    h->heard_ms == 0 ? -1 : now - h->heard_ms);
 	if (v == AGENT_FENCED)
-		hand_fenced(h);
+		holder_fenced(h);
 	else if (v == AGENT_OTHER_LIFE)
-		hand_dead(h, "another life answers");
+		holder_dead(h, "another life answers");
 	else if (h->left && h->heard_ms != 0 && why != NULL &&
 	    strcmp(why, HTTP_NO_CONNECTION) == 0)
-		hand_dead(h, "has left and answers no longer");
+		holder_dead(h, "has left and answers no longer");
 }
 
 void
-hand_look(struct hand *h, int64_t now)
+holder_look(struct holder *h, int64_t now)
 {
 	struct dispatch *d = h->d;
 	struct agent_look look = { .fence = d->term, .taken = h->taken };
@@ -495,7 +495,7 @@
 	if (h->look == NULL)
 		h->look = http_peer_new(d->conf.base, h->address, NULL);
 	if (h->held) {
-		look.until_ms = hand_grant(h, now);
+		look.until_ms = holder_grant(h, now);
 		look.wait_ms = LOOK_WAIT_MS;
 	}
 	l = g_new0(struct look, 1);
@@ -512,7 +512,7 @@
 
 /* Drops the record of a worker that is gone and holds nothing. */
 static void
-close_hand(struct hand *h, int64_t now)
+close_holder(struct holder *h, int64_t now)
 {
 	struct flow_cmd cmd = { .type = FLOW_CMD_WORKER_GONE, .u.gone = h->id };
 	bool silent = h->lapsed && now - h->beat_ms > GONE_MS;
@@ -525,7 +525,7 @@
 }
 
 static void
-scan_hand(struct hand *h, int64_t now)
+scan_holder(struct holder *h, int64_t now)
 {
 	int64_t since = MAX(h->heard_ms, h->d->led_ms);
 	bool silent = now - since > STALE_MS;
@@ -538,14 +538,14 @@
 	/* Ends that could not be proposed, or runs assigned meanwhile. */
 	if (h->dead && h->runs->len > 0)
 		end_all(h, "its life is over");
-	close_hand(h, now);
-	hand_look(h, now);
+	close_holder(h, now);
+	holder_look(h, now);
 }
 
 void
-hands_scan(struct dispatch *d, int64_t now)
+holders_scan(struct dispatch *d, int64_t now)
 {
-	GList *all = g_hash_table_get_values(d->hands);
+	GList *all = g_hash_table_get_values(d->holders);
 	GArray *changes =
 	    g_array_new(FALSE, TRUE, sizeof(struct health_change));
 
@@ -553,13 +553,13 @@
 	for (guint i = 0; i < changes->len; i++) {
 		struct health_change *c =
 		    &g_array_index(changes, struct health_change, i);
-		struct hand *h = hand_find(d, c->worker);
+		struct holder *h = holder_find(d, c->worker);
 
 		if (h != NULL)
 			h->health = c->state;
 	}
 	g_array_unref(changes);
 	for (GList *i = all; i != NULL; i = i->next)
-		scan_hand(i->data, now);
+		scan_holder(i->data, now);
 	g_list_free(all);
 }
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -34,7 +34,7 @@
 /* A run that is held, or about to be. */
 struct lrun {
 	struct flow_run of;
-	struct hand *hand;
+	struct holder *holder;
 	enum run_state state;
 	struct resources need;
 	bool stopping; /* a stop is wanted */
@@ -44,7 +44,6 @@
 	int64_t again_ms; /* when to send its order again; 0: not due */
 	int tries;
 	int64_t started_ms;
-	bool yielded; /* stopped to make way for other work */
 	int64_t percent; /* of its work, as seen last ... */
 	int64_t percent_ms; /* ... and since when it is that */
 	uint64_t seen; /* serial of the last look that showed it */
@@ -52,8 +51,8 @@
 	char *permit;
 };
 
-/* A worker and our session with it. */
-struct hand {
+/* A worker as the holder of a lease of ours, and our session with it. */
+struct holder {
 	struct dispatch *d;
 	uint32_t id;
 	char *name;
@@ -89,7 +88,6 @@
 	GPtrArray *runs; /* struct lrun */
 	double pace; /* learnt: how many times as long work takes here ... */
 	int64_t pace_ms; /* ... when that was learnt */
-	int refusals; /* starts refused in a row */
 	int64_t shun_ms; /* takes no new work until then */
 	enum health_state health;
 };
@@ -103,9 +101,7 @@
 	GHashTable *barred; /* ids of workers that are not allowed */
 	GArray *asking; /* uint32_t: ids in the query in flight */
 	uint64_t query; /* in flight; 0: none */
-	int64_t due_ms; /* of the step's job: the more urgent goes first */
 	int64_t again_ms; /* not to be asked for before */
-	int failures;
 };
 
 struct permit {
@@ -128,7 +124,7 @@
 	uint64_t process;
 	uint64_t ask;
 	uint64_t job;
-	uint32_t hand; /* whose ends were proposed */
+	uint32_t holder; /* whose ends were proposed */
 	uint64_t number; /* of the last of these ends */
 	int64_t began_ms;
 	GArray *starts; /* struct flow_start that were proposed, or NULL */
@@ -167,7 +163,7 @@
 	uint64_t term;
 	bool fenced; /* a worker knows a higher term */
 	int64_t led_ms; /* when leadership began */
-	GHashTable *hands; /* worker id to struct hand */
+	GHashTable *holders; /* worker id to struct holder */
 	GHashTable *runs; /* struct lrun, a set by task */
 	GHashTable *sets; /* struct permit_set, a set by step */
 	GHashTable *waits; /* log index to struct wait */
@@ -183,7 +179,6 @@
 	struct health *health;
 	GHashTable *beliefs; /* queue name to struct plan_belief */
 	GHashTable *racks; /* names to numbers */
-	GHashTable *cancels; /* jobs whose cancel is proposed */
 	int64_t rounded_ms;
 	int64_t round_took_us;
 	int64_t swept_ms;
@@ -205,13 +200,13 @@
 
 /* runs.c */
 struct lrun *run_find(const struct dispatch *d, const struct flow_run *of);
-struct lrun *run_add(struct dispatch *d, struct hand *h,
+struct lrun *run_add(struct dispatch *d, struct holder *h,
     const struct flow_run *of, const struct resources *need);
 void run_remove(struct lrun *r);
 void run_start(struct lrun *r); /* sends the start order */
 void run_stop(struct lrun *r); /* sends a stop order */
 /* Sends a stop of a run that the agreed state does not know there. */
-void run_stop_stray(struct hand *h, const struct flow_run *of);
+void run_stop_stray(struct holder *h, const struct flow_run *of);
 /* Proposes that runs have ended; how is given in each. */
 uint64_t runs_end(struct dispatch *d, GArray *ends);
 void run_end(struct lrun *r, enum flow_end_how how, const char *why);
@@ -220,28 +215,28 @@
 gboolean run_equal(gconstpointer a, gconstpointer b);
 void run_free(void *arg);
 
-/* hands.c */
-struct hand *hand_find(const struct dispatch *d, uint32_t id);
-void hands_load(struct dispatch *d);
-void hand_changed(void *arg, uint32_t worker);
-void hand_free(void *arg);
-void hands_scan(struct dispatch *d, int64_t now);
+/* holders.c */
+struct holder *holder_find(const struct dispatch *d, uint32_t id);
+void holders_load(struct dispatch *d);
+void holder_changed(void *arg, uint32_t worker);
+void holder_free(void *arg);
+void holders_scan(struct dispatch *d, int64_t now);
 /* The life has ended: nothing of it runs any more. */
-void hand_dead(struct hand *h, const char *why);
+void holder_dead(struct holder *h, const char *why);
 /* Says whether new work may go there. */
-bool hand_open(const struct hand *h, int64_t now);
+bool holder_open(const struct holder *h, int64_t now);
 /*
  * The end of a lease that is sent now, on the worker's clock; noted. Not later
  * than before for a worker that is silent; 0: there is none to be had.
  */
-int64_t hand_grant(struct hand *h, int64_t now);
-void hand_clock(struct hand *h, int64_t clock_ms, int64_t now);
+int64_t holder_grant(struct holder *h, int64_t now);
+void holder_clock(struct holder *h, int64_t clock_ms, int64_t now);
 /* The connection with the fewest unanswered orders. */
-struct http_peer *hand_line(struct hand *h);
+struct http_peer *holder_line(struct holder *h);
 /* Sends the next look as soon as it may be. */
-void hand_look(struct hand *h, int64_t now);
+void holder_look(struct holder *h, int64_t now);
 /* A higher fence is known to a worker. */
-void hand_fenced(struct hand *h);
+void holder_fenced(struct holder *h);
 
 /* permits.c */
 struct permit_set *permits_of(struct dispatch *d, const struct flow_job *job,
@@ -277,7 +272,7 @@
 /* A worker's room, with what else the round needs of it. */
 struct place {
 	struct plan_room room; /* first: plans see this part only */
-	struct hand *hand;
+	struct holder *holder;
 	const struct flow_worker *worker;
 	GArray *yields; /* struct yield, or NULL: not looked at yet */
 };
@@ -318,7 +313,7 @@
 void yield_for(struct round *rd, const struct claim *c,
     const struct plan_need *need, GPtrArray *rooms, struct permit_set *set);
 /* Says whether a worker is kept for another step. */
-bool yield_kept(const struct hand *h, const struct claim *c, int64_t now);
+bool yield_kept(const struct holder *h, const struct claim *c, int64_t now);
 void yield_done(struct dispatch *d, const struct claim *c);
 
 /* asks.c */
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -240,7 +240,7 @@
 		if (fits == 0 || !wanted(s, room->worker, now, &chance))
 			continue;
 		found += fits * chance;
-		g_ptr_array_add(names, hand_find(d, room->worker)->name);
+		g_ptr_array_add(names, holder_find(d, room->worker)->name);
 		g_array_append_val(s->asking, room->worker);
 	}
 	if (names->len > 0 && (learn || !need->gang || found >= need->count)) {
@@ -274,7 +274,6 @@
 	if (s == NULL)
 		return;
 	s->query = 0;
-	s->failures++;
 	s->again_ms = now + AGAIN_MS;
 }
 
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -29,7 +29,7 @@
 
 /* What is known of a worker's pace now: it fades towards the usual. */
 static double
-pace_now(const struct hand *h, int64_t now)
+pace_now(const struct holder *h, int64_t now)
 {
 	double age = (double)(now - h->pace_ms) / PACE_FADE_MS;
 
@@ -38,7 +38,7 @@
 
 /* Adds what one run showed. */
 static void
-pace_seen(struct hand *h, double pace, int64_t now)
+pace_seen(struct holder *h, double pace, int64_t now)
 {
 	double known = pace_now(h, now);
 	double seen = MIN(pace, PACE_MOST);
@@ -64,13 +64,13 @@
 	if (step->gang && step->count > 1)
 		return;
 	if (b->seen > BELIEF_LEAST)
-		pace_seen(r->hand, pace, mono_ms());
+		pace_seen(r->holder, pace, mono_ms());
 }
 
 void
 round_progress(struct lrun *r, int64_t percent, int64_t now)
 {
-	struct dispatch *d = r->hand->d;
+	struct dispatch *d = r->holder->d;
 	const struct flow_job *job = flow_job(d->conf.flow, r->of.job);
 	const struct flow_step *step;
 
@@ -86,9 +86,9 @@
 	log_info("dispatch",
 	    "event=stop run=%s worker=%s why=stuck percent=%" G_GINT64_FORMAT
 	    " still_ms=%" G_GINT64_FORMAT,
-	    run_name(&r->of), r->hand->name, percent, now - r->percent_ms);
+	    run_name(&r->of), r->holder->name, percent, now - r->percent_ms);
 	d->meter.stops->value++;
-	r->hand->shun_ms = now + STUCK_SHUN_MS;
+	r->holder->shun_ms = now + STUCK_SHUN_MS;
 	run_stop(r);
 }
 
@@ -168,15 +168,15 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, d->hands);
+	g_hash_table_iter_init(&iter, d->holders);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct hand *h = value;
+		struct holder *h = value;
 		struct place *p;
 
-		if (!hand_open(h, rd->now))
+		if (!holder_open(h, rd->now))
 			continue;
 		p = g_new0(struct place, 1);
-		p->hand = h;
+		p->holder = h;
 		p->worker = flow_worker(d->conf.flow, h->id);
 		p->room.worker = h->id;
 		p->room.capacity = p->room.free = p->worker->capacity;
@@ -259,7 +259,7 @@
 
 /* How many tasks of an occurrence's step a worker holds. */
 static uint32_t
-held_there(const struct hand *h, const struct claim *c)
+held_there(const struct holder *h, const struct claim *c)
 {
 	uint32_t n = 0;
 
@@ -284,10 +284,10 @@
 
 		if (strcmp(p->worker->pool, c->job->queue->pool) != 0 ||
 		    !has_label(p->worker, step->label) ||
-		    yield_kept(p->hand, c, rd->now))
+		    yield_kept(p->holder, c, rd->now))
 			continue;
 		p->room.same =
-		    step->per_worker == 0 ? 0 : held_there(p->hand, c);
+		    step->per_worker == 0 ? 0 : held_there(p->holder, c);
 		g_ptr_array_add(out, p);
 	}
 	return out;
@@ -315,7 +315,7 @@
 	struct flow_start s = { .of = { c->job->id, c->round->number, c->step,
 				    index, run },
 		.worker = worker };
-	struct lrun *r = run_add(rd->d, hand_find(rd->d, worker), &s.of,
+	struct lrun *r = run_add(rd->d, holder_find(rd->d, worker), &s.of,
 	    &flow_step_of(c->job, c->step)->need);
 
 	r->permit = g_strdup(permit);
@@ -482,11 +482,11 @@
 	if (rd->now - d->load_ms < LOAD_LINE_MS)
 		return;
 	d->load_ms = rd->now;
-	g_hash_table_iter_init(&iter, d->hands);
+	g_hash_table_iter_init(&iter, d->holders);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct hand *h = value;
+		const struct holder *h = value;
 
-		if (!hand_open(h, rd->now))
+		if (!holder_open(h, rd->now))
 			continue;
 		resources_add(&used, &h->used, 1);
 		resources_add(
@@ -501,7 +501,7 @@
 	    " cores=%" G_GINT64_FORMAT " memory_used_mb=%" G_GINT64_FORMAT
 	    " memory_mb=%" G_GINT64_FORMAT
 	    " waiting_in_time=%u waiting_late=%u waiting_overdue=%u",
-	    g_hash_table_size(d->hands), g_hash_table_size(d->runs),
+	    g_hash_table_size(d->holders), g_hash_table_size(d->runs),
 	    used.millicpus / 1000, all.millicpus / 1000, used.memory >> 20,
 	    all.memory >> 20, tiers[PLAN_IN_TIME], tiers[PLAN_LATE],
 	    tiers[PLAN_OVERDUE]);
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -34,13 +34,13 @@
 }
 
 struct lrun *
-run_add(struct dispatch *d, struct hand *h, const struct flow_run *of,
+run_add(struct dispatch *d, struct holder *h, const struct flow_run *of,
     const struct resources *need)
 {
 	struct lrun *r = g_new0(struct lrun, 1);
 
 	r->of = *of;
-	r->hand = h;
+	r->holder = h;
 	r->need = *need;
 	g_hash_table_add(d->runs, r);
 	g_ptr_array_add(h->runs, r);
@@ -61,7 +61,7 @@
 void
 run_remove(struct lrun *r)
 {
-	struct hand *h = r->hand;
+	struct holder *h = r->holder;
 
 	resources_add(&h->used, &r->need, -1);
 	g_hash_table_remove(h->d->runs, r);
@@ -88,7 +88,7 @@
 	if (!o->d->active || o->d->term != o->term)
 		return NULL;
 	r = run_find(o->d, &o->of);
-	if (r == NULL || r->of.run != o->of.run || r->hand->id != o->worker)
+	if (r == NULL || r->of.run != o->of.run || r->holder->id != o->worker)
 		return NULL;
 	return r;
 }
@@ -113,7 +113,7 @@
 void
 run_end(struct lrun *r, enum flow_end_how how, const char *why)
 {
-	struct dispatch *d = r->hand->d;
+	struct dispatch *d = r->holder->d;
 	GArray *ends = g_array_new(FALSE, TRUE, sizeof(struct flow_end));
 	struct flow_end e = { .of = r->of, .how = how, .saved = r->saved };
 
@@ -125,7 +125,7 @@
 	if (runs_end(d, ends) != 0)
 		r->state = RUN_ENDING;
 	log_info("dispatch", "event=run-over run=%s worker=%s why=%s",
-	    run_name(&r->of), r->hand->name, why);
+	    run_name(&r->of), r->holder->name, why);
 	g_array_unref(ends);
 }
 
@@ -133,9 +133,8 @@
 static void
 refused(struct lrun *r, enum agent_verdict v)
 {
-	struct hand *h = r->hand;
+	struct holder *h = r->holder;
 
-	h->refusals++;
 	if (v == AGENT_UNWELL)
 		h->shun_ms = mono_ms() + SHUN_MS;
 	if (v == AGENT_NO_PERMIT)
@@ -153,7 +152,6 @@
 {
 	switch (v) {
 	case AGENT_TAKEN:
-		r->hand->refusals = 0;
 		r->state = MAX(r->state, RUN_TAKEN);
 		r->taken_ms = mono_ms();
 		r->tries = 0;
@@ -167,10 +165,10 @@
 		r->taken_ms = mono_ms();
 		break;
 	case AGENT_FENCED:
-		hand_fenced(r->hand);
+		holder_fenced(r->holder);
 		break;
 	case AGENT_OTHER_LIFE:
-		hand_dead(r->hand, "another life answers");
+		holder_dead(r->holder, "another life answers");
 		break;
 	case AGENT_UNCLEAR:
 		r->unsure = true;
@@ -194,10 +192,10 @@
 		r->again_ms = 0;
 		break;
 	case AGENT_FENCED:
-		hand_fenced(r->hand);
+		holder_fenced(r->holder);
 		break;
 	case AGENT_OTHER_LIFE:
-		hand_dead(r->hand, "another life answers");
+		holder_dead(r->holder, "another life answers");
 		break;
 	default:
 		schedule_again(r);
@@ -222,7 +220,7 @@
 	if (r != NULL && !o->stray) {
 		r->calling = false;
 		if (clock_ms >= 0)
-			hand_clock(r->hand, clock_ms, mono_ms());
+			holder_clock(r->holder, clock_ms, mono_ms());
 		if (o->stop)
 			stop_answered(r, v);
 		else
@@ -232,7 +230,7 @@
 }
 
 static void
-send_order(struct hand *h, const struct flow_run *of, bool stop, bool stray,
+send_order(struct holder *h, const struct flow_run *of, bool stop, bool stray,
     char *body)
 {
 	struct dispatch *d = h->d;
@@ -245,7 +243,7 @@
 		.of = *of,
 		.stop = stop,
 		.stray = stray };
-	http_send(hand_line(h), EVHTTP_REQ_POST,
+	http_send(holder_line(h), EVHTTP_REQ_POST,
 	    stop ? d->conf.agent->stop_path : d->conf.agent->start_path,
 	    headers, body, strlen(body), ORDER_MS, on_answer, o);
 	g_free(body);
@@ -254,7 +252,7 @@
 void
 run_start(struct lrun *r)
 {
-	struct hand *h = r->hand;
+	struct holder *h = r->holder;
 	struct dispatch *d = h->d;
 	int64_t now = mono_ms();
 	const struct flow_job *job = flow_job(d->conf.flow, r->of.job);
@@ -271,7 +269,7 @@
 	}
 	order.payload = job->spec.payload;
 	order.saved = task->saved;
-	order.until_ms = hand_grant(h, now);
+	order.until_ms = holder_grant(h, now);
 	if (order.until_ms == 0) {
 		r->again_ms = now + AGAIN_MS;
 		return;
@@ -284,7 +282,7 @@
 void
 run_stop(struct lrun *r)
 {
-	struct hand *h = r->hand;
+	struct holder *h = r->holder;
 	struct dispatch *d = h->d;
 
 	r->stopping = true;
@@ -302,7 +300,7 @@
 }
 
 void
-run_stop_stray(struct hand *h, const struct flow_run *of)
+run_stop_stray(struct holder *h, const struct flow_run *of)
 {
 	struct dispatch *d = h->d;
 
--- a/lib/dispatch/yield.c
+++ b/lib/dispatch/yield.c
@@ -7,20 +7,20 @@
 #define YIELDS_MAX 4 /* runs of one task that may make way */
 
 static bool
-keeps(const struct hand *h, const struct claim *c, int64_t now)
+keeps(const struct holder *h, const struct claim *c, int64_t now)
 {
 	return h->hold_ms > now && h->hold.job == c->job->id &&
 	    h->hold.round == c->round->number && h->hold.step == c->step;
 }
 
 bool
-yield_kept(const struct hand *h, const struct claim *c, int64_t now)
+yield_kept(const struct holder *h, const struct claim *c, int64_t now)
 {
 	return h->hold_ms > now && !keeps(h, c, now);
 }
 
 static void
-keep(struct hand *h, const struct claim *c, int64_t now)
+keep(struct holder *h, const struct claim *c, int64_t now)
 {
 	h->hold = (struct flow_run){
 		.job = c->job->id, .round = c->round->number, .step = c->step
@@ -35,9 +35,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, d->hands);
+	g_hash_table_iter_init(&iter, d->holders);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct hand *h = value;
+		struct holder *h = value;
 
 		if (keeps(h, c, d->rounded_ms))
 			h->hold_ms = 0;
@@ -50,7 +50,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, d->hands);
+	g_hash_table_iter_init(&iter, d->holders);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (keeps(value, c, now))
 			return true;
@@ -112,10 +112,10 @@
 	if (p->yields != NULL)
 		return p->yields;
 	p->yields = g_array_new(FALSE, TRUE, sizeof(struct yield));
-	for (guint i = 0; i < p->hand->runs->len; i++) {
+	for (guint i = 0; i < p->holder->runs->len; i++) {
 		struct yield y;
 
-		if (can_yield(rd, p->hand->runs->pdata[i], &y))
+		if (can_yield(rd, p->holder->runs->pdata[i], &y))
 			g_array_append_val(p->yields, y);
 	}
 	return p->yields;
@@ -153,9 +153,8 @@
 		log_info("dispatch",
 		    "event=stop run=%s worker=%s why=makes-way "
 		    "for=%016" G_GINT64_MODIFIER "x",
-		    run_name(&r->of), r->hand->name, c->job->id);
-		r->hand->d->meter.stops->value++;
-		r->yielded = true;
+		    run_name(&r->of), r->holder->name, c->job->id);
+		r->holder->d->meter.stops->value++;
 		run_stop(r);
 	}
 }
@@ -173,7 +172,7 @@
 		if (s->tasks == 0)
 			continue;
 		stop_chosen(s, c);
-		keep(hand_find(rd->d, s->room->worker), c, rd->now);
+		keep(holder_find(rd->d, s->room->worker), c, rd->now);
 		/* What will be free there, for the tasks that go there. */
 		resources_add(&s->room->free, &need->each, (int)s->tasks);
 		g_ptr_array_add(rooms, s->room);
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -214,7 +214,6 @@
 	struct leader *l = g_new0(struct leader, 1);
 	struct dispatch_conf conf = { .agent = &stub_agent,
 		.lease_max_ms = 6000,
-		.gang_wait_ms = 3000,
 		.far = 1,
 		.retain_ms = 60000 };
 
