A job whose start has reached no worker still waits

A job counted as running once its first start was agreed, also while its worker was cut off and had not taken the order. The count adds the jobs that no worker has begun. Ruled out: the age of the count (it is made when asked for). Test: dispatch_test count-unbegun.

--- a/lib/dispatch/asks.c
+++ b/lib/dispatch/asks.c
@@ -264,12 +264,30 @@
 	w->job = id;
 }
 
+/* Jobs of a queue that count as running, though no worker has begun them. */
+struct unbegun {
+	const struct dispatch *d;
+	const struct flow_queue *queue;
+	uint32_t count;
+};
+
+static void
+count_unbegun(void *arg, const struct flow_job *job)
+{
+	struct unbegun *u = arg;
+
+	u->count += job->state == FLOW_RUNNING &&
+	    strcmp(job->queue->name, u->queue->name) == 0 &&
+	    !g_hash_table_contains(u->d->begun, &job->id);
+}
+
 static void
 ask_count(struct dispatch *d, uint64_t process, const struct ask *ask)
 {
 	const char *rest = NULL;
 	const struct flow_queue *q =
 	    flow_route(d->conf.flow, ask->host, ask->path, &rest);
+	struct unbegun u = { .d = d, .queue = q };
 	char number[16];
 
 	if (q == NULL || *rest != '\0') {
@@ -280,8 +298,9 @@
 			reply_text(d, process, ask, ASK_NO_JOB, "");
 		return;
 	}
-	g_snprintf(
-	    number, sizeof(number), "%u", flow_waiting(d->conf.flow, q->name));
+	flow_each_open(d->conf.flow, count_unbegun, &u);
+	g_snprintf(number, sizeof(number), "%u",
+	    flow_waiting(d->conf.flow, q->name) + u.count);
 	reply_text(d, process, ask, ASK_DONE, number);
 }
 
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -204,6 +204,7 @@
 		    round_objective_ms(d, job));
 		permits_forget(d, job);
 		asks_job_over(d, job);
+		g_hash_table_remove(d->begun, &job->id);
 	}
 	dispatch_dirty(d);
 }
@@ -320,6 +321,8 @@
 	    permit_hash, permit_equal, NULL, permit_set_free);
 	d->waits =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, wait_free);
+	d->begun =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	d->health = health_new(&health_defaults);
 	d->beliefs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -345,6 +348,7 @@
 	g_clear_pointer(&d->holders, g_hash_table_unref);
 	g_clear_pointer(&d->runs, g_hash_table_unref);
 	g_clear_pointer(&d->sets, g_hash_table_unref);
+	g_clear_pointer(&d->begun, g_hash_table_unref);
 	g_clear_pointer(&d->beliefs, g_hash_table_unref);
 	g_clear_pointer(&d->racks, g_hash_table_unref);
 	health_free(g_steal_pointer(&d->health));
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -323,6 +323,7 @@
 
 		if (r != NULL && r->of.run == e->of.run && r->holder == h)
 			r->seen = h->looks;
+		run_begun(d, &e->of);
 		if (e->number <= h->proposed)
 			continue;
 		last = MAX(last, e->number);
@@ -364,6 +365,7 @@
 			continue;
 		}
 		r->seen = h->looks;
+		run_begun(h->d, &r->of);
 		if (r->state == RUN_ORDERED) {
 			r->state = RUN_TAKEN;
 			r->taken_ms = now;
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -177,6 +177,7 @@
 	bool confirming;
 	int64_t authority_ms; /* boot clock: leadership holds until then */
 	struct health *health;
+	GHashTable *begun; /* ids of open jobs that a worker has begun */
 	GHashTable *beliefs; /* queue name to struct plan_belief */
 	GHashTable *racks; /* names to numbers */
 	int64_t rounded_ms;
@@ -205,6 +206,8 @@
 void run_remove(struct lrun *r);
 void run_start(struct lrun *r); /* sends the start order */
 void run_stop(struct lrun *r); /* sends a stop order */
+/* Notes that a worker has taken a run: its job waits no longer. */
+void run_begun(struct dispatch *d, const struct flow_run *of);
 /* Sends a stop of a run that the agreed state does not know there. */
 void run_stop_stray(struct holder *h, const struct flow_run *of);
 /* Proposes that runs have ended; how is given in each. */
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -69,6 +69,14 @@
 	run_free(r);
 }
 
+void
+run_begun(struct dispatch *d, const struct flow_run *of)
+{
+	if (!g_hash_table_contains(d->begun, &of->job))
+		g_hash_table_add(
+		    d->begun, g_memdup2(&of->job, sizeof(of->job)));
+}
+
 /* An order in flight; it may outlive the run and the leadership. */
 struct order {
 	struct dispatch *d;
@@ -152,6 +160,7 @@
 {
 	switch (v) {
 	case AGENT_TAKEN:
+		run_begun(r->holder->d, &r->of);
 		r->state = MAX(r->state, RUN_TAKEN);
 		r->taken_ms = mono_ms();
 		r->tries = 0;
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -454,6 +454,28 @@
 	leader_free(l);
 }
 
+/* A job whose start is agreed but has reached no worker still waits. */
+static void
+test_count_unbegun(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+
+	a->swallow = 2;
+	announce(l, a, false);
+	submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->starts > 0);
+	g_assert_cmpint(flow_job(l->flow, JOB)->state, ==, FLOW_RUNNING);
+	ask(l, ASK_COUNT, "/renders/", NULL);
+	g_assert_cmpstr(l->last_text, ==, "1");
+	AWAIT(l, stub_worker_runs(a, &first_run));
+	run_for(l, 100);
+	ask(l, ASK_COUNT, "/renders/", NULL);
+	g_assert_cmpstr(l->last_text, ==, "0");
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 /* Work with time to spare makes way for a gang that has none, and goes on
  * when there is room again. */
 static void
@@ -553,6 +575,7 @@
 	g_test_add_func("/dispatch/stray", test_stray);
 	g_test_add_func("/dispatch/cancel", test_cancel);
 	g_test_add_func("/dispatch/room", test_room);
+	g_test_add_func("/dispatch/count-unbegun", test_count_unbegun);
 	g_test_add_func("/dispatch/makes-way", test_makes_way);
 	g_test_add_func("/dispatch/earlier-life", test_earlier_life);
 	g_test_add_func("/dispatch/state-held", test_state_held);
