Gangs: a member given up before the gang's end was known left it waiting for good

A member whose worker died right after the gang's end was given up (pending); when another member's end as done came, the members still held became done, and the pending one could never start, as a gang starts only whole. Nothing ran and nothing was logged. The flow test does just that and failed; flow_check now names the state.

Found beside it: - A refused member left the others waiting for it until the worker gave them up (3 s on these sites, and GANG). They are stopped at once now. - A run that an earlier leader started is unsure: its first order may come. - A gang with permits of several ages asked for none of them: those that hold were neither counted nor named. plan_query decides it now, apart from I/O, and asks again for those that end before the answer is in.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -222,6 +222,7 @@
 		if (h == NULL)
 			return;
 		r = run_add(d, h, &s->of, &flow_step_of(job, s->of.step)->need);
+		r->unsure = true;
 	}
 	r->state = RUN_ORDERED;
 	r->started_ms = mono_ms();
@@ -237,6 +238,33 @@
 	run_start(r);
 }
 
+/*
+ * Stops the other members of a gang that has lost one. Those that wait for it
+ * to start would hold their room until they give up.
+ */
+static void
+stop_gang(
+    struct dispatch *d, const struct flow_job *job, const struct flow_run *lost)
+{
+	uint32_t count = flow_step_of(job, lost->step)->count;
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct flow_run of = *lost;
+		struct lrun *r;
+
+		of.index = i;
+		r = run_find(d, &of);
+		if (r == NULL || r->of.run != lost->run || r->stopping ||
+		    r->state == RUN_ENDING)
+			continue;
+		log_info("dispatch",
+		    "event=stop run=%s worker=%s why=gang-incomplete member=%u",
+		    run_name(&r->of), r->holder->name, lost->index);
+		d->meter.stops->value++;
+		run_stop(r);
+	}
+}
+
 static void
 on_ended(void *arg, const struct flow_job *job, const struct flow_start *s,
     enum flow_end_how how)
@@ -249,6 +277,8 @@
 	if (how == FLOW_END_DONE)
 		round_learn(d, job, r, mono_ms() - r->started_ms);
 	run_remove(r);
+	if (how != FLOW_END_DONE && flow_step_of(job, s->of.step)->gang)
+		stop_gang(d, job, &s->of);
 }
 
 static void
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -19,6 +19,7 @@
 #define LOOK_WAIT_MS 1000 /* a look that shows no end is answered by then */
 #define LOOK_SLACK_MS 600 /* beyond that it counts as unanswered */
 #define ORDER_MS 500 /* an order is sent again after this */
+#define PERMIT_WORKERS 30 /* that an objective counts a query with */
 #define STALE_MS 1400 /* no new work without an answer for so long */
 /* Leadership holds so long after a confirmed round was sent: below the least
  * election time of a cellnode's replicas, 10 ticks of 40 ms. */
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -6,11 +6,7 @@
 #define AGAIN_MS 100 /* before a step is asked for again after a failure */
 #define REST_MS 400 /* a process whose query failed asks no more so long */
 #define MARGIN_MS 300 /* a permit is not used so near its end */
-#define WORKERS_MAX 100 /* the service takes so many in one query */
-#define WORKERS_GANG 30 /* a gang's query names as many as objectives count */
-#define WORKERS_LEAST 6
-#define GOOD_SHARE 0.4 /* of the workers asked about; until learnt */
-#define SPARE 2.5 /* times the room needed that a query looks for */
+#define ANSWER_MS 150 /* links and a round, beyond what a query takes */
 
 guint
 permit_hash(gconstpointer p)
@@ -163,19 +159,24 @@
 	    : x->free.millicpus < y->free.millicpus;
 }
 
-/* Says whether to ask about a worker; how likely it is allowed. */
-static bool
-wanted(const struct permit_set *s, uint32_t worker, int64_t now, double *chance)
+/* How long a query with so many workers should take there. */
+static int64_t
+query_ms(const struct flow_queue *queue, guint workers)
+{
+	return (int64_t)(queue->advice_ms + queue->advice_worker_ms * workers);
+}
+
+static enum plan_permit
+permit_state(const struct permit_set *s, uint32_t worker, int64_t until_ms)
 {
 	gpointer key = GUINT_TO_POINTER(worker);
-	struct permit *p = g_hash_table_lookup(s->permits, key);
+	const struct permit *p = g_hash_table_lookup(s->permits, key);
 
-	if (p != NULL) {
-		*chance = 1;
-		return p->until_ms <= now;
-	}
-	*chance = GOOD_SHARE;
-	return !g_hash_table_contains(s->barred, key);
+	if (p != NULL)
+		return p->until_ms > until_ms ? PLAN_PERMIT_HOLDS
+					      : PLAN_PERMIT_ENDS;
+	return g_hash_table_contains(s->barred, key) ? PLAN_PERMIT_NONE
+						     : PLAN_PERMIT_UNKNOWN;
 }
 
 static void
@@ -194,9 +195,8 @@
 	}
 	a->query = s->query = query;
 	a->since_ms = now;
-	a->due_ms = now + QUERY_LEAST_MS +
-	    (int64_t)(QUERY_TIMES *
-		(queue->advice_ms + queue->advice_worker_ms * names->len));
+	a->due_ms =
+	    now + QUERY_LEAST_MS + QUERY_TIMES * query_ms(queue, names->len);
 	d->meter.consults->value++;
 	log_info("dispatch",
 	    "event=consult query=%" G_GUINT64_FORMAT
@@ -205,50 +205,48 @@
 	    query, s->job, s->round, s->step, names->len - 1, a->process);
 }
 
-/* Says whether a query names enough workers. */
-static bool
-enough(const struct plan_need *need, double found, guint names)
-{
-	guint least = need->gang ? WORKERS_GANG : WORKERS_LEAST;
-
-	return names >= WORKERS_MAX ||
-	    (names >= least && found >= need->count * SPARE);
-}
-
 void
 permits_want(struct dispatch *d, struct permit_set *s,
     const struct plan_need *need, GPtrArray *rooms, bool learn, int64_t now)
 {
+	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
+	struct plan_candidate *all;
 	struct adviser *a;
 	GPtrArray *names;
-	double found = 0;
+	/* A gang's members start together, once the answer is in. */
+	int64_t until_ms = now +
+	    (need->gang ? query_ms(queue, PERMIT_WORKERS) + ANSWER_MS : 0);
 
 	if (s->query != 0 || now < s->again_ms)
 		return;
 	a = idle_adviser(d, now);
 	if (a == NULL)
 		return;
-	names = g_ptr_array_new();
-	g_array_set_size(s->asking, 0);
 	g_ptr_array_sort(rooms, by_free);
-	for (guint i = 0; i < rooms->len && !enough(need, found, names->len);
-	     i++) {
-		struct plan_room *room = rooms->pdata[i];
-		uint32_t fits = plan_fits(room, need);
-		double chance;
-
-		if (fits == 0 || !wanted(s, room->worker, now, &chance))
-			continue;
-		found += fits * chance;
-		g_ptr_array_add(names, holder_find(d, room->worker)->name);
-		g_array_append_val(s->asking, room->worker);
+	all = g_new0(struct plan_candidate, rooms->len + 1);
+	for (guint i = 0; i < rooms->len; i++) {
+		const struct plan_room *room = rooms->pdata[i];
+
+		all[i].fits = plan_fits(room, need);
+		all[i].permit = permit_state(s, room->worker, until_ms);
 	}
-	if (names->len > 0 && (learn || !need->gang || found >= need->count)) {
+	if (plan_query(all, rooms->len, need, learn) > 0) {
+		names = g_ptr_array_new();
+		g_array_set_size(s->asking, 0);
+		for (guint i = 0; i < rooms->len; i++) {
+			uint32_t id =
+			    ((struct plan_room *)rooms->pdata[i])->worker;
+
+			if (!all[i].named)
+				continue;
+			g_ptr_array_add(names, holder_find(d, id)->name);
+			g_array_append_val(s->asking, id);
+		}
 		g_ptr_array_add(names, NULL);
-		send_query(
-		    d, s, a, flow_job(d->conf.flow, s->job)->queue, names, now);
+		send_query(d, s, a, queue, names, now);
+		g_ptr_array_unref(names);
 	}
-	g_ptr_array_unref(names);
+	g_free(all);
 }
 
 static struct permit_set *
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -13,7 +13,6 @@
 #define STARTS_MAX 512 /* in one command */
 #define YIELDS_A_ROUND 6 /* claims that others may make way for in one */
 #define LOAD_LINE_MS 1000
-#define PERMIT_WORKERS 30 /* that an objective counts a query with */
 
 static struct plan_belief *
 belief_of(struct dispatch *d, const char *queue)
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -477,7 +477,10 @@
 		f->watch.ended(f->watch_arg, job, &was, how);
 }
 
-/* A gang ends as done together: one such end stands for all members. */
+/*
+ * A gang ends as done together: one such end stands for all members, also for
+ * one that was given up meanwhile, as its worker died right after that end.
+ */
 static void
 gang_done(struct flow *f, struct flow_job *job, struct flow_round *round,
     const struct flow_run *of)
@@ -485,13 +488,20 @@
 	struct flow_stage *st = &round->stage[of->step];
 
 	for (uint32_t i = 0; i < st->count; i++) {
+		struct flow_task *task = &st->task[i];
 		struct flow_run member = *of;
 
 		member.index = i;
-		if (st->task[i].state == FLOW_HELD &&
-		    st->task[i].run == of->run)
+		if (task->run != of->run)
+			continue;
+		if (task->state == FLOW_HELD) {
 			release(
 			    f, job, round, &member, FLOW_DONE, FLOW_END_DONE);
+		} else if (task->state == FLOW_PENDING) {
+			task->state = FLOW_DONE;
+			st->pending--;
+			st->done++;
+		}
 	}
 }
 
--- a/lib/flow/snapshot.c
+++ b/lib/flow/snapshot.c
@@ -231,7 +231,7 @@
 
 static bool
 check_stage(const struct flow *f, const struct flow_job *job,
-    const struct flow_stage *st, GError **err)
+    const struct flow_stage *st, bool gang, GError **err)
 {
 	uint32_t count[3] = { 0 };
 
@@ -245,6 +245,9 @@
 	if (count[FLOW_PENDING] != st->pending ||
 	    count[FLOW_HELD] != st->held || count[FLOW_DONE] != st->done)
 		return off(err, job, "a step's counts are off");
+	/* A gang starts only whole: a part that waits would wait for good. */
+	if (gang && st->held == 0 && st->done > 0 && st->pending > 0)
+		return off(err, job, "a part of a gang is left over");
 	return true;
 }
 
@@ -259,7 +262,8 @@
 		uint32_t in_round = 0;
 
 		for (guint s = 0; s < job->spec.steps->len; s++) {
-			if (!check_stage(f, job, &round->stage[s], err))
+			if (!check_stage(f, job, &round->stage[s],
+				flow_step_of(job, s)->gang, err))
 				return false;
 			open += round->stage[s].done < round->stage[s].count;
 			in_round += round->stage[s].held;
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -276,3 +276,38 @@
 	}
 	return true;
 }
+
+#define QUERY_MOST 100 /* the policy service takes so many in one query */
+#define QUERY_GANG 30 /* a gang's query names as many as objectives count */
+#define QUERY_LEAST 6
+#define GOOD_SHARE 0.4 /* of the workers that aren't known yet are allowed */
+#define SPARE 2.5 /* times the room needed that a query looks for */
+
+uint32_t
+plan_query(struct plan_candidate *all, guint count,
+    const struct plan_need *need, bool learn)
+{
+	uint32_t least = need->gang ? QUERY_GANG : QUERY_LEAST;
+	uint32_t named = 0;
+	double found = 0;
+
+	for (guint i = 0; i < count && named < QUERY_MOST; i++) {
+		struct plan_candidate *c = &all[i];
+
+		if (named >= least && found >= need->count * SPARE)
+			break;
+		if (c->fits == 0 || c->permit == PLAN_PERMIT_NONE)
+			continue;
+		if (c->permit == PLAN_PERMIT_HOLDS) {
+			found += need->gang ? c->fits : 0;
+			continue;
+		}
+		found += c->permit == PLAN_PERMIT_ENDS ? c->fits
+						       : c->fits * GOOD_SHARE;
+		c->named = true;
+		named++;
+	}
+	if (need->gang && !learn && found < need->count)
+		return 0;
+	return named;
+}
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -106,6 +106,32 @@
 bool plan_make_room(
     struct plan_site *sites, guint count, const struct plan_need *need);
 
+/* What is known of a worker's permit for a step. */
+enum plan_permit {
+	PLAN_PERMIT_UNKNOWN, /* not asked about yet */
+	PLAN_PERMIT_ENDS, /* allowed; the permit ends before an answer is in */
+	PLAN_PERMIT_HOLDS, /* allowed, beyond the answer */
+	PLAN_PERMIT_NONE /* not allowed */
+};
+
+/* A worker that a query to the policy service might name. */
+struct plan_candidate {
+	uint32_t fits; /* tasks of the step that have room there */
+	enum plan_permit permit;
+	bool named; /* chosen */
+};
+
+/*
+ * Chooses the workers that a query names, from the front, until the room that
+ * is allowed or may be is plenty. For a gang the permits that hold count:
+ * their room needs no query, and its members start at once. Without them a
+ * gang with permits of several ages asks for none of them. With learn a query
+ * is worth it even if the room can't suffice. Returns how many were named;
+ * 0: a query would not help.
+ */
+uint32_t plan_query(struct plan_candidate *all, guint count,
+    const struct plan_need *need, bool learn);
+
 /* How many tasks of a size fit into a room. */
 uint32_t plan_fits(const struct plan_room *room, const struct plan_need *need);
 
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -454,6 +454,34 @@
 	leader_free(l);
 }
 
+/* One member of a gang is refused: the others don't wait for it until they
+ * give up, but are stopped at once, and all start again. */
+static void
+test_gang_refused(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	struct stub_worker *b = stub_worker_new(l->base, "b");
+
+	announce(l, a, false);
+	announce(l, b, false);
+	a->refuse = 1;
+	submit_step(l, JOB_PATH,
+	    (struct flow_step){ .count = 2,
+		.need = { 3000, 1 << 20, 0 },
+		.runtime_ms = 60000,
+		.gang = true,
+		.lasting = true /* no progress is expected of it */ });
+	AWAIT(l,
+	    a->running->len == 1 && b->running->len == 1 && task(l)->run > 1);
+	g_assert_cmpint(b->stops, ==, 1);
+	g_assert_cmpuint(g_array_index(a->running, struct stub_run, 0).of.run,
+	    ==, g_array_index(b->running, struct stub_run, 0).of.run);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
 /* A job whose start is agreed but has reached no worker still waits. */
 static void
 test_count_unbegun(void)
@@ -575,6 +603,7 @@
 	g_test_add_func("/dispatch/stray", test_stray);
 	g_test_add_func("/dispatch/cancel", test_cancel);
 	g_test_add_func("/dispatch/room", test_room);
+	g_test_add_func("/dispatch/gang-refused", test_gang_refused);
 	g_test_add_func("/dispatch/count-unbegun", test_count_unbegun);
 	g_test_add_func("/dispatch/makes-way", test_makes_way);
 	g_test_add_func("/dispatch/earlier-life", test_earlier_life);
--- a/test/flow_test.c
+++ b/test/flow_test.c
@@ -365,6 +365,26 @@
 	teardown(&x);
 }
 
+/* A member's worker dies right after the gang's end, and is given up before
+ * another member's end is known: nothing is left to run. */
+static void
+test_gang_done_late(void)
+{
+	struct fixture x = setup(2);
+	struct flow_spec spec = new_spec();
+	uint32_t w;
+
+	watch_all(&x);
+	w = worker(&x, "w0", 1);
+	(void)add_step(&spec, 3, true);
+	(void)submit(&x, 7, &spec);
+	start(&x, 7, 0, 0, 0, 3, 1, w);
+	end(&x, (struct flow_run){ 7, 0, 0, 1, 1 }, FLOW_END_STOPPED, NULL);
+	end(&x, (struct flow_run){ 7, 0, 0, 2, 1 }, FLOW_END_DONE, NULL);
+	g_assert_cmpint(flow_job(x.flow, 7)->state, ==, FLOW_COMPLETED);
+	teardown(&x);
+}
+
 static void
 test_lasting_and_occurrences(void)
 {
@@ -542,6 +562,7 @@
 	g_test_add_func("/flow/ends-once", test_ends_once);
 	g_test_add_func("/flow/failures", test_failures);
 	g_test_add_func("/flow/gang", test_gang);
+	g_test_add_func("/flow/gang-done-late", test_gang_done_late);
 	g_test_add_func(
 	    "/flow/lasting-and-occurrences", test_lasting_and_occurrences);
 	g_test_add_func("/flow/config-and-route", test_config_and_route);
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -201,6 +201,53 @@
 	g_assert_cmpint(plan_expect(&good, 0), <, 9000);
 }
 
+static struct plan_candidate
+candidate(uint32_t fits, enum plan_permit permit)
+{
+	return (struct plan_candidate){ .fits = fits, .permit = permit };
+}
+
+/* A gang whose permits are of several ages: those that hold count, and those
+ * that end before the others are there are asked for again. */
+static void
+test_query_gang(void)
+{
+	struct plan_need five = need(5, 27, true);
+	struct plan_candidate ages[] = { candidate(2, PLAN_PERMIT_HOLDS),
+		candidate(2, PLAN_PERMIT_NONE), candidate(2, PLAN_PERMIT_ENDS),
+		candidate(1, PLAN_PERMIT_ENDS),
+		candidate(0, PLAN_PERMIT_ENDS) };
+	struct plan_candidate few[] = { candidate(2, PLAN_PERMIT_HOLDS),
+		candidate(2, PLAN_PERMIT_NONE),
+		candidate(2, PLAN_PERMIT_UNKNOWN) };
+	struct plan_candidate none[] = { candidate(2, PLAN_PERMIT_HOLDS),
+		candidate(9, PLAN_PERMIT_NONE) };
+
+	g_assert_cmpuint(plan_query(ages, 5, &five, false), ==, 2);
+	g_assert_true(ages[2].named && ages[3].named);
+	g_assert_false(ages[0].named || ages[1].named || ages[4].named);
+	/* More have to be known before all members can start. */
+	g_assert_cmpuint(plan_query(few, 3, &five, false), ==, 0);
+	few[2].named = false;
+	g_assert_cmpuint(plan_query(few, 3, &five, true), ==, 1);
+	g_assert_cmpuint(plan_query(none, 2, &five, true), ==, 0);
+}
+
+/* Single tasks ask for some more room than they need, and for no more. */
+static void
+test_query_single(void)
+{
+	struct plan_need two = need(2, 6, false);
+	struct plan_candidate all[40];
+	uint32_t named;
+
+	for (guint i = 0; i < 40; i++)
+		all[i] = candidate(1, PLAN_PERMIT_UNKNOWN);
+	named = plan_query(all, 40, &two, false);
+	g_assert_cmpuint(named, >=, 10);
+	g_assert_cmpuint(named, <, 20);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -211,6 +258,8 @@
 	g_test_add_func("/plan/colocated", test_colocated);
 	g_test_add_func("/plan/wishes", test_wishes);
 	g_test_add_func("/plan/make-room", test_make_room);
+	g_test_add_func("/plan/query-gang", test_query_gang);
+	g_test_add_func("/plan/query-single", test_query_single);
 	g_test_add_func("/plan/belief", test_belief);
 	return g_test_run();
 }
