Workers that fail what they start are shunned after two failures

The library health asks for three jobs that did well elsewhere, or six, with no success between them, before it sets a worker aside: made for slow calls.

Change: plan_doubt: after one failure a worker takes one task at a time until one is done or some seconds have passed, after two none for 1 to 2.5 s. Gangs and last attempts leave workers on trial out, unless most are. The dispatcher no longer uses lib/health. The test failed first: the job failed.

Ruled out: jobs to blame themselves (33 of 142 failed jobs, twice each on workers with no other failure, stay so; there are such in the load).

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -353,7 +353,6 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, wait_free);
 	d->begun =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	d->health = health_new(&health_defaults);
 	d->beliefs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->racks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -381,7 +380,6 @@
 	g_clear_pointer(&d->begun, g_hash_table_unref);
 	g_clear_pointer(&d->beliefs, g_hash_table_unref);
 	g_clear_pointer(&d->racks, g_hash_table_unref);
-	health_free(g_steal_pointer(&d->health));
 }
 
 bool
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -251,9 +251,22 @@
 	if (w == NULL || w->draining || h->left || h->dead || h->closing ||
 	    !h->held || now < h->shun_ms || now - h->heard_ms > STALE_MS)
 		return false;
-	if (h->health == HEALTH_ASIDE)
-		return false;
-	return h->health != HEALTH_PROBING || h->runs->len == 0;
+	return plan_trust(&h->doubt, now) != PLAN_SHUNNED;
+}
+
+uint32_t
+holder_most(const struct holder *h, int64_t now)
+{
+	uint32_t trials = 0;
+
+	if (plan_trust(&h->doubt, now) == PLAN_TRUSTED)
+		return UINT32_MAX;
+	for (guint i = 0; i < h->runs->len; i++) {
+		const struct lrun *r = h->runs->pdata[i];
+
+		trials += r->started_ms == 0 || r->started_ms > h->failed_ms;
+	}
+	return trials > 0 ? 0 : 1;
 }
 
 static enum flow_end_how
@@ -264,31 +277,28 @@
 	return how == AGENT_FAILED ? FLOW_END_FAILED : FLOW_END_STOPPED;
 }
 
+/* Notes what an end says of its worker. */
 static void
 judge(struct holder *h, const struct agent_end *e, int64_t now)
 {
-	struct dispatch *d = h->d;
-	GArray *changes;
+	const struct flow_task *task = flow_task(h->d->conf.flow, &e->of, NULL);
+	enum plan_trust before = plan_trust(&h->doubt, now);
+	enum plan_trust after;
 
 	if (e->how != AGENT_DONE && e->how != AGENT_FAILED)
 		return;
-	if (e->how == AGENT_FAILED)
-		d->meter.failed->value++;
-	changes = g_array_new(FALSE, TRUE, sizeof(struct health_change));
-	health_ended(
-	    d->health, h->id, e->of.job, e->how == AGENT_DONE, now, changes);
-	for (guint i = 0; i < changes->len; i++) {
-		struct health_change *c =
-		    &g_array_index(changes, struct health_change, i);
-		struct holder *other = holder_find(d, c->worker);
-
-		if (other == NULL)
-			continue;
-		other->health = c->state;
-		log_info("dispatch", "event=worker-health worker=%s state=%s",
-		    other->name, health_state_name(c->state));
+	if (e->how == AGENT_FAILED) {
+		h->d->meter.failed->value++;
+		h->failed_ms = now;
 	}
-	g_array_unref(changes);
+	plan_doubt_ended(&h->doubt, e->how == AGENT_DONE,
+	    task != NULL && task->failures > 0, now);
+	after = plan_trust(&h->doubt, now);
+	if (after == PLAN_SHUNNED && before != PLAN_SHUNNED)
+		log_info("dispatch",
+		    "event=worker-shunned worker=%s for_ms=%" G_GINT64_FORMAT
+		    " failures=%.1f",
+		    h->name, h->doubt.until_ms - now, h->doubt.failures);
 }
 
 static void
@@ -548,19 +558,7 @@
 holders_scan(struct dispatch *d, int64_t now)
 {
 	GList *all = g_hash_table_get_values(d->holders);
-	GArray *changes =
-	    g_array_new(FALSE, TRUE, sizeof(struct health_change));
-
-	health_tick(d->health, now, changes);
-	for (guint i = 0; i < changes->len; i++) {
-		struct health_change *c =
-		    &g_array_index(changes, struct health_change, i);
-		struct holder *h = holder_find(d, c->worker);
 
-		if (h != NULL)
-			h->health = c->state;
-	}
-	g_array_unref(changes);
 	for (GList *i = all; i != NULL; i = i->next)
 		scan_holder(i->data, now);
 	g_list_free(all);
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -5,7 +5,6 @@
 #include <string.h>
 
 #include "dispatch.h"
-#include "health.h"
 #include "httpd.h"
 #include "logs.h"
 #include "plan.h"
@@ -90,7 +89,8 @@
 	double pace; /* learnt: how many times as long work takes here ... */
 	int64_t pace_ms; /* ... when that was learnt */
 	int64_t shun_ms; /* takes no new work until then */
-	enum health_state health;
+	struct plan_doubt doubt;
+	int64_t failed_ms; /* when a run failed there last */
 };
 
 /* A step that needs the policy service's word on workers. */
@@ -177,7 +177,6 @@
 	int64_t context_sent_ms; /* boot clock */
 	bool confirming;
 	int64_t authority_ms; /* boot clock: leadership holds until then */
-	struct health *health;
 	GHashTable *begun; /* ids of open jobs that a worker has begun */
 	GHashTable *beliefs; /* queue name to struct plan_belief */
 	GHashTable *racks; /* names to numbers */
@@ -229,6 +228,8 @@
 void holder_dead(struct holder *h, const char *why);
 /* Says whether new work may go there. */
 bool holder_open(const struct holder *h, int64_t now);
+/* How many tasks it may take now, whatever its room. */
+uint32_t holder_most(const struct holder *h, int64_t now);
 /*
  * The end of a lease that is sent now, on the worker's clock; noted. Not later
  * than before for a worker that is silent; 0: there is none to be had.
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -171,9 +171,13 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct holder *h = value;
 		struct place *p;
+		uint32_t most;
 
 		if (!holder_open(h, rd->now))
 			continue;
+		most = holder_most(h, rd->now);
+		if (most == 0)
+			continue;
 		p = g_new0(struct place, 1);
 		p->holder = h;
 		p->worker = flow_worker(d->conf.flow, h->id);
@@ -182,6 +186,7 @@
 		resources_add(&p->room.free, &h->used, -1);
 		p->room.rack = rack_number(d, p->worker->rack);
 		p->room.pace = pace_now(h, rd->now);
+		p->room.most = most;
 		g_ptr_array_add(rd->rooms, p);
 	}
 }
@@ -271,6 +276,43 @@
 	return n;
 }
 
+/* Says whether one more failure of a task that waits ends its job. */
+static bool
+last_attempt(const struct claim *c)
+{
+	const struct flow_stage *st = &c->round->stage[c->step];
+
+	for (uint32_t i = 0; i < st->count; i++)
+		if (st->task[i].state == FLOW_PENDING &&
+		    st->task[i].failures + 1 >= c->job->queue->attempts)
+			return true;
+	return false;
+}
+
+static bool
+on_trial(const struct plan_room *room)
+{
+	return room->most <= 1;
+}
+
+/*
+ * Leaves workers on trial out, for what must not fail there: a gang, which
+ * one of them breaks, and a job's last attempt. Not if most are on trial.
+ */
+static void
+drop_trials(GPtrArray *rooms)
+{
+	guint trials = 0;
+
+	for (guint i = 0; i < rooms->len; i++)
+		trials += on_trial(rooms->pdata[i]);
+	if (trials * 2 > rooms->len)
+		return;
+	for (guint i = rooms->len; i > 0; i--)
+		if (on_trial(rooms->pdata[i - 1]))
+			g_ptr_array_remove_index_fast(rooms, i - 1);
+}
+
 /* The rooms that the step's declaration and queue allow. */
 static GPtrArray *
 allowed_rooms(
@@ -289,6 +331,8 @@
 		    step->per_worker == 0 ? 0 : held_there(p->holder, c);
 		g_ptr_array_add(out, p);
 	}
+	if (step->gang || last_attempt(c))
+		drop_trials(out);
 	return out;
 }
 
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -60,6 +60,7 @@
 		n = MIN(n,
 		    (int64_t)need->per_worker -
 			MIN(room->same, need->per_worker));
+	n = MIN(n, (int64_t)room->most);
 	return (uint32_t)MIN(n, (int64_t)need->count);
 }
 
@@ -95,6 +96,7 @@
 {
 	resources_add(&room->free, &need->each, -sign);
 	room->same += sign;
+	room->most -= sign;
 }
 
 /* Places as many tasks as fit on the rooms of a rack (0: any). */
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -62,8 +62,35 @@
 	uint32_t rack;
 	double pace; /* how many times as long work takes here; 1: usual */
 	uint32_t same; /* tasks of the step that it has already */
+	uint32_t most; /* tasks that it may take now, however much room */
 };
 
+/* How far a worker is believed to do what it starts. */
+enum plan_trust {
+	PLAN_TRUSTED,
+	PLAN_ON_TRIAL, /* takes one task at a time until one is done */
+	PLAN_SHUNNED /* takes none for a while */
+};
+
+/*
+ * What a worker's failures say against it. Answers workers that fail all or
+ * much of what they start, while their reports are good: as they fail at once
+ * their room is free again at once, and draws in most of what waits, so that
+ * tasks use up their attempts there.
+ */
+struct plan_doubt {
+	double failures; /* faded, and halved by each success */
+	int64_t at_ms; /* when that was */
+	int64_t wait_ms; /* how long it was shunned last */
+	int64_t until_ms; /* shunned until then */
+};
+
+/* A run ended there by itself. elsewhere: the task has failed before, so that
+ * it may be to blame. */
+void plan_doubt_ended(
+    struct plan_doubt *d, bool done, bool elsewhere, int64_t now_ms);
+enum plan_trust plan_trust(const struct plan_doubt *d, int64_t now_ms);
+
 struct plan_need {
 	uint32_t count; /* tasks to place */
 	struct resources each;
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -482,6 +482,36 @@
 	leader_free(l);
 }
 
+/* A worker fails all that it starts, at once: its room, free again, must not
+ * use up the attempts of what waits. */
+static void
+test_failing_worker(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *bad = stub_worker_new(l->base, "bad");
+	struct stub_worker *good = stub_worker_new(l->base, "good");
+	const struct flow_job *job;
+
+	announce(l, bad, false);
+	announce(l, good, false);
+	bad->fail = 1000;
+	submit(l, JOB_PATH, 8, 1000);
+	job = flow_job(l->flow, JOB);
+	while (job->state != FLOW_COMPLETED) {
+		g_assert_cmpint(job->state, !=, FLOW_FAILED);
+		AWAIT(l, good->running->len > 0 || flow_over(job));
+		while (good->running->len > 0) {
+			struct flow_run of =
+			    g_array_index(good->running, struct stub_run, 0).of;
+
+			stub_worker_end(good, &of, AGENT_DONE);
+		}
+	}
+	stub_worker_free(bad);
+	stub_worker_free(good);
+	leader_free(l);
+}
+
 /* A job whose start is agreed but has reached no worker still waits. */
 static void
 test_count_unbegun(void)
@@ -604,6 +634,7 @@
 	g_test_add_func("/dispatch/cancel", test_cancel);
 	g_test_add_func("/dispatch/room", test_room);
 	g_test_add_func("/dispatch/gang-refused", test_gang_refused);
+	g_test_add_func("/dispatch/failing-worker", test_failing_worker);
 	g_test_add_func("/dispatch/count-unbegun", test_count_unbegun);
 	g_test_add_func("/dispatch/makes-way", test_makes_way);
 	g_test_add_func("/dispatch/earlier-life", test_earlier_life);
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -14,7 +14,8 @@
 		.free = { cores * 1000, 128 * GIB, 0 },
 		.capacity = { 64000, 128 * GIB, 0 },
 		.rack = rack,
-		.pace = 1 };
+		.pace = 1,
+		.most = UINT32_MAX };
 }
 
 static struct plan_need
@@ -248,6 +249,48 @@
 	g_assert_cmpuint(named, <, 20);
 }
 
+/* A worker that fails what it starts is on trial at once and shunned after
+ * the second failure; one success and time bring it back. */
+static void
+test_doubt(void)
+{
+	struct plan_doubt d = { 0 };
+	struct plan_room r = room(1, 60, 0);
+	struct plan_need n = need(9, 10, false);
+
+	g_assert_cmpint(plan_trust(&d, 0), ==, PLAN_TRUSTED);
+	plan_doubt_ended(&d, false, false, 1000);
+	g_assert_cmpint(plan_trust(&d, 1000), ==, PLAN_ON_TRIAL);
+	g_assert_cmpint(plan_trust(&d, 1000 + 10000), ==, PLAN_TRUSTED);
+	plan_doubt_ended(&d, true, false, 1100);
+	g_assert_cmpint(plan_trust(&d, 1100), ==, PLAN_TRUSTED);
+	plan_doubt_ended(&d, false, false, 1200);
+	plan_doubt_ended(&d, false, false, 1300);
+	g_assert_cmpint(plan_trust(&d, 1300), ==, PLAN_SHUNNED);
+	/* It fails its trials: the waits get longer, up to a bound. */
+	for (int i = 0; i < 9; i++)
+		plan_doubt_ended(&d, false, false, d.until_ms);
+	g_assert_cmpint(d.wait_ms, >, 1000);
+	g_assert_cmpint(d.wait_ms, <, 3000);
+	g_assert_cmpint(plan_trust(&d, d.until_ms), ==, PLAN_ON_TRIAL);
+	/* On trial it takes one task, whatever its room. */
+	r.most = 1;
+	g_assert_cmpuint(plan_fits(&r, &n), ==, 1);
+	r.most = UINT32_MAX;
+	g_assert_cmpuint(plan_fits(&r, &n), ==, 6);
+}
+
+/* A job that fails wherever it runs does not have a worker shunned by two. */
+static void
+test_doubt_of_job(void)
+{
+	struct plan_doubt d = { 0 };
+
+	plan_doubt_ended(&d, false, false, 1000);
+	plan_doubt_ended(&d, false, true, 1000);
+	g_assert_cmpint(plan_trust(&d, 1000), ==, PLAN_ON_TRIAL);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -260,6 +303,8 @@
 	g_test_add_func("/plan/make-room", test_make_room);
 	g_test_add_func("/plan/query-gang", test_query_gang);
 	g_test_add_func("/plan/query-single", test_query_single);
+	g_test_add_func("/plan/doubt", test_doubt);
+	g_test_add_func("/plan/doubt-of-job", test_doubt_of_job);
 	g_test_add_func("/plan/belief", test_belief);
 	return g_test_run();
 }
--- a/test/stubworker.c
+++ b/test/stubworker.c
@@ -309,6 +309,10 @@
 		g_array_append_val(w->running, r);
 	w->until_ms = MAX(w->until_ms, until_ms);
 	answer_clock(req);
+	if (w->fail > 0) {
+		w->fail--;
+		stub_worker_end(w, &r.of, AGENT_FAILED);
+	}
 }
 
 static void
--- a/test/stubworker.h
+++ b/test/stubworker.h
@@ -33,6 +33,7 @@
 	bool mute; /* takes nothing and answers nothing */
 	int swallow; /* so many start orders are kept back without an answer */
 	GArray *kept; /* struct flow_run: those orders */
+	int fail; /* so many runs fail as soon as they start */
 	int refuse; /* so many start orders are refused for want of room */
 	/* What was seen. */
 	int starts;
