An odd number of replicas votes: a core cut in halves goes on

Cut four from four for 4.4 s, neither half had a leader; leases of all runs ran out, 530 requests of that time were not served.

Change: a learner is promoted only if that makes the number of voters odd or below three; the one over stays a learner and takes the place of a voter that is dropped, also at three voters. Learners that are gone are dropped too. Four voters bear one loss, as three do, so nothing is given up.

Ruled out: five voters of eight (a loss of two disks and a cut at once).

--- a/lib/replica/members.c
+++ b/lib/replica/members.c
@@ -11,7 +11,9 @@
  */
 #define ABSENT_MS 5000
 #define ABSENT_REPLACED_MS 1500
-#define VOTERS_LEAST 3 /* an open membership does not shrink below this */
+/* An open membership does not shrink below this, unless another replica is
+ * there to take the place. */
+#define VOTERS_LEAST 3
 
 /* Returns the first member of that name, or NULL. */
 static const struct raft_member *
@@ -44,6 +46,28 @@
 	return r->founders == NULL;
 }
 
+/*
+ * Says whether one more voter helps. An even number of voters bears no more
+ * losses than one less, and stands still when it is cut in halves: the one
+ * that is over stays a learner, and steps in when a voter is dropped.
+ */
+static bool
+wants_voter(const struct replica *r)
+{
+	const struct raft_members *m = raft_members(r->raft);
+	int voters = 0;
+	int learners = 0;
+
+	for (int i = 0; i < m->count; i++) {
+		if (!m->member[i].learner)
+			voters++;
+		else if (replica_peer_name(r, m->member[i].id) != NULL)
+			learners++;
+	}
+	return !is_open(r) || voters < VOTERS_LEAST || voters % 2 == 0 ||
+	    learners > 1;
+}
+
 /*
  * A connected replica whose name is a member under another id has lost its
  * disk. It becomes a learner, then the old id is removed, then the learner
@@ -67,7 +91,7 @@
 		index = raft_propose_member(r->raft, node, true, false);
 	else if (mine != NULL && old != NULL && mine->learner)
 		index = raft_propose_member(r->raft, old->id, false, true);
-	else if (mine != NULL && mine->learner)
+	else if (mine != NULL && mine->learner && wants_voter(r))
 		index = raft_propose_member(r->raft, node, false, false);
 	if (index == 0)
 		return;
@@ -77,12 +101,14 @@
 	replica_schedule(r);
 }
 
-/* Which voters are connected. */
+/* Which members are connected. */
 struct absence {
 	int voters;
-	int present;
-	uint64_t longest; /* away for longest; RAFT_NONE: nobody is */
-	int64_t since_ms; /* for how long that one is */
+	int present; /* voters */
+	uint64_t longest; /* voter away for longest; RAFT_NONE: nobody is */
+	int64_t since_ms; /* since when it is */
+	uint64_t
+	    learner; /* one that has been away for too long, or RAFT_NONE */
 };
 
 struct newcomers {
@@ -119,41 +145,55 @@
 	    (m == NULL || m->learner);
 }
 
-/* Removes one voter that has been away for too long. */
+static void
+drop(struct replica *r, uint64_t id, int64_t bound)
+{
+	if (raft_propose_member(r->raft, id, false, true) == 0)
+		return;
+	log_warn("replica",
+	    "drops member %016" G_GINT64_MODIFIER
+	    "x: not connected for over %" G_GINT64_FORMAT " ms",
+	    id, bound);
+	replica_schedule(r);
+}
+
+/* Removes one member that has been away for too long. */
 static void
 drop_absent(struct replica *r, const struct absence *a, int64_t now)
 {
 	struct newcomers n = { .replica = r };
 	int64_t bound;
 
+	if (a->learner != RAFT_NONE) {
+		drop(r, a->learner, ABSENT_MS);
+		return;
+	}
 	r->ops->each_peer(r->arg, find_newcomer, &n);
 	bound = n.any ? ABSENT_REPLACED_MS : ABSENT_MS;
 	if (a->longest == RAFT_NONE || now - a->since_ms <= bound ||
-	    a->voters <= VOTERS_LEAST || a->present <= (a->voters - 1) / 2)
-		return;
-	if (raft_propose_member(r->raft, a->longest, false, true) == 0)
+	    a->voters < VOTERS_LEAST + (n.any ? 0 : 1) ||
+	    a->present <= (a->voters - 1) / 2)
 		return;
-	log_warn("replica",
-	    "drops member %016" G_GINT64_MODIFIER
-	    "x: not connected for over %" G_GINT64_FORMAT " ms",
-	    a->longest, bound);
-	replica_schedule(r);
+	drop(r, a->longest, bound);
 }
 
-/* Notes which voters are connected, also while another replica leads. */
+/* Notes which members are connected, also while another replica leads. */
 static struct absence
 look_around(struct replica *r, int64_t now)
 {
 	const struct raft_members *m = raft_members(r->raft);
-	struct absence a = { .longest = RAFT_NONE };
+	struct absence a = { .longest = RAFT_NONE, .learner = RAFT_NONE };
 
 	for (int i = 0; i < m->count; i++) {
 		int64_t since;
 
-		if (m->member[i].learner)
+		since = absent_since(r, m->member[i].id, now);
+		if (m->member[i].learner) {
+			if (since != 0 && now - since > ABSENT_MS)
+				a.learner = m->member[i].id;
 			continue;
+		}
 		a.voters++;
-		since = absent_since(r, m->member[i].id, now);
 		if (since == 0)
 			a.present++;
 		else if (a.longest == RAFT_NONE || since < a.since_ms) {
