--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -99,6 +99,24 @@
 	mesh_identify(n->mesh, id, cell, formed);
 }
 
+/* Hands a caller's ask to the leader, here or elsewhere. */
+static bool
+hand(void *arg, const struct ask *ask)
+{
+	struct cellnode *n = arg;
+	struct mesh_link *l;
+
+	if (dispatch_leads(n->dispatch)) {
+		dispatch_ask(n->dispatch, 0, ask);
+		return true;
+	}
+	l = mesh_leader(n->mesh);
+	if (l == NULL)
+		return false;
+	frame_send(l, FRAME_ASK, ask);
+	return true;
+}
+
 struct peer_walk {
 	replica_peer_fn *fn;
 	void *arg;
@@ -633,7 +651,7 @@
 	dc.flow = n->flow;
 	dc.registry = registry;
 	n->processes = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	n->gate = gate_new(n);
+	n->gate = gate_new(hand, n);
 	n->adviser = adviser_new(base, conf->advice_address, dc.agent);
 	n->dispatch = dispatch_new(&dc, &dispatch_ops, n);
 	dispatch_process(n->dispatch, 0, true);
--- a/lib/cellnode/impl.h
+++ b/lib/cellnode/impl.h
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "cellnode.h"
+#include "gate.h"
 #include "httpd.h"
 #include "logs.h"
 #include "mesh.h"
@@ -33,7 +34,6 @@
 	char *rows; /* worker, tab, permit, newline */
 };
 
-struct gate;
 struct adviser_client;
 
 struct cellnode {
@@ -67,17 +67,6 @@
 const struct shape *frame_shape(enum frame_type type);
 void frame_send(struct mesh_link *l, enum frame_type type, const void *msg);
 
-/* gate.c */
-struct gate *gate_new(struct cellnode *n);
-void gate_free(struct gate *g);
-void gate_ask(struct gate *g, const struct ask *ask, int64_t timeout_ms,
-    cellnode_answer *fn, void *arg);
-void gate_answer(struct gate *g, const struct answer *a);
-/* The leader is another one, or its link has ended: asks are sent anew. */
-void gate_moved(struct gate *g);
-void gate_scan(struct gate *g, int64_t now);
-guint gate_pending(const struct gate *g);
-
 /* advise.c */
 struct adviser_client *adviser_new(struct event_base *base, const char *address,
     const struct agent_ops *agent);
--- a/lib/cellnode/gate.c
+++ b/lib/gate/gate.c
@@ -1,5 +1,6 @@
 /* Asks on their way to the leader. */
-#include "impl.h"
+#include "gate.h"
+#include "logs.h"
 
 #define AGAIN_MS 40 /* before an ask that the leader could not take yet */
 #define PENDING_MAX 4096 /* asks in flight; more are turned away at once */
@@ -8,13 +9,15 @@
 	struct ask ask;
 	int64_t due_ms;
 	int64_t again_ms; /* 0: with the leader, or waiting for one */
-	bool sent; /* a leader may have got it */
-	cellnode_answer *fn;
+	bool sent; /* with the present leader */
+	bool unclear; /* an earlier leader may have carried it out */
+	gate_answer_fn *fn;
 	void *arg;
 };
 
 struct gate {
-	struct cellnode *node;
+	gate_hand_fn *hand;
+	void *arg;
 	uint64_t last_id;
 	GHashTable *pending; /* id to struct pending */
 };
@@ -31,11 +34,12 @@
 }
 
 struct gate *
-gate_new(struct cellnode *n)
+gate_new(gate_hand_fn *hand, void *arg)
 {
 	struct gate *g = g_new0(struct gate, 1);
 
-	g->node = n;
+	g->hand = hand;
+	g->arg = arg;
 	g->pending = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, pending_free);
 	return g;
@@ -44,11 +48,12 @@
 static void
 give_up(struct pending *p)
 {
+	bool unclear = p->sent || p->unclear;
 	struct answer a = { .id = p->ask.id,
-		.result = p->sent ? ASK_UNCLEAR : ASK_UNAVAILABLE };
+		.result = unclear ? ASK_UNCLEAR : ASK_UNAVAILABLE };
 
 	log_info("gate", "event=ask-given-up op=%u path=%s result=%s",
-	    p->ask.op, p->ask.path, p->sent ? "unclear" : "not-taken");
+	    p->ask.op, p->ask.path, unclear ? "unclear" : "not-taken");
 	a.text = g_bytes_new_static("", 0);
 	p->fn(p->arg, &a);
 	g_bytes_unref(a.text);
@@ -73,26 +78,16 @@
 static void
 pass_on(struct gate *g, struct pending *p)
 {
-	struct cellnode *n = g->node;
-	struct mesh_link *l;
-
 	p->again_ms = 0;
-	if (dispatch_leads(n->dispatch)) {
-		p->sent = true;
-		/* May answer, and so free p, within the call. */
-		dispatch_ask(n->dispatch, 0, &p->ask);
-		return;
-	}
-	l = mesh_leader(n->mesh);
-	if (l == NULL)
-		return;
 	p->sent = true;
-	frame_send(l, FRAME_ASK, &p->ask);
+	/* May answer, and so free p, within the call. */
+	if (!g->hand(g->arg, &p->ask))
+		p->sent = false;
 }
 
 void
 gate_ask(struct gate *g, const struct ask *ask, int64_t timeout_ms,
-    cellnode_answer *fn, void *arg)
+    gate_answer_fn *fn, void *arg)
 {
 	struct pending *p = g_new0(struct pending, 1);
 
@@ -143,8 +138,13 @@
 	/* Sent in the next scan: an answer within the loop would change the
 	 * table under it. */
 	g_hash_table_iter_init(&iter, g->pending);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct pending *)value)->again_ms = now;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pending *p = value;
+
+		p->unclear |= p->sent;
+		p->sent = false;
+		p->again_ms = now;
+	}
 }
 
 void
