Soak: links are cut, silenced one way, delayed and reset; full disks, settings

The processes' peer listeners and the stand-in workers stand behind the fault proxy (peer-listen=, also for address translation); callers keep their open connections; disks fill (a bound on file sizes), settings change by SIGHUP.

Workers refuse a run that is not higher than one that ended there; the stand-in now does so too.

Clock jumps are not in the soak: they can't be made from outside.

--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -635,6 +635,7 @@
 	struct mesh_conf mc = { .base = base,
 		.name = conf->name,
 		.address = conf->peer_address,
+		.listen = conf->listen_address,
 		.replica = conf->data_dir != NULL };
 
 	n->base = base;
--- a/lib/cellnode/cellnode.h
+++ b/lib/cellnode/cellnode.h
@@ -13,6 +13,7 @@
 struct cellnode_conf {
 	char *name;
 	char *peer_address; /* where other processes of the cell connect */
+	char *listen_address; /* what that leads to; NULL: it is the same */
 	GPtrArray *seeds; /* char *: such addresses of a few others */
 	char *data_dir; /* NULL: no disk, no replica */
 	bool first_start; /* of the whole system, with empty disks */
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -508,7 +508,7 @@
 		h->look = http_peer_new(d->conf.base, h->address, NULL);
 	if (h->held) {
 		look.until_ms = holder_grant(h, now);
-		look.wait_ms = LOOK_WAIT_MS;
+		look.wait_ms = h->runs->len > 0 ? LOOK_BUSY_MS : LOOK_WAIT_MS;
 	}
 	l = g_new0(struct look, 1);
 	*l = (struct look){ .d = d, .term = d->term, .worker = h->id };
--- a/lib/mesh/mesh.c
+++ b/lib/mesh/mesh.c
@@ -375,7 +375,9 @@
 	m->arg = arg;
 	m->peers = g_ptr_array_new_with_free_func(peer_free);
 	m->links = g_ptr_array_new();
-	m->listener = listener_new(m->base, conf->address, on_accept, m, err);
+	m->listener = listener_new(m->base,
+	    conf->listen == NULL ? conf->address : conf->listen, on_accept, m,
+	    err);
 	if (m->listener == NULL) {
 		mesh_free(m);
 		return NULL;
--- a/lib/mesh/mesh.h
+++ b/lib/mesh/mesh.h
@@ -45,6 +45,7 @@
 	struct event_base *base;
 	const char *name;
 	const char *address;
+	const char *listen; /* where it listens for that; NULL: the same */
 	bool replica;
 };
 
--- a/test/cellnode.cmake
+++ b/test/cellnode.cmake
@@ -1,8 +1,8 @@
 bt_cases(cellnode SOURCES cellnode_test.c stepcell.c proc.c DEPENDS base httpd
     CASES whole-path losses stops)
-add_dependencies(cellnode_test bulrushtide-platform)
+add_dependencies(cellnode_test bulrushtide-platform faultproxy)
 bt_program(soak SOURCES soak.c stepcell.c proc.c DEPENDS base httpd)
-add_dependencies(soak bulrushtide-platform)
+add_dependencies(soak bulrushtide-platform faultproxy)
 # Short runs with fixed seeds; more by hand: soak SEED SECONDS.
 foreach(seed 1 2 3)
 	add_test(NAME soak_${seed} COMMAND soak ${seed} 12)
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -245,9 +245,10 @@
 	g_assert_true(settings(NODE
 	    "peer-ports=7720,7735\nseeds=10.1.0.1:81,10.1.0.2:81\n"
 	    "first-start=true\ndata-dir=/data\ncallers=127.0.0.1:80\n"
-	    "lease-max-ms=6000\nunknown=1\n",
+	    "lease-max-ms=6000\nunknown=1\npeer-listen=127.0.0.2:9\n",
 	    &s));
 	g_assert_cmpstr(s.node.peer_address, ==, "127.0.0.1:7720");
+	g_assert_cmpstr(s.node.listen_address, ==, "127.0.0.2:9");
 	g_assert_cmpuint(s.node.seeds->len, ==, 2);
 	g_assert_cmpstr(s.node.seeds->pdata[1], ==, "10.1.0.2:7720");
 	g_assert_true(s.node.first_start);
--- a/test/proc.c
+++ b/test/proc.c
@@ -2,6 +2,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -88,6 +89,12 @@
 	int log = open(p->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (p->file_max != 0) {
+		struct rlimit bound = { p->file_max, p->file_max };
+
+		setrlimit(RLIMIT_FSIZE, &bound);
+		signal(SIGXFSZ, SIG_IGN);
+	}
 	dup2(in, STDIN_FILENO);
 	dup2(p->out != NULL ? out : log, STDOUT_FILENO);
 	dup2(log, STDERR_FILENO);
--- a/test/proc.h
+++ b/test/proc.h
@@ -21,6 +21,7 @@
 	pid_t pid; /* 0: not running */
 	int in; /* its standard input */
 	FILE *out; /* its standard output; NULL: goes to the log */
+	uint64_t file_max; /* bytes; its files can't grow beyond; 0: any */
 };
 
 /* The folder of the running test program. */
--- a/test/soak.c
+++ b/test/soak.c
@@ -1,9 +1,12 @@
 /*
  * A randomized soak of real processes: they are stopped, paused, killed,
- * restarted and lose their disks, one after the other and overlapping, while
- * jobs come in. It checks what callers and workers see: an accepted job is
- * completed, no task runs in two places or again after it has ended as done,
- * the configuration stays. A seed decides all but the timing of processes.
+ * restarted, get their settings changed, fill or lose their disks; links to
+ * them and to workers are cut, silenced one way, delayed and reset; all of it
+ * one after the other and overlapping, while jobs come in over connections
+ * that callers keep open. It checks what callers and workers see: an accepted
+ * job is completed, no task runs in two places or again after it has ended as
+ * done, the configuration stays. A seed decides all but the timing of
+ * processes.
  *
  *     soak SEED SECONDS
  */
@@ -14,12 +17,15 @@
 
 #include "stepcell.h"
 
-#define QUIET_MS                                                     \
-	6000 /* after a lost disk, before the next loss of a replica \
-	      */
+#define QUIET_MS 6000 /* after a lost disk, before a replica is lost again */
 #define STEP_MS 400 /* between faults, up to three times that */
+#define HEAL_MS 300 /* a fault lasts so long, and up to ... */
+#define HEAL_MORE_MS 2500 /* ... so much longer */
+#define DISK_BYTES 49152 /* no file grows beyond it while a disk is full */
+#define DELAY_MS 700 /* a link delays by up to so much */
 #define JOBS_MAX 400
 #define SETTLE_MS 90000 /* all accepted jobs are completed by then */
+#define LINKS (NODES + WORKERS)
 
 struct fault {
 	int64_t until_ms; /* 0: none */
@@ -30,6 +36,7 @@
 	struct cell *cell;
 	struct rng rng;
 	struct fault fault[NODES];
+	int64_t link_until_ms[LINKS]; /* to nodes, then workers; 0: sound */
 	int64_t lost_ms; /* when a disk was lost last */
 	int jobs;
 	bool accepted[JOBS_MAX];
@@ -52,48 +59,157 @@
 	return n;
 }
 
+static int64_t
+end_of_fault(struct soak *s)
+{
+	return mono_ms() + HEAL_MS + (int64_t)rng_below(&s->rng, HEAL_MORE_MS);
+}
+
 static void
-strike(struct soak *s, int i)
+strike_pause(struct soak *s, int i)
 {
-	struct cell *c = s->cell;
-	struct fault *f = &s->fault[i];
-	uint64_t kind = rng_below(&s->rng, 4);
-
-	f->until_ms = mono_ms() + 300 + (int64_t)rng_below(&s->rng, 2500);
-	f->paused = kind == 0;
-	printf("soak: %s n%d\n",
-	    kind == 0       ? "pauses"
-		: kind == 1 ? "stops"
-		: kind == 2 ? "kills"
-			    : "kills and wipes",
-	    i);
-	if (kind == 0) {
-		kill(c->node[i].proc->pid, SIGSTOP);
-		return;
-	}
-	if (kind == 1) {
-		kill(c->node[i].proc->pid, SIGTERM);
-		(void)proc_wait(c->node[i].proc);
-		g_clear_pointer(&c->node[i].proc, proc_free);
+	s->fault[i].paused = true;
+	kill(s->cell->node[i].proc->pid, SIGSTOP);
+}
+
+static void
+strike_stop(struct soak *s, int i)
+{
+	struct cell_node *n = &s->cell->node[i];
+
+	kill(n->proc->pid, SIGTERM);
+	(void)proc_wait(n->proc);
+	g_clear_pointer(&n->proc, proc_free);
+}
+
+static void
+strike_kill(struct soak *s, int i)
+{
+	cell_kill(s->cell, i);
+}
+
+static void
+strike_wipe(struct soak *s, int i)
+{
+	cell_kill(s->cell, i);
+	if (i >= DISKS)
 		return;
-	}
-	cell_kill(c, i);
-	if (kind == 3 && i < DISKS) {
-		cell_wipe(c, i);
-		s->lost_ms = mono_ms();
-	}
+	cell_wipe(s->cell, i);
+	s->lost_ms = mono_ms();
+}
+
+/* Starts anew with a disk that takes little more. */
+static void
+strike_full(struct soak *s, int i)
+{
+	cell_kill(s->cell, i);
+	s->cell->node[i].file_max = DISK_BYTES;
+	cell_start(s->cell, i, false);
+	s->cell->node[i].file_max = 0;
+}
+
+static void
+strike_settings(struct soak *s, int i)
+{
+	cell_configure(s->cell, i, false, (int)rng_below(&s->rng, NODES));
+	kill(s->cell->node[i].proc->pid, SIGHUP);
+}
+
+static const struct {
+	const char *name;
+	void (*strike)(struct soak *s, int i);
+} kinds[] = {
+	{ "pauses", strike_pause },
+	{ "stops", strike_stop },
+	{ "kills", strike_kill },
+	{ "kills and wipes", strike_wipe },
+	{ "fills the disk of", strike_full },
+	{ "changes the settings of", strike_settings },
+};
+
+static void
+strike(struct soak *s, int i)
+{
+	uint64_t kind = rng_below(&s->rng, G_N_ELEMENTS(kinds));
+
+	printf("soak: %s n%d\n", kinds[kind].name, i);
+	s->fault[i] = (struct fault){ .until_ms = end_of_fault(s) };
+	kinds[kind].strike(s, i);
 }
 
 static void
 heal(struct soak *s, int i)
 {
-	struct fault *f = &s->fault[i];
+	struct cell_node *n = &s->cell->node[i];
 
-	if (f->paused)
-		kill(s->cell->node[i].proc->pid, SIGCONT);
-	else
+	if (s->fault[i].paused)
+		kill(n->proc->pid, SIGCONT);
+	else if (n->proc != NULL && n->proc->file_max != 0)
+		cell_kill(s->cell, i);
+	if (n->proc == NULL)
 		cell_start(s->cell, i, false);
-	f->until_ms = 0;
+	s->fault[i].until_ms = 0;
+}
+
+static char *
+link_name(int link)
+{
+	return link < NODES ? g_strdup_printf("n%d", link)
+			    : g_strdup_printf("w%d", link - NODES);
+}
+
+static void
+strike_link(struct soak *s, int link)
+{
+	static const char *const verbs[] = { "cut %s", "oneway %s up",
+		"oneway %s down", "delay %s %d", "reset %s" };
+	uint64_t kind = rng_below(&s->rng, G_N_ELEMENTS(verbs));
+	int delay_ms = 1 + (int)rng_below(&s->rng, DELAY_MS);
+	char *name = link_name(link);
+	char *line = kind == 3 ? g_strdup_printf("delay %s %d", name, delay_ms)
+			       : g_strdup_printf(verbs[kind], name);
+
+	printf("soak: %s\n", line);
+	cell_fault(s->cell, "%s", line);
+	s->link_until_ms[link] = end_of_fault(s);
+	g_free(line);
+	g_free(name);
+}
+
+static void
+heal_link(struct soak *s, int link)
+{
+	char *name = link_name(link);
+
+	cell_fault(s->cell, "heal %s", name);
+	s->link_until_ms[link] = 0;
+	g_free(name);
+}
+
+static void
+heal_due(struct soak *s, int64_t now)
+{
+	for (int i = 0; i < NODES; i++)
+		if (s->fault[i].until_ms != 0 && s->fault[i].until_ms <= now)
+			heal(s, i);
+	for (int i = 0; i < LINKS; i++)
+		if (s->link_until_ms[i] != 0 && s->link_until_ms[i] <= now)
+			heal_link(s, i);
+}
+
+static void
+strike_some(struct soak *s)
+{
+	int i = (int)rng_below(&s->rng, NODES);
+	int link = (int)rng_below(&s->rng, LINKS);
+
+	if (rng_below(&s->rng, 2) == 0) {
+		if (s->link_until_ms[link] == 0)
+			strike_link(s, link);
+		return;
+	}
+	if (s->fault[i].until_ms == 0 && (i >= DISKS || losses(s) == 0))
+		strike(s, i);
 }
 
 /* A node that no fault has struck, or -1. */
@@ -129,24 +245,16 @@
 	int64_t next_ms = 0;
 
 	while (mono_ms() < until_ms) {
-		int64_t now = mono_ms();
-
-		for (int i = 0; i < NODES; i++)
-			if (s->fault[i].until_ms != 0 &&
-			    s->fault[i].until_ms <= now)
-				heal(s, i);
-		if (now >= next_ms) {
-			int i = (int)rng_below(&s->rng, NODES);
-
-			if (s->fault[i].until_ms == 0 &&
-			    (i >= DISKS || losses(s) == 0))
-				strike(s, i);
-			next_ms = now + STEP_MS +
+		heal_due(s, mono_ms());
+		if (mono_ms() >= next_ms) {
+			strike_some(s);
+			next_ms = mono_ms() + STEP_MS +
 			    (int64_t)rng_below(&s->rng, 2 * STEP_MS);
 		}
 		hand_in(s);
 		cell_turn(s->cell);
 	}
+	heal_due(s, INT64_MAX);
 }
 
 /* Every job whose handing in was answered with yes is completed. */
@@ -219,9 +327,6 @@
 	s.lost_ms = mono_ms();
 	s.cell = cell_new();
 	play(&s, mono_ms() + seconds * 1000);
-	for (int i = 0; i < NODES; i++)
-		if (s.fault[i].until_ms != 0)
-			heal(&s, i);
 	for (int i = 0; i < NODES; i++)
 		CELL_AWAIT(s.cell, cell_ready(s.cell, i));
 	ok = check_jobs(&s) && check_once(&s) && check_config(&s);
--- a/test/stepcell.c
+++ b/test/stepcell.c
@@ -1,4 +1,6 @@
 #include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -25,6 +27,7 @@
 	struct cell *cell;
 	char *name;
 	char *address;
+	char *listen; /* behind the proxy */
 	struct httpd *server;
 	int64_t born_ms;
 	int64_t until_ms; /* its lease; of this process's steady clock */
@@ -33,6 +36,7 @@
 	int64_t seq;
 	GArray *runs; /* struct run */
 	GPtrArray *ends; /* json_t rows */
+	GHashTable *ended; /* task to its highest run that has ended here */
 };
 
 const char cell_config[] =
@@ -106,12 +110,30 @@
 		beat(c);
 }
 
+/* Callers keep their connection for as long as the process lets them. */
+static struct http_peer *
+kept_for(struct cell *c, const char *address)
+{
+	for (int i = 0; i < NODES; i++) {
+		struct cell_node *n = &c->node[i];
+
+		if (strcmp(n->callers, address) != 0)
+			continue;
+		if (n->kept == NULL)
+			n->kept = http_peer_new(c->base, address, NULL);
+		return n->kept;
+	}
+	return NULL;
+}
+
 int
 cell_call(struct cell *c, const char *address, enum evhttp_cmd_type method,
     const char *path, const char *body)
 {
 	static const char *const headers[] = { "Host", "jobs.example", NULL };
-	struct http_peer *p = http_peer_new(c->base, address, NULL);
+	struct http_peer *kept = kept_for(c, address);
+	struct http_peer *p =
+	    kept != NULL ? kept : http_peer_new(c->base, address, NULL);
 	int64_t limit = mono_ms() + CALL_MS + 1000;
 
 	c->answered = false;
@@ -120,7 +142,8 @@
 	    body == NULL ? 0 : strlen(body), CALL_MS, on_answer, c);
 	while (!c->answered && mono_ms() < limit)
 		cell_turn(c);
-	http_peer_free(p);
+	if (kept == NULL)
+		http_peer_free(p);
 	return c->status;
 }
 
@@ -146,10 +169,17 @@
 	g_ptr_array_add(w->ends,
 	    json_pack("[IsIss]", (json_int_t)++w->last_end, r->task,
 		(json_int_t)r->number, how, ""));
-	g_free(r->task);
+	g_hash_table_insert(w->ended, r->task, GINT_TO_POINTER((int)r->number));
 	g_array_remove_index(w->runs, at);
 }
 
+/* Says whether that run, or a higher one, has ended here. */
+static bool
+has_ended(const struct cell_worker *w, const char *task, int64_t number)
+{
+	return GPOINTER_TO_INT(g_hash_table_lookup(w->ended, task)) >= number;
+}
+
 /* Ends what has run long enough, and all once the lease is over. */
 static void
 advance(struct cell_worker *w)
@@ -248,10 +278,15 @@
 	if (o == NULL)
 		return;
 	task = json_string_value(json_object_get(o, "task"));
+	r.number = json_integer_value(json_object_get(o, "run"));
+	if (has_ended(w, task, r.number)) {
+		json_decref(o);
+		refuse(req, "old");
+		return;
+	}
 	if (run_of(w, task) == NULL) {
 		check_start(w, task);
 		r.task = g_strdup(task);
-		r.number = json_integer_value(json_object_get(o, "run"));
 		r.due_ms = mono_ms() + WORK_MS;
 		g_array_append_val(w->runs, r);
 	}
@@ -265,10 +300,16 @@
 	struct cell_worker *w = arg;
 	json_t *o = order(w, req);
 	const char *task;
+	int64_t number;
 
 	if (o == NULL)
 		return;
 	task = json_string_value(json_object_get(o, "task"));
+	number = json_integer_value(json_object_get(o, "run"));
+	/* One that has not come yet is refused when it does. */
+	if (run_of(w, task) == NULL && !has_ended(w, task, number))
+		g_hash_table_insert(
+		    w->ended, g_strdup(task), GINT_TO_POINTER((int)number));
 	for (guint i = w->runs->len; i > 0; i--)
 		if (strcmp(g_array_index(w->runs, struct run, i - 1).task,
 			task) == 0)
@@ -328,7 +369,9 @@
 	w->born_ms = g_get_real_time() / 1000;
 	w->runs = g_array_new(FALSE, TRUE, sizeof(struct run));
 	w->ends = g_ptr_array_new_with_free_func((GDestroyNotify)json_decref);
-	w->server = httpd_new(c->base, w->address, worker_routes,
+	w->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w->listen = free_address(c->node[i].ip);
+	w->server = httpd_new(c->base, w->listen, worker_routes,
 	    G_N_ELEMENTS(worker_routes), w, &err);
 	g_assert_no_error(err);
 	return w;
@@ -342,37 +385,83 @@
 		g_free(g_array_index(w->runs, struct run, i).task);
 	g_array_unref(w->runs);
 	g_ptr_array_unref(w->ends);
+	g_hash_table_unref(w->ended);
 	g_free(w->name);
 	g_free(w->address);
+	g_free(w->listen);
 	g_free(w);
 }
 
 /* --- the processes --- */
 
 void
-cell_start(struct cell *c, int i, bool first)
+cell_configure(struct cell *c, int i, bool first, int seed)
 {
 	struct cell_node *n = &c->node[i];
-	GPtrArray *argv = g_ptr_array_new();
-	char *dir = programs_dir();
-	char *name = g_strdup_printf("n%d", i);
 	char *text = g_strdup_printf(
-	    "[node]\nname=%s\ndata-center=z\nip=%s\npeer-ports=%s\n"
-	    "seeds=%s:1,%s:1\nfirst-start=%s\ndata-dir=%s\n"
+	    "[node]\nname=n%d\ndata-center=z\nip=%s\npeer-ports=%s\n"
+	    "peer-listen=%s\nseeds=%s:1,%s:1\nfirst-start=%s\ndata-dir=%s\n"
 	    "callers=%s\ncontrol=%s\nready=%s:%s\ngrace-s=4\n"
 	    "lease-max-ms=6000\nretain-s=60\n",
-	    name, n->ip, PEER_PORT, c->node[0].ip, c->node[NODES - 1].ip,
+	    i, n->ip, PEER_PORT, n->listen, c->node[0].ip, c->node[seed].ip,
 	    first ? "true" : "false", n->data == NULL ? "" : n->data,
 	    n->callers, n->control, n->ip, READY_PORT);
 
 	g_assert_true(g_file_set_contents(n->settings, text, -1, NULL));
+	g_free(text);
+}
+
+void
+cell_start(struct cell *c, int i, bool first)
+{
+	struct cell_node *n = &c->node[i];
+	GPtrArray *argv = g_ptr_array_new();
+	char *dir = programs_dir();
+	char *name = g_strdup_printf("n%d", i);
+
+	cell_configure(c, i, first, NODES - 1);
 	add_arg(argv, "%s/../platform/bulrushtide-platform", dir);
 	add_arg(argv, "--settings=%s", n->settings);
 	n->proc = proc_new(name, c->dir, argv);
+	n->proc->file_max = n->file_max;
 	proc_start(n->proc, false);
 	g_free(name);
 	g_free(dir);
-	g_free(text);
+}
+
+/* Starts the proxy, which listens where processes and workers say they do. */
+static void
+start_proxy(struct cell *c)
+{
+	GPtrArray *argv = g_ptr_array_new();
+	char *dir = programs_dir();
+
+	add_arg(argv, "%s/faultproxy", dir);
+	for (int i = 0; i < NODES; i++)
+		add_arg(argv, "--pair=n%d@%s:%s=%s", i, c->node[i].ip,
+		    PEER_PORT, c->node[i].listen);
+	for (int i = 0; i < WORKERS; i++)
+		add_arg(argv, "--pair=w%d@%s=%s", i, c->worker[i]->address,
+		    c->worker[i]->listen);
+	c->proxy = proc_new("proxy", c->dir, argv);
+	proc_start(c->proxy, true);
+	g_free(dir);
+}
+
+void
+cell_fault(struct cell *c, const char *format, ...)
+{
+	char answer[256];
+	va_list ap;
+	char *line;
+
+	va_start(ap, format);
+	line = g_strdup_vprintf(format, ap);
+	va_end(ap);
+	dprintf(c->proxy->in, "%s\n", line);
+	g_assert_nonnull(fgets(answer, sizeof(answer), c->proxy->out));
+	g_assert_true(g_str_has_prefix(answer, "ok "));
+	g_free(line);
 }
 
 void
@@ -425,6 +514,7 @@
 		n->ip = node_ip(i);
 		n->callers = free_address(n->ip);
 		n->control = free_address(n->ip);
+		n->listen = free_address(n->ip);
 		n->settings = g_strdup_printf("%s/n%d.conf", c->dir, i);
 		if (i >= DISKS)
 			continue;
@@ -433,6 +523,7 @@
 	}
 	for (int i = 0; i < WORKERS; i++)
 		c->worker[i] = worker_new(c, i);
+	start_proxy(c);
 	for (int i = 0; i < NODES; i++)
 		cell_start(c, i, true);
 	for (int i = 0; i < NODES; i++)
@@ -451,12 +542,15 @@
 
 		if (n->proc != NULL)
 			cell_kill(c, i);
+		http_peer_free(n->kept);
+		g_free(n->listen);
 		g_free(n->ip);
 		g_free(n->settings);
 		g_free(n->data);
 		g_free(n->callers);
 		g_free(n->control);
 	}
+	proc_free(c->proxy);
 	for (int i = 0; i < WORKERS; i++)
 		worker_free(c->worker[i]);
 	turn(c);
--- a/test/stepcell.h
+++ b/test/stepcell.h
@@ -1,8 +1,8 @@
 /*
  * A cell of real processes that find each other through seeds, on loopback
- * addresses of their own, with stand-in workers in the test's process. The
- * workers check what must hold: no task on two of them, no order of a lower
- * fence, nothing run again that has ended as done.
+ * addresses of their own, with stand-in workers in the test's process and a
+ * proxy before each of them. The workers check what must hold: no task on two
+ * of them, no order of a lower fence, nothing run again that has ended as done.
  */
 #ifndef STEPCELL_H
 #define STEPCELL_H
@@ -24,6 +24,9 @@
 	char *data; /* NULL: no disk */
 	char *callers;
 	char *control;
+	char *listen; /* for peers, behind the proxy */
+	struct http_peer *kept; /* callers' open connection */
+	uint64_t file_max; /* of its next start: its disk is full then */
 	struct proc *proc; /* NULL: it does not run */
 };
 
@@ -32,6 +35,7 @@
 struct cell {
 	struct event_base *base;
 	char *dir;
+	struct proc *proxy; /* before each process and worker */
 	struct cell_node node[NODES];
 	struct cell_worker *worker[WORKERS];
 	GHashTable *done; /* task to how often it has ended as done */
@@ -55,6 +59,10 @@
     const char *path, const char *body);
 
 void cell_start(struct cell *c, int node, bool first);
+/* Writes the settings file of a node; its seeds are the first and this one. */
+void cell_configure(struct cell *c, int node, bool first, int seed);
+/* Commands the proxy: pairs n0 to n3 lead to processes, w0 to w2 to workers. */
+void cell_fault(struct cell *c, const char *format, ...) G_GNUC_PRINTF(2, 3);
 void cell_kill(struct cell *c, int node);
 void cell_wipe(struct cell *c, int node); /* its disk; it does not run */
 bool cell_ready(struct cell *c, int node);
