Stand-in worker: a run has ended when that was decided, not when it is written

From the recordings: run 1 was over at 2274572 ms, its end was decided at 2274574 (the last check of leases), and the stop signal fell between that and the line, which got the time of the wake, 2280467. The worker held nothing in between. The line now carries the time of the decision; ends that are decided after the wake still count as such, and leases are checked before each decision as before.

--- a/test/faketask.c
+++ b/test/faketask.c
@@ -51,9 +51,10 @@
 	a->result = result;
 	w->running--;
 	resources_add(&w->used, &a->held, -1);
-	record(w, event, "{s:s,s:I,s:s,s:I}", "task", a->task, "attempt",
+	/* It ends when that is decided: a pause may come before the line. */
+	record(w, event, "{s:s,s:I,s:s,s:I,s:I}", "task", a->task, "attempt",
 	    (json_int_t)a->number, "status", status, "bound_ms",
-	    (json_int_t)bound_ms);
+	    (json_int_t)bound_ms, "ms", (json_int_t)w->seen_ms);
 	tell_end(a);
 }
 
--- a/test/fakeworker.c
+++ b/test/fakeworker.c
@@ -38,7 +38,8 @@
 	va_end(ap);
 	if (line == NULL)
 		g_error("fakeworker: record %s: %s", event, err.text);
-	json_object_set_new(line, "ms", json_integer(mono_ms()));
+	if (json_object_get(line, "ms") == NULL)
+		json_object_set_new(line, "ms", json_integer(mono_ms()));
 	json_object_set_new(line, "worker", json_string(w->name));
 	json_object_set_new(line, "event", json_string(event));
 	json_dumpf(line, w->record, JSON_COMPACT);
