--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -565,12 +565,6 @@
 	n->draining = true;
 }
 
-bool
-cellnode_draining(const struct cellnode *n)
-{
-	return n->draining;
-}
-
 bool
 cellnode_ready(struct cellnode *n)
 {
@@ -586,7 +580,7 @@
 
 void
 cellnode_ask(struct cellnode *n, const struct ask *ask, int64_t timeout_ms,
-    cellnode_answer *fn, void *arg)
+    gate_answer_fn *fn, void *arg)
 {
 	gate_ask(n->gate, ask, timeout_ms, fn, arg);
 }
@@ -609,22 +603,6 @@
 	mesh_seed(n->mesh, n->seeds);
 }
 
-char *
-cellnode_status(struct cellnode *n)
-{
-	struct mesh_link *l = mesh_leader(n->mesh);
-	char *replica = n->replica == NULL ? g_strdup("\"role\":\"entry\"")
-					   : replica_status(n->replica);
-	char *json = g_strdup_printf(
-	    "\"name\":\"%s\",\"follows\":\"%s\",\"config\":%" G_GUINT64_FORMAT
-	    ",%s",
-	    n->name, l == NULL ? "" : mesh_peer(l)->name,
-	    flow_config(n->flow)->version, replica);
-
-	g_free(replica);
-	return json;
-}
-
 struct cellnode *
 cellnode_new(struct event_base *base, const struct cellnode_conf *conf,
     struct registry *registry, GError **err)
--- a/lib/cellnode/cellnode.h
+++ b/lib/cellnode/cellnode.h
@@ -6,7 +6,7 @@
 #ifndef CELLNODE_H
 #define CELLNODE_H
 
-#include "dispatch.h"
+#include "gate.h"
 
 struct cellnode;
 
@@ -32,25 +32,18 @@
 
 /* Starts the graceful stop; cellnode_stopped() is true once it is over. */
 void cellnode_drain(struct cellnode *n);
-bool cellnode_draining(const struct cellnode *n);
 
 /* Says whether callers may be sent here: a leader is in reach. */
 bool cellnode_ready(struct cellnode *n);
 /* Asks that are not answered yet. */
 guint cellnode_pending(const struct cellnode *n);
 
-/* Gets the answer to an ask; valid during the call only. */
-typedef void cellnode_answer(void *arg, const struct answer *a);
-
 /*
  * Passes an ask on to the leader, and again to the next one when the leader
  * changes, until it is answered or the time is over: ASK_UNAVAILABLE if no
  * leader can have got it, else ASK_UNCLEAR. The ask's parts are copied.
  */
 void cellnode_ask(struct cellnode *n, const struct ask *ask, int64_t timeout_ms,
-    cellnode_answer *fn, void *arg);
-
-/* A JSON object's body with role, term, leader and links. */
-char *cellnode_status(struct cellnode *n);
+    gate_answer_fn *fn, void *arg);
 
 #endif
--- a/lib/cellnode/impl.h
+++ b/lib/cellnode/impl.h
@@ -5,7 +5,6 @@
 #include <string.h>
 
 #include "cellnode.h"
-#include "gate.h"
 #include "httpd.h"
 #include "logs.h"
 #include "mesh.h"
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -621,8 +621,6 @@
 	while ((job = g_queue_peek_head(&f->ended)) != NULL &&
 	    job->ended_ms < cmd->u.forget_ms) {
 		g_queue_pop_head(&f->ended);
-		if (f->watch.forgotten != NULL)
-			f->watch.forgotten(f->watch_arg, job->id);
 		g_hash_table_remove(f->jobs, &job->id);
 	}
 	return FLOW_ACCEPTED;
@@ -692,20 +690,6 @@
 	return best;
 }
 
-const struct flow_pool *
-flow_pool_named(const struct flow *f, const char *name)
-{
-	GPtrArray *pools = f->config.pools;
-
-	for (guint i = 0; pools != NULL && i < pools->len; i++) {
-		const struct flow_pool *p = pools->pdata[i];
-
-		if (strcmp(p->name, name) == 0)
-			return p;
-	}
-	return NULL;
-}
-
 const struct flow_worker *
 flow_worker(const struct flow *f, uint32_t id)
 {
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -226,8 +226,6 @@
 	/* A held run must stop: its job was cancelled or has failed. */
 	void (*stop)(
 	    void *arg, const struct flow_job *job, const struct flow_start *s);
-	/* The job's record is about to be dropped. */
-	void (*forgotten)(void *arg, uint64_t job);
 };
 
 struct flow;
@@ -260,7 +258,6 @@
 /* Finds the queue of a host and the longest prefix; rest is what follows. */
 const struct flow_queue *flow_route(const struct flow *f, const char *host,
     const char *path, const char **rest);
-const struct flow_pool *flow_pool_named(const struct flow *f, const char *name);
 const struct flow_worker *flow_worker(const struct flow *f, uint32_t id);
 const struct flow_worker *
 flow_worker_named(const struct flow *f, const char *name);
--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -13,6 +13,7 @@
 /* Hands an ask to the leader; false: there is none. The answer may come by
  * gate_answer() within the call. */
 typedef bool gate_hand_fn(void *arg, const struct ask *ask);
+/* Gets the answer to an ask; valid during the call only. */
 typedef void gate_answer_fn(void *arg, const struct answer *a);
 
 struct gate *gate_new(gate_hand_fn *hand, void *arg);
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -533,12 +533,6 @@
 	return wal_stats(r->wal);
 }
 
-bool
-replica_has_identity(const struct replica *r)
-{
-	return r->identity.node != 0;
-}
-
 bool
 replica_leads(const struct replica *r)
 {
--- a/lib/replica/replica.h
+++ b/lib/replica/replica.h
@@ -78,8 +78,6 @@
  */
 bool replica_found_alone(struct replica *r);
 
-/* Says whether the disk holds an identity. */
-bool replica_has_identity(const struct replica *r);
 
 /* Says whether this replica leads and has applied all that came before. */
 bool replica_leads(const struct replica *r);
