--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -18,7 +18,7 @@
 #define LOOK_WAIT_MS 1000 /* a look that shows no end is answered by then */
 #define LOOK_BUSY_MS 600 /* so does one at a worker that runs something */
 #define LOOK_SLACK_MS 350 /* beyond that it counts as unanswered */
-#define ORDER_MS 250 /* an order is sent again after this; answers take 10 ms */
+#define ORDER_MS 250 /* an order is sent again after that; answers take 10 */
 #define PERMIT_WORKERS 30 /* that an objective counts a query with */
 #define STALE_MS 1400 /* no new work without an answer for so long */
 /* Leadership holds so long after a confirmed round was sent: below the least
--- a/lib/plan/doubt.c
+++ b/lib/plan/doubt.c
@@ -8,8 +8,7 @@
 #define DOUBTED 0.6 /* one failure, until it is done or has faded */
 #define SHUNNED 1.8 /* two failures with no success between them */
 #define SHUN_MS 1000 /* doubles while the worker fails its trials ... */
-#define SHUN_MOST_MS 2500 /* ... below what a task may wait beside free room \
-			   */
+#define SHUN_MOST_MS 2500 /* ... so far: nothing waits 3 s beside room */
 
 static double
 failures_now(const struct plan_doubt *d, int64_t now_ms)
--- a/lib/replica/replica.h
+++ b/lib/replica/replica.h
@@ -78,7 +78,6 @@
  */
 bool replica_found_alone(struct replica *r);
 
-
 /* Says whether this replica leads and has applied all that came before. */
 bool replica_leads(const struct replica *r);
 uint64_t replica_term(const struct replica *r);
