--- a/lib/base/codec.c
+++ b/lib/base/codec.c
@@ -140,6 +140,23 @@
 	return g_strndup(o->via.str.ptr, o->via.str.size);
 }
 
+GPtrArray *
+get_strs(struct reader *r, size_t max, uint32_t most)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+	struct reader in = get_array(r);
+
+	in.ok = in.ok && in.left <= most;
+	while (in.ok && in.left > 0) {
+		char *s = get_str(&in, max);
+
+		in.ok = in.ok && s != NULL;
+		g_ptr_array_add(out, s);
+	}
+	r->ok = r->ok && in.ok;
+	return out;
+}
+
 GBytes *
 get_bytes(struct reader *r, size_t max)
 {
@@ -210,6 +227,16 @@
 	msgpack_pack_str_with_body(pk, s, strlen(s));
 }
 
+void
+put_strs(msgpack_packer *pk, const GPtrArray *strs)
+{
+	guint n = strs == NULL ? 0 : strs->len;
+
+	msgpack_pack_array(pk, n);
+	for (guint i = 0; i < n; i++)
+		put_str(pk, strs->pdata[i]);
+}
+
 void
 put_raw(msgpack_packer *pk, const void *data, size_t len)
 {
--- a/lib/base/codec.h
+++ b/lib/base/codec.h
@@ -34,6 +34,8 @@
 double get_double(struct reader *r);
 bool get_bool(struct reader *r);
 char *get_str(struct reader *r, size_t max);
+/* An array of strings, none of them nil; never NULL. */
+GPtrArray *get_strs(struct reader *r, size_t max, uint32_t most);
 GBytes *get_bytes(struct reader *r, size_t max);
 void get_raw(struct reader *r, uint8_t *to, size_t len);
 struct reader get_array(struct reader *r);
@@ -41,6 +43,7 @@
 
 void put_bool(msgpack_packer *pk, bool value);
 void put_str(msgpack_packer *pk, const char *s);
+void put_strs(msgpack_packer *pk, const GPtrArray *strs); /* NULL: none */
 void put_raw(msgpack_packer *pk, const void *data, size_t len);
 void put_bytes(msgpack_packer *pk, GBytes *bytes);
 void put_resources(msgpack_packer *pk, const struct resources *r);
--- a/lib/cell/spec.c
+++ b/lib/cell/spec.c
@@ -38,8 +38,6 @@
 void
 spec_put(msgpack_packer *pk, const struct cell_spec *s)
 {
-	guint places = s->data_centers == NULL ? 0 : s->data_centers->len;
-
 	msgpack_pack_array(pk, 14);
 	put_str(pk, s->team);
 	put_str(pk, s->name);
@@ -51,28 +49,18 @@
 	msgpack_pack_int64(pk, s->deadline_ms);
 	put_bool(pk, s->idempotent);
 	msgpack_pack_uint32(pk, s->spread);
-	msgpack_pack_array(pk, places);
-	for (guint i = 0; i < places; i++)
-		put_str(pk, g_ptr_array_index(s->data_centers, i));
+	put_strs(pk, s->data_centers);
 	put_bytes(pk, s->payload);
 }
 
+/* No names are told as NULL. */
 static GPtrArray *
 get_names(struct reader *r)
 {
-	struct reader in = get_array(r);
-	GPtrArray *names;
-
-	if (!in.ok || in.left == 0)
-		return NULL;
-	names = g_ptr_array_new_with_free_func(g_free);
-	while (in.ok && in.left > 0) {
-		char *name = get_str(&in, CELL_NAME_MAX);
+	GPtrArray *names = get_strs(r, CELL_NAME_MAX, UINT32_MAX);
 
-		in.ok = in.ok && name != NULL;
-		g_ptr_array_add(names, name);
-	}
-	r->ok = r->ok && in.ok;
+	if (names->len == 0)
+		g_clear_pointer(&names, g_ptr_array_unref);
 	return names;
 }
 
--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -3,9 +3,7 @@
 #define SCAN_MS 25 /* asks, founding, the graceful stop */
 #define REOPEN_MS 2000 /* between tries to use a disk that has failed */
 #define FOUND_AFTER_MS 400 /* all processes have started by then */
-#define COMMIT_GAP_MS                                           \
-	2 /* a job waits for three commits; a sync takes 6 to 9 \
-	   */
+#define COMMIT_GAP_MS 2 /* a job waits for three commits of 6 to 9 ms */
 /* An election after 400 to 800 ms: urgent jobs have under 2 s in all, and a
  * follower answers within two syncs, 20 ms. */
 #define REPLICA_TICK_MS 40
--- a/lib/dispatch/asks.c
+++ b/lib/dispatch/asks.c
@@ -4,9 +4,7 @@
 #include "impl.h"
 
 #define JOB_DIGITS 16 /* of a job's id, hexadecimal */
-#define RETRY_MS                                                    \
-	1000 /* told with a refusal that nothing better is known of \
-	      */
+#define RETRY_MS 1000 /* told if nothing better is known */
 
 /*
  * An answer about a job at work is held so long in case the job ends: callers
@@ -515,10 +513,8 @@
 	g_queue_clear_full(&d->watchers, g_free);
 }
 
-typedef void
-ask_fn(struct dispatch *d, uint64_t process, const struct ask *ask);
-
-static ask_fn *const rows[ASK_OP_COUNT] = {
+static void (*const rows[ASK_OP_COUNT])(
+    struct dispatch *d, uint64_t process, const struct ask *ask) = {
 	[ASK_SUBMIT] = ask_submit,
 	[ASK_STATE] = ask_state,
 	[ASK_CANCEL] = ask_cancel,
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -5,8 +5,8 @@
 
 #define ROUND_GAP_MS 8 /* between placement rounds */
 #define ROUND_SHARE 5 /* a round's time, at most one in so many is spent */
-#define ROUND_GAP_MOST_MS 200
-#define FORGET_EVERY_MS 5000
+#define ROUND_GAP_MOST_MS 200 /* under it a short task is in time still */
+#define FORGET_EVERY_MS 5000 /* far below the time that ends are kept */
 #define CONFIRM_MS 80 /* between confirmations of leadership */
 
 int64_t
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -232,8 +232,8 @@
 	end_all(h, why);
 }
 
-void
-holder_fenced(struct holder *h)
+static void
+fenced(struct holder *h)
 {
 	if (!h->d->fenced)
 		log_warn("dispatch",
@@ -243,6 +243,16 @@
 	h->d->fenced = true;
 }
 
+bool
+holder_told(struct holder *h, enum agent_verdict v)
+{
+	if (v == AGENT_FENCED)
+		fenced(h);
+	else if (v == AGENT_OTHER_LIFE)
+		holder_dead(h, "another life answers");
+	return v == AGENT_FENCED || v == AGENT_OTHER_LIFE;
+}
+
 bool
 holder_open(const struct holder *h, int64_t now)
 {
@@ -483,11 +493,7 @@
 	    "silent_ms=%" G_GINT64_FORMAT,
 	    h->name, agent_verdict_name(v), status, why == NULL ? "" : why,
 	    h->heard_ms == 0 ? -1 : now - h->heard_ms);
-	if (v == AGENT_FENCED)
-		holder_fenced(h);
-	else if (v == AGENT_OTHER_LIFE)
-		holder_dead(h, "another life answers");
-	else if (h->left && h->heard_ms != 0 && why != NULL &&
+	if (!holder_told(h, v) && h->left && h->heard_ms != 0 && why != NULL &&
 	    strcmp(why, HTTP_NO_CONNECTION) == 0)
 		holder_dead(h, "has left and answers no longer");
 }
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -18,7 +18,7 @@
 #define LOOK_WAIT_MS 1000 /* a look that shows no end is answered by then */
 #define LOOK_BUSY_MS 600 /* so does one at a worker that runs something */
 #define LOOK_SLACK_MS 350 /* beyond that it counts as unanswered */
-#define ORDER_MS 250 /* an order is sent again after that; answers take 10 */
+#define ORDER_MS 250 /* an answer takes 10 ms; then it is sent again */
 #define PERMIT_WORKERS 30 /* that an objective counts a query with */
 #define STALE_MS 1400 /* no new work without an answer for so long */
 /* Leadership holds so long after a confirmed round was sent: below the least
@@ -181,6 +181,7 @@
 	GHashTable *begun; /* ids of open jobs that a worker has begun */
 	GHashTable *beliefs; /* queue name to struct plan_belief */
 	GHashTable *racks; /* names to numbers */
+	int64_t kept_ms; /* no worker is kept for a step beyond that */
 	int64_t rounded_ms;
 	int64_t round_took_us;
 	int64_t swept_ms;
@@ -241,8 +242,9 @@
 struct http_peer *holder_line(struct holder *h);
 /* Sends the next look as soon as it may be. */
 void holder_look(struct holder *h, int64_t now);
-/* A higher fence is known to a worker. */
-void holder_fenced(struct holder *h);
+/* Takes what an answer tells of the worker itself, a higher fence or another
+ * life; false: it tells of what was asked for. */
+bool holder_told(struct holder *h, enum agent_verdict v);
 
 /* permits.c */
 struct permit_set *permits_of(struct dispatch *d, const struct flow_job *job,
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -205,22 +205,39 @@
 	    query, s->job, s->round, s->step, names->len - 1, a->process);
 }
 
+/* Asks about the workers that were chosen among rooms. */
+static void
+query_chosen(struct dispatch *d, struct permit_set *s, struct adviser *a,
+    GPtrArray *rooms, const struct plan_candidate *all, int64_t now)
+{
+	GPtrArray *names = g_ptr_array_new();
+
+	g_array_set_size(s->asking, 0);
+	for (guint i = 0; i < rooms->len; i++) {
+		uint32_t id = ((struct plan_room *)rooms->pdata[i])->worker;
+
+		if (!all[i].named)
+			continue;
+		g_ptr_array_add(names, holder_find(d, id)->name);
+		g_array_append_val(s->asking, id);
+	}
+	g_ptr_array_add(names, NULL);
+	send_query(d, s, a, flow_job(d->conf.flow, s->job)->queue, names, now);
+	g_ptr_array_unref(names);
+}
+
 void
 permits_want(struct dispatch *d, struct permit_set *s,
     const struct plan_need *need, GPtrArray *rooms, bool learn, int64_t now)
 {
 	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
+	struct adviser *a = idle_adviser(d, now);
 	struct plan_candidate *all;
-	struct adviser *a;
-	GPtrArray *names;
 	/* A gang's members start together, once the answer is in. */
 	int64_t until_ms = now +
 	    (need->gang ? query_ms(queue, PERMIT_WORKERS) + ANSWER_MS : 0);
 
-	if (s->query != 0 || now < s->again_ms)
-		return;
-	a = idle_adviser(d, now);
-	if (a == NULL)
+	if (s->query != 0 || now < s->again_ms || a == NULL)
 		return;
 	g_ptr_array_sort(rooms, by_free);
 	all = g_new0(struct plan_candidate, rooms->len + 1);
@@ -230,22 +247,8 @@
 		all[i].fits = plan_fits(room, need);
 		all[i].permit = permit_state(s, room->worker, until_ms);
 	}
-	if (plan_query(all, rooms->len, need, learn) > 0) {
-		names = g_ptr_array_new();
-		g_array_set_size(s->asking, 0);
-		for (guint i = 0; i < rooms->len; i++) {
-			uint32_t id =
-			    ((struct plan_room *)rooms->pdata[i])->worker;
-
-			if (!all[i].named)
-				continue;
-			g_ptr_array_add(names, holder_find(d, id)->name);
-			g_array_append_val(s->asking, id);
-		}
-		g_ptr_array_add(names, NULL);
-		send_query(d, s, a, queue, names, now);
-		g_ptr_array_unref(names);
-	}
+	if (plan_query(all, rooms->len, need, learn) > 0)
+		query_chosen(d, s, a, rooms, all, now);
 	g_free(all);
 }
 
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -3,7 +3,7 @@
 
 #include "impl.h"
 
-#define PACE_WEIGHT 0.1 /* of one run in a worker's mean */
+#define PACE_LEARN 0.1 /* weight of one run in a worker's mean */
 #define PACE_MOST 8.0 /* one run counts as slow by this at most */
 #define STUCK_MS 1500 /* a run that makes no progress for so long is moved */
 #define STUCK_SHUN_MS 2000 /* its worker gets no new work for so long */
@@ -12,7 +12,7 @@
 #define MOVES_MAX 3 /* runs of one task that may be moved */
 #define STARTS_MAX 512 /* in one command */
 #define YIELDS_A_ROUND 6 /* claims that others may make way for in one */
-#define LOAD_LINE_MS 1000
+#define LOAD_LINE_MS 1000 /* between log lines about the load */
 
 static struct plan_belief *
 belief_of(struct dispatch *d, const char *queue)
@@ -42,7 +42,7 @@
 	double known = pace_now(h, now);
 	double seen = MIN(pace, PACE_MOST);
 
-	h->pace = known + (seen - known) * PACE_WEIGHT;
+	h->pace = known + (seen - known) * PACE_LEARN;
 	h->pace_ms = now;
 }
 
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -2,7 +2,7 @@
 #include "impl.h"
 
 #define AGAIN_MS 60 /* before an order is sent again */
-#define AGAIN_MAX_MS 800
+#define AGAIN_MAX_MS 800 /* a worker that is back gets it within a second */
 #define SHUN_MS 1500 /* a worker that says it is unwell rests so long */
 
 guint
@@ -173,12 +173,6 @@
 		r->state = MAX(r->state, RUN_TAKEN);
 		r->taken_ms = mono_ms();
 		break;
-	case AGENT_FENCED:
-		holder_fenced(r->holder);
-		break;
-	case AGENT_OTHER_LIFE:
-		holder_dead(r->holder, "another life answers");
-		break;
 	case AGENT_UNCLEAR:
 		r->unsure = true;
 		schedule_again(r);
@@ -200,12 +194,6 @@
 		r->tries = 0;
 		r->again_ms = 0;
 		break;
-	case AGENT_FENCED:
-		holder_fenced(r->holder);
-		break;
-	case AGENT_OTHER_LIFE:
-		holder_dead(r->holder, "another life answers");
-		break;
 	default:
 		schedule_again(r);
 	}
@@ -230,10 +218,8 @@
 		r->calling = false;
 		if (clock_ms >= 0)
 			holder_clock(r->holder, clock_ms, mono_ms());
-		if (o->stop)
-			stop_answered(r, v);
-		else
-			start_answered(r, v);
+		if (!holder_told(r->holder, v))
+			(o->stop ? stop_answered : start_answered)(r, v);
 	}
 	g_free(o);
 }
--- a/lib/dispatch/yield.c
+++ b/lib/dispatch/yield.c
@@ -25,7 +25,7 @@
 	h->hold = (struct flow_run){
 		.job = c->job->id, .round = c->round->number, .step = c->step
 	};
-	h->hold_ms = now + KEEP_MS;
+	h->hold_ms = h->d->kept_ms = now + KEEP_MS;
 }
 
 /* Gives rooms free again that were kept for a claim. */
@@ -35,6 +35,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (d->kept_ms <= d->rounded_ms)
+		return;
 	g_hash_table_iter_init(&iter, d->holders);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct holder *h = value;
@@ -50,6 +52,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (d->kept_ms <= now)
+		return false;
 	g_hash_table_iter_init(&iter, d->holders);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (keeps(value, c, now))
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -242,11 +242,14 @@
 	g_queue_push_tail(&f->ended, job);
 }
 
+/* Tells of each task of an occurrence that is held. */
 static void
-tell_stops(struct flow *f, struct flow_job *job, struct flow_round *round)
+each_held(const struct flow_job *job, const struct flow_round *round,
+    void (*fn)(void *arg, const struct flow_job *, const struct flow_start *),
+    void *arg)
 {
 	for (guint i = 0; i < job->spec.steps->len; i++) {
-		struct flow_stage *st = &round->stage[i];
+		const struct flow_stage *st = &round->stage[i];
 
 		for (uint32_t t = 0; st->held > 0 && t < st->count; t++) {
 			struct flow_start s = { .of = { job->id, round->number,
@@ -254,7 +257,7 @@
 				.worker = st->task[t].worker };
 
 			if (st->task[t].state == FLOW_HELD)
-				f->watch.stop(f->watch_arg, job, &s);
+				fn(arg, job, &s);
 		}
 	}
 }
@@ -268,7 +271,8 @@
 	job->state = state;
 	job->ended_ms = f->time_ms;
 	for (guint i = 0; f->watch.stop != NULL && i < job->rounds->len; i++)
-		tell_stops(f, job, job->rounds->pdata[i]);
+		each_held(
+		    job, job->rounds->pdata[i], f->watch.stop, f->watch_arg);
 	tell_changed(f, job);
 	settle(f, job);
 }
@@ -626,9 +630,8 @@
 	return FLOW_ACCEPTED;
 }
 
-typedef enum flow_outcome apply_fn(struct flow *f, struct flow_cmd *cmd);
-
-static apply_fn *const apply[FLOW_CMD_COUNT] = {
+static enum flow_outcome (*const apply[FLOW_CMD_COUNT])(
+    struct flow *f, struct flow_cmd *cmd) = {
 	[FLOW_CMD_CONFIG] = apply_config,
 	[FLOW_CMD_WORKER] = apply_worker,
 	[FLOW_CMD_WORKER_GONE] = apply_gone,
@@ -737,25 +740,8 @@
 	for (GList *i = f->open.head; i != NULL; i = i->next) {
 		struct flow_job *job = i->data;
 
-		for (guint k = 0; job->held > 0 && k < job->rounds->len; k++) {
-			struct flow_round *round = job->rounds->pdata[k];
-
-			for (guint s = 0; s < job->spec.steps->len; s++) {
-				struct flow_stage *st = &round->stage[s];
-
-				for (uint32_t t = 0;
-				     st->held > 0 && t < st->count; t++) {
-					struct flow_start of = {
-						.of = { job->id, round->number,
-						    s, t, st->task[t].run },
-						.worker = st->task[t].worker
-					};
-
-					if (st->task[t].state == FLOW_HELD)
-						fn(arg, job, &of);
-				}
-			}
-		}
+		for (guint k = 0; job->held > 0 && k < job->rounds->len; k++)
+			each_held(job, job->rounds->pdata[k], fn, arg);
 	}
 }
 
--- a/lib/flow/spec.c
+++ b/lib/flow/spec.c
@@ -327,8 +327,6 @@
 void
 worker_put(msgpack_packer *pk, const struct flow_worker *w)
 {
-	guint labels = w->labels == NULL ? 0 : w->labels->len;
-
 	msgpack_pack_array(pk, 13);
 	msgpack_pack_uint32(pk, w->id);
 	put_str(pk, w->name);
@@ -338,9 +336,7 @@
 	put_str(pk, w->data_center);
 	put_str(pk, w->rack);
 	put_str(pk, w->vm);
-	msgpack_pack_array(pk, labels);
-	for (guint i = 0; i < labels; i++)
-		put_str(pk, w->labels->pdata[i]);
+	put_strs(pk, w->labels);
 	put_resources(pk, &w->capacity);
 	put_bool(pk, w->draining);
 }
@@ -349,7 +345,6 @@
 worker_get(struct reader *r, struct flow_worker *w)
 {
 	struct reader a = get_array(r);
-	struct reader labels;
 
 	w->id = (uint32_t)get_u64(&a);
 	w->name = get_str(&a, HOST_MAX);
@@ -359,76 +354,106 @@
 	w->data_center = get_str(&a, HOST_MAX);
 	w->rack = get_str(&a, HOST_MAX);
 	w->vm = get_str(&a, HOST_MAX);
-	w->labels = g_ptr_array_new_with_free_func(g_free);
-	labels = get_array(&a);
-	labels.ok = labels.ok && labels.left <= LABELS_MAX;
-	while (labels.ok && labels.left > 0)
-		g_ptr_array_add(w->labels, get_str(&labels, HOST_MAX));
+	w->labels = get_strs(&a, HOST_MAX, LABELS_MAX);
 	get_resources(&a, &w->capacity);
 	w->draining = get_bool(&a);
-	r->ok = r->ok && labels.ok && codec_done(&a) && w->name != NULL &&
+	r->ok = r->ok && codec_done(&a) && w->name != NULL &&
 	    w->address != NULL && w->pool != NULL;
 }
 
-/* Encodes one part as an array of its own. */
-#define ENCODE(put, part)                                      \
-	msgpack_sbuffer buf;                                   \
-	msgpack_packer pk;                                     \
-                                                               \
-	msgpack_sbuffer_init(&buf);                            \
-	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write); \
-	msgpack_pack_array(&pk, 1);                            \
-	put(&pk, part);                                        \
-	return codec_take(&buf)
-
-/* Decodes what ENCODE made; clears the part and returns false if it can't. */
-#define DECODE(get, part, clear)                 \
-	msgpack_unpacked u;                      \
-	struct reader r;                         \
-	bool ok = codec_open(&u, data, len, &r); \
-                                                 \
-	memset(part, 0, sizeof(*(part)));        \
-	if (ok) {                                \
-		get(&r, part);                   \
-		ok = codec_done(&r);             \
-	}                                        \
-	codec_close(&u);                         \
-	if (!ok)                                 \
-		clear(part);                     \
-	return ok
+/* A part by itself is encoded as an array of one. */
+static void
+part_begin(msgpack_sbuffer *buf, msgpack_packer *pk)
+{
+	msgpack_sbuffer_init(buf);
+	msgpack_packer_init(pk, buf, msgpack_sbuffer_write);
+	msgpack_pack_array(pk, 1);
+}
+
+/* Says whether a part was read to its end. */
+static bool
+part_end(msgpack_unpacked *u, const struct reader *r)
+{
+	bool ok = codec_done(r);
+
+	codec_close(u);
+	return ok;
+}
 
 GBytes *
 flow_spec_encode(const struct flow_spec *spec)
 {
-	ENCODE(spec_put, spec);
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+
+	part_begin(&buf, &pk);
+	spec_put(&pk, spec);
+	return codec_take(&buf);
 }
 
 bool
 flow_spec_decode(const void *data, size_t len, struct flow_spec *spec)
 {
-	DECODE(spec_get, spec, flow_spec_clear);
+	msgpack_unpacked u;
+	struct reader r;
+
+	(void)codec_open(&u, data, len, &r);
+	*spec = (struct flow_spec){ 0 };
+	spec_get(&r, spec);
+	if (part_end(&u, &r))
+		return true;
+	flow_spec_clear(spec);
+	return false;
 }
 
 GBytes *
 flow_worker_encode(const struct flow_worker *w)
 {
-	ENCODE(worker_put, w);
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+
+	part_begin(&buf, &pk);
+	worker_put(&pk, w);
+	return codec_take(&buf);
 }
 
 bool
 flow_worker_decode(const void *data, size_t len, struct flow_worker *w)
 {
-	DECODE(worker_get, w, flow_worker_clear);
+	msgpack_unpacked u;
+	struct reader r;
+
+	(void)codec_open(&u, data, len, &r);
+	*w = (struct flow_worker){ 0 };
+	worker_get(&r, w);
+	if (part_end(&u, &r))
+		return true;
+	flow_worker_clear(w);
+	return false;
 }
 
 GBytes *
 flow_config_encode(const struct flow_config *c)
 {
-	ENCODE(config_put, c);
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+
+	part_begin(&buf, &pk);
+	config_put(&pk, c);
+	return codec_take(&buf);
 }
 
 bool
 flow_config_decode(const void *data, size_t len, struct flow_config *c)
 {
-	DECODE(config_get, c, flow_config_clear);
+	msgpack_unpacked u;
+	struct reader r;
+
+	(void)codec_open(&u, data, len, &r);
+	*c = (struct flow_config){ 0 };
+	config_get(&r, c);
+	if (part_end(&u, &r))
+		return true;
+	flow_config_clear(c);
+	return false;
 }
--- a/lib/mesh/mesh.c
+++ b/lib/mesh/mesh.c
@@ -5,8 +5,8 @@
 #include "settings.h"
 
 #define MESH_VERSION 1
-#define SCAN_MS 100
-#define DIAL_AGAIN_MS 250
+#define SCAN_MS 100 /* between looks at links and addresses */
+#define DIAL_AGAIN_MS 250 /* a lost link is back within half an election */
 #define DIAL_MS 1000 /* a connection attempt is given up */
 #define FORGET_MS 60000 /* an address that is no seed and gives no answer */
 #define LINKS_MAX 512 /* accepted */
--- a/lib/plan/doubt.c
+++ b/lib/plan/doubt.c
@@ -1,4 +1,7 @@
-/* Doubt about workers that fail what they start. */
+/*
+ * Doubt about workers that fail what they start. lib/health weighs jobs
+ * against workers over minutes; tasks of a second are used up by then.
+ */
 #include <math.h>
 
 #include "plan.h"
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -179,7 +179,7 @@
 }
 
 #define PRIOR_SPREAD 0.25 /* variance before anything is learnt: +-65% */
-#define PRIOR_ERROR 0.25
+#define PRIOR_ERROR 0.25 /* the same for estimates */
 #define PRIOR_WEIGHT 3.0 /* observations that the priors count for */
 #define LEARN_LEAST 0.02 /* weight of a new observation once many are seen */
 
@@ -281,7 +281,7 @@
 
 #define QUERY_MOST 100 /* the policy service takes so many in one query */
 #define QUERY_GANG 30 /* a gang's query names as many as objectives count */
-#define QUERY_LEAST 6
+#define QUERY_LEAST 6 /* two tasks are covered though most are refused */
 #define GOOD_SHARE 0.4 /* of the workers that aren't known yet are allowed */
 #define SPARE 2.5 /* times the room needed that a query looks for */
 
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -10,8 +10,8 @@
 /* How a step that waits stands against its job's objective. */
 enum plan_tier {
 	PLAN_IN_TIME, /* can end within the objective */
-	PLAN_LATE, /* can still earn the smaller credit of a late end */
-	PLAN_OVERDUE, /* only owed: it must end, whenever */
+	PLAN_LATE, /* can still end while a late end is of use */
+	PLAN_OVERDUE, /* of no use in time any more: it only has to end */
 	PLAN_FILLER /* takes what is left */
 };
 
@@ -25,7 +25,7 @@
 	uint64_t serial; /* of acceptance; settles ties */
 };
 
-#define PLAN_LATE_TIMES 3 /* objectives after which an end earns nothing */
+#define PLAN_LATE_TIMES 3 /* objectives after which an end is of no use */
 
 enum plan_tier plan_tier(const struct plan_claim *c, int64_t now_ms);
 
--- a/lib/raft/codec.c
+++ b/lib/raft/codec.c
@@ -4,6 +4,7 @@
  */
 #include <msgpack.h>
 
+#include "codec.h"
 #include "pack.h"
 
 #include "core.h"
@@ -166,16 +167,6 @@
 	}
 }
 
-/* Takes over the buffer's memory. */
-static GBytes *
-buffer_finish(msgpack_sbuffer *buffer)
-{
-	size_t size = buffer->size;
-	char *data = msgpack_sbuffer_release(buffer);
-
-	return g_bytes_new_with_free_func(data, size, free, data);
-}
-
 GBytes *
 raft_msg_encode(const struct raft_msg *msg)
 {
@@ -201,7 +192,7 @@
 		pack_bytes(&pk, m.chunk);
 	if (mask_has(mask, FIELD_MEMBERS))
 		pack_members(&pk, &m.members);
-	return buffer_finish(&buffer);
+	return codec_take(&buffer);
 }
 
 GBytes *
@@ -213,7 +204,7 @@
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&pk, &buffer, msgpack_sbuffer_write);
 	pack_members(&pk, m);
-	return buffer_finish(&buffer);
+	return codec_take(&buffer);
 }
 
 /* The values of an array, read one by one. */
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -11,7 +11,6 @@
 #include "proc.h"
 
 #define ANSWER_MS 9000
-#define LINE_MAX_BYTES 512
 
 struct cluster {
 	char *dir;
@@ -457,30 +456,17 @@
 	proc_start(proc_named(c, name), name[0] == 'w');
 }
 
-static void
-proxy_line(struct cluster *c, const char *line)
-{
-	struct proc *p = proc_named(c, "proxy");
-	char *want = g_strdup_printf("ok %s", line);
-	char answer[LINE_MAX_BYTES];
-
-	g_assert_cmpint(write(p->in, line, strlen(line)), >, 0);
-	g_assert_nonnull(fgets(answer, sizeof(answer), p->out));
-	g_assert_cmpstr(answer, ==, want);
-	g_free(want);
-}
-
 void
 cluster_fault(struct cluster *c, const char *verb, const char *from,
     const char *to, const char *arg)
 {
 	char *line = to != NULL
-	    ? g_strdup_printf("%s %s-%s%s%s\n", verb, from, to,
+	    ? g_strdup_printf("%s %s-%s%s%s", verb, from, to,
 		  arg != NULL ? " " : "", arg != NULL ? arg : "")
-	    : g_strdup_printf("%s %s%s%s\n", verb, from, arg != NULL ? " " : "",
+	    : g_strdup_printf("%s %s%s%s", verb, from, arg != NULL ? " " : "",
 		  arg != NULL ? arg : "");
 
-	proxy_line(c, line);
+	proc_command(proc_named(c, "proxy"), line);
 	g_free(line);
 }
 
@@ -502,7 +488,7 @@
 cluster_heal(struct cluster *c)
 {
 	g_ptr_array_set_size(c->cut, 0);
-	proxy_line(c, "heal *\n");
+	proc_command(proc_named(c, "proxy"), "heal *");
 }
 
 /* How often a worker's record has the text. */
--- a/test/proc.c
+++ b/test/proc.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <string.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -128,6 +129,20 @@
 	g_assert_cmpstr(line, ==, "ready\n");
 }
 
+void
+proc_command(struct proc *p, const char *command)
+{
+	char *line = g_strdup_printf("%s\n", command);
+	char *want = g_strdup_printf("ok %s", line);
+	char answer[LINE_MAX_BYTES];
+
+	g_assert_cmpint(write(p->in, line, strlen(line)), >, 0);
+	g_assert_nonnull(fgets(answer, sizeof(answer), p->out));
+	g_assert_cmpstr(answer, ==, want);
+	g_free(want);
+	g_free(line);
+}
+
 int
 proc_wait(struct proc *p)
 {
--- a/test/proc.h
+++ b/test/proc.h
@@ -41,6 +41,10 @@
 /* Starts it; one whose output is piped must say "ready" first. */
 void proc_start(struct proc *p, bool piped);
 
+/* Gives a piped one a command, a line that it answers with "ok" and the line.
+ */
+void proc_command(struct proc *p, const char *command);
+
 /* Waits for its end and returns the wait status. */
 int proc_wait(struct proc *p);
 
--- a/test/stepcell.c
+++ b/test/stepcell.c
@@ -451,16 +451,13 @@
 void
 cell_fault(struct cell *c, const char *format, ...)
 {
-	char answer[256];
 	va_list ap;
 	char *line;
 
 	va_start(ap, format);
 	line = g_strdup_vprintf(format, ap);
 	va_end(ap);
-	dprintf(c->proxy->in, "%s\n", line);
-	g_assert_nonnull(fgets(answer, sizeof(answer), c->proxy->out));
-	g_assert_true(g_str_has_prefix(answer, "ok "));
+	proc_command(c->proxy, line);
 	g_free(line);
 }
 
