Long-running tasks are restarted before other work and may preempt it

plan_tier() has a first tier for them. plan_preempt() reports how many tasks fit and takes, for such a task, runs that end soon (awaited, not stopped), then runs that can resume, then those that lose least work; never gangs or other long-running tasks, so our stops never take from a step's max_unavailable.

--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -322,6 +322,10 @@
 /* The objective of a job from acceptance to its end, in ms. */
 int64_t round_objective_ms(struct dispatch *d, const struct flow_job *job);
 
+/* The estimated time that a run still takes, in ms. */
+int64_t round_run_remaining_ms(
+    struct dispatch *d, const struct flow_job *job, const struct active_run *r);
+
 /* Returns the urgency of an occurrence: its objective and remaining work. */
 struct plan_pending round_urgency(struct dispatch *d,
     const struct flow_job *job, const struct flow_occurrence *occurrence);
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -1,10 +1,15 @@
-/* Preemption: runs with time to spare are stopped for steps that have none. */
+/* Preemption: runs with time to spare are stopped for steps that have none,
+ * and any run that is neither in a gang nor long-running for a long-running
+ * task. */
 #include "impl.h"
 
 #define RESERVE_MS 2200 /* to stop runs, get a permit, commit a start */
 #define SPARE_MARGIN_MS 2500 /* least extra spare time of a preempted run */
 #define RUN_MIN_MS 600 /* a run is not preempted sooner after its start */
 #define PREEMPTIONS_MAX 4 /* later runs of a task are not preempted */
+/* A run that ends within this time is awaited rather than stopped; less than
+ * RESERVE_MS, so that its worker is still reserved then. */
+#define ENDS_SOON_MS 1500
 
 static bool
 is_reserved_for(
@@ -72,12 +77,15 @@
 	    now;
 }
 
-/* A run that can resume from a checkpoint, and the spare time of its job. */
+/* A run that may be stopped, with the spare time of its job. */
 struct preemptible {
 	struct active_run *run;
 	/* INT64_MAX if its job can't end on time: plan_compare() ranks such a
 	 * job behind all that can. */
 	int64_t spare_ms;
+	int64_t ran_ms;
+	int64_t remaining_ms;
+	bool resumes; /* from a checkpoint */
 };
 
 void
@@ -99,20 +107,20 @@
 	const struct flow_step *step;
 	struct plan_pending urgency;
 
-	if (r->state != RUN_ACCEPTED || r->stopping ||
-	    r->id.number > PREEMPTIONS_MAX ||
-	    rd->now - r->started_ms < RUN_MIN_MS)
+	if (r->state != RUN_ACCEPTED || r->stopping)
 		return false;
 	job = flow_job(rd->d->conf.flow, r->id.job);
 	if (job == NULL || flow_job_ended(job))
 		return false;
 	step = flow_job_step(job, r->id.step);
 	occurrence = flow_occurrence(job, r->id.occurrence);
-	if (!step->checkpointing || step->gang || step->long_running ||
-	    occurrence == NULL)
+	if (step->gang || step->long_running || occurrence == NULL)
 		return false;
 	urgency = round_urgency(rd->d, job, occurrence);
 	out->run = r;
+	out->ran_ms = rd->now - r->started_ms;
+	out->remaining_ms = round_run_remaining_ms(rd->d, job, r);
+	out->resumes = step->checkpointing;
 	out->spare_ms = plan_tier(&urgency, rd->cell_now) > PLAN_ON_TIME
 	    ? INT64_MAX
 	    : spare_ms(&urgency, rd->cell_now);
@@ -134,7 +142,22 @@
 	return w->preemptible;
 }
 
-/* The runs on a worker that have enough more spare time than a step. */
+/* Says whether a run may be stopped for a step that needs runs with at least
+ * so much spare time. */
+static bool
+may_preempt(const struct preemptible *entry, const struct pending_step *p,
+    int64_t least_spare_ms)
+{
+	if (entry->run->stopping || entry->run->id.job == p->job->id)
+		return false;
+	if (p->plan.long_running)
+		return true;
+	return entry->resumes && entry->spare_ms > least_spare_ms &&
+	    entry->run->id.number <= PREEMPTIONS_MAX &&
+	    entry->ran_ms >= RUN_MIN_MS;
+}
+
+/* The runs on a worker that may be stopped for a step. */
 static GArray *
 victims_on(
     struct round *rd, struct round_worker *w, const struct pending_step *p)
@@ -148,10 +171,12 @@
 		const struct preemptible *entry =
 		    &g_array_index(preemptible, struct preemptible, i);
 		struct plan_victim v = { .run = entry->run,
-			.resources = entry->run->resources };
+			.resources = entry->run->resources,
+			.lost_ms = entry->resumes ? 0 : entry->ran_ms,
+			.ends_soon = p->plan.long_running &&
+			    entry->remaining_ms < ENDS_SOON_MS };
 
-		if (entry->spare_ms > least && !entry->run->stopping &&
-		    entry->run->id.job != p->job->id)
+		if (may_preempt(entry, p, least))
 			g_array_append_val(out, v);
 	}
 	return out;
@@ -166,7 +191,7 @@
 		    &g_array_index(preemption->victims, struct plan_victim, i);
 		struct active_run *r = v->run;
 
-		if (!v->chosen)
+		if (!v->chosen || v->ends_soon)
 			continue;
 		log_info("dispatch",
 		    "event=stop run=%s worker=%s why=preempted "
@@ -232,6 +257,7 @@
 	struct plan_preemption *preemptions;
 	struct plan_worker *copies;
 	guint count = 0;
+	uint32_t fit;
 
 	if (rd->preemptions_left == 0 || has_reservation(rd->d, p, rd->now))
 		return;
@@ -248,7 +274,8 @@
 		preemptions[count].victims = victims_on(rd, w, p);
 		count++;
 	}
-	if (plan_preempt(preemptions, count, request))
+	fit = plan_preempt(preemptions, count, request);
+	if (fit == request->count || (p->plan.long_running && fit > 0))
 		preempt_selected(rd, p, request, preemptions, count, permits);
 	else if (permits != NULL)
 		query_unknown(rd, request, workers, permits);
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -141,6 +141,18 @@
 		(double)critical_path_ms(d, job, NULL));
 }
 
+int64_t
+round_run_remaining_ms(
+    struct dispatch *d, const struct flow_job *job, const struct active_run *r)
+{
+	const struct plan_estimate *estimate =
+	    estimate_of_queue(d, job->queue->name);
+	int64_t runtime_ms = plan_estimate_ms(
+	    estimate, flow_job_step(job, r->id.step)->runtime_ms);
+
+	return MAX(r->started_ms + runtime_ms - mono_ms(), 0);
+}
+
 struct plan_pending
 round_urgency(struct dispatch *d, const struct flow_job *job,
     const struct flow_occurrence *occurrence)
@@ -228,6 +240,7 @@
 		return;
 	p.plan = *urgency;
 	p.plan.best_effort = s->best_effort;
+	p.plan.long_running = s->long_running;
 	p.plan.serial = rd->serial++;
 	g_array_append_val(rd->pending, p);
 }
@@ -428,11 +441,12 @@
 	return count;
 }
 
-/* Says whether a step can still end on time: only then it may preempt. */
+/* Says whether other runs may be preempted for a step: if it can still end on
+ * time, or is long-running. */
 static bool
 is_urgent(const struct round *rd, const struct pending_step *p)
 {
-	return plan_tier(&p->plan, rd->cell_now) == PLAN_ON_TIME;
+	return plan_tier(&p->plan, rd->cell_now) <= PLAN_ON_TIME;
 }
 
 static void
@@ -565,11 +579,12 @@
 	    "event=load workers=%u runs=%u cores_used=%" G_GINT64_FORMAT
 	    " cores=%" G_GINT64_FORMAT " memory_used_mb=%" G_GINT64_FORMAT
 	    " memory_mb=%" G_GINT64_FORMAT
-	    " waiting_in_time=%u waiting_late=%u waiting_overdue=%u",
+	    " waiting_long_running=%u waiting_in_time=%u waiting_late=%u"
+	    " waiting_overdue=%u",
 	    g_hash_table_size(d->holders), g_hash_table_size(d->runs),
 	    used.millicpus / 1000, all.millicpus / 1000, used.memory >> 20,
-	    all.memory >> 20, tiers[PLAN_ON_TIME], tiers[PLAN_LATE],
-	    tiers[PLAN_OVERDUE]);
+	    all.memory >> 20, tiers[PLAN_LONG_RUNNING], tiers[PLAN_ON_TIME],
+	    tiers[PLAN_LATE], tiers[PLAN_OVERDUE]);
 }
 
 void
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -12,6 +12,8 @@
 
 	if (step->best_effort)
 		return PLAN_BEST_EFFORT;
+	if (step->long_running)
+		return PLAN_LONG_RUNNING;
 	if (end_ms <= step->objective_ms)
 		return PLAN_ON_TIME;
 	if (end_ms <= step->objective_ms * PLAN_LATE_FACTOR)
@@ -241,8 +243,30 @@
 	return (int64_t)exp(e->log_mean + (corrected - e->log_mean) * weight);
 }
 
-/* Returns how many millicpus have to be stopped to fit one more task; below 0
- * if it can't fit. With apply, marks the victims and reserves the task. */
+/* The cost of stopping a run, in millicpus; lost run time adds to it. */
+static int64_t
+victim_cost(const struct plan_victim *v)
+{
+	if (v->ends_soon)
+		return 0;
+	return v->resources.millicpus +
+	    v->resources.millicpus * v->lost_ms / 1000;
+}
+
+/* Orders by the run time that stopping a run loses. */
+static gint
+by_loss(gconstpointer a, gconstpointer b)
+{
+	const struct plan_victim *x = a;
+	const struct plan_victim *y = b;
+
+	if (x->ends_soon != y->ends_soon)
+		return x->ends_soon ? -1 : 1;
+	return x->lost_ms < y->lost_ms ? -1 : x->lost_ms > y->lost_ms;
+}
+
+/* Returns the cost of the runs to stop to fit one more task; below 0 if it
+ * can't fit. With apply, marks the victims and reserves the task. */
 static int64_t
 preempt_one(
     struct plan_preemption *p, const struct plan_request *request, bool apply)
@@ -259,7 +283,7 @@
 		if (v->chosen)
 			continue;
 		resources_add(&worker.free, &v->resources, 1);
-		stopped += v->resources.millicpus;
+		stopped += victim_cost(v);
 		v->chosen = apply;
 	}
 	if (apply) {
@@ -270,10 +294,12 @@
 	return stopped;
 }
 
-bool
+uint32_t
 plan_preempt(struct plan_preemption *preemptions, guint count,
     const struct plan_request *request)
 {
+	for (guint i = 0; i < count; i++)
+		g_array_sort(preemptions[i].victims, by_loss);
 	for (uint32_t placed = 0; placed < request->count; placed++) {
 		int64_t min_stopped = -1;
 		guint best = 0;
@@ -289,10 +315,10 @@
 			best = i;
 		}
 		if (min_stopped < 0)
-			return false;
+			return placed;
 		(void)preempt_one(&preemptions[best], request, true);
 	}
-	return true;
+	return request->count;
 }
 
 /* Limit of the policy service for one query. */
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -10,6 +10,7 @@
 
 /* Urgency class of a pending step, from its job's latency objective. */
 enum plan_tier {
+	PLAN_LONG_RUNNING, /* has to run until it is cancelled */
 	PLAN_ON_TIME, /* can still end within the objective */
 	PLAN_LATE, /* can end within PLAN_LATE_FACTOR times the objective */
 	PLAN_OVERDUE, /* will end too late to be of use, but has to be run */
@@ -23,6 +24,7 @@
 	int64_t remaining_ms; /* estimated run time until the job's end */
 	uint32_t priority; /* 0 is the most urgent */
 	bool best_effort;
+	bool long_running;
 	uint64_t serial; /* order of acceptance, the last tie-breaker */
 };
 
@@ -34,7 +36,9 @@
 /*
  * Orders by tier, then by latest start time; below 0 if a goes first. Work
  * that can't be on time any more goes after work that can, so that bursts of
- * small urgent jobs are not delayed by large gangs.
+ * small urgent jobs are not delayed by large gangs. Long-running tasks go
+ * first: their objective has passed when one has to be restarted, so under
+ * load they would otherwise wait behind all other work.
  */
 int plan_compare(
     const struct plan_pending *a, const struct plan_pending *b, int64_t now_ms);
@@ -119,27 +123,30 @@
 uint32_t plan_place(struct plan_worker **workers, guint count,
     const struct plan_request *request, uint32_t *pick);
 
-/* A run that can be stopped and resumed later from its checkpoint. */
+/* A run whose resources a more urgent step can get. */
 struct plan_victim {
 	void *run; /* opaque to this library */
-	struct resources resources; /* freed by stopping it */
+	struct resources resources; /* freed when it ends */
+	int64_t lost_ms; /* run time lost by stopping it; 0: it can resume */
+	bool ends_soon; /* needs no stop: its end is awaited */
 	bool chosen;
 };
 
 /* A worker with the runs on it that may be preempted. */
 struct plan_preemption {
 	struct plan_worker *worker;
-	GArray *victims; /* struct plan_victim, in the order to stop them */
+	GArray *victims; /* struct plan_victim */
 	uint32_t tasks; /* result: how many tasks to start there */
 };
 
 /*
- * Chooses runs to stop so that the request fits, with as few millicpus stopped
- * as possible. Without preemption a gang that waits among small, less urgent
- * tasks starves: no worker ever has enough free for its members. Sets chosen
- * and tasks; returns false if stopping all victims would not be enough.
+ * Chooses runs to stop or to await so that the request fits, with as few
+ * millicpus stopped as possible. Without preemption a gang that waits among
+ * small, less urgent tasks starves: no worker ever has enough free for its
+ * members. Sets chosen and tasks; returns how many of the requested tasks fit
+ * then.
  */
-bool plan_preempt(struct plan_preemption *preemptions, guint count,
+uint32_t plan_preempt(struct plan_preemption *preemptions, guint count,
     const struct plan_request *request);
 
 /* What is known about the policy service's permit for a step on a worker. */
