--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -182,7 +182,10 @@
 	if (!d->active)
 		return;
 	confirm(d, boot_ms());
-	holders_scan(d, now);
+	/* A leader that was suspended has heard from no worker since; whether
+	 * their leases have expired is for its successor to say. */
+	if (dispatch_may_act(d))
+		holders_scan(d, now);
 	runs_scan(d, now);
 	permits_scan(d, now);
 	state_requests_scan(d, now);
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -19,6 +19,7 @@
 	uint64_t proposed;
 	uint64_t applied;
 	bool no_quorum; /* nothing is committed or confirmed */
+	bool unconfirmed; /* leadership is not confirmed */
 	int answers;
 	uint32_t last_result;
 	char *last_text;
@@ -81,7 +82,7 @@
 {
 	struct leader *l = arg;
 
-	if (l->no_quorum)
+	if (l->no_quorum || l->unconfirmed)
 		return false;
 	dispatch_read_done(l->dispatch, context, true);
 	return true;
@@ -360,6 +361,35 @@
 	leader_free(l);
 }
 
+/* A leader that was suspended (incident inc-17b3) has had no answer from any
+ * worker for longer than a lease. While its leadership is not confirmed it ends
+ * no runs and removes no workers. */
+static void
+test_suspended_leader(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	uint64_t proposed;
+
+	send_heartbeat(l, a, false);
+	submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, stub_worker_runs(a, &first_run));
+	AWAIT(l, a->lease_until_ms > 0);
+	l->unconfirmed = true;
+	run_for(l, 500);
+	stub_worker_crash(a);
+	proposed = l->proposed;
+	run_for(l, 7000);
+	g_assert_cmpint(mono_ms(), >, a->lease_until_ms);
+	g_assert_cmpint(first_task(l)->state, ==, FLOW_ASSIGNED);
+	/* The records of old jobs are still removed, every 5 s. */
+	g_assert_cmpuint(l->proposed - proposed, <=, 2);
+	l->unconfirmed = false;
+	AWAIT(l, first_task(l)->state == FLOW_PENDING);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 /* A new leader finds the running runs, doesn't start them again, and handles
  * the ends that its predecessor did not acknowledge. */
 static void
@@ -772,6 +802,7 @@
 	    "/dispatch/ends-acked-after-commit", test_ends_acked_after_commit);
 	g_test_add_func(
 	    "/dispatch/leadership-unconfirmed", test_leadership_unconfirmed);
+	g_test_add_func("/dispatch/suspended-leader", test_suspended_leader);
 	g_test_add_func("/dispatch/takeover", test_takeover);
 	g_test_add_func(
 	    "/dispatch/takeover-before-order", test_takeover_before_order);
