Large configurations: compressed between processes, read at the leader

Ruled out: the replicas (proposed to applied 72 ms), the leader's processor (the same without processor time charged, in the trace of the links).

flow_config_encode() deflates what is over 4 KB (zlib, a Debian package); a read of a document over 32 KB at a process that doesn't lead is answered 307 with the leader's control address, whose link has 200 Mbit/s. The limit of inflated size is checked.

Tests: flow large-config-encoding, cellnode large-config (real processes; the stand-in's control ports are now equal on all nodes, as on the platform).

--- a/bulrushtided/services.c
+++ b/bulrushtided/services.c
@@ -312,7 +312,7 @@
 		c->maybe_received = true;
 	decision = calls_try_ended(s->calls, c->handle, outcome, mono_ms());
 	if (outcome == CALLS_END_ANSWERED) {
-		const char *type = http_peer_content_type(peer);
+		const char *type = http_peer_header(peer, "Content-Type");
 
 		end_call(c, status);
 		http_reply_bytes(req, status,
--- a/lib/base/codec.c
+++ b/lib/base/codec.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
+#include <zlib.h>
 
 #include "codec.h"
 #include "pack.h"
@@ -272,3 +273,38 @@
 
 	return g_bytes_new_with_free_func(data, len, free, data);
 }
+
+#define INFLATE_FACTOR 8 /* first estimate of the content's size */
+
+GBytes *
+codec_deflate(GBytes *bytes)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+	uLongf out_len = compressBound(len);
+	Bytef *out = g_malloc(out_len);
+
+	/* Fails only for lack of memory or of room in out. */
+	g_assert(compress(out, &out_len, data, len) == Z_OK);
+	return g_bytes_new_take(g_realloc(out, out_len), out_len);
+}
+
+GBytes *
+codec_inflate(const void *data, size_t len, size_t max_len)
+{
+	size_t size = MIN(len * INFLATE_FACTOR, max_len);
+
+	while (size > 0) {
+		uLongf out_len = size;
+		Bytef *out = g_malloc(size);
+		int result = uncompress(out, &out_len, data, len);
+
+		if (result == Z_OK)
+			return g_bytes_new_take(out, out_len);
+		g_free(out);
+		if (result != Z_BUF_ERROR || size == max_len)
+			return NULL;
+		size = MIN(size * 2, max_len);
+	}
+	return NULL;
+}
--- a/lib/base/codec.h
+++ b/lib/base/codec.h
@@ -63,6 +63,13 @@
 void put_bytes(msgpack_packer *pk, GBytes *bytes);
 void put_resources(msgpack_packer *pk, const struct resources *r);
 
+/* Compresses into a zlib stream, which begins with CODEC_ZLIB_BYTE. */
+#define CODEC_ZLIB_BYTE 0x78
+GBytes *codec_deflate(GBytes *bytes);
+/* Returns the content of a zlib stream, NULL if it is malformed or longer than
+ * max_len. */
+GBytes *codec_inflate(const void *data, size_t len, size_t max_len);
+
 /* Moves the contents of buf into a new GBytes and leaves buf empty. */
 GBytes *codec_take_buffer(msgpack_sbuffer *buf);
 
--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -589,6 +589,14 @@
 	    (dispatch_leads(n->dispatch) || mesh_leader(n->mesh) != NULL);
 }
 
+const char *
+cellnode_leader_address(struct cellnode *n)
+{
+	struct mesh_link *l = mesh_leader(n->mesh);
+
+	return l == NULL ? NULL : mesh_peer(l)->address;
+}
+
 guint
 cellnode_pending(const struct cellnode *n)
 {
--- a/lib/cellnode/cellnode.h
+++ b/lib/cellnode/cellnode.h
@@ -36,6 +36,9 @@
 
 /* Reports whether callers may be sent here: not draining, leader reachable. */
 bool cellnode_ready(struct cellnode *n);
+/* The peer address of the process that leads, NULL if none is known or if it
+ * is this one; valid until control returns to the event loop. */
+const char *cellnode_leader_address(struct cellnode *n);
 /* Number of requests that are not answered yet. */
 guint cellnode_pending(const struct cellnode *n);
 
--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -36,7 +36,10 @@
 	REQUEST_REFUSED, /* not carried out and never will be; retry later */
 	REQUEST_INVALID, /* text: what is wrong */
 	REQUEST_UNAVAILABLE, /* not carried out: no confirmed leader */
-	REQUEST_UNKNOWN /* may have been carried out */
+	REQUEST_UNKNOWN, /* may have been carried out */
+	/* The data is too large to be sent on by another process: to be
+	 * requested at the one that leads. */
+	REQUEST_AT_LEADER
 };
 
 struct request {
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -5,6 +5,9 @@
 
 #define JOB_ID_DIGITS 16 /* hexadecimal */
 #define RETRY_MS 1000 /* suggested if no better estimate exists */
+/* The largest configuration that entries pass on to readers; their links may
+ * be a hundredth of the leader's. */
+#define FORWARD_MAX_BYTES (32 * 1024)
 
 /*
  * How long the answer about a running job is delayed in case the job ends.
@@ -498,6 +501,20 @@
 	dispatch_batch_applied(d);
 }
 
+static void
+answer_config_read(struct dispatch *d, const struct pending_read *r)
+{
+	const struct flow_config *c = flow_config(d->conf.flow);
+	gsize len;
+	const void *document = g_bytes_get_data(c->document, &len);
+
+	if (r->process != 0 && len > FORWARD_MAX_BYTES)
+		reply(d, r->process, r->request, REQUEST_AT_LEADER, "", 0, 0);
+	else
+		reply(
+		    d, r->process, r->request, REQUEST_DONE, document, len, 0);
+}
+
 void
 requests_read_done(struct dispatch *d, bool ok)
 {
@@ -511,9 +528,7 @@
 			reply(d, r->process, r->request, REQUEST_UNAVAILABLE,
 			    "", 0, RETRY_MS);
 		else
-			reply(d, r->process, r->request, REQUEST_DONE,
-			    g_bytes_get_data(c->document, NULL),
-			    g_bytes_get_size(c->document), 0);
+			answer_config_read(d, r);
 		g_free(r);
 	}
 }
--- a/lib/flow/spec.c
+++ b/lib/flow/spec.c
@@ -5,6 +5,9 @@
 #define QUEUES_MAX 10000 /* in one configuration */
 #define LABELS_MAX 64 /* of one worker */
 #define DOCUMENT_MAX (4 * 1024 * 1024) /* bytes of a configuration */
+/* A configuration with its queues, decoded; larger ones are refused. */
+#define CONFIG_BYTES_MAX (2 * DOCUMENT_MAX)
+#define DEFLATE_MIN_BYTES 4096 /* smaller ones fit into a few packets */
 
 struct flow_step *
 flow_step_new(void)
@@ -434,19 +437,30 @@
 	return false;
 }
 
+/*
+ * Entries forward configurations over links of 2 Mbit/s, on which 1,000 queues
+ * take more than a second unless compressed.
+ */
 GBytes *
 flow_config_encode(const struct flow_config *c)
 {
 	msgpack_sbuffer buf;
 	msgpack_packer pk;
+	GBytes *plain;
+	GBytes *deflated;
 
 	frame_begin(&buf, &pk);
 	config_put(&pk, c);
-	return codec_take_buffer(&buf);
+	plain = codec_take_buffer(&buf);
+	if (g_bytes_get_size(plain) < DEFLATE_MIN_BYTES)
+		return plain;
+	deflated = codec_deflate(plain);
+	g_bytes_unref(plain);
+	return deflated;
 }
 
-bool
-flow_config_decode(const void *data, size_t len, struct flow_config *c)
+static bool
+decode_plain_config(const void *data, size_t len, struct flow_config *c)
 {
 	msgpack_unpacked u;
 	struct reader r;
@@ -459,3 +473,23 @@
 	flow_config_clear(c);
 	return false;
 }
+
+bool
+flow_config_decode(const void *data, size_t len, struct flow_config *c)
+{
+	GBytes *plain;
+	gsize plain_len;
+	const void *plain_data;
+	bool ok;
+
+	if (len == 0 || *(const uint8_t *)data != CODEC_ZLIB_BYTE)
+		return decode_plain_config(data, len, c);
+	*c = (struct flow_config){ 0 };
+	plain = codec_inflate(data, len, CONFIG_BYTES_MAX);
+	if (plain == NULL)
+		return false;
+	plain_data = g_bytes_get_data(plain, &plain_len);
+	ok = decode_plain_config(plain_data, plain_len, c);
+	g_bytes_unref(plain);
+	return ok;
+}
--- a/lib/httpd/client.c
+++ b/lib/httpd/client.c
@@ -21,7 +21,7 @@
 	GQueue calls; /* struct call, outstanding */
 	bool freed;
 	bool in_callback;
-	const char *content_type; /* of the current response */
+	struct evhttp_request *response; /* during the call of its answer */
 };
 
 static struct evhttp_connection *
@@ -95,9 +95,14 @@
 }
 
 const char *
-http_peer_content_type(const struct http_peer *p)
+http_peer_header(const struct http_peer *p, const char *name)
 {
-	return p->content_type == NULL ? "" : p->content_type;
+	const char *value = p->response == NULL
+	    ? NULL
+	    : evhttp_find_header(
+		  evhttp_request_get_input_headers(p->response), name);
+
+	return value == NULL ? "" : value;
 }
 
 static const char *
@@ -140,14 +145,11 @@
 		return;
 	g_queue_remove(&p->calls, c);
 	p->in_callback = true;
-	p->content_type = ev == NULL
-	    ? NULL
-	    : evhttp_find_header(
-		  evhttp_request_get_input_headers(ev), "Content-Type");
+	p->response = ev;
 	c->answer(c->arg, status, len == 0 ? NULL : evbuffer_pullup(in, -1),
 	    len, status != 0 ? NULL : c->why);
 	p->in_callback = false;
-	p->content_type = NULL;
+	p->response = NULL;
 	g_free(c);
 }
 
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -129,8 +129,8 @@
 void http_send(struct http_peer *p, enum evhttp_cmd_type method,
     const char *path, const char *const *headers, const void *body, size_t len,
     int timeout_ms, http_answer *answer, void *arg);
-/* Content type of the response, during http_answer only; "" if absent. */
-const char *http_peer_content_type(const struct http_peer *p);
+/* A header of the response, during http_answer only; "" if absent. */
+const char *http_peer_header(const struct http_peer *p, const char *name);
 /* Returns the number of requests not yet completed. */
 int http_peer_outstanding(const struct http_peer *p);
 
--- a/test/cellnode_test.c
+++ b/test/cellnode_test.c
@@ -35,6 +35,69 @@
 	cell_free(c);
 }
 
+#define LARGE_QUEUES 1000
+
+/* A configuration with many queues, of more than 100 KB. */
+static char *
+large_config(void)
+{
+	GString *text = g_string_new("{\"version\":20,\"routes\":[");
+
+	for (int i = 0; i < LARGE_QUEUES; i++)
+		g_string_append_printf(text,
+		    "%s{\"name\":\"q%d\",\"host\":\"jobs.example\","
+		    "\"pathPrefix\":\"/q%d/\",\"service\":\"desk\","
+		    "\"timeoutMs\":3000,\"maxAttempts\":2,"
+		    "\"slackFactor\":2,\"targetLatencyMs\":500}",
+		    i == 0 ? "" : ",", i, i);
+	g_string_append(text, "],\"services\":[{\"name\":\"desk\"}]}");
+	return g_string_free(text, FALSE);
+}
+
+/* Reads the configuration at a node, following one redirect. */
+static int
+read_config(struct cell *c, int node)
+{
+	static const char path[] = "/bulrushtide/config/read";
+	int status =
+	    cell_call(c, c->node[node].control, EVHTTP_REQ_GET, path, NULL);
+	char *address;
+	size_t len;
+
+	if (status != 307)
+		return status;
+	g_assert_true(g_str_has_prefix(c->location, "http://"));
+	g_assert_true(g_str_has_suffix(c->location, path));
+	len = strlen(c->location) - strlen("http://") - strlen(path);
+	address = g_strndup(c->location + strlen("http://"), len);
+	status = cell_call(c, address, EVHTTP_REQ_GET, path, NULL);
+	g_free(address);
+	return status;
+}
+
+/* A large configuration is accepted by an entry. Only the leader sends it to
+ * readers: all others redirect there rather than use their own links. */
+static void
+test_large_config(void)
+{
+	struct cell *c = cell_new();
+	char *config = large_config();
+	int redirected = 0;
+
+	CELL_AWAIT(c,
+	    cell_call(c, c->node[3].control, EVHTTP_REQ_POST,
+		"/bulrushtide/config/replace", config) == 200);
+	for (int i = 0; i < NODES; i++) {
+		CELL_AWAIT(c, read_config(c, i) == 200);
+		g_assert_cmpstr(c->body, ==, config);
+		redirected += cell_call(c, c->node[i].control, EVHTTP_REQ_GET,
+				  "/bulrushtide/config/read", NULL) == 307;
+	}
+	g_assert_cmpint(redirected, ==, NODES - 1);
+	g_free(config);
+	cell_free(c);
+}
+
 /* Each node with a disk in turn is killed and loses its disk. */
 static void
 test_lost_disks(void)
@@ -94,6 +157,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cellnode/whole-path", test_whole_path);
+	g_test_add_func("/cellnode/large-config", test_large_config);
 	g_test_add_func("/cellnode/losses", test_lost_disks);
 	g_test_add_func("/cellnode/stops", test_graceful_stops);
 	return g_test_run();
--- a/test/flow_test.c
+++ b/test/flow_test.c
@@ -450,6 +450,50 @@
 	teardown(&x);
 }
 
+/*
+ * A configuration of 1,000 queues must not take seconds on the links of 2
+ * Mbit/s that it is forwarded over; there it timed out and was sent again and
+ * again.
+ */
+static void
+test_large_config_encoding(void)
+{
+	struct flow_config in;
+	struct flow_config out;
+	GString *document = g_string_new("[");
+	GBytes *encoded;
+	gsize len;
+	const void *data;
+
+	flow_config_init(&in);
+	in.version = 3;
+	for (int i = 0; i < 1000; i++) {
+		struct flow_queue *q = flow_queue_new();
+
+		q->name = g_strdup_printf("r-%08x", i * 2654435761U);
+		q->host = g_strdup("jobs.example");
+		q->prefix = g_strdup_printf("/%08x/", i * 2246822519U);
+		q->pool = g_strdup("desk");
+		g_ptr_array_add(in.queues, q);
+		g_string_append_printf(document,
+		    "{\"name\":\"%s\",\"host\":\"%s\",\"pathPrefix\":\"%s\","
+		    "\"kind\":\"unsafe\",\"timeoutMs\":3000,\"priority\":1,"
+		    "\"service\":\"desk\",\"maxAttempts\":3},",
+		    q->name, q->host, q->prefix);
+	}
+	in.document = g_string_free_to_bytes(document);
+	encoded = flow_config_encode(&in);
+	data = g_bytes_get_data(encoded, &len);
+	g_assert_cmpuint(len, <, 50000); /* 0.2 s at 2 Mbit/s */
+	g_assert_true(flow_config_decode(data, len, &out));
+	g_assert_true(g_bytes_equal(in.document, out.document));
+	g_assert_cmpuint(out.queues->len, ==, 1000);
+	flow_config_clear(&out);
+	g_assert_false(flow_config_decode(data, len - 1, &out));
+	g_bytes_unref(encoded);
+	flow_config_clear(&in);
+}
+
 /* A name stands for the newer of two incarnations of a worker. */
 static void
 test_incarnations(void)
@@ -576,6 +620,8 @@
 	g_test_add_func("/flow/long-running-and-occurrences",
 	    test_long_running_and_occurrences);
 	g_test_add_func("/flow/config-and-route", test_config_and_route);
+	g_test_add_func(
+	    "/flow/large-config-encoding", test_large_config_encoding);
 	g_test_add_func("/flow/incarnations", test_incarnations);
 	g_test_add_func("/flow/random", test_random);
 	g_test_add_func("/flow/malformed", test_malformed);
--- a/test/stepcell.c
+++ b/test/stepcell.c
@@ -16,6 +16,7 @@
 #define CALL_TIMEOUT_MS 4000
 #define PEER_PORT "7998" /* the same on all addresses, as on the platform */
 #define READY_PORT "7999"
+#define CONTROL_PORT "7997" /* the same on all nodes */
 
 /* One run on a stand-in worker. */
 struct run {
@@ -55,6 +56,9 @@
 	c->status = status;
 	g_free(c->body);
 	c->body = g_strndup(body == NULL ? "" : body, len);
+	g_free(c->location);
+	c->location = g_strdup(
+	    c->peer == NULL ? "" : http_peer_header(c->peer, "Location"));
 }
 
 static void
@@ -140,10 +144,12 @@
 
 	c->answered = false;
 	c->status = 0;
+	c->peer = p;
 	http_send(p, method, path, headers, body,
 	    body == NULL ? 0 : strlen(body), CALL_TIMEOUT_MS, on_answer, c);
 	while (!c->answered && mono_ms() < limit)
 		cell_run_loop(c);
+	c->peer = NULL;
 	if (conn == NULL)
 		http_peer_free(p);
 	return c->status;
@@ -513,7 +519,7 @@
 
 		n->ip = node_ip(i);
 		n->callers = free_address(n->ip);
-		n->control = free_address(n->ip);
+		n->control = g_strdup_printf("%s:%s", n->ip, CONTROL_PORT);
 		n->listen = free_address(n->ip);
 		n->settings = g_strdup_printf("%s/n%d.conf", c->dir, i);
 		if (i >= DISKS)
@@ -559,6 +565,7 @@
 	remove_tree(c->dir);
 	g_free(c->dir);
 	g_free(c->body);
+	g_free(c->location);
 	g_free(c);
 }
 
--- a/test/stepcell.h
+++ b/test/stepcell.h
@@ -43,6 +43,8 @@
 	int64_t heartbeat_ms; /* time of the last heartbeats */
 	int status; /* of the last answer */
 	char *body;
+	char *location; /* header of the last answer; "": none */
+	struct http_peer *peer; /* of the call in progress; NULL: none */
 	bool answered;
 };
 
