Placement rounds look only at workers that a step may use

For each step a round went through all 540 workers several times (constraints, two lookups of a permit, a sort for the query) although a step can start only where it has a permit, and looked for reservations on each worker.

A step with permits now goes through these; the sort is one a round; a query's candidates are collected only if a process could send the query, and not again within 40 ms if there were too few; a gang that can't fit is not placed task by task; reservations are a list; jobs without pending steps cost no estimate; runs are considered for preemption every 40 ms at most.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -109,6 +109,8 @@
 		return;
 	round_run(d, d->round_ms);
 	d->round_duration_us = mono_us() - start_us;
+	d->rounds++;
+	d->rounds_us += d->round_duration_us;
 	timer_add(d->meter.round, d->round_duration_us / 1000);
 }
 
@@ -366,6 +368,7 @@
 	d->estimates =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->racks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	d->reservations = g_array_new(FALSE, FALSE, sizeof(struct reservation));
 	for (guint i = 0; i < d->policy_processes->len; i++)
 		((struct policy_process *)d->policy_processes->pdata[i])
 		    ->query = 0;
@@ -391,6 +394,7 @@
 	g_clear_pointer(&d->started_jobs, g_hash_table_unref);
 	g_clear_pointer(&d->estimates, g_hash_table_unref);
 	g_clear_pointer(&d->racks, g_hash_table_unref);
+	g_clear_pointer(&d->reservations, g_array_unref);
 }
 
 bool
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -85,11 +85,12 @@
 	int64_t heartbeat_seq;
 	struct resources used; /* by runs that are assigned or proposed */
 	/* The step that the worker's free resources are reserved for until
-	 * reserved_until_ms, while the runs preempted for it are stopping;
+	 * reserved_until_ms, while the runs preempted for it are ending;
 	 * job 0: none. */
 	struct flow_run reserved_for;
 	int64_t reserved_until_ms;
 	GPtrArray *runs; /* struct active_run */
+	struct round_worker *in_round; /* during a placement round, or NULL */
 	double slowdown; /* run time multiplier, measured ... */
 	int64_t slowdown_ms; /* ... at this time */
 	int64_t excluded_until_ms; /* gets no new work until then */
@@ -97,6 +98,12 @@
 	int64_t failed_ms; /* when a run last failed there */
 };
 
+/* Workers are reserved for a step until this time. */
+struct reservation {
+	struct flow_run step; /* job, occurrence and step only */
+	int64_t until_ms;
+};
+
 /* What the policy service has answered about one step. */
 struct step_permits {
 	uint64_t job;
@@ -186,9 +193,12 @@
 	GHashTable *started_jobs; /* ids of open jobs that have run */
 	GHashTable *estimates; /* queue name to struct plan_estimate */
 	GHashTable *racks; /* rack name to number */
-	int64_t reserved_until_ms; /* end of the last reservation */
+	GArray *reservations; /* struct reservation, most of them not over */
+	int64_t preempt_ms; /* when runs were last considered to preempt */
 	int64_t round_ms; /* start of the last placement round ... */
 	int64_t round_duration_us; /* ... and how long it took */
+	uint32_t rounds; /* since the last load log line */
+	int64_t rounds_us; /* time that these took */
 	int64_t removed_ms; /* when old job records were last removed */
 	int64_t load_logged_ms;
 };
@@ -265,11 +275,14 @@
 /* Marks a permit that the worker has rejected as to be renewed. */
 void
 permit_expire(struct dispatch *d, const struct flow_run *id, uint32_t worker);
+/* Says whether a query for the step could be sent now. */
+bool permits_can_query(
+    const struct dispatch *d, const struct step_permits *s, int64_t now);
 /*
  * Queries the policy service about workers (struct plan_worker) with enough
- * free resources if that can help to place the step. If partial is set,
- * it queries even if they don't suffice for the step, so that more workers
- * become known.
+ * free resources, in order, if that can help to place the step. If partial is
+ * set, it queries even if they don't suffice for the step, so that more
+ * workers become known.
  */
 void permits_query(struct dispatch *d, struct step_permits *s,
     const struct plan_request *request, GPtrArray *workers, bool partial,
@@ -303,7 +316,8 @@
 	struct dispatch *d;
 	int64_t now; /* monotonic */
 	int64_t cell_now; /* cell time, see flow.h */
-	GPtrArray *workers; /* struct round_worker */
+	GPtrArray
+	    *workers; /* struct round_worker, those with most free first */
 	int preemptions_left; /* steps that runs may still be preempted for */
 	GArray *pending; /* struct pending_step */
 	GArray *starts; /* struct flow_start */
@@ -332,17 +346,20 @@
 
 /* preempt.c */
 void round_worker_free(void *arg);
+/* The workers (struct plan_worker) that a step's constraints and its queue
+ * allow, those with most free first; the caller frees the array. */
+GPtrArray *
+round_allowed_workers(struct round *rd, const struct pending_step *p);
 /*
  * Preempts runs with time to spare for a step that has none, and reserves
- * their workers for it. workers: struct plan_worker that the step may use.
+ * their workers for it.
  */
 void preempt_for_step(struct round *rd, const struct pending_step *p,
-    const struct plan_request *request, GPtrArray *workers,
-    struct step_permits *permits);
+    const struct plan_request *request, struct step_permits *permits);
 /* Says whether a worker is reserved for another step. */
 bool preempt_reserved_for_other(
     const struct holder *h, const struct pending_step *p, int64_t now);
-/* Ends the reservations of workers for a step. */
+/* Ends the reservations of workers for a step, if there are any. */
 void preempt_release_workers(struct dispatch *d, const struct pending_step *p);
 
 /* requests.c */
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -4,6 +4,8 @@
 #define QUERY_TIMEOUT_FACTOR 3 /* times the declared duration of a query */
 #define QUERY_TIMEOUT_BASE_MS 400 /* added for network and a short queue */
 #define QUERY_RETRY_MS 100 /* before a failed query is repeated */
+/* Until candidates are looked for again if too few had free resources. */
+#define CANDIDATES_RETRY_MS 40
 #define PROCESS_BACKOFF_MS 400 /* no query by a process whose query failed */
 #define PERMIT_MARGIN_MS 300 /* a permit is not used so near its expiry */
 #define QUERY_OVERHEAD_MS 150 /* network and a placement round */
@@ -151,17 +153,6 @@
 	return NULL;
 }
 
-static int
-by_free_descending(gconstpointer a, gconstpointer b)
-{
-	const struct plan_worker *x = *(struct plan_worker *const *)a;
-	const struct plan_worker *y = *(struct plan_worker *const *)b;
-
-	return x->free.millicpus > y->free.millicpus
-	    ? -1
-	    : x->free.millicpus < y->free.millicpus;
-}
-
 /* How long the queue declares a query about so many workers to take. */
 static int64_t
 query_ms(const struct flow_queue *queue, guint workers)
@@ -231,13 +222,20 @@
 	g_ptr_array_unref(names);
 }
 
+bool
+permits_can_query(
+    const struct dispatch *d, const struct step_permits *s, int64_t now)
+{
+	return s->query == 0 && now >= s->retry_ms &&
+	    idle_process(d, now) != NULL;
+}
+
 void
 permits_query(struct dispatch *d, struct step_permits *s,
     const struct plan_request *request, GPtrArray *workers, bool partial,
     int64_t now)
 {
 	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
-	struct policy_process *process = idle_process(d, now);
 	struct plan_candidate *candidates;
 	/* The members of a gang start together, after the answer: their permits
 	 * have to be valid then. */
@@ -246,9 +244,8 @@
 			QUERY_OVERHEAD_MS
 			   : 0);
 
-	if (s->query != 0 || now < s->retry_ms || process == NULL)
+	if (!permits_can_query(d, s, now))
 		return;
-	g_ptr_array_sort(workers, by_free_descending);
 	candidates = g_new0(struct plan_candidate, workers->len + 1);
 	for (guint i = 0; i < workers->len; i++) {
 		const struct plan_worker *worker = workers->pdata[i];
@@ -259,7 +256,10 @@
 	}
 	if (plan_select_query_workers(
 		candidates, workers->len, request, partial) > 0)
-		query_selected(d, s, process, workers, candidates, now);
+		query_selected(
+		    d, s, idle_process(d, now), workers, candidates, now);
+	else
+		s->retry_ms = now + CANDIDATES_RETRY_MS;
 	g_free(candidates);
 }
 
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -28,23 +28,51 @@
 	return h->reserved_until_ms > now && !is_reserved_for(h, p, now);
 }
 
-static void
-reserve_for(struct holder *h, const struct pending_step *p, int64_t now)
+static struct flow_run
+step_id(const struct pending_step *p)
 {
-	h->reserved_for = (struct flow_run){ .job = p->job->id,
+	return (struct flow_run){ .job = p->job->id,
 		.occurrence = p->occurrence->number,
 		.step = p->step };
-	h->reserved_until_ms = h->d->reserved_until_ms = now + RESERVE_MS;
+}
+
+static void
+reserve_for(struct holder *h, const struct pending_step *p, int64_t now)
+{
+	h->reserved_for = step_id(p);
+	h->reserved_until_ms = now + RESERVE_MS;
+}
+
+/* Finds the reservation of a step; removes those that are over. */
+static struct reservation *
+find_reservation(struct dispatch *d, const struct pending_step *p, int64_t now)
+{
+	struct flow_run id = step_id(p);
+
+	for (guint i = d->reservations->len; i > 0; i--) {
+		struct reservation *r =
+		    &g_array_index(d->reservations, struct reservation, i - 1);
+
+		if (r->until_ms <= now)
+			g_array_remove_index_fast(d->reservations, i - 1);
+		else if (r->step.job == id.job &&
+		    r->step.occurrence == id.occurrence &&
+		    r->step.step == id.step)
+			return r;
+	}
+	return NULL;
 }
 
 void
 preempt_release_workers(struct dispatch *d, const struct pending_step *p)
 {
+	struct reservation *r = find_reservation(d, p, d->round_ms);
 	GHashTableIter iter;
 	gpointer value;
 
-	if (d->reserved_until_ms <= d->round_ms)
+	if (r == NULL)
 		return;
+	r->until_ms = 0;
 	g_hash_table_iter_init(&iter, d->holders);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct holder *h = value;
@@ -54,22 +82,6 @@
 	}
 }
 
-static bool
-has_reservation(
-    const struct dispatch *d, const struct pending_step *p, int64_t now)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	if (d->reserved_until_ms <= now)
-		return false;
-	g_hash_table_iter_init(&iter, d->holders);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (is_reserved_for(value, p, now))
-			return true;
-	return false;
-}
-
 static int64_t
 spare_ms(const struct plan_pending *plan, int64_t now)
 {
@@ -93,6 +105,7 @@
 {
 	struct round_worker *w = arg;
 
+	w->holder->in_round = NULL;
 	if (w->preemptible != NULL)
 		g_array_unref(w->preemptible);
 	g_free(w);
@@ -209,7 +222,10 @@
     guint count, struct step_permits *permits)
 {
 	GPtrArray *workers = g_ptr_array_new();
+	struct reservation reservation = { .step = step_id(p),
+		.until_ms = rd->now + RESERVE_MS };
 
+	g_array_append_val(rd->d->reservations, reservation);
 	for (guint i = 0; i < count; i++) {
 		struct plan_preemption *s = &preemptions[i];
 
@@ -251,17 +267,20 @@
 
 void
 preempt_for_step(struct round *rd, const struct pending_step *p,
-    const struct plan_request *request, GPtrArray *workers,
-    struct step_permits *permits)
+    const struct plan_request *request, struct step_permits *permits)
 {
+	GPtrArray *workers;
 	struct plan_preemption *preemptions;
 	struct plan_worker *copies;
 	guint count = 0;
 	uint32_t fit;
 
-	if (rd->preemptions_left == 0 || has_reservation(rd->d, p, rd->now))
+	if (rd->preemptions_left == 0 ||
+	    find_reservation(rd->d, p, rd->now) != NULL)
 		return;
 	rd->preemptions_left--;
+	rd->d->preempt_ms = rd->now;
+	workers = round_allowed_workers(rd, p);
 	preemptions = g_new0(struct plan_preemption, workers->len + 1);
 	copies = g_new0(struct plan_worker, workers->len + 1);
 	for (guint i = 0; i < workers->len; i++) {
@@ -283,4 +302,5 @@
 		g_array_unref(preemptions[i].victims);
 	g_free(preemptions);
 	g_free(copies);
+	g_ptr_array_unref(workers);
 }
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -12,6 +12,7 @@
 #define STUCK_RUNS_MAX 3 /* later runs of a task are not moved */
 #define STARTS_MAX 512 /* in one command */
 #define PREEMPTIONS_PER_ROUND 6 /* steps that a round preempts runs for */
+#define PREEMPT_INTERVAL_MS 40 /* between rounds that preempt */
 #define LOAD_LOG_INTERVAL_MS 1000 /* between load log lines */
 
 static struct plan_estimate *
@@ -178,6 +179,17 @@
 	return GPOINTER_TO_UINT(known);
 }
 
+static int
+by_free_descending(gconstpointer a, gconstpointer b)
+{
+	const struct plan_worker *x = *(struct plan_worker *const *)a;
+	const struct plan_worker *y = *(struct plan_worker *const *)b;
+
+	return x->free.millicpus > y->free.millicpus
+	    ? -1
+	    : x->free.millicpus < y->free.millicpus;
+}
+
 static void
 collect_workers(struct round *rd)
 {
@@ -205,8 +217,10 @@
 		w->plan.rack = rack_number(d, w->worker->rack);
 		w->plan.slowdown = slowdown_now(h, rd->now);
 		w->plan.task_limit = task_limit;
+		h->in_round = w;
 		g_ptr_array_add(rd->workers, w);
 	}
+	g_ptr_array_sort(rd->workers, by_free_descending);
 }
 
 /* Says whether a task is pending and its start isn't proposed already. */
@@ -245,6 +259,17 @@
 	g_array_append_val(rd->pending, p);
 }
 
+static bool
+has_pending_step(
+    const struct flow_job *job, const struct flow_occurrence *occurrence)
+{
+	for (guint s = 0; s < job->spec.steps->len; s++)
+		if (occurrence->steps[s].pending > 0 &&
+		    flow_step_ready(job, occurrence, s))
+			return true;
+	return false;
+}
+
 static void
 add_pending_steps(void *arg, const struct flow_job *job)
 {
@@ -256,7 +281,7 @@
 		struct plan_pending urgency;
 
 		if (occurrence->due_ms > rd->cell_now ||
-		    occurrence->unfinished_steps == 0)
+		    !has_pending_step(job, occurrence))
 			continue;
 		urgency = round_urgency(rd->d, job, occurrence);
 		for (guint s = 0; s < job->spec.steps->len; s++)
@@ -338,42 +363,63 @@
 			g_ptr_array_remove_index_fast(workers, i - 1);
 }
 
-/* The workers that the step's constraints and its queue allow. */
-static GPtrArray *
-allowed_workers(struct round *rd, const struct pending_step *p,
-    const struct flow_step *step)
+/* Adds a worker if the step's constraints and its queue allow it. */
+static void
+add_if_allowed(struct round *rd, const struct pending_step *p,
+    struct round_worker *w, GPtrArray *out)
 {
-	GPtrArray *out = g_ptr_array_new();
+	const struct flow_step *step = flow_job_step(p->job, p->step);
 
-	for (guint i = 0; i < rd->workers->len; i++) {
-		struct round_worker *w = rd->workers->pdata[i];
+	if (strcmp(w->worker->pool, p->job->queue->pool) != 0 ||
+	    !has_label(w->worker, step->label) ||
+	    preempt_reserved_for_other(w->holder, p, rd->now))
+		return;
+	w->plan.step_tasks =
+	    step->max_per_worker == 0 ? 0 : count_step_tasks(w->holder, p);
+	g_ptr_array_add(out, w);
+}
 
-		if (strcmp(w->worker->pool, p->job->queue->pool) != 0 ||
-		    !has_label(w->worker, step->label) ||
-		    preempt_reserved_for_other(w->holder, p, rd->now))
-			continue;
-		w->plan.step_tasks = step->max_per_worker == 0
-		    ? 0
-		    : count_step_tasks(w->holder, p);
-		g_ptr_array_add(out, w);
-	}
-	if (step->gang || last_attempt(p))
-		drop_probing(out);
+static void
+drop_unsuitable(const struct pending_step *p, GPtrArray *workers)
+{
+	if (flow_job_step(p->job, p->step)->gang || last_attempt(p))
+		drop_probing(workers);
+}
+
+GPtrArray *
+round_allowed_workers(struct round *rd, const struct pending_step *p)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < rd->workers->len; i++)
+		add_if_allowed(rd, p, rd->workers->pdata[i], out);
+	drop_unsuitable(p, out);
 	return out;
 }
 
+/* The allowed workers that there is a valid permit for. Goes through the
+ * permits, as there are far fewer of them than workers. */
 static GPtrArray *
-with_valid_permit(
-    const struct step_permits *permits, GPtrArray *workers, int64_t now)
+permitted_workers(struct round *rd, const struct pending_step *p,
+    const struct step_permits *permits)
 {
 	GPtrArray *out = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer id;
+	gpointer value;
 
-	for (guint i = 0; i < workers->len; i++) {
-		struct plan_worker *w = workers->pdata[i];
+	g_hash_table_iter_init(&iter, permits->permits);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const struct permit *permit = value;
+		const struct holder *h;
 
-		if (permit_find_valid(permits, w->worker, now) != NULL)
-			g_ptr_array_add(out, w);
+		if (permit->until_ms <= rd->now)
+			continue;
+		h = holder_find(rd->d, GPOINTER_TO_UINT(id));
+		if (h != NULL && h->in_round != NULL)
+			add_if_allowed(rd, p, h->in_round, out);
 	}
+	drop_unsuitable(p, out);
 	return out;
 }
 
@@ -462,8 +508,6 @@
 		.max_per_worker = step->max_per_worker };
 	struct step_permits *permits = NULL;
 	GPtrArray *workers;
-	GPtrArray *permitted;
-	uint32_t placed = 0;
 
 	if (request.count == 0 ||
 	    (!resources_fit(&request.per_task, &rd->largest_free) &&
@@ -471,26 +515,26 @@
 		return;
 	if (step->best_effort)
 		request.per_task.millicpus = 0;
-	workers = allowed_workers(rd, p, step);
-	permitted = g_ptr_array_ref(workers);
-	if (p->job->queue->needs_permit) {
+	if (p->job->queue->needs_permit)
 		permits = step_permits_get(
 		    rd->d, p->job, p->occurrence->number, p->step);
-		g_ptr_array_unref(permitted);
-		permitted = with_valid_permit(permits, workers, rd->now);
-	}
-	if (permitted->len > 0)
-		placed = place_tasks(rd, p, &request, permitted, permits);
-	request.count -= placed;
-	if (request.count == 0)
+	workers = permits == NULL ? round_allowed_workers(rd, p)
+				  : permitted_workers(rd, p, permits);
+	if (workers->len > 0)
+		request.count -= place_tasks(rd, p, &request, workers, permits);
+	g_ptr_array_unref(workers);
+	if (request.count == 0) {
 		preempt_release_workers(rd->d, p);
-	else if (permits != NULL)
+		return;
+	}
+	if (permits != NULL && permits_can_query(rd->d, permits, rd->now)) {
+		workers = round_allowed_workers(rd, p);
 		permits_query(
 		    rd->d, permits, &request, workers, false, rd->now);
-	if (request.count > 0 && !step->best_effort && is_urgent(rd, p))
-		preempt_for_step(rd, p, &request, workers, permits);
-	g_ptr_array_unref(permitted);
-	g_ptr_array_unref(workers);
+		g_ptr_array_unref(workers);
+	}
+	if (!step->best_effort && is_urgent(rd, p))
+		preempt_for_step(rd, p, &request, permits);
 }
 
 static void
@@ -580,11 +624,14 @@
 	    " cores=%" G_GINT64_FORMAT " memory_used_mb=%" G_GINT64_FORMAT
 	    " memory_mb=%" G_GINT64_FORMAT
 	    " waiting_long_running=%u waiting_in_time=%u waiting_late=%u"
-	    " waiting_overdue=%u",
+	    " waiting_overdue=%u rounds=%u rounds_ms=%" G_GINT64_FORMAT,
 	    g_hash_table_size(d->holders), g_hash_table_size(d->runs),
 	    used.millicpus / 1000, all.millicpus / 1000, used.memory >> 20,
 	    all.memory >> 20, tiers[PLAN_LONG_RUNNING], tiers[PLAN_ON_TIME],
-	    tiers[PLAN_LATE], tiers[PLAN_OVERDUE]);
+	    tiers[PLAN_LATE], tiers[PLAN_OVERDUE], d->rounds,
+	    d->rounds_us / 1000);
+	d->rounds = 0;
+	d->rounds_us = 0;
 }
 
 void
@@ -595,7 +642,9 @@
 		.cell_now =
 		    MAX(g_get_real_time() / 1000, flow_time_ms(d->conf.flow)),
 		.workers = g_ptr_array_new_with_free_func(round_worker_free),
-		.preemptions_left = PREEMPTIONS_PER_ROUND,
+		.preemptions_left = now - d->preempt_ms < PREEMPT_INTERVAL_MS
+		    ? 0
+		    : PREEMPTIONS_PER_ROUND,
 		.pending =
 		    g_array_new(FALSE, TRUE, sizeof(struct pending_step)),
 		.starts = g_array_new(FALSE, TRUE, sizeof(struct flow_start)) };
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -172,12 +172,27 @@
 	return done;
 }
 
+/* Says whether the workers have room for all tasks; whether the constraints
+ * between the tasks can be met is left open. */
+static bool
+all_fit(struct plan_worker **workers, guint count,
+    const struct plan_request *request)
+{
+	uint32_t fit = 0;
+
+	for (guint i = 0; i < count && fit < request->count; i++)
+		fit += plan_fit_count(workers[i], request);
+	return fit >= request->count;
+}
+
 uint32_t
 plan_place(struct plan_worker **workers, guint count,
     const struct plan_request *request, uint32_t *pick)
 {
 	uint32_t placed;
 
+	if (request->gang && !all_fit(workers, count, request))
+		return 0;
 	if (request->colocated &&
 	    place_on_one_rack(workers, count, request, pick))
 		return request->count;
