Steps that find nothing to preempt leave their turn to those behind them

A round considers six steps for preemption, in order of their latest start; under full load these were the same small steps each time, for which nothing could be preempted. A step that found too few runs now waits 250 ms before it searches again, and the steps behind it have their turn. Test: dispatch preemption-turns (before: no start within 30 s, while the others were on time; bound 10 s).

--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -114,6 +114,7 @@
 	GArray *queried; /* uint32_t: worker ids in the query in flight */
 	uint64_t query; /* in flight; 0: none */
 	int64_t retry_ms; /* no new query before this time */
+	int64_t preempt_retry_ms; /* nor a new search for runs to preempt */
 };
 
 struct permit {
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -7,6 +7,9 @@
 #define SPARE_MARGIN_MS 2500 /* least extra spare time of a preempted run */
 #define RUN_MIN_MS 600 /* a run is not preempted sooner after its start */
 #define PREEMPTIONS_MAX 4 /* later runs of a task are not preempted */
+/* Until a step searches again after it found too few runs; meanwhile the steps
+ * behind it have their turn. */
+#define PREEMPT_RETRY_MS 250
 /* A run that ends within this time is awaited rather than stopped; less than
  * RESERVE_MS, so that its worker is still reserved then. */
 #define ENDS_SOON_MS 1500
@@ -272,10 +275,12 @@
 	GPtrArray *workers;
 	struct plan_preemption *preemptions;
 	struct plan_worker *copies;
+	struct step_permits *record =
+	    step_permits_get(rd->d, p->job, p->occurrence->number, p->step);
 	guint count = 0;
 	uint32_t fit;
 
-	if (rd->preemptions_left == 0 ||
+	if (rd->preemptions_left == 0 || record->preempt_retry_ms > rd->now ||
 	    find_reservation(rd->d, p, rd->now) != NULL)
 		return;
 	rd->preemptions_left--;
@@ -296,7 +301,9 @@
 	fit = plan_preempt(preemptions, count, request);
 	if (fit == request->count || (p->plan.long_running && fit > 0))
 		preempt_selected(rd, p, request, preemptions, count, permits);
-	else if (permits != NULL)
+	else
+		record->preempt_retry_ms = rd->now + PREEMPT_RETRY_MS;
+	if (record->preempt_retry_ms > rd->now && permits != NULL)
 		query_unknown(rd, request, workers, permits);
 	for (guint i = 0; i < count; i++)
 		g_array_unref(preemptions[i].victims);
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -605,6 +605,14 @@
 	leader_free(l);
 }
 
+/* Makes all runs report progress of 100%, so that none is stopped as stuck. */
+static void
+complete_progress(struct stub_worker *w)
+{
+	for (guint i = 0; i < w->running->len; i++)
+		g_array_index(w->running, struct stub_run, i).percent = 100;
+}
+
 #define SERVICE 0x5e1f5e1f5e1f5e1f
 #define SERVICE_PATH "/renders/5e1f5e1f5e1f5e1f"
 /* A long-running task has to be at work again within this time. */
@@ -666,9 +674,7 @@
 	send_heartbeat(l, b, false);
 	submit(l, JOB_PATH, 30, 1000);
 	AWAIT(l, b->running->len == 4);
-	/* Their progress is not what is tested. */
-	for (guint i = 0; i < b->running->len; i++)
-		g_array_index(b->running, struct stub_run, i).percent = 100;
+	complete_progress(b);
 	lease_until_ms = a->lease_until_ms;
 	stub_worker_crash(a);
 	AWAIT(l, stub_worker_runs(b, &service_second));
@@ -740,6 +746,50 @@
 	leader_free(l);
 }
 
+/*
+ * Steps that nothing can be preempted for wait before a gang that runs can be
+ * preempted for. Each round considers only the first few; the gang must get its
+ * turn all the same.
+ */
+static void
+test_preemption_turns(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	struct flow_run member = { 0x77, 0, 0, 0, 1 };
+	int64_t submitted_ms;
+
+	send_heartbeat(l, a, false);
+	submit_step(l, JOB_PATH,
+	    (struct flow_step){ .count = 4,
+		.resources = { 1000, 1 << 20, 0 },
+		.runtime_ms = 200000,
+		.checkpointing = true });
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+	for (int i = 0; i < 20; i++) {
+		char *path = g_strdup_printf("/renders/%016x", 0x100 + i);
+
+		/* No worker is that large. Its latest start is early. */
+		submit_step(l, path,
+		    (struct flow_step){ .count = 1,
+			.resources = { 9000, 1 << 20, 0 },
+			.runtime_ms = 30000 });
+		g_free(path);
+	}
+	submit_step(l, "/renders/0000000000000077",
+	    (struct flow_step){ .count = 2,
+		.resources = { 1500, 1 << 20, 0 },
+		.runtime_ms = 60000,
+		.gang = true });
+	submitted_ms = mono_ms();
+	AWAIT(l, stub_worker_runs(a, &member));
+	/* The others are on time, and so come first, for 30 s. */
+	g_assert_cmpint(mono_ms() - submitted_ms, <, 10000);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 /* A late heartbeat of an earlier incarnation has no effect. */
 static void
 test_earlier_incarnation(void)
@@ -813,6 +863,7 @@
 	g_test_add_func("/dispatch/failing-worker", test_failing_worker);
 	g_test_add_func("/dispatch/count-not-started", test_count_not_started);
 	g_test_add_func("/dispatch/preemption", test_preemption);
+	g_test_add_func("/dispatch/preemption-turns", test_preemption_turns);
 	g_test_add_func("/dispatch/service-failed", test_service_failed);
 	g_test_add_func(
 	    "/dispatch/service-worker-lost", test_service_worker_lost);
