--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -104,7 +104,8 @@
 	int64_t until_ms;
 };
 
-/* What the policy service has answered about one step. */
+/* What the policy service has answered about one step, and when what failed is
+ * tried again. Steps without a policy service have one too. */
 struct step_permits {
 	uint64_t job;
 	uint32_t occurrence;
@@ -317,8 +318,7 @@
 	struct dispatch *d;
 	int64_t now; /* monotonic */
 	int64_t cell_now; /* cell time, see flow.h */
-	GPtrArray
-	    *workers; /* struct round_worker, those with most free first */
+	GPtrArray *workers; /* struct round_worker, by free millicpus */
 	int preemptions_left; /* steps that runs may still be preempted for */
 	GArray *pending; /* struct pending_step */
 	GArray *starts; /* struct flow_start */
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -268,6 +268,23 @@
 	g_ptr_array_unref(unknown);
 }
 
+static struct step_permits *
+state_of(const struct round *rd, const struct pending_step *p)
+{
+	return step_permits_get(rd->d, p->job, p->occurrence->number, p->step);
+}
+
+/* Meanwhile the policy service may allow more workers. */
+static void
+retry_later(struct round *rd, const struct pending_step *p,
+    const struct plan_request *request, GPtrArray *workers,
+    struct step_permits *permits)
+{
+	state_of(rd, p)->preempt_retry_ms = rd->now + PREEMPT_RETRY_MS;
+	if (permits != NULL)
+		query_unknown(rd, request, workers, permits);
+}
+
 void
 preempt_for_step(struct round *rd, const struct pending_step *p,
     const struct plan_request *request, struct step_permits *permits)
@@ -275,12 +292,11 @@
 	GPtrArray *workers;
 	struct plan_preemption *preemptions;
 	struct plan_worker *copies;
-	struct step_permits *record =
-	    step_permits_get(rd->d, p->job, p->occurrence->number, p->step);
 	guint count = 0;
 	uint32_t fit;
 
-	if (rd->preemptions_left == 0 || record->preempt_retry_ms > rd->now ||
+	if (rd->preemptions_left == 0 ||
+	    state_of(rd, p)->preempt_retry_ms > rd->now ||
 	    find_reservation(rd->d, p, rd->now) != NULL)
 		return;
 	rd->preemptions_left--;
@@ -302,9 +318,7 @@
 	if (fit == request->count || (p->plan.long_running && fit > 0))
 		preempt_selected(rd, p, request, preemptions, count, permits);
 	else
-		record->preempt_retry_ms = rd->now + PREEMPT_RETRY_MS;
-	if (record->preempt_retry_ms > rd->now && permits != NULL)
-		query_unknown(rd, request, workers, permits);
+		retry_later(rd, p, request, workers, permits);
 	for (guint i = 0; i < count; i++)
 		g_array_unref(preemptions[i].victims);
 	g_free(preemptions);
