--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -184,8 +184,9 @@
 	if (!d->active)
 		return;
 	confirm(d, boot_ms());
-	/* A leader that was suspended has heard from no worker since; whether
-	 * their leases have expired is for its successor to say. */
+	/* A suspended leader has had no answers from its workers, so their
+	 * leases would all seem to have expired. If it was replaced meanwhile,
+	 * the new leader decides that. */
 	if (dispatch_may_act(d))
 		holders_scan(d, now);
 	runs_scan(d, now);
--- a/lib/logs/logs.h
+++ b/lib/logs/logs.h
@@ -23,8 +23,8 @@
 /*
  * Collects lines below level "warning" and writes them together when 4 KB are
  * full or at logs_flush(), which the caller then calls every few milliseconds
- * and before it ends. A leader writes 1,500 lines a second, and a system call
- * or two for each takes a tenth of a small VM's processor.
+ * and before it ends. Otherwise each line costs two system calls, and a leader
+ * writes 1,500 lines a second.
  */
 void logs_buffer(void);
 void logs_flush(void);
