--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -199,7 +199,7 @@
 	int64_t preempt_ms; /* when runs were last considered to preempt */
 	int64_t round_ms; /* start of the last placement round ... */
 	int64_t round_duration_us; /* ... and how long it took */
-	uint32_t rounds; /* since the last load log line */
+	uint64_t rounds; /* since the last load log line */
 	int64_t rounds_us; /* time that these took */
 	int64_t removed_ms; /* when old job records were last removed */
 	int64_t load_logged_ms;
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -624,7 +624,8 @@
 	    " cores=%" G_GINT64_FORMAT " memory_used_mb=%" G_GINT64_FORMAT
 	    " memory_mb=%" G_GINT64_FORMAT
 	    " waiting_long_running=%u waiting_in_time=%u waiting_late=%u"
-	    " waiting_overdue=%u rounds=%u rounds_ms=%" G_GINT64_FORMAT,
+	    " waiting_overdue=%u rounds=%" G_GUINT64_FORMAT
+	    " rounds_ms=%" G_GINT64_FORMAT,
 	    g_hash_table_size(d->holders), g_hash_table_size(d->runs),
 	    used.millicpus / 1000, all.millicpus / 1000, used.memory >> 20,
 	    all.memory >> 20, tiers[PLAN_LONG_RUNNING], tiers[PLAN_ON_TIME],
--- a/lib/logs/logs.c
+++ b/lib/logs/logs.c
@@ -86,7 +86,7 @@
 
 /* Lines that are not written yet. A pipe that polls as writable accepts
  * PIPE_BUF bytes. */
-static char buffer[PIPE_BUF];
+static char buffer[PIPE_BUF + 1]; /* with a terminating NUL */
 static size_t buffered; /* bytes */
 static uint64_t buffered_lines; /* that count as dropped if it is dropped */
 static bool buffering;
@@ -114,9 +114,9 @@
 {
 	size_t len = strlen(line);
 
-	if (buffered + len > sizeof(buffer))
+	if (buffered + len > PIPE_BUF)
 		write_buffer();
-	memcpy(buffer + buffered, line, len);
+	g_strlcpy(buffer + buffered, line, sizeof(buffer) - buffered);
 	buffered += len;
 	buffered_lines += count;
 }
