A gang without enough room is queried for again

The query that preemption sends in the same round, about workers not known to be allowed, was barred too, so a gang without free room was hardly ever queried for. Test: dispatch gang-queried-without-room.

--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -4,8 +4,6 @@
 #define QUERY_TIMEOUT_FACTOR 3 /* times the declared duration of a query */
 #define QUERY_TIMEOUT_BASE_MS 400 /* added for network and a short queue */
 #define QUERY_RETRY_MS 100 /* before a failed query is repeated */
-/* Until candidates are looked for again if too few had free resources. */
-#define CANDIDATES_RETRY_MS 40
 #define PROCESS_BACKOFF_MS 400 /* no query by a process whose query failed */
 #define PERMIT_MARGIN_MS 300 /* a permit is not used so near its expiry */
 #define QUERY_OVERHEAD_MS 150 /* network and a placement round */
@@ -258,8 +256,6 @@
 		candidates, workers->len, request, partial) > 0)
 		query_selected(
 		    d, s, idle_process(d, now), workers, candidates, now);
-	else
-		s->retry_ms = now + CANDIDATES_RETRY_MS;
 	g_free(candidates);
 }
 
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -24,6 +24,7 @@
 	uint32_t last_result;
 	char *last_text;
 	uint64_t requests;
+	int queries; /* to the policy service */
 };
 
 static void
@@ -74,6 +75,7 @@
 on_query_policy(
     void *arg, uint64_t process, uint64_t query, const struct agent_query *q)
 {
+	((struct leader *)arg)->queries++;
 	return false;
 }
 
@@ -159,6 +161,18 @@
 		.target_ms = 1000 };
 	pool->name = g_strdup("desk");
 	g_ptr_array_add(c.queues, q);
+	q = flow_queue_new();
+	*q = (struct flow_queue){ .refs = 1,
+		.name = g_strdup("allowed"),
+		.host = g_strdup("jobs.example"),
+		.prefix = g_strdup("/allowed/"),
+		.pool = g_strdup("desk"),
+		.max_failures = 2,
+		.slack_factor = 2,
+		.target_ms = 1000,
+		.needs_permit = true,
+		.permit_call_ms = 10 };
+	g_ptr_array_add(c.queues, q);
 	g_ptr_array_add(c.pools, pool);
 	send_request(l, REQUEST_CONFIG, "", flow_config_encode(&c));
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
@@ -790,6 +804,33 @@
 	leader_free(l);
 }
 
+/* No worker has room for a gang whose queue needs permits. The policy service
+ * is queried all the same, so that runs can be preempted on allowed workers. */
+static void
+test_gang_queried_without_room(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+
+	dispatch_process_changed(l->dispatch, 1, true);
+	send_heartbeat(l, a, false);
+	submit_step(l, JOB_PATH,
+	    (struct flow_step){ .count = 4,
+		.resources = { 1000, 1 << 20, 0 },
+		.runtime_ms = 200000,
+		.checkpointing = true });
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+	submit_step(l, "/allowed/0000000000000077",
+	    (struct flow_step){ .count = 2,
+		.resources = { 1500, 1 << 20, 0 },
+		.runtime_ms = 60000,
+		.gang = true });
+	AWAIT(l, l->queries > 0);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 /* A late heartbeat of an earlier incarnation has no effect. */
 static void
 test_earlier_incarnation(void)
@@ -864,6 +905,8 @@
 	g_test_add_func("/dispatch/count-not-started", test_count_not_started);
 	g_test_add_func("/dispatch/preemption", test_preemption);
 	g_test_add_func("/dispatch/preemption-turns", test_preemption_turns);
+	g_test_add_func("/dispatch/gang-queried-without-room",
+	    test_gang_queried_without_room);
 	g_test_add_func("/dispatch/service-failed", test_service_failed);
 	g_test_add_func(
 	    "/dispatch/service-worker-lost", test_service_worker_lost);
