Placement: allowed workers collected once a step; one guard for queries

From re-reading the change: place_step() collected the allowed workers up to three times for one step; permits_query() looked for an idle process that its caller had just found; two loops compared the same three members; the urgency of runs that can't resume was computed and not used; three tests set up the same worker and gang.

--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -347,16 +347,15 @@
 
 /* preempt.c */
 void round_worker_free(void *arg);
-/* The workers (struct plan_worker) that a step's constraints and its queue
- * allow, those with most free first; the caller frees the array. */
-GPtrArray *
-round_allowed_workers(struct round *rd, const struct pending_step *p);
+/* Says whether a search for runs to preempt for a step is due in this round. */
+bool preempt_may_search(struct round *rd, const struct pending_step *p);
 /*
  * Preempts runs with time to spare for a step that has none, and reserves
- * their workers for it.
+ * their workers for it. workers: struct plan_worker that the step may use.
  */
 void preempt_for_step(struct round *rd, const struct pending_step *p,
-    const struct plan_request *request, struct step_permits *permits);
+    const struct plan_request *request, GPtrArray *workers,
+    struct step_permits *permits);
 /* Says whether a worker is reserved for another step. */
 bool preempt_reserved_for_other(
     const struct holder *h, const struct pending_step *p, int64_t now);
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -220,12 +220,19 @@
 	g_ptr_array_unref(names);
 }
 
+/* Returns a process that could send a query for the step now, or NULL. */
+static struct policy_process *
+process_for_query(
+    const struct dispatch *d, const struct step_permits *s, int64_t now)
+{
+	return s->query != 0 || now < s->retry_ms ? NULL : idle_process(d, now);
+}
+
 bool
 permits_can_query(
     const struct dispatch *d, const struct step_permits *s, int64_t now)
 {
-	return s->query == 0 && now >= s->retry_ms &&
-	    idle_process(d, now) != NULL;
+	return process_for_query(d, s, now) != NULL;
 }
 
 void
@@ -234,6 +241,7 @@
     int64_t now)
 {
 	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
+	struct policy_process *process = process_for_query(d, s, now);
 	struct plan_candidate *candidates;
 	/* The members of a gang start together, after the answer: their permits
 	 * have to be valid then. */
@@ -242,7 +250,7 @@
 			QUERY_OVERHEAD_MS
 			   : 0);
 
-	if (!permits_can_query(d, s, now))
+	if (process == NULL)
 		return;
 	candidates = g_new0(struct plan_candidate, workers->len + 1);
 	for (guint i = 0; i < workers->len; i++) {
@@ -254,8 +262,7 @@
 	}
 	if (plan_select_query_workers(
 		candidates, workers->len, request, partial) > 0)
-		query_selected(
-		    d, s, idle_process(d, now), workers, candidates, now);
+		query_selected(d, s, process, workers, candidates, now);
 	g_free(candidates);
 }
 
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -14,14 +14,18 @@
  * RESERVE_MS, so that its worker is still reserved then. */
 #define ENDS_SOON_MS 1500
 
+static bool
+is_of_step(const struct flow_run *id, const struct pending_step *p)
+{
+	return id->job == p->job->id &&
+	    id->occurrence == p->occurrence->number && id->step == p->step;
+}
+
 static bool
 is_reserved_for(
     const struct holder *h, const struct pending_step *p, int64_t now)
 {
-	return h->reserved_until_ms > now &&
-	    h->reserved_for.job == p->job->id &&
-	    h->reserved_for.occurrence == p->occurrence->number &&
-	    h->reserved_for.step == p->step;
+	return h->reserved_until_ms > now && is_of_step(&h->reserved_for, p);
 }
 
 bool
@@ -50,17 +54,13 @@
 static struct reservation *
 find_reservation(struct dispatch *d, const struct pending_step *p, int64_t now)
 {
-	struct flow_run id = step_id(p);
-
 	for (guint i = d->reservations->len; i > 0; i--) {
 		struct reservation *r =
 		    &g_array_index(d->reservations, struct reservation, i - 1);
 
 		if (r->until_ms <= now)
 			g_array_remove_index_fast(d->reservations, i - 1);
-		else if (r->step.job == id.job &&
-		    r->step.occurrence == id.occurrence &&
-		    r->step.step == id.step)
+		else if (is_of_step(&r->step, p))
 			return r;
 	}
 	return NULL;
@@ -95,12 +95,12 @@
 /* A run that may be stopped, with the spare time of its job. */
 struct preemptible {
 	struct active_run *run;
-	/* INT64_MAX if its job can't end on time: plan_compare() ranks such a
-	 * job behind all that can. */
-	int64_t spare_ms;
 	int64_t ran_ms;
 	int64_t remaining_ms;
 	bool resumes; /* from a checkpoint */
+	/* If it resumes; INT64_MAX if its job can't end on time: plan_compare()
+	 * ranks such a job behind all that can. */
+	int64_t spare_ms;
 };
 
 void
@@ -114,7 +114,7 @@
 	g_free(w);
 }
 
-/* Says whether a run may be preempted at all, and sets its spare time. */
+/* Says whether a run may be preempted at all, and describes it. */
 static bool
 can_preempt(struct round *rd, struct active_run *r, struct preemptible *out)
 {
@@ -132,11 +132,14 @@
 	occurrence = flow_occurrence(job, r->id.occurrence);
 	if (step->gang || step->long_running || occurrence == NULL)
 		return false;
-	urgency = round_urgency(rd->d, job, occurrence);
 	out->run = r;
 	out->ran_ms = rd->now - r->started_ms;
 	out->remaining_ms = round_run_remaining_ms(rd->d, job, r);
 	out->resumes = step->checkpointing;
+	/* The spare time of other runs is not needed. */
+	if (!out->resumes)
+		return true;
+	urgency = round_urgency(rd->d, job, occurrence);
 	out->spare_ms = plan_tier(&urgency, rd->cell_now) > PLAN_ON_TIME
 	    ? INT64_MAX
 	    : spare_ms(&urgency, rd->cell_now);
@@ -285,23 +288,26 @@
 		query_unknown(rd, request, workers, permits);
 }
 
+bool
+preempt_may_search(struct round *rd, const struct pending_step *p)
+{
+	return rd->preemptions_left > 0 &&
+	    state_of(rd, p)->preempt_retry_ms <= rd->now &&
+	    find_reservation(rd->d, p, rd->now) == NULL;
+}
+
 void
 preempt_for_step(struct round *rd, const struct pending_step *p,
-    const struct plan_request *request, struct step_permits *permits)
+    const struct plan_request *request, GPtrArray *workers,
+    struct step_permits *permits)
 {
-	GPtrArray *workers;
 	struct plan_preemption *preemptions;
 	struct plan_worker *copies;
 	guint count = 0;
 	uint32_t fit;
 
-	if (rd->preemptions_left == 0 ||
-	    state_of(rd, p)->preempt_retry_ms > rd->now ||
-	    find_reservation(rd->d, p, rd->now) != NULL)
-		return;
 	rd->preemptions_left--;
 	rd->d->preempt_ms = rd->now;
-	workers = round_allowed_workers(rd, p);
 	preemptions = g_new0(struct plan_preemption, workers->len + 1);
 	copies = g_new0(struct plan_worker, workers->len + 1);
 	for (guint i = 0; i < workers->len; i++) {
@@ -323,5 +329,4 @@
 		g_array_unref(preemptions[i].victims);
 	g_free(preemptions);
 	g_free(copies);
-	g_ptr_array_unref(workers);
 }
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -386,8 +386,10 @@
 		drop_probing(workers);
 }
 
-GPtrArray *
-round_allowed_workers(struct round *rd, const struct pending_step *p)
+/* The workers that the step's constraints and its queue allow, those with most
+ * free first. */
+static GPtrArray *
+allowed_workers(struct round *rd, const struct pending_step *p)
 {
 	GPtrArray *out = g_ptr_array_new();
 
@@ -495,6 +497,28 @@
 	return plan_tier(&p->plan, rd->cell_now) <= PLAN_ON_TIME;
 }
 
+/* Queries the policy service and preempts runs for tasks of a step that could
+ * not be placed. */
+static void
+make_room(struct round *rd, const struct pending_step *p,
+    const struct plan_request *request, struct step_permits *permits)
+{
+	bool query =
+	    permits != NULL && permits_can_query(rd->d, permits, rd->now);
+	bool preempt = !flow_job_step(p->job, p->step)->best_effort &&
+	    is_urgent(rd, p) && preempt_may_search(rd, p);
+	GPtrArray *workers;
+
+	if (!query && !preempt)
+		return;
+	workers = allowed_workers(rd, p);
+	if (query)
+		permits_query(rd->d, permits, request, workers, false, rd->now);
+	if (preempt)
+		preempt_for_step(rd, p, request, workers, permits);
+	g_ptr_array_unref(workers);
+}
+
 static void
 place_step(struct round *rd, const struct pending_step *p)
 {
@@ -518,23 +542,15 @@
 	if (p->job->queue->needs_permit)
 		permits = step_permits_get(
 		    rd->d, p->job, p->occurrence->number, p->step);
-	workers = permits == NULL ? round_allowed_workers(rd, p)
+	workers = permits == NULL ? allowed_workers(rd, p)
 				  : permitted_workers(rd, p, permits);
 	if (workers->len > 0)
 		request.count -= place_tasks(rd, p, &request, workers, permits);
 	g_ptr_array_unref(workers);
-	if (request.count == 0) {
+	if (request.count == 0)
 		preempt_release_workers(rd->d, p);
-		return;
-	}
-	if (permits != NULL && permits_can_query(rd->d, permits, rd->now)) {
-		workers = round_allowed_workers(rd, p);
-		permits_query(
-		    rd->d, permits, &request, workers, false, rd->now);
-		g_ptr_array_unref(workers);
-	}
-	if (!step->best_effort && is_urgent(rd, p))
-		preempt_for_step(rd, p, &request, permits);
+	else
+		make_room(rd, p, &request, permits);
 }
 
 static void
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -586,6 +586,29 @@
 	leader_free(l);
 }
 
+/* Fills a worker with four runs that can resume from a checkpoint. */
+static void
+fill_worker(struct leader *l, const struct stub_worker *w, int64_t runtime_ms)
+{
+	submit_step(l, JOB_PATH,
+	    (struct flow_step){ .count = 4,
+		.resources = { 1000, 1 << 20, 0 },
+		.runtime_ms = runtime_ms,
+		.checkpointing = true });
+	AWAIT(l, w->running->len == 4);
+}
+
+/* Submits a gang of two that together take three of a worker's four cores. */
+static void
+submit_gang(struct leader *l, const char *path, int64_t runtime_ms)
+{
+	submit_step(l, path,
+	    (struct flow_step){ .count = 2,
+		.resources = { 1500, 1 << 20, 0 },
+		.runtime_ms = runtime_ms,
+		.gang = true });
+}
+
 /* Runs with time to spare are preempted for a gang that has none, and resume
  * when resources are free again. */
 static void
@@ -596,17 +619,8 @@
 	struct flow_run member = { 0x77, 0, 0, 0, 1 };
 
 	send_heartbeat(l, a, false);
-	submit_step(l, JOB_PATH,
-	    (struct flow_step){ .count = 4,
-		.resources = { 1000, 1 << 20, 0 },
-		.runtime_ms = 60000,
-		.checkpointing = true });
-	AWAIT(l, a->running->len == 4);
-	submit_step(l, "/renders/0000000000000077",
-	    (struct flow_step){ .count = 2,
-		.resources = { 1500, 1 << 20, 0 },
-		.runtime_ms = 1500,
-		.gang = true });
+	fill_worker(l, a, 60000);
+	submit_gang(l, "/renders/0000000000000077", 1500);
 	AWAIT(l, stub_worker_runs(a, &member));
 	g_assert_cmpint(a->stops, ==, 3);
 	g_assert_cmpuint(a->running->len, ==, 3);
@@ -774,12 +788,7 @@
 	int64_t submitted_ms;
 
 	send_heartbeat(l, a, false);
-	submit_step(l, JOB_PATH,
-	    (struct flow_step){ .count = 4,
-		.resources = { 1000, 1 << 20, 0 },
-		.runtime_ms = 200000,
-		.checkpointing = true });
-	AWAIT(l, a->running->len == 4);
+	fill_worker(l, a, 200000);
 	complete_progress(a);
 	for (int i = 0; i < 20; i++) {
 		char *path = g_strdup_printf("/renders/%016x", 0x100 + i);
@@ -791,11 +800,7 @@
 			.runtime_ms = 30000 });
 		g_free(path);
 	}
-	submit_step(l, "/renders/0000000000000077",
-	    (struct flow_step){ .count = 2,
-		.resources = { 1500, 1 << 20, 0 },
-		.runtime_ms = 60000,
-		.gang = true });
+	submit_gang(l, "/renders/0000000000000077", 60000);
 	submitted_ms = mono_ms();
 	AWAIT(l, stub_worker_runs(a, &member));
 	/* The others are on time, and so come first, for 30 s. */
@@ -814,18 +819,9 @@
 
 	dispatch_process_changed(l->dispatch, 1, true);
 	send_heartbeat(l, a, false);
-	submit_step(l, JOB_PATH,
-	    (struct flow_step){ .count = 4,
-		.resources = { 1000, 1 << 20, 0 },
-		.runtime_ms = 200000,
-		.checkpointing = true });
-	AWAIT(l, a->running->len == 4);
+	fill_worker(l, a, 200000);
 	complete_progress(a);
-	submit_step(l, "/allowed/0000000000000077",
-	    (struct flow_step){ .count = 2,
-		.resources = { 1500, 1 << 20, 0 },
-		.runtime_ms = 60000,
-		.gang = true });
+	submit_gang(l, "/allowed/0000000000000077", 60000);
 	AWAIT(l, l->queries > 0);
 	stub_worker_free(a);
 	leader_free(l);
