A new leader sends the stop orders of jobs that had ended

The next one marked the runs of the ended job as stopping, but no order was due: only an answer to a start, or a resend time, sends one, and a poll that reports the run as running changes nothing. A task that ends by itself hides this; a long-running one runs on, as its lease is renewed.

load_run() stops such runs; until leadership is confirmed the order is resent like any other. Test: dispatch takeover-after-cancel (before: the tasks still run after 30 s).

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -342,8 +342,10 @@
 	r = run_add(d, h, &s->id, &flow_job_step(job, s->id.step)->resources);
 	r->state = RUN_ORDERED;
 	r->may_start = true;
-	r->stopping = flow_job_ended(job);
 	r->started_ms = mono_ms();
+	/* The earlier leader may not have sent the stop order. */
+	if (flow_job_ended(job))
+		run_stop(r);
 }
 
 void
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -447,6 +447,36 @@
 	leader_free(l);
 }
 
+/* A leader is lost after it committed the cancelling of a job; its stop orders
+ * did not arrive. The next leader sends them: the task of a service would
+ * otherwise run on for ever. */
+static void
+test_takeover_after_cancel(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+
+	send_heartbeat(l, a, false);
+	submit_step(l, JOB_PATH,
+	    (struct flow_step){ .count = 2,
+		.resources = { 1000, 1 << 20, 0 },
+		.runtime_ms = 1,
+		.long_running = true });
+	AWAIT(l, a->running->len == 2);
+	a->unresponsive = true;
+	send_request(l, REQUEST_CANCEL, JOB_PATH, NULL);
+	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
+	dispatch_resign(l->dispatch);
+	run_for(l, 100);
+	g_assert_cmpint(a->stops, ==, 0);
+	a->unresponsive = false;
+	dispatch_lead(l->dispatch, 2);
+	AWAIT(l, a->running->len == 0);
+	AWAIT(l, flow_job(l->flow, JOB)->occurrences == NULL);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 /* A worker reports a run that is not assigned to it, as it was never ordered or
  * counts as ended: it is stopped. */
 static void
@@ -893,6 +923,8 @@
 	g_test_add_func("/dispatch/takeover", test_takeover);
 	g_test_add_func(
 	    "/dispatch/takeover-before-order", test_takeover_before_order);
+	g_test_add_func(
+	    "/dispatch/takeover-after-cancel", test_takeover_after_cancel);
 	g_test_add_func("/dispatch/unassigned-run", test_unassigned_run);
 	g_test_add_func("/dispatch/cancel", test_cancel);
 	g_test_add_func("/dispatch/capacity", test_capacity);
