--- a/test/cellnode_test.c
+++ b/test/cellnode_test.c
@@ -3,8 +3,11 @@
  * discover each other through seeds: job submission to completion, lost disks,
  * graceful stops.
  */
+#include <fcntl.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "stepcell.h"
 
@@ -152,6 +155,37 @@
 	cell_free(c);
 }
 
+/*
+ * A reload signal that comes while a process starts doesn't end it. The start
+ * waits for its settings, which it reads from a FIFO.
+ */
+static void
+test_early_reload(void)
+{
+	struct cell *c = cell_new();
+	struct cell_node *n = &c->node[NODES - 1];
+	char *settings = NULL;
+	int fd;
+
+	cell_kill_node(c, NODES - 1);
+	cell_write_settings(c, NODES - 1, false, 1);
+	g_assert_true(g_file_get_contents(n->settings, &settings, NULL, NULL));
+	g_assert_cmpint(unlink(n->settings), ==, 0);
+	g_assert_cmpint(mkfifo(n->settings, 0600), ==, 0);
+	cell_run_program(c, NODES - 1);
+	/* Succeeds once the program has opened the FIFO. */
+	CELL_AWAIT(c,
+	    (fd = open(n->settings, O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0);
+	kill(n->proc->pid, SIGHUP);
+	cell_write_settings(c, NODES - 1, false, 1);
+	g_assert_cmpint(write(fd, settings, strlen(settings)), ==,
+	    (ssize_t)strlen(settings));
+	close(fd);
+	CELL_AWAIT(c, cell_node_ready(c, NODES - 1));
+	g_free(settings);
+	cell_free(c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -160,5 +194,6 @@
 	g_test_add_func("/cellnode/large-config", test_large_config);
 	g_test_add_func("/cellnode/losses", test_lost_disks);
 	g_test_add_func("/cellnode/stops", test_graceful_stops);
+	g_test_add_func("/cellnode/early-reload", test_early_reload);
 	return g_test_run();
 }
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -1,6 +1,5 @@
 /* Tests of the decoders and encoders for the platform's bodies and settings. */
 #include <string.h>
-#include <unistd.h>
 
 #include "platform.h"
 
@@ -222,19 +221,11 @@
 static bool
 read_settings(const char *text, struct platform_settings *s)
 {
-	char *path = NULL;
 	GError *err = NULL;
-	int fd = g_file_open_tmp("platform-XXXXXX", &path, NULL);
-	bool ok;
+	bool ok = platform_settings_parse(text, s, &err);
 
-	g_assert_cmpint(fd, >=, 0);
-	close(fd);
-	g_assert_true(g_file_set_contents(path, text, -1, NULL));
-	ok = platform_settings_read(path, s, &err);
 	g_assert_true(ok == (err == NULL));
 	g_clear_error(&err);
-	(void)unlink(path);
-	g_free(path);
 	return ok;
 }
 
--- a/test/soak.c
+++ b/test/soak.c
@@ -112,6 +112,8 @@
 static void
 change_node_settings(struct soak *s, int i)
 {
+	/* Before its main() runs, no program can handle a signal. */
+	CELL_AWAIT(s->cell, cell_node_answers(s->cell, i));
 	cell_write_settings(s->cell, i, false, (int)rng_below(&s->rng, NODES));
 	kill(s->cell->node[i].proc->pid, SIGHUP);
 }
@@ -338,6 +340,7 @@
 	    seed, ok ? "passed" : "FAILED", accepted, s.jobs,
 	    g_hash_table_size(s.cell->done));
 	if (!ok) {
+		cell_print_logs(s.cell);
 		printf("soak: logs in %s\n", s.cell->dir);
 		return 1;
 	}
--- a/test/stepcell.c
+++ b/test/stepcell.c
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -17,6 +18,7 @@
 #define PEER_PORT "7998" /* the same on all addresses, as on the platform */
 #define READY_PORT "7999"
 #define CONTROL_PORT "7997" /* the same on all nodes */
+#define LOG_TAIL_BYTES 4000
 
 /* One run on a stand-in worker. */
 struct run {
@@ -421,14 +423,13 @@
 }
 
 void
-cell_start_node(struct cell *c, int i, bool first)
+cell_run_program(struct cell *c, int i)
 {
 	struct cell_node *n = &c->node[i];
 	GPtrArray *argv = g_ptr_array_new();
 	char *dir = programs_dir();
 	char *name = g_strdup_printf("n%d", i);
 
-	cell_write_settings(c, i, first, NODES - 1);
 	add_arg(argv, "%s/../platform/bulrushtide-platform", dir);
 	add_arg(argv, "--settings=%s", n->settings);
 	n->proc = proc_new(name, c->dir, argv);
@@ -438,6 +439,13 @@
 	g_free(dir);
 }
 
+void
+cell_start_node(struct cell *c, int i, bool first)
+{
+	cell_write_settings(c, i, first, NODES - 1);
+	cell_run_program(c, i);
+}
+
 /* Starts the proxy on the announced addresses of processes and workers. */
 static void
 start_proxy(struct cell *c)
@@ -485,15 +493,75 @@
 	g_assert_cmpint(g_mkdir(c->node[i].data, 0700), ==, 0);
 }
 
-bool
-cell_node_ready(struct cell *c, int i)
+static int
+call_ready(struct cell *c, int i)
 {
 	char *address = g_strdup_printf("%s:%s", c->node[i].ip, READY_PORT);
 	int status =
 	    cell_call(c, address, EVHTTP_REQ_GET, "/bulrushtide/ready", NULL);
 
 	g_free(address);
-	return status == 200;
+	return status;
+}
+
+bool
+cell_node_ready(struct cell *c, int i)
+{
+	return call_ready(c, i) == 200;
+}
+
+bool
+cell_node_answers(struct cell *c, int i)
+{
+	return call_ready(c, i) != 0;
+}
+
+/* The last LOG_TAIL_BYTES of a text. */
+static const char *
+tail(const char *text, gsize len)
+{
+	return len <= LOG_TAIL_BYTES ? text : text + len - LOG_TAIL_BYTES;
+}
+
+static const char *
+process_state(const struct proc *p)
+{
+	siginfo_t info = { 0 };
+
+	if (p == NULL)
+		return "not started";
+	if (waitid(P_PID, (id_t)p->pid, &info, WEXITED | WNOHANG | WNOWAIT) !=
+		0 ||
+	    info.si_pid == 0)
+		return "running";
+	return info.si_code == CLD_EXITED ? "exited" : "ended by a signal";
+}
+
+void
+cell_print_logs(struct cell *c)
+{
+	for (int i = 0; i < NODES; i++) {
+		char *path = g_strdup_printf("%s/n%d.log", c->dir, i);
+		char *text = NULL;
+		gsize len = 0;
+
+		(void)g_file_get_contents(path, &text, &len, NULL);
+		printf("--- n%d: %s\n%s\n", i, process_state(c->node[i].proc),
+		    text == NULL ? "no log" : tail(text, len));
+		g_free(text);
+		g_free(path);
+	}
+	(void)fflush(stdout);
+}
+
+void
+cell_await_failed(
+    struct cell *c, const char *condition, const char *file, int line)
+{
+	printf("%s:%d: not within %d ms: %s\n", file, line, AWAIT_LIMIT_MS,
+	    condition);
+	cell_print_logs(c);
+	abort();
 }
 
 /* A separate loopback address for each process. */
--- a/test/stepcell.h
+++ b/test/stepcell.h
@@ -61,7 +61,10 @@
 int cell_call(struct cell *c, const char *address, enum evhttp_cmd_type method,
     const char *path, const char *body);
 
+/* Writes the settings of a node and runs its program. */
 void cell_start_node(struct cell *c, int node, bool first);
+/* Runs the program of a node with the settings that are there. */
+void cell_run_program(struct cell *c, int node);
 /* Writes the settings file of a node; its seeds are node 0 and node seed. */
 void cell_write_settings(struct cell *c, int node, bool first, int seed);
 /* Sends a command to the proxy: n0 to n3 are processes, w0 to w2 workers. */
@@ -71,6 +74,13 @@
 /* Empties the disk of a node that is not running. */
 void cell_wipe_disk(struct cell *c, int node);
 bool cell_node_ready(struct cell *c, int node);
+/* Reports whether a node answers, be it ready or not. */
+bool cell_node_answers(struct cell *c, int node);
+/* Prints the state of each process and the end of its log. */
+void cell_print_logs(struct cell *c);
+/* Prints the condition and the logs and aborts. */
+G_NORETURN void cell_await_failed(
+    struct cell *c, const char *condition, const char *file, int line);
 
 /* Submits a job: a step of two tasks, then one of one; true if accepted. */
 bool cell_submit(struct cell *c, int node, const char *path);
@@ -80,14 +90,16 @@
 /* Asserts that this number of tasks has ended as done, each exactly once. */
 void cell_assert_done_once(struct cell *c, guint tasks);
 
-#define CELL_AWAIT(c, condition)                              \
-	do {                                                  \
-		int64_t limit = mono_ms() + AWAIT_LIMIT_MS;   \
-                                                              \
-		while (!(condition)) {                        \
-			g_assert_cmpint(mono_ms(), <, limit); \
-			cell_run_loop(c);                     \
-		}                                             \
+#define CELL_AWAIT(c, condition)                                        \
+	do {                                                            \
+		int64_t limit = mono_ms() + AWAIT_LIMIT_MS;             \
+                                                                        \
+		while (!(condition)) {                                  \
+			if (mono_ms() >= limit)                         \
+				cell_await_failed(                      \
+				    c, #condition, __FILE__, __LINE__); \
+			cell_run_loop(c);                               \
+		}                                                       \
 	} while (0)
 
 #endif
