gate: an entry without replicas refuses at once

Change: 0.5 s after the last link to a replica is lost (a reset link is back in 0.25 s) requests that no leader can have received are answered 503 at once, also those that wait; what a lost leader may have carried out waits for the next one, which can tell. A change of leader leaves the links up and refuses nobody.

Ruled out: refusing as soon as no leader is known; that would refuse callers at each change of leader.

Tests: gate_test replicas-lost (without the check it failed: nothing was answered) and replicas-lost-unclear.

--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -557,14 +557,25 @@
 	replica_start(n->replica);
 }
 
+static void
+find_replica(void *arg, struct mesh_link *l)
+{
+	bool *found = arg;
+
+	*found |= mesh_peer(l)->replica;
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct cellnode *n = arg;
 	int64_t now = mono_ms();
+	bool connected = dispatch_leads(n->dispatch);
 
 	reopen_storage(n, now);
 	maybe_bootstrap(n);
+	mesh_each_link(n->mesh, true, find_replica, &connected);
+	gate_set_connected(n->gate, connected, now);
 	gate_tick(n->gate, now);
 	logs_flush();
 	if (!n->draining || n->replica == NULL || now < n->next_transfer_ms)
--- a/lib/gate/gate.c
+++ b/lib/gate/gate.c
@@ -18,6 +18,7 @@
 	gate_send_fn *send;
 	void *arg;
 	uint64_t last_id;
+	int64_t disconnected_ms; /* since when; 0: a replica is connected */
 	GHashTable *pending; /* id to struct pending */
 };
 
@@ -44,10 +45,17 @@
 	return g;
 }
 
+/* Whether a leader may have carried out the request. */
+static bool
+is_unclear(const struct pending *p)
+{
+	return p->sent || p->unclear;
+}
+
 static void
 drop(struct pending *p)
 {
-	bool unclear = p->sent || p->unclear;
+	bool unclear = is_unclear(p);
 	struct answer a = { .id = p->request.id,
 		.result = unclear ? REQUEST_UNKNOWN : REQUEST_UNAVAILABLE };
 
@@ -73,6 +81,14 @@
 	g_free(g);
 }
 
+/* Whether no leader can be expected soon. */
+static bool
+is_disconnected(const struct gate *g, int64_t now)
+{
+	return g->disconnected_ms != 0 &&
+	    now - g->disconnected_ms >= GATE_RECONNECT_MS;
+}
+
 /* Sends a request to the leader; without one it stays pending. */
 static void
 send_request(struct gate *g, struct pending *p)
@@ -100,7 +116,8 @@
 	p->deadline_ms = mono_ms() + timeout_ms;
 	p->fn = fn;
 	p->arg = arg;
-	if (g_hash_table_size(g->pending) >= PENDING_MAX) {
+	if (g_hash_table_size(g->pending) >= PENDING_MAX ||
+	    is_disconnected(g, mono_ms())) {
 		drop(p);
 		pending_free(p);
 		return;
@@ -150,6 +167,7 @@
 void
 gate_tick(struct gate *g, int64_t now)
 {
+	bool disconnected = is_disconnected(g, now);
 	GList *all = g_hash_table_get_keys(g->pending);
 
 	for (GList *i = all; i != NULL; i = i->next) {
@@ -157,7 +175,7 @@
 
 		if (p == NULL)
 			continue;
-		if (now >= p->deadline_ms) {
+		if (now >= p->deadline_ms || (disconnected && !is_unclear(p))) {
 			g_hash_table_steal(g->pending, &p->request.id);
 			drop(p);
 			pending_free(p);
@@ -168,6 +186,16 @@
 	g_list_free(all);
 }
 
+void
+gate_set_connected(struct gate *g, bool connected, int64_t now)
+{
+	if (connected == (g->disconnected_ms == 0))
+		return;
+	g->disconnected_ms = connected ? 0 : now;
+	log_info("gate", "event=replicas-%s pending=%u",
+	    connected ? "connected" : "lost", gate_pending(g));
+}
+
 guint
 gate_pending(const struct gate *g)
 {
--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -2,13 +2,18 @@
  * Forwards requests to the leader. Keeps them across changes of leader, sends
  * them again to each new leader and drops them at their timeout. A dropped
  * request is answered REQUEST_UNAVAILABLE, i.e. not carried out, only if no
- * leader can have accepted it; else REQUEST_UNKNOWN.
+ * leader can have accepted it; else REQUEST_UNKNOWN. While no replica has been
+ * connected for GATE_RECONNECT_MS, no leader is near: requests that none can
+ * have accepted are dropped at once.
  */
 #ifndef GATE_H
 #define GATE_H
 
 #include "dispatch.h"
 
+/* Time to restore links that were reset. */
+#define GATE_RECONNECT_MS 500
+
 struct gate;
 
 /* Sends a request to the leader; returns false if there is none. May cause a
@@ -29,6 +34,8 @@
 /* To be called when the leader changes or the link to it is lost: the pending
  * requests are sent again. */
 void gate_leader_changed(struct gate *g);
+/* Tells whether a replica is connected; initially one is. now: mono_ms(). */
+void gate_set_connected(struct gate *g, bool connected, int64_t now);
 /* Resends requests after their retry delay and drops those timed out; now:
  * mono_ms(). */
 void gate_tick(struct gate *g, int64_t now);
--- a/test/gate_test.c
+++ b/test/gate_test.c
@@ -137,6 +137,62 @@
 	gate_free(l.gate);
 }
 
+/* All replicas lose power: what waits for them and what comes afterwards is
+ * refused before its timeout, and served again once they are back. */
+static void
+test_replicas_lost(void)
+{
+	struct leader l = setup();
+	int64_t now = mono_ms();
+
+	l.reachable = false;
+	l.gate = gate_new(on_send, &l);
+	gate_set_connected(l.gate, false, now);
+	forward(&l, LONG_MS);
+	gate_tick(l.gate, now + GATE_RECONNECT_MS - 1);
+	g_assert_cmpint(l.answers_received, ==, 0);
+	gate_tick(l.gate, now + GATE_RECONNECT_MS);
+	g_assert_cmpint(l.answers_received, ==, 1);
+	g_assert_cmpuint(l.result, ==, REQUEST_UNAVAILABLE);
+	gate_set_connected(l.gate, true, now);
+	gate_set_connected(l.gate, false, now - GATE_RECONNECT_MS);
+	forward(&l, LONG_MS);
+	g_assert_cmpint(l.answers_received, ==, 2);
+	gate_set_connected(l.gate, true, now);
+	forward(&l, LONG_MS);
+	gate_tick(l.gate, now + LONG_MS / 2);
+	g_assert_cmpint(l.answers_received, ==, 2);
+	l.reachable = l.answers = true;
+	gate_leader_changed(l.gate);
+	gate_tick(l.gate, mono_ms());
+	g_assert_cmpint(l.answers_received, ==, 3);
+	g_assert_cmpuint(l.result, ==, REQUEST_DONE);
+	gate_free(l.gate);
+}
+
+/* A request that a lost leader may have carried out waits for the next one,
+ * which can tell. */
+static void
+test_replicas_lost_unclear(void)
+{
+	struct leader l = setup();
+	int64_t now = mono_ms();
+
+	l.gate = gate_new(on_send, &l);
+	forward(&l, LONG_MS);
+	l.reachable = false;
+	gate_leader_changed(l.gate);
+	gate_set_connected(l.gate, false, now);
+	gate_tick(l.gate, now + 2 * GATE_RECONNECT_MS);
+	g_assert_cmpint(l.answers_received, ==, 0);
+	gate_set_connected(l.gate, true, now + 2 * GATE_RECONNECT_MS);
+	l.reachable = l.answers = true;
+	gate_leader_changed(l.gate);
+	gate_tick(l.gate, mono_ms());
+	g_assert_cmpuint(l.result, ==, REQUEST_DONE);
+	gate_free(l.gate);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -145,5 +201,8 @@
 	g_test_add_func("/gate/waits-for-leader", test_waits_for_leader);
 	g_test_add_func("/gate/never-sent", test_never_sent);
 	g_test_add_func("/gate/unclear", test_unclear);
+	g_test_add_func("/gate/replicas-lost", test_replicas_lost);
+	g_test_add_func(
+	    "/gate/replicas-lost-unclear", test_replicas_lost_unclear);
 	return g_test_run();
 }
