cell: late announcements of a worker's earlier process are refused

Change: a worker's last 8 earlier incarnations are part of the replicated state; an announcement with one of them is refused (409 earlier-incarnation). During a rolling upgrade an older leader still accepts such an announcement.

Tests, seen to fail without the check: cell_test late-announcement (not refused), fault_test late-announcement (200 where 409 is due).

--- a/lib/cell/internal.h
+++ b/lib/cell/internal.h
@@ -11,6 +11,9 @@
 
 #define CONFIG_HISTORY_MAX 512 /* versions kept to detect resent changes */
 #define MS_PER_S 1000
+/* Earlier incarnations of a worker that are known, so as to refuse late
+ * announcements. */
+#define EARLIER_INCARNATIONS_MAX 8
 
 /* A worker and its assigned and stopping attempts. */
 struct worker {
@@ -18,6 +21,7 @@
 	bool over_capacity; /* its last announcement has less capacity than its
 			       attempts use; cleared once they fit */
 	GArray *attempts; /* struct attempt_ref, sorted */
+	GArray *earlier; /* uint64_t: earlier incarnations, oldest first */
 };
 
 /* The task of an attempt. */
--- a/lib/cell/snapshot.c
+++ b/lib/cell/snapshot.c
@@ -45,12 +45,16 @@
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = g_ptr_array_index(workers, i);
 
-		msgpack_pack_array(pk, 15);
+		msgpack_pack_array(pk, 16);
 		worker_put(pk, &w->pub);
 		msgpack_pack_uint32(pk, w->pub.state);
 		put_bool(pk, w->pub.set_aside);
 		msgpack_pack_uint64(pk, w->pub.epoch);
 		put_bool(pk, w->over_capacity);
+		msgpack_pack_array(pk, w->earlier->len);
+		for (guint k = 0; k < w->earlier->len; k++)
+			msgpack_pack_uint64(
+			    pk, g_array_index(w->earlier, uint64_t, k));
 	}
 }
 
@@ -192,6 +196,24 @@
 	r->ok = r->ok && all.ok;
 }
 
+/* Snapshots of earlier builds have no such list. */
+static void
+get_earlier(struct reader *in, struct worker *w)
+{
+	struct reader list;
+
+	if (in->left == 0)
+		return;
+	list = get_array(in);
+	while (list.ok && list.left > 0 &&
+	    w->earlier->len < EARLIER_INCARNATIONS_MAX) {
+		uint64_t incarnation = get_u64(&list);
+
+		g_array_append_val(w->earlier, incarnation);
+	}
+	in->ok = in->ok && codec_done(&list);
+}
+
 static void
 get_workers(struct reader *r, struct cell *c)
 {
@@ -206,6 +228,7 @@
 		w->pub.set_aside = get_bool(&in);
 		w->pub.epoch = get_u64(&in);
 		w->over_capacity = get_bool(&in);
+		get_earlier(&in, w);
 		all.ok = all.ok && codec_done(&in) &&
 		    !g_hash_table_contains(c->worker_names, w->pub.name);
 		if (w->pub.name == NULL)
--- a/lib/cell/workers.c
+++ b/lib/cell/workers.c
@@ -99,6 +99,26 @@
 	    w->pub.running > w->pub.slots;
 }
 
+static bool
+is_earlier(const struct worker *w, uint64_t incarnation)
+{
+	for (guint i = 0; i < w->earlier->len; i++)
+		if (g_array_index(w->earlier, uint64_t, i) == incarnation)
+			return true;
+	return false;
+}
+
+static void
+set_incarnation(struct worker *w, uint64_t incarnation)
+{
+	if (w->pub.incarnation == incarnation)
+		return;
+	if (w->earlier->len == EARLIER_INCARNATIONS_MAX)
+		g_array_remove_index(w->earlier, 0);
+	g_array_append_val(w->earlier, w->pub.incarnation);
+	w->pub.incarnation = incarnation;
+}
+
 static void
 announce_new(struct cell *c, const struct cell_worker *in)
 {
@@ -124,7 +144,7 @@
 	    same_announcement(&w->pub, in))
 		return;
 	if (restarted || was_lost) {
-		w->pub.incarnation = in->incarnation;
+		set_incarnation(w, in->incarnation);
 		w->pub.state = WORKER_UP;
 		end_lost_attempts(c, w);
 	}
@@ -147,6 +167,13 @@
 		    g_strdup("the home entry was removed or is unknown"));
 		return;
 	}
+	/* The network may deliver it after that of the running process. */
+	if (w != NULL && is_earlier(w, in->incarnation)) {
+		result_refuse(res, OUT_CONFLICT, "earlier-incarnation",
+		    g_strdup("a newer process of this worker has announced "
+			     "itself"));
+		return;
+	}
 	if (w == NULL) {
 		announce_new(c, in);
 		w = g_hash_table_lookup(c->worker_names, in->name);
--- a/test/cell_test.c
+++ b/test/cell_test.c
@@ -415,6 +415,40 @@
 	cell_free(c);
 }
 
+/*
+ * An announcement of a worker's earlier process, delivered late, is refused,
+ * also after a snapshot: the attempts of the running process are not lost.
+ */
+static void
+test_late_announcement(void)
+{
+	uint32_t w;
+	struct cell *c = small_cell(&w);
+	uint64_t job = do_submit(c, KIND_BATCH, 1, true);
+	struct cell_cmd late = { .type = CMD_WORKER };
+	GBytes *state_bytes;
+	struct cell *restored;
+	GError *err = NULL;
+
+	do_worker(c, "w1", 2, 1, 8);
+	do_worker(c, "w1", 3, 1, 8);
+	do_start(c, job, 1, w);
+	late.u.announce.worker = *cell_worker(c, w);
+	late.u.announce.worker.incarnation = 1;
+	late.u.announce.new_epoch = true;
+	assert_refused(c, &late, "earlier-incarnation");
+	state_bytes = cell_snapshot(c);
+	restored = cell_new();
+	g_assert_true(cell_restore(restored, state_bytes, &err));
+	g_assert_no_error(err);
+	late.u.announce.worker.incarnation = 2;
+	assert_refused(restored, &late, "earlier-incarnation");
+	g_assert_cmpint(state(restored, job, 0), ==, TASK_ASSIGNED);
+	g_bytes_unref(state_bytes);
+	cell_free(restored);
+	cell_free(c);
+}
+
 /*
  * A restarted entry or a new session gives the worker a new epoch, so that
  * orders of the old process or session are invalid.
@@ -912,6 +946,7 @@
 	g_test_add_func("/cell/epoch-renewed", test_epoch_renewed);
 	g_test_add_func("/cell/preempt-service", test_preempt_service);
 	g_test_add_func("/cell/worker-lost", test_worker_lost);
+	g_test_add_func("/cell/late-announcement", test_late_announcement);
 	g_test_add_func("/cell/ends", test_ends);
 	g_test_add_func("/cell/start-limits", test_start_limits);
 	g_test_add_func("/cell/gang", test_gang);
--- a/test/fault_test.c
+++ b/test/fault_test.c
@@ -328,6 +328,143 @@
 	check_recovery(c);
 }
 
+/*
+ * Start orders to one worker are delivered only after the lease on which they
+ * were sent is over and all tasks have ended elsewhere.
+ */
+static void
+test_order_past_stop(void)
+{
+	struct cluster *c = cluster_new(&conf);
+	struct job_set jobs = { c, "past", SHORT_RUN_MS, { 0 } };
+
+	cluster_fault(c, "cut", "w0", NULL, NULL);
+	submit_jobs(&jobs, 0, JOBS);
+	await_jobs(&jobs, true);
+	cluster_heal(c);
+	check_recovery(c);
+}
+
+/* Returns the announcement of a worker's process; free with json_decref(). */
+static json_t *
+announcement(struct cluster *c, const char *name, json_int_t incarnation)
+{
+	int status = 0;
+	json_t *all =
+	    cluster_http(c, "e0", "GET", "/v1/workers", NULL, NULL, &status);
+	json_t *list = json_object_get(all, "workers");
+	json_t *found = NULL;
+	json_t *w;
+	size_t i;
+
+	g_assert_cmpint(status, ==, 200);
+	json_array_foreach(list, i,
+	    w) if (strcmp(json_string_value(json_object_get(w, "name")),
+		       name) ==
+	    0) found = json_pack("{s:s,s:I,s:O,s:O,s:O,s:i,s:i,s:i,s:i}",
+	    "name", name, "incarnation", incarnation, "address",
+	    json_object_get(w, "address"), "rack", json_object_get(w, "rack"),
+	    "data_center", json_object_get(w, "data_center"), "millicpus", 4000,
+	    "memory_bytes", 1 << 30, "slots", SLOTS, "connections", 1);
+	g_assert_nonnull(found);
+	json_decref(all);
+	return found;
+}
+
+static int
+post_announcement(struct cluster *c, const json_t *body)
+{
+	int status = 0;
+	json_t *answer =
+	    cluster_http(c, "e1", "POST", "/v1/workers", NULL, body, &status);
+
+	json_decref(answer);
+	return status;
+}
+
+/*
+ * An announcement of a worker's earlier process arrives while the next one
+ * runs tasks: it is refused, and they run on.
+ */
+static void
+test_late_announcement(void)
+{
+	struct cluster *c = cluster_new(&conf);
+	struct job_set jobs = { c, "late", LONG_RUN_MS, { 0 } };
+	json_t *earlier = announcement(c, "w0", 1);
+
+	cluster_signal(c, "w0", SIGKILL);
+	g_assert_cmpint(post_announcement(c, earlier), ==, 200);
+	cluster_restart(c, "w0");
+	submit_jobs(&jobs, 0, JOBS);
+	cluster_await_event(c, "w0", "start", 1);
+	g_assert_cmpint(post_announcement(c, earlier), ==, 409);
+	await_jobs(&jobs, false);
+	json_decref(earlier);
+	check_recovery(c);
+}
+
+#define ANSWER_LOSS_MS 300 /* the job is committed and started by then */
+#define ANSWER_LOSSES 3
+
+struct killer {
+	struct cluster *cluster;
+	const char *name;
+};
+
+static gpointer
+kill_later(gpointer arg)
+{
+	struct killer *k = arg;
+
+	g_usleep(ANSWER_LOSS_MS * 1000);
+	cluster_signal(k->cluster, k->name, SIGKILL);
+	return NULL;
+}
+
+/*
+ * The leader accepts a job, its answer is lost and it is killed. The entry
+ * does not report the job as not run; the same key names the same job.
+ */
+static void
+test_answer_lost(void)
+{
+	struct cluster *c = cluster_new(&conf);
+
+	for (int i = 0; i < ANSWER_LOSSES; i++) {
+		char *key = g_strdup_printf("answer-%d", i);
+		json_t *spec = cluster_batch_spec(key, LONG_RUN_MS, false);
+		char *leader = g_strdup(cluster_leader(c));
+		struct killer killer = { c, leader };
+		GThread *thread;
+		json_t *body;
+		json_int_t job;
+		int status = 0;
+
+		cluster_fault(c, "oneway", "e0", leader, "down");
+		thread = g_thread_new("killer", kill_later, &killer);
+		body = cluster_http(
+		    c, "e0", "POST", "/v1/jobs", key, spec, &status);
+		g_thread_join(thread);
+		cluster_heal(c);
+		g_assert_cmpint(status, !=, 503);
+		job = json_integer_value(json_object_get(body, "job"));
+		if (status == 202)
+			g_assert_cmpint(
+			    (json_int_t)cluster_submit(c, key, spec), ==, job);
+		else
+			job = (json_int_t)cluster_submit(c, key, spec);
+		g_assert_cmpint(
+		    cluster_await_job(c, key, (uint64_t)job), ==, OUT_DONE);
+		cluster_restart(c, leader);
+		json_decref(body);
+		json_decref(spec);
+		g_free(leader);
+		g_free(key);
+	}
+	check_recovery(c);
+}
+
 /* Calls to a service, one of whose workers is killed. */
 static void
 test_calls(void)
@@ -373,6 +510,9 @@
 	g_test_add_func(
 	    "/fault/leader-and-worker-killed", test_leader_and_worker_killed);
 	g_test_add_func("/fault/orders-held", test_orders_held);
+	g_test_add_func("/fault/order-past-stop", test_order_past_stop);
+	g_test_add_func("/fault/late-announcement", test_late_announcement);
+	g_test_add_func("/fault/answer-lost", test_answer_lost);
 	g_test_add_func("/fault/calls", test_calls);
 	return g_test_run();
 }
