raft: restarted replicas don't help to replace a live leader; all restarted elect at once

Two causes in one place.

Safety: the dispatcher gives orders within 350 ms of a confirmation of leadership, as followers help to elect nobody within 400 ms of a leader's message. A follower that restarted within that time had forgotten the leader and granted the vote: two leaders could give orders for up to 0.3 s (workers refuse the older fence; a worker without fences doesn't).

Change: for a minimum election timeout after its restart a replica ignores vote requests, unless all voters have granted the pre-vote, the old leader among them. In exchange the first campaigns after a restart come after 0.16 to 0.4 s. A replica that grants a pre-vote leaves the candidate 0.16 s; one that refuses it for a longer log campaigns with the next tick.

Ruled out: shorter timeouts alone (they would widen the hole); unanimity over the member list before an uncommitted change (old ids of lost disks never answer).

--- a/lib/raft/codec.c
+++ b/lib/raft/codec.c
@@ -27,6 +27,7 @@
 	FIELD_ENTRIES, /* [term, type, data, ...]; first index: INDEX + 1 */
 	FIELD_CHUNK,
 	FIELD_MEMBERS, /* [id, learner, ...] */
+	FIELD_UNANIMOUS, /* no value, just the bit */
 	FIELD_COUNT
 };
 
@@ -122,6 +123,7 @@
 		mask |= (uint32_t)(*number_field(m, i) != 0) << i;
 	mask |= (uint32_t)m->reject << FIELD_REJECT;
 	mask |= (uint32_t)m->leader_transfer << FIELD_LEADER_TRANSFER;
+	mask |= (uint32_t)m->unanimous << FIELD_UNANIMOUS;
 	mask |= (uint32_t)(m->entries != NULL && m->entries->len > 0)
 	    << FIELD_ENTRIES;
 	mask |= (uint32_t)(m->chunk != NULL) << FIELD_CHUNK;
@@ -172,7 +174,8 @@
 {
 	struct raft_msg m = *msg;
 	uint32_t mask = field_mask(&m);
-	uint32_t no_value = 1U << FIELD_REJECT | 1U << FIELD_LEADER_TRANSFER;
+	uint32_t no_value = 1U << FIELD_REJECT | 1U << FIELD_LEADER_TRANSFER |
+	    1U << FIELD_UNANIMOUS;
 	msgpack_sbuffer buffer;
 	msgpack_packer pk;
 	int i;
@@ -332,6 +335,7 @@
 			*number_field(m, i) = next_number(c);
 	m->reject = mask_has(mask, FIELD_REJECT);
 	m->leader_transfer = mask_has(mask, FIELD_LEADER_TRANSFER);
+	m->unanimous = mask_has(mask, FIELD_UNANIMOUS);
 	if (mask_has(mask, FIELD_ENTRIES))
 		read_entries(c, m);
 	if (mask_has(mask, FIELD_CHUNK))
--- a/lib/raft/core.h
+++ b/lib/raft/core.h
@@ -86,6 +86,7 @@
 	int count;
 	uint64_t id[RAFT_MEMBERS_MAX];
 	bool granted[RAFT_MEMBERS_MAX];
+	bool unanimous[RAFT_MEMBERS_MAX]; /* counts only with all others */
 };
 
 struct raft {
@@ -118,6 +119,8 @@
 	/* Ticks since the last message from the leader or the last campaign. */
 	int election_elapsed;
 	int election_timeout; /* ticks; randomised anew for each election */
+	bool restarted; /* with state from the disk */
+	int early_campaigns; /* left, until a leader is heard */
 	struct tally tally;
 
 	/* Follower. */
@@ -189,11 +192,19 @@
 
 /* election.c */
 void become_follower(struct raft *r, uint64_t term, uint64_t leader);
+enum campaign {
+	CAMPAIGN_PREVOTE,
+	CAMPAIGN_VOTE,
+	CAMPAIGN_UNANIMOUS, /* all voters have granted the pre-vote */
+	CAMPAIGN_TRANSFER, /* ordered by the leader */
+};
+
+void campaign(struct raft *r, enum campaign kind);
 /*
- * Starts an election, or the pre-vote for one. Votes for a leadership transfer
- * are also granted while there is a live leader.
+ * Returns whether a vote request is to be ignored, as the replica follows a
+ * leader or may have acknowledged one just before its restart.
  */
-void campaign(struct raft *r, bool prevote, bool leader_transfer);
+bool ignores_vote(const struct raft *r, const struct raft_msg *m);
 void on_prevote(struct raft *r, const struct raft_msg *m);
 void on_vote(struct raft *r, const struct raft_msg *m);
 void on_vote_reply(struct raft *r, const struct raft_msg *m);
--- a/lib/raft/election.c
+++ b/lib/raft/election.c
@@ -5,12 +5,34 @@
 
 #include "core.h"
 
+/* Less than a minimum election timeout, more than the time of an election. */
+static int
+short_timeout(const struct raft *r)
+{
+	return MAX(r->election_ticks * 2 / 5, 1);
+}
+
+/*
+ * All replicas may have restarted, so that nobody follows a leader: the first
+ * campaigns after a restart come early. If there is a leader, its followers
+ * ignore them.
+ */
 static void
 timer_reset(struct raft *r)
 {
+	int min = r->early_campaigns > 0 ? short_timeout(r) : r->election_ticks;
+	int max = r->early_campaigns > 0 ? r->election_ticks : 2 * min;
+
 	r->election_elapsed = 0;
-	r->election_timeout = r->election_ticks +
-	    (int)rng_below(&r->rng, (uint64_t)r->election_ticks);
+	r->election_timeout =
+	    min + (int)rng_below(&r->rng, (uint64_t)MAX(max - min, 1));
+}
+
+/* Returns whether it may have acknowledged a live leader before its restart. */
+static bool
+just_restarted(const struct raft *r)
+{
+	return r->restarted && r->now <= (uint64_t)r->election_ticks;
 }
 
 void
@@ -33,7 +55,7 @@
 
 /* Records the first reply of a voter; others are ignored. */
 static void
-tally_add(struct raft *r, uint64_t id, bool granted)
+tally_add(struct raft *r, uint64_t id, bool granted, bool unanimous)
 {
 	struct tally *t = &r->tally;
 	int i;
@@ -45,6 +67,7 @@
 	    t->count == RAFT_MEMBERS_MAX)
 		return;
 	t->id[t->count] = id;
+	t->unanimous[t->count] = unanimous;
 	t->granted[t->count++] = granted;
 }
 
@@ -58,6 +81,43 @@
 	return n;
 }
 
+/* Returns the number of grants that count without those of all voters. */
+static int
+tally_count_sufficient(const struct raft *r)
+{
+	int i, n = 0;
+
+	for (i = 0; i < r->tally.count; i++)
+		n += r->tally.granted[i] && !r->tally.unanimous[i];
+	return n;
+}
+
+static int
+voter_count(const struct raft_members *m)
+{
+	int i, n = 0;
+
+	for (i = 0; i < m->count; i++)
+		n += !m->member[i].learner;
+	return n;
+}
+
+/* Starts the election if the pre-vote shows that no leader is alive. */
+static bool
+prevote_won(struct raft *r)
+{
+	const struct raft_members *members = members_current(r);
+
+	if (tally_count(r, true) == voter_count(members))
+		campaign(r, CAMPAIGN_UNANIMOUS);
+	else if (tally_count_sufficient(r) >= members_quorum(members) &&
+	    !just_restarted(r))
+		campaign(r, CAMPAIGN_VOTE);
+	else
+		return false;
+	return true;
+}
+
 static void
 become_leader(struct raft *r)
 {
@@ -73,11 +133,10 @@
 {
 	int quorum = members_quorum(members_current(r));
 
-	if (tally_count(r, true) >= quorum) {
-		if (r->role == RAFT_PRECANDIDATE)
-			campaign(r, false, false);
-		else
-			become_leader(r);
+	if (r->role == RAFT_PRECANDIDATE && prevote_won(r))
+		return;
+	if (r->role == RAFT_CANDIDATE && tally_count(r, true) >= quorum) {
+		become_leader(r);
 		return;
 	}
 	if (tally_count(r, false) >= quorum)
@@ -106,12 +165,15 @@
 }
 
 void
-campaign(struct raft *r, bool prevote, bool leader_transfer)
+campaign(struct raft *r, enum campaign kind)
 {
+	bool prevote = kind == CAMPAIGN_PREVOTE;
 	const struct raft_members *members = members_current(r);
 	struct raft_msg *m;
 	int i;
 
+	if (prevote && r->early_campaigns > 0)
+		r->early_campaigns--;
 	timer_reset(r);
 	if (!may_campaign(r))
 		return;
@@ -123,7 +185,7 @@
 		r->vote = r->id;
 	}
 	memset(&r->tally, 0, sizeof(r->tally));
-	tally_add(r, r->id, true);
+	tally_add(r, r->id, true, prevote && just_restarted(r));
 	for (i = 0; i < members->count; i++) {
 		if (members->member[i].learner ||
 		    members->member[i].id == r->id)
@@ -133,7 +195,8 @@
 		m->term = r->term + (prevote ? 1 : 0);
 		m->index = log_last_index(&r->log);
 		m->log_term = log_last_term(&r->log);
-		m->leader_transfer = leader_transfer;
+		m->leader_transfer = kind == CAMPAIGN_TRANSFER;
+		m->unanimous = kind == CAMPAIGN_UNANIMOUS;
 		msg_send_after_sync(r, m);
 	}
 	tally_decide(r);
@@ -162,6 +225,32 @@
 	return m->index >= log_last_index(&r->log);
 }
 
+bool
+ignores_vote(const struct raft *r, const struct raft_msg *m)
+{
+	if (m->leader_transfer)
+		return false;
+	if (just_restarted(r) && !m->unanimous)
+		return true;
+	return m->term > r->term && leader_alive(r);
+}
+
+/* Leaves the candidate the time to win before this replica campaigns. */
+static void
+yield_campaign(struct raft *r)
+{
+	r->election_timeout =
+	    MAX(r->election_timeout, r->election_elapsed + short_timeout(r));
+}
+
+/* This replica's log has more than the candidate's, so that it may win where
+ * the candidate can't. */
+static void
+hasten_campaign(struct raft *r)
+{
+	r->election_timeout = MIN(r->election_timeout, r->election_elapsed + 1);
+}
+
 void
 on_prevote(struct raft *r, const struct raft_msg *m)
 {
@@ -172,8 +261,13 @@
 	reply = msg_new(r, RAFT_MSG_PREVOTE_REPLY, m->from);
 	reply->reject = m->term <= r->term || !up_to_date(r, m);
 	/* A grant carries the requested term; the replica's does not change. */
-	if (!reply->reject)
+	if (!reply->reject) {
 		reply->term = m->term;
+		reply->unanimous = just_restarted(r);
+		yield_campaign(r);
+	} else if (m->term > r->term) {
+		hasten_campaign(r);
+	}
 	msg_send_after_sync(r, reply);
 }
 
@@ -199,7 +293,7 @@
 
 	if (r->role != role)
 		return;
-	tally_add(r, m->from, !m->reject);
+	tally_add(r, m->from, !m->reject, m->unanimous);
 	tally_decide(r);
 }
 
@@ -207,7 +301,7 @@
 on_timeout_now(struct raft *r, const struct raft_msg *m)
 {
 	if (r->role == RAFT_FOLLOWER && r->leader == m->from)
-		campaign(r, false, true);
+		campaign(r, CAMPAIGN_TRANSFER);
 }
 
 void
@@ -216,12 +310,12 @@
 	if (++r->election_elapsed < r->election_timeout)
 		return;
 	r->leader = RAFT_NONE;
-	campaign(r, true, false);
+	campaign(r, CAMPAIGN_PREVOTE);
 }
 
 void
 raft_campaign(struct raft *r)
 {
 	if (r->role != RAFT_LEADER)
-		campaign(r, true, false);
+		campaign(r, CAMPAIGN_PREVOTE);
 }
--- a/lib/raft/raft.c
+++ b/lib/raft/raft.c
@@ -3,6 +3,9 @@
  */
 #include "core.h"
 
+/* Campaigns with a short timeout after a restart. */
+#define EARLY_CAMPAIGNS 4
+
 static void
 message_free(void *m)
 {
@@ -61,6 +64,8 @@
 		r->vote = RAFT_NONE;
 	}
 	r->synced_term = conf->hard_state.term;
+	r->restarted = r->term != 0;
+	r->early_campaigns = r->restarted ? EARLY_CAMPAIGNS : 0;
 }
 
 struct raft *
@@ -168,6 +173,7 @@
 	if (r->role != RAFT_FOLLOWER || r->leader != leader)
 		become_follower(r, r->term, leader);
 	r->election_elapsed = 0;
+	r->early_campaigns = 0;
 	return true;
 }
 
@@ -208,10 +214,9 @@
 			on_vote_reply(r, m);
 		return;
 	}
+	if (m->type == RAFT_MSG_VOTE && ignores_vote(r, m))
+		return;
 	if (m->term > r->term) {
-		if (m->type == RAFT_MSG_VOTE && !m->leader_transfer &&
-		    leader_alive(r))
-			return;
 		become_follower(r, m->term, RAFT_NONE);
 	}
 	if (m->term < r->term) {
--- a/lib/raft/raft.h
+++ b/lib/raft/raft.h
@@ -6,6 +6,10 @@
  *
  * Implements pre-vote, check-quorum, ReadIndex reads, learners, leadership
  * transfer, single-server membership changes and snapshots sent in chunks.
+ *
+ * A leader that a quorum has acknowledged stays the only one for
+ * election_ticks: followers don't help to elect another one within that time,
+ * nor do replicas that restart, unless all voters agree.
  */
 #ifndef RAFT_H
 #define RAFT_H
@@ -90,6 +94,12 @@
 	bool reject;
 	/* Vote request: due to TIMEOUT_NOW, so valid despite a live leader. */
 	bool leader_transfer;
+	/*
+	 * Pre-vote reply: the sender may have acknowledged a leader just before
+	 * its restart, so that the grant counts only if all voters grant. Vote
+	 * request: all voters have granted the pre-vote.
+	 */
+	bool unanimous;
 	GPtrArray *entries; /* struct raft_entry; NULL if there are none */
 	/* RAFT_MSG_SNAPSHOT only. Offset and total are in bytes. */
 	uint64_t offset;
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -784,6 +784,101 @@
 	raft_free(r);
 }
 
+static bool
+request_unanimous_vote(struct raft *r, uint64_t from, uint64_t term)
+{
+	struct raft_msg m = { .type = RAFT_MSG_VOTE,
+		.from = from,
+		.to = r->id,
+		.term = term,
+		.index = 9,
+		.log_term = 4,
+		.unanimous = true };
+	const struct raft_msg *reply;
+
+	raft_step(r, &m);
+	take_and_store(r);
+	reply = last_sent(RAFT_MSG_VOTE_REPLY, from);
+	return reply != NULL && !reply->reject && reply->term == term;
+}
+
+/*
+ * A replica may have acknowledged a leader just before it restarts, so it does
+ * not help to elect another one within a minimum election timeout, unless all
+ * voters say that there is no leader.
+ */
+static void
+test_restarted_voter(void)
+{
+	struct raft_conf conf = make_conf(1, 3);
+	struct raft *r;
+
+	conf.hard_state = (struct raft_hard_state){ .term = 3 };
+	r = raft_new(&conf);
+	tick(r, ELECTION_TICKS - 1);
+	g_assert_false(request_vote(r, 3, 5, 9, 4, false));
+	g_assert_cmpuint(raft_term(r), ==, 3);
+	tick(r, 1);
+	g_assert_true(request_vote(r, 3, 5, 9, 4, false));
+	raft_free(r);
+	r = raft_new(&conf);
+	g_assert_true(request_unanimous_vote(r, 3, 5));
+	raft_free(r);
+	/* A live leader goes before the grants. */
+	r = raft_new(&conf);
+	step_append(r, 2, 3, 0, 0, 1);
+	take_and_store(r);
+	g_assert_false(request_unanimous_vote(r, 3, 5));
+	raft_free(r);
+}
+
+#define RESTARTS 200
+
+/*
+ * All replicas restart: in 9 of 10 cases a leader is elected within a minimum
+ * election timeout, as nobody can follow one.
+ */
+static void
+test_all_restarted(void)
+{
+	int late = 0;
+
+	for (uint64_t seed = 1; seed <= RESTARTS; seed++) {
+		struct cluster *c = cluster_new(seed, 3);
+		int ticks = 0;
+
+		cluster_elect(c, &c->node[0]);
+		cluster_propose(c, &c->node[0]);
+		cluster_quiesce(c);
+		for (int i = 0; i < 3; i++)
+			node_crash(c, &c->node[i]);
+		for (int i = 0; i < 3; i++)
+			node_start(c, &c->node[i]);
+		for (; cluster_leader(c) == NULL; ticks++)
+			cluster_ticks(c, 1);
+		late += ticks > c->node[0].r->election_ticks;
+		cluster_free(c);
+	}
+	g_assert_cmpint(late, <=, RESTARTS / 10);
+}
+
+/* A leader lives on while one of its followers restarts. */
+static void
+test_one_restarted(void)
+{
+	struct cluster *c = cluster_new(1, 3);
+
+	cluster_elect(c, &c->node[0]);
+	for (int i = 1; i < 3; i++) {
+		node_crash(c, &c->node[i]);
+		node_start(c, &c->node[i]);
+		cluster_ticks(c, 50);
+	}
+	g_assert_true(cluster_leader(c) == &c->node[0]);
+	g_assert_cmpuint(raft_term(c->node[0].r), ==, 1);
+	cluster_free(c);
+}
+
 /* Restart with log entries of a later term than the stored hard state. */
 static void
 test_restart_term(void)
@@ -816,7 +911,7 @@
 	m->commit = 5;
 	m->context = 6;
 	m->hint = 7;
-	m->reject = m->leader_transfer = true;
+	m->reject = m->leader_transfer = m->unanimous = true;
 	m->offset = 8;
 	m->total = 1ULL << 40;
 	m->chunk = g_bytes_ref(data);
@@ -847,6 +942,7 @@
 	g_assert_cmpuint(copy->total, ==, 1ULL << 40);
 	g_assert_cmpint(copy->members.count, ==, 4);
 	g_assert_true(copy->members.member[3].learner);
+	g_assert_true(copy->unanimous);
 	e = copy->entries->pdata[1];
 	g_assert_cmpuint(e->index, ==, 70002);
 	g_assert_cmpuint(e->term, ==, 5);
@@ -982,6 +1078,9 @@
 	g_test_add_func("/raft/snapshot-members", test_snapshot_members);
 	g_test_add_func("/raft/snapshot-chunks", test_snapshot_chunks);
 	g_test_add_func("/raft/restart-term", test_restart_term);
+	g_test_add_func("/raft/restarted-voter", test_restarted_voter);
+	g_test_add_func("/raft/all-restarted", test_all_restarted);
+	g_test_add_func("/raft/one-restarted", test_one_restarted);
 	g_test_add_func("/raft/codec", test_codec);
 	g_test_add_func("/raft/codec-malformed", test_codec_malformed);
 	g_test_add_func("/raft/schedules", test_schedules);
