dispatch: heartbeats find a later incarnation by its address

Cause: each heartbeat was compared with all workers, as one of them may be a later incarnation at the same address: with 3,000 workers nine million comparisons for one heartbeat of each.

Change: an index from addresses to the worker that started last there.

Test: /dispatch/earlier-incarnation also covers an earlier incarnation under another name and the removal of the later one (passes before, too: the behaviour is the same).

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -362,6 +362,7 @@
 	d->leader_until_ms = 0;
 	d->context_sent_ms = 0;
 	d->holders = g_hash_table_new_full(NULL, NULL, NULL, holder_free);
+	d->addresses = g_hash_table_new(g_str_hash, g_str_equal);
 	d->runs = g_hash_table_new(run_hash, run_equal);
 	d->step_permits = g_hash_table_new_full(
 	    step_permits_hash, step_permits_equal, NULL, step_permits_free);
@@ -392,6 +393,8 @@
 	flow_set_watch(d->conf.flow, NULL, NULL);
 	requests_drop(d);
 	g_clear_pointer(&d->proposals, g_hash_table_unref);
+	/* Before the holders, which would look for the next at each address. */
+	g_clear_pointer(&d->addresses, g_hash_table_unref);
 	g_clear_pointer(&d->holders, g_hash_table_unref);
 	g_clear_pointer(&d->runs, g_hash_table_unref);
 	g_clear_pointer(&d->step_permits, g_hash_table_unref);
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -26,9 +26,47 @@
 	return ms + ms * CLOCK_DRIFT_PERMILLE / 1000;
 }
 
+struct holder *
+holder_latest_at(const struct dispatch *d, const char *address)
+{
+	return g_hash_table_lookup(d->addresses, address);
+}
+
+static void
+index_address(struct holder *h)
+{
+	const struct holder *latest = holder_latest_at(h->d, h->address);
+
+	/* The key is a string of the value. */
+	if (latest == NULL || latest->started_ms <= h->started_ms)
+		g_hash_table_replace(h->d->addresses, h->address, h);
+}
+
+/* Removes a holder from the index; another at its address takes its place. */
+static void
+unindex_address(struct holder *h)
+{
+	struct dispatch *d = h->d;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (h->address == NULL || d->addresses == NULL ||
+	    holder_latest_at(d, h->address) != h)
+		return;
+	g_hash_table_remove(d->addresses, h->address);
+	g_hash_table_iter_init(&iter, d->holders);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct holder *other = value;
+
+		if (other != h && strcmp(other->address, h->address) == 0)
+			index_address(other);
+	}
+}
+
 static void
 update_address(struct holder *h, const struct flow_worker *w)
 {
+	unindex_address(h);
 	if (h->address == NULL || strcmp(h->address, w->address) != 0) {
 		http_peer_free(h->poll_peer);
 		h->poll_peer = NULL;
@@ -42,6 +80,7 @@
 	h->name = g_strdup(w->name);
 	h->address = g_strdup(w->address);
 	h->started_ms = w->started_ms;
+	index_address(h);
 }
 
 static struct holder *
@@ -65,6 +104,7 @@
 	struct holder *h = arg;
 	GPtrArray *runs = h->runs;
 
+	unindex_address(h);
 	http_peer_free(h->poll_peer);
 	for (int i = 0; i < ORDER_CONNECTIONS; i++)
 		http_peer_free(h->order_peer[i]);
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -179,6 +179,8 @@
 	bool fenced; /* a worker knows a higher term */
 	int64_t lead_ms; /* when leadership began */
 	GHashTable *holders; /* worker id to struct holder */
+	GHashTable
+	    *addresses; /* to the struct holder that started last there */
 	GHashTable *runs; /* set of struct active_run, by task */
 	GHashTable *step_permits; /* set of struct step_permits, by step */
 	GHashTable *proposals; /* log index to struct proposal */
@@ -249,6 +251,8 @@
 void holders_scan(struct dispatch *d, int64_t now);
 /* Marks the incarnation as over and proposes the end of its runs. */
 void holder_declare_dead(struct holder *h, const char *why);
+/* Returns the worker that started last at the address, or NULL. */
+struct holder *holder_latest_at(const struct dispatch *d, const char *address);
 /* Says whether the worker may get new work. */
 bool holder_available(const struct holder *h, int64_t now);
 /* Returns how many tasks the worker may get now, whatever its resources. */
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -358,21 +358,6 @@
 	p->request = req->id;
 }
 
-/* A search for a later incarnation at the same address. */
-struct later_incarnation {
-	const struct flow_worker *than;
-	bool found;
-};
-
-static void
-find_later_incarnation(void *arg, const struct flow_worker *w)
-{
-	struct later_incarnation *search = arg;
-
-	search->found |= w->started_ms > search->than->started_ms &&
-	    strcmp(w->address, search->than->address) == 0;
-}
-
 static void
 handle_heartbeat(struct dispatch *d, uint64_t process,
     const struct request *req, struct flow_worker *in)
@@ -380,10 +365,9 @@
 	const struct flow_worker *known =
 	    flow_worker_named(d->conf.flow, in->name);
 	struct holder *h = known == NULL ? NULL : holder_find(d, known->id);
-	struct later_incarnation search = { .than = in };
+	const struct holder *latest = holder_latest_at(d, in->address);
 
-	flow_each_worker(d->conf.flow, find_later_incarnation, &search);
-	if (search.found ||
+	if ((latest != NULL && latest->started_ms > in->started_ms) ||
 	    (known != NULL && known->started_ms > in->started_ms)) {
 		log_info("dispatch",
 		    "event=stale-heartbeat worker=%s "
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -857,7 +857,10 @@
 	leader_free(l);
 }
 
-/* A late heartbeat of an earlier incarnation has no effect. */
+/*
+ * A late heartbeat of an earlier incarnation, which may have had another name
+ * at the same address, has no effect as long as a later one is known.
+ */
 static void
 test_earlier_incarnation(void)
 {
@@ -874,6 +877,22 @@
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 	g_assert_cmpint(
 	    flow_worker_named(l->flow, "a")->started_ms, ==, a->started_ms);
+	old.name = (char *)"b";
+	send_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
+	g_assert_null(flow_worker_named(l->flow, "b"));
+	old.address = (char *)"127.0.0.1:9";
+	send_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
+	g_assert_nonnull(flow_worker_named(l->flow, "b"));
+	/* The later one moves; its record at the old address is removed. */
+	old.name = (char *)"a";
+	old.started_ms = a->started_ms + 1000;
+	send_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
+	old.name = (char *)"c";
+	old.address = a->address;
+	old.started_ms = a->started_ms - 1000;
+	AWAIT(l,
+	    (send_request(l, REQUEST_WORKER, "", flow_worker_encode(&old)),
+		flow_worker_named(l->flow, "c") != NULL));
 	stub_worker_free(a);
 	leader_free(l);
 }
