--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -179,8 +179,7 @@
 	bool fenced; /* a worker knows a higher term */
 	int64_t lead_ms; /* when leadership began */
 	GHashTable *holders; /* worker id to struct holder */
-	GHashTable
-	    *addresses; /* to the struct holder that started last there */
+	GHashTable *addresses; /* to the struct holder started last there */
 	GHashTable *runs; /* set of struct active_run, by task */
 	GHashTable *step_permits; /* set of struct step_permits, by step */
 	GHashTable *proposals; /* log index to struct proposal */
--- a/lib/raft/core.h
+++ b/lib/raft/core.h
@@ -182,6 +182,7 @@
 uint64_t members_current_index(const struct raft *r);
 bool members_has(const struct raft_members *m, uint64_t id, bool *learner);
 bool members_is_voter(const struct raft_members *m, uint64_t id);
+int members_voters(const struct raft_members *m);
 int members_quorum(const struct raft_members *m);
 void
 members_set(struct raft *r, uint64_t index, const struct raft_members *members);
--- a/lib/raft/election.c
+++ b/lib/raft/election.c
@@ -92,23 +92,13 @@
 	return n;
 }
 
-static int
-voter_count(const struct raft_members *m)
-{
-	int i, n = 0;
-
-	for (i = 0; i < m->count; i++)
-		n += !m->member[i].learner;
-	return n;
-}
-
 /* Starts the election if the pre-vote shows that no leader is alive. */
 static bool
 prevote_won(struct raft *r)
 {
 	const struct raft_members *members = members_current(r);
 
-	if (tally_count(r, true) == voter_count(members))
+	if (tally_count(r, true) == members_voters(members))
 		campaign(r, CAMPAIGN_UNANIMOUS);
 	else if (tally_count_sufficient(r) >= members_quorum(members) &&
 	    !just_restarted(r))
--- a/lib/raft/members.c
+++ b/lib/raft/members.c
@@ -56,8 +56,8 @@
 	return members_has(m, id, &learner) && !learner;
 }
 
-static int
-voter_count(const struct raft_members *m)
+int
+members_voters(const struct raft_members *m)
 {
 	int i, n = 0;
 
@@ -69,7 +69,7 @@
 int
 members_quorum(const struct raft_members *m)
 {
-	return voter_count(m) / 2 + 1;
+	return members_voters(m) / 2 + 1;
 }
 
 void
@@ -121,7 +121,7 @@
 		if (i < 0)
 			return false;
 		m->member[i] = m->member[--m->count];
-		return voter_count(m) > 0;
+		return members_voters(m) > 0;
 	}
 	if (i < 0) {
 		/* A new member starts as a learner, as its log is empty. */
@@ -134,7 +134,7 @@
 		return false;
 	m->member[i].learner = learner;
 	if (learner)
-		return voter_count(m) > 0;
+		return members_voters(m) > 0;
 	p = peer_find(r, id);
 	return p != NULL && p->state == PEER_REPLICATE &&
 	    p->match >= r->term_first_index &&
