home: a worker that answers no request is left to expire

Cause: requests to w0 got no answer, its heartbeats arrived. Each heartbeat renewed its lease, so the start order was repeated for as long as the link was down: jobs 1 and 2 stalled ("overdue" in the leader's log, no other line).

Change: the home notes since when a worker has answered nothing. After suspect_ms the worker gets no new work; after a lease its heartbeats renew nothing and the leader is told, which refuses its announcements until the lease is over. Then its attempts are lost as those of a silent worker: idempotent tasks start elsewhere, others end as unknown. The leader logs both.

--- a/bulrushtided/home.c
+++ b/bulrushtided/home.c
@@ -49,7 +49,10 @@
 	int64_t lease_end_ms; /* the worker accepts no order after this */
 	int64_t session_start_ms; /* receipt of the current epoch */
 	int64_t last_contact_ms; /* heartbeat, lease answer or new epoch */
-	bool silent; /* no contact for more than suspect_ms */
+	/* Since when it has answered no request; 0: it answers. */
+	int64_t unreached_ms;
+	bool given_up; /* unreached for too long; not renewed in this epoch */
+	bool silent; /* no contact or unreached for more than suspect_ms */
 	bool expired; /* its lease; not renewed again in this epoch */
 	bool epoch_acked; /* the worker has acknowledged the current epoch */
 	bool announcing; /* POST /lease is in flight */
@@ -150,6 +153,23 @@
 	    MAX(w->lease_end_ms, w->last_renewal_ms + config->lease_ms);
 }
 
+/* Records whether a request to the worker was answered; status 0: it was not.
+ * Its heartbeats may arrive although requests to it do not. */
+static void
+record_reached(struct home_worker *w, int status)
+{
+	if (status != 0)
+		w->unreached_ms = 0;
+	else if (w->unreached_ms == 0)
+		w->unreached_ms = mono_ms();
+}
+
+static bool
+unreached_for(const struct home_worker *w, int64_t ms, int64_t now)
+{
+	return w->unreached_ms != 0 && now - w->unreached_ms > ms;
+}
+
 static void
 back_off(struct home_attempt *a)
 {
@@ -199,6 +219,7 @@
 		g_free(s);
 		return;
 	}
+	record_reached(a->worker, status);
 	if (status == 200 && s->type == ORDER_START) {
 		a->start_accepted = true;
 		/* The worker counts the lease from its acceptance. */
@@ -312,6 +333,7 @@
 	struct home_worker *w = arg;
 
 	w->announcing = false;
+	record_reached(w, status);
 	if (w->announced_epoch != w->epoch)
 		return;
 	/* Extends the lease whatever the status: even without an answer the
@@ -406,6 +428,8 @@
 	if (w->epoch == push->epoch && w->incarnation == push->incarnation) {
 		/* The push comes from a new leader, which needs the worker's
 		 * health. */
+		if (w->given_up)
+			report_health(w, HEALTH_UNREACHED);
 		if (w->expired)
 			report_health(w, HEALTH_EXPIRED);
 		else if (w->silent)
@@ -417,6 +441,8 @@
 	w->incarnation = push->incarnation;
 	w->epoch = push->epoch;
 	w->silent = w->expired = w->epoch_acked = false;
+	w->unreached_ms = 0;
+	w->given_up = false;
 	w->last_contact_ms = w->session_start_ms = now;
 	/* An earlier home may have renewed the lease until now. */
 	extend_lease(w);
@@ -612,11 +638,13 @@
 	    (heartbeat->epoch != 0 && heartbeat->epoch != w->epoch) ||
 	    !session_has_grant(h->node->session))
 		return NULL;
+	if (w->given_up)
+		return NULL;
 	w->last_contact_ms = now;
 	extend_lease(w);
 	w->epoch_acked |= heartbeat->epoch == w->epoch;
 	handle_running(w, heartbeat);
-	if (w->silent) {
+	if (w->silent && w->unreached_ms == 0) {
 		w->silent = false;
 		report_health(w, HEALTH_RESPONSIVE);
 	}
@@ -641,10 +669,18 @@
 {
 	const struct config_push *c = session_config(w->home->node->session);
 
-	if (!w->silent && now - w->last_contact_ms > c->suspect_ms) {
+	if (!w->silent &&
+	    (now - w->last_contact_ms > c->suspect_ms ||
+		unreached_for(w, c->suspect_ms, now))) {
 		w->silent = true;
 		report_health(w, HEALTH_SILENT);
 	}
+	/* The start orders that it does not answer would wait for ever: its
+	 * lease has to expire. */
+	if (!w->given_up && unreached_for(w, c->lease_ms, now)) {
+		w->given_up = true;
+		report_health(w, HEALTH_UNREACHED);
+	}
 	if (!w->epoch_acked && !w->silent)
 		announce_lease(w);
 	if (w->expired || w->announcing || now < w->lease_end_ms)
--- a/bulrushtided/leader_impl.h
+++ b/bulrushtided/leader_impl.h
@@ -47,6 +47,7 @@
 	uint32_t home;
 	uint64_t epoch;
 	bool silent; /* its home got no heartbeat for suspect_ms */
+	bool unreached; /* its home waits for its lease to expire */
 	int64_t session_expired_ms; /* end of its session, may be in the future;
 				       0: none known */
 	int64_t last_renewal_ms; /* no lease renewal was sent after this */
--- a/bulrushtided/proto.h
+++ b/bulrushtided/proto.h
@@ -194,8 +194,10 @@
 			       as never run */
 	HEALTH_SILENT, /* no heartbeat for suspect_ms */
 	HEALTH_RESPONSIVE, /* heartbeats again after HEALTH_SILENT */
-	HEALTH_EXPIRED /* the shortest lease has expired; it is not renewed
+	HEALTH_EXPIRED, /* the shortest lease has expired; it is not renewed
 			  again in this epoch */
+	HEALTH_UNREACHED /* answers no request, though its heartbeats arrive;
+			    its lease is not renewed again in this epoch */
 };
 
 struct health_report {
--- a/bulrushtided/requests.c
+++ b/bulrushtided/requests.c
@@ -272,6 +272,13 @@
 	    client_by_entry(l, known->home) != NULL &&
 	    !client_by_entry(l, known->home)->draining;
 
+	/* With a new epoch its lease would not expire. */
+	if (lw != NULL && lw->unreached && known->state != WORKER_LOST &&
+	    known->incarnation == w->incarnation) {
+		reply_not_run(l, c->serial, req->id,
+		    "the worker answers no request: its lease has to expire");
+		return;
+	}
 	cmd->u.announce.new_epoch = true;
 	if (live && lw != NULL && lw->silent && c->entry_id != 0 &&
 	    c->entry_id != known->home && !c->draining)
--- a/bulrushtided/workers.c
+++ b/bulrushtided/workers.c
@@ -107,7 +107,7 @@
 	if (lw->epoch != w->epoch) {
 		/* A new session: the state of the old one does not apply. */
 		lw->epoch = w->epoch;
-		lw->silent = false;
+		lw->silent = lw->unreached = false;
 		lw->session_expired_ms = 0;
 		lw->loss_proposed = false;
 	}
@@ -310,6 +310,14 @@
 	lw->update_proposed = leader_propose(l, &cmd) != 0;
 }
 
+static const char *const health_names[] = {
+	[HEALTH_RENEW_EPOCH] = "needs a new epoch",
+	[HEALTH_SILENT] = "no heartbeat, or answers no request",
+	[HEALTH_RESPONSIVE] = "responsive",
+	[HEALTH_EXPIRED] = "lease expired",
+	[HEALTH_UNREACHED] = "answers no request; its lease is left to expire",
+};
+
 void
 workers_health_reported(
     struct leader *l, struct client *c, const struct health_report *report)
@@ -318,7 +326,8 @@
 	const struct cell_worker *w = cell_worker(l->cell, report->worker);
 
 	if (lw == NULL || w == NULL || lw->epoch != report->epoch ||
-	    lw->home != c->entry_id)
+	    lw->home != c->entry_id ||
+	    report->health >= G_N_ELEMENTS(health_names))
 		return;
 	if (report->health == HEALTH_RENEW_EPOCH) {
 		renew_epoch(l, w, lw);
@@ -329,11 +338,11 @@
 		lw->last_renewal_ms =
 		    lw->session_expired_ms - report->silent_ms;
 	}
+	lw->unreached |= report->health == HEALTH_UNREACHED;
 	lw->silent = report->health != HEALTH_RESPONSIVE;
 	if (report->health != HEALTH_RESPONSIVE)
 		log_info("leader", "worker %s: %s", w->name,
-		    report->health == HEALTH_SILENT ? "no heartbeat"
-						    : "lease expired");
+		    health_names[report->health]);
 	update_sched(l, w, lw);
 }
 
