--- a/test/mesh_test.c
+++ b/test/mesh_test.c
@@ -251,6 +251,7 @@
 	int listener = socket_new();
 	int full[BACKLOG_SOCKETS];
 	int64_t start_ms;
+	int64_t elapsed_ms;
 
 	g_assert_cmpint(
 	    bind(listener, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
@@ -271,11 +272,11 @@
 		close(full[i]);
 	(void)accept_all(listener);
 	AWAIT(c, accept_all(listener));
-	start_ms = mono_ms() - start_ms;
+	elapsed_ms = mono_ms() - start_ms;
 	close(listener);
 	cluster_free(c);
 	g_free(ip);
-	return start_ms;
+	return elapsed_ms;
 }
 
 /*
