raft: a restarted follower keeps to its leader for a whole election timeout

Finding at the last reading of the change: the timeout of a follower is chosen when it first hears a leader. The early campaigns after a restart were ended only after that, so that a restarted follower kept a timeout of 0.16 to 0.4 s for as long as its leader lived. When it ran out the follower forgot the leader and would have granted votes within the 0.35 s in which the leader may give orders: the hole that the change was to close.

Change: the early campaigns end before the timeout is chosen.

--- a/lib/raft/raft.c
+++ b/lib/raft/raft.c
@@ -170,10 +170,11 @@
 		return false;
 	if (r->leader != RAFT_NONE && r->leader != leader)
 		return false;
+	/* Before the election timeout is chosen. */
+	r->early_campaigns = 0;
 	if (r->role != RAFT_FOLLOWER || r->leader != leader)
 		become_follower(r, r->term, leader);
 	r->election_elapsed = 0;
-	r->early_campaigns = 0;
 	return true;
 }
 
@@ -216,9 +217,8 @@
 	}
 	if (m->type == RAFT_MSG_VOTE && ignores_vote(r, m))
 		return;
-	if (m->term > r->term) {
+	if (m->term > r->term)
 		become_follower(r, m->term, RAFT_NONE);
-	}
 	if (m->term < r->term) {
 		reply_stale(r, m);
 		return;
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -834,6 +834,30 @@
 
 #define RESTARTS 200
 
+/* Once a restarted replica has heard a leader, it follows it for a minimum
+ * election timeout, however early it would have campaigned. */
+static void
+test_restarted_follower(void)
+{
+	struct raft_conf conf = make_conf(1, 3);
+
+	conf.hard_state = (struct raft_hard_state){ .term = 3 };
+	for (conf.seed = 1; conf.seed <= RESTARTS; conf.seed++) {
+		struct raft *r = raft_new(&conf);
+
+		for (int i = 0; i < 2 * ELECTION_TICKS; i++) {
+			step_append(r, 2, 3, 0, 0, 0);
+			tick(r, 1);
+		}
+		step_append(r, 2, 3, 0, 0, 0);
+		take_and_store(r);
+		tick(r, ELECTION_TICKS - 1);
+		g_assert_cmpuint(raft_leader(r), ==, 2);
+		g_assert_false(request_vote(r, 3, 5, 9, 4, false));
+		raft_free(r);
+	}
+}
+
 /*
  * All replicas restart: in 9 of 10 cases a leader is elected within a minimum
  * election timeout, as nobody can follow one.
@@ -1079,6 +1103,7 @@
 	g_test_add_func("/raft/snapshot-chunks", test_snapshot_chunks);
 	g_test_add_func("/raft/restart-term", test_restart_term);
 	g_test_add_func("/raft/restarted-voter", test_restarted_voter);
+	g_test_add_func("/raft/restarted-follower", test_restarted_follower);
 	g_test_add_func("/raft/all-restarted", test_all_restarted);
 	g_test_add_func("/raft/one-restarted", test_one_restarted);
 	g_test_add_func("/raft/codec", test_codec);
