--- a/bulrushtided/home.c
+++ b/bulrushtided/home.c
@@ -633,13 +633,11 @@
 	const struct config_push *config = session_config(h->node->session);
 	int64_t now = mono_ms();
 
-	if (w == NULL || w->expired ||
+	if (w == NULL || w->expired || w->given_up ||
 	    w->incarnation != heartbeat->worker.incarnation ||
 	    (heartbeat->epoch != 0 && heartbeat->epoch != w->epoch) ||
 	    !session_has_grant(h->node->session))
 		return NULL;
-	if (w->given_up)
-		return NULL;
 	w->last_contact_ms = now;
 	extend_lease(w);
 	w->epoch_acked |= heartbeat->epoch == w->epoch;
--- a/test/fault_test.c
+++ b/test/fault_test.c
@@ -354,18 +354,21 @@
 	    cluster_http(c, "e0", "GET", "/v1/workers", NULL, NULL, &status);
 	json_t *list = json_object_get(all, "workers");
 	json_t *found = NULL;
-	json_t *w;
-	size_t i;
 
 	g_assert_cmpint(status, ==, 200);
-	json_array_foreach(list, i,
-	    w) if (strcmp(json_string_value(json_object_get(w, "name")),
-		       name) ==
-	    0) found = json_pack("{s:s,s:I,s:O,s:O,s:O,s:i,s:i,s:i,s:i}",
-	    "name", name, "incarnation", incarnation, "address",
-	    json_object_get(w, "address"), "rack", json_object_get(w, "rack"),
-	    "data_center", json_object_get(w, "data_center"), "millicpus", 4000,
-	    "memory_bytes", 1 << 30, "slots", SLOTS, "connections", 1);
+	for (size_t i = 0; found == NULL && i < json_array_size(list); i++) {
+		json_t *w = json_array_get(list, i);
+
+		if (strcmp(json_string_value(json_object_get(w, "name")),
+			name) != 0)
+			continue;
+		found = json_pack("{s:s,s:I,s:O,s:O,s:O,s:i,s:i,s:i,s:i}",
+		    "name", name, "incarnation", incarnation, "address",
+		    json_object_get(w, "address"), "rack",
+		    json_object_get(w, "rack"), "data_center",
+		    json_object_get(w, "data_center"), "millicpus", 4000,
+		    "memory_bytes", 1 << 30, "slots", SLOTS, "connections", 1);
+	}
 	g_assert_nonnull(found);
 	json_decref(all);
 	return found;
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -135,6 +135,17 @@
 }
 
 /* Sends r a vote request; returns whether it was granted. */
+static bool
+send_vote_request(struct raft *r, const struct raft_msg *m)
+{
+	const struct raft_msg *reply;
+
+	raft_step(r, m);
+	take_and_store(r);
+	reply = last_sent(RAFT_MSG_VOTE_REPLY, m->from);
+	return reply != NULL && !reply->reject && reply->term == m->term;
+}
+
 static bool
 request_vote(struct raft *r, uint64_t from, uint64_t term, uint64_t index,
     uint64_t log_term, bool leader_transfer)
@@ -148,12 +159,8 @@
 		.log_term = log_term,
 		.leader_transfer = leader_transfer,
 	};
-	const struct raft_msg *reply;
 
-	raft_step(r, &m);
-	take_and_store(r);
-	reply = last_sent(RAFT_MSG_VOTE_REPLY, from);
-	return reply != NULL && !reply->reject && reply->term == term;
+	return send_vote_request(r, &m);
 }
 
 /* Elects replica 1 of three with the vote of replica 2. */
@@ -794,12 +801,8 @@
 		.index = 9,
 		.log_term = 4,
 		.unanimous = true };
-	const struct raft_msg *reply;
 
-	raft_step(r, &m);
-	take_and_store(r);
-	reply = last_sent(RAFT_MSG_VOTE_REPLY, from);
-	return reply != NULL && !reply->reject && reply->term == term;
+	return send_vote_request(r, &m);
 }
 
 /*
