--- a/test/cellnode.cmake
+++ b/test/cellnode.cmake
@@ -1,5 +1,6 @@
 bt_cases(cellnode SOURCES cellnode_test.c stepcell.c proc.c DEPENDS base httpd
-    CASES whole-path large-config losses stops early-reload)
+    CASES whole-path large-config config-near-limit
+    config-slow-entry losses stops early-reload)
 add_dependencies(cellnode_test bulrushtide-platform faultproxy)
 bt_program(soak SOURCES soak.c stepcell.c proc.c DEPENDS base httpd)
 add_dependencies(soak bulrushtide-platform faultproxy)
--- a/test/cellnode_test.c
+++ b/test/cellnode_test.c
@@ -3,9 +3,13 @@
  * discover each other through seeds: job submission to completion, lost disks,
  * graceful stops.
  */
+#include <arpa/inet.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -38,15 +42,16 @@
 	cell_free(c);
 }
 
-#define LARGE_QUEUES 1000
+#define LARGE_QUEUES 1000 /* a document of 160 KB */
+#define QUEUES_NEAR_LIMIT 25000 /* a document of nearly 4 MiB */
 
-/* A configuration with many queues, of more than 100 KB. */
 static char *
-large_config(void)
+make_config(int version, int queues)
 {
-	GString *text = g_string_new("{\"version\":20,\"routes\":[");
+	GString *text = g_string_new(NULL);
 
-	for (int i = 0; i < LARGE_QUEUES; i++)
+	g_string_printf(text, "{\"version\":%d,\"routes\":[", version);
+	for (int i = 0; i < queues; i++)
 		g_string_append_printf(text,
 		    "%s{\"name\":\"q%d\",\"host\":\"jobs.example\","
 		    "\"pathPrefix\":\"/q%d/\",\"service\":\"desk\","
@@ -84,7 +89,7 @@
 test_large_config(void)
 {
 	struct cell *c = cell_new();
-	char *config = large_config();
+	char *config = make_config(20, LARGE_QUEUES);
 	int redirected = 0;
 
 	CELL_AWAIT(c,
@@ -101,6 +106,108 @@
 	cell_free(c);
 }
 
+/* A document of nearly the permitted size is accepted and read back whole. */
+static void
+test_config_near_limit(void)
+{
+	struct cell *c = cell_new();
+	char *config = make_config(20, QUEUES_NEAR_LIMIT);
+	int status;
+
+	CELL_AWAIT(c,
+	    (status = cell_call(c, c->node[3].control, EVHTTP_REQ_POST,
+		 "/bulrushtide/config/replace", config)) == 200 ||
+		status == 413);
+	g_assert_cmpint(status, ==, 200);
+	for (int i = 0; i < NODES; i++) {
+		CELL_AWAIT(c, read_config(c, i) == 200);
+		g_assert_true(strcmp(c->body, config) == 0);
+	}
+	g_free(config);
+	cell_free(c);
+}
+
+static int
+dial(const char *address)
+{
+	char **part = g_strsplit(address, ":", 2);
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_port = htons((uint16_t)atoi(part[1])) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(inet_pton(AF_INET, part[0], &sin.sin_addr), ==, 1);
+	g_assert_cmpint(
+	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
+	g_strfreev(part);
+	return fd;
+}
+
+/* Sends the text while the cell keeps running. */
+static void
+send_text(struct cell *c, int fd, const char *text)
+{
+	size_t left = strlen(text);
+
+	while (left > 0) {
+		ssize_t n = send(fd, text, left, MSG_DONTWAIT | MSG_NOSIGNAL);
+
+		g_assert_true(n > 0 || errno == EAGAIN);
+		if (n > 0) {
+			text += n;
+			left -= (size_t)n;
+		}
+		cell_run_loop(c);
+	}
+}
+
+/* Appends what has arrived; true if it contains the text. */
+static bool
+has_received(int fd, GString *in, const char *text)
+{
+	char buf[4096];
+	ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+	if (n > 0)
+		g_string_append_len(in, buf, n);
+	return strstr(in->str, text) != NULL;
+}
+
+/*
+ * An entry redirects a large configuration to the leader before it receives
+ * the body, which would occupy its link for seconds. The connection stays
+ * usable if the body comes all the same.
+ */
+static void
+test_config_slow_entry(void)
+{
+	struct cell *c = cell_new();
+	char *config = make_config(20, LARGE_QUEUES);
+	char *head = g_strdup_printf("POST /bulrushtide/config/replace "
+				     "HTTP/1.1\r\nHost: x\r\n"
+				     "Content-Length: %zu\r\n\r\n",
+	    strlen(config));
+	GString *in = g_string_new(NULL);
+	int fd;
+
+	CELL_AWAIT(c, cell_node_ready(c, 3));
+	fd = dial(c->node[3].control);
+	send_text(c, fd, head);
+	CELL_AWAIT(c, has_received(fd, in, "\r\n\r\n"));
+	g_assert_true(g_str_has_prefix(in->str, "HTTP/1.1 307 "));
+	g_assert_nonnull(strstr(in->str, "Location: http://"));
+	send_text(c, fd, config);
+	g_string_truncate(in, 0);
+	send_text(
+	    c, fd, "GET /bulrushtide/config/read HTTP/1.1\r\nHost: x\r\n\r\n");
+	CELL_AWAIT(c, has_received(fd, in, cell_config));
+	g_assert_true(g_str_has_prefix(in->str, "HTTP/1.1 200 "));
+	close(fd);
+	g_string_free(in, TRUE);
+	g_free(head);
+	g_free(config);
+	cell_free(c);
+}
+
 /* Each node with a disk in turn is killed and loses its disk. */
 static void
 test_lost_disks(void)
@@ -192,6 +299,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cellnode/whole-path", test_whole_path);
 	g_test_add_func("/cellnode/large-config", test_large_config);
+	g_test_add_func("/cellnode/config-near-limit", test_config_near_limit);
+	g_test_add_func("/cellnode/config-slow-entry", test_config_slow_entry);
 	g_test_add_func("/cellnode/losses", test_lost_disks);
 	g_test_add_func("/cellnode/stops", test_graceful_stops);
 	g_test_add_func("/cellnode/early-reload", test_early_reload);
