platform: a large configuration is redirected to the leader before its body

Cause: a configuration passes through the link of the entry that the operator has chosen, and 28 of 36 entries have 2 Mbit/s. 0.8 MB take 4 s, which is about as long as the operator waits; an attempt that is cut off has filled the link for nothing.

Change: the control listener sees the head of a request before evhttp receives the body. Without a known leader, and for callers that wait for '100 Continue' or send chunks, the body is received as before.

libevent's bufferevent_filter was tried first: with evhttp the reply stays in the filter, as evhttp enables writing only after it has queued it.

--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -11,24 +11,13 @@
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 
-#include "httpd.h"
+#include "impl.h"
 
 #define LISTEN_BACKLOG 256
 #define HEADER_EXTRA_BYTES 4 /* ": " and CRLF */
 #define REQUEST_LINE_BYTES 16 /* estimate, without the path */
 #define REPLY_HEAD_BYTES 100 /* estimate of the status line and headers */
 
-struct httpd {
-	struct evhttp *http;
-	struct evconnlistener *listener;
-	const struct http_route *routes;
-	size_t count;
-	void *arg;
-	int pending;
-	GHashTable *connections; /* struct evhttp_connection *, open */
-	bool closing; /* replies carry "Connection: close" */
-};
-
 static struct http_stats totals;
 
 const struct http_stats *
@@ -86,6 +75,16 @@
 	return NULL;
 }
 
+/* Length of the body that was skipped, 0 if none was. */
+static uint64_t
+skipped_len(struct evhttp_request *ev)
+{
+	const char *text = evhttp_find_header(
+	    evhttp_request_get_input_headers(ev), SKIPPED_HEADER);
+
+	return text == NULL ? 0 : g_ascii_strtoull(text, NULL, 10);
+}
+
 static size_t
 header_bytes(struct evkeyvalq *headers)
 {
@@ -103,6 +102,8 @@
 	struct httpd *h = arg;
 
 	g_hash_table_remove(h->connections, conn);
+	if (h->inputs != NULL)
+		skip_connection_closed(h, conn);
 }
 
 /* Counts a connection at its first request; false if over the limit. */
@@ -147,6 +148,7 @@
 	req->path = g_strdup(path == NULL ? "" : path);
 	req->body_len = evbuffer_get_length(in);
 	req->body = evbuffer_pullup(in, -1);
+	req->skipped_len = skipped_len(ev);
 	req->arrived_ms = mono_ms();
 	totals.requests++;
 	totals.bytes_in += req->body_len + strlen(req->path) +
@@ -191,7 +193,7 @@
 	h->connections = g_hash_table_new(NULL, NULL);
 	h->http = evhttp_new(base);
 	g_assert(h->http != NULL);
-	evhttp_set_max_body_size(h->http, HTTP_BODY_MAX);
+	httpd_set_body_max(h, HTTP_BODY_MAX);
 	evhttp_set_max_headers_size(h->http, HTTP_HEADERS_MAX);
 	evhttp_set_timeout(h->http, HTTP_IDLE_S);
 	evhttp_set_allowed_methods(h->http,
@@ -218,9 +220,19 @@
 void
 httpd_set_body_max(struct httpd *h, size_t bytes)
 {
+	h->body_max = bytes;
 	evhttp_set_max_body_size(h->http, (ev_ssize_t)bytes);
 }
 
+void
+httpd_skip_bodies(struct httpd *h, const char *path, http_skip_fn *fn)
+{
+	h->skip_path = path;
+	h->skip = fn;
+	h->inputs = skip_inputs_new();
+	evhttp_set_bevcb(h->http, skip_connection_new, h);
+}
+
 void
 httpd_close_keepalive(struct httpd *h)
 {
@@ -246,6 +258,8 @@
 		return;
 	evhttp_free(h->http);
 	g_hash_table_unref(h->connections);
+	if (h->inputs != NULL)
+		g_hash_table_unref(h->inputs);
 	g_free(h);
 }
 
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -29,6 +29,7 @@
 	char *param[HTTP_PARAMS_MAX]; /* unescaped segments matched by '*' */
 	const void *body;
 	size_t body_len;
+	uint64_t skipped_len; /* of a body that was skipped; 0: it was not */
 	int64_t arrived_ms; /* monotonic */
 	const struct http_route *route;
 	struct httpd *server;
@@ -37,7 +38,6 @@
 #define HTTP_ANY_PATH "**" /* pattern that matches every path */
 
 typedef void http_handler(void *arg, struct http_request *req);
-
 struct http_route {
 	enum evhttp_cmd_type method;
 	const char *pattern; /* '*' matches one non-empty path segment */
@@ -57,6 +57,14 @@
     const struct http_route *routes, size_t count, void *arg, GError **err);
 /* Larger bodies are refused with status 413. Applies to new connections. */
 void httpd_set_body_max(struct httpd *h, size_t bytes);
+/* Whether to skip a body of this length, before any of it is received. */
+typedef bool http_skip_fn(void *arg, uint64_t body_len);
+/*
+ * Makes the handler of POST requests to a path be called at once, without the
+ * body, if fn returns true. To be called before the server accepts
+ * connections, for one path.
+ */
+void httpd_skip_bodies(struct httpd *h, const char *path, http_skip_fn *fn);
 /* Makes all later replies carry "Connection: close". */
 void httpd_close_keepalive(struct httpd *h);
 /* Stops accepting connections; those that are open stay open. */
--- a/test/cellnode_test.c
+++ b/test/cellnode_test.c
@@ -62,13 +62,12 @@
 	return g_string_free(text, FALSE);
 }
 
-/* Reads the configuration at a node, following one redirect. */
+/* Calls the control address of a node, following one redirect. */
 static int
-read_config(struct cell *c, int node)
+call_control(struct cell *c, int node, enum evhttp_cmd_type method,
+    const char *path, const char *body)
 {
-	static const char path[] = "/bulrushtide/config/read";
-	int status =
-	    cell_call(c, c->node[node].control, EVHTTP_REQ_GET, path, NULL);
+	int status = cell_call(c, c->node[node].control, method, path, body);
 	char *address;
 	size_t len;
 
@@ -78,11 +77,18 @@
 	g_assert_true(g_str_has_suffix(c->location, path));
 	len = strlen(c->location) - strlen("http://") - strlen(path);
 	address = g_strndup(c->location + strlen("http://"), len);
-	status = cell_call(c, address, EVHTTP_REQ_GET, path, NULL);
+	status = cell_call(c, address, method, path, body);
 	g_free(address);
 	return status;
 }
 
+static int
+read_config(struct cell *c, int node)
+{
+	return call_control(
+	    c, node, EVHTTP_REQ_GET, "/bulrushtide/config/read", NULL);
+}
+
 /* A large configuration is accepted by an entry. Only the leader sends it to
  * readers: all others redirect there rather than use their own links. */
 static void
@@ -93,8 +99,8 @@
 	int redirected = 0;
 
 	CELL_AWAIT(c,
-	    cell_call(c, c->node[3].control, EVHTTP_REQ_POST,
-		"/bulrushtide/config/replace", config) == 200);
+	    call_control(c, 3, EVHTTP_REQ_POST, "/bulrushtide/config/replace",
+		config) == 200);
 	for (int i = 0; i < NODES; i++) {
 		CELL_AWAIT(c, read_config(c, i) == 200);
 		g_assert_cmpstr(c->body, ==, config);
@@ -114,8 +120,8 @@
 	char *config = make_config(20, QUEUES_NEAR_LIMIT);
 
 	CELL_AWAIT(c,
-	    cell_call(c, c->node[3].control, EVHTTP_REQ_POST,
-		"/bulrushtide/config/replace", config) == 200);
+	    call_control(c, 3, EVHTTP_REQ_POST, "/bulrushtide/config/replace",
+		config) == 200);
 	for (int i = 0; i < NODES; i++) {
 		CELL_AWAIT(c, read_config(c, i) == 200);
 		g_assert_true(strcmp(c->body, config) == 0);
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -1,4 +1,6 @@
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "httpd.h"
 
@@ -31,7 +33,26 @@
 	event_base_loopbreak(f->base);
 }
 
+#define SKIP_PATH "/upload"
+#define SKIP_MIN_BYTES 8
+
+static bool
+skips(void *arg, uint64_t body_len)
+{
+	return body_len >= SKIP_MIN_BYTES;
+}
+
+static void
+upload(void *arg, struct http_request *req)
+{
+	http_reply(req, 200,
+	    g_strdup_printf("skipped %d, got %.*s", (int)req->skipped_len,
+		(int)req->body_len, (const char *)req->body),
+	    0);
+}
+
 static const struct http_route routes[] = {
+	{ EVHTTP_REQ_POST, SKIP_PATH, upload },
 	{ EVHTTP_REQ_POST, "/a/*/b/*", echo },
 	{ EVHTTP_REQ_GET, "/hold", defer_reply },
 };
@@ -93,6 +114,102 @@
 	g_free(address);
 }
 
+static int
+dial(const char *address)
+{
+	struct sockaddr_storage ss;
+	int len = sizeof(ss);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(
+	    evutil_parse_sockaddr_port(address, (struct sockaddr *)&ss, &len),
+	    ==, 0);
+	g_assert_cmpint(
+	    connect(fd, (struct sockaddr *)&ss, (socklen_t)len), ==, 0);
+	return fd;
+}
+
+/* Appends what the server sends until it contains the text. */
+static void
+await_text(struct event_base *base, int fd, GString *in, const char *text)
+{
+	while (strstr(in->str, text) == NULL) {
+		char buf[4096];
+		ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+		if (n > 0)
+			g_string_append_len(in, buf, n);
+		else
+			event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	}
+}
+
+struct skip_case {
+	const char *request;
+	const char *reply; /* end of the reply to it */
+};
+
+/*
+ * A request is answered without its body only if the server knows where the
+ * body ends; the next request on the connection is understood all the same.
+ */
+static const struct skip_case skip_cases[] = {
+	{ "POST " SKIP_PATH " HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc",
+	    "skipped 0, got abc" },
+	{ "POST " SKIP_PATH "?n=1 HTTP/1.1\r\nHost: x\r\n"
+	  "content-length: 10\r\n\r\n0123456789",
+	    "skipped 10, got " },
+	{ "POST " SKIP_PATH " HTTP/1.1\nContent-Length:  8\n\nGET /a b",
+	    "skipped 8, got " },
+	{ "POST /a/1/b/2 HTTP/1.1\r\nContent-Length: 9\r\n\r\n012345678",
+	    "1/2/-/012345678" },
+	{ "POST " SKIP_PATH " HTTP/1.1\r\nContent-Length: 8\r\n"
+	  "Expect: 100-continue\r\n\r\n01234567",
+	    "skipped 0, got 01234567" },
+	{ "POST " SKIP_PATH " HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "9\r\n012345678\r\n0\r\n\r\n",
+	    "skipped 0, got 012345678" },
+	{ "POST " SKIP_PATH " HTTP/1.1\r\nContent-Length: 8\r\n\r\n01234567",
+	    "skipped 0, got 01234567" }, /* not understood since the last */
+};
+
+static void
+test_skip_body(void)
+{
+	static const size_t pieces[] = { 1, 7, 1000 }; /* bytes per packet */
+	struct fixture f = { .base = event_base_new() };
+	char *address = free_address();
+	struct httpd *h =
+	    httpd_new(f.base, address, routes, G_N_ELEMENTS(routes), &f, NULL);
+
+	httpd_skip_bodies(h, SKIP_PATH, skips);
+	for (size_t p = 0; p < G_N_ELEMENTS(pieces); p++) {
+		int fd = dial(address);
+		GString *in = g_string_new(NULL);
+
+		for (size_t i = 0; i < G_N_ELEMENTS(skip_cases); i++) {
+			const struct skip_case *c = &skip_cases[i];
+			size_t len = strlen(c->request);
+
+			g_string_truncate(in, 0);
+			for (size_t at = 0; at < len; at += pieces[p]) {
+				size_t n = MIN(pieces[p], len - at);
+
+				g_assert_cmpint(send(fd, c->request + at, n, 0),
+				    ==, (ssize_t)n);
+				event_base_loop(
+				    f.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+			}
+			await_text(f.base, fd, in, c->reply);
+		}
+		close(fd);
+		g_string_free(in, TRUE);
+	}
+	httpd_free(h);
+	event_base_free(f.base);
+	g_free(address);
+}
+
 /*
  * The caller disconnects before the deferred reply is sent. The reply is
  * dropped, and the request no longer counts as pending.
@@ -145,6 +262,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/httpd/serve", test_serve);
+	g_test_add_func("/httpd/skip-body", test_skip_body);
 	g_test_add_func("/httpd/caller-disconnected", test_caller_disconnected);
 	g_test_add_func("/httpd/no-listener", test_no_listener);
 	return g_test_run();
