flow: queues are found by an index

Cause: each request, and each command that submits a job on each replica, compared host and prefix with all queues.

Change: an index by host and prefix and one by name, made when a configuration is applied. Test: flow routes compares it with a search of all queues for random overlapping prefixes, 200 configurations.

--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -92,6 +92,7 @@
 	g_hash_table_remove_all(f->workers_by_name);
 	g_hash_table_remove_all(f->workers);
 	g_hash_table_remove_all(f->queued_counts);
+	g_clear_pointer(&f->routes, routes_free);
 	flow_config_clear(&f->config);
 	f->last_worker_id = 0;
 	f->time_ms = 0;
@@ -288,9 +289,11 @@
 {
 	if (cmd->u.config.version <= f->config.version)
 		return FLOW_STALE;
+	routes_free(f->routes);
 	flow_config_clear(&f->config);
 	f->config = cmd->u.config;
 	cmd->u.config = (struct flow_config){ 0 };
+	f->routes = routes_new(f->config.queues);
 	if (f->watch.config_changed != NULL)
 		f->watch.config_changed(f->watch_arg);
 	return FLOW_ACCEPTED;
@@ -341,25 +344,11 @@
 	return FLOW_ACCEPTED;
 }
 
-static const struct flow_queue *
-find_queue(const struct flow *f, const char *name)
-{
-	GPtrArray *queues = f->config.queues;
-
-	for (guint i = 0; queues != NULL && i < queues->len; i++) {
-		const struct flow_queue *q = queues->pdata[i];
-
-		if (strcmp(q->name, name) == 0)
-			return q;
-	}
-	return NULL;
-}
-
 static enum flow_apply_result
 apply_submit(struct flow *f, struct flow_cmd *cmd)
 {
 	struct flow_queue *q =
-	    (struct flow_queue *)find_queue(f, cmd->u.submit.queue);
+	    (struct flow_queue *)routes_named(f->routes, cmd->u.submit.queue);
 	struct flow_job *job = find_job(f, cmd->u.submit.job);
 
 	if (job != NULL)
@@ -692,24 +681,7 @@
 flow_route(
     const struct flow *f, const char *host, const char *path, const char **rest)
 {
-	GPtrArray *queues = f->config.queues;
-	const struct flow_queue *best = NULL;
-	size_t longest = 0;
-
-	for (guint i = 0; queues != NULL && i < queues->len; i++) {
-		const struct flow_queue *q = queues->pdata[i];
-		size_t len = strlen(q->prefix);
-
-		if (g_ascii_strcasecmp(q->host, host) != 0 ||
-		    strncmp(path, q->prefix, len) != 0 ||
-		    (best != NULL && len < longest))
-			continue;
-		best = q;
-		longest = len;
-	}
-	if (best != NULL)
-		*rest = path + longest;
-	return best;
+	return routes_find(f->routes, host, path, rest);
 }
 
 const struct flow_worker *
--- a/lib/flow/internal.h
+++ b/lib/flow/internal.h
@@ -12,6 +12,7 @@
 	void *watch_arg;
 	int64_t time_ms;
 	struct flow_config config;
+	struct routes *routes; /* of config; NULL: none */
 	uint32_t last_worker_id;
 	GHashTable *workers; /* id to struct flow_worker */
 	GHashTable *workers_by_name; /* name to its newest incarnation */
@@ -31,6 +32,17 @@
 void worker_put(msgpack_packer *pk, const struct flow_worker *w);
 void worker_get(struct reader *r, struct flow_worker *w);
 
+/*
+ * routes.c: index of queues, which must outlive it. routes_find() returns the
+ * queue with the longest prefix of the path, NULL if there is none, and sets
+ * *rest to what follows the prefix. Both lookups accept NULL for no index.
+ */
+struct routes *routes_new(const GPtrArray *queues);
+void routes_free(struct routes *r);
+const struct flow_queue *routes_find(const struct routes *r, const char *host,
+    const char *path, const char **rest);
+const struct flow_queue *routes_named(const struct routes *r, const char *name);
+
 /* flow.c */
 void job_free(void *arg);
 void occurrence_free(void *arg);
--- a/lib/flow/snapshot.c
+++ b/lib/flow/snapshot.c
@@ -184,6 +184,8 @@
 	f->time_ms = get_i64(r);
 	f->last_worker_id = (uint32_t)get_u64(r);
 	config_get(r, &f->config);
+	if (r->ok)
+		f->routes = routes_new(f->config.queues);
 	list = get_array(r);
 	while (list.ok && list.left > 0) {
 		struct flow_worker *w = g_new0(struct flow_worker, 1);
--- a/test/flow_test.c
+++ b/test/flow_test.c
@@ -477,6 +477,91 @@
 	return c;
 }
 
+static const struct flow_queue *
+scan_for_route(const GPtrArray *queues, const char *host, const char *path)
+{
+	const struct flow_queue *best = NULL;
+
+	for (guint i = 0; i < queues->len; i++) {
+		const struct flow_queue *q = queues->pdata[i];
+
+		if (g_ascii_strcasecmp(q->host, host) == 0 &&
+		    g_str_has_prefix(path, q->prefix) &&
+		    (best == NULL || strlen(q->prefix) > strlen(best->prefix)))
+			best = q;
+	}
+	return best;
+}
+
+/* A string of up to max letters 'a' and 'b'. */
+static char *
+random_text(GRand *rand, int max)
+{
+	int len = g_rand_int_range(rand, 0, max + 1);
+	char *text = g_malloc0((gsize)len + 1);
+
+	for (int i = 0; i < len; i++)
+		text[i] = (char)g_rand_int_range(rand, 'a', 'c');
+	return text;
+}
+
+/* The index finds the same queue as a search of all, for overlapping prefixes,
+ * and follows changes of the configuration. */
+static void
+test_routes(void)
+{
+	struct flow *f = flow_new();
+	GRand *rand = g_rand_new_with_seed(7);
+
+	for (uint64_t version = 1; version <= 200; version++) {
+		struct flow_cmd cmd = { .type = FLOW_CMD_CONFIG };
+		struct flow_config *c = &cmd.u.config;
+		GHashTable *seen = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, NULL);
+		enum flow_apply_result result;
+		GBytes *encoded;
+
+		flow_config_init(c);
+		c->version = version;
+		c->document = g_bytes_new_static("{}", 2);
+		for (int i = 0; i < 30; i++) {
+			struct flow_queue *q = flow_queue_new();
+
+			q->host = g_strdup(g_rand_boolean(rand) ? "x" : "Y");
+			q->prefix = random_text(rand, 6);
+			q->name = g_strdup_printf("q%d", i);
+			q->pool = g_strdup("p");
+			if (g_hash_table_add(seen,
+				g_strconcat(q->host, " ", q->prefix, NULL)))
+				g_ptr_array_add(c->queues, q);
+			else
+				flow_queue_unref(q);
+		}
+		g_hash_table_unref(seen);
+		encoded = flow_cmd_encode(&cmd);
+		g_assert_true(flow_apply(f, g_bytes_get_data(encoded, NULL),
+		    g_bytes_get_size(encoded), &result, NULL));
+		g_bytes_unref(encoded);
+		flow_cmd_clear(&cmd);
+		for (int i = 0; i < 50; i++) {
+			const char *host = g_rand_boolean(rand) ? "X" : "y";
+			char *path = random_text(rand, 9);
+			const char *rest = NULL;
+			const struct flow_queue *expected =
+			    scan_for_route(flow_config(f)->queues, host, path);
+
+			g_assert_true(
+			    flow_route(f, host, path, &rest) == expected);
+			if (expected != NULL)
+				g_assert_cmpstr(
+				    rest, ==, path + strlen(expected->prefix));
+			g_free(path);
+		}
+	}
+	g_rand_free(rand);
+	flow_free(f);
+}
+
 /*
  * A configuration of 1,000 queues must not take seconds on the links of 2
  * Mbit/s that it is forwarded over; there it timed out and was sent again and
@@ -683,6 +768,7 @@
 	g_test_add_func("/flow/long-running-and-occurrences",
 	    test_long_running_and_occurrences);
 	g_test_add_func("/flow/config-and-route", test_config_and_route);
+	g_test_add_func("/flow/routes", test_routes);
 	g_test_add_func(
 	    "/flow/large-config-encoding", test_large_config_encoding);
 	g_test_add_func(
