--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -604,7 +604,9 @@
 const char *
 cellnode_leader_address(struct cellnode *n)
 {
-	struct mesh_link *l = mesh_leader(n->mesh);
+	/* While this process leads, a deposed leader may still claim to. */
+	struct mesh_link *l =
+	    dispatch_leads(n->dispatch) ? NULL : mesh_leader(n->mesh);
 
 	return l == NULL ? NULL : mesh_peer(l)->address;
 }
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -38,6 +38,7 @@
 #define HTTP_ANY_PATH "**" /* pattern that matches every path */
 
 typedef void http_handler(void *arg, struct http_request *req);
+
 struct http_route {
 	enum evhttp_cmd_type method;
 	const char *pattern; /* '*' matches one non-empty path segment */
@@ -60,9 +61,8 @@
 /* Whether to skip a body of this length, before any of it is received. */
 typedef bool http_skip_fn(void *arg, uint64_t body_len);
 /*
- * Makes the handler of POST requests to a path be called at once, without the
- * body, if fn returns true. To be called before the server accepts
- * connections, for one path.
+ * For POST requests to a path, calls the handler at once, without the body, if
+ * fn returns true. Sets one path, before the event loop runs.
  */
 void httpd_skip_bodies(struct httpd *h, const char *path, http_skip_fn *fn);
 /* Makes all later replies carry "Connection: close". */
--- a/lib/httpd/impl.h
+++ b/lib/httpd/impl.h
@@ -18,8 +18,8 @@
 	size_t body_max;
 	const char *skip_path; /* of POST requests whose body may be skipped */
 	http_skip_fn *skip;
-	GHashTable *inputs; /* evbuffer of a connection to its state; NULL:
-			       bodies are never skipped */
+	/* Input buffer of a connection to its state; NULL: skips no bodies. */
+	GHashTable *inputs;
 	int pending;
 	GHashTable *connections; /* struct evhttp_connection *, open */
 	bool closing; /* replies carry "Connection: close" */
--- a/lib/httpd/skip.c
+++ b/lib/httpd/skip.c
@@ -26,7 +26,8 @@
 	enum input_state state;
 	uint64_t left; /* bytes of the body */
 	struct evbuffer *received; /* not yet filtered */
-	bool filtering;
+	bool
+	    filtering; /* on_input() changes the buffer that it is called for */
 };
 
 struct head {
@@ -44,8 +45,9 @@
 	g_free(h->path);
 }
 
-static const char *
-header_value(const char *line, const char *name)
+/* Returns what follows the colon if the line has this header, else NULL. */
+static char *
+header_value(char *line, const char *name)
 {
 	size_t len = strlen(name);
 
@@ -65,14 +67,14 @@
 	h->opaque = h->path == NULL;
 	g_strfreev(word);
 	for (int i = 1; lines[i] != NULL; i++) {
-		const char *length = header_value(lines[i], "Content-Length");
+		char *length = header_value(lines[i], "Content-Length");
 
 		h->opaque |=
 		    header_value(lines[i], "Transfer-Encoding") != NULL;
 		h->waits |= header_value(lines[i], "Expect") != NULL;
 		if (length != NULL &&
-		    !g_ascii_string_to_unsigned(g_strstrip((char *)length), 10,
-			0, INT64_MAX, &h->body_len, NULL))
+		    !g_ascii_string_to_unsigned(g_strstrip(length), 10, 0,
+			INT64_MAX, &h->body_len, NULL))
 			h->opaque = true;
 	}
 }
@@ -200,7 +202,7 @@
 	}
 }
 
-/* Replaces what has just been added to the input of a connection. */
+/* Filters what has just been added to the input buffer of a connection. */
 static void
 on_input(struct evbuffer *buf, const struct evbuffer_cb_info *info, void *httpd)
 {
