test: one way to dial and to receive raw bytes; flow_test applies configurations as its other cases do

Found when reading the change again: cellnode_test and httpd_test each wrote a dial() and a receive loop, next to the one in web_test; test_routes encoded and applied commands by hand beside apply_cmd(), which also checks the state. Assertions are as before; routes checks flow_check() besides.

--- a/test/cellnode.cmake
+++ b/test/cellnode.cmake
@@ -1,4 +1,4 @@
-bt_cases(cellnode SOURCES cellnode_test.c stepcell.c proc.c DEPENDS base httpd
+bt_cases(cellnode SOURCES cellnode_test.c stepcell.c proc.c tcp.c DEPENDS base httpd
     CASES whole-path large-config config-near-limit
     config-slow-entry losses stops early-reload)
 add_dependencies(cellnode_test bulrushtide-platform faultproxy)
--- a/test/cellnode_test.c
+++ b/test/cellnode_test.c
@@ -3,17 +3,16 @@
  * discover each other through seeds: job submission to completion, lost disks,
  * graceful stops.
  */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
 #include "stepcell.h"
+#include "tcp.h"
 
 #define JOB(n) "/q/000000000000000" n
 
@@ -130,21 +129,6 @@
 	cell_free(c);
 }
 
-static int
-dial(const char *address)
-{
-	char **part = g_strsplit(address, ":", 2);
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-		.sin_port = htons((uint16_t)atoi(part[1])) };
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	g_assert_cmpint(inet_pton(AF_INET, part[0], &sin.sin_addr), ==, 1);
-	g_assert_cmpint(
-	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)), ==, 0);
-	g_strfreev(part);
-	return fd;
-}
-
 /* Sends the text while the cell keeps running. */
 static void
 send_text(struct cell *c, int fd, const char *text)
@@ -163,18 +147,6 @@
 	}
 }
 
-/* Appends what has arrived; true if it contains the text. */
-static bool
-has_received(int fd, GString *in, const char *text)
-{
-	char buf[4096];
-	ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
-
-	if (n > 0)
-		g_string_append_len(in, buf, n);
-	return strstr(in->str, text) != NULL;
-}
-
 /*
  * An entry redirects a large configuration to the leader before it receives
  * the body, which would occupy its link for seconds. The connection stays
@@ -193,16 +165,17 @@
 	int fd;
 
 	CELL_AWAIT(c, cell_node_ready(c, 3));
-	fd = dial(c->node[3].control);
+	fd = tcp_dial(c->node[3].control);
+	g_assert_cmpint(fd, >=, 0);
 	send_text(c, fd, head);
-	CELL_AWAIT(c, has_received(fd, in, "\r\n\r\n"));
+	CELL_AWAIT(c, tcp_received(fd, in, "\r\n\r\n"));
 	g_assert_true(g_str_has_prefix(in->str, "HTTP/1.1 307 "));
 	g_assert_nonnull(strstr(in->str, "Location: http://"));
 	send_text(c, fd, config);
 	g_string_truncate(in, 0);
 	send_text(
 	    c, fd, "GET /bulrushtide/config/read HTTP/1.1\r\nHost: x\r\n\r\n");
-	CELL_AWAIT(c, has_received(fd, in, cell_config));
+	CELL_AWAIT(c, tcp_received(fd, in, cell_config));
 	g_assert_true(g_str_has_prefix(in->str, "HTTP/1.1 200 "));
 	close(fd);
 	g_string_free(in, TRUE);
--- a/test/flow_test.c
+++ b/test/flow_test.c
@@ -510,16 +510,14 @@
 static void
 test_routes(void)
 {
-	struct flow *f = flow_new();
+	struct fixture x = setup(1);
 	GRand *rand = g_rand_new_with_seed(7);
 
-	for (uint64_t version = 1; version <= 200; version++) {
+	for (uint64_t version = 2; version <= 201; version++) {
 		struct flow_cmd cmd = { .type = FLOW_CMD_CONFIG };
 		struct flow_config *c = &cmd.u.config;
 		GHashTable *seen = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, g_free, NULL);
-		enum flow_apply_result result;
-		GBytes *encoded;
 
 		flow_config_init(c);
 		c->version = version;
@@ -538,20 +536,17 @@
 				flow_queue_unref(q);
 		}
 		g_hash_table_unref(seen);
-		encoded = flow_cmd_encode(&cmd);
-		g_assert_true(flow_apply(f, g_bytes_get_data(encoded, NULL),
-		    g_bytes_get_size(encoded), &result, NULL));
-		g_bytes_unref(encoded);
+		g_assert_cmpint(apply_cmd(&x, &cmd), ==, FLOW_ACCEPTED);
 		flow_cmd_clear(&cmd);
 		for (int i = 0; i < 50; i++) {
 			const char *host = g_rand_boolean(rand) ? "X" : "y";
 			char *path = random_text(rand, 9);
 			const char *rest = NULL;
-			const struct flow_queue *expected =
-			    scan_for_route(flow_config(f)->queues, host, path);
+			const struct flow_queue *expected = scan_for_route(
+			    flow_config(x.flow)->queues, host, path);
 
 			g_assert_true(
-			    flow_route(f, host, path, &rest) == expected);
+			    flow_route(x.flow, host, path, &rest) == expected);
 			if (expected != NULL)
 				g_assert_cmpstr(
 				    rest, ==, path + strlen(expected->prefix));
@@ -559,7 +554,7 @@
 		}
 	}
 	g_rand_free(rand);
-	flow_free(f);
+	teardown(&x);
 }
 
 /*
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include "httpd.h"
+#include "tcp.h"
 
 struct fixture {
 	struct event_base *base;
@@ -114,36 +115,6 @@
 	g_free(address);
 }
 
-static int
-dial(const char *address)
-{
-	struct sockaddr_storage ss;
-	int len = sizeof(ss);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	g_assert_cmpint(
-	    evutil_parse_sockaddr_port(address, (struct sockaddr *)&ss, &len),
-	    ==, 0);
-	g_assert_cmpint(
-	    connect(fd, (struct sockaddr *)&ss, (socklen_t)len), ==, 0);
-	return fd;
-}
-
-/* Appends what the server sends until it contains the text. */
-static void
-await_text(struct event_base *base, int fd, GString *in, const char *text)
-{
-	while (strstr(in->str, text) == NULL) {
-		char buf[4096];
-		ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
-
-		if (n > 0)
-			g_string_append_len(in, buf, n);
-		else
-			event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
-	}
-}
-
 struct skip_case {
 	const char *request;
 	const char *reply; /* end of the reply to it */
@@ -184,9 +155,10 @@
 
 	httpd_skip_bodies(h, SKIP_PATH, skips);
 	for (size_t p = 0; p < G_N_ELEMENTS(pieces); p++) {
-		int fd = dial(address);
+		int fd = tcp_dial(address);
 		GString *in = g_string_new(NULL);
 
+		g_assert_cmpint(fd, >=, 0);
 		for (size_t i = 0; i < G_N_ELEMENTS(skip_cases); i++) {
 			const struct skip_case *c = &skip_cases[i];
 			size_t len = strlen(c->request);
@@ -200,7 +172,9 @@
 				event_base_loop(
 				    f.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
 			}
-			await_text(f.base, fd, in, c->reply);
+			while (!tcp_received(fd, in, c->reply))
+				event_base_loop(
+				    f.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
 		}
 		close(fd);
 		g_string_free(in, TRUE);
--- a/test/web.cmake
+++ b/test/web.cmake
@@ -1,2 +1,2 @@
-bt_test(web_test SOURCES web_test.c proc.c DEPENDS base)
+bt_test(web_test SOURCES web_test.c proc.c tcp.c DEPENDS base)
 add_dependencies(web_test bulrushtided)
--- a/test/web_test.c
+++ b/test/web_test.c
@@ -1,12 +1,12 @@
 /* Invalid requests to the HTTP listener of a real daemon: it answers 4xx or 503
  * with a stable reason, stores nothing and continues to serve. */
-#include <arpa/inet.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "proc.h"
+#include "tcp.h"
 
 #define BIG_BODY (1200 * 1024) /* bytes; above the limit of a body */
 #define BIG_HEADER (16 * 1024) /* bytes; above the limit of all headers */
@@ -19,19 +19,12 @@
 static int
 dial(void)
 {
-	char **part = g_strsplit(daemon_proc->address, ":", 2);
-	struct sockaddr_in sin = { .sin_family = AF_INET };
 	struct timeval tv = { 30, 0 };
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = tcp_dial(daemon_proc->address);
 
-	inet_pton(AF_INET, part[0], &sin.sin_addr);
-	sin.sin_port = htons((uint16_t)g_ascii_strtoull(part[1], NULL, 10));
-	g_strfreev(part);
-	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
-	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0)
-		return fd;
-	close(fd);
-	return -1;
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	return fd;
 }
 
 /* Sends raw bytes and returns what the daemon sends until it closes. */
--- a/test/wire.cmake
+++ b/test/wire.cmake
@@ -1,2 +1,2 @@
 bt_test(wire_test SOURCES wire_test.c DEPENDS wire)
-bt_test(httpd_test SOURCES httpd_test.c DEPENDS httpd)
+bt_test(httpd_test SOURCES httpd_test.c tcp.c DEPENDS httpd)
