httpd: a head that isn't understood is not logged as too large

Found when reading the change again: the log line of a body over the limit used the path also when the request line has none, that is, printed a null pointer (glibc writes '(null)'; the new test passed before as well). httpd malformed-head: such a request is answered 400.

--- a/lib/httpd/skip.c
+++ b/lib/httpd/skip.c
@@ -154,7 +154,7 @@
 		return true;
 	}
 	head_parse(lines, &head);
-	if (head.body_len > in->httpd->body_max)
+	if (!head.opaque && head.body_len > in->httpd->body_max)
 		log_info("httpd",
 		    "event=body-too-large path=%s bytes=%" G_GUINT64_FORMAT
 		    " max=%zu",
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -184,6 +185,31 @@
 	g_free(address);
 }
 
+/* A malformed request that announces a large body is refused, no more. */
+static void
+test_malformed_head(void)
+{
+	struct fixture f = { .base = event_base_new() };
+	char *address = free_address();
+	struct httpd *h =
+	    httpd_new(f.base, address, routes, G_N_ELEMENTS(routes), &f, NULL);
+	GString *in = g_string_new(NULL);
+	int fd;
+
+	httpd_skip_bodies(h, SKIP_PATH, skips);
+	fd = tcp_dial(address);
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_cmpint(
+	    dprintf(fd, "POST\r\nContent-Length: 99999999\r\n\r\n"), >, 0);
+	while (!tcp_received(fd, in, "HTTP/1.1 400 "))
+		event_base_loop(f.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	close(fd);
+	g_string_free(in, TRUE);
+	httpd_free(h);
+	event_base_free(f.base);
+	g_free(address);
+}
+
 /*
  * The caller disconnects before the deferred reply is sent. The reply is
  * dropped, and the request no longer counts as pending.
@@ -237,6 +263,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/httpd/serve", test_serve);
 	g_test_add_func("/httpd/skip-body", test_skip_body);
+	g_test_add_func("/httpd/malformed-head", test_malformed_head);
 	g_test_add_func("/httpd/caller-disconnected", test_caller_disconnected);
 	g_test_add_func("/httpd/no-listener", test_no_listener);
 	return g_test_run();
