--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -29,6 +29,12 @@
 	REQUEST_OP_COUNT
 };
 
+/*
+ * The largest configuration that entries pass on, to the leader or to readers;
+ * their links may be a hundredth of the leader's.
+ */
+#define REQUEST_FORWARD_MAX_BYTES (32 * 1024)
+
 enum request_result {
 	REQUEST_DONE, /* text: the requested data */
 	REQUEST_NO_QUEUE,
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -5,9 +5,6 @@
 
 #define JOB_ID_DIGITS 16 /* hexadecimal */
 #define RETRY_MS 1000 /* suggested if no better estimate exists */
-/* The largest configuration that entries pass on to readers; their links may
- * be a hundredth of the leader's. */
-#define FORWARD_MAX_BYTES (32 * 1024)
 
 /*
  * How long the answer about a running job is delayed in case the job ends.
@@ -492,7 +489,7 @@
 	gsize len;
 	const void *document = g_bytes_get_data(c->document, &len);
 
-	if (r->process != 0 && len > FORWARD_MAX_BYTES)
+	if (r->process != 0 && len > REQUEST_FORWARD_MAX_BYTES)
 		reply(d, r->process, r->request, REQUEST_AT_LEADER, "", 0, 0);
 	else
 		reply(
