--- /dev/null
+++ b/test/dispatch_capacity.c
@@ -0,0 +1,169 @@
+/* lib/dispatch with workers whose capacity shrinks and grows, or that restart,
+ * while starts are under way. */
+#include "dispatch_test.h"
+#include "stubleader.h"
+
+static const struct flow_run first_run = { JOB, 0, 0, 0, 1 };
+
+static struct stub_worker *
+add_worker(struct leader *l)
+{
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+
+	leader_heartbeat(l, a, false);
+	AWAIT(l, a->polls > 1);
+	return a;
+}
+
+static void
+set_millicpus(struct leader *l, struct stub_worker *a, int64_t millicpus)
+{
+	a->capacity.millicpus = millicpus;
+	leader_heartbeat(l, a, false);
+}
+
+/* Lets the leader place a job while a change of the worker is committed but
+ * not applied yet. */
+static void
+place_before(struct leader *l, const struct stub_worker *a)
+{
+	GBytes *spec;
+	struct flow_spec s = { .payload = g_strdup("work"),
+		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
+	struct flow_step *step = flow_step_new();
+	uint64_t proposed;
+
+	step->count = 1;
+	step->resources = (struct resources){ 1000, 1 << 20, 0 };
+	g_ptr_array_add(s.steps, step);
+	spec = flow_spec_encode(&s);
+	flow_spec_clear(&s);
+	l->hold_commands = true;
+	leader_send(l, REQUEST_SUBMIT, JOB_PATH, spec);
+	leader_send(l, REQUEST_WORKER, "", leader_worker(a, false));
+	leader_apply(l);
+	proposed = l->proposed;
+	AWAIT(l, l->proposed > proposed);
+	leader_release_commands(l);
+}
+
+/* A worker's capacity shrinks between the decision to start a run there and the
+ * order: the order isn't sent. */
+static void
+test_capacity_shrinks_before_order(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l);
+
+	a->capacity.millicpus = 500;
+	place_before(l, a);
+	leader_run_for(l, 400);
+	g_assert_cmpint(a->starts, ==, 0);
+	set_millicpus(l, a, 4000);
+	AWAIT(l, a->running->len == 1);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* It shrinks while an order waits for an answer: it isn't sent again. */
+static void
+test_capacity_shrinks_before_resend(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l);
+
+	a->hold_starts = 1000;
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->starts > 0);
+	set_millicpus(l, a, 500);
+	a->hold_starts = 0;
+	leader_run_for(l, 1500);
+	g_assert_cmpuint(a->running->len, ==, 0);
+	set_millicpus(l, a, 4000);
+	AWAIT(l, a->running->len == 1);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* It shrinks around a change of leader: the new one doesn't send the order for
+ * a start that its predecessor committed. */
+static void
+test_capacity_shrinks_takeover(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l);
+
+	a->hold_starts = 1000;
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->starts > 0);
+	a->capacity.millicpus = 500;
+	leader_heartbeat(l, a, false);
+	dispatch_resign(l->dispatch);
+	a->hold_starts = 0;
+	dispatch_lead(l->dispatch, 2);
+	leader_run_for(l, 1500);
+	g_assert_cmpuint(a->running->len, ==, 0);
+	set_millicpus(l, a, 4000);
+	AWAIT(l, a->running->len == 1);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* What runs on a worker that shrinks runs on; nothing more is started there
+ * until there is room again. */
+static void
+test_capacity_shrinks_below_use(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l);
+
+	leader_submit(l, JOB_PATH, 6, 1000);
+	AWAIT(l, a->running->len == 4);
+	set_millicpus(l, a, 2000);
+	stub_worker_end(a, &first_run, AGENT_DONE);
+	leader_run_for(l, 400);
+	g_assert_cmpuint(a->running->len, ==, 3);
+	g_assert_cmpint(a->stops, ==, 0);
+	set_millicpus(l, a, 4000);
+	AWAIT(l, a->running->len == 4);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* A worker restarts under its name between the decision to start a run there
+ * and the order: the order isn't sent to the new incarnation, which would run
+ * the task although the run counts as ended. */
+static void
+test_restart_before_order(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l);
+	char *name = g_strdup(a->name);
+
+	stub_worker_crash(a);
+	stub_worker_restart(a);
+	g_free(a->name);
+	a->name = name;
+	place_before(l, a);
+	AWAIT(l, a->running->len == 1);
+	g_assert_cmpuint(
+	    g_array_index(a->running, struct stub_run, 0).id.number, ==, 2);
+	g_assert_cmpint(a->starts, ==, 1);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+void
+capacity_tests_add(void)
+{
+	g_test_add_func("/dispatch/capacity-shrinks-before-order",
+	    test_capacity_shrinks_before_order);
+	g_test_add_func("/dispatch/capacity-shrinks-before-resend",
+	    test_capacity_shrinks_before_resend);
+	g_test_add_func("/dispatch/capacity-shrinks-takeover",
+	    test_capacity_shrinks_takeover);
+	g_test_add_func("/dispatch/capacity-shrinks-below-use",
+	    test_capacity_shrinks_below_use);
+	g_test_add_func(
+	    "/dispatch/restart-before-order", test_restart_before_order);
+}
--- /dev/null
+++ b/test/dispatch_crash.c
@@ -0,0 +1,281 @@
+/* lib/dispatch with workers that crash under a task and return. */
+#include <string.h>
+
+#include "dispatch_test.h"
+#include "stubleader.h"
+
+#define DEADLY 0xdeadULL
+#define DEADLY_PATH "/renders/000000000000dead"
+#define WORKERS_MAX 6
+#define HEARTBEAT_MS 100
+#define LEASE_LIMIT_MS                                         \
+	7000 /* by then the lease of a lost worker has expired \
+	      */
+#define FLEET_LIMIT_MS 90000 /* only a fault takes that long */
+/* A task may be started twice more after three workers have crashed under it.
+ */
+#define DEADLY_STARTS_MAX 5
+
+/* Workers that send heartbeats and return after a crash. */
+struct fleet {
+	struct leader *l;
+	struct stub_worker *worker[WORKERS_MAX];
+	int count;
+	int64_t heartbeat_ms;
+	int innocents; /* jobs submitted by fleet_submit_innocent() */
+	uint64_t term;
+};
+
+static bool
+is_deadly(const struct flow_run *id)
+{
+	return id->job == DEADLY;
+}
+
+/* Only one member of the gang is deadly. */
+static bool
+is_deadly_member(const struct flow_run *id)
+{
+	return id->job == DEADLY && id->index == 1;
+}
+
+static void
+fleet_heartbeats(struct fleet *f)
+{
+	f->heartbeat_ms = mono_ms();
+	for (int i = 0; i < f->count; i++)
+		if (f->worker[i]->server != NULL && !f->worker[i]->unresponsive)
+			leader_send(f->l, REQUEST_WORKER, "",
+			    leader_worker(f->worker[i], false));
+}
+
+static struct fleet
+fleet_new(int count, int64_t down_ms)
+{
+	struct fleet f = { .l = leader_new(), .count = count, .term = 1 };
+
+	for (int i = 0; i < count; i++) {
+		char *name = g_strdup_printf("w%d", i);
+
+		f.worker[i] = stub_worker_new(f.l->base, name);
+		f.worker[i]->is_deadly = is_deadly;
+		f.worker[i]->endless_job = DEADLY;
+		f.worker[i]->run_ms = 300;
+		f.worker[i]->down_ms = down_ms;
+		g_free(name);
+	}
+	fleet_heartbeats(&f);
+	AWAIT(f.l, f.worker[count - 1]->polls > 0);
+	return f;
+}
+
+static void
+fleet_free(struct fleet *f)
+{
+	for (int i = 0; i < f->count; i++)
+		stub_worker_free(f->worker[i]);
+	leader_free(f->l);
+}
+
+static void
+fleet_step(struct fleet *f)
+{
+	bool restarted = false;
+
+	leader_run(f->l);
+	for (int i = 0; i < f->count; i++)
+		restarted |= stub_worker_tick(f->worker[i]);
+	if (restarted || mono_ms() - f->heartbeat_ms >= HEARTBEAT_MS)
+		fleet_heartbeats(f);
+}
+
+#define FLEET_AWAIT(f, condition)                             \
+	do {                                                  \
+		int64_t limit = mono_ms() + FLEET_LIMIT_MS;   \
+                                                              \
+		while (!(condition)) {                        \
+			g_assert_cmpint(mono_ms(), <, limit); \
+			fleet_step(f);                        \
+		}                                             \
+	} while (0)
+
+static void
+fleet_run_for(struct fleet *f, int64_t ms)
+{
+	int64_t until = mono_ms() + ms;
+
+	while (mono_ms() < until)
+		fleet_step(f);
+}
+
+static int
+deadly_starts(const struct fleet *f)
+{
+	int n = 0;
+
+	for (int i = 0; i < f->count; i++)
+		n += f->worker[i]->deadly_starts;
+	return n;
+}
+
+static int
+crashes(const struct fleet *f)
+{
+	int n = 0;
+
+	for (int i = 0; i < f->count; i++)
+		n += f->worker[i]->crashes;
+	return n;
+}
+
+static const struct flow_job *
+deadly_job(const struct fleet *f)
+{
+	return flow_job(f->l->flow, DEADLY);
+}
+
+static uint64_t
+innocent_id(int i)
+{
+	return 0x1000 + (uint64_t)i;
+}
+
+static void
+submit_innocent(struct fleet *f)
+{
+	char *path = g_strdup_printf(
+	    "/renders/%016" G_GINT64_MODIFIER "x", innocent_id(f->innocents++));
+
+	leader_submit(f->l, path, 1, 1000);
+	g_free(path);
+}
+
+/* Awaits the end of all innocent jobs; none may have failed. */
+static void
+await_innocents(struct fleet *f)
+{
+	for (int i = 0; i < f->innocents; i++) {
+		const struct flow_job *job =
+		    flow_job(f->l->flow, innocent_id(i));
+
+		FLEET_AWAIT(f, flow_job_ended(job));
+		g_assert_cmpint(job->state, ==, FLOW_COMPLETED);
+	}
+}
+
+/* Awaits that the deadly job is given up, while innocent ones keep coming. */
+static void
+await_given_up(struct fleet *f)
+{
+	int64_t limit = mono_ms() + FLEET_LIMIT_MS;
+
+	while (deadly_job(f)->state != FLOW_FAILED) {
+		g_assert_cmpint(deadly_starts(f), <=, DEADLY_STARTS_MAX);
+		g_assert_cmpint(mono_ms(), <, limit);
+		submit_innocent(f);
+		fleet_run_for(f, 50);
+	}
+}
+
+/* A task crashes every worker that starts it, among tasks that don't. It was
+ * started again without end. */
+static void
+test_deadly_task(void)
+{
+	struct fleet f = fleet_new(4, 400);
+
+	for (int i = 0; i < 8; i++)
+		submit_innocent(&f);
+	leader_submit(f.l, DEADLY_PATH, 1, 1000);
+	await_given_up(&f);
+	g_assert_cmpint(crashes(&f), >=, 2);
+	await_innocents(&f);
+	fleet_free(&f);
+}
+
+/* The same when the workers stay down for longer than a lease. */
+static void
+test_deadly_task_long_outage(void)
+{
+	struct fleet f = fleet_new(6, 9000);
+
+	leader_submit(f.l, DEADLY_PATH, 1, 1000);
+	await_given_up(&f);
+	await_innocents(&f);
+	fleet_free(&f);
+}
+
+/* The count of crashes outlives the leader, which is replaced after each. */
+static void
+test_deadly_task_takeover(void)
+{
+	struct fleet f = fleet_new(4, 400);
+	int seen = 0;
+
+	leader_submit(f.l, DEADLY_PATH, 1, 1000);
+	while (deadly_job(&f)->state != FLOW_FAILED) {
+		g_assert_cmpint(deadly_starts(&f), <=, DEADLY_STARTS_MAX);
+		fleet_step(&f);
+		if (crashes(&f) == seen)
+			continue;
+		seen = crashes(&f);
+		dispatch_resign(f.l->dispatch);
+		fleet_run_for(&f, 100);
+		dispatch_lead(f.l->dispatch, ++f.term);
+	}
+	fleet_free(&f);
+}
+
+/* One member of a gang crashes its workers. */
+static void
+test_deadly_gang(void)
+{
+	struct fleet f = fleet_new(4, 400);
+
+	for (int i = 0; i < f.count; i++)
+		f.worker[i]->is_deadly = is_deadly_member;
+	leader_submit_step(f.l, DEADLY_PATH,
+	    (struct flow_step){ .count = 3,
+		.resources = { 2000, 1 << 20, 0 },
+		.runtime_ms = 1000,
+		.gang = true });
+	await_given_up(&f);
+	await_innocents(&f);
+	fleet_free(&f);
+}
+
+/* A worker that is silent for longer than a lease, again and again, has not
+ * crashed: what it ran is restarted, and never given up. */
+static void
+test_silent_worker_no_crash(void)
+{
+	struct fleet f = fleet_new(1, 0);
+	struct stub_worker *w = f.worker[0];
+
+	w->run_ms = 0;
+	leader_submit(f.l, JOB_PATH, 1, 1000);
+	for (uint32_t i = 1; i <= 4; i++) {
+		FLEET_AWAIT(&f, w->running->len == 1);
+		w->unresponsive = true;
+		fleet_run_for(&f, LEASE_LIMIT_MS);
+		g_array_set_size(w->running, 0); /* its leases have expired */
+		w->unresponsive = false;
+	}
+	FLEET_AWAIT(&f, w->running->len == 1);
+	w->run_ms = 1;
+	FLEET_AWAIT(&f, flow_job(f.l->flow, JOB)->state == FLOW_COMPLETED);
+	fleet_free(&f);
+}
+
+void
+crash_tests_add(void)
+{
+	g_test_add_func("/dispatch/deadly-task", test_deadly_task);
+	g_test_add_func(
+	    "/dispatch/deadly-task-long-outage", test_deadly_task_long_outage);
+	g_test_add_func(
+	    "/dispatch/deadly-task-takeover", test_deadly_task_takeover);
+	g_test_add_func("/dispatch/deadly-gang", test_deadly_gang);
+	g_test_add_func(
+	    "/dispatch/silent-worker-no-crash", test_silent_worker_no_crash);
+}
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -1,264 +1,8 @@
 /* lib/dispatch with stub workers: leases, lost orders, ended runs. */
 #include <string.h>
 
-#include "dispatch.h"
-#include "stubworker.h"
-
-#define AWAIT_LIMIT_MS 30000 /* only a fault takes that long */
-#define JOB 0x1234567812345678
-#define JOB_PATH "/renders/1234567812345678"
-
-/* A leader without followers: a proposed command is applied in the next
- * iteration of the event loop. */
-struct leader {
-	struct event_base *base;
-	struct flow *flow;
-	struct dispatch *dispatch;
-	struct registry *registry;
-	GQueue commands; /* GBytes, proposed and not applied yet */
-	uint64_t proposed;
-	uint64_t applied;
-	bool no_quorum; /* nothing is committed or confirmed */
-	bool unconfirmed; /* leadership is not confirmed */
-	int answers;
-	uint32_t last_result;
-	char *last_text;
-	uint64_t requests;
-	int queries; /* to the policy service */
-};
-
-static void
-apply_next(evutil_socket_t fd, short what, void *arg)
-{
-	struct leader *l = arg;
-	GBytes *command = g_queue_pop_head(&l->commands);
-	enum flow_apply_result outcome;
-	GError *err = NULL;
-	gsize len;
-	const void *data = g_bytes_get_data(command, &len);
-
-	g_assert_true(flow_apply(l->flow, data, len, &outcome, &err));
-	g_assert_true(flow_check(l->flow, &err));
-	g_assert_no_error(err);
-	g_bytes_unref(command);
-	dispatch_applied(l->dispatch, ++l->applied, outcome);
-	dispatch_batch_applied(l->dispatch);
-}
-
-static uint64_t
-on_propose(void *arg, GBytes *command)
-{
-	struct leader *l = arg;
-	struct timeval now = { 0 };
-
-	if (l->no_quorum)
-		return 0;
-	g_queue_push_tail(&l->commands, g_bytes_ref(command));
-	event_base_once(l->base, -1, EV_TIMEOUT, apply_next, l, &now);
-	return ++l->proposed;
-}
-
-static void
-on_answer(void *arg, uint64_t process, const struct answer *a)
-{
-	struct leader *l = arg;
-	gsize len;
-	const char *text = g_bytes_get_data(a->text, &len);
-
-	l->answers++;
-	l->last_result = a->result;
-	g_free(l->last_text);
-	l->last_text = g_strndup(text, len);
-}
-
-static bool
-on_query_policy(
-    void *arg, uint64_t process, uint64_t query, const struct agent_query *q)
-{
-	((struct leader *)arg)->queries++;
-	return false;
-}
-
-static bool
-on_confirm(void *arg, uint64_t context)
-{
-	struct leader *l = arg;
-
-	if (l->no_quorum || l->unconfirmed)
-		return false;
-	dispatch_read_done(l->dispatch, context, true);
-	return true;
-}
-
-static const struct dispatch_ops ops = { .propose = on_propose,
-	.answer = on_answer,
-	.query_policy = on_query_policy,
-	.confirm = on_confirm };
-
-static void
-run_loop(struct leader *l)
-{
-	struct timeval tv = { .tv_usec = 5000 };
-
-	event_base_loopexit(l->base, &tv);
-	event_base_dispatch(l->base);
-}
-
-/* Runs the loop until the condition holds. */
-#define AWAIT(l, condition)                                   \
-	do {                                                  \
-		int64_t limit = mono_ms() + AWAIT_LIMIT_MS;   \
-                                                              \
-		while (!(condition)) {                        \
-			g_assert_cmpint(mono_ms(), <, limit); \
-			run_loop(l);                          \
-		}                                             \
-	} while (0)
-
-static void
-run_for(struct leader *l, int64_t ms)
-{
-	int64_t until = mono_ms() + ms;
-
-	while (mono_ms() < until)
-		run_loop(l);
-}
-
-static void
-send_request(
-    struct leader *l, enum request_op op, const char *path, GBytes *body)
-{
-	struct request a = { .id = ++l->requests,
-		.op = op,
-		.host = (char *)"jobs.example",
-		.path = (char *)path,
-		.seq = (int64_t)l->requests,
-		.body = body == NULL ? g_bytes_new_static("", 0) : body };
-	int before = l->answers;
-
-	dispatch_handle_request(l->dispatch, 0, &a);
-	AWAIT(l, l->answers > before);
-	g_bytes_unref(a.body);
-}
-
-static void
-configure(struct leader *l)
-{
-	struct flow_config c;
-	struct flow_queue *q = flow_queue_new();
-	struct flow_pool *pool = g_new0(struct flow_pool, 1);
-
-	flow_config_init(&c);
-	c.version = 1;
-	c.document = g_bytes_new_static("{}", 2);
-	*q = (struct flow_queue){ .refs = 1,
-		.name = g_strdup("renders"),
-		.host = g_strdup("jobs.example"),
-		.prefix = g_strdup("/renders/"),
-		.pool = g_strdup("desk"),
-		.max_failures = 2,
-		.slack_factor = 2,
-		.target_ms = 1000 };
-	pool->name = g_strdup("desk");
-	g_ptr_array_add(c.queues, q);
-	q = flow_queue_new();
-	*q = (struct flow_queue){ .refs = 1,
-		.name = g_strdup("allowed"),
-		.host = g_strdup("jobs.example"),
-		.prefix = g_strdup("/allowed/"),
-		.pool = g_strdup("desk"),
-		.max_failures = 2,
-		.slack_factor = 2,
-		.target_ms = 1000,
-		.needs_permit = true,
-		.permit_call_ms = 10 };
-	g_ptr_array_add(c.queues, q);
-	g_ptr_array_add(c.pools, pool);
-	send_request(l, REQUEST_CONFIG, "", flow_config_encode(&c));
-	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
-	flow_config_clear(&c);
-}
-
-static void
-send_heartbeat(struct leader *l, const struct stub_worker *w, bool draining)
-{
-	struct flow_worker in = { .name = w->name,
-		.address = w->address,
-		.pool = (char *)"desk",
-		.started_ms = w->started_ms,
-		.capacity = { 4000, 1 << 30, 0 },
-		.draining = draining };
-
-	send_request(l, REQUEST_WORKER, "", flow_worker_encode(&in));
-	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
-}
-
-static void
-submit(struct leader *l, const char *path, uint32_t count, int64_t millicpus)
-{
-	struct flow_spec spec = { .payload = g_strdup("work"),
-		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
-	struct flow_step *s = flow_step_new();
-
-	s->count = count;
-	s->resources = (struct resources){ millicpus, 1 << 20, 0 };
-	s->runtime_ms = 60000;
-	g_ptr_array_add(spec.steps, s);
-	send_request(l, REQUEST_SUBMIT, path, flow_spec_encode(&spec));
-	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
-	flow_spec_clear(&spec);
-}
-
-/* Submits a job with one step, which depends on no other step. */
-static void
-submit_step(struct leader *l, const char *path, struct flow_step values)
-{
-	struct flow_spec spec = { .payload = g_strdup("work"),
-		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
-	struct flow_step *s = flow_step_new();
-
-	values.after = s->after;
-	*s = values;
-	g_ptr_array_add(spec.steps, s);
-	send_request(l, REQUEST_SUBMIT, path, flow_spec_encode(&spec));
-	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
-	flow_spec_clear(&spec);
-}
-
-static struct leader *
-leader_new(void)
-{
-	struct leader *l = g_new0(struct leader, 1);
-	struct dispatch_conf conf = { .agent = &stub_agent,
-		.lease_max_ms = 6000,
-		.far_factor = 1,
-		.retain_ms = 60000 };
-
-	l->base = event_base_new();
-	l->flow = flow_new();
-	l->registry = registry_new();
-	g_queue_init(&l->commands);
-	conf.base = l->base;
-	conf.flow = l->flow;
-	conf.registry = l->registry;
-	l->dispatch = dispatch_new(&conf, &ops, l);
-	dispatch_lead(l->dispatch, 1);
-	configure(l);
-	return l;
-}
-
-static void
-leader_free(struct leader *l)
-{
-	dispatch_free(l->dispatch);
-	run_for(l, 20);
-	g_queue_clear_full(&l->commands, (GDestroyNotify)g_bytes_unref);
-	flow_free(l->flow);
-	registry_free(l->registry);
-	event_base_free(l->base);
-	g_free(l->last_text);
-	g_free(l);
-}
+#include "dispatch_test.h"
+#include "stubleader.h"
 
 static const struct flow_run first_run = { JOB, 0, 0, 0, 1 };
 static const struct flow_run second_run = { JOB, 0, 0, 0, 2 };
@@ -279,13 +23,13 @@
 	struct stub_worker *b = stub_worker_new(l->base, "b");
 	int64_t lease_until_ms;
 
-	send_heartbeat(l, a, false);
-	submit(l, JOB_PATH, 1, 1000);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, stub_worker_runs(a, &first_run));
 	AWAIT(l, a->lease_until_ms > 0);
 	lease_until_ms = a->lease_until_ms;
 	stub_worker_crash(a);
-	send_heartbeat(l, b, false);
+	leader_heartbeat(l, b, false);
 	AWAIT(l, stub_worker_runs(b, &second_run));
 	g_assert_cmpint(mono_ms(), >, lease_until_ms);
 	stub_worker_free(a);
@@ -301,8 +45,8 @@
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 
 	a->hold_starts = 1;
-	send_heartbeat(l, a, false);
-	submit(l, JOB_PATH, 1, 1000);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, stub_worker_runs(a, &first_run));
 	g_assert_cmpint(a->starts, ==, 2);
 	g_assert_cmpint(stub_worker_execute_held(a), ==, 0);
@@ -322,8 +66,8 @@
 
 	a->hold_starts = 1;
 	a->refuse_starts = 1;
-	send_heartbeat(l, a, false);
-	submit(l, JOB_PATH, 1, 1000);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, a->starts == 2);
 	AWAIT(l, a->stops > 0 || first_task(l)->last_run > 1);
 	g_assert_cmpint(a->stops, >, 0);
@@ -340,13 +84,13 @@
 	struct leader *l = leader_new();
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 
-	send_heartbeat(l, a, false);
-	submit(l, JOB_PATH, 1, 1000);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, stub_worker_runs(a, &first_run));
 	AWAIT(l, a->poll != NULL);
 	l->no_quorum = true;
 	stub_worker_end(a, &first_run, AGENT_DONE);
-	run_for(l, 300);
+	leader_run_for(l, 300);
 	g_assert_cmpuint(a->max_acked, ==, 0);
 	g_assert_cmpint(flow_job(l->flow, JOB)->state, ==, FLOW_RUNNING);
 	l->no_quorum = false;
@@ -364,12 +108,12 @@
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 	int polls;
 
-	send_heartbeat(l, a, false);
+	leader_heartbeat(l, a, false);
 	AWAIT(l, a->polls > 1);
 	l->no_quorum = true;
-	run_for(l, 800);
+	leader_run_for(l, 800);
 	polls = a->polls;
-	run_for(l, 1500);
+	leader_run_for(l, 1500);
 	g_assert_cmpint(a->polls, ==, polls);
 	stub_worker_free(a);
 	leader_free(l);
@@ -385,15 +129,15 @@
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 	uint64_t proposed;
 
-	send_heartbeat(l, a, false);
-	submit(l, JOB_PATH, 1, 1000);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, stub_worker_runs(a, &first_run));
 	AWAIT(l, a->lease_until_ms > 0);
 	l->unconfirmed = true;
-	run_for(l, 500);
+	leader_run_for(l, 500);
 	stub_worker_crash(a);
 	proposed = l->proposed;
-	run_for(l, 7000);
+	leader_run_for(l, 7000);
 	g_assert_cmpint(mono_ms(), >, a->lease_until_ms);
 	g_assert_cmpint(first_task(l)->state, ==, FLOW_ASSIGNED);
 	/* The records of old jobs are still removed, every 5 s. */
@@ -412,8 +156,8 @@
 	struct leader *l = leader_new();
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 
-	send_heartbeat(l, a, false);
-	submit(l, JOB_PATH, 2, 1000);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 2, 1000);
 	AWAIT(l, a->running->len == 2);
 	dispatch_resign(l->dispatch);
 	stub_worker_end(a, &first_run, AGENT_DONE);
@@ -435,8 +179,8 @@
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 
 	a->hold_starts = 1000;
-	send_heartbeat(l, a, false);
-	submit(l, JOB_PATH, 1, 1000);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, a->starts > 0);
 	dispatch_resign(l->dispatch);
 	a->hold_starts = 0;
@@ -456,18 +200,18 @@
 	struct leader *l = leader_new();
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 
-	send_heartbeat(l, a, false);
-	submit_step(l, JOB_PATH,
+	leader_heartbeat(l, a, false);
+	leader_submit_step(l, JOB_PATH,
 	    (struct flow_step){ .count = 2,
 		.resources = { 1000, 1 << 20, 0 },
 		.runtime_ms = 1,
 		.long_running = true });
 	AWAIT(l, a->running->len == 2);
 	a->unresponsive = true;
-	send_request(l, REQUEST_CANCEL, JOB_PATH, NULL);
+	leader_request(l, REQUEST_CANCEL, JOB_PATH, NULL);
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 	dispatch_resign(l->dispatch);
-	run_for(l, 100);
+	leader_run_for(l, 100);
 	g_assert_cmpint(a->stops, ==, 0);
 	a->unresponsive = false;
 	dispatch_lead(l->dispatch, 2);
@@ -487,7 +231,7 @@
 	struct stub_run r = { .id = { 0x99, 0, 0, 0, 3 } };
 
 	g_array_append_val(a->running, r);
-	send_heartbeat(l, a, false);
+	leader_heartbeat(l, a, false);
 	AWAIT(l, a->running->len == 0);
 	stub_worker_free(a);
 	leader_free(l);
@@ -500,10 +244,10 @@
 	struct leader *l = leader_new();
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 
-	send_heartbeat(l, a, false);
-	submit(l, JOB_PATH, 2, 1000);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 2, 1000);
 	AWAIT(l, a->running->len == 2);
-	send_request(l, REQUEST_CANCEL, JOB_PATH, NULL);
+	leader_request(l, REQUEST_CANCEL, JOB_PATH, NULL);
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 	AWAIT(l, a->running->len == 0);
 	AWAIT(l, flow_job(l->flow, JOB)->occurrences == NULL);
@@ -519,11 +263,11 @@
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 	struct stub_worker *b = stub_worker_new(l->base, "b");
 
-	send_heartbeat(l, a, false);
-	send_heartbeat(l, b, true);
-	submit(l, JOB_PATH, 6, 1000);
+	leader_heartbeat(l, a, false);
+	leader_heartbeat(l, b, true);
+	leader_submit(l, JOB_PATH, 6, 1000);
 	AWAIT(l, a->running->len == 4);
-	run_for(l, 400);
+	leader_run_for(l, 400);
 	g_assert_cmpuint(a->running->len, ==, 4);
 	g_assert_cmpuint(b->running->len, ==, 0);
 	stub_worker_end(a, &first_run, AGENT_DONE);
@@ -542,10 +286,10 @@
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 	struct stub_worker *b = stub_worker_new(l->base, "b");
 
-	send_heartbeat(l, a, false);
-	send_heartbeat(l, b, false);
+	leader_heartbeat(l, a, false);
+	leader_heartbeat(l, b, false);
 	a->refuse_starts = 1;
-	submit_step(l, JOB_PATH,
+	leader_submit_step(l, JOB_PATH,
 	    (struct flow_step){ .count = 2,
 		.resources = { 3000, 1 << 20, 0 },
 		.runtime_ms = 60000,
@@ -573,10 +317,10 @@
 	struct stub_worker *good = stub_worker_new(l->base, "good");
 	const struct flow_job *job;
 
-	send_heartbeat(l, bad, false);
-	send_heartbeat(l, good, false);
+	leader_heartbeat(l, bad, false);
+	leader_heartbeat(l, good, false);
 	bad->fail_runs = 1000;
-	submit(l, JOB_PATH, 8, 1000);
+	leader_submit(l, JOB_PATH, 8, 1000);
 	job = flow_job(l->flow, JOB);
 	while (job->state != FLOW_COMPLETED) {
 		g_assert_cmpint(job->state, !=, FLOW_FAILED);
@@ -602,15 +346,15 @@
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 
 	a->hold_starts = 2;
-	send_heartbeat(l, a, false);
-	submit(l, JOB_PATH, 1, 1000);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, a->starts > 0);
 	g_assert_cmpint(flow_job(l->flow, JOB)->state, ==, FLOW_RUNNING);
-	send_request(l, REQUEST_COUNT, "/renders/", NULL);
+	leader_request(l, REQUEST_COUNT, "/renders/", NULL);
 	g_assert_cmpstr(l->last_text, ==, "1");
 	AWAIT(l, stub_worker_runs(a, &first_run));
-	run_for(l, 100);
-	send_request(l, REQUEST_COUNT, "/renders/", NULL);
+	leader_run_for(l, 100);
+	leader_request(l, REQUEST_COUNT, "/renders/", NULL);
 	g_assert_cmpstr(l->last_text, ==, "0");
 	stub_worker_free(a);
 	leader_free(l);
@@ -620,7 +364,7 @@
 static void
 fill_worker(struct leader *l, const struct stub_worker *w, int64_t runtime_ms)
 {
-	submit_step(l, JOB_PATH,
+	leader_submit_step(l, JOB_PATH,
 	    (struct flow_step){ .count = 4,
 		.resources = { 1000, 1 << 20, 0 },
 		.runtime_ms = runtime_ms,
@@ -632,7 +376,7 @@
 static void
 submit_gang(struct leader *l, const char *path, int64_t runtime_ms)
 {
-	submit_step(l, path,
+	leader_submit_step(l, path,
 	    (struct flow_step){ .count = 2,
 		.resources = { 1500, 1 << 20, 0 },
 		.runtime_ms = runtime_ms,
@@ -648,7 +392,7 @@
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 	struct flow_run member = { 0x77, 0, 0, 0, 1 };
 
-	send_heartbeat(l, a, false);
+	leader_heartbeat(l, a, false);
 	fill_worker(l, a, 60000);
 	submit_gang(l, "/renders/0000000000000077", 1500);
 	AWAIT(l, stub_worker_runs(a, &member));
@@ -686,13 +430,13 @@
 static void
 start_service(struct leader *l, const struct stub_worker *w)
 {
-	submit_step(l, SERVICE_PATH,
+	leader_submit_step(l, SERVICE_PATH,
 	    (struct flow_step){ .count = 1,
 		.resources = { 3000, 1 << 20, 0 },
 		.runtime_ms = 1,
 		.long_running = true });
 	AWAIT(l, stub_worker_runs(w, &service_first));
-	run_for(l, SERVICE_OVERDUE_MS);
+	leader_run_for(l, SERVICE_OVERDUE_MS);
 }
 
 /* A long-running task fails while more urgent work waits for its resources: it
@@ -704,9 +448,9 @@
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 	int64_t failed_ms;
 
-	send_heartbeat(l, a, false);
+	leader_heartbeat(l, a, false);
 	start_service(l, a);
-	submit(l, JOB_PATH, 30, 1000);
+	leader_submit(l, JOB_PATH, 30, 1000);
 	AWAIT(l, a->running->len == 2);
 	failed_ms = mono_ms();
 	stub_worker_end(a, &service_first, AGENT_FAILED);
@@ -727,10 +471,10 @@
 	struct stub_worker *b = stub_worker_new(l->base, "b");
 	int64_t lease_until_ms;
 
-	send_heartbeat(l, a, false);
+	leader_heartbeat(l, a, false);
 	start_service(l, a);
-	send_heartbeat(l, b, false);
-	submit(l, JOB_PATH, 30, 1000);
+	leader_heartbeat(l, b, false);
+	leader_submit(l, JOB_PATH, 30, 1000);
 	AWAIT(l, b->running->len == 4);
 	complete_progress(b);
 	lease_until_ms = a->lease_until_ms;
@@ -754,11 +498,11 @@
 	struct stub_worker *b = stub_worker_new(l->base, "b");
 	uint32_t ended = 0;
 
-	send_heartbeat(l, a, false);
+	leader_heartbeat(l, a, false);
 	start_service(l, a);
-	send_heartbeat(l, b, false);
-	send_heartbeat(l, a, true);
-	submit_step(l, JOB_PATH,
+	leader_heartbeat(l, b, false);
+	leader_heartbeat(l, a, true);
+	leader_submit_step(l, JOB_PATH,
 	    (struct flow_step){ .count = 100,
 		.resources = { 1000, 1 << 20, 0 },
 		.runtime_ms = 400 });
@@ -768,7 +512,7 @@
 		struct flow_run id;
 
 		g_assert_cmpuint(ended, <, 20);
-		run_for(l, 100);
+		leader_run_for(l, 100);
 		if (b->running->len == 0)
 			continue;
 		id = g_array_index(b->running, struct stub_run, 0).id;
@@ -791,9 +535,9 @@
 	struct leader *l = leader_new();
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 
-	send_heartbeat(l, a, false);
+	leader_heartbeat(l, a, false);
 	start_service(l, a);
-	submit(l, JOB_PATH, 30, 1000);
+	leader_submit(l, JOB_PATH, 30, 1000);
 	AWAIT(l, a->running->len == 2);
 	dispatch_resign(l->dispatch);
 	stub_worker_end(a, &service_first, AGENT_FAILED);
@@ -817,14 +561,14 @@
 	struct flow_run member = { 0x77, 0, 0, 0, 1 };
 	int64_t submitted_ms;
 
-	send_heartbeat(l, a, false);
+	leader_heartbeat(l, a, false);
 	fill_worker(l, a, 200000);
 	complete_progress(a);
 	for (int i = 0; i < 20; i++) {
 		char *path = g_strdup_printf("/renders/%016x", 0x100 + i);
 
 		/* No worker is that large. Its latest start is early. */
-		submit_step(l, path,
+		leader_submit_step(l, path,
 		    (struct flow_step){ .count = 1,
 			.resources = { 9000, 1 << 20, 0 },
 			.runtime_ms = 30000 });
@@ -848,7 +592,7 @@
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 
 	dispatch_process_changed(l->dispatch, 1, true);
-	send_heartbeat(l, a, false);
+	leader_heartbeat(l, a, false);
 	fill_worker(l, a, 200000);
 	complete_progress(a);
 	submit_gang(l, "/allowed/0000000000000077", 60000);
@@ -872,26 +616,26 @@
 		.started_ms = a->started_ms - 1000,
 		.capacity = { 64000, 1 << 30, 0 } };
 
-	send_heartbeat(l, a, false);
-	send_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
+	leader_heartbeat(l, a, false);
+	leader_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 	g_assert_cmpint(
 	    flow_worker_named(l->flow, "a")->started_ms, ==, a->started_ms);
 	old.name = (char *)"b";
-	send_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
+	leader_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
 	g_assert_null(flow_worker_named(l->flow, "b"));
 	old.address = (char *)"127.0.0.1:9";
-	send_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
+	leader_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
 	g_assert_nonnull(flow_worker_named(l->flow, "b"));
 	/* The later one moves; its record at the old address is removed. */
 	old.name = (char *)"a";
 	old.started_ms = a->started_ms + 1000;
-	send_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
+	leader_request(l, REQUEST_WORKER, "", flow_worker_encode(&old));
 	old.name = (char *)"c";
 	old.address = a->address;
 	old.started_ms = a->started_ms - 1000;
 	AWAIT(l,
-	    (send_request(l, REQUEST_WORKER, "", flow_worker_encode(&old)),
+	    (leader_request(l, REQUEST_WORKER, "", flow_worker_encode(&old)),
 		flow_worker_named(l->flow, "c") != NULL));
 	stub_worker_free(a);
 	leader_free(l);
@@ -905,20 +649,20 @@
 	struct leader *l = leader_new();
 	struct stub_worker *a = stub_worker_new(l->base, "a");
 
-	send_heartbeat(l, a, false);
-	submit(l, JOB_PATH, 1, 1000);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, stub_worker_runs(a, &first_run));
-	send_request(l, REQUEST_STATE, JOB_PATH, NULL);
+	leader_request(l, REQUEST_STATE, JOB_PATH, NULL);
 	g_assert_cmpstr(l->last_text, ==, "running");
 	AWAIT(l, a->poll != NULL);
 	stub_worker_end(a, &first_run, AGENT_DONE);
-	send_request(l, REQUEST_STATE, JOB_PATH, NULL);
+	leader_request(l, REQUEST_STATE, JOB_PATH, NULL);
 	g_assert_cmpstr(l->last_text, ==, "completed");
-	send_request(l, REQUEST_STATE, "/renders/00000000000000ff", NULL);
+	leader_request(l, REQUEST_STATE, "/renders/00000000000000ff", NULL);
 	g_assert_cmpuint(l->last_result, ==, REQUEST_NO_JOB);
-	send_request(l, REQUEST_STATE, "/nowhere/00000000000000ff", NULL);
+	leader_request(l, REQUEST_STATE, "/nowhere/00000000000000ff", NULL);
 	g_assert_cmpuint(l->last_result, ==, REQUEST_NO_QUEUE);
-	send_request(l, REQUEST_COUNT, "/renders/", NULL);
+	leader_request(l, REQUEST_COUNT, "/renders/", NULL);
 	g_assert_cmpstr(l->last_text, ==, "0");
 	stub_worker_free(a);
 	leader_free(l);
@@ -963,5 +707,7 @@
 	g_test_add_func(
 	    "/dispatch/earlier-incarnation", test_earlier_incarnation);
 	g_test_add_func("/dispatch/state-delayed", test_state_delayed);
+	crash_tests_add();
+	capacity_tests_add();
 	return g_test_run();
 }
--- /dev/null
+++ b/test/dispatch_test.h
@@ -0,0 +1,8 @@
+/* The test cases of lib/dispatch, by file. */
+#ifndef DISPATCH_TEST_H
+#define DISPATCH_TEST_H
+
+void crash_tests_add(void);
+void capacity_tests_add(void);
+
+#endif
--- /dev/null
+++ b/test/stubleader.c
@@ -0,0 +1,270 @@
+#include <string.h>
+
+#include "stubleader.h"
+
+void
+leader_apply(struct leader *l)
+{
+	GBytes *command = g_queue_pop_head(&l->commands);
+	enum flow_apply_result outcome;
+	GError *err = NULL;
+	gsize len;
+	const void *data = g_bytes_get_data(command, &len);
+
+	g_assert_true(flow_apply(l->flow, data, len, &outcome, &err));
+	g_assert_true(flow_check(l->flow, &err));
+	g_assert_no_error(err);
+	g_bytes_unref(command);
+	dispatch_applied(l->dispatch, ++l->applied, outcome);
+	dispatch_batch_applied(l->dispatch);
+}
+
+static void
+apply_next(evutil_socket_t fd, short what, void *arg)
+{
+	struct leader *l = arg;
+
+	if (!l->hold_commands && !g_queue_is_empty(&l->commands))
+		leader_apply(l);
+}
+
+void
+leader_release_commands(struct leader *l)
+{
+	l->hold_commands = false;
+	while (!g_queue_is_empty(&l->commands))
+		leader_apply(l);
+}
+
+static uint64_t
+on_propose(void *arg, GBytes *command)
+{
+	struct leader *l = arg;
+	struct timeval now = { 0 };
+
+	if (l->no_quorum)
+		return 0;
+	g_queue_push_tail(&l->commands, g_bytes_ref(command));
+	event_base_once(l->base, -1, EV_TIMEOUT, apply_next, l, &now);
+	return ++l->proposed;
+}
+
+static void
+on_answer(void *arg, uint64_t process, const struct answer *a)
+{
+	struct leader *l = arg;
+	gsize len;
+	const char *text = g_bytes_get_data(a->text, &len);
+
+	if (a->id != l->awaited)
+		return;
+	l->answers++;
+	l->last_result = a->result;
+	g_free(l->last_text);
+	l->last_text = g_strndup(text, len);
+}
+
+static bool
+on_query_policy(
+    void *arg, uint64_t process, uint64_t query, const struct agent_query *q)
+{
+	((struct leader *)arg)->queries++;
+	return false;
+}
+
+static void
+read_done(evutil_socket_t fd, short what, void *arg)
+{
+	struct leader *l = arg;
+
+	if (!l->no_quorum && !l->unconfirmed)
+		dispatch_read_done(l->dispatch, l->context, true);
+}
+
+static bool
+on_confirm(void *arg, uint64_t context)
+{
+	struct leader *l = arg;
+	struct timeval now = { 0 };
+
+	if (l->no_quorum || l->unconfirmed)
+		return false;
+	l->context = context;
+	event_base_once(l->base, -1, EV_TIMEOUT, read_done, l, &now);
+	return true;
+}
+
+static const struct dispatch_ops ops = { .propose = on_propose,
+	.answer = on_answer,
+	.query_policy = on_query_policy,
+	.confirm = on_confirm };
+
+void
+leader_run(struct leader *l)
+{
+	struct timeval tv = { .tv_usec = 5000 };
+
+	event_base_loopexit(l->base, &tv);
+	event_base_dispatch(l->base);
+}
+
+void
+leader_run_for(struct leader *l, int64_t ms)
+{
+	int64_t until = mono_ms() + ms;
+
+	while (mono_ms() < until)
+		leader_run(l);
+}
+
+void
+leader_send(
+    struct leader *l, enum request_op op, const char *path, GBytes *body)
+{
+	struct request a = { .id = ++l->requests,
+		.op = op,
+		.host = (char *)"jobs.example",
+		.path = (char *)path,
+		.seq = (int64_t)l->requests,
+		.body = body == NULL ? g_bytes_new_static("", 0) : body };
+
+	dispatch_handle_request(l->dispatch, 0, &a);
+	g_bytes_unref(a.body);
+}
+
+void
+leader_request(
+    struct leader *l, enum request_op op, const char *path, GBytes *body)
+{
+	int before = l->answers;
+
+	l->awaited = l->requests + 1;
+	leader_send(l, op, path, body);
+	AWAIT(l, l->answers > before);
+}
+
+static void
+configure(struct leader *l)
+{
+	struct flow_config c;
+	struct flow_queue *q = flow_queue_new();
+	struct flow_pool *pool = g_new0(struct flow_pool, 1);
+
+	flow_config_init(&c);
+	c.version = 1;
+	c.document = g_bytes_new_static("{}", 2);
+	*q = (struct flow_queue){ .refs = 1,
+		.name = g_strdup("renders"),
+		.host = g_strdup("jobs.example"),
+		.prefix = g_strdup("/renders/"),
+		.pool = g_strdup("desk"),
+		.max_failures = 2,
+		.slack_factor = 2,
+		.target_ms = 1000 };
+	pool->name = g_strdup("desk");
+	g_ptr_array_add(c.queues, q);
+	q = flow_queue_new();
+	*q = (struct flow_queue){ .refs = 1,
+		.name = g_strdup("allowed"),
+		.host = g_strdup("jobs.example"),
+		.prefix = g_strdup("/allowed/"),
+		.pool = g_strdup("desk"),
+		.max_failures = 2,
+		.slack_factor = 2,
+		.target_ms = 1000,
+		.needs_permit = true,
+		.permit_call_ms = 10 };
+	g_ptr_array_add(c.queues, q);
+	g_ptr_array_add(c.pools, pool);
+	leader_request(l, REQUEST_CONFIG, "", flow_config_encode(&c));
+	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
+	flow_config_clear(&c);
+}
+
+GBytes *
+leader_worker(const struct stub_worker *w, bool draining)
+{
+	struct flow_worker in = { .name = w->name,
+		.address = w->address,
+		.pool = (char *)"desk",
+		.started_ms = w->started_ms,
+		.capacity = w->capacity,
+		.draining = draining };
+
+	return flow_worker_encode(&in);
+}
+
+void
+leader_heartbeat(struct leader *l, const struct stub_worker *w, bool draining)
+{
+	leader_request(l, REQUEST_WORKER, "", leader_worker(w, draining));
+	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
+}
+
+void
+leader_submit(
+    struct leader *l, const char *path, uint32_t count, int64_t millicpus)
+{
+	struct flow_spec spec = { .payload = g_strdup("work"),
+		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
+	struct flow_step *s = flow_step_new();
+
+	s->count = count;
+	s->resources = (struct resources){ millicpus, 1 << 20, 0 };
+	s->runtime_ms = 60000;
+	g_ptr_array_add(spec.steps, s);
+	leader_request(l, REQUEST_SUBMIT, path, flow_spec_encode(&spec));
+	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
+	flow_spec_clear(&spec);
+}
+
+void
+leader_submit_step(struct leader *l, const char *path, struct flow_step values)
+{
+	struct flow_spec spec = { .payload = g_strdup("work"),
+		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
+	struct flow_step *s = flow_step_new();
+
+	values.after = s->after;
+	*s = values;
+	g_ptr_array_add(spec.steps, s);
+	leader_request(l, REQUEST_SUBMIT, path, flow_spec_encode(&spec));
+	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
+	flow_spec_clear(&spec);
+}
+
+struct leader *
+leader_new(void)
+{
+	struct leader *l = g_new0(struct leader, 1);
+	struct dispatch_conf conf = { .agent = &stub_agent,
+		.lease_max_ms = 6000,
+		.far_factor = 1,
+		.retain_ms = 60000 };
+
+	l->base = event_base_new();
+	l->flow = flow_new();
+	l->registry = registry_new();
+	g_queue_init(&l->commands);
+	conf.base = l->base;
+	conf.flow = l->flow;
+	conf.registry = l->registry;
+	l->dispatch = dispatch_new(&conf, &ops, l);
+	dispatch_lead(l->dispatch, 1);
+	leader_run(l); /* confirms leadership */
+	configure(l);
+	return l;
+}
+
+void
+leader_free(struct leader *l)
+{
+	dispatch_free(l->dispatch);
+	leader_run_for(l, 20);
+	g_queue_clear_full(&l->commands, (GDestroyNotify)g_bytes_unref);
+	flow_free(l->flow);
+	registry_free(l->registry);
+	event_base_free(l->base);
+	g_free(l->last_text);
+	g_free(l);
+}
--- /dev/null
+++ b/test/stubleader.h
@@ -0,0 +1,72 @@
+/*
+ * A leader without followers for tests of lib/dispatch: a proposed command is
+ * applied in the next iteration of the event loop.
+ */
+#ifndef STUBLEADER_H
+#define STUBLEADER_H
+
+#include "dispatch.h"
+#include "stubworker.h"
+
+#define AWAIT_LIMIT_MS 30000 /* only a fault takes that long */
+#define JOB 0x1234567812345678
+#define JOB_PATH "/renders/1234567812345678"
+
+struct leader {
+	struct event_base *base;
+	struct flow *flow;
+	struct dispatch *dispatch;
+	struct registry *registry;
+	GQueue commands; /* GBytes, proposed and not applied yet */
+	uint64_t proposed;
+	uint64_t applied;
+	bool no_quorum; /* nothing is committed or confirmed */
+	bool unconfirmed; /* leadership is not confirmed */
+	uint64_t context; /* of the last confirmation requested */
+	bool hold_commands; /* commands wait for leader_apply() */
+	uint64_t awaited; /* id of the last leader_request() ... */
+	int answers; /* ... answers to such requests */
+	uint32_t last_result;
+	char *last_text;
+	uint64_t requests;
+	int queries; /* to the policy service */
+};
+
+/* Runs the loop until the condition holds. */
+#define AWAIT(l, condition)                                   \
+	do {                                                  \
+		int64_t limit = mono_ms() + AWAIT_LIMIT_MS;   \
+                                                              \
+		while (!(condition)) {                        \
+			g_assert_cmpint(mono_ms(), <, limit); \
+			leader_run(l);                        \
+		}                                             \
+	} while (0)
+
+/* Returns a leader of term 1 with the queues "renders" (two attempts) and
+ * "allowed" (needs permits) of the pool "desk". */
+struct leader *leader_new(void);
+void leader_free(struct leader *l);
+
+void leader_run(struct leader *l); /* runs the loop for 5 ms */
+void leader_run_for(struct leader *l, int64_t ms);
+/* Applies the oldest of the commands that hold_commands kept. */
+void leader_apply(struct leader *l);
+/* Applies all of them and those proposed from now on. */
+void leader_release_commands(struct leader *l);
+
+/* Sends a request; leader_request() awaits the answer. Takes body. */
+void leader_send(
+    struct leader *l, enum request_op op, const char *path, GBytes *body);
+void leader_request(
+    struct leader *l, enum request_op op, const char *path, GBytes *body);
+GBytes *leader_worker(const struct stub_worker *w, bool draining);
+void
+leader_heartbeat(struct leader *l, const struct stub_worker *w, bool draining);
+void leader_submit(
+    struct leader *l, const char *path, uint32_t count, int64_t millicpus);
+/* Submits a job with one step, which depends on no other step. */
+void
+leader_submit_step(struct leader *l, const char *path, struct flow_step values);
+
+#endif
--- a/test/stubworker.c
+++ b/test/stubworker.c
@@ -277,11 +277,21 @@
 	return false;
 }
 
+static void
+on_deadly_start(evutil_socket_t fd, short what, void *arg)
+{
+	struct stub_worker *w = arg;
+
+	if (w->server != NULL)
+		stub_worker_crash(w);
+}
+
 static void
 on_start(void *arg, struct http_request *req)
 {
 	struct stub_worker *w = arg;
-	struct stub_run r = { 0 };
+	struct stub_run r = { .started_ms = mono_ms() };
+	struct timeval now = { 0 };
 	uint64_t fence;
 	int64_t lease_until_ms;
 
@@ -309,6 +319,14 @@
 		answer_refusal(req, AGENT_ENDED);
 		return;
 	}
+	if (w->is_deadly != NULL && w->is_deadly(&r.id)) {
+		w->deadly_starts++;
+		g_ptr_array_add(w->unanswered, req);
+		/* Not within a callback of its server. */
+		event_base_once(
+		    w->base, -1, EV_TIMEOUT, on_deadly_start, w, &now);
+		return;
+	}
 	if (find_run(w, &r.id) < 0)
 		g_array_append_val(w->running, r);
 	w->lease_until_ms = MAX(w->lease_until_ms, lease_until_ms);
@@ -414,25 +432,33 @@
 	return started;
 }
 
+static void
+listen_for_orders(struct stub_worker *w)
+{
+	GError *err = NULL;
+
+	w->server = httpd_new(
+	    w->base, w->address, routes, G_N_ELEMENTS(routes), w, &err);
+	g_assert_no_error(err);
+}
+
 struct stub_worker *
 stub_worker_new(struct event_base *base, const char *name)
 {
 	struct stub_worker *w = g_new0(struct stub_worker, 1);
 	char *ip = loopback_ip();
-	GError *err = NULL;
 
 	w->base = base;
 	w->name = g_strdup(name);
 	w->address = free_address(ip);
 	w->started_ms = g_get_real_time() / 1000;
+	w->capacity = (struct resources){ 4000, 1 << 30, 0 };
 	w->running = g_array_new(FALSE, TRUE, sizeof(struct stub_run));
 	w->ends = g_array_new(FALSE, TRUE, sizeof(struct agent_end));
 	w->held_starts = g_array_new(FALSE, TRUE, sizeof(struct flow_run));
 	w->unanswered = g_ptr_array_new();
 	w->poll_timer = event_new(base, -1, 0, on_poll_timer, w);
-	w->server =
-	    httpd_new(base, w->address, routes, G_N_ELEMENTS(routes), w, &err);
-	g_assert_no_error(err);
+	listen_for_orders(w);
 	g_free(ip);
 	return w;
 }
@@ -448,6 +474,49 @@
 		answer_clock(w->unanswered->pdata[i]);
 	g_ptr_array_set_size(w->unanswered, 0);
 	httpd_free(g_steal_pointer(&w->server));
+	w->crashes++;
+	w->crashed_ms = mono_ms();
+}
+
+void
+stub_worker_restart(struct stub_worker *w)
+{
+	char *name = g_strdup_printf("%s+", w->name);
+
+	g_free(w->name);
+	w->name = name;
+	w->started_ms = g_get_real_time() / 1000;
+	w->fence = 0;
+	w->lease_until_ms = 0;
+	w->acked = 0;
+	w->last_end = 0;
+	g_array_set_size(w->running, 0);
+	g_array_set_size(w->ends, 0);
+	g_array_set_size(w->held_starts, 0);
+	listen_for_orders(w);
+}
+
+bool
+stub_worker_tick(struct stub_worker *w)
+{
+	int64_t now = mono_ms();
+
+	if (w->server == NULL) {
+		if (w->down_ms == 0 || now - w->crashed_ms < w->down_ms)
+			return false;
+		stub_worker_restart(w);
+		return true;
+	}
+	for (guint i = w->running->len; w->run_ms > 0 && i > 0; i--) {
+		struct stub_run *r =
+		    &g_array_index(w->running, struct stub_run, i - 1);
+		struct flow_run id = r->id;
+
+		if (id.job != w->endless_job &&
+		    now - r->started_ms >= w->run_ms)
+			stub_worker_end(w, &id, AGENT_DONE);
+	}
+	return false;
 }
 
 void
--- a/test/stubworker.h
+++ b/test/stubworker.h
@@ -13,6 +13,7 @@
 struct stub_run {
 	struct flow_run id;
 	int64_t percent;
+	int64_t started_ms;
 };
 
 struct stub_worker {
@@ -21,6 +22,7 @@
 	char *name;
 	char *address;
 	int64_t started_ms;
+	struct resources capacity;
 	uint64_t fence;
 	int64_t lease_until_ms; /* monotonic clock of this process */
 	uint64_t acked;
@@ -36,8 +38,16 @@
 	GArray *held_starts; /* struct flow_run: those orders */
 	int fail_runs; /* how many runs fail as soon as they start */
 	int refuse_starts; /* how many start orders to refuse: no resources */
+	/* Runs that crash the worker as soon as they start; NULL: none. */
+	bool (*is_deadly)(const struct flow_run *id);
+	int64_t run_ms; /* after which a run is done; 0: never */
+	uint64_t endless_job; /* whose runs don't end by themselves */
+	int64_t down_ms; /* from a crash to the restart; 0: stays down */
 	/* Received so far. */
 	int starts;
+	int deadly_starts;
+	int crashes;
+	int64_t crashed_ms; /* time of the last crash */
 	int stops;
 	int polls;
 	uint64_t max_acked;
@@ -51,6 +61,12 @@
 /* Closes all connections and stops listening. */
 void stub_worker_crash(struct stub_worker *w);
 
+/* Starts a crashed worker again at its address, under a new name. */
+void stub_worker_restart(struct stub_worker *w);
+/* Ends runs that have run for run_ms; restarts the worker after down_ms.
+ * Returns true if it has restarted. */
+bool stub_worker_tick(struct stub_worker *w);
+
 /* Ends a running run. */
 void stub_worker_end(struct stub_worker *w, const struct flow_run *id,
     enum agent_outcome outcome);
