dispatch: log lines that tell a crashed worker from a silent one

event=run-lost names how many runs of other jobs were beside it; event=worker-dead how many runs its incarnation had lost with an expired lease before the next one announced itself; event=worker-back how long a worker was silent that lost runs and has not restarted. No decision changes.

--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -234,11 +234,27 @@
 	return h->order_peer[best];
 }
 
-/* Proposes the end of all runs of an incarnation that is over. */
-static void
+/* How many runs of other jobs are on the worker of a run. */
+static uint32_t
+runs_beside(const struct active_run *r)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < r->holder->runs->len; i++) {
+		const struct active_run *other = r->holder->runs->pdata[i];
+
+		count += other->id.job != r->id.job;
+	}
+	return count;
+}
+
+/* Proposes the end of all runs of an incarnation that is over; returns of how
+ * many. */
+static uint32_t
 end_all_runs(struct holder *h, const char *why)
 {
 	GArray *ends = g_array_new(FALSE, TRUE, sizeof(struct flow_end));
+	uint32_t count;
 
 	for (guint i = 0; i < h->runs->len; i++) {
 		struct active_run *r = h->runs->pdata[i];
@@ -250,9 +266,9 @@
 			continue;
 		h->d->meter.lost->value++;
 		log_warn("dispatch",
-		    "event=run-lost run=%s worker=%s why=\"%s\" "
+		    "event=run-lost run=%s worker=%s why=\"%s\" beside=%u "
 		    "since_answer_ms=%" G_GINT64_FORMAT,
-		    run_name(&r->id), h->name, why,
+		    run_name(&r->id), h->name, why, runs_beside(r),
 		    h->answered_ms == 0 ? -1 : mono_ms() - h->answered_ms);
 		g_array_append_val(ends, e);
 	}
@@ -263,7 +279,9 @@
 			if (r->state != RUN_PROPOSED)
 				r->state = RUN_ENDING;
 		}
+	count = ends->len;
 	g_array_unref(ends);
+	return count;
 }
 
 void
@@ -271,10 +289,11 @@
 {
 	if (!h->dead)
 		log_warn("dispatch",
-		    "event=worker-dead worker=%s address=%s why=\"%s\"",
-		    h->name, h->address, why);
+		    "event=worker-dead worker=%s address=%s why=\"%s\" "
+		    "lost_runs=%u",
+		    h->name, h->address, why, h->lost_runs);
 	h->dead = true;
-	end_all_runs(h, why);
+	(void)end_all_runs(h, why);
 }
 
 static void
@@ -484,9 +503,15 @@
 		return;
 	}
 	holder_set_clock(h, report->clock_ms, now);
+	if (h->lost_runs > 0)
+		log_info("dispatch",
+		    "event=worker-back worker=%s silent_ms=%" G_GINT64_FORMAT
+		    " lost_runs=%u",
+		    h->name, now - h->answered_ms, h->lost_runs);
 	h->polled = true;
 	h->poll_failed = false;
 	h->lease_expired = false;
+	h->lost_runs = 0;
 	h->answered_ms = now;
 	if (first)
 		log_info("dispatch",
@@ -614,12 +639,13 @@
 	if (!h->dead && now > leases_end_ms(h) && no_answer) {
 		h->lease_expired = true;
 		if (h->runs->len > 0)
-			end_all_runs(h, "its lease has expired");
+			h->lost_runs +=
+			    end_all_runs(h, "its lease has expired");
 	}
 	/* Repeats this for ends that could not be proposed, and runs assigned
 	 * since. */
 	if (h->dead && h->runs->len > 0)
-		end_all_runs(h, "its incarnation is over");
+		(void)end_all_runs(h, "its incarnation is over");
 	maybe_remove(h, now);
 	holder_poll(h, now);
 }
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -76,6 +76,7 @@
 	bool dead; /* this incarnation is over */
 	bool removing; /* its removal is proposed */
 	bool lease_expired; /* it certainly runs nothing any more */
+	uint32_t lost_runs; /* with that lease */
 	uint64_t acked; /* ended runs up to this number are durable */
 	uint64_t proposed_end; /* ended runs up to this number are proposed */
 	bool ends_pending; /* that proposal isn't applied yet */
