dispatch: no orders for an incarnation that is over

Callers saw nothing yet; a task could run in two places. A start that was committed after its worker had restarted under the same name was ordered at the worker's address, with the name that both incarnations share: the new one ran it, while the run counted as ended with its incarnation and the task was started again.

Cause: polls leave out a holder that is declared dead, orders did not. The run is ended by the scan that ends all runs of an incarnation that is over.

--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -261,7 +261,8 @@
 		.id = r->id, .fence = d->term, .permit = r->permit
 	};
 
-	if (r->order_pending || task == NULL)
+	/* A later incarnation may have the same name, and would accept it. */
+	if (r->order_pending || task == NULL || h->dead)
 		return;
 	if (!h->polled || !dispatch_may_act(d)) {
 		r->resend_ms = now + RESEND_MIN_MS;
@@ -286,7 +287,7 @@
 	struct dispatch *d = h->d;
 
 	r->stopping = true;
-	if (r->state == RUN_ENDING)
+	if (r->state == RUN_ENDING || h->dead)
 		return;
 	/* Only one order about a run is in flight at a time. */
 	if (r->order_pending || !dispatch_may_act(d)) {
