dispatch: a start is ordered only if it still fits on its worker

What callers would see: a worker over its capacity (LIMIT), so slow or failed tasks. A worker's capacity may shrink while starts are under way. Placement looked at it when a start was decided; between that and the order (the commit, an order sent again for want of an answer, a new leader that orders what its predecessor committed) it was not looked at again.

Now run_start() compares what is or may be on the worker with its capacity of that moment. A run that doesn't fit any more goes back to the queue: at once if no order was sent, after a stop order if one may have arrived. What runs already goes on: only a start may be withheld without losing work.

--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -249,6 +249,40 @@
 	g_free(body);
 }
 
+/* Says whether a run fits on its worker now, beside all that is there or may
+ * be. Its capacity may have shrunk since the start was decided. */
+static bool
+run_fits(const struct active_run *r)
+{
+	const struct holder *h = r->holder;
+	const struct flow_worker *w = flow_worker(h->d->conf.flow, h->id);
+	struct resources load = r->resources;
+
+	for (guint i = 0; i < h->runs->len; i++) {
+		const struct active_run *other = h->runs->pdata[i];
+
+		if (other != r &&
+		    (other->state >= RUN_ACCEPTED || other->may_start ||
+			other->order_pending))
+			resources_add(&load, &other->resources, 1);
+	}
+	return w != NULL && resources_fit(&load, &w->capacity);
+}
+
+/* Gives up a run that doesn't fit any more. */
+static void
+run_withdraw(struct active_run *r)
+{
+	if (!r->may_start) {
+		run_end(r, FLOW_END_REFUSED, "capacity-shrunk");
+		return;
+	}
+	log_info("dispatch", "event=stop run=%s worker=%s why=capacity-shrunk",
+	    run_name(&r->id), r->holder->name);
+	r->holder->d->meter.stops->value++;
+	run_stop(r);
+}
+
 void
 run_start(struct active_run *r)
 {
@@ -268,6 +302,10 @@
 		r->resend_ms = now + RESEND_MIN_MS;
 		return;
 	}
+	if (!run_fits(r)) {
+		run_withdraw(r);
+		return;
+	}
 	order.payload = job->spec.payload;
 	order.checkpoint = task->checkpoint;
 	order.lease_until_ms = holder_extend_lease(h, now);
