dispatch: best-effort tasks take no cores from a worker's capacity

Callers: such tasks didn't start on full workers, and once started kept cores from others. Placement asked for 0 cores, but the run was booked with what the step declares, and the check whether it fits anywhere came before. One function says now what a task takes. dispatch_test best-effort-cores fails without the change (the second step waits for ever) and passes with it.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -233,8 +233,7 @@
 
 		if (h == NULL)
 			return;
-		r = run_add(
-		    d, h, &s->id, &flow_job_step(job, s->id.step)->resources);
+		r = run_add(d, h, &s->id, flow_job_step(job, s->id.step));
 		r->may_start = true;
 	}
 	r->state = RUN_ORDERED;
@@ -339,7 +338,7 @@
 		    run_name(&s->id));
 		return;
 	}
-	r = run_add(d, h, &s->id, &flow_job_step(job, s->id.step)->resources);
+	r = run_add(d, h, &s->id, flow_job_step(job, s->id.step));
 	r->state = RUN_ORDERED;
 	r->may_start = true;
 	r->started_ms = mono_ms();
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -225,7 +225,9 @@
 struct active_run *
 run_find(const struct dispatch *d, const struct flow_run *id);
 struct active_run *run_add(struct dispatch *d, struct holder *h,
-    const struct flow_run *id, const struct resources *resources);
+    const struct flow_run *id, const struct flow_step *step);
+/* What a task of the step takes from its worker's capacity. */
+struct resources run_resources(const struct flow_step *step);
 void run_remove(struct active_run *r);
 void run_start(struct active_run *r); /* sends the start order */
 void run_stop(struct active_run *r); /* sends a stop order */
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -434,7 +434,7 @@
 				    p->step, index, number },
 		.worker = worker };
 	struct active_run *r = run_add(rd->d, holder_find(rd->d, worker), &s.id,
-	    &flow_job_step(p->job, p->step)->resources);
+	    flow_job_step(p->job, p->step));
 
 	r->permit = g_strdup(permit);
 	g_array_append_val(rd->starts, s);
@@ -524,7 +524,7 @@
 {
 	const struct flow_step *step = flow_job_step(p->job, p->step);
 	struct plan_request request = { .count = count_waiting(rd, p),
-		.per_task = step->resources,
+		.per_task = run_resources(step),
 		.gang = step->gang,
 		.colocated = step->colocated,
 		.data_rack = rack_number(rd->d, step->data_rack),
@@ -537,8 +537,6 @@
 	    (!resources_fit(&request.per_task, &rd->largest_free) &&
 		!is_urgent(rd, p)))
 		return;
-	if (step->best_effort)
-		request.per_task.millicpus = 0;
 	if (p->job->queue->needs_permit)
 		permits = step_permits_get(
 		    rd->d, p->job, p->occurrence->number, p->step);
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -32,18 +32,29 @@
 	return g_hash_table_lookup(d->runs, &key);
 }
 
+struct resources
+run_resources(const struct flow_step *step)
+{
+	struct resources r = step->resources;
+
+	/* It uses the processor time that the other runs leave. */
+	if (step->best_effort)
+		r.millicpus = 0;
+	return r;
+}
+
 struct active_run *
 run_add(struct dispatch *d, struct holder *h, const struct flow_run *id,
-    const struct resources *resources)
+    const struct flow_step *step)
 {
 	struct active_run *r = g_new0(struct active_run, 1);
 
 	r->id = *id;
 	r->holder = h;
-	r->resources = *resources;
+	r->resources = run_resources(step);
 	g_hash_table_add(d->runs, r);
 	g_ptr_array_add(h->runs, r);
-	resources_add(&h->used, resources, 1);
+	resources_add(&h->used, &r->resources, 1);
 	return r;
 }
 
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -12,4 +12,4 @@
     deadly-task-takeover deadly-gang silent-worker-no-crash
     capacity-shrinks-before-order capacity-shrinks-before-resend
     capacity-shrinks-takeover capacity-shrinks-below-use
-    restart-before-order)
+    best-effort-cores restart-before-order)
--- a/test/dispatch_capacity.c
+++ b/test/dispatch_capacity.c
@@ -130,6 +130,26 @@
 	leader_free(l);
 }
 
+/* Best-effort tasks take no cores from the capacity of a worker, whatever they
+ * ask for, and leave its cores to others. */
+static void
+test_best_effort_cores(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l);
+
+	leader_submit_step(l, "/renders/0000000000000077",
+	    (struct flow_step){ .count = 2,
+		.resources = { 9000, 1 << 20, 0 },
+		.runtime_ms = 60000,
+		.best_effort = true });
+	AWAIT(l, a->running->len == 2);
+	leader_submit(l, JOB_PATH, 4, 1000);
+	AWAIT(l, a->running->len == 6);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 /* A worker restarts under its name between the decision to start a run there
  * and the order: the order isn't sent to the new incarnation, which would run
  * the task although the run counts as ended. */
@@ -164,6 +184,7 @@
 	    test_capacity_shrinks_takeover);
 	g_test_add_func("/dispatch/capacity-shrinks-below-use",
 	    test_capacity_shrinks_below_use);
+	g_test_add_func("/dispatch/best-effort-cores", test_best_effort_cores);
 	g_test_add_func(
 	    "/dispatch/restart-before-order", test_restart_before_order);
 }
