--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -307,6 +307,13 @@
 	run_stop(r);
 }
 
+static void
+on_run_crashed(void *arg, const struct flow_run *run, uint32_t crashes)
+{
+	log_warn("dispatch", "event=worker-crashed run=%s crashes=%u max=%d",
+	    run_name(run), crashes, FLOW_CRASHES_MAX);
+}
+
 static void
 on_config(void *arg)
 {
@@ -322,6 +329,7 @@
 	.job_changed = on_job_changed,
 	.run_assigned = on_run_started,
 	.run_ended = on_run_ended,
+	.run_crashed = on_run_crashed,
 	.run_stopping = on_run_stop };
 
 /* Adds a run that an earlier leader committed; whether the worker ever got its
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -134,26 +134,34 @@
 	flow_each_worker(d->conf.flow, load_holder, d);
 }
 
-/* Only the latest incarnation with an address or a name can be running. */
-static void
+/* Only the latest incarnation with an address or a name can be running. Returns
+ * whether one was ended that wasn't about to leave. */
+static bool
 end_older_incarnations(struct dispatch *d, const struct flow_worker *w)
 {
+	bool crashed = false;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, d->holders);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct holder *h = value;
+		const struct flow_worker *older =
+		    flow_worker(d->conf.flow, h->id);
+		const char *why;
 
-		if (h->id != w->id && h->started_ms < w->started_ms &&
-		    strcmp(h->address, w->address) == 0)
-			holder_declare_dead(
-			    h, "a later incarnation has its address");
-		else if (h->id != w->id && h->started_ms < w->started_ms &&
-		    strcmp(h->name, w->name) == 0)
-			holder_declare_dead(
-			    h, "a later incarnation has its name");
+		if (h->id == w->id || h->started_ms >= w->started_ms)
+			continue;
+		if (strcmp(h->address, w->address) == 0)
+			why = "a later incarnation has its address";
+		else if (strcmp(h->name, w->name) == 0)
+			why = "a later incarnation has its name";
+		else
+			continue;
+		crashed |= older != NULL && !older->draining;
+		holder_declare_dead(h, why);
 	}
+	return crashed;
 }
 
 void
@@ -170,14 +178,15 @@
 		return;
 	}
 	if (h == NULL)
-		(void)holder_new(d, w);
+		h = holder_new(d, w);
 	else
 		update_address(h, w);
 	log_info("dispatch",
 	    "event=worker id=%u worker=%s address=%s "
 	    "started_ms=%" G_GINT64_FORMAT " pool=%s draining=%d",
 	    w->id, w->name, w->address, w->started_ms, w->pool, w->draining);
-	end_older_incarnations(d, w);
+	if (end_older_incarnations(d, w))
+		h->restarted_ms = mono_ms();
 	dispatch_schedule_round(d);
 }
 
@@ -234,6 +243,12 @@
 	return h->order_peer[best];
 }
 
+static bool
+may_have_started(const struct active_run *r)
+{
+	return r->state != RUN_ORDERED || r->may_start || r->order_pending;
+}
+
 /* How many runs of other jobs are on the worker of a run. */
 static uint32_t
 runs_beside(const struct active_run *r)
@@ -259,7 +274,8 @@
 	for (guint i = 0; i < h->runs->len; i++) {
 		struct active_run *r = h->runs->pdata[i];
 		struct flow_end e = { .id = r->id,
-			.outcome = FLOW_END_STOPPED,
+			.outcome = may_have_started(r) ? FLOW_END_LOST
+						       : FLOW_END_REFUSED,
 			.checkpoint = r->checkpoint };
 
 		if (r->state == RUN_ENDING || r->state == RUN_PROPOSED)
@@ -491,6 +507,17 @@
 	}
 }
 
+/* A worker that has lost runs and answers again hasn't crashed. */
+static void
+note_back(struct holder *h)
+{
+	struct flow_cmd cmd = { .type = FLOW_CMD_WORKER_BACK,
+		.u.worker_id = h->id };
+
+	if (flow_worker_in_doubt(h->d->conf.flow, h->id))
+		(void)dispatch_propose(h->d, &cmd);
+}
+
 static void
 handle_report(struct holder *h, const struct agent_report *report, int64_t now)
 {
@@ -508,6 +535,8 @@
 		    "event=worker-back worker=%s silent_ms=%" G_GINT64_FORMAT
 		    " lost_runs=%u",
 		    h->name, now - h->answered_ms, h->lost_runs);
+	if (first || h->lease_expired)
+		note_back(h);
 	h->polled = true;
 	h->poll_failed = false;
 	h->lease_expired = false;
@@ -619,7 +648,7 @@
 maybe_remove(struct holder *h, int64_t now)
 {
 	struct flow_cmd cmd = { .type = FLOW_CMD_WORKER_REMOVED,
-		.u.removed_worker = h->id };
+		.u.worker_id = h->id };
 	bool no_heartbeat =
 	    h->lease_expired && now - h->heartbeat_ms > REMOVE_AFTER_MS;
 
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -40,6 +40,7 @@
 	struct holder *holder;
 	enum run_state state;
 	struct resources resources;
+	uint32_t suspicion; /* flow_task_suspicion() when it was assigned */
 	bool stopping; /* it has to be stopped */
 	bool order_pending; /* an order about it is in flight */
 	bool may_start; /* a start order that got no answer may take effect */
@@ -91,7 +92,10 @@
 	struct flow_run reserved_for;
 	int64_t reserved_until_ms;
 	GPtrArray *runs; /* struct active_run */
+	uint32_t suspects; /* of these, how many are suspected of crashes */
 	struct round_worker *in_round; /* during a placement round, or NULL */
+	int64_t
+	    restarted_ms; /* when it followed a crashed incarnation; 0: no */
 	double slowdown; /* run time multiplier, measured ... */
 	int64_t slowdown_ms; /* ... at this time */
 	int64_t excluded_until_ms; /* gets no new work until then */
@@ -117,6 +121,8 @@
 	uint64_t query; /* in flight; 0: none */
 	int64_t retry_ms; /* no new query before this time */
 	int64_t preempt_retry_ms; /* nor a new search for runs to preempt */
+	int64_t apart_until_ms; /* how long suspected tasks wait for workers
+				   apart from others; 0: they don't */
 };
 
 struct permit {
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -14,6 +14,19 @@
 #define PREEMPTIONS_PER_ROUND 6 /* steps that a round preempts runs for */
 #define PREEMPT_INTERVAL_MS 40 /* between rounds that preempt */
 #define LOAD_LOG_INTERVAL_MS 1000 /* between load log lines */
+/* Suspicion from which a run shares its worker with no run of another job that
+ * is suspected as much, and is isolated if there is room. */
+#define ISOLATED_SUSPICION 2
+#define ISOLATION_MS 30000 /* a run that has run for so long is cleared */
+/* Suspects avoid workers that crashed within this time. */
+#define RESTART_AVOID_MS 20000
+/* How long a suspected task waits for a worker apart from other suspects, and
+ * an isolated one for a worker of its own. */
+#define APART_WAIT_MS 300
+#define ALONE_WAIT_MS 1500
+/* A task that may have crashed FLOW_CRASHES_MAX workers waits until that is
+ * known, but not longer than this since its last start. */
+#define SUSPECT_WAIT_MS 15000
 
 static struct plan_estimate *
 estimate_of_queue(struct dispatch *d, const char *queue)
@@ -223,15 +236,104 @@
 	g_ptr_array_sort(rd->workers, by_free_descending);
 }
 
+/*
+ * How far a run is kept from those of other jobs. If a worker crashes, all
+ * that ran there are suspects; the cause is found sooner, and with fewer
+ * innocent runs lost, if suspects don't meet again.
+ */
+enum separation {
+	SEPARATE_ISOLATED, /* from isolated runs */
+	SEPARATE_SUSPECTS, /* from all suspected runs */
+	SEPARATE_ALL /* from all runs */
+};
+
+/* Which workers a task may be placed on. */
+struct apartness {
+	enum separation from;
+	bool avoid_restarted; /* not on workers that have crashed lately */
+};
+
+/* The separation that is tried first for a task. */
+static enum separation
+wanted_separation(const struct flow_task *task)
+{
+	uint32_t suspicion = flow_task_suspicion(task);
+
+	if (suspicion >= ISOLATED_SUSPICION)
+		return SEPARATE_ALL;
+	return suspicion > 0 ? SEPARATE_SUSPECTS : SEPARATE_ISOLATED;
+}
+
+static bool
+is_isolated(const struct active_run *r, int64_t now)
+{
+	return r->suspicion >= ISOLATED_SUSPICION &&
+	    (r->started_ms == 0 || now - r->started_ms < ISOLATION_MS);
+}
+
+static bool
+has_restarted(const struct holder *h, int64_t now)
+{
+	return h->restarted_ms != 0 && now - h->restarted_ms < RESTART_AVOID_MS;
+}
+
+/* Says whether a worker's runs allow one of the job beside them. */
+static bool
+is_apart(
+    const struct holder *h, uint64_t job, struct apartness apart, int64_t now)
+{
+	if (apart.avoid_restarted && has_restarted(h, now))
+		return false;
+	if (apart.from != SEPARATE_ALL && h->suspects == 0)
+		return true;
+	for (guint i = 0; i < h->runs->len; i++) {
+		const struct active_run *r = h->runs->pdata[i];
+
+		if (r->id.job == job)
+			continue;
+		if (apart.from == SEPARATE_ALL ||
+		    (apart.from == SEPARATE_SUSPECTS && r->suspicion > 0) ||
+		    is_isolated(r, now))
+			return false;
+	}
+	return true;
+}
+
+/* Says whether a task waits until it is known whether workers have crashed
+ * under it. */
+static bool
+is_held_back(const struct round *rd, const struct flow_task *task)
+{
+	return flow_task_may_be_given_up(task) &&
+	    rd->cell_now - task->assigned_ms < SUSPECT_WAIT_MS;
+}
+
 /* Says whether a task is pending and its start isn't proposed already. */
 static bool
-task_waits(const struct dispatch *d, const struct flow_job *job,
+task_waits(const struct round *rd, const struct flow_job *job,
     const struct flow_occurrence *occurrence, uint32_t step, uint32_t index)
 {
+	const struct flow_task *task = &occurrence->steps[step].tasks[index];
 	struct flow_run id = { job->id, occurrence->number, step, index, 0 };
 
-	return occurrence->steps[step].tasks[index].state == FLOW_PENDING &&
-	    run_find(d, &id) == NULL;
+	return task->state == FLOW_PENDING && !is_held_back(rd, task) &&
+	    run_find(rd->d, &id) == NULL;
+}
+
+/* A gang starts once no member of its last run is left and none is held back.
+ */
+static bool
+gang_waits(const struct round *rd, const struct flow_job *job,
+    const struct flow_occurrence *occurrence, uint32_t step)
+{
+	const struct flow_step_state *st = &occurrence->steps[step];
+
+	if (st->pending < st->count)
+		return false;
+	for (uint32_t i = 0; i < st->count; i++)
+		if (!task_waits(rd, job, occurrence, step, i))
+			return false;
+	return true;
 }
 
 static void
@@ -247,10 +349,7 @@
 
 	if (st->pending == 0 || !flow_step_ready(job, occurrence, step))
 		return;
-	/* A gang restarts once all members of its last run have ended. */
-	if (s->gang &&
-	    (st->pending < st->count ||
-		!task_waits(rd->d, job, occurrence, step, 0)))
+	if (s->gang && !gang_waits(rd, job, occurrence, step))
 		return;
 	p.plan = *urgency;
 	p.plan.best_effort = s->best_effort;
@@ -363,16 +462,18 @@
 			g_ptr_array_remove_index_fast(workers, i - 1);
 }
 
-/* Adds a worker if the step's constraints and its queue allow it. */
+/* Adds a worker if the step's constraints, its queue and the separation from
+ * other runs allow it. */
 static void
 add_if_allowed(struct round *rd, const struct pending_step *p,
-    struct round_worker *w, GPtrArray *out)
+    struct apartness apart, struct round_worker *w, GPtrArray *out)
 {
 	const struct flow_step *step = flow_job_step(p->job, p->step);
 
 	if (strcmp(w->worker->pool, p->job->queue->pool) != 0 ||
 	    !has_label(w->worker, step->label) ||
-	    preempt_reserved_for_other(w->holder, p, rd->now))
+	    preempt_reserved_for_other(w->holder, p, rd->now) ||
+	    !is_apart(w->holder, p->job->id, apart, rd->now))
 		return;
 	w->plan.step_tasks =
 	    step->max_per_worker == 0 ? 0 : count_step_tasks(w->holder, p);
@@ -389,12 +490,13 @@
 /* The workers that the step's constraints and its queue allow, those with most
  * free first. */
 static GPtrArray *
-allowed_workers(struct round *rd, const struct pending_step *p)
+allowed_workers(
+    struct round *rd, const struct pending_step *p, struct apartness apart)
 {
 	GPtrArray *out = g_ptr_array_new();
 
 	for (guint i = 0; i < rd->workers->len; i++)
-		add_if_allowed(rd, p, rd->workers->pdata[i], out);
+		add_if_allowed(rd, p, apart, rd->workers->pdata[i], out);
 	drop_unsuitable(p, out);
 	return out;
 }
@@ -403,7 +505,7 @@
  * permits, as there are far fewer of them than workers. */
 static GPtrArray *
 permitted_workers(struct round *rd, const struct pending_step *p,
-    const struct step_permits *permits)
+    const struct step_permits *permits, struct apartness apart)
 {
 	GPtrArray *out = g_ptr_array_new();
 	GHashTableIter iter;
@@ -419,7 +521,7 @@
 			continue;
 		h = holder_find(rd->d, GPOINTER_TO_UINT(id));
 		if (h != NULL && h->in_round != NULL)
-			add_if_allowed(rd, p, h->in_round, out);
+			add_if_allowed(rd, p, apart, h->in_round, out);
 	}
 	drop_unsuitable(p, out);
 	return out;
@@ -451,10 +553,24 @@
 	return number + 1;
 }
 
+/* Says whether a task is one of those to place now: a gang is placed as a
+ * whole, other tasks with those that want the same separation. */
+static bool
+is_to_place(const struct round *rd, const struct pending_step *p,
+    uint32_t index, enum separation wanted)
+{
+	const struct flow_task *task =
+	    &p->occurrence->steps[p->step].tasks[index];
+
+	return task_waits(rd, p->job, p->occurrence, p->step, index) &&
+	    (flow_job_step(p->job, p->step)->gang ||
+		wanted_separation(task) == wanted);
+}
+
 /* Places the tasks of a step that fit; returns how many. */
 static uint32_t
 place_tasks(struct round *rd, const struct pending_step *p,
-    struct plan_request *request, GPtrArray *workers,
+    struct plan_request *request, enum separation wanted, GPtrArray *workers,
     const struct step_permits *permits)
 {
 	const struct flow_step_state *st = &p->occurrence->steps[p->step];
@@ -466,7 +582,7 @@
 	for (uint32_t i = 0; done < placed && i < st->count; i++) {
 		struct plan_worker *w = workers->pdata[pick[done]];
 
-		if (!task_waits(rd->d, p->job, p->occurrence, p->step, i))
+		if (!is_to_place(rd, p, i, wanted))
 			continue;
 		reserve(rd, p, i, next_run_number(st, request->gang, i),
 		    w->worker,
@@ -479,14 +595,96 @@
 	return placed;
 }
 
+static void
+place_apart(struct round *rd, const struct pending_step *p,
+    struct plan_request *request, enum separation wanted,
+    struct apartness apart, const struct step_permits *permits)
+{
+	GPtrArray *workers = permits == NULL
+	    ? allowed_workers(rd, p, apart)
+	    : permitted_workers(rd, p, permits, apart);
+
+	if (workers->len > 0)
+		request->count -=
+		    place_tasks(rd, p, request, wanted, workers, permits);
+	g_ptr_array_unref(workers);
+}
+
+/* Says whether a step may be placed with less separation than wanted, as it
+ * has waited long enough. */
+static bool
+may_relax(
+    struct round *rd, const struct pending_step *p, enum separation wanted)
+{
+	struct step_permits *state =
+	    step_permits_get(rd->d, p->job, p->occurrence->number, p->step);
+
+	if (state->apart_until_ms == 0)
+		state->apart_until_ms = rd->now +
+		    (wanted == SEPARATE_ALL ? ALONE_WAIT_MS : APART_WAIT_MS);
+	return rd->now >= state->apart_until_ms;
+}
+
+static void
+stop_waiting_apart(struct round *rd, const struct pending_step *p)
+{
+	step_permits_get(rd->d, p->job, p->occurrence->number, p->step)
+	    ->apart_until_ms = 0;
+}
+
+/* Places the waiting tasks that want a separation; after a while also with
+ * less. Returns how many are left over. */
 static uint32_t
-count_waiting(const struct round *rd, const struct pending_step *p)
+place_separate(struct round *rd, const struct pending_step *p,
+    struct plan_request *request, enum separation wanted,
+    const struct step_permits *permits)
 {
-	uint32_t count = 0;
+	bool suspects = wanted != SEPARATE_ISOLATED;
+	bool waited = request->count > 0 && suspects;
+
+	for (int s = wanted; s >= SEPARATE_ISOLATED && request->count > 0;
+	     s--) {
+		struct apartness apart = { .from = (enum separation)s,
+			.avoid_restarted = suspects };
+
+		if (s != (int)wanted && !may_relax(rd, p, wanted))
+			break;
+		if (suspects)
+			place_apart(rd, p, request, wanted, apart, permits);
+		apart.avoid_restarted = false;
+		if (request->count > 0)
+			place_apart(rd, p, request, wanted, apart, permits);
+	}
+	if (waited && request->count == 0)
+		stop_waiting_apart(rd, p);
+	return request->count;
+}
 
-	for (uint32_t i = 0; i < p->occurrence->steps[p->step].count; i++)
-		count += task_waits(rd->d, p->job, p->occurrence, p->step, i);
-	return count;
+/* Counts the waiting tasks by the separation that they want; those of a gang
+ * count for its most suspected member. Returns how many there are. */
+static uint32_t
+count_waiting(const struct round *rd, const struct pending_step *p,
+    uint32_t count[SEPARATE_ALL + 1])
+{
+	enum separation most = SEPARATE_ISOLATED;
+	uint32_t sum = 0;
+
+	for (uint32_t i = 0; i < p->occurrence->steps[p->step].count; i++) {
+		enum separation wanted;
+
+		if (!task_waits(rd, p->job, p->occurrence, p->step, i))
+			continue;
+		wanted =
+		    wanted_separation(&p->occurrence->steps[p->step].tasks[i]);
+		most = MAX(most, wanted);
+		count[wanted]++;
+		sum++;
+	}
+	if (flow_job_step(p->job, p->step)->gang) {
+		memset(count, 0, sizeof(uint32_t) * (SEPARATE_ALL + 1));
+		count[most] = sum;
+	}
+	return sum;
 }
 
 /* Says whether other runs may be preempted for a step: if it can still end on
@@ -511,7 +709,8 @@
 
 	if (!query && !preempt)
 		return;
-	workers = allowed_workers(rd, p);
+	workers = allowed_workers(
+	    rd, p, (struct apartness){ .from = SEPARATE_ISOLATED });
 	if (query)
 		permits_query(rd->d, permits, request, workers, false, rd->now);
 	if (preempt)
@@ -523,29 +722,31 @@
 place_step(struct round *rd, const struct pending_step *p)
 {
 	const struct flow_step *step = flow_job_step(p->job, p->step);
-	struct plan_request request = { .count = count_waiting(rd, p),
-		.per_task = run_resources(step),
+	struct plan_request request = { .per_task = run_resources(step),
 		.gang = step->gang,
 		.colocated = step->colocated,
 		.data_rack = rack_number(rd->d, step->data_rack),
 		.far_factor = rd->d->conf.far_factor,
 		.max_per_worker = step->max_per_worker };
 	struct step_permits *permits = NULL;
-	GPtrArray *workers;
+	uint32_t waiting[SEPARATE_ALL + 1] = { 0 };
+	uint32_t left = 0;
 
-	if (request.count == 0 ||
-	    (!resources_fit(&request.per_task, &rd->largest_free) &&
-		!is_urgent(rd, p)))
+	if (!resources_fit(&request.per_task, &rd->largest_free) &&
+	    !is_urgent(rd, p))
+		return;
+	if (count_waiting(rd, p, waiting) == 0)
 		return;
 	if (p->job->queue->needs_permit)
 		permits = step_permits_get(
 		    rd->d, p->job, p->occurrence->number, p->step);
-	workers = permits == NULL ? allowed_workers(rd, p)
-				  : permitted_workers(rd, p, permits);
-	if (workers->len > 0)
-		request.count -= place_tasks(rd, p, &request, workers, permits);
-	g_ptr_array_unref(workers);
-	if (request.count == 0)
+	for (int s = SEPARATE_ISOLATED; s <= SEPARATE_ALL; s++) {
+		request.count = waiting[s];
+		left += place_separate(
+		    rd, p, &request, (enum separation)s, permits);
+	}
+	request.count = left;
+	if (left == 0)
 		preempt_release_workers(rd->d, p);
 	else
 		make_room(rd, p, &request, permits);
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -48,12 +48,15 @@
     const struct flow_step *step)
 {
 	struct active_run *r = g_new0(struct active_run, 1);
+	const struct flow_task *task = flow_task(d->conf.flow, id, NULL);
 
+	r->suspicion = task == NULL ? 0 : flow_task_suspicion(task);
 	r->id = *id;
 	r->holder = h;
 	r->resources = run_resources(step);
 	g_hash_table_add(d->runs, r);
 	g_ptr_array_add(h->runs, r);
+	h->suspects += r->suspicion > 0;
 	resources_add(&h->used, &r->resources, 1);
 	return r;
 }
@@ -76,6 +79,7 @@
 	resources_add(&h->used, &r->resources, -1);
 	g_hash_table_remove(h->d->runs, r);
 	g_ptr_array_remove_fast(h->runs, r);
+	h->suspects -= r->suspicion > 0;
 	run_free(r);
 }
 
--- a/lib/flow/command.c
+++ b/lib/flow/command.c
@@ -3,7 +3,7 @@
 
 #define BATCH_MAX 20000 /* starts or ends in one command */
 
-static void
+void
 run_put(msgpack_packer *pk, const struct flow_run *run)
 {
 	msgpack_pack_uint64(pk, run->job);
@@ -13,7 +13,7 @@
 	msgpack_pack_uint32(pk, run->number);
 }
 
-static void
+void
 run_get(struct reader *r, struct flow_run *run)
 {
 	run->job = get_u64(r);
@@ -73,15 +73,15 @@
 }
 
 static void
-put_worker_removed(msgpack_packer *pk, const struct flow_cmd *cmd)
+put_worker_id(msgpack_packer *pk, const struct flow_cmd *cmd)
 {
-	msgpack_pack_uint32(pk, cmd->u.removed_worker);
+	msgpack_pack_uint32(pk, cmd->u.worker_id);
 }
 
 static void
-get_worker_removed(struct reader *r, struct flow_cmd *cmd)
+get_worker_id(struct reader *r, struct flow_cmd *cmd)
 {
-	cmd->u.removed_worker = (uint32_t)get_u64(r);
+	cmd->u.worker_id = (uint32_t)get_u64(r);
 }
 
 static void
@@ -220,13 +220,14 @@
 static const struct cmd_codec codecs[FLOW_CMD_COUNT] = {
 	[FLOW_CMD_CONFIG] = { put_config, get_config },
 	[FLOW_CMD_WORKER] = { put_worker, get_worker },
-	[FLOW_CMD_WORKER_REMOVED] = { put_worker_removed, get_worker_removed },
+	[FLOW_CMD_WORKER_REMOVED] = { put_worker_id, get_worker_id },
 	[FLOW_CMD_SUBMIT] = { put_submit, get_submit },
 	[FLOW_CMD_START] = { put_starts, get_starts },
 	[FLOW_CMD_END] = { put_ends, get_ends },
 	[FLOW_CMD_CANCEL] = { put_job_id, get_job_id },
 	[FLOW_CMD_OCCURRENCE] = { put_job_id, get_job_id },
 	[FLOW_CMD_PRUNE] = { put_prune, get_prune },
+	[FLOW_CMD_WORKER_BACK] = { put_worker_id, get_worker_id },
 };
 
 GBytes *
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -78,6 +78,7 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, job_free);
 	f->queued_counts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	f->losses = losses_new();
 	g_queue_init(&f->active);
 	g_queue_init(&f->ended);
 	return f;
@@ -88,6 +89,7 @@
 {
 	g_queue_clear(&f->active);
 	g_queue_clear(&f->ended);
+	g_ptr_array_set_size(f->losses, 0);
 	g_hash_table_remove_all(f->jobs);
 	g_hash_table_remove_all(f->workers_by_name);
 	g_hash_table_remove_all(f->workers);
@@ -108,6 +110,7 @@
 	g_hash_table_unref(f->workers_by_name);
 	g_hash_table_unref(f->workers);
 	g_hash_table_unref(f->queued_counts);
+	g_ptr_array_unref(f->losses);
 	g_free(f);
 }
 
@@ -312,6 +315,7 @@
 		w = g_new0(struct flow_worker, 1);
 		flow_worker_copy(w, in);
 		w->id = ++f->last_worker_id;
+		losses_note_incarnation(f, w);
 		worker_add(f, w);
 	} else {
 		uint32_t id = w->id;
@@ -324,13 +328,25 @@
 	}
 	if (f->watch.worker_changed != NULL)
 		f->watch.worker_changed(f->watch_arg, w->id);
+	losses_judge(f);
+	return FLOW_ACCEPTED;
+}
+
+static enum flow_apply_result
+apply_worker_back(struct flow *f, struct flow_cmd *cmd)
+{
+	const struct flow_worker *w = flow_worker(f, cmd->u.worker_id);
+
+	if (w == NULL)
+		return FLOW_NOT_FOUND;
+	losses_clear(f, w);
 	return FLOW_ACCEPTED;
 }
 
 static enum flow_apply_result
 apply_worker_removed(struct flow *f, struct flow_cmd *cmd)
 {
-	gpointer key = GUINT_TO_POINTER(cmd->u.removed_worker);
+	gpointer key = GUINT_TO_POINTER(cmd->u.worker_id);
 	struct flow_worker *w = g_hash_table_lookup(f->workers, key);
 
 	if (w == NULL)
@@ -340,7 +356,7 @@
 		g_hash_table_remove(f->workers_by_name, w->name);
 	g_hash_table_remove(f->workers, key);
 	if (f->watch.worker_changed != NULL)
-		f->watch.worker_changed(f->watch_arg, cmd->u.removed_worker);
+		f->watch.worker_changed(f->watch_arg, cmd->u.worker_id);
 	return FLOW_ACCEPTED;
 }
 
@@ -593,6 +609,8 @@
 		return;
 	}
 	store_checkpoint(st, step->gang, e);
+	if (e->outcome == FLOW_END_LOST)
+		losses_add(f, flow_worker(f, task->worker), job, task, &e->id);
 	if (e->outcome == FLOW_END_FAILED && !step->long_running)
 		failures = count_failure(st, step->gang, &e->id);
 	unassign(f, job, occ, &e->id, FLOW_PENDING, e->outcome);
@@ -609,9 +627,16 @@
 {
 	for (guint i = 0; i < cmd->u.ends->len; i++)
 		end_run(f, &g_array_index(cmd->u.ends, struct flow_end, i));
+	losses_judge(f);
 	return FLOW_ACCEPTED;
 }
 
+void
+job_give_up(struct flow *f, struct flow_job *job)
+{
+	end_job(f, job, FLOW_FAILED);
+}
+
 static enum flow_apply_result
 apply_cancel(struct flow *f, struct flow_cmd *cmd)
 {
@@ -635,6 +660,7 @@
 		g_queue_pop_head(&f->ended);
 		g_hash_table_remove(f->jobs, &job->id);
 	}
+	losses_prune(f);
 	return FLOW_ACCEPTED;
 }
 
@@ -649,6 +675,7 @@
 	[FLOW_CMD_CANCEL] = apply_cancel,
 	[FLOW_CMD_OCCURRENCE] = apply_occurrence,
 	[FLOW_CMD_PRUNE] = apply_prune,
+	[FLOW_CMD_WORKER_BACK] = apply_worker_back,
 };
 
 bool
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -14,6 +14,10 @@
 #define FLOW_STEPS_MAX 100 /* steps in one job */
 #define FLOW_TEXT_MAX 4096 /* bytes of a name, label or checkpoint */
 #define FLOW_PAYLOAD_MAX (64 * 1024) /* bytes of a payload */
+/* Workers that crash under a task before its job is given up; with those that
+ * another task seemed to have crashed. */
+#define FLOW_CRASHES_MAX 3
+#define FLOW_CRASHES_TOTAL_MAX 5
 #define FLOW_DOCUMENT_MAX (4 * 1024 * 1024) /* bytes of a configuration */
 
 /* A step as declared by the caller. Strings are owned; NULL: not set. */
@@ -104,6 +108,12 @@
 	enum flow_task_state state;
 	uint32_t last_run; /* number of the last run; 0: none yet */
 	uint32_t failures; /* failed runs; a gang counts in its task 0 */
+	/* Workers that crashed under it; its job may have been the cause ... */
+	uint32_t crashes;
+	/* ... or another job that ran there was given up as the cause. */
+	uint32_t explained_crashes;
+	/* Runs lost with workers that may have crashed: not known yet. */
+	uint32_t lost_runs;
 	uint32_t worker; /* of the assigned run; 0: none */
 	int64_t assigned_ms; /* cell time when the last run was assigned */
 	char *checkpoint; /* NULL: none */
@@ -167,8 +177,9 @@
 enum flow_end_outcome {
 	FLOW_END_DONE,
 	FLOW_END_FAILED, /* through a fault of the task or the worker */
-	FLOW_END_STOPPED, /* by a stop order, or lost with its worker */
+	FLOW_END_STOPPED, /* by a stop order */
 	FLOW_END_REFUSED, /* by the worker: the run never started */
+	FLOW_END_LOST, /* with its worker */
 	FLOW_END_COUNT
 };
 
@@ -188,6 +199,7 @@
 	FLOW_CMD_CANCEL,
 	FLOW_CMD_OCCURRENCE, /* creates a job's next occurrence */
 	FLOW_CMD_PRUNE, /* removes records of jobs that ended long ago */
+	FLOW_CMD_WORKER_BACK, /* a lost worker has answered: it didn't crash */
 	FLOW_CMD_COUNT
 };
 
@@ -198,7 +210,7 @@
 	union {
 		struct flow_config config;
 		struct flow_worker worker; /* id is ignored */
-		uint32_t removed_worker; /* id of the worker to remove */
+		uint32_t worker_id; /* of the worker removed, or back */
 		struct {
 			uint64_t job;
 			char *queue; /* its name */
@@ -238,6 +250,9 @@
 	/* A run has ended and its resources are free. */
 	void (*run_ended)(void *arg, const struct flow_job *job,
 	    const struct flow_start *s, enum flow_end_outcome outcome);
+	/* A worker has crashed under a run, the task's crashes-th. */
+	void (*run_crashed)(
+	    void *arg, const struct flow_run *run, uint32_t crashes);
 	/* An assigned run must stop: its job was cancelled or has failed. */
 	void (*run_stopping)(
 	    void *arg, const struct flow_job *job, const struct flow_start *s);
@@ -280,6 +295,9 @@
 const struct flow_queue *flow_route(const struct flow *f, const char *host,
     const char *path, const char **rest);
 const struct flow_worker *flow_worker(const struct flow *f, uint32_t id);
+/* Says whether runs were lost with this incarnation of a worker, and it isn't
+ * known whether it has crashed. */
+bool flow_worker_in_doubt(const struct flow *f, uint32_t worker);
 /* Returns the newest incarnation of that name, or NULL. */
 const struct flow_worker *
 flow_worker_named(const struct flow *f, const char *name);
@@ -299,6 +317,21 @@
 /* Returns an unfinished occurrence, or NULL. */
 const struct flow_occurrence *
 flow_occurrence(const struct flow_job *job, uint32_t number);
+/* How many workers may have crashed because of a task. */
+static inline uint32_t
+flow_task_suspicion(const struct flow_task *task)
+{
+	return task->crashes + task->lost_runs;
+}
+/* Says whether so many workers have crashed under a task, or may have, that
+ * its job is given up once that is known. */
+static inline bool
+flow_task_may_be_given_up(const struct flow_task *task)
+{
+	return flow_task_suspicion(task) >= FLOW_CRASHES_MAX ||
+	    flow_task_suspicion(task) + task->explained_crashes >=
+	    FLOW_CRASHES_TOTAL_MAX;
+}
 /* Returns the task of a run, or NULL. *job, if not NULL, gets its job. */
 const struct flow_task *flow_task(const struct flow *f,
     const struct flow_run *run, const struct flow_job **job);
--- a/lib/flow/internal.h
+++ b/lib/flow/internal.h
@@ -20,6 +20,7 @@
 	GQueue active; /* struct flow_job, not ended or with runs to stop */
 	GQueue ended; /* struct flow_job, without runs, oldest first */
 	GHashTable *queued_counts; /* queue name to jobs in FLOW_QUEUED */
+	GPtrArray *losses; /* struct loss, oldest first */
 };
 
 /* spec.c: X_put() encodes, X_get() decodes and sets r->ok */
@@ -32,6 +33,36 @@
 void worker_put(msgpack_packer *pk, const struct flow_worker *w);
 void worker_get(struct reader *r, struct flow_worker *w);
 
+/* command.c */
+void run_put(msgpack_packer *pk, const struct flow_run *run);
+void run_get(struct reader *r, struct flow_run *run);
+
+/* losses.c */
+enum loss_state {
+	LOSS_UNKNOWN, /* the worker may have crashed, or is only silent */
+	LOSS_CRASHED, /* a later incarnation has followed */
+	LOSS_EXPLAINED, /* the same, and a job was given up as the cause */
+	LOSS_STATE_COUNT
+};
+
+GPtrArray *losses_new(void);
+/* Records that a run was lost with its worker. */
+void losses_add(struct flow *f, const struct flow_worker *w,
+    const struct flow_job *job, const struct flow_task *task,
+    const struct flow_run *run);
+/* Marks the earlier incarnations of a new one as crashed. */
+void losses_note_incarnation(struct flow *f, const struct flow_worker *w);
+/* Forgets what was lost with a worker that has not restarted. */
+void losses_clear(struct flow *f, const struct flow_worker *w);
+/* Gives up the jobs with too many crashes. */
+void losses_judge(struct flow *f);
+void losses_prune(struct flow *f);
+void losses_put(msgpack_packer *pk, const struct flow *f);
+void losses_get(struct flow *f, struct reader *r);
+/* How many losses in a state include the task. */
+uint32_t losses_count(
+    const struct flow *f, const struct flow_run *run, enum loss_state state);
+
 /*
  * routes.c: index of queues, which must outlive it. routes_find() returns the
  * queue with the longest prefix of the path, NULL if there is none, and sets
@@ -50,5 +81,7 @@
 occurrence_new(const struct flow_job *job, uint32_t number);
 void worker_add(struct flow *f, struct flow_worker *w);
 void queued_add(struct flow *f, const char *queue, int by);
+/* Ends a job as failed, after crashes of its workers. */
+void job_give_up(struct flow *f, struct flow_job *job);
 
 #endif
--- a/lib/flow/snapshot.c
+++ b/lib/flow/snapshot.c
@@ -1,7 +1,8 @@
 /* Snapshots of the state as one msgpack array, and the consistency check. */
 #include "internal.h"
 
-#define SNAPSHOT_FORMAT 1
+#define SNAPSHOT_FORMAT 2
+#define SNAPSHOT_FORMAT_NO_LOSSES 1 /* of earlier versions */
 
 static void
 step_state_put(msgpack_packer *pk, const struct flow_step_state *st)
@@ -138,28 +139,46 @@
 	job_put(arg, data);
 }
 
+static gint
+by_id(gconstpointer a, gconstpointer b)
+{
+	const struct flow_worker *x = a;
+	const struct flow_worker *y = b;
+
+	return x->id < y->id ? -1 : x->id > y->id;
+}
+
+/* In the order of their ids, so that equal states give equal bytes. */
+static void
+put_workers(msgpack_packer *pk, const struct flow *f)
+{
+	GList *workers =
+	    g_list_sort(g_hash_table_get_values(f->workers), by_id);
+
+	msgpack_pack_array(pk, g_hash_table_size(f->workers));
+	for (GList *i = workers; i != NULL; i = i->next)
+		worker_put(pk, i->data);
+	g_list_free(workers);
+}
+
 GBytes *
 flow_snapshot(const struct flow *f)
 {
 	msgpack_sbuffer buf;
 	msgpack_packer pk;
-	GHashTableIter iter;
-	gpointer value;
 
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 6);
+	msgpack_pack_array(&pk, 7);
 	msgpack_pack_uint32(&pk, SNAPSHOT_FORMAT);
 	msgpack_pack_int64(&pk, f->time_ms);
 	msgpack_pack_uint32(&pk, f->last_worker_id);
 	config_put(&pk, &f->config);
-	msgpack_pack_array(&pk, g_hash_table_size(f->workers));
-	g_hash_table_iter_init(&iter, f->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		worker_put(&pk, value);
+	put_workers(&pk, f);
 	msgpack_pack_array(&pk, f->ended.length + f->active.length);
 	g_queue_foreach((GQueue *)&f->ended, put_job_row, &pk);
 	g_queue_foreach((GQueue *)&f->active, put_job_row, &pk);
+	losses_put(&pk, f);
 	return codec_take_buffer(&buf);
 }
 
@@ -179,8 +198,10 @@
 restore(struct flow *f, struct reader *r)
 {
 	struct reader list;
+	uint64_t format = get_u64(r);
 
-	r->ok = r->ok && get_u64(r) == SNAPSHOT_FORMAT;
+	r->ok = r->ok &&
+	    (format == SNAPSHOT_FORMAT || format == SNAPSHOT_FORMAT_NO_LOSSES);
 	f->time_ms = get_i64(r);
 	f->last_worker_id = (uint32_t)get_u64(r);
 	config_get(r, &f->config);
@@ -203,6 +224,8 @@
 	while (list.ok && list.left > 0)
 		job_get(f, &list);
 	r->ok = r->ok && list.ok;
+	if (format != SNAPSHOT_FORMAT_NO_LOSSES)
+		losses_get(f, r);
 }
 
 bool
@@ -258,6 +281,24 @@
 	return true;
 }
 
+static bool
+check_losses(const struct flow *f, const struct flow_job *job,
+    const struct flow_occurrence *occ, uint32_t step, GError **err)
+{
+	for (uint32_t i = 0; i < occ->steps[step].count; i++) {
+		const struct flow_task *t = &occ->steps[step].tasks[i];
+		struct flow_run run = { job->id, occ->number, step, i, 0 };
+
+		if (t->crashes != losses_count(f, &run, LOSS_CRASHED) ||
+		    t->explained_crashes !=
+			losses_count(f, &run, LOSS_EXPLAINED) ||
+		    t->lost_runs != losses_count(f, &run, LOSS_UNKNOWN))
+			return check_failed(
+			    err, job, "the crash counts of a task are wrong");
+	}
+	return true;
+}
+
 static bool
 check_job(const struct flow *f, const struct flow_job *job, GError **err)
 {
@@ -271,7 +312,8 @@
 
 		for (guint s = 0; s < job->spec.steps->len; s++) {
 			if (!check_step(f, job, &occ->steps[s],
-				flow_job_step(job, s)->gang, err))
+				flow_job_step(job, s)->gang, err) ||
+			    !check_losses(f, job, occ, s, err))
 				return false;
 			unfinished += occ->steps[s].done < occ->steps[s].count;
 			in_occurrence += occ->steps[s].assigned;
--- a/test/dispatch_crash.c
+++ b/test/dispatch_crash.c
@@ -4,8 +4,10 @@
 #include "dispatch_test.h"
 #include "stubleader.h"
 
-#define DEADLY 0xdeadULL
-#define DEADLY_PATH "/renders/000000000000dead"
+#define DEADLY \
+	G_GUINT64_CONSTANT(0xdead0) /* the first of DEADLY_MAX such jobs */
+#define DEADLY_PATH "/renders/00000000000dead0"
+#define DEADLY_MAX 4
 #define WORKERS_MAX 6
 #define HEARTBEAT_MS 100
 #define LEASE_LIMIT_MS                                         \
@@ -26,17 +28,28 @@
 	uint64_t term;
 };
 
+static int deadly_starts[DEADLY_MAX]; /* by job */
+
+static bool
+is_of_deadly_job(const struct flow_run *id)
+{
+	return id->job >= DEADLY && id->job < DEADLY + DEADLY_MAX;
+}
+
 static bool
 is_deadly(const struct flow_run *id)
 {
-	return id->job == DEADLY;
+	if (!is_of_deadly_job(id))
+		return false;
+	deadly_starts[id->job - DEADLY]++;
+	return true;
 }
 
 /* Only one member of the gang is deadly. */
 static bool
 is_deadly_member(const struct flow_run *id)
 {
-	return id->job == DEADLY && id->index == 1;
+	return id->index == 1 && is_deadly(id);
 }
 
 static void
@@ -54,12 +67,13 @@
 {
 	struct fleet f = { .l = leader_new(), .count = count, .term = 1 };
 
+	memset(deadly_starts, 0, sizeof(deadly_starts));
 	for (int i = 0; i < count; i++) {
 		char *name = g_strdup_printf("w%d", i);
 
 		f.worker[i] = stub_worker_new(f.l->base, name);
 		f.worker[i]->is_deadly = is_deadly;
-		f.worker[i]->endless_job = DEADLY;
+		f.worker[i]->never_ends = is_of_deadly_job;
 		f.worker[i]->run_ms = 300;
 		f.worker[i]->down_ms = down_ms;
 		g_free(name);
@@ -108,16 +122,6 @@
 		fleet_step(f);
 }
 
-static int
-deadly_starts(const struct fleet *f)
-{
-	int n = 0;
-
-	for (int i = 0; i < f->count; i++)
-		n += f->worker[i]->deadly_starts;
-	return n;
-}
-
 static int
 crashes(const struct fleet *f)
 {
@@ -128,10 +132,13 @@
 	return n;
 }
 
-static const struct flow_job *
-deadly_job(const struct fleet *f)
+/* Says whether a deadly job was given up; it must not be started too often. */
+static bool
+is_given_up(const struct fleet *f, int job)
 {
-	return flow_job(f->l->flow, DEADLY);
+	g_assert_cmpint(deadly_starts[job], <=, DEADLY_STARTS_MAX);
+	return flow_job(f->l->flow, DEADLY + (uint64_t)job)->state ==
+	    FLOW_FAILED;
 }
 
 static uint64_t
@@ -163,14 +170,13 @@
 	}
 }
 
-/* Awaits that the deadly job is given up, while innocent ones keep coming. */
+/* Awaits that the first deadly job is given up, while innocent ones come. */
 static void
 await_given_up(struct fleet *f)
 {
 	int64_t limit = mono_ms() + FLEET_LIMIT_MS;
 
-	while (deadly_job(f)->state != FLOW_FAILED) {
-		g_assert_cmpint(deadly_starts(f), <=, DEADLY_STARTS_MAX);
+	while (!is_given_up(f, 0)) {
 		g_assert_cmpint(mono_ms(), <, limit);
 		submit_innocent(f);
 		fleet_run_for(f, 50);
@@ -213,8 +219,7 @@
 	int seen = 0;
 
 	leader_submit(f.l, DEADLY_PATH, 1, 1000);
-	while (deadly_job(&f)->state != FLOW_FAILED) {
-		g_assert_cmpint(deadly_starts(&f), <=, DEADLY_STARTS_MAX);
+	while (!is_given_up(&f, 0)) {
 		fleet_step(&f);
 		if (crashes(&f) == seen)
 			continue;
@@ -244,6 +249,35 @@
 	fleet_free(&f);
 }
 
+/* Several deadly jobs at once on workers that innocent ones fill: each of them
+ * is given up, and no innocent one. */
+static void
+test_deadly_crowd(void)
+{
+	struct fleet f = fleet_new(6, 400);
+	int64_t limit = mono_ms() + FLEET_LIMIT_MS;
+	int given_up = 0;
+
+	for (int i = 0; i < DEADLY_MAX; i++) {
+		char *path = g_strdup_printf(
+		    "/renders/%016" G_GINT64_MODIFIER "x", DEADLY + (guint64)i);
+
+		leader_submit(f.l, path, 1, 1000);
+		g_free(path);
+	}
+	while (given_up < DEADLY_MAX) {
+		g_assert_cmpint(mono_ms(), <, limit);
+		for (int i = 0; i < 4; i++)
+			submit_innocent(&f);
+		fleet_run_for(&f, 50);
+		given_up = 0;
+		for (int i = 0; i < DEADLY_MAX; i++)
+			given_up += is_given_up(&f, i);
+	}
+	await_innocents(&f);
+	fleet_free(&f);
+}
+
 /* A worker that is silent for longer than a lease, again and again, has not
  * crashed: what it ran is restarted, and never given up. */
 static void
@@ -276,6 +310,7 @@
 	g_test_add_func(
 	    "/dispatch/deadly-task-takeover", test_deadly_task_takeover);
 	g_test_add_func("/dispatch/deadly-gang", test_deadly_gang);
+	g_test_add_func("/dispatch/deadly-crowd", test_deadly_crowd);
 	g_test_add_func(
 	    "/dispatch/silent-worker-no-crash", test_silent_worker_no_crash);
 }
--- a/test/flow_test.c
+++ b/test/flow_test.c
@@ -95,21 +95,38 @@
 }
 
 static uint32_t
-add_worker(struct fixture *x, const char *name, int64_t started_ms)
+add_worker_at(struct fixture *x, const char *name, const char *address,
+    int64_t started_ms, bool draining)
 {
 	struct flow_cmd cmd = { .type = FLOW_CMD_WORKER };
 	struct flow_worker *w = &cmd.u.worker;
 
 	*w = (struct flow_worker){ .name = g_strdup(name),
-		.address = g_strdup("127.0.0.1:1"),
+		.address = g_strdup(address),
 		.pool = g_strdup("desk"),
 		.started_ms = started_ms,
-		.capacity = { 8000, 1 << 30, 0 } };
+		.capacity = { 8000, 1 << 30, 0 },
+		.draining = draining };
 	g_assert_cmpint(apply_cmd(x, &cmd), ==, FLOW_ACCEPTED);
 	flow_worker_clear(w);
 	return flow_worker_named(x->flow, name)->id;
 }
 
+static uint32_t
+add_worker(struct fixture *x, const char *name, int64_t started_ms)
+{
+	return add_worker_at(x, name, "127.0.0.1:1", started_ms, false);
+}
+
+static void
+remove_worker(struct fixture *x, uint32_t id)
+{
+	struct flow_cmd cmd = { .type = FLOW_CMD_WORKER_REMOVED,
+		.u.worker_id = id };
+
+	(void)apply_cmd(x, &cmd);
+}
+
 static struct fixture
 setup(uint32_t max_failures)
 {
@@ -649,7 +666,6 @@
 test_incarnations(void)
 {
 	struct fixture x = setup(1);
-	struct flow_cmd remove = { .type = FLOW_CMD_WORKER_REMOVED };
 	uint32_t first;
 	uint32_t second;
 
@@ -658,8 +674,7 @@
 	g_assert_cmpuint(add_worker(&x, "w0", 1), ==, first);
 	second = add_worker(&x, "w0", 2);
 	g_assert_cmpuint(second, !=, first);
-	remove.u.removed_worker = first;
-	(void)apply_cmd(&x, &remove);
+	remove_worker(&x, first);
 	g_assert_cmpuint(flow_worker_named(x.flow, "w0")->id, ==, second);
 	g_assert_null(flow_worker(x.flow, first));
 	teardown(&x);
@@ -676,15 +691,292 @@
 	return bytes;
 }
 
+#define DEADLY 0xdead
+#define INNOCENT 0x1000
+
+/* A cell with workers that crash: w<N> is at address N. */
+struct crash_cell {
+	struct fixture x;
+	int64_t incarnations; /* so far, of all workers */
+};
+
+static void
+submit_single(struct fixture *x, uint64_t job, uint32_t count, bool gang,
+    bool long_running)
+{
+	struct flow_spec spec = new_spec();
+
+	add_step(&spec, count, gang)->long_running = long_running;
+	g_assert_cmpint(submit(x, job, &spec), ==, FLOW_ACCEPTED);
+}
+
+/* Announces the next incarnation of the worker at an address. */
+static uint32_t
+announce(struct crash_cell *c, uint32_t address)
+{
+	char *name = g_strdup_printf(
+	    "w%u-%" G_GINT64_FORMAT, address, ++c->incarnations);
+	char *text = g_strdup_printf("127.0.0.1:%u", address);
+	uint32_t id = add_worker_at(&c->x, name, text, c->incarnations, false);
+
+	g_free(name);
+	g_free(text);
+	return id;
+}
+
+static void
+start_one(struct crash_cell *c, uint64_t job, uint32_t index, uint32_t on)
+{
+	start(&c->x, job, 0, 0, index, 1,
+	    task(&c->x, job, 0, index)->last_run + 1, on);
+}
+
+/* The leader has given up the task's run, as its worker was lost. */
+static void
+lose(struct crash_cell *c, uint64_t job, uint32_t index)
+{
+	end(&c->x,
+	    (struct flow_run){
+		job, 0, 0, index, task(&c->x, job, 0, index)->last_run },
+	    FLOW_END_LOST, NULL);
+}
+
+static enum flow_job_state
+state(struct crash_cell *c, uint64_t job)
+{
+	return flow_job(c->x.flow, job)->state;
+}
+
+/* A task is given up after three workers have crashed under it; the tasks that
+ * ran beside it aren't suspected any more then. */
 static void
-random_step(struct fixture *x, struct rng *rng, uint32_t w)
+test_crashes(void)
 {
+	struct crash_cell c = { .x = setup(2) };
+	const uint32_t crashes = FLOW_CRASHES_MAX;
+
+	submit_single(&c.x, DEADLY, 1, false, false);
+	submit_single(&c.x, INNOCENT, crashes, false, false);
+	for (uint32_t i = 1; i <= crashes; i++) {
+		uint32_t on = announce(&c, i);
+
+		g_assert_cmpint(state(&c, DEADLY), <=, FLOW_RUNNING);
+		start_one(&c, DEADLY, 0, on);
+		start_one(&c, INNOCENT, i - 1, on);
+		(void)announce(&c, i);
+		lose(&c, INNOCENT, i - 1);
+		if (i < crashes)
+			g_assert_cmpuint(
+			    task(&c.x, INNOCENT, 0, i - 1)->crashes, ==, 1);
+		lose(&c, DEADLY, 0);
+	}
+	g_assert_cmpint(state(&c, DEADLY), ==, FLOW_FAILED);
+	g_assert_cmpint(state(&c, INNOCENT), ==, FLOW_RUNNING);
+	for (uint32_t i = 0; i < crashes; i++)
+		g_assert_cmpuint(task(&c.x, INNOCENT, 0, i)->crashes, ==, 0);
+	teardown(&c.x);
+}
+
+/* Runs are lost before it is known that their worker has crashed: its lease
+ * had expired, and its record was removed, when it came back. */
+static void
+test_crash_known_late(void)
+{
+	struct crash_cell c = { .x = setup(2) };
+
+	submit_single(&c.x, DEADLY, 1, false, false);
+	for (uint32_t i = 1; i <= FLOW_CRASHES_MAX; i++) {
+		uint32_t on = announce(&c, i);
+
+		start_one(&c, DEADLY, 0, on);
+		lose(&c, DEADLY, 0);
+		remove_worker(&c.x, on);
+		g_assert_cmpuint(task(&c.x, DEADLY, 0, 0)->lost_runs, ==, i);
+	}
+	for (uint32_t i = 1; i < FLOW_CRASHES_MAX; i++) {
+		(void)announce(&c, i);
+		g_assert_cmpuint(task(&c.x, DEADLY, 0, 0)->crashes, ==, i);
+		g_assert_cmpint(state(&c, DEADLY), ==, FLOW_RUNNING);
+	}
+	(void)announce(&c, FLOW_CRASHES_MAX);
+	g_assert_cmpint(state(&c, DEADLY), ==, FLOW_FAILED);
+	teardown(&c.x);
+}
+
+/* A worker that lost runs and answers again has not crashed; nor has one that
+ * restarts after that, under what it ran before. */
+static void
+test_silence_is_no_crash(void)
+{
+	struct crash_cell c = { .x = setup(2) };
+
+	submit_single(&c.x, INNOCENT, 1, false, false);
+	for (uint32_t i = 1; i <= 2 * FLOW_CRASHES_MAX; i++) {
+		uint32_t on = announce(&c, i);
+		struct flow_cmd back = { .type = FLOW_CMD_WORKER_BACK,
+			.u.worker_id = on };
+
+		start_one(&c, INNOCENT, 0, on);
+		lose(&c, INNOCENT, 0);
+		g_assert_true(flow_worker_in_doubt(c.x.flow, on));
+		g_assert_cmpint(apply_cmd(&c.x, &back), ==, FLOW_ACCEPTED);
+		g_assert_false(flow_worker_in_doubt(c.x.flow, on));
+		(void)announce(&c, i);
+		g_assert_cmpuint(
+		    flow_task_suspicion(task(&c.x, INNOCENT, 0, 0)), ==, 0);
+	}
+	g_assert_cmpint(state(&c, INNOCENT), ==, FLOW_RUNNING);
+	teardown(&c.x);
+}
+
+/* A worker that drains takes its runs with it when it leaves; another one may
+ * follow at its address. */
+static void
+test_draining_is_no_crash(void)
+{
+	struct crash_cell c = { .x = setup(2) };
+
+	submit_single(&c.x, INNOCENT, 1, false, false);
+	for (uint32_t i = 1; i <= 2 * FLOW_CRASHES_MAX; i++) {
+		char *name = g_strdup_printf("d%u", i);
+		uint32_t on = add_worker_at(
+		    &c.x, name, "127.0.0.1:9", ++c.incarnations, false);
+
+		start_one(&c, INNOCENT, 0, on);
+		(void)add_worker_at(
+		    &c.x, name, "127.0.0.1:9", c.incarnations, true);
+		lose(&c, INNOCENT, 0);
+		g_free(name);
+	}
+	g_assert_cmpuint(
+	    flow_task_suspicion(task(&c.x, INNOCENT, 0, 0)), ==, 0);
+	g_assert_cmpint(state(&c, INNOCENT), ==, FLOW_RUNNING);
+	teardown(&c.x);
+}
+
+/* The crashes of a gang count for the members that ran on those workers: three
+ * crashes under three members are no reason to give it up. */
+static void
+test_gang_crashes(void)
+{
+	struct crash_cell c = { .x = setup(2) };
+	uint32_t first = announce(&c, 1);
+
+	submit_single(&c.x, INNOCENT, 3, true, false);
+	for (uint32_t i = 0; i < 3; i++) {
+		uint32_t on = announce(&c, 2 + i);
+		struct flow_cmd cmd = { .type = FLOW_CMD_START };
+
+		cmd.u.starts =
+		    g_array_new(FALSE, FALSE, sizeof(struct flow_start));
+		for (uint32_t k = 0; k < 3; k++) {
+			struct flow_start s = { { INNOCENT, 0, 0, k, i + 1 },
+				k == i ? on : first };
+
+			g_array_append_val(cmd.u.starts, s);
+		}
+		(void)apply_cmd(&c.x, &cmd);
+		g_array_unref(cmd.u.starts);
+		(void)announce(&c, 2 + i);
+		lose(&c, INNOCENT, i);
+		for (uint32_t k = 0; k < 3; k++)
+			end(&c.x, (struct flow_run){ INNOCENT, 0, 0, k, i + 1 },
+			    FLOW_END_STOPPED, NULL);
+		g_assert_cmpuint(task(&c.x, INNOCENT, 0, i)->crashes, ==, 1);
+	}
+	g_assert_cmpint(state(&c, INNOCENT), ==, FLOW_RUNNING);
+	teardown(&c.x);
+}
+
+/* A long-running task that has run for a while didn't crash its worker. One
+ * that crashes workers at its start is given up like any other. */
+static void
+test_long_running_crashes(void)
+{
+	struct crash_cell c = { .x = setup(2) };
+
+	submit_single(&c.x, INNOCENT, 1, false, true);
+	submit_single(&c.x, DEADLY, 1, false, true);
+	for (uint32_t i = 1; i <= FLOW_CRASHES_MAX; i++) {
+		start_one(&c, INNOCENT, 0, announce(&c, i));
+		c.x.now += 60000;
+		(void)announce(&c, i);
+		lose(&c, INNOCENT, 0);
+		start_one(&c, DEADLY, 0, announce(&c, i));
+		(void)announce(&c, i);
+		lose(&c, DEADLY, 0);
+	}
+	g_assert_cmpint(state(&c, INNOCENT), ==, FLOW_RUNNING);
+	g_assert_cmpint(state(&c, DEADLY), ==, FLOW_FAILED);
+	teardown(&c.x);
+}
+
+/* Counts outlive the replica that counted them. */
+static void
+test_crashes_in_snapshot(void)
+{
+	struct crash_cell c = { .x = setup(2) };
+
+	submit_single(&c.x, DEADLY, 1, false, false);
+	for (uint32_t i = 1; i <= FLOW_CRASHES_MAX; i++) {
+		struct flow *copy = flow_new();
+
+		start_one(&c, DEADLY, 0, announce(&c, i));
+		g_bytes_unref(copy_through_snapshot(c.x.flow, copy));
+		flow_free(c.x.flow);
+		c.x.flow = copy;
+		(void)announce(&c, i);
+		lose(&c, DEADLY, 0);
+	}
+	g_assert_cmpint(state(&c, DEADLY), ==, FLOW_FAILED);
+	teardown(&c.x);
+}
+
+/* A snapshot of a version that didn't record lost workers: format 1, without
+ * the list of losses at its end. */
+static void
+test_earlier_snapshot(void)
+{
+	struct fixture x = setup(2);
+	struct flow *copy = flow_new();
+	GBytes *bytes;
+	GError *err = NULL;
+	gsize len;
+	uint8_t *data;
+
+	submit_single(&x, INNOCENT, 2, false, false);
+	data = g_bytes_unref_to_data(flow_snapshot(x.flow), &len);
+	g_assert_cmpuint(data[0], ==, 0x97); /* array of 7 */
+	g_assert_cmpuint(data[1], ==, 2);
+	g_assert_cmpuint(data[len - 1], ==, 0x90); /* empty array */
+	data[0] = 0x96;
+	data[1] = 1;
+	bytes = g_bytes_new_take(data, len - 1);
+	g_assert_true(flow_restore(copy, bytes, &err));
+	g_assert_no_error(err);
+	g_assert_nonnull(flow_job(copy, INNOCENT));
+	g_bytes_unref(bytes);
+	flow_free(copy);
+	teardown(&x);
+}
+
+static void
+random_step(struct fixture *x, struct rng *rng, uint32_t *w)
+{
+	struct flow_cmd back = { .type = FLOW_CMD_WORKER_BACK,
+		.u.worker_id = *w };
 	uint64_t job = 1 + rng_below(rng, 12);
 	uint32_t index = (uint32_t)rng_below(rng, 3);
 	uint32_t step = (uint32_t)rng_below(rng, 2);
 	struct flow_spec spec;
 
-	switch (rng_below(rng, 8)) {
+	switch (rng_below(rng, 9)) {
+	case 8:
+		if (rng_below(rng, 8) == 0)
+			*w = add_worker(x, "w0", x->now);
+		else
+			(void)apply_cmd(x, &back);
+		break;
 	case 0:
 		spec = new_spec();
 		(void)add_step(&spec, 3, rng_below(rng, 2));
@@ -699,7 +991,7 @@
 	case 3:
 	case 4:
 		start(
-		    x, job, 0, step, 0, 3, 1 + (uint32_t)rng_below(rng, 9), w);
+		    x, job, 0, step, 0, 3, 1 + (uint32_t)rng_below(rng, 9), *w);
 		break;
 	default:
 		end(x,
@@ -726,7 +1018,7 @@
 		watch_all(&x);
 		w = add_worker(&x, "w0", 1);
 		for (int i = 0; i < 600; i++)
-			random_step(&x, &rng, w);
+			random_step(&x, &rng, &w);
 		first = copy_through_snapshot(x.flow, copy);
 		g_assert_true(flow_check(copy, &err));
 		g_assert_no_error(err);
@@ -778,6 +1070,16 @@
 	g_test_add_func(
 	    "/flow/plain-config-command", test_plain_config_command);
 	g_test_add_func("/flow/incarnations", test_incarnations);
+	g_test_add_func("/flow/crashes", test_crashes);
+	g_test_add_func("/flow/crash-known-late", test_crash_known_late);
+	g_test_add_func("/flow/silence-is-no-crash", test_silence_is_no_crash);
+	g_test_add_func(
+	    "/flow/draining-is-no-crash", test_draining_is_no_crash);
+	g_test_add_func("/flow/gang-crashes", test_gang_crashes);
+	g_test_add_func(
+	    "/flow/long-running-crashes", test_long_running_crashes);
+	g_test_add_func("/flow/crashes-in-snapshot", test_crashes_in_snapshot);
+	g_test_add_func("/flow/earlier-snapshot", test_earlier_snapshot);
 	g_test_add_func("/flow/random", test_random);
 	g_test_add_func("/flow/malformed", test_malformed);
 	return g_test_run();
--- a/test/stubworker.c
+++ b/test/stubworker.c
@@ -320,7 +320,6 @@
 		return;
 	}
 	if (w->is_deadly != NULL && w->is_deadly(&r.id)) {
-		w->deadly_starts++;
 		g_ptr_array_add(w->unanswered, req);
 		/* Not within a callback of its server. */
 		event_base_once(
@@ -512,7 +511,7 @@
 		    &g_array_index(w->running, struct stub_run, i - 1);
 		struct flow_run id = r->id;
 
-		if (id.job != w->endless_job &&
+		if ((w->never_ends == NULL || !w->never_ends(&id)) &&
 		    now - r->started_ms >= w->run_ms)
 			stub_worker_end(w, &id, AGENT_DONE);
 	}
--- a/test/stubworker.h
+++ b/test/stubworker.h
@@ -41,11 +41,10 @@
 	/* Runs that crash the worker as soon as they start; NULL: none. */
 	bool (*is_deadly)(const struct flow_run *id);
 	int64_t run_ms; /* after which a run is done; 0: never */
-	uint64_t endless_job; /* whose runs don't end by themselves */
+	bool (*never_ends)(const struct flow_run *id); /* NULL: none */
 	int64_t down_ms; /* from a crash to the restart; 0: stays down */
 	/* Received so far. */
 	int starts;
-	int deadly_starts;
 	int crashes;
 	int64_t crashed_ms; /* time of the last crash */
 	int stops;
