dispatch: a run whose order can't be sent starts elsewhere at once

Callers waited up to 4.7 s (a lease) for tasks that were placed on a worker which had crashed less than 1.4 s before: an order without an answer may have been carried out, so the run waited for the lease. But if there was no connection the order was never sent. Such a run also counted as lost with its worker, and became a suspect of a crash that came before it.

Now AGENT_UNREACHABLE is an outcome of its own: the run goes back to the queue, and the worker gets no new work until it answers a poll. Evidence: dispatch_test unreachable-worker (red before: after the lease) passes.

--- a/lib/dispatch/agent.c
+++ b/lib/dispatch/agent.c
@@ -10,6 +10,7 @@
 	[AGENT_OTHER_INCARNATION] = "other-life",
 	[AGENT_UNHEALTHY] = "unwell",
 	[AGENT_INVALID] = "invalid",
+	[AGENT_UNREACHABLE] = "not-sent",
 	[AGENT_UNKNOWN] = "no-answer",
 };
 
--- a/lib/dispatch/agent.h
+++ b/lib/dispatch/agent.h
@@ -38,6 +38,7 @@
 	AGENT_OTHER_INCARNATION, /* from another incarnation of the worker */
 	AGENT_UNHEALTHY, /* the worker is unhealthy and has done nothing */
 	AGENT_INVALID,
+	AGENT_UNREACHABLE, /* no connection: the order was not sent */
 	AGENT_UNKNOWN /* no usable answer: the order may still take effect */
 };
 
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -339,7 +339,8 @@
 	const struct flow_worker *w = flow_worker(h->d->conf.flow, h->id);
 
 	if (w == NULL || w->draining || h->deregistered || h->dead ||
-	    h->removing || !h->polled || now < h->excluded_until_ms ||
+	    h->removing || !h->polled || h->unreachable ||
+	    now < h->excluded_until_ms ||
 	    now - h->answered_ms > CONTACT_MAX_AGE_MS)
 		return false;
 	return plan_failure_state(&h->failures, now) != PLAN_EXCLUDED;
@@ -539,6 +540,7 @@
 		note_back(h);
 	h->polled = true;
 	h->poll_failed = false;
+	h->unreachable = false;
 	h->lease_expired = false;
 	h->lost_runs = 0;
 	h->answered_ms = now;
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -73,6 +73,7 @@
 	int64_t prior_lease_ms; /* end of leases that earlier leaders granted */
 	bool polled; /* has answered a poll in this term */
 	bool poll_failed; /* did not answer the last poll */
+	bool unreachable; /* an order could not be sent since its last answer */
 	bool deregistered;
 	bool dead; /* this incarnation is over */
 	bool removing; /* its removal is proposed */
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -193,6 +193,13 @@
 		r->state = MAX(r->state, RUN_ACCEPTED);
 		r->accepted_ms = mono_ms();
 		break;
+	case AGENT_UNREACHABLE:
+		r->holder->unreachable = true;
+		if (r->may_start)
+			schedule_resend(r);
+		else
+			start_refused(r, result);
+		break;
 	case AGENT_UNKNOWN:
 		r->may_start = true;
 		schedule_resend(r);
@@ -228,6 +235,8 @@
 	enum agent_result result =
 	    o->d->conf.agent->read_result(status, body, len, &clock_ms);
 
+	if (status == 0 && g_strcmp0(why, HTTP_NO_CONNECTION) == 0)
+		result = AGENT_UNREACHABLE;
 	if (result != AGENT_ACCEPTED && o->d->active)
 		log_info("dispatch",
 		    "event=order-answer order=%s run=%s worker=%u result=%s "
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -9,7 +9,7 @@
     preemption preemption-turns gang-queried-without-room service-failed
     service-worker-lost service-awaits-short-tasks service-takeover
     earlier-incarnation state-delayed deadly-task deadly-task-long-outage
-    deadly-task-takeover deadly-gang deadly-crowd silent-worker-no-crash
+    deadly-task-takeover deadly-gang deadly-crowd unreachable-worker silent-worker-no-crash
     capacity-shrinks-before-order capacity-shrinks-before-resend
     capacity-shrinks-takeover capacity-shrinks-below-use
     best-effort-cores restart-before-order)
--- a/test/dispatch_crash.c
+++ b/test/dispatch_crash.c
@@ -301,6 +301,37 @@
 	fleet_free(&f);
 }
 
+/* A run is placed on a worker that has just crashed. Its order can't be sent,
+ * so it starts elsewhere without waiting for the lease of that worker, and is
+ * no suspect. */
+static void
+test_unreachable_worker(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	struct stub_worker *b = stub_worker_new(l->base, "b");
+	struct flow_run second = { JOB, 0, 0, 0, 2 };
+
+	leader_heartbeat(l, a, false);
+	AWAIT(l, a->lease_until_ms > 0);
+	leader_submit(l, "/renders/0000000000000077", 1, 1000);
+	AWAIT(l, a->running->len == 1);
+	stub_worker_crash(a);
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, flow_job(l->flow, JOB)->state == FLOW_RUNNING);
+	leader_heartbeat(l, b, false);
+	AWAIT(l, stub_worker_runs(b, &second));
+	g_assert_cmpint(mono_ms(), <, a->lease_until_ms);
+	stub_worker_restart(a);
+	leader_heartbeat(l, a, false);
+	AWAIT(l, a->polls > 0);
+	g_assert_cmpuint(
+	    flow_task_suspicion(flow_task(l->flow, &second, NULL)), ==, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
 void
 crash_tests_add(void)
 {
@@ -311,6 +342,8 @@
 	    "/dispatch/deadly-task-takeover", test_deadly_task_takeover);
 	g_test_add_func("/dispatch/deadly-gang", test_deadly_gang);
 	g_test_add_func("/dispatch/deadly-crowd", test_deadly_crowd);
+	g_test_add_func(
+	    "/dispatch/unreachable-worker", test_unreachable_worker);
 	g_test_add_func(
 	    "/dispatch/silent-worker-no-crash", test_silent_worker_no_crash);
 }
