cell: a task that crashes its workers is given up

The cell knows a crash as another incarnation under the worker's name. Each task that ran there then gets a score, the ones that started last two, the others one; also if the lease had expired before (the worker keeps what it lost with it, in the replicated state, until it announces itself again: as the same incarnation it was only silent). At six the task has failed: three crashes as the last to start, six beside another. A gang ends as a whole. Draining workers don't count.

lib/flow has records of crashes and keeps suspects apart; here the score alone decides, as lib/sched has no such placement.

--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -114,6 +114,7 @@
 	struct worker *w = g_new0(struct worker, 1);
 
 	w->attempts = g_array_new(FALSE, TRUE, sizeof(struct attempt_ref));
+	w->lost = g_array_new(FALSE, TRUE, sizeof(struct attempt_ref));
 	w->earlier = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	return w;
 }
@@ -123,6 +124,7 @@
 {
 	worker_clear(&w->pub);
 	g_array_unref(w->attempts);
+	g_array_unref(w->lost);
 	g_array_unref(w->earlier);
 	g_free(w);
 }
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -87,6 +87,7 @@
 	uint32_t worker; /* while assigned or stopping; else 0 */
 	bool ran; /* an ended attempt ran or may have run */
 	bool lost; /* an attempt was lost with its worker */
+	uint32_t crash_score; /* of the workers that crashed under it */
 	GBytes *result; /* complete result, or NULL */
 	int64_t started_ms; /* cell time of the last assignment */
 	int64_t lease_ms; /* lease length of the last attempt */
--- a/lib/cell/internal.h
+++ b/lib/cell/internal.h
@@ -21,6 +21,8 @@
 	bool over_capacity; /* its last announcement has less capacity than its
 			       attempts use; cleared once they fit */
 	GArray *attempts; /* struct attempt_ref, sorted */
+	/* Attempts that were lost with its lease: it may have crashed. */
+	GArray *lost; /* struct attempt_ref */
 	GArray *earlier; /* uint64_t: earlier incarnations, oldest first */
 };
 
@@ -120,6 +122,8 @@
     GBytes *result);
 /* Ends all attempts of a worker with END_LOST. */
 void end_lost_attempts(struct cell *c, struct worker *w);
+/* Adds to the crash scores of the tasks that a worker ran when it crashed. */
+void count_crash(struct cell *c, struct worker *w);
 /* Requests the stop of an assigned task; no effect in other states. */
 void stop_task(struct cell *c, struct job *j, uint32_t i);
 
--- a/lib/cell/snapshot.c
+++ b/lib/cell/snapshot.c
@@ -4,7 +4,8 @@
  */
 #include "internal.h"
 
-#define TASK_FIELDS 10 /* written by put_task() */
+#define TASK_FIELDS 11 /* written by put_task() */
+#define TASK_FIELDS_OLD 10 /* without the crash score, by earlier builds */
 
 #define SNAPSHOT_FORMAT 1
 #define SNAPSHOT_FIELDS 13
@@ -38,6 +39,19 @@
 	}
 }
 
+static void
+put_lost(msgpack_packer *pk, const GArray *lost)
+{
+	msgpack_pack_array(pk, 2 * (size_t)lost->len);
+	for (guint i = 0; i < lost->len; i++) {
+		const struct attempt_ref *a =
+		    &g_array_index(lost, struct attempt_ref, i);
+
+		msgpack_pack_uint64(pk, a->job);
+		msgpack_pack_uint32(pk, a->task);
+	}
+}
+
 static void
 put_workers(msgpack_packer *pk, const GPtrArray *workers)
 {
@@ -45,7 +59,7 @@
 	for (guint i = 0; i < workers->len; i++) {
 		struct worker *w = g_ptr_array_index(workers, i);
 
-		msgpack_pack_array(pk, 16);
+		msgpack_pack_array(pk, 17);
 		worker_put(pk, &w->pub);
 		msgpack_pack_uint32(pk, w->pub.state);
 		put_bool(pk, w->pub.set_aside);
@@ -55,6 +69,7 @@
 		for (guint k = 0; k < w->earlier->len; k++)
 			msgpack_pack_uint64(
 			    pk, g_array_index(w->earlier, uint64_t, k));
+		put_lost(pk, w->lost);
 	}
 }
 
@@ -67,6 +82,7 @@
 	msgpack_pack_uint32(pk, t->worker);
 	put_bool(pk, t->ran);
 	put_bool(pk, t->lost);
+	msgpack_pack_uint32(pk, t->crash_score);
 	put_bytes(pk, t->result);
 	msgpack_pack_int64(pk, t->started_ms);
 	msgpack_pack_int64(pk, t->ended_ms);
@@ -214,6 +230,24 @@
 	in->ok = in->ok && codec_done(&list);
 }
 
+/* Snapshots of earlier builds have no such list either. */
+static void
+get_lost(struct reader *in, struct worker *w)
+{
+	struct reader list;
+
+	if (in->left == 0)
+		return;
+	list = get_array(in);
+	while (list.ok && list.left > 0) {
+		struct attempt_ref a = { .job = get_u64(&list) };
+
+		a.task = (uint32_t)get_below(&list, CELL_TASKS_MAX);
+		g_array_append_val(w->lost, a);
+	}
+	in->ok = in->ok && codec_done(&list);
+}
+
 static void
 get_workers(struct reader *r, struct cell *c)
 {
@@ -229,6 +263,7 @@
 		w->pub.epoch = get_u64(&in);
 		w->over_capacity = get_bool(&in);
 		get_earlier(&in, w);
+		get_lost(&in, w);
 		all.ok = all.ok && codec_done(&in) &&
 		    !g_hash_table_contains(c->worker_names, w->pub.name);
 		if (w->pub.name == NULL)
@@ -239,7 +274,7 @@
 }
 
 static void
-get_task(struct reader *r, struct cell_task *t)
+get_task(struct reader *r, struct cell_task *t, bool has_score)
 {
 	t->state = get_below(r, TASK_UNKNOWN + 1);
 	t->attempt = (uint32_t)get_below(r, (uint64_t)UINT32_MAX + 1);
@@ -247,6 +282,8 @@
 	t->worker = (uint32_t)get_below(r, (uint64_t)UINT32_MAX + 1);
 	t->ran = get_bool(r);
 	t->lost = get_bool(r);
+	if (has_score)
+		t->crash_score = (uint32_t)get_u64(r);
 	t->result = get_bytes(r, CELL_RESULT_MAX);
 	t->started_ms = get_i64(r);
 	t->ended_ms = get_i64(r);
@@ -277,10 +314,11 @@
 {
 	struct reader in = get_array(r);
 	uint32_t n = j->pub.spec.tasks;
+	bool has_score = in.left != TASK_FIELDS_OLD * (uint64_t)n;
 
 	j->pub.task = g_new0(struct cell_task, n);
 	for (uint32_t i = 0; i < n && in.ok; i++) {
-		get_task(&in, &j->pub.task[i]);
+		get_task(&in, &j->pub.task[i], has_score);
 		in.ok = in.ok && restore_attempt(c, j, i);
 	}
 	r->ok = r->ok && codec_done(&in);
--- a/lib/cell/tasks.c
+++ b/lib/cell/tasks.c
@@ -5,6 +5,11 @@
 #include "internal.h"
 
 #define SERVICE_STABLE_MS (10 * 60 * 1000) /* such a run clears failures */
+/* A task is given up when its score reaches the limit: after three crashes if
+ * it was the last to start on those workers, after six if others were. */
+#define CRASH_SCORE_LIMIT 6
+#define CRASH_SCORE_LAST 2
+#define CRASH_SCORE_OTHER 1
 
 bool
 task_is_running(enum cell_task_state state)
@@ -151,7 +156,12 @@
 			return TASK_PENDING;
 		return j->pub.gang_stopping ? TASK_STOPPED : TASK_UNKNOWN;
 	default:
-		return again ? TASK_PENDING : TASK_UNKNOWN;
+		if (!again)
+			return TASK_UNKNOWN;
+		return t->crash_score < CRASH_SCORE_LIMIT ||
+			j->pub.spec.kind == KIND_SERVICE
+		    ? TASK_PENDING
+		    : TASK_FAILED;
 	}
 }
 
@@ -272,6 +282,54 @@
 	maybe_end_job(c, j);
 }
 
+static struct cell_task *
+task_of(struct cell *c, const struct attempt_ref *a)
+{
+	struct job *j = find_job(c, a->job);
+
+	return j == NULL || a->task >= j->pub.spec.tasks
+	    ? NULL
+	    : &j->pub.task[a->task];
+}
+
+static void
+add_crash_scores(struct cell *c, const GArray *attempts, int64_t last_ms)
+{
+	for (guint i = 0; i < attempts->len; i++) {
+		struct cell_task *t =
+		    task_of(c, &g_array_index(attempts, struct attempt_ref, i));
+
+		if (t != NULL)
+			t->crash_score += t->started_ms == last_ms
+			    ? CRASH_SCORE_LAST
+			    : CRASH_SCORE_OTHER;
+	}
+}
+
+static int64_t
+last_start_ms(struct cell *c, const GArray *attempts)
+{
+	int64_t last_ms = 0;
+
+	for (guint i = 0; i < attempts->len; i++) {
+		const struct cell_task *t =
+		    task_of(c, &g_array_index(attempts, struct attempt_ref, i));
+
+		if (t != NULL)
+			last_ms = MAX(last_ms, t->started_ms);
+	}
+	return last_ms;
+}
+
+void
+count_crash(struct cell *c, struct worker *w)
+{
+	const GArray *attempts = w->lost->len > 0 ? w->lost : w->attempts;
+
+	add_crash_scores(c, attempts, last_start_ms(c, attempts));
+	g_array_set_size(w->lost, 0);
+}
+
 void
 end_lost_attempts(struct cell *c, struct worker *w)
 {
--- a/lib/cell/workers.c
+++ b/lib/cell/workers.c
@@ -143,7 +143,11 @@
 	if (!restarted && !was_lost && !new_epoch && w->pub.home == in->home &&
 	    same_announcement(&w->pub, in))
 		return;
+	/* A draining worker takes along what it runs when it leaves. */
+	if (restarted && w->pub.state != WORKER_DRAINING)
+		count_crash(c, w);
 	if (restarted || was_lost) {
+		g_array_set_size(w->lost, 0);
 		set_incarnation(w, in->incarnation);
 		w->pub.state = WORKER_UP;
 		end_lost_attempts(c, w);
@@ -212,7 +216,10 @@
 		return;
 	w->pub.state = state;
 	w->pub.set_aside = set_aside;
-	if (state == WORKER_LOST)
+	if (state == WORKER_LOST) {
+		g_array_append_vals(
+		    w->lost, w->attempts->data, w->attempts->len);
 		end_lost_attempts(c, w);
+	}
 	c->watch.worker_changed(c->watch_arg, w->pub.id);
 }
--- a/test/cell_test.c
+++ b/test/cell_test.c
@@ -449,6 +449,92 @@
 	cell_free(c);
 }
 
+static struct cell *
+copy_cell(struct cell *c)
+{
+	struct cell *copy = cell_new();
+	GBytes *bytes = cell_snapshot(c);
+	GError *err = NULL;
+
+	g_assert_true(cell_restore(copy, bytes, &err));
+	g_assert_no_error(err);
+	g_bytes_unref(bytes);
+	cell_free(c);
+	return copy;
+}
+
+static void
+advance(struct cell *c)
+{
+	struct cell_cmd later = { .type = CMD_EXPIRE,
+		.at_ms = cell_time_ms(c) + 1000 };
+
+	do_cmd(c, &later);
+}
+
+/* A task that crashes the workers that start it is given up after three; the
+ * count survives a snapshot. A task that was there already when it started,
+ * each time, goes on. */
+static void
+test_crash_limit(void)
+{
+	uint32_t w;
+	struct cell *c = small_cell(&w);
+	uint32_t home = cell_entry_named(c, "e1")->id;
+	uint64_t deadly = do_submit(c, KIND_BATCH, 1, true);
+	uint64_t innocent = do_submit(c, KIND_BATCH, 1, true);
+
+	for (uint64_t i = 2; i <= 4; i++) {
+		g_assert_cmpuint(do_start(c, innocent, 1, w), ==, 1);
+		advance(c);
+		g_assert_cmpuint(do_start(c, deadly, 1, w), ==, 1);
+		/* The second time its lease expires first. */
+		if (i == 3)
+			do_state(c, w, WORKER_LOST);
+		c = copy_cell(c);
+		(void)do_worker(c, "w1", i, home, 8);
+	}
+	g_assert_cmpint(state(c, deadly, 0), ==, TASK_FAILED);
+	g_assert_cmpint(state(c, innocent, 0), ==, TASK_PENDING);
+	cell_free(c);
+}
+
+/* A worker that was lost and is back without a restart has not crashed. */
+static void
+test_silent_worker(void)
+{
+	uint32_t w;
+	struct cell *c = small_cell(&w);
+	uint32_t home = cell_entry_named(c, "e1")->id;
+	uint64_t job = do_submit(c, KIND_BATCH, 1, true);
+
+	for (int i = 0; i < 12; i++) {
+		g_assert_cmpuint(do_start(c, job, 1, w), ==, 1);
+		do_state(c, w, WORKER_LOST);
+		(void)do_worker(c, "w1", 1, home, 8);
+		g_assert_cmpint(state(c, job, 0), ==, TASK_PENDING);
+	}
+	cell_free(c);
+}
+
+/* A gang with a task that crashes its workers ends as a whole. */
+static void
+test_crash_limit_gang(void)
+{
+	uint32_t w;
+	struct cell *c = small_cell(&w);
+	uint32_t home = cell_entry_named(c, "e1")->id;
+	uint64_t job = do_submit(c, KIND_GANG, 2, true);
+
+	for (uint64_t i = 2; i <= 4; i++) {
+		g_assert_cmpuint(do_start(c, job, 2, w), ==, 2);
+		(void)do_worker(c, "w1", i, home, 8);
+	}
+	g_assert_cmpint(cell_job(c, job)->state, ==, JOB_ENDED);
+	g_assert_cmpint(cell_job(c, job)->outcome, ==, OUT_FAILED);
+	cell_free(c);
+}
+
 /*
  * A restarted entry or a new session gives the worker a new epoch, so that
  * orders of the old process or session are invalid.
@@ -946,6 +1032,9 @@
 	g_test_add_func("/cell/epoch-renewed", test_epoch_renewed);
 	g_test_add_func("/cell/preempt-service", test_preempt_service);
 	g_test_add_func("/cell/worker-lost", test_worker_lost);
+	g_test_add_func("/cell/crash-limit", test_crash_limit);
+	g_test_add_func("/cell/crash-limit-gang", test_crash_limit_gang);
+	g_test_add_func("/cell/silent-worker", test_silent_worker);
 	g_test_add_func("/cell/late-announcement", test_late_announcement);
 	g_test_add_func("/cell/ends", test_ends);
 	g_test_add_func("/cell/start-limits", test_start_limits);
