dispatch: an order that reached a later incarnation of the same name is taken back first

A task ran in two places. A worker that restarts under its name and address accepts orders meant for the incarnation before. Until its restart was known it could be ordered to start a run; once it was known, all runs of the earlier incarnation counted as lost, and the task started elsewhere while the new incarnation was still running it (50 ms and more, until its first report). Nor did the new incarnation's capacity count what it ran so.

Now such runs, those with an order sent since the earlier incarnation was last heard of or perhaps still on its way, are stopped at the successor before they end, for at most as long as a lease can last there; and a worker that reports runs that aren't assigned to it gets no new ones until they are gone.

Evidence: dispatch_test restart-under-order, red before (two at once, three times of three), passes.

--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -159,6 +159,8 @@
 		else
 			continue;
 		crashed |= older != NULL && !older->draining;
+		h->name_reused |= strcmp(h->name, w->name) == 0 &&
+		    strcmp(h->address, w->address) == 0;
 		holder_declare_dead(h, why);
 	}
 	return crashed;
@@ -249,6 +251,24 @@
 	return r->state != RUN_ORDERED || r->may_start || r->order_pending;
 }
 
+/*
+ * Says whether an order about a run may have reached a later incarnation of the
+ * same name: one that was sent since this one was last heard of, or that may
+ * still be on its way.
+ */
+static bool
+may_be_at_successor(const struct active_run *r, int64_t now)
+{
+	const struct holder *h = r->holder;
+
+	if (!h->name_reused ||
+	    now - h->dead_ms > longest_local_ms(h->d->conf.lease_max_ms) +
+		    PRIOR_LEASE_MARGIN_MS)
+		return false;
+	return r->may_start || r->order_pending ||
+	    r->accepted_ms > h->answered_ms;
+}
+
 /* How many runs of other jobs are on the worker of a run. */
 static uint32_t
 runs_beside(const struct active_run *r)
@@ -280,6 +300,11 @@
 
 		if (r->state == RUN_ENDING || r->state == RUN_PROPOSED)
 			continue;
+		if (may_be_at_successor(r, mono_ms())) {
+			if (!r->stopping)
+				run_stop(r);
+			continue;
+		}
 		h->d->meter.lost->value++;
 		log_warn("dispatch",
 		    "event=run-lost run=%s worker=%s why=\"%s\" beside=%u "
@@ -289,12 +314,10 @@
 		g_array_append_val(ends, e);
 	}
 	if (ends->len > 0 && runs_end(h->d, ends) != 0)
-		for (guint i = 0; i < h->runs->len; i++) {
-			struct active_run *r = h->runs->pdata[i];
-
-			if (r->state != RUN_PROPOSED)
-				r->state = RUN_ENDING;
-		}
+		for (guint i = 0; i < ends->len; i++)
+			run_find(
+			    h->d, &g_array_index(ends, struct flow_end, i).id)
+			    ->state = RUN_ENDING;
 	count = ends->len;
 	g_array_unref(ends);
 	return count;
@@ -308,10 +331,18 @@
 		    "event=worker-dead worker=%s address=%s why=\"%s\" "
 		    "lost_runs=%u",
 		    h->name, h->address, why, h->lost_runs);
+	if (!h->dead)
+		h->dead_ms = mono_ms();
 	h->dead = true;
 	(void)end_all_runs(h, why);
 }
 
+bool
+holder_takes_orders(const struct holder *h)
+{
+	return !h->dead || h->name_reused;
+}
+
 static void
 note_fenced(struct holder *h)
 {
@@ -339,7 +370,7 @@
 	const struct flow_worker *w = flow_worker(h->d->conf.flow, h->id);
 
 	if (w == NULL || w->draining || h->deregistered || h->dead ||
-	    h->removing || !h->polled || h->unreachable ||
+	    h->removing || !h->polled || h->unreachable || h->has_strays ||
 	    now < h->excluded_until_ms ||
 	    now - h->answered_ms > CONTACT_MAX_AGE_MS)
 		return false;
@@ -461,6 +492,7 @@
 static void
 handle_running(struct holder *h, const struct agent_report *report, int64_t now)
 {
+	h->has_strays = false;
 	for (guint i = 0; i < report->running->len; i++) {
 		struct agent_running *a =
 		    &g_array_index(report->running, struct agent_running, i);
@@ -468,6 +500,7 @@
 
 		if (r == NULL || r->holder != h ||
 		    r->id.number != a->id.number) {
+			h->has_strays = true;
 			run_stop_unassigned(h, &a->id);
 			continue;
 		}
@@ -525,9 +558,11 @@
 	bool first = !h->polled;
 
 	if (report->started_ms != 0 && report->started_ms != h->started_ms) {
-		if (report->started_ms > h->started_ms)
+		if (report->started_ms > h->started_ms) {
+			h->name_reused = true;
 			holder_declare_dead(
 			    h, "a later incarnation has answered a poll");
+		}
 		return;
 	}
 	holder_set_clock(h, report->clock_ms, now);
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -220,6 +220,8 @@
 		r->accepted_ms = mono_ms();
 		r->tries = 0;
 		r->resend_ms = 0;
+		if (r->holder->dead)
+			run_end(r, FLOW_END_LOST, "stopped-at-successor");
 		break;
 	default:
 		schedule_resend(r);
@@ -349,7 +351,7 @@
 	struct dispatch *d = h->d;
 
 	r->stopping = true;
-	if (r->state == RUN_ENDING || h->dead)
+	if (r->state == RUN_ENDING || !holder_takes_orders(h))
 		return;
 	/* Only one order about a run is in flight at a time. */
 	if (r->order_pending || !dispatch_may_act(d)) {
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -12,4 +12,5 @@
     deadly-task-takeover deadly-gang deadly-crowd unreachable-worker silent-worker-no-crash
     capacity-shrinks-before-order capacity-shrinks-before-resend
     capacity-shrinks-takeover capacity-shrinks-below-use
-    best-effort-cores restart-before-order)
+    best-effort-cores restart-before-order
+    restart-under-order)
--- a/test/dispatch_capacity.c
+++ b/test/dispatch_capacity.c
@@ -173,6 +173,39 @@
 	leader_free(l);
 }
 
+/* A worker restarts under its name, and an order for the earlier incarnation
+ * reaches the new one. The task starts elsewhere only once it is stopped there.
+ */
+static void
+test_restart_under_order(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l);
+	struct stub_worker *b = stub_worker_new(l->base, "b");
+	char *name = g_strdup(a->name);
+	int64_t until;
+
+	set_millicpus(l, b, 500);
+	AWAIT(l, b->polls > 1);
+	stub_worker_crash(a);
+	stub_worker_restart(a);
+	g_free(a->name);
+	a->name = name;
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->running->len == 1);
+	set_millicpus(l, b, 4000);
+	leader_heartbeat(l, a, false);
+	until = mono_ms() + 2000;
+	while (mono_ms() < until) {
+		g_assert_cmpuint(a->running->len + b->running->len, <=, 1);
+		leader_run(l);
+	}
+	g_assert_cmpuint(a->running->len + b->running->len, ==, 1);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
 void
 capacity_tests_add(void)
 {
@@ -187,4 +220,6 @@
 	g_test_add_func("/dispatch/best-effort-cores", test_best_effort_cores);
 	g_test_add_func(
 	    "/dispatch/restart-before-order", test_restart_before_order);
+	g_test_add_func(
+	    "/dispatch/restart-under-order", test_restart_under_order);
 }
