soak: workers that crash under deadly jobs and return, shrink and grow

Three deadly jobs a run, each task of which crashes the stand-in worker that starts it; it returns after 0.2 to 3 s under another name. The test fails if such a task is started more than five times or its job is shown as anything but failed, if an innocent job isn't completed, or if a start brings a worker over its capacity, which changes every 1.5 s. The workers refuse orders for an earlier incarnation, as the interface says.

--- a/test/soak.c
+++ b/test/soak.c
@@ -2,10 +2,12 @@
  * Randomized fault injection on real processes. They are stopped, paused,
  * killed and restarted, their settings change, their disks fill up or are
  * lost. Links to them and to workers are cut, blocked in one direction,
- * delayed and reset. Faults follow each other and overlap, while jobs are
- * submitted over connections that callers keep open. The test checks what
- * callers and workers see: accepted jobs are completed, no task runs in two
- * places or again after it has ended as done, the configuration is not lost.
+ * delayed and reset. Workers shrink and grow, and crash under a few deadly
+ * jobs. Faults follow each other and overlap, while jobs are submitted over
+ * connections that callers keep open. The test checks what callers and workers
+ * see: accepted jobs are completed, deadly ones given up, no task runs in two
+ * places or again after it has ended as done, no worker is filled over its
+ * capacity, the configuration is not lost.
  * The seed decides everything but the timing of the processes.
  *
  *     soak SEED SECONDS
@@ -24,6 +26,11 @@
 #define FULL_DISK_FILE_BYTES 49152 /* file size limit while a disk is full */
 #define LINK_DELAY_MAX_MS 700
 #define JOBS_MAX 400
+#define DEADLY_FIRST 8 /* the first deadly job ... */
+#define DEADLY_INTERVAL 40 /* ... and the distance to the next */
+#define DEADLY_MAX 3
+#define CAPACITY_GAP_MS 1500 /* between changes of a worker's capacity */
+#define WORKER_SALT 0x776f726b65727331 /* own random numbers for workers */
 #define COMPLETION_LIMIT_MS 90000 /* until all accepted jobs are completed */
 #define LINKS (NODES + WORKERS)
 
@@ -35,6 +42,7 @@
 struct soak {
 	struct cell *cell;
 	struct rng rng;
+	int64_t capacity_ms; /* of the next change of a worker's capacity */
 	struct fault fault[NODES];
 	int64_t link_until_ms[LINKS]; /* to nodes, then workers; 0: no fault */
 	int64_t disk_lost_ms; /* time of the last lost disk */
@@ -230,6 +238,27 @@
 	return -1;
 }
 
+static bool
+is_deadly(int job)
+{
+	int n = job - DEADLY_FIRST;
+
+	return n >= 0 && n % DEADLY_INTERVAL == 0 &&
+	    n / DEADLY_INTERVAL < DEADLY_MAX;
+}
+
+/* Shrinks a random worker to two thirds or a third, or lets it grow again. */
+static void
+change_capacity(struct soak *s)
+{
+	int i = (int)rng_below(&s->cell->rng, WORKERS);
+	int64_t thirds = 1 + (int64_t)rng_below(&s->cell->rng, 3);
+
+	s->capacity_ms = mono_ms() + CAPACITY_GAP_MS;
+	printf("soak: w%d has %d of 3 parts of its capacity\n", i, (int)thirds);
+	cell_set_millicpus(s->cell, i, WORKER_MILLICPUS * thirds / 3);
+}
+
 static void
 submit_job(struct soak *s)
 {
@@ -239,7 +268,10 @@
 	if (i < 0 || s->jobs == JOBS_MAX)
 		return;
 	job_path(s->jobs, path);
-	s->accepted[s->jobs++] = cell_submit(s->cell, i, path);
+	s->accepted[s->jobs] =
+	    (is_deadly(s->jobs) ? cell_submit_deadly : cell_submit)(
+		s->cell, i, path);
+	s->jobs++;
 }
 
 static void
@@ -254,13 +286,18 @@
 			next_ms = mono_ms() + FAULT_GAP_MS +
 			    (int64_t)rng_below(&s->rng, 2 * FAULT_GAP_MS);
 		}
+		if (mono_ms() >= s->capacity_ms)
+			change_capacity(s);
 		submit_job(s);
 		cell_run_loop(s->cell);
 	}
 	end_due_faults(s, INT64_MAX);
+	for (int i = 0; i < WORKERS; i++)
+		cell_set_millicpus(s->cell, i, WORKER_MILLICPUS);
 }
 
-/* Checks that every job whose submission was accepted is completed. */
+/* Checks that every job whose submission was accepted is completed, and that
+ * the deadly ones have failed. */
 static bool
 check_jobs(struct soak *s)
 {
@@ -271,7 +308,8 @@
 
 		job_path(i, path);
 		while (s->accepted[i] &&
-		    !cell_state_is(s->cell, 0, path, "completed")) {
+		    !cell_state_is(s->cell, 0, path,
+			is_deadly(i) ? "failed" : "completed")) {
 			if (mono_ms() > limit) {
 				printf("soak: job %s was accepted and is %s\n",
 				    path, s->cell->body);
@@ -329,6 +367,7 @@
 	s.rng.state = seed;
 	s.disk_lost_ms = mono_ms();
 	s.cell = cell_new();
+	s.cell->rng.state = seed ^ WORKER_SALT;
 	inject_faults(&s, mono_ms() + seconds * 1000);
 	for (int i = 0; i < NODES; i++)
 		CELL_AWAIT(s.cell, cell_node_ready(s.cell, i));
@@ -336,9 +375,9 @@
 	for (int i = 0; i < s.jobs; i++)
 		accepted += s.accepted[i];
 	printf("soak: seed %" G_GUINT64_FORMAT ": %s, %d of %d jobs accepted, "
-	       "%u tasks done\n",
+	       "%u tasks done, %d crashes of workers\n",
 	    seed, ok ? "passed" : "FAILED", accepted, s.jobs,
-	    g_hash_table_size(s.cell->done));
+	    g_hash_table_size(s.cell->done), s.cell->crashes);
 	if (!ok) {
 		cell_print_logs(s.cell);
 		printf("soak: logs in %s\n", s.cell->dir);
--- a/test/stepcell.c
+++ b/test/stepcell.c
@@ -19,11 +19,14 @@
 #define READY_PORT "7999"
 #define CONTROL_PORT "7997" /* the same on all nodes */
 #define LOG_TAIL_BYTES 4000
+#define FIRST_MILLICPUS 1000 /* of a task of a job's first step ... */
+#define SECOND_MILLICPUS 500 /* ... and of its second */
 
 /* One run on a stand-in worker. */
 struct run {
 	char *task;
 	int64_t number;
+	int64_t millicpus;
 	int64_t due_ms; /* when it is done */
 };
 
@@ -32,7 +35,12 @@
 	char *name;
 	char *address;
 	char *listen; /* behind the proxy */
-	struct httpd *server;
+	struct httpd *server; /* NULL: crashed */
+	int incarnation;
+	int64_t restart_ms; /* after a crash */
+	int64_t millicpus; /* capacity that it reports ... */
+	int64_t former_millicpus; /* ... and the one before it shrank ... */
+	int64_t shrunk_ms; /* ... at this time */
 	int64_t started_ms;
 	int64_t lease_until_ms; /* mono_ms() of this process */
 	int64_t fence;
@@ -78,25 +86,55 @@
 {
 }
 
+static void worker_listen(struct cell_worker *w);
+
+/* Starts the workers again whose time it is. */
+static void
+restart_workers(struct cell *c)
+{
+	for (int i = 0; i < WORKERS; i++) {
+		struct cell_worker *w = c->worker[i];
+
+		if (w->server != NULL || mono_ms() < w->restart_ms)
+			continue;
+		g_free(w->name);
+		w->name = g_strdup_printf("w%d.%d", i, ++w->incarnation);
+		w->started_ms = g_get_real_time() / 1000;
+		w->lease_until_ms = 0;
+		w->fence = 0;
+		w->last_end_number = 0;
+		w->heartbeat_seq = 0;
+		worker_listen(w);
+		c->heartbeat_ms = 0;
+	}
+}
+
 /* Each worker sends its heartbeat to one process, to another one each time. */
 static void
 send_heartbeats(struct cell *c)
 {
-	struct http_peer *peer[WORKERS];
+	struct http_peer *peer[WORKERS] = { 0 };
 
 	c->heartbeat_ms = mono_ms();
 	for (int i = 0; i < WORKERS; i++) {
 		struct cell_worker *w = c->worker[i];
 		struct cell_node *n = &c->node[(w->heartbeat_seq + i) % NODES];
-		char *path = g_strdup_printf(
+		char *path;
+		char *body;
+
+		if (w->server == NULL)
+			continue;
+		path = g_strdup_printf(
 		    "/bulrushtide/instances/%s/heartbeat", w->name);
-		char *body = g_strdup_printf(
+		body = g_strdup_printf(
 		    "{\"service\":\"desk\",\"address\":\"%s\",\"zone\":\"z\","
 		    "\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":"
-		    "3000,\"memMb\":4096,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+		    "%" G_GINT64_FORMAT
+		    ",\"memMb\":4096,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
 		    "\"born\":%" G_GINT64_FORMAT ",\"seq\":%" G_GINT64_FORMAT
 		    "}",
-		    w->address, w->started_ms, ++w->heartbeat_seq);
+		    w->address, w->millicpus, w->started_ms,
+		    ++w->heartbeat_seq);
 
 		peer[i] = http_peer_new(c->base, n->control, NULL);
 		http_send(peer[i], EVHTTP_REQ_POST, path, NULL, body,
@@ -114,6 +152,7 @@
 cell_run_loop(struct cell *c)
 {
 	run_loop(c);
+	restart_workers(c);
 	if (mono_ms() - c->heartbeat_ms > HEARTBEAT_MS)
 		send_heartbeats(c);
 }
@@ -238,14 +277,22 @@
 		"reason", reason));
 }
 
-/* Reads an order; refuses it and returns NULL if its fence is too low. */
+/* Reads an order; refuses it and returns NULL if it is for an earlier
+ * incarnation or its fence is too low. */
 static json_t *
 read_order(struct cell_worker *w, struct http_request *req)
 {
-	json_t *o = json_loadb(req->body, req->body_len, 0, NULL);
-	json_t *deadline = json_object_get(o, "deadlineMs");
+	json_t *o;
+	json_t *deadline;
 	int64_t fence;
 
+	if (g_strcmp0(http_header(req, "Bulrushtide-Expected-Instance"),
+		w->name) != 0) {
+		http_reply(req, 421, g_strdup("{}"), 0);
+		return NULL;
+	}
+	o = json_loadb(req->body, req->body_len, 0, NULL);
+	deadline = json_object_get(o, "deadlineMs");
 	g_assert_nonnull(o);
 	end_due_runs(w);
 	fence = json_integer_value(json_object_get(o, "fencingToken"));
@@ -261,6 +308,83 @@
 	return o;
 }
 
+static void
+clear_runs(struct cell_worker *w)
+{
+	for (guint i = 0; i < w->runs->len; i++)
+		g_free(g_array_index(w->runs, struct run, i).task);
+	g_array_set_size(w->runs, 0);
+}
+
+/* Ends that were not acknowledged may be unknown: their tasks may run again. */
+static void
+forget_ends(struct cell_worker *w)
+{
+	for (guint i = 0; i < w->ends->len; i++)
+		g_hash_table_remove(w->cell->done,
+		    json_string_value(json_array_get(w->ends->pdata[i], 1)));
+	g_ptr_array_set_size(w->ends, 0);
+	g_hash_table_remove_all(w->ended);
+}
+
+static void
+crash(evutil_socket_t fd, short what, void *arg)
+{
+	struct cell_worker *w = arg;
+
+	if (w->server == NULL)
+		return;
+	httpd_free(g_steal_pointer(&w->server));
+	w->cell->crashes++;
+	clear_runs(w);
+	forget_ends(w);
+	w->restart_ms = mono_ms() + WORKER_DOWN_MIN_MS +
+	    (int64_t)rng_below(&w->cell->rng, WORKER_DOWN_EXTRA_MS);
+}
+
+/* Crashes the worker, once the callback of its server has returned. */
+static void
+start_deadly(struct cell_worker *w, const char *task)
+{
+	GHashTable *deadly = w->cell->deadly;
+	struct timeval now = { 0 };
+	int starts = 1 + GPOINTER_TO_INT(g_hash_table_lookup(deadly, task));
+
+	if (starts > DEADLY_STARTS_MAX)
+		g_error("task %s crashes workers and starts again on %s", task,
+		    w->name);
+	g_hash_table_insert(deadly, g_strdup(task), GINT_TO_POINTER(starts));
+	event_base_once(w->cell->base, -1, EV_TIMEOUT, crash, w, &now);
+}
+
+/* What a task takes, by its step: see cell_submit(). */
+static int64_t
+task_millicpus(const char *task)
+{
+	char **part = g_strsplit(task, ".", -1);
+	int64_t millicpus =
+	    strcmp(part[2], "0") == 0 ? FIRST_MILLICPUS : SECOND_MILLICPUS;
+
+	g_strfreev(part);
+	return millicpus;
+}
+
+static void
+check_capacity(const struct cell_worker *w, const struct run *r)
+{
+	int64_t sum = r->millicpus;
+	int64_t limit = mono_ms() - w->shrunk_ms < CAPACITY_GRACE_MS
+	    ? MAX(w->millicpus, w->former_millicpus)
+	    : w->millicpus;
+
+	for (guint i = 0; i < w->runs->len; i++)
+		sum += g_array_index(w->runs, struct run, i).millicpus;
+	if (sum > limit)
+		g_error("task %s brings %s to %" G_GINT64_FORMAT
+			" of %" G_GINT64_FORMAT " millicpus",
+		    r->task, w->name, sum, limit);
+}
+
 /* A task that starts here must not run elsewhere or have ended as done. */
 static void
 check_start(const struct cell_worker *w, const char *task)
@@ -298,8 +422,13 @@
 	if (find_run(w, task) == NULL) {
 		check_start(w, task);
 		r.task = g_strdup(task);
+		r.millicpus = task_millicpus(task);
 		r.due_ms = mono_ms() + TASK_MS;
+		check_capacity(w, &r);
 		g_array_append_val(w->runs, r);
+		if (strcmp(json_string_value(json_object_get(o, "spec")),
+			"deadly") == 0)
+			start_deadly(w, task);
 	}
 	json_decref(o);
 	answer_clock(req);
@@ -368,13 +497,23 @@
 	{ EVHTTP_REQ_POST, "/bulrushtide/hold", on_poll },
 };
 
+static void
+worker_listen(struct cell_worker *w)
+{
+	GError *err = NULL;
+
+	w->server = httpd_new(w->cell->base, w->listen, worker_routes,
+	    G_N_ELEMENTS(worker_routes), w, &err);
+	g_assert_no_error(err);
+}
+
 static struct cell_worker *
 worker_new(struct cell *c, int i)
 {
 	struct cell_worker *w = g_new0(struct cell_worker, 1);
-	GError *err = NULL;
 
 	w->cell = c;
+	w->millicpus = WORKER_MILLICPUS;
 	w->name = g_strdup_printf("w%d", i);
 	w->address = free_address(c->node[i].ip);
 	w->started_ms = g_get_real_time() / 1000;
@@ -382,18 +521,16 @@
 	w->ends = g_ptr_array_new_with_free_func((GDestroyNotify)json_decref);
 	w->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->listen = free_address(c->node[i].ip);
-	w->server = httpd_new(c->base, w->listen, worker_routes,
-	    G_N_ELEMENTS(worker_routes), w, &err);
-	g_assert_no_error(err);
+	worker_listen(w);
 	return w;
 }
 
 static void
 worker_free(struct cell_worker *w)
 {
-	httpd_free(w->server);
-	for (guint i = 0; i < w->runs->len; i++)
-		g_free(g_array_index(w->runs, struct run, i).task);
+	if (w->server != NULL)
+		httpd_free(w->server);
+	clear_runs(w);
 	g_array_unref(w->runs);
 	g_ptr_array_unref(w->ends);
 	g_hash_table_unref(w->ended);
@@ -582,6 +719,8 @@
 	c->base = event_base_new();
 	c->dir = g_dir_make_tmp("stepcell-XXXXXX", NULL);
 	c->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->deadly =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (int i = 0; i < NODES; i++) {
 		struct cell_node *n = &c->node[i];
 
@@ -630,6 +769,7 @@
 	run_loop(c);
 	event_base_free(c->base);
 	g_hash_table_unref(c->done);
+	g_hash_table_unref(c->deadly);
 	remove_tree(c->dir);
 	g_free(c->dir);
 	g_free(c->body);
@@ -637,13 +777,43 @@
 	g_free(c);
 }
 
+static bool
+submit(struct cell *c, int i, const char *path, const char *spec)
+{
+	char *body = g_strdup_printf(
+	    "{\"spec\":\"%s\",\"steps\":[{\"count\":2,\"cpu\":%d,"
+	    "\"estimatedMs\":300},{\"count\":1,\"cpu\":%d,"
+	    "\"after\":[0],\"estimatedMs\":300}]}",
+	    spec, FIRST_MILLICPUS, SECOND_MILLICPUS);
+	bool accepted = cell_call(c, c->node[i].callers, EVHTTP_REQ_POST, path,
+			    body) == 200;
+
+	g_free(body);
+	return accepted;
+}
+
 bool
 cell_submit(struct cell *c, int i, const char *path)
 {
-	return cell_call(c, c->node[i].callers, EVHTTP_REQ_POST, path,
-		   "{\"spec\":\"w\",\"steps\":[{\"count\":2,\"cpu\":1000,"
-		   "\"estimatedMs\":300},{\"count\":1,\"cpu\":500,"
-		   "\"after\":[0],\"estimatedMs\":300}]}") == 200;
+	return submit(c, i, path, "w");
+}
+
+bool
+cell_submit_deadly(struct cell *c, int i, const char *path)
+{
+	return submit(c, i, path, "deadly");
+}
+
+void
+cell_set_millicpus(struct cell *c, int i, int64_t millicpus)
+{
+	struct cell_worker *w = c->worker[i];
+
+	if (millicpus < w->millicpus) {
+		w->former_millicpus = w->millicpus;
+		w->shrunk_ms = mono_ms();
+	}
+	w->millicpus = millicpus;
 }
 
 bool
--- a/test/stepcell.h
+++ b/test/stepcell.h
@@ -2,8 +2,10 @@
  * A cell of real processes that discover each other through seeds. Each has
  * its own loopback address. Stand-in workers run in the test's process, and a
  * proxy is in front of each process and worker. The workers refuse orders with
- * a lower fence and fail the test if a task runs on two of them or starts
- * again after it has ended as done.
+ * a lower fence and fail the test if a task runs on two of them, starts again
+ * after it has ended as done, starts too often after it has crashed workers, or
+ * brings a worker over its capacity. A worker crashes under a deadly task and
+ * returns under another name.
  */
 #ifndef STEPCELL_H
 #define STEPCELL_H
@@ -16,7 +18,17 @@
 #define NODES 4
 #define DISKS 3 /* the last node has no disk */
 #define WORKERS 3
+#define WORKER_MILLICPUS 3000
 #define TASK_MS 300 /* run time of a task */
+/* A worker that has crashed returns after 0.2 s to 3 s. */
+#define WORKER_DOWN_MIN_MS 200
+#define WORKER_DOWN_EXTRA_MS 2800
+/* A task may be started twice more after three workers have crashed under it.
+ */
+#define DEADLY_STARTS_MAX 5
+/* Starts may fill a worker as before it shrank for this time: contact time of
+ * the platform, and one heartbeat. */
+#define CAPACITY_GRACE_MS 3500
 #define AWAIT_LIMIT_MS 60000 /* fails a hung test; no speed requirement */
 
 struct cell_node {
@@ -40,6 +52,9 @@
 	struct cell_node node[NODES];
 	struct cell_worker *worker[WORKERS];
 	GHashTable *done; /* task name to number of ends as done */
+	GHashTable *deadly; /* name of a deadly task to number of starts */
+	int crashes; /* of workers */
+	struct rng rng; /* how long workers are down */
 	int64_t heartbeat_ms; /* time of the last heartbeats */
 	int status; /* of the last answer */
 	char *body;
@@ -84,6 +99,10 @@
 
 /* Submits a job: a step of two tasks, then one of one; true if accepted. */
 bool cell_submit(struct cell *c, int node, const char *path);
+/* Submits a job with two tasks that crash the workers that start them. */
+bool cell_submit_deadly(struct cell *c, int node, const char *path);
+/* Changes what a worker reports as its capacity. */
+void cell_set_millicpus(struct cell *c, int worker, int64_t millicpus);
 bool
 cell_state_is(struct cell *c, int node, const char *path, const char *state);
 
