flow: a worker's record keeps the serial of the heartbeat that it comes from

A heartbeat that is delivered late, after a change of leader, was applied over a newer one (capacity, labels): the new leader didn't know how far its predecessor had come. So a worker that had shrunk could be filled as before until its next heartbeat. dispatch_test capacity-late-heartbeat was red (4000 millicpus instead of 500) and passes.

--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -387,6 +387,7 @@
 			return;
 		}
 	}
+	in->seq = req->seq;
 	propose_worker(d, process, req, in);
 }
 
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -96,6 +96,7 @@
 	GPtrArray *labels; /* char * */
 	struct resources capacity;
 	bool draining; /* is about to leave: gets no new runs */
+	int64_t seq; /* of the heartbeat that this comes from; 0: unknown */
 };
 
 enum flow_task_state {
--- a/lib/flow/spec.c
+++ b/lib/flow/spec.c
@@ -332,7 +332,8 @@
 void
 worker_put(msgpack_packer *pk, const struct flow_worker *w)
 {
-	msgpack_pack_array(pk, 13);
+	/* Entries leave out seq: earlier versions can't read it. */
+	msgpack_pack_array(pk, w->seq == 0 ? 13 : 14);
 	msgpack_pack_uint32(pk, w->id);
 	put_str(pk, w->name);
 	put_str(pk, w->address);
@@ -344,6 +345,8 @@
 	put_strs(pk, w->labels);
 	put_resources(pk, &w->capacity);
 	put_bool(pk, w->draining);
+	if (w->seq != 0)
+		msgpack_pack_int64(pk, w->seq);
 }
 
 void
@@ -362,6 +365,8 @@
 	w->labels = get_strs(&a, NAME_BYTES_MAX, LABELS_MAX);
 	get_resources(&a, &w->capacity);
 	w->draining = get_bool(&a);
+	if (a.left > 0)
+		w->seq = get_i64(&a);
 	r->ok = r->ok && codec_done(&a) && w->name != NULL &&
 	    w->address != NULL && w->pool != NULL;
 }
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -11,6 +11,7 @@
     earlier-incarnation state-delayed deadly-task deadly-task-long-outage
     deadly-task-takeover deadly-gang deadly-crowd unreachable-worker silent-worker-no-crash
     capacity-shrinks-before-order capacity-shrinks-before-resend
-    capacity-shrinks-takeover capacity-shrinks-below-use
+    capacity-shrinks-takeover capacity-late-heartbeat
+    capacity-shrinks-below-use
     best-effort-cores restart-before-order
     restart-under-order)
--- a/test/dispatch_capacity.c
+++ b/test/dispatch_capacity.c
@@ -109,6 +109,35 @@
 	leader_free(l);
 }
 
+/* A heartbeat that was sent before the worker shrank reaches the next leader
+ * after that: it is not applied. */
+static void
+test_late_heartbeat_takeover(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l);
+	struct request late = { .op = REQUEST_WORKER,
+		.host = (char *)"",
+		.path = (char *)"",
+		.seq = (int64_t)l->requests,
+		.body = leader_worker(a, false) };
+
+	set_millicpus(l, a, 500);
+	dispatch_resign(l->dispatch);
+	dispatch_lead(l->dispatch, 2);
+	leader_run_for(l, 50);
+	dispatch_handle_request(l->dispatch, 0, &late);
+	leader_run_for(l, 50);
+	g_assert_cmpint(
+	    flow_worker_named(l->flow, "a")->capacity.millicpus, ==, 500);
+	set_millicpus(l, a, 4000);
+	g_assert_cmpint(
+	    flow_worker_named(l->flow, "a")->capacity.millicpus, ==, 4000);
+	g_bytes_unref(late.body);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 /* What runs on a worker that shrinks runs on; nothing more is started there
  * until there is room again. */
 static void
@@ -215,6 +244,8 @@
 	    test_capacity_shrinks_before_resend);
 	g_test_add_func("/dispatch/capacity-shrinks-takeover",
 	    test_capacity_shrinks_takeover);
+	g_test_add_func(
+	    "/dispatch/capacity-late-heartbeat", test_late_heartbeat_takeover);
 	g_test_add_func("/dispatch/capacity-shrinks-below-use",
 	    test_capacity_shrinks_below_use);
 	g_test_add_func("/dispatch/best-effort-cores", test_best_effort_cores);
