--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -79,6 +79,7 @@
 	f->queued_counts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f->losses = losses_new();
+	f->causes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_queue_init(&f->active);
 	g_queue_init(&f->ended);
 	return f;
@@ -90,6 +91,7 @@
 	g_queue_clear(&f->active);
 	g_queue_clear(&f->ended);
 	g_ptr_array_set_size(f->losses, 0);
+	g_array_set_size(f->causes, 0);
 	g_hash_table_remove_all(f->jobs);
 	g_hash_table_remove_all(f->workers_by_name);
 	g_hash_table_remove_all(f->workers);
@@ -111,6 +113,7 @@
 	g_hash_table_unref(f->workers);
 	g_hash_table_unref(f->queued_counts);
 	g_ptr_array_unref(f->losses);
+	g_array_unref(f->causes);
 	g_free(f);
 }
 
--- a/lib/flow/internal.h
+++ b/lib/flow/internal.h
@@ -21,6 +21,7 @@
 	GQueue ended; /* struct flow_job, without runs, oldest first */
 	GHashTable *queued_counts; /* queue name to jobs in FLOW_QUEUED */
 	GPtrArray *losses; /* struct loss, oldest first */
+	GArray *causes; /* uint64_t: jobs for losses_judge() to give up */
 };
 
 /* spec.c: X_put() encodes, X_get() decodes and sets r->ok */
--- a/lib/flow/losses.c
+++ b/lib/flow/losses.c
@@ -74,6 +74,14 @@
 	return loss;
 }
 
+/* Says whether too many workers have crashed under a task. */
+static bool
+is_cause(const struct flow_task *task)
+{
+	return task->crashes >= FLOW_CRASHES_MAX ||
+	    task->crashes + task->explained_crashes >= FLOW_CRASHES_TOTAL_MAX;
+}
+
 /* Adds the loss to the counts of one of its tasks (by 1) or removes it. */
 static void
 count_loss(
@@ -89,6 +97,8 @@
 		task->explained_crashes += (uint32_t)by;
 	else
 		task->lost_runs += (uint32_t)by;
+	if (by > 0 && loss->state == LOSS_CRASHED && is_cause(task))
+		g_array_append_val(f->causes, run->job);
 }
 
 static void
@@ -223,49 +233,24 @@
 	return task != NULL && !flow_job_ended(job) && task->state != FLOW_DONE;
 }
 
-/* Says whether too many workers have crashed under a task. */
-static bool
-is_cause(const struct flow_task *task)
-{
-	return task->crashes >= FLOW_CRASHES_MAX ||
-	    task->crashes + task->explained_crashes >= FLOW_CRASHES_TOTAL_MAX;
-}
-
-/* Finds a job to give up, or returns NULL. */
-static struct flow_job *
-find_cause(const struct flow *f)
-{
-	for (guint i = 0; i < f->losses->len; i++) {
-		const struct loss *loss = f->losses->pdata[i];
-
-		for (guint k = 0; k < loss->runs->len; k++) {
-			const struct flow_job *job = NULL;
-			const struct flow_task *task = flow_task(f,
-			    &g_array_index(loss->runs, struct flow_run, k),
-			    &job);
-
-			if (is_unfinished(job, task) && is_cause(task))
-				return (struct flow_job *)job;
-		}
-	}
-	return NULL;
-}
-
 void
 losses_judge(struct flow *f)
 {
-	struct flow_job *job;
+	for (guint n = 0; n < f->causes->len; n++) {
+		uint64_t id = g_array_index(f->causes, uint64_t, n);
+		struct flow_job *job = (struct flow_job *)flow_job(f, id);
 
-	while ((job = find_cause(f)) != NULL) {
+		if (job == NULL || flow_job_ended(job))
+			continue;
 		for (guint i = 0; i < f->losses->len; i++) {
 			struct loss *loss = f->losses->pdata[i];
 
-			if (loss->state == LOSS_CRASHED &&
-			    has_job(loss, job->id))
+			if (loss->state == LOSS_CRASHED && has_job(loss, id))
 				set_state(f, loss, LOSS_EXPLAINED);
 		}
 		job_give_up(f, job);
 	}
+	g_array_set_size(f->causes, 0);
 }
 
 /* Says whether no task of a loss can be started again. */
@@ -353,6 +338,8 @@
 	while (list.ok && list.left > 0)
 		loss_get(f, &list);
 	r->ok = r->ok && list.ok;
+	/* Judged before the snapshot was taken. */
+	g_array_set_size(f->causes, 0);
 }
 
 uint32_t
