--- a/test/dispatch_capacity.c
+++ b/test/dispatch_capacity.c
@@ -65,18 +65,20 @@
 	leader_free(l);
 }
 
-/* It shrinks while an order waits for an answer: it isn't sent again. */
+/* Orders a run, for which the worker gives no answer, and lets it shrink. */
 static void
-test_capacity_shrinks_before_resend(void)
+shrink_under_order(struct leader *l, struct stub_worker *a)
 {
-	struct leader *l = leader_new();
-	struct stub_worker *a = add_worker(l);
-
 	a->hold_starts = 1000;
 	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, a->starts > 0);
 	set_millicpus(l, a, 500);
-	a->hold_starts = 0;
+}
+
+/* The run doesn't start before the worker has grown again. */
+static void
+check_start_withheld(struct leader *l, struct stub_worker *a)
+{
 	leader_run_for(l, 1500);
 	g_assert_cmpuint(a->running->len, ==, 0);
 	set_millicpus(l, a, 4000);
@@ -85,6 +87,18 @@
 	leader_free(l);
 }
 
+/* It shrinks while an order waits for an answer: it isn't sent again. */
+static void
+test_capacity_shrinks_before_resend(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l);
+
+	shrink_under_order(l, a);
+	a->hold_starts = 0;
+	check_start_withheld(l, a);
+}
+
 /* It shrinks around a change of leader: the new one doesn't send the order for
  * a start that its predecessor committed. */
 static void
@@ -93,20 +107,11 @@
 	struct leader *l = leader_new();
 	struct stub_worker *a = add_worker(l);
 
-	a->hold_starts = 1000;
-	leader_submit(l, JOB_PATH, 1, 1000);
-	AWAIT(l, a->starts > 0);
-	a->capacity.millicpus = 500;
-	leader_heartbeat(l, a, false);
+	shrink_under_order(l, a);
 	dispatch_resign(l->dispatch);
 	a->hold_starts = 0;
 	dispatch_lead(l->dispatch, 2);
-	leader_run_for(l, 1500);
-	g_assert_cmpuint(a->running->len, ==, 0);
-	set_millicpus(l, a, 4000);
-	AWAIT(l, a->running->len == 1);
-	stub_worker_free(a);
-	leader_free(l);
+	check_start_withheld(l, a);
 }
 
 /* A heartbeat that was sent before the worker shrank reaches the next leader
