--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -345,6 +345,40 @@
 	uint64_t serial; /* of the next pending step */
 };
 
+/*
+ * How far a run is kept from those of other jobs. If a worker crashes, all
+ * that ran there are suspects; the cause is found sooner, and with fewer
+ * innocent runs lost, if suspects don't meet again.
+ */
+enum separation {
+	SEPARATE_ISOLATED, /* from isolated runs */
+	SEPARATE_SUSPECTS, /* from all suspected runs */
+	SEPARATE_ALL /* from all runs */
+};
+
+/* Which workers a task may be placed on. */
+struct apartness {
+	enum separation from;
+	bool avoid_restarted; /* not on workers that have crashed lately */
+};
+
+/* apart.c */
+/* The separation that is tried first for a task. */
+enum separation apart_wanted(const struct flow_task *task);
+/* Says whether a worker and its runs allow one of the job there. */
+bool apart_allows(
+    const struct holder *h, uint64_t job, struct apartness apart, int64_t now);
+/* Says whether a task waits until it is known whether workers have crashed
+ * under it. */
+bool apart_holds_back(const struct round *rd, const struct flow_step *step,
+    const struct flow_task *task);
+/* Says whether a step may be placed with less separation than wanted, as it
+ * has waited long enough. */
+bool apart_may_relax(
+    struct round *rd, const struct pending_step *p, enum separation wanted);
+/* Ends that waiting time. */
+void apart_stop_waiting(struct round *rd, const struct pending_step *p);
+
 /* round.c */
 void round_run(struct dispatch *d, int64_t now);
 /* Updates the run time estimates from a run that succeeded. */
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -14,19 +14,6 @@
 #define PREEMPTIONS_PER_ROUND 6 /* steps that a round preempts runs for */
 #define PREEMPT_INTERVAL_MS 40 /* between rounds that preempt */
 #define LOAD_LOG_INTERVAL_MS 1000 /* between load log lines */
-/* Suspicion from which a run shares its worker with no run of another job that
- * is suspected as much, and is isolated if there is room. */
-#define ISOLATED_SUSPICION 2
-#define ISOLATION_MS 30000 /* a run that has run for so long is cleared */
-/* Suspects avoid workers that crashed within this time. */
-#define RESTART_AVOID_MS 20000
-/* How long a suspected task waits for a worker apart from other suspects, and
- * an isolated one for a worker of its own. */
-#define APART_WAIT_MS 300
-#define ALONE_WAIT_MS 1500
-/* A task that may have crashed FLOW_CRASHES_MAX workers waits until that is
- * known, but not longer than this since its last start. */
-#define SUSPECT_WAIT_MS 15000
 
 static struct plan_estimate *
 estimate_of_queue(struct dispatch *d, const char *queue)
@@ -236,78 +223,6 @@
 	g_ptr_array_sort(rd->workers, by_free_descending);
 }
 
-/*
- * How far a run is kept from those of other jobs. If a worker crashes, all
- * that ran there are suspects; the cause is found sooner, and with fewer
- * innocent runs lost, if suspects don't meet again.
- */
-enum separation {
-	SEPARATE_ISOLATED, /* from isolated runs */
-	SEPARATE_SUSPECTS, /* from all suspected runs */
-	SEPARATE_ALL /* from all runs */
-};
-
-/* Which workers a task may be placed on. */
-struct apartness {
-	enum separation from;
-	bool avoid_restarted; /* not on workers that have crashed lately */
-};
-
-/* The separation that is tried first for a task. */
-static enum separation
-wanted_separation(const struct flow_task *task)
-{
-	uint32_t suspicion = flow_task_suspicion(task);
-
-	if (suspicion >= ISOLATED_SUSPICION)
-		return SEPARATE_ALL;
-	return suspicion > 0 ? SEPARATE_SUSPECTS : SEPARATE_ISOLATED;
-}
-
-static bool
-is_isolated(const struct active_run *r, int64_t now)
-{
-	return r->suspicion >= ISOLATED_SUSPICION &&
-	    (r->started_ms == 0 || now - r->started_ms < ISOLATION_MS);
-}
-
-static bool
-has_restarted(const struct holder *h, int64_t now)
-{
-	return h->restarted_ms != 0 && now - h->restarted_ms < RESTART_AVOID_MS;
-}
-
-/* Says whether a worker's runs allow one of the job beside them. */
-static bool
-is_apart(
-    const struct holder *h, uint64_t job, struct apartness apart, int64_t now)
-{
-	if (apart.avoid_restarted && has_restarted(h, now))
-		return false;
-	if (apart.from != SEPARATE_ALL && h->suspects == 0)
-		return true;
-	for (guint i = 0; i < h->runs->len; i++) {
-		const struct active_run *r = h->runs->pdata[i];
-
-		if (r->id.job == job)
-			continue;
-		if (apart.from == SEPARATE_ALL ||
-		    (apart.from == SEPARATE_SUSPECTS && r->suspicion > 0) ||
-		    is_isolated(r, now))
-			return false;
-	}
-	return true;
-}
-
-/* Says whether a task waits until it is known whether workers have crashed
- * under it. */
-static bool
-is_held_back(const struct round *rd, const struct flow_task *task)
-{
-	return flow_task_may_be_given_up(task) &&
-	    rd->cell_now - task->assigned_ms < SUSPECT_WAIT_MS;
-}
-
 /* Says whether a task is pending and its start isn't proposed already. */
 static bool
 task_waits(const struct round *rd, const struct flow_job *job,
@@ -316,7 +231,8 @@
 	const struct flow_task *task = &occurrence->steps[step].tasks[index];
 	struct flow_run id = { job->id, occurrence->number, step, index, 0 };
 
-	return task->state == FLOW_PENDING && !is_held_back(rd, task) &&
+	return task->state == FLOW_PENDING &&
+	    !apart_holds_back(rd, flow_job_step(job, step), task) &&
 	    run_find(rd->d, &id) == NULL;
 }
 
@@ -473,7 +389,7 @@
 	if (strcmp(w->worker->pool, p->job->queue->pool) != 0 ||
 	    !has_label(w->worker, step->label) ||
 	    preempt_reserved_for_other(w->holder, p, rd->now) ||
-	    !is_apart(w->holder, p->job->id, apart, rd->now))
+	    !apart_allows(w->holder, p->job->id, apart, rd->now))
 		return;
 	w->plan.step_tasks =
 	    step->max_per_worker == 0 ? 0 : count_step_tasks(w->holder, p);
@@ -564,7 +480,7 @@
 
 	return task_waits(rd, p->job, p->occurrence, p->step, index) &&
 	    (flow_job_step(p->job, p->step)->gang ||
-		wanted_separation(task) == wanted);
+		apart_wanted(task) == wanted);
 }
 
 /* Places the tasks of a step that fit; returns how many. */
@@ -610,28 +526,6 @@
 	g_ptr_array_unref(workers);
 }
 
-/* Says whether a step may be placed with less separation than wanted, as it
- * has waited long enough. */
-static bool
-may_relax(
-    struct round *rd, const struct pending_step *p, enum separation wanted)
-{
-	struct step_permits *state =
-	    step_permits_get(rd->d, p->job, p->occurrence->number, p->step);
-
-	if (state->apart_until_ms == 0)
-		state->apart_until_ms = rd->now +
-		    (wanted == SEPARATE_ALL ? ALONE_WAIT_MS : APART_WAIT_MS);
-	return rd->now >= state->apart_until_ms;
-}
-
-static void
-stop_waiting_apart(struct round *rd, const struct pending_step *p)
-{
-	step_permits_get(rd->d, p->job, p->occurrence->number, p->step)
-	    ->apart_until_ms = 0;
-}
-
 /* Places the waiting tasks that want a separation; after a while also with
  * less. Returns how many are left over. */
 static uint32_t
@@ -647,7 +541,7 @@
 		struct apartness apart = { .from = (enum separation)s,
 			.avoid_restarted = suspects };
 
-		if (s != (int)wanted && !may_relax(rd, p, wanted))
+		if (s != (int)wanted && !apart_may_relax(rd, p, wanted))
 			break;
 		if (suspects)
 			place_apart(rd, p, request, wanted, apart, permits);
@@ -656,7 +550,7 @@
 			place_apart(rd, p, request, wanted, apart, permits);
 	}
 	if (waited && request->count == 0)
-		stop_waiting_apart(rd, p);
+		apart_stop_waiting(rd, p);
 	return request->count;
 }
 
@@ -674,8 +568,7 @@
 
 		if (!task_waits(rd, p->job, p->occurrence, p->step, i))
 			continue;
-		wanted =
-		    wanted_separation(&p->occurrence->steps[p->step].tasks[i]);
+		wanted = apart_wanted(&p->occurrence->steps[p->step].tasks[i]);
 		most = MAX(most, wanted);
 		count[wanted]++;
 		sum++;
