flow: a crash long after a task's start weighs half

A task that crashes what starts it does so soon after its start; random crashes come at any time of a run. So an end says whether the run had been there for 1.5 s when its worker was last heard of.

--- a/lib/dispatch/apart.c
+++ b/lib/dispatch/apart.c
@@ -11,8 +11,8 @@
  * an isolated one for a worker of its own. */
 #define APART_WAIT_MS 300
 #define ALONE_WAIT_MS 1500
-/* A task that may have crashed FLOW_CRASHES_MAX workers waits until that is
- * known, but not longer than this since its last start. */
+/* A task that may have crashed too many workers waits until that is known, but
+ * not longer than this since its last start. */
 #define SUSPECT_WAIT_MS 15000
 
 enum separation
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -308,10 +308,14 @@
 }
 
 static void
-on_run_crashed(void *arg, const struct flow_run *run, uint32_t crashes)
-{
-	log_warn("dispatch", "event=worker-crashed run=%s crashes=%u max=%d",
-	    run_name(run), crashes, FLOW_CRASHES_MAX);
+on_run_crashed(
+    void *arg, const struct flow_run *run, const struct flow_task *task)
+{
+	log_warn("dispatch",
+	    "event=worker-crashed run=%s crashes=%u explained=%u weight=%u "
+	    "max_weight=%d",
+	    run_name(run), task->crashes, task->explained_crashes,
+	    task->crash_weight, FLOW_CRASH_WEIGHT_MAX);
 }
 
 static void
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -246,12 +246,6 @@
 	return h->order_peer[best];
 }
 
-static bool
-may_have_started(const struct active_run *r)
-{
-	return r->state != RUN_ORDERED || r->may_start || r->order_pending;
-}
-
 /*
  * Says whether an order about a run may have reached a later incarnation of the
  * same name: one that was sent since this one was last heard of, or that may
@@ -295,8 +289,7 @@
 	for (guint i = 0; i < h->runs->len; i++) {
 		struct active_run *r = h->runs->pdata[i];
 		struct flow_end e = { .id = r->id,
-			.outcome = may_have_started(r) ? FLOW_END_LOST
-						       : FLOW_END_REFUSED,
+			.outcome = run_lost_outcome(r),
 			.checkpoint = r->checkpoint };
 
 		if (r->state == RUN_ENDING || r->state == RUN_PROPOSED)
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -246,6 +246,8 @@
 void run_mark_started(struct dispatch *d, const struct flow_run *id);
 /* Stops a run on a worker that the replicated state doesn't assign to it. */
 void run_stop_unassigned(struct holder *h, const struct flow_run *id);
+/* How a run ends that is lost with its worker. */
+enum flow_end_outcome run_lost_outcome(const struct active_run *r);
 /* Proposes the ends (struct flow_end) of runs; returns the log index or 0. */
 uint64_t runs_end(struct dispatch *d, GArray *ends);
 void
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -3,6 +3,9 @@
 
 #define RESEND_MIN_MS 60 /* before an order is sent again */
 #define RESEND_MAX_MS 800 /* a worker that is back gets it within 1 s */
+/* A run that was there for less when its worker was last heard of had just
+ * started. */
+#define START_MS 1500
 #define UNHEALTHY_EXCLUDE_MS 1500 /* no new work for an unhealthy worker */
 
 guint
@@ -126,6 +129,22 @@
 	r->resend_ms = mono_ms() + wait_ms;
 }
 
+enum flow_end_outcome
+run_lost_outcome(const struct active_run *r)
+{
+	const struct dispatch *d = r->holder->d;
+	const struct flow_task *task = flow_task(d->conf.flow, &r->id, NULL);
+	/* When its worker was last heard of, by this leader. */
+	int64_t silent_ms = mono_ms() - MAX(r->holder->answered_ms, d->lead_ms);
+	int64_t heard_ms = flow_time_ms(d->conf.flow) - silent_ms;
+
+	if (r->state == RUN_ORDERED && !r->may_start && !r->order_pending)
+		return FLOW_END_REFUSED;
+	return task != NULL && heard_ms - task->assigned_ms < START_MS
+	    ? FLOW_END_LOST_AT_START
+	    : FLOW_END_LOST_LATER;
+}
+
 uint64_t
 runs_end(struct dispatch *d, GArray *ends)
 {
@@ -221,7 +240,7 @@
 		r->tries = 0;
 		r->resend_ms = 0;
 		if (r->holder->dead)
-			run_end(r, FLOW_END_LOST, "stopped-at-successor");
+			run_end(r, run_lost_outcome(r), "stopped-at-successor");
 		break;
 	default:
 		schedule_resend(r);
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -612,8 +612,9 @@
 		return;
 	}
 	store_checkpoint(st, step->gang, e);
-	if (e->outcome == FLOW_END_LOST)
-		losses_add(f, flow_worker(f, task->worker), job, task, &e->id);
+	if (e->outcome == FLOW_END_LOST_AT_START ||
+	    e->outcome == FLOW_END_LOST_LATER)
+		losses_add(f, flow_worker(f, task->worker), job, task, e);
 	if (e->outcome == FLOW_END_FAILED && !step->long_running)
 		failures = count_failure(st, step->gang, &e->id);
 	unassign(f, job, occ, &e->id, FLOW_PENDING, e->outcome);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -14,10 +14,16 @@
 #define FLOW_STEPS_MAX 100 /* steps in one job */
 #define FLOW_TEXT_MAX 4096 /* bytes of a name, label or checkpoint */
 #define FLOW_PAYLOAD_MAX (64 * 1024) /* bytes of a payload */
-/* Workers that crash under a task before its job is given up; with those that
- * another task seemed to have crashed. */
-#define FLOW_CRASHES_MAX 3
-#define FLOW_CRASHES_TOTAL_MAX 5
+/*
+ * A task's job is given up once the weights of the workers that crashed under
+ * it add up to this: after three that crashed when it had just started. Those
+ * that another task seems to have crashed don't count, but with them five
+ * crashes are the limit.
+ */
+#define FLOW_CRASH_WEIGHT_MAX 6
+#define FLOW_CRASH_WEIGHT_AT_START 2
+#define FLOW_CRASH_WEIGHT_LATER 1
+#define FLOW_CRASHES_MAX 5
 #define FLOW_DOCUMENT_MAX (4 * 1024 * 1024) /* bytes of a configuration */
 
 /* A step as declared by the caller. Strings are owned; NULL: not set. */
@@ -111,6 +117,7 @@
 	uint32_t failures; /* failed runs; a gang counts in its task 0 */
 	/* Workers that crashed under it; its job may have been the cause ... */
 	uint32_t crashes;
+	uint32_t crash_weight; /* of these */
 	/* ... or another job that ran there was given up as the cause. */
 	uint32_t explained_crashes;
 	/* Runs lost with workers that may have crashed: not known yet. */
@@ -180,7 +187,8 @@
 	FLOW_END_FAILED, /* through a fault of the task or the worker */
 	FLOW_END_STOPPED, /* by a stop order */
 	FLOW_END_REFUSED, /* by the worker: the run never started */
-	FLOW_END_LOST, /* with its worker */
+	FLOW_END_LOST_AT_START, /* with its worker, when it had just started */
+	FLOW_END_LOST_LATER, /* with its worker */
 	FLOW_END_COUNT
 };
 
@@ -251,9 +259,9 @@
 	/* A run has ended and its resources are free. */
 	void (*run_ended)(void *arg, const struct flow_job *job,
 	    const struct flow_start *s, enum flow_end_outcome outcome);
-	/* A worker has crashed under a run, the task's crashes-th. */
-	void (*run_crashed)(
-	    void *arg, const struct flow_run *run, uint32_t crashes);
+	/* A worker has crashed under a run of a task. */
+	void (*run_crashed)(void *arg, const struct flow_run *run,
+	    const struct flow_task *task);
 	/* An assigned run must stop: its job was cancelled or has failed. */
 	void (*run_stopping)(
 	    void *arg, const struct flow_job *job, const struct flow_start *s);
@@ -329,9 +337,11 @@
 static inline bool
 flow_task_may_be_given_up(const struct flow_task *task)
 {
-	return flow_task_suspicion(task) >= FLOW_CRASHES_MAX ||
+	return task->crash_weight +
+		task->lost_runs * FLOW_CRASH_WEIGHT_AT_START >=
+	    FLOW_CRASH_WEIGHT_MAX ||
 	    flow_task_suspicion(task) + task->explained_crashes >=
-	    FLOW_CRASHES_TOTAL_MAX;
+	    FLOW_CRASHES_MAX;
 }
 /* Returns the task of a run, or NULL. *job, if not NULL, gets its job. */
 const struct flow_task *flow_task(const struct flow *f,
--- a/lib/flow/internal.h
+++ b/lib/flow/internal.h
@@ -50,7 +50,7 @@
 /* Records that a run was lost with its worker. */
 void losses_add(struct flow *f, const struct flow_worker *w,
     const struct flow_job *job, const struct flow_task *task,
-    const struct flow_run *run);
+    const struct flow_end *end);
 /* Marks the earlier incarnations of a new one as crashed. */
 void losses_note_incarnation(struct flow *f, const struct flow_worker *w);
 /* Forgets what was lost with a worker that has not restarted. */
--- a/lib/flow/losses.c
+++ b/lib/flow/losses.c
@@ -11,6 +11,11 @@
 /* A long-running task that has run for this time didn't cause the crash. */
 #define STABLE_MS (30 * 1000)
 
+struct lost_run {
+	struct flow_run id;
+	uint32_t weight; /* if the worker has crashed */
+};
+
 /* An incarnation of a worker that was lost, and the runs it took with it. */
 struct loss {
 	char *name;
@@ -19,7 +24,7 @@
 	int64_t started_ms; /* of the incarnation */
 	int64_t at_ms; /* cell time */
 	enum loss_state state;
-	GArray *runs; /* struct flow_run */
+	GArray *runs; /* struct lost_run */
 };
 
 static void
@@ -69,44 +74,53 @@
 	loss->vm = g_strdup(w->vm);
 	loss->started_ms = w->started_ms;
 	loss->at_ms = f->time_ms;
-	loss->runs = g_array_new(FALSE, FALSE, sizeof(struct flow_run));
+	loss->runs = g_array_new(FALSE, FALSE, sizeof(struct lost_run));
 	g_ptr_array_add(f->losses, loss);
 	return loss;
 }
 
+static const struct lost_run *
+lost_run(const struct loss *loss, guint i)
+{
+	return &g_array_index(loss->runs, struct lost_run, i);
+}
+
 /* Says whether too many workers have crashed under a task. */
 static bool
 is_cause(const struct flow_task *task)
 {
-	return task->crashes >= FLOW_CRASHES_MAX ||
-	    task->crashes + task->explained_crashes >= FLOW_CRASHES_TOTAL_MAX;
+	return task->state != FLOW_DONE &&
+	    (task->crash_weight >= FLOW_CRASH_WEIGHT_MAX ||
+		task->crashes + task->explained_crashes >= FLOW_CRASHES_MAX);
 }
 
 /* Adds the loss to the counts of one of its tasks (by 1) or removes it. */
 static void
 count_loss(
-    struct flow *f, const struct loss *loss, const struct flow_run *run, int by)
+    struct flow *f, const struct loss *loss, const struct lost_run *run, int by)
 {
-	struct flow_task *task = (struct flow_task *)flow_task(f, run, NULL);
+	struct flow_task *task =
+	    (struct flow_task *)flow_task(f, &run->id, NULL);
 
 	if (task == NULL)
 		return;
-	if (loss->state == LOSS_CRASHED)
+	if (loss->state == LOSS_CRASHED) {
 		task->crashes += (uint32_t)by;
-	else if (loss->state == LOSS_EXPLAINED)
+		task->crash_weight += (uint32_t)by * run->weight;
+	} else if (loss->state == LOSS_EXPLAINED) {
 		task->explained_crashes += (uint32_t)by;
-	else
+	} else {
 		task->lost_runs += (uint32_t)by;
+	}
 	if (by > 0 && loss->state == LOSS_CRASHED && is_cause(task))
-		g_array_append_val(f->causes, run->job);
+		g_array_append_val(f->causes, run->id.job);
 }
 
 static void
 count_all(struct flow *f, const struct loss *loss, int by)
 {
 	for (guint i = 0; i < loss->runs->len; i++)
-		count_loss(f, loss,
-		    &g_array_index(loss->runs, struct flow_run, i), by);
+		count_loss(f, loss, lost_run(loss, i), by);
 }
 
 static void
@@ -122,27 +136,31 @@
 	const struct flow_task *task = flow_task(f, run, NULL);
 
 	if (task != NULL && f->watch.run_crashed != NULL)
-		f->watch.run_crashed(f->watch_arg, run, task->crashes);
+		f->watch.run_crashed(f->watch_arg, run, task);
 }
 
 void
 losses_add(struct flow *f, const struct flow_worker *w,
     const struct flow_job *job, const struct flow_task *task,
-    const struct flow_run *run)
+    const struct flow_end *end)
 {
+	struct lost_run run = { .id = end->id,
+		.weight = end->outcome == FLOW_END_LOST_AT_START
+		    ? FLOW_CRASH_WEIGHT_AT_START
+		    : FLOW_CRASH_WEIGHT_LATER };
 	struct loss *loss;
 
 	/* Runs on a draining worker end with it. */
 	if (w == NULL || w->draining || flow_job_ended(job))
 		return;
-	if (flow_job_step(job, run->step)->long_running &&
+	if (flow_job_step(job, run.id.step)->long_running &&
 	    f->time_ms - task->assigned_ms >= STABLE_MS)
 		return;
 	loss = get_loss(f, w);
-	g_array_append_val(loss->runs, *run);
-	count_loss(f, loss, run, 1);
+	g_array_append_val(loss->runs, run);
+	count_loss(f, loss, &run, 1);
 	if (loss->state != LOSS_UNKNOWN)
-		report_crash(f, run);
+		report_crash(f, &run.id);
 }
 
 static void
@@ -158,7 +176,7 @@
 {
 	set_state(f, loss, LOSS_CRASHED);
 	for (guint i = 0; i < loss->runs->len; i++)
-		report_crash(f, &g_array_index(loss->runs, struct flow_run, i));
+		report_crash(f, &lost_run(loss, i)->id);
 }
 
 /* Says whether an incarnation was followed by w, at its place or as w. */
@@ -222,7 +240,7 @@
 has_job(const struct loss *loss, uint64_t job)
 {
 	for (guint i = 0; i < loss->runs->len; i++)
-		if (g_array_index(loss->runs, struct flow_run, i).job == job)
+		if (lost_run(loss, i)->id.job == job)
 			return true;
 	return false;
 }
@@ -259,8 +277,8 @@
 {
 	for (guint i = 0; i < loss->runs->len; i++) {
 		const struct flow_job *job = NULL;
-		const struct flow_task *task = flow_task(
-		    f, &g_array_index(loss->runs, struct flow_run, i), &job);
+		const struct flow_task *task =
+		    flow_task(f, &lost_run(loss, i)->id, &job);
 
 		if (is_unfinished(job, task))
 			return false;
@@ -296,10 +314,11 @@
 		msgpack_pack_int64(pk, loss->started_ms);
 		msgpack_pack_int64(pk, loss->at_ms);
 		msgpack_pack_uint8(pk, (uint8_t)loss->state);
-		msgpack_pack_array(pk, loss->runs->len * 5);
-		for (guint k = 0; k < loss->runs->len; k++)
-			run_put(
-			    pk, &g_array_index(loss->runs, struct flow_run, k));
+		msgpack_pack_array(pk, loss->runs->len * 6);
+		for (guint k = 0; k < loss->runs->len; k++) {
+			run_put(pk, &lost_run(loss, k)->id);
+			msgpack_pack_uint32(pk, lost_run(loss, k)->weight);
+		}
 	}
 }
 
@@ -310,7 +329,7 @@
 	struct reader a = get_array(r);
 	struct reader runs;
 
-	loss->runs = g_array_new(FALSE, FALSE, sizeof(struct flow_run));
+	loss->runs = g_array_new(FALSE, FALSE, sizeof(struct lost_run));
 	loss->name = get_str(&a, FLOW_TEXT_MAX);
 	loss->address = get_str(&a, FLOW_TEXT_MAX);
 	loss->vm = get_str(&a, FLOW_TEXT_MAX);
@@ -319,9 +338,10 @@
 	loss->state = (enum loss_state)get_below(&a, LOSS_STATE_COUNT);
 	runs = get_array(&a);
 	while (runs.ok && runs.left > 0) {
-		struct flow_run run;
+		struct lost_run run;
 
-		run_get(&runs, &run);
+		run_get(&runs, &run.id);
+		run.weight = (uint32_t)get_u64(&runs);
 		g_array_append_val(loss->runs, run);
 	}
 	r->ok = r->ok && runs.ok && codec_done(&a);
@@ -342,6 +362,13 @@
 	g_array_set_size(f->causes, 0);
 }
 
+static bool
+same_task(const struct flow_run *a, const struct flow_run *b)
+{
+	return a->job == b->job && a->occurrence == b->occurrence &&
+	    a->step == b->step && a->index == b->index;
+}
+
 uint32_t
 losses_count(
     const struct flow *f, const struct flow_run *run, enum loss_state state)
@@ -352,14 +379,8 @@
 		const struct loss *loss = f->losses->pdata[i];
 
 		for (guint k = 0; loss->state == state && k < loss->runs->len;
-		     k++) {
-			const struct flow_run *r =
-			    &g_array_index(loss->runs, struct flow_run, k);
-
-			count += r->job == run->job &&
-			    r->occurrence == run->occurrence &&
-			    r->step == run->step && r->index == run->index;
-		}
+		     k++)
+			count += same_task(&lost_run(loss, k)->id, run);
 	}
 	return count;
 }
