--- a/test/dispatch_crash.c
+++ b/test/dispatch_crash.c
@@ -8,7 +8,8 @@
 	G_GUINT64_CONSTANT(0xdead0) /* the first of DEADLY_MAX such jobs */
 #define DEADLY_PATH "/renders/00000000000dead0"
 #define DEADLY_MAX 4
-#define WORKERS_MAX 6
+#define TASKS_MAX 5 /* of a deadly job */
+#define WORKERS_MAX 12
 #define HEARTBEAT_MS 100
 #define LEASE_LIMIT_MS                                         \
 	7000 /* by then the lease of a lost worker has expired \
@@ -28,7 +29,7 @@
 	uint64_t term;
 };
 
-static int deadly_starts[DEADLY_MAX]; /* by job */
+static int deadly_starts[DEADLY_MAX][TASKS_MAX]; /* by job and task */
 
 static bool
 is_of_deadly_job(const struct flow_run *id)
@@ -41,7 +42,7 @@
 {
 	if (!is_of_deadly_job(id))
 		return false;
-	deadly_starts[id->job - DEADLY]++;
+	deadly_starts[id->job - DEADLY][id->index]++;
 	return true;
 }
 
@@ -136,7 +137,8 @@
 static bool
 is_given_up(const struct fleet *f, int job)
 {
-	g_assert_cmpint(deadly_starts[job], <=, DEADLY_STARTS_MAX);
+	for (int i = 0; i < TASKS_MAX; i++)
+		g_assert_cmpint(deadly_starts[job][i], <=, DEADLY_STARTS_MAX);
 	return flow_job(f->l->flow, DEADLY + (uint64_t)job)->state ==
 	    FLOW_FAILED;
 }
@@ -199,6 +201,24 @@
 	fleet_free(&f);
 }
 
+/* The task crashes its worker some time after its start. */
+static void
+test_deadly_task_late(void)
+{
+	struct fleet f = fleet_new(4, 400);
+
+	for (int i = 0; i < f.count; i++)
+		f.worker[i]->deadly_after_ms = 2000;
+	leader_submit_step(f.l, DEADLY_PATH,
+	    (struct flow_step){ .count = 1,
+		.resources = { 1000, 1 << 20, 0 },
+		.runtime_ms = 60000,
+		.best_effort = true /* no progress is expected */ });
+	await_given_up(&f);
+	await_innocents(&f);
+	fleet_free(&f);
+}
+
 /* The same when the workers stay down for longer than a lease. */
 static void
 test_deadly_task_long_outage(void)
@@ -249,14 +269,53 @@
 	fleet_free(&f);
 }
 
+/* Awaits that all deadly jobs are given up, while innocent ones come. */
+static void
+await_all_given_up(struct fleet *f)
+{
+	int64_t limit = mono_ms() + FLEET_LIMIT_MS;
+	int given_up = 0;
+
+	while (given_up < DEADLY_MAX) {
+		g_assert_cmpint(mono_ms(), <, limit);
+		for (int i = 0; i < 4; i++)
+			submit_innocent(f);
+		fleet_run_for(f, 50);
+		given_up = 0;
+		for (int i = 0; i < DEADLY_MAX; i++)
+			given_up += is_given_up(f, i);
+	}
+}
+
+/* Gangs of which every member is deadly: each of their runs crashes several
+ * workers at once, with what runs beside them. */
+static void
+test_deadly_gangs(void)
+{
+	struct fleet f = fleet_new(WORKERS_MAX, 400);
+
+	for (int i = 0; i < DEADLY_MAX; i++) {
+		char *path = g_strdup_printf(
+		    "/renders/%016" G_GINT64_MODIFIER "x", DEADLY + (guint64)i);
+
+		leader_submit_step(f.l, path,
+		    (struct flow_step){ .count = TASKS_MAX,
+			.resources = { 1500, 1 << 20, 0 },
+			.runtime_ms = 1000,
+			.gang = true });
+		g_free(path);
+	}
+	await_all_given_up(&f);
+	await_innocents(&f);
+	fleet_free(&f);
+}
+
 /* Several deadly jobs at once on workers that innocent ones fill: each of them
  * is given up, and no innocent one. */
 static void
 test_deadly_crowd(void)
 {
 	struct fleet f = fleet_new(6, 400);
-	int64_t limit = mono_ms() + FLEET_LIMIT_MS;
-	int given_up = 0;
 
 	for (int i = 0; i < DEADLY_MAX; i++) {
 		char *path = g_strdup_printf(
@@ -265,15 +324,7 @@
 		leader_submit(f.l, path, 1, 1000);
 		g_free(path);
 	}
-	while (given_up < DEADLY_MAX) {
-		g_assert_cmpint(mono_ms(), <, limit);
-		for (int i = 0; i < 4; i++)
-			submit_innocent(&f);
-		fleet_run_for(&f, 50);
-		given_up = 0;
-		for (int i = 0; i < DEADLY_MAX; i++)
-			given_up += is_given_up(&f, i);
-	}
+	await_all_given_up(&f);
 	await_innocents(&f);
 	fleet_free(&f);
 }
@@ -336,11 +387,13 @@
 crash_tests_add(void)
 {
 	g_test_add_func("/dispatch/deadly-task", test_deadly_task);
+	g_test_add_func("/dispatch/deadly-task-late", test_deadly_task_late);
 	g_test_add_func(
 	    "/dispatch/deadly-task-long-outage", test_deadly_task_long_outage);
 	g_test_add_func(
 	    "/dispatch/deadly-task-takeover", test_deadly_task_takeover);
 	g_test_add_func("/dispatch/deadly-gang", test_deadly_gang);
+	g_test_add_func("/dispatch/deadly-gangs", test_deadly_gangs);
 	g_test_add_func("/dispatch/deadly-crowd", test_deadly_crowd);
 	g_test_add_func(
 	    "/dispatch/unreachable-worker", test_unreachable_worker);
--- a/test/stubworker.c
+++ b/test/stubworker.c
@@ -291,7 +291,8 @@
 {
 	struct stub_worker *w = arg;
 	struct stub_run r = { .started_ms = mono_ms() };
-	struct timeval now = { 0 };
+	struct timeval delay = { .tv_sec = w->deadly_after_ms / 1000,
+		.tv_usec = w->deadly_after_ms % 1000 * 1000 };
 	uint64_t fence;
 	int64_t lease_until_ms;
 
@@ -320,11 +321,13 @@
 		return;
 	}
 	if (w->is_deadly != NULL && w->is_deadly(&r.id)) {
-		g_ptr_array_add(w->unanswered, req);
 		/* Not within a callback of its server. */
 		event_base_once(
-		    w->base, -1, EV_TIMEOUT, on_deadly_start, w, &now);
-		return;
+		    w->base, -1, EV_TIMEOUT, on_deadly_start, w, &delay);
+		if (w->deadly_after_ms == 0) {
+			g_ptr_array_add(w->unanswered, req);
+			return;
+		}
 	}
 	if (find_run(w, &r.id) < 0)
 		g_array_append_val(w->running, r);
--- a/test/stubworker.h
+++ b/test/stubworker.h
@@ -38,8 +38,9 @@
 	GArray *held_starts; /* struct flow_run: those orders */
 	int fail_runs; /* how many runs fail as soon as they start */
 	int refuse_starts; /* how many start orders to refuse: no resources */
-	/* Runs that crash the worker as soon as they start; NULL: none. */
+	/* Runs that crash the worker; NULL: none. */
 	bool (*is_deadly)(const struct flow_run *id);
+	int64_t deadly_after_ms; /* from their start; 0: before any answer */
 	int64_t run_ms; /* after which a run is done; 0: never */
 	bool (*never_ends)(const struct flow_run *id); /* NULL: none */
 	int64_t down_ms; /* from a crash to the restart; 0: stays down */
