dispatch: after five losses without a known cause a task isn't started a sixth time

If the workers that a task has crashed don't come back at their address, nothing proves the crashes; after five such losses it waits until their records are removed (60 s) rather than 15 s.

--- a/lib/dispatch/apart.c
+++ b/lib/dispatch/apart.c
@@ -12,7 +12,8 @@
 #define APART_WAIT_MS 300
 #define ALONE_WAIT_MS 1500
 /* A task that may have crashed too many workers waits until that is known, but
- * not longer than this since its last start. */
+ * not longer than this since its last start; after FLOW_CRASHES_MAX losses
+ * until their records are removed. */
 #define SUSPECT_WAIT_MS 15000
 
 enum separation
@@ -64,8 +65,11 @@
     const struct flow_task *task)
 {
 	/* A long-running task has to be at work again within seconds. */
-	return !step->long_running && flow_task_may_be_given_up(task) &&
-	    rd->cell_now - task->assigned_ms < SUSPECT_WAIT_MS;
+	if (step->long_running || !flow_task_may_be_given_up(task))
+		return false;
+	return rd->cell_now - task->assigned_ms < SUSPECT_WAIT_MS ||
+	    flow_task_suspicion(task) + task->explained_crashes >=
+	    FLOW_CRASHES_MAX;
 }
 
 bool
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -284,6 +284,7 @@
 end_all_runs(struct holder *h, const char *why)
 {
 	GArray *ends = g_array_new(FALSE, TRUE, sizeof(struct flow_end));
+	GPtrArray *ended = g_ptr_array_new();
 	uint32_t count;
 
 	for (guint i = 0; i < h->runs->len; i++) {
@@ -306,14 +307,15 @@
 		    run_name(&r->id), h->name, why, runs_beside(r),
 		    h->answered_ms == 0 ? -1 : mono_ms() - h->answered_ms);
 		g_array_append_val(ends, e);
+		g_ptr_array_add(ended, r);
 	}
 	if (ends->len > 0 && runs_end(h->d, ends) != 0)
-		for (guint i = 0; i < ends->len; i++)
-			run_find(
-			    h->d, &g_array_index(ends, struct flow_end, i).id)
-			    ->state = RUN_ENDING;
+		for (guint i = 0; i < ended->len; i++)
+			((struct active_run *)ended->pdata[i])->state =
+			    RUN_ENDING;
 	count = ends->len;
 	g_array_unref(ends);
+	g_ptr_array_unref(ended);
 	return count;
 }
 
