dispatch: a closed connection says when a worker crashed

A poll's connection that the worker closes shows that it lived until then. With that, a run counts as just started for 1 s instead of 1.5 s.

--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -628,6 +628,9 @@
 		holder_poll(h, now);
 		return;
 	}
+	if (status == 0 && g_strcmp0(why, HTTP_TIMEOUT) != 0 &&
+	    g_strcmp0(why, HTTP_NO_CONNECTION) != 0)
+		h->closed_ms = now;
 	h->poll_failed = true;
 	h->poll_due_ms =
 	    now + (h->lease_expired ? POLL_EXPIRED_MS : POLL_RETRY_MS);
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -87,6 +87,7 @@
 	bool ends_pending; /* that proposal isn't applied yet */
 	uint64_t polls; /* serial of the last poll */
 	int64_t answered_ms; /* time of its last answer; 0: none yet */
+	int64_t closed_ms; /* when it last closed a poll's connection */
 	int64_t heartbeat_ms; /* time of its last heartbeat */
 	int64_t heartbeat_seq;
 	struct resources used; /* by runs that are assigned or proposed */
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -5,7 +5,7 @@
 #define RESEND_MAX_MS 800 /* a worker that is back gets it within 1 s */
 /* A run that was there for less when its worker was last heard of had just
  * started. */
-#define START_MS 1500
+#define START_MS 1000
 #define UNHEALTHY_EXCLUDE_MS 1500 /* no new work for an unhealthy worker */
 
 guint
@@ -132,11 +132,12 @@
 enum flow_end_outcome
 run_lost_outcome(const struct active_run *r)
 {
-	const struct dispatch *d = r->holder->d;
+	const struct holder *h = r->holder;
+	const struct dispatch *d = h->d;
 	const struct flow_task *task = flow_task(d->conf.flow, &r->id, NULL);
 	/* When its worker was last heard of, by this leader. */
-	int64_t silent_ms = mono_ms() - MAX(r->holder->answered_ms, d->lead_ms);
-	int64_t heard_ms = flow_time_ms(d->conf.flow) - silent_ms;
+	int64_t last_ms = MAX(MAX(h->answered_ms, h->closed_ms), d->lead_ms);
+	int64_t heard_ms = flow_time_ms(d->conf.flow) - (mono_ms() - last_ms);
 
 	if (r->state == RUN_ORDERED && !r->may_start && !r->order_pending)
 		return FLOW_END_REFUSED;
--- a/lib/httpd/client.c
+++ b/lib/httpd/client.c
@@ -110,7 +110,7 @@
 {
 	switch (error) {
 	case EVREQ_HTTP_TIMEOUT:
-		return "timeout";
+		return HTTP_TIMEOUT;
 	case EVREQ_HTTP_EOF:
 		return "connection closed";
 	case EVREQ_HTTP_INVALID_HEADER:
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -110,8 +110,10 @@
 /* A server that requests are sent to, one at a time. */
 struct http_peer;
 
-/* Value of why in an http_answer if the peer can't have got the request. */
+/* Values of why in an http_answer: the peer can't have got the request; it gave
+ * no answer in time. */
 #define HTTP_NO_CONNECTION "no connection"
+#define HTTP_TIMEOUT "timeout"
 
 /*
  * Called once with the response to a request. Status 0 means that there was
