--- a/test/dispatch_crash.c
+++ b/test/dispatch_crash.c
@@ -4,19 +4,17 @@
 #include "dispatch_test.h"
 #include "stubleader.h"
 
-#define DEADLY \
-	G_GUINT64_CONSTANT(0xdead0) /* the first of DEADLY_MAX such jobs */
+/* The first of DEADLY_MAX deadly jobs. */
+#define DEADLY G_GUINT64_CONSTANT(0xdead0)
 #define DEADLY_PATH "/renders/00000000000dead0"
 #define DEADLY_MAX 4
 #define TASKS_MAX 5 /* of a deadly job */
 #define WORKERS_MAX 12
 #define HEARTBEAT_MS 100
-#define LEASE_LIMIT_MS                                         \
-	7000 /* by then the lease of a lost worker has expired \
-	      */
 #define FLEET_LIMIT_MS 90000 /* only a fault takes that long */
-/* A task may be started twice more after three workers have crashed under it.
- */
+/* By then the lease of a lost worker has expired. */
+#define LEASE_LIMIT_MS 7000
+/* Three under which a worker crashes, and two more. */
 #define DEADLY_STARTS_MAX 5
 
 /* Workers that send heartbeats and return after a crash. */
@@ -25,7 +23,7 @@
 	struct stub_worker *worker[WORKERS_MAX];
 	int count;
 	int64_t heartbeat_ms;
-	int innocents; /* jobs submitted by fleet_submit_innocent() */
+	int innocents; /* jobs submitted by submit_innocent() */
 	uint64_t term;
 };
 
