--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -99,8 +99,7 @@
 	GPtrArray *runs; /* struct active_run */
 	uint32_t suspects; /* of these, how many are suspected of crashes */
 	struct round_worker *in_round; /* during a placement round, or NULL */
-	int64_t
-	    restarted_ms; /* when it followed a crashed incarnation; 0: no */
+	int64_t restarted_ms; /* after a crash of the one before; 0: none */
 	double slowdown; /* run time multiplier, measured ... */
 	int64_t slowdown_ms; /* ... at this time */
 	int64_t excluded_until_ms; /* gets no new work until then */
