--- a/test/cell_test.c
+++ b/test/cell_test.c
@@ -1,4 +1,5 @@
 #include "cell_help.h"
+#include "codec.h"
 
 #define BASE                                                   \
 	"teams:\n  desk: {weight: 1}\n  press: {weight: 1}\n"  \
@@ -499,6 +500,104 @@
 	cell_free(c);
 }
 
+#define WORKERS_AT 9 /* in a snapshot ... */
+#define JOBS_AT 10
+#define WORKER_FIELDS_OLD 16 /* ... of a build without crash scores */
+#define TASK_FIELDS 11 /* of a task, now; one of them is the score */
+#define SCORE_AT 6
+
+static void
+put_old_worker(msgpack_packer *pk, const msgpack_object *o)
+{
+	msgpack_pack_array(pk, WORKER_FIELDS_OLD);
+	for (int i = 0; i < WORKER_FIELDS_OLD; i++)
+		msgpack_pack_object(pk, o->via.array.ptr[i]);
+}
+
+/* The last field of a job is the list of all fields of its tasks. */
+static void
+put_old_job(msgpack_packer *pk, const msgpack_object *o)
+{
+	uint32_t last = o->via.array.size - 1;
+	const msgpack_object_array *tasks = &o->via.array.ptr[last].via.array;
+
+	msgpack_pack_array(pk, last + 1);
+	for (uint32_t i = 0; i < last; i++)
+		msgpack_pack_object(pk, o->via.array.ptr[i]);
+	msgpack_pack_array(pk, tasks->size / TASK_FIELDS * (TASK_FIELDS - 1));
+	for (uint32_t i = 0; i < tasks->size; i++)
+		if (i % TASK_FIELDS != SCORE_AT)
+			msgpack_pack_object(pk, tasks->ptr[i]);
+}
+
+static void
+put_old_list(msgpack_packer *pk, const msgpack_object *list,
+    void (*put)(msgpack_packer *pk, const msgpack_object *o))
+{
+	msgpack_pack_array(pk, list->via.array.size);
+	for (uint32_t i = 0; i < list->via.array.size; i++)
+		put(pk, &list->via.array.ptr[i]);
+}
+
+/* Rewrites a snapshot as the last build without crash scores wrote it. */
+static GBytes *
+old_snapshot(const struct cell *c)
+{
+	GBytes *bytes = cell_snapshot(c);
+	msgpack_unpacked u;
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+	gsize len;
+	const char *data = g_bytes_get_data(bytes, &len);
+
+	msgpack_unpacked_init(&u);
+	g_assert_cmpint(msgpack_unpack_next(&u, data, len, NULL), ==,
+	    MSGPACK_UNPACK_SUCCESS);
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, u.data.via.array.size);
+	for (uint32_t i = 0; i < u.data.via.array.size; i++) {
+		const msgpack_object *o = &u.data.via.array.ptr[i];
+
+		if (i == WORKERS_AT)
+			put_old_list(&pk, o, put_old_worker);
+		else if (i == JOBS_AT)
+			put_old_list(&pk, o, put_old_job);
+		else
+			msgpack_pack_object(&pk, *o);
+	}
+	msgpack_unpacked_destroy(&u);
+	g_bytes_unref(bytes);
+	return codec_take_buffer(&buf);
+}
+
+/* Snapshots of the last build without crash scores are read. */
+static void
+test_earlier_snapshot(void)
+{
+	uint32_t w;
+	struct cell *c = small_cell(&w);
+	uint64_t job = do_submit(c, KIND_BATCH, 3, true);
+	struct cell *copy = cell_new();
+	GBytes *old;
+	GBytes *first;
+	GBytes *second;
+	GError *err = NULL;
+
+	g_assert_cmpuint(do_start(c, job, 2, w), ==, 2);
+	old = old_snapshot(c);
+	g_assert_true(cell_restore(copy, old, &err));
+	g_assert_no_error(err);
+	first = cell_snapshot(c);
+	second = cell_snapshot(copy);
+	g_assert_true(g_bytes_equal(first, second));
+	g_bytes_unref(old);
+	g_bytes_unref(first);
+	g_bytes_unref(second);
+	cell_free(copy);
+	cell_free(c);
+}
+
 /* A worker that was lost and is back without a restart has not crashed. */
 static void
 test_silent_worker(void)
@@ -1035,6 +1134,7 @@
 	g_test_add_func("/cell/crash-limit", test_crash_limit);
 	g_test_add_func("/cell/crash-limit-gang", test_crash_limit_gang);
 	g_test_add_func("/cell/silent-worker", test_silent_worker);
+	g_test_add_func("/cell/earlier-snapshot", test_earlier_snapshot);
 	g_test_add_func("/cell/late-announcement", test_late_announcement);
 	g_test_add_func("/cell/ends", test_ends);
 	g_test_add_func("/cell/start-limits", test_start_limits);
