flow, dispatch: less work for each new worker and each waiting gang

Each new worker sorted all workers by id, 540 times at a start of a large cell; only the incarnations that it follows need the order. Each round looked up every member of a waiting gang among the runs; its starts are proposed together, so one member stands for all, as before. end_older_incarnations() compares name and address once. No decision changes.

--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -149,20 +149,17 @@
 		struct holder *h = value;
 		const struct flow_worker *older =
 		    flow_worker(d->conf.flow, h->id);
-		const char *why;
+		bool same_address = strcmp(h->address, w->address) == 0;
+		bool same_name = strcmp(h->name, w->name) == 0;
 
-		if (h->id == w->id || h->started_ms >= w->started_ms)
-			continue;
-		if (strcmp(h->address, w->address) == 0)
-			why = "a later incarnation has its address";
-		else if (strcmp(h->name, w->name) == 0)
-			why = "a later incarnation has its name";
-		else
+		if (h->id == w->id || h->started_ms >= w->started_ms ||
+		    !(same_address || same_name))
 			continue;
 		crashed |= older != NULL && !older->draining;
-		h->name_reused |= strcmp(h->name, w->name) == 0 &&
-		    strcmp(h->address, w->address) == 0;
-		holder_declare_dead(h, why);
+		h->name_reused |= same_address && same_name;
+		holder_declare_dead(h,
+		    same_address ? "a later incarnation has its address"
+				 : "a later incarnation has its name");
 	}
 	return crashed;
 }
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -237,17 +237,19 @@
 }
 
 /* A gang starts once no member of its last run is left and none is held back.
- */
+ * Its starts are proposed together: one member stands for all. */
 static bool
 gang_waits(const struct round *rd, const struct flow_job *job,
     const struct flow_occurrence *occurrence, uint32_t step)
 {
 	const struct flow_step_state *st = &occurrence->steps[step];
 
-	if (st->pending < st->count)
+	if (st->pending < st->count ||
+	    !task_waits(rd, job, occurrence, step, 0))
 		return false;
 	for (uint32_t i = 0; i < st->count; i++)
-		if (!task_waits(rd, job, occurrence, step, i))
+		if (apart_holds_back(
+			rd, flow_job_step(job, step), &st->tasks[i]))
 			return false;
 	return true;
 }
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -131,8 +131,8 @@
 	g_hash_table_replace(f->workers_by_name, w->name, w);
 }
 
-static gint
-by_id(gconstpointer a, gconstpointer b)
+gint
+worker_compare(gconstpointer a, gconstpointer b)
 {
 	const struct flow_worker *x = a;
 	const struct flow_worker *y = b;
@@ -140,12 +140,6 @@
 	return x->id < y->id ? -1 : x->id > y->id;
 }
 
-GList *
-workers_by_id(const struct flow *f)
-{
-	return g_list_sort(g_hash_table_get_values(f->workers), by_id);
-}
-
 void
 queued_add(struct flow *f, const char *queue, int by)
 {
--- a/lib/flow/internal.h
+++ b/lib/flow/internal.h
@@ -81,8 +81,8 @@
 struct flow_occurrence *
 occurrence_new(const struct flow_job *job, uint32_t number);
 void worker_add(struct flow *f, struct flow_worker *w);
-/* All workers, in the same order on every replica. */
-GList *workers_by_id(const struct flow *f);
+/* Compares the ids of two struct flow_worker. */
+gint worker_compare(gconstpointer a, gconstpointer b);
 void queued_add(struct flow *f, const char *queue, int by);
 /* Ends a job as failed, after crashes of its workers. */
 void job_give_up(struct flow *f, struct flow_job *job);
--- a/lib/flow/losses.c
+++ b/lib/flow/losses.c
@@ -194,17 +194,23 @@
 void
 losses_note_incarnation(struct flow *f, const struct flow_worker *w)
 {
-	GList *workers = workers_by_id(f);
+	GList *earlier = NULL; /* in the same order on every replica */
+	GHashTableIter iter;
+	gpointer value;
 
-	/* Their runs have not been reported as lost yet. */
-	for (GList *i = workers; i != NULL; i = i->next) {
-		const struct flow_worker *o = i->data;
+	g_hash_table_iter_init(&iter, f->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct flow_worker *o = value;
 
 		if (!o->draining &&
 		    is_followed_by(o->name, o->address, NULL, o->started_ms, w))
-			(void)get_loss(f, o);
+			earlier = g_list_insert_sorted(
+			    earlier, value, worker_compare);
 	}
-	g_list_free(workers);
+	/* Their runs have not been reported as lost yet. */
+	for (GList *i = earlier; i != NULL; i = i->next)
+		(void)get_loss(f, i->data);
+	g_list_free(earlier);
 	for (guint i = 0; i < f->losses->len; i++) {
 		struct loss *loss = f->losses->pdata[i];
 
--- a/lib/flow/snapshot.c
+++ b/lib/flow/snapshot.c
@@ -143,7 +143,8 @@
 static void
 put_workers(msgpack_packer *pk, const struct flow *f)
 {
-	GList *workers = workers_by_id(f);
+	GList *workers =
+	    g_list_sort(g_hash_table_get_values(f->workers), worker_compare);
 
 	msgpack_pack_array(pk, g_hash_table_size(f->workers));
 	for (GList *i = workers; i != NULL; i = i->next)
