--- a/test/dispatch_capacity.c
+++ b/test/dispatch_capacity.c
@@ -27,19 +27,12 @@
 static void
 place_before(struct leader *l, const struct stub_worker *a)
 {
-	GBytes *spec;
-	struct flow_spec s = { .payload = g_strdup("work"),
-		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
-	struct flow_step *step = flow_step_new();
 	uint64_t proposed;
 
-	step->count = 1;
-	step->resources = (struct resources){ 1000, 1 << 20, 0 };
-	g_ptr_array_add(s.steps, step);
-	spec = flow_spec_encode(&s);
-	flow_spec_clear(&s);
 	l->hold_commands = true;
-	leader_send(l, REQUEST_SUBMIT, JOB_PATH, spec);
+	leader_send(l, REQUEST_SUBMIT, JOB_PATH,
+	    leader_spec((struct flow_step){
+		.count = 1, .resources = { 1000, 1 << 20, 0 } }));
 	leader_send(l, REQUEST_WORKER, "", leader_worker(a, false));
 	leader_apply(l);
 	proposed = l->proposed;
@@ -184,6 +177,17 @@
 	leader_free(l);
 }
 
+static void
+restart_under_name(struct stub_worker *w)
+{
+	char *name = g_strdup(w->name);
+
+	stub_worker_crash(w);
+	stub_worker_restart(w);
+	g_free(w->name);
+	w->name = name;
+}
+
 /* A worker restarts under its name between the decision to start a run there
  * and the order: the order isn't sent to the new incarnation, which would run
  * the task although the run counts as ended. */
@@ -192,12 +196,8 @@
 {
 	struct leader *l = leader_new();
 	struct stub_worker *a = add_worker(l);
-	char *name = g_strdup(a->name);
 
-	stub_worker_crash(a);
-	stub_worker_restart(a);
-	g_free(a->name);
-	a->name = name;
+	restart_under_name(a);
 	place_before(l, a);
 	AWAIT(l, a->running->len == 1);
 	g_assert_cmpuint(
@@ -216,15 +216,11 @@
 	struct leader *l = leader_new();
 	struct stub_worker *a = add_worker(l);
 	struct stub_worker *b = stub_worker_new(l->base, "b");
-	char *name = g_strdup(a->name);
 	int64_t until;
 
 	set_millicpus(l, b, 500);
 	AWAIT(l, b->polls > 1);
-	stub_worker_crash(a);
-	stub_worker_restart(a);
-	g_free(a->name);
-	a->name = name;
+	restart_under_name(a);
 	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, a->running->len == 1);
 	set_millicpus(l, b, 4000);
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -201,36 +201,37 @@
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 }
 
-void
-leader_submit(
-    struct leader *l, const char *path, uint32_t count, int64_t millicpus)
+GBytes *
+leader_spec(struct flow_step values)
 {
 	struct flow_spec spec = { .payload = g_strdup("work"),
 		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
 	struct flow_step *s = flow_step_new();
+	GBytes *bytes;
 
-	s->count = count;
-	s->resources = (struct resources){ millicpus, 1 << 20, 0 };
-	s->runtime_ms = 60000;
+	values.after = s->after;
+	*s = values;
 	g_ptr_array_add(spec.steps, s);
-	leader_request(l, REQUEST_SUBMIT, path, flow_spec_encode(&spec));
-	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
+	bytes = flow_spec_encode(&spec);
 	flow_spec_clear(&spec);
+	return bytes;
 }
 
 void
-leader_submit_step(struct leader *l, const char *path, struct flow_step values)
+leader_submit(
+    struct leader *l, const char *path, uint32_t count, int64_t millicpus)
 {
-	struct flow_spec spec = { .payload = g_strdup("work"),
-		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
-	struct flow_step *s = flow_step_new();
+	leader_submit_step(l, path,
+	    (struct flow_step){ .count = count,
+		.resources = { millicpus, 1 << 20, 0 },
+		.runtime_ms = 60000 });
+}
 
-	values.after = s->after;
-	*s = values;
-	g_ptr_array_add(spec.steps, s);
-	leader_request(l, REQUEST_SUBMIT, path, flow_spec_encode(&spec));
+void
+leader_submit_step(struct leader *l, const char *path, struct flow_step values)
+{
+	leader_request(l, REQUEST_SUBMIT, path, leader_spec(values));
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
-	flow_spec_clear(&spec);
 }
 
 struct leader *
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -63,9 +63,10 @@
 GBytes *leader_worker(const struct stub_worker *w, bool draining);
 void
 leader_heartbeat(struct leader *l, const struct stub_worker *w, bool draining);
+/* Encodes a job with one step, which depends on no other step. */
+GBytes *leader_spec(struct flow_step values);
 void leader_submit(
     struct leader *l, const char *path, uint32_t count, int64_t millicpus);
-/* Submits a job with one step, which depends on no other step. */
 void
 leader_submit_step(struct leader *l, const char *path, struct flow_step values);
 
