flow, auth: organisations with keys in the configuration; the leader checks the key of each call

Cause: calls of unknown keys were carried out, and no job had an owner. The configuration now has organisations with keys, weights and caps; each call carries its key to the leader, which checks it against the configuration that it has applied. Without organisations all encodings are as before.

--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -123,7 +123,9 @@
 	l = mesh_leader(n->mesh);
 	if (l == NULL)
 		return false;
-	frame_send(l, FRAME_REQUEST, req);
+	frame_send(l,
+	    req->credential == NULL ? FRAME_REQUEST : FRAME_REQUEST_WITH_KEY,
+	    req);
 	return true;
 }
 
@@ -344,6 +346,7 @@
 {
 	switch (type) {
 	case FRAME_REQUEST:
+	case FRAME_REQUEST_WITH_KEY:
 		dispatch_handle_request(
 		    n->dispatch, process_of_link(n, l), msg);
 		break;
@@ -358,6 +361,18 @@
 	}
 }
 
+/* Empty fields are left out of a frame and decoded as NULL. */
+static void
+fill_empty_fields(struct request *req)
+{
+	if (req->body == NULL)
+		req->body = g_bytes_new_static("", 0);
+	if (req->host == NULL)
+		req->host = g_strdup("");
+	if (req->path == NULL)
+		req->path = g_strdup("");
+}
+
 static void
 on_frame(void *arg, struct mesh_link *l, int type, const void *data, size_t len)
 {
@@ -374,7 +389,7 @@
 		handle_bootstrap(n);
 		return;
 	}
-	if (type > FRAME_BOOTSTRAP)
+	if (type > FRAME_REQUEST_WITH_KEY)
 		return;
 	if (!shape_decode(data, len, frame_shape(type), &msg, &err)) {
 		log_warn("cellnode", "event=frame-dropped peer=%s why=\"%s\"",
@@ -382,13 +397,8 @@
 		g_clear_error(&err);
 		return;
 	}
-	/* Empty fields are left out of a frame and decoded as NULL. */
-	if (type == FRAME_REQUEST && msg.request.body == NULL)
-		msg.request.body = g_bytes_new_static("", 0);
-	if (type == FRAME_REQUEST && msg.request.host == NULL)
-		msg.request.host = g_strdup("");
-	if (type == FRAME_REQUEST && msg.request.path == NULL)
-		msg.request.path = g_strdup("");
+	if (type == FRAME_REQUEST || type == FRAME_REQUEST_WITH_KEY)
+		fill_empty_fields(&msg.request);
 	if (type == FRAME_ANSWER && msg.answer.text == NULL)
 		msg.answer.text = g_bytes_new_static("", 0);
 	handle_frame(n, l, type, &msg);
--- a/lib/cellnode/frames.c
+++ b/lib/cellnode/frames.c
@@ -11,6 +11,12 @@
 	AT(request, path, FIELD_STR), AT(request, seq, FIELD_I64),
 	AT(request, body, FIELD_BYTES) };
 
+static const struct field request_with_key_fields[] = { AT(request, id,
+							    FIELD_U64),
+	AT(request, op, FIELD_U32), AT(request, host, FIELD_STR),
+	AT(request, path, FIELD_STR), AT(request, seq, FIELD_I64),
+	AT(request, body, FIELD_BYTES), AT(request, credential, FIELD_STR) };
+
 static const struct field answer_fields[] = { AT(answer, id, FIELD_U64),
 	AT(answer, result, FIELD_U32), AT(answer, retry_ms, FIELD_I64),
 	AT(answer, text, FIELD_BYTES) };
@@ -36,6 +42,10 @@
 	    G_N_ELEMENTS(query_fields), sizeof(struct policy_query) },
 	[FRAME_POLICY_PERMITS - MESH_FRAME_FIRST] = { "permits", permits_fields,
 	    G_N_ELEMENTS(permits_fields), sizeof(struct policy_permits) },
+	/* Earlier versions ignore it: the request times out as unknown. */
+	[FRAME_REQUEST_WITH_KEY - MESH_FRAME_FIRST] = { "keyed request",
+	    request_with_key_fields, G_N_ELEMENTS(request_with_key_fields),
+	    sizeof(struct request) },
 };
 
 const struct shape *
--- a/lib/cellnode/impl.h
+++ b/lib/cellnode/impl.h
@@ -15,7 +15,8 @@
 	FRAME_ANSWER,
 	FRAME_POLICY_QUERY, /* from the leader: query the policy service */
 	FRAME_POLICY_PERMITS, /* the answer to FRAME_POLICY_QUERY */
-	FRAME_BOOTSTRAP /* to one replica: form the new cell */
+	FRAME_BOOTSTRAP, /* to one replica: form the new cell */
+	FRAME_REQUEST_WITH_KEY /* a FRAME_REQUEST with a credential */
 };
 
 struct policy_query {
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -459,6 +459,9 @@
 	m->refused =
 	    counter_new(r, COUNTER_TOTAL, "bulrushtide_step_jobs_refused_total",
 		"", "Jobs refused before they had any effect.");
+	m->unauthenticated = counter_new(r, COUNTER_TOTAL,
+	    "bulrushtide_step_unauthenticated_total", "",
+	    "Calls without a valid key.");
 	m->starts = counter_new(r, COUNTER_TOTAL,
 	    "bulrushtide_step_starts_total", "", "Runs assigned to workers.");
 	m->stops = counter_new(r, COUNTER_TOTAL, "bulrushtide_step_stops_total",
--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -18,6 +18,7 @@
 
 /* Operations, with the members of struct request that each uses. */
 enum request_op {
+	/* Calls of callers use credential too. */
 	REQUEST_SUBMIT, /* host, path; body: the job's spec */
 	REQUEST_STATE, /* host, path */
 	REQUEST_CANCEL, /* host, path */
@@ -45,7 +46,9 @@
 	REQUEST_UNKNOWN, /* may have been carried out */
 	/* The data is too large to be sent on by another process: to be
 	 * requested at the one that leads. */
-	REQUEST_AT_LEADER
+	REQUEST_AT_LEADER,
+	REQUEST_UNAUTHENTICATED, /* not carried out: no valid key */
+	REQUEST_FORBIDDEN /* not carried out: another organisation's job */
 };
 
 struct request {
@@ -55,6 +58,7 @@
 	char *path;
 	int64_t seq;
 	GBytes *body;
+	char *credential; /* key of the caller's organisation; NULL: none */
 };
 
 struct answer {
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -160,6 +160,7 @@
 struct meters {
 	struct counter *accepted;
 	struct counter *refused;
+	struct counter *unauthenticated;
 	struct counter *starts;
 	struct counter *stops;
 	struct counter *lost;
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -1,6 +1,7 @@
 /* Requests that entries forward for callers, workers and operators. */
 #include <stdlib.h>
 
+#include "auth.h"
 #include "impl.h"
 
 #define JOB_ID_DIGITS 16 /* hexadecimal */
@@ -60,15 +61,47 @@
 	return true;
 }
 
-/* Finds the queue and job id of a request. If there are none it answers the
- * request and returns NULL. */
+/* The organisation whose key a request carries, or NULL. */
+static const struct flow_organisation *
+organisation_of(const struct dispatch *d, const struct request *req)
+{
+	return flow_organisation_of_key(d->conf.flow, req->credential);
+}
+
+/*
+ * Says whether a request may use a queue: it carries the key of an
+ * organisation in the current configuration, or needs none. Checked for each
+ * request by the leader, whose state is current, so a withdrawn key works
+ * nowhere once its withdrawal is acknowledged.
+ */
+static bool
+is_authenticated(
+    struct dispatch *d, const struct request *req, const struct flow_queue *q)
+{
+	char fingerprint[AUTH_FINGERPRINT_DIGITS + 1] = "none";
+
+	if (flow_config(d->conf.flow)->organisations == NULL || q->public ||
+	    organisation_of(d, req) != NULL)
+		return true;
+	if (req->credential != NULL)
+		auth_fingerprint(req->credential, fingerprint);
+	d->meter.unauthenticated->value++;
+	log_info("dispatch",
+	    "event=unauthenticated op=%u path=%s key=%s "
+	    "version=%" G_GUINT64_FORMAT,
+	    req->op, req->path, fingerprint,
+	    flow_config(d->conf.flow)->version);
+	return false;
+}
+
+/* Finds the queue of a request. If there is none, or the request may not use
+ * it, it answers the request and returns NULL. */
 static const struct flow_queue *
 find_queue(struct dispatch *d, uint64_t process, const struct request *req,
-    uint64_t *job)
+    const char **rest)
 {
-	const char *rest = NULL;
 	const struct flow_queue *q =
-	    flow_route(d->conf.flow, req->host, req->path, &rest);
+	    flow_route(d->conf.flow, req->host, req->path, rest);
 
 	if (q == NULL) {
 		if (flow_config(d->conf.flow)->version == 0)
@@ -78,11 +111,54 @@
 			reply_text(d, process, req, REQUEST_NO_QUEUE, "");
 		return NULL;
 	}
-	if (!parse_job(rest, job)) {
+	if (is_authenticated(d, req, q))
+		return q;
+	reply_text(d, process, req, REQUEST_UNAUTHENTICATED, "");
+	return NULL;
+}
+
+/* Says whether a request may see and change a job: its organisation submitted
+ * it, or the job has none. */
+static bool
+is_owner(const struct dispatch *d, const struct request *req,
+    const struct flow_job *job)
+{
+	const struct flow_organisation *o;
+
+	if (job->organisation == NULL ||
+	    flow_config(d->conf.flow)->organisations == NULL)
+		return true;
+	o = organisation_of(d, req);
+	return o != NULL && strcmp(o->name, job->organisation) == 0;
+}
+
+/*
+ * Finds the queue and the id of the job that a request is about, and the job
+ * if it is known. If the path names no job, or the job is another
+ * organisation's, it answers the request and returns NULL.
+ */
+static const struct flow_queue *
+find_job(struct dispatch *d, uint64_t process, const struct request *req,
+    uint64_t *id, const struct flow_job **job)
+{
+	const char *rest = NULL;
+	const struct flow_queue *q = find_queue(d, process, req, &rest);
+
+	*job = NULL;
+	if (q == NULL)
+		return NULL;
+	if (!parse_job(rest, id)) {
 		reply_text(d, process, req, REQUEST_NO_JOB, "");
 		return NULL;
 	}
-	return q;
+	*job = flow_job(d->conf.flow, *id);
+	if (*job == NULL || is_owner(d, req, *job))
+		return q;
+	log_info("dispatch",
+	    "event=forbidden job=%016" G_GINT64_MODIFIER "x op=%u", *id,
+	    req->op);
+	reply_text(d, process, req, REQUEST_FORBIDDEN, "");
+	return NULL;
 }
 
 static void
@@ -123,14 +199,16 @@
 {
 	struct flow_cmd cmd = { .type = FLOW_CMD_SUBMIT };
 	uint64_t job;
-	const struct flow_queue *q = find_queue(d, process, req, &job);
+	const struct flow_job *known;
+	const struct flow_queue *q = find_job(d, process, req, &job, &known);
+	const struct flow_organisation *owner = organisation_of(d, req);
 	gsize len;
 	const void *data;
 	struct proposal *p;
 
 	if (q == NULL)
 		return;
-	if (flow_job(d->conf.flow, job) != NULL) {
+	if (known != NULL) {
 		reply_text(d, process, req, REQUEST_DONE, "");
 		return;
 	}
@@ -143,6 +221,7 @@
 	}
 	cmd.u.submit.job = job;
 	cmd.u.submit.queue = q->name;
+	cmd.u.submit.organisation = owner == NULL ? NULL : owner->name;
 	p = dispatch_propose_then(d, &cmd, submit_applied);
 	flow_spec_clear(&cmd.u.submit.spec);
 	if (p == NULL) {
@@ -174,9 +253,8 @@
 	uint64_t id;
 	const struct flow_job *job;
 
-	if (find_queue(d, process, req, &id) == NULL)
+	if (find_job(d, process, req, &id, &job) == NULL)
 		return;
-	job = flow_job(d->conf.flow, id);
 	if (job == NULL)
 		reply_text(d, process, req, REQUEST_NO_JOB, "");
 	else if (job->state != FLOW_RUNNING)
@@ -247,9 +325,8 @@
 	struct proposal *p;
 	uint64_t id;
 
-	if (find_queue(d, process, req, &id) == NULL)
+	if (find_job(d, process, req, &id, &job) == NULL)
 		return;
-	job = flow_job(d->conf.flow, id);
 	if (job == NULL || flow_job_ended(job)) {
 		reply_text(d, process, req,
 		    job == NULL ? REQUEST_NO_JOB : REQUEST_DONE, "");
@@ -288,18 +365,14 @@
 handle_count(struct dispatch *d, uint64_t process, const struct request *req)
 {
 	const char *rest = NULL;
-	const struct flow_queue *q =
-	    flow_route(d->conf.flow, req->host, req->path, &rest);
+	const struct flow_queue *q = find_queue(d, process, req, &rest);
 	struct not_started c = { .d = d, .queue = q };
 	char number[16];
 
-	if (q == NULL || *rest != '\0') {
-		uint64_t id;
-
-		/* The path names no queue, or more than a queue. find_queue()
-		 * answers unless it names a job, which has no count. */
-		if (find_queue(d, process, req, &id) != NULL)
-			reply_text(d, process, req, REQUEST_NO_JOB, "");
+	if (q == NULL)
+		return;
+	if (*rest != '\0') {
+		reply_text(d, process, req, REQUEST_NO_JOB, "");
 		return;
 	}
 	flow_each_active_job(d->conf.flow, count_not_started, &c);
--- a/lib/flow/command.c
+++ b/lib/flow/command.c
@@ -87,10 +87,15 @@
 static void
 put_submit(msgpack_packer *pk, const struct flow_cmd *cmd)
 {
-	msgpack_pack_array(pk, 3);
+	bool owned = cmd->u.submit.organisation != NULL;
+
+	/* Without an organisation as earlier versions wrote it. */
+	msgpack_pack_array(pk, owned ? 4 : 3);
 	msgpack_pack_uint64(pk, cmd->u.submit.job);
 	put_str(pk, cmd->u.submit.queue);
 	spec_put(pk, &cmd->u.submit.spec);
+	if (owned)
+		put_str(pk, cmd->u.submit.organisation);
 }
 
 static void
@@ -101,6 +106,8 @@
 	cmd->u.submit.job = get_u64(&a);
 	cmd->u.submit.queue = get_str(&a, FLOW_TEXT_MAX);
 	spec_get(&a, &cmd->u.submit.spec);
+	if (a.left > 0)
+		cmd->u.submit.organisation = get_str(&a, FLOW_TEXT_MAX);
 	r->ok = r->ok && codec_done(&a) && cmd->u.submit.queue != NULL &&
 	    cmd->u.submit.spec.steps->len > 0;
 }
@@ -281,6 +288,7 @@
 		break;
 	case FLOW_CMD_SUBMIT:
 		g_free(cmd->u.submit.queue);
+		g_free(cmd->u.submit.organisation);
 		flow_spec_clear(&cmd->u.submit.spec);
 		break;
 	case FLOW_CMD_START:
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -57,6 +57,7 @@
 
 	job_free_work(job);
 	flow_queue_unref(job->queue);
+	g_free(job->organisation);
 	g_free(job);
 }
 
@@ -97,6 +98,7 @@
 	g_hash_table_remove_all(f->workers);
 	g_hash_table_remove_all(f->queued_counts);
 	g_clear_pointer(&f->routes, routes_free);
+	g_clear_pointer(&f->auth, auth_free);
 	flow_config_clear(&f->config);
 	f->last_worker_id = 0;
 	f->time_ms = 0;
@@ -299,16 +301,33 @@
 	retire_job(f, job);
 }
 
+void
+config_index(struct flow *f)
+{
+	const GPtrArray *organisations = f->config.organisations;
+
+	routes_free(f->routes);
+	f->routes = routes_new(f->config.queues);
+	auth_free(f->auth);
+	f->auth = organisations == NULL ? NULL : auth_new();
+	for (guint i = 0; organisations != NULL && i < organisations->len;
+	     i++) {
+		const struct flow_organisation *o = organisations->pdata[i];
+
+		for (guint k = 0; k < o->keys->len; k++)
+			(void)auth_add(f->auth, o->keys->pdata[k], i);
+	}
+}
+
 static enum flow_apply_result
 apply_config(struct flow *f, struct flow_cmd *cmd)
 {
 	if (cmd->u.config.version <= f->config.version)
 		return FLOW_STALE;
-	routes_free(f->routes);
 	flow_config_clear(&f->config);
 	f->config = cmd->u.config;
 	cmd->u.config = (struct flow_config){ 0 };
-	f->routes = routes_new(f->config.queues);
+	config_index(f);
 	if (f->watch.config_changed != NULL)
 		f->watch.config_changed(f->watch_arg);
 	return FLOW_ACCEPTED;
@@ -387,6 +406,7 @@
 	job->id = cmd->u.submit.job;
 	job->queue = q;
 	q->refs++;
+	job->organisation = g_steal_pointer(&cmd->u.submit.organisation);
 	job->spec = cmd->u.submit.spec;
 	cmd->u.submit.spec = (struct flow_spec){ 0 };
 	job->accepted_ms = f->time_ms;
@@ -724,6 +744,30 @@
 	return routes_find(f->routes, host, path, rest);
 }
 
+const struct flow_organisation *
+flow_organisation(const struct flow *f, const char *name)
+{
+	const GPtrArray *all = f->config.organisations;
+
+	for (guint i = 0; all != NULL && name != NULL && i < all->len; i++) {
+		const struct flow_organisation *o = all->pdata[i];
+
+		if (strcmp(o->name, name) == 0)
+			return o;
+	}
+	return NULL;
+}
+
+const struct flow_organisation *
+flow_organisation_of_key(const struct flow *f, const char *key)
+{
+	guint owner;
+
+	if (f->auth == NULL || key == NULL || !auth_find(f->auth, key, &owner))
+		return NULL;
+	return f->config.organisations->pdata[owner];
+}
+
 const struct flow_worker *
 flow_worker(const struct flow *f, uint32_t id)
 {
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -73,6 +73,15 @@
 	double permit_call_ms; /* estimated duration of a call to it */
 	double permit_worker_ms; /* added per worker named in the call */
 	int64_t permit_valid_ms; /* if the policy service does not say */
+	bool public; /* calls need no key */
+};
+
+/* A firm that shares the cell with others. */
+struct flow_organisation {
+	char *name;
+	double weight; /* relative share when all is full; jobs per second */
+	struct resources cap; /* of what it has running; 0: no limit */
+	GPtrArray *keys; /* char *: any of them identifies its calls */
 };
 
 struct flow_config {
@@ -80,6 +89,8 @@
 	GBytes *document; /* unchanged, as the operator sent it */
 	GPtrArray *queues; /* struct flow_queue */
 	GPtrArray *pools; /* struct flow_pool */
+	/* struct flow_organisation; NULL: calls need no key. */
+	GPtrArray *organisations;
 };
 
 /* Workers of one kind, and the operator's settings for them. */
@@ -158,6 +169,7 @@
 	uint64_t id;
 	enum flow_job_state state;
 	struct flow_queue *queue; /* as it was when the job was accepted */
+	char *organisation; /* that submitted it; NULL: not known */
 	struct flow_spec spec; /* cleared when ended and no run is left */
 	GPtrArray *occurrences; /* unfinished; NULL once spec is cleared */
 	uint32_t occurrences_created;
@@ -223,6 +235,7 @@
 		struct {
 			uint64_t job;
 			char *queue; /* its name */
+			char *organisation; /* its name; NULL: none */
 			struct flow_spec spec;
 		} submit;
 		GArray *starts; /* struct flow_start */
@@ -304,6 +317,13 @@
 const struct flow_queue *flow_route(const struct flow *f, const char *host,
     const char *path, const char **rest);
 const struct flow_worker *flow_worker(const struct flow *f, uint32_t id);
+/* Returns an organisation of the configuration; NULL if there is none of that
+ * name or name is NULL. */
+const struct flow_organisation *
+flow_organisation(const struct flow *f, const char *name);
+/* Returns the organisation that holds a key, or NULL. */
+const struct flow_organisation *
+flow_organisation_of_key(const struct flow *f, const char *key);
 /* Says whether runs were lost with this incarnation of a worker, and it isn't
  * known whether it has crashed. */
 bool flow_worker_in_doubt(const struct flow *f, uint32_t worker);
@@ -381,5 +401,7 @@
 struct flow_step *flow_step_new(void);
 void flow_step_free(void *arg);
 void flow_pool_free(void *arg);
+struct flow_organisation *flow_organisation_new(void);
+void flow_organisation_free(void *arg);
 
 #endif
--- a/lib/flow/internal.h
+++ b/lib/flow/internal.h
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "auth.h"
 #include "codec.h"
 #include "flow.h"
 
@@ -13,6 +14,7 @@
 	int64_t time_ms;
 	struct flow_config config;
 	struct routes *routes; /* of config; NULL: none */
+	struct auth *auth; /* keys of config; NULL: no organisations */
 	uint32_t last_worker_id;
 	GHashTable *workers; /* id to struct flow_worker */
 	GHashTable *workers_by_name; /* name to its newest incarnation */
@@ -76,6 +78,8 @@
 const struct flow_queue *routes_named(const struct routes *r, const char *name);
 
 /* flow.c */
+/* Builds the indexes of a new configuration. */
+void config_index(struct flow *f);
 void job_free(void *arg);
 void occurrence_free(void *arg);
 struct flow_occurrence *
--- a/lib/flow/snapshot.c
+++ b/lib/flow/snapshot.c
@@ -55,7 +55,8 @@
 	guint occurrences =
 	    job->occurrences == NULL ? 0 : job->occurrences->len;
 
-	msgpack_pack_array(pk, 9);
+	/* Without an organisation as earlier versions wrote it. */
+	msgpack_pack_array(pk, job->organisation == NULL ? 9 : 10);
 	msgpack_pack_uint64(pk, job->id);
 	msgpack_pack_uint8(pk, (uint8_t)job->state);
 	queue_put(pk, job->queue);
@@ -75,6 +76,8 @@
 		for (guint s = 0; s < steps; s++)
 			step_state_put(pk, &occ->steps[s]);
 	}
+	if (job->organisation != NULL)
+		put_str(pk, job->organisation);
 }
 
 static void
@@ -121,6 +124,8 @@
 		(void)get_str(&a, 0);
 		(void)get_array(&a);
 	}
+	if (a.left > 0)
+		job->organisation = get_str(&a, FLOW_TEXT_MAX);
 	r->ok = r->ok && codec_done(&a);
 	if (!r->ok) {
 		job_free(job);
@@ -197,7 +202,7 @@
 	f->last_worker_id = (uint32_t)get_u64(r);
 	config_get(r, &f->config);
 	if (r->ok)
-		f->routes = routes_new(f->config.queues);
+		config_index(f);
 	list = get_array(r);
 	while (list.ok && list.left > 0) {
 		struct flow_worker *w = g_new0(struct flow_worker, 1);
--- a/lib/flow/spec.c
+++ b/lib/flow/spec.c
@@ -5,6 +5,7 @@
 /* In one configuration; the document has more than 64 bytes for each. */
 #define QUEUES_MAX (FLOW_DOCUMENT_MAX / 64)
 #define LABELS_MAX 64 /* of one worker */
+#define KEYS_MAX 1024 /* of one organisation */
 /* A configuration with its queues, decoded; larger ones are refused. */
 #define CONFIG_BYTES_MAX (2 * FLOW_DOCUMENT_MAX)
 #define DEFLATE_MIN_BYTES 4096 /* smaller ones fit into a few packets */
@@ -168,7 +169,8 @@
 void
 queue_put(msgpack_packer *pk, const struct flow_queue *q)
 {
-	msgpack_pack_array(pk, 12);
+	/* Without a set flag as earlier versions wrote it. */
+	msgpack_pack_array(pk, q->public ? 13 : 12);
 	put_str(pk, q->name);
 	put_str(pk, q->host);
 	put_str(pk, q->prefix);
@@ -181,6 +183,8 @@
 	msgpack_pack_double(pk, q->permit_call_ms);
 	msgpack_pack_double(pk, q->permit_worker_ms);
 	msgpack_pack_int64(pk, q->permit_valid_ms);
+	if (q->public)
+		put_bool(pk, true);
 }
 
 struct flow_queue *
@@ -201,6 +205,8 @@
 	q->permit_call_ms = get_double(&a);
 	q->permit_worker_ms = get_double(&a);
 	q->permit_valid_ms = get_amount(&a);
+	if (a.left > 0)
+		q->public = get_bool(&a);
 	r->ok = r->ok && codec_done(&a) && q->name != NULL && q->host != NULL &&
 	    q->prefix != NULL && q->pool != NULL;
 	return q;
@@ -216,6 +222,25 @@
 	g_free(p);
 }
 
+struct flow_organisation *
+flow_organisation_new(void)
+{
+	struct flow_organisation *o = g_new0(struct flow_organisation, 1);
+
+	o->keys = g_ptr_array_new_with_free_func(g_free);
+	return o;
+}
+
+void
+flow_organisation_free(void *arg)
+{
+	struct flow_organisation *o = arg;
+
+	g_free(o->name);
+	g_ptr_array_unref(o->keys);
+	g_free(o);
+}
+
 void
 flow_config_clear(struct flow_config *c)
 {
@@ -225,16 +250,43 @@
 		g_ptr_array_unref(c->queues);
 	if (c->pools != NULL)
 		g_ptr_array_unref(c->pools);
+	if (c->organisations != NULL)
+		g_ptr_array_unref(c->organisations);
 	*c = (struct flow_config){ 0 };
 }
 
+static void
+organisation_put(msgpack_packer *pk, const struct flow_organisation *o)
+{
+	msgpack_pack_array(pk, 6);
+	put_str(pk, o->name);
+	msgpack_pack_double(pk, o->weight);
+	put_resources(pk, &o->cap);
+	put_strs(pk, o->keys);
+}
+
+static struct flow_organisation *
+organisation_get(struct reader *r)
+{
+	struct reader a = get_array(r);
+	struct flow_organisation *o = g_new0(struct flow_organisation, 1);
+
+	o->name = get_str(&a, NAME_BYTES_MAX);
+	o->weight = get_double(&a);
+	get_resources(&a, &o->cap);
+	o->keys = get_strs(&a, NAME_BYTES_MAX, KEYS_MAX);
+	r->ok = r->ok && codec_done(&a) && o->name != NULL;
+	return o;
+}
+
 void
 config_put(msgpack_packer *pk, const struct flow_config *c)
 {
 	guint queues = c->queues == NULL ? 0 : c->queues->len;
 	guint pools = c->pools == NULL ? 0 : c->pools->len;
 
-	msgpack_pack_array(pk, 4);
+	/* Without organisations as earlier versions wrote it. */
+	msgpack_pack_array(pk, c->organisations == NULL ? 4 : 5);
 	msgpack_pack_uint64(pk, c->version);
 	put_bytes(pk, c->document);
 	msgpack_pack_array(pk, queues);
@@ -250,6 +302,11 @@
 		put_bool(pk, p->enforces_capacity);
 		put_bool(pk, p->standby);
 	}
+	if (c->organisations == NULL)
+		return;
+	msgpack_pack_array(pk, c->organisations->len);
+	for (guint i = 0; i < c->organisations->len; i++)
+		organisation_put(pk, c->organisations->pdata[i]);
 }
 
 static struct flow_pool *
@@ -297,7 +354,17 @@
 	list = get_array(&a);
 	while (list.ok && list.left > 0)
 		g_ptr_array_add(c->pools, pool_get(&list));
-	r->ok = r->ok && list.ok && codec_done(&a);
+	r->ok = r->ok && list.ok;
+	if (a.left > 0) {
+		c->organisations =
+		    g_ptr_array_new_with_free_func(flow_organisation_free);
+		list = get_array(&a);
+		while (list.ok && list.left > 0)
+			g_ptr_array_add(
+			    c->organisations, organisation_get(&list));
+		r->ok = r->ok && list.ok;
+	}
+	r->ok = r->ok && codec_done(&a);
 }
 
 void
--- a/lib/gate/gate.c
+++ b/lib/gate/gate.c
@@ -30,6 +30,7 @@
 	g_free(p->request.host);
 	g_free(p->request.path);
 	g_bytes_unref(p->request.body);
+	g_free(p->request.credential);
 	g_free(p);
 }
 
@@ -112,7 +113,8 @@
 		.path = g_strdup(request->path == NULL ? "" : request->path),
 		.seq = request->seq,
 		.body = request->body == NULL ? g_bytes_new_static("", 0)
-					      : g_bytes_ref(request->body) };
+					      : g_bytes_ref(request->body),
+		.credential = g_strdup(request->credential) };
 	p->deadline_ms = mono_ms() + timeout_ms;
 	p->fn = fn;
 	p->arg = arg;
