platform: messages about malformed documents quote no part of them

Cause: Jansson's message ends with the text near the error, which may be a key; fields_parse() put it into the log line event=bad-config and into the answer. Further cases cover the valid forms of organisations and an error for each invalid one that names the field.

--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -113,6 +113,192 @@
 		g_assert_false(decode_config(bad[i], &c));
 }
 
+/* --- organisations --- */
+
+#define TENANTS(list)                                                  \
+	"{\"version\":7,\"tenants\":" list ",\"routes\":[" ROUTE(      \
+	    "r", "h", "/a/", "s", "3000") "],\"services\":[{\"name\":" \
+					  "\"s\"}]}"
+
+static char *
+config_error(const char *body)
+{
+	struct flow_config c;
+	GError *err = NULL;
+	char *message;
+
+	g_assert_false(platform_config_decode(body, strlen(body), &c, &err));
+	g_assert_error(err, BT_ERROR, ERR_INVALID);
+	message = g_strdup(err->message);
+	g_error_free(err);
+	return message;
+}
+
+static void
+test_organisations(void)
+{
+	static const char body[] =
+	    TENANTS("[{\"name\":\"blue\",\"apiKeys\":[\"k1\",\"k2\",\"k1\"],"
+		    "\"weight\":2.5,\"cap\":{\"cpu\":64000,\"memMb\":1024,"
+		    "\"gpu\":3,\"new\":1},\"new\":[]},"
+		    "{\"name\":\"red\"},"
+		    "{\"name\":\"Blue\",\"apiKeys\":[],\"weight\":0,"
+		    "\"cap\":{}},"
+		    "{\"name\":\"green\",\"apiKeys\":null,\"weight\":null,"
+		    "\"cap\":null}]");
+	struct flow_config c;
+	const struct flow_organisation *o;
+
+	g_assert_true(decode_config(body, &c));
+	g_assert_cmpuint(c.organisations->len, ==, 4);
+	o = c.organisations->pdata[0];
+	g_assert_cmpstr(o->name, ==, "blue");
+	g_assert_cmpstr(o->keys->pdata[0], ==, "k1");
+	g_assert_cmpstr(o->keys->pdata[1], ==, "k2");
+	g_assert_cmpfloat(o->weight, ==, 2.5);
+	g_assert_cmpint(o->cap.millicpus, ==, 64000);
+	g_assert_cmpint(o->cap.memory, ==, 1024 * 1024 * 1024);
+	g_assert_cmpint(o->cap.accelerators, ==, 3);
+	o = c.organisations->pdata[1];
+	g_assert_cmpuint(o->keys->len, ==, 0);
+	g_assert_cmpfloat(o->weight, ==, 1);
+	g_assert_cmpint(o->cap.millicpus, ==, 0);
+	o = c.organisations->pdata[2];
+	g_assert_cmpfloat(o->weight, ==, 0);
+	o = c.organisations->pdata[3];
+	g_assert_cmpfloat(o->weight, ==, 1);
+	flow_config_clear(&c);
+}
+
+/* Guards against a document without organisations that demands keys, and an
+ * empty list that demands none. */
+static void
+test_no_organisations(void)
+{
+	struct flow_config c;
+
+	g_assert_true(
+	    decode_config(CONFIG("7", ROUTE("r", "h", "/a/", "s", "9")), &c));
+	g_assert_null(c.organisations);
+	g_assert_false(((struct flow_queue *)c.queues->pdata[0])->public);
+	flow_config_clear(&c);
+	g_assert_true(decode_config(TENANTS("[]"), &c));
+	g_assert_nonnull(c.organisations);
+	g_assert_cmpuint(c.organisations->len, ==, 0);
+	flow_config_clear(&c);
+}
+
+/* Guards against an invalid document that is accepted, and against a message
+ * from which the operator can't tell what to correct. */
+static void
+test_bad_organisations(void)
+{
+	static const struct {
+		const char *body;
+		const char *field; /* that the message begins with */
+	} bad[] = {
+		{ TENANTS("{}"), "tenants: " },
+		{ TENANTS("7"), "tenants: " },
+		{ TENANTS("[7]"), "tenants[0]: " },
+		{ TENANTS("[{\"name\":\"a\"},[]]"), "tenants[1]: " },
+		{ TENANTS("[null]"), "tenants[0]: " },
+		{ TENANTS("[{}]"), "tenants[0].name: " },
+		{ TENANTS("[{\"name\":\"\"}]"), "tenants[0].name: " },
+		{ TENANTS("[{\"name\":null}]"), "tenants[0].name: " },
+		{ TENANTS("[{\"name\":5}]"), "tenants[0].name: " },
+		{ TENANTS("[{\"name\":\"a\"},{\"name\":\"b\"},"
+			  "{\"name\":\"a\"}]"),
+		    "tenants[2].name: " },
+		{ TENANTS("[{\"name\":\"a\",\"apiKeys\":\"k\"}]"),
+		    "tenants[0].apiKeys: " },
+		{ TENANTS("[{\"name\":\"a\",\"apiKeys\":{}}]"),
+		    "tenants[0].apiKeys: " },
+		{ TENANTS("[{\"name\":\"a\",\"apiKeys\":[\"k\",5]}]"),
+		    "tenants[0].apiKeys: " },
+		{ TENANTS("[{\"name\":\"a\",\"apiKeys\":[null]}]"),
+		    "tenants[0].apiKeys: " },
+		{ TENANTS("[{\"name\":\"a\",\"apiKeys\":[\"\"]}]"),
+		    "tenants[0].apiKeys: " },
+		{ TENANTS("[{\"name\":\"a\",\"apiKeys\":[\"k\"]},"
+			  "{\"name\":\"b\",\"apiKeys\":[\"j\",\"k\"]}]"),
+		    "tenants[1].apiKeys: " },
+		{ TENANTS("[{\"name\":\"a\",\"weight\":-0.1}]"),
+		    "tenants[0].weight: must be a number of at least 0" },
+		{ TENANTS("[{\"name\":\"a\",\"weight\":\"1\"}]"),
+		    "tenants[0].weight: must be a number of at least 0" },
+		{ TENANTS("[{\"name\":\"a\",\"weight\":true}]"),
+		    "tenants[0].weight: must be a number of at least 0" },
+		{ TENANTS("[{\"name\":\"a\",\"cap\":4}]"), "tenants[0].cap: " },
+		{ TENANTS("[{\"name\":\"a\",\"cap\":[]}]"),
+		    "tenants[0].cap: " },
+		{ TENANTS("[{\"name\":\"a\",\"cap\":{\"cpu\":-1}}]"),
+		    "tenants[0].cap.cpu: must be a number of at least 0" },
+		{ TENANTS("[{\"name\":\"a\",\"cap\":{\"cpu\":\"1\"}}]"),
+		    "tenants[0].cap.cpu: must be a number of at least 0" },
+		{ TENANTS("[{\"name\":\"a\",\"cap\":{\"memMb\":-1}}]"),
+		    "tenants[0].cap.memMb: must be a number of at least 0" },
+		{ TENANTS("[{\"name\":\"a\",\"cap\":{\"memMb\":[]}}]"),
+		    "tenants[0].cap.memMb: must be a number of at least 0" },
+		{ TENANTS("[{\"name\":\"a\",\"cap\":{\"gpu\":-0.5}}]"),
+		    "tenants[0].cap.gpu: must be a number of at least 0" },
+		{ TENANTS("[{\"name\":\"a\",\"cap\":{\"gpu\":false}}]"),
+		    "tenants[0].cap.gpu: must be a number of at least 0" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		char *message = config_error(bad[i].body);
+
+		if (!g_str_has_prefix(message, bad[i].field))
+			g_error("%s: got \"%s\"", bad[i].body, message);
+		g_free(message);
+	}
+}
+
+#define PUBLIC_ROUTE(value)                                                  \
+	"{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/a/\",\"service\":" \
+	"\"s\",\"timeoutMs\":9,\"public\":" value "}"
+
+static void
+test_public_route(void)
+{
+	struct flow_config c;
+
+	g_assert_true(decode_config(CONFIG("7", PUBLIC_ROUTE("true")), &c));
+	g_assert_true(((struct flow_queue *)c.queues->pdata[0])->public);
+	flow_config_clear(&c);
+	g_assert_true(decode_config(CONFIG("7", PUBLIC_ROUTE("false")), &c));
+	g_assert_false(((struct flow_queue *)c.queues->pdata[0])->public);
+	flow_config_clear(&c);
+	g_assert_false(decode_config(CONFIG("7", PUBLIC_ROUTE("1")), &c));
+	g_assert_false(decode_config(CONFIG("7", PUBLIC_ROUTE("\"yes\"")), &c));
+}
+
+/* Messages go to the log and to the answer. Guards against one that repeats a
+ * key of the document. */
+static void
+test_errors_without_keys(void)
+{
+	static const char *const bad[] = {
+		TENANTS("[{\"name\":\"a\",\"apiKeys\":[\"hidden\" 5]}]"),
+		TENANTS("[{\"name\":\"a\",\"apiKeys\":[5 \"hidden\"]}]"),
+		TENANTS("[{\"name\":\"a\",\"apiKeys\":[hidden]}]"),
+		TENANTS("[{\"name\":\"a\",\"apiKeys\":[\"hidden]}]"),
+		TENANTS("[{\"name\":\"a\",\"apiKeys\":[\"hidden\\x\"]}]"),
+		TENANTS("[{\"hidden\":1,\"hidden\":2}]"),
+		TENANTS("[{\"name\":\"a\",\"apiKeys\":[\"hidden\",5]}]"),
+		TENANTS("[{\"name\":\"a\",\"apiKeys\":[\"hidden\"]},"
+			"{\"name\":\"b\",\"apiKeys\":[\"hidden\"]}]"),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		char *message = config_error(bad[i]);
+
+		if (strstr(message, "hidden") != NULL)
+			g_error("%s: got \"%s\"", bad[i], message);
+		g_free(message);
+	}
+}
+
 #define WORKER                                                                \
 	"\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","     \
 	"\"slots\":8,\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}," \
@@ -268,6 +454,12 @@
 	g_test_add_func("/platform/job", test_job);
 	g_test_add_func("/platform/bad-jobs", test_bad_jobs);
 	g_test_add_func("/platform/config", test_config);
+	g_test_add_func("/platform/organisations", test_organisations);
+	g_test_add_func("/platform/no-organisations", test_no_organisations);
+	g_test_add_func("/platform/bad-organisations", test_bad_organisations);
+	g_test_add_func("/platform/public-route", test_public_route);
+	g_test_add_func(
+	    "/platform/errors-without-keys", test_errors_without_keys);
 	g_test_add_func("/platform/worker", test_worker);
 	g_test_add_func("/platform/orders", test_orders);
 	g_test_add_func("/platform/answers", test_answers);
