platform: configurations with many keys and extreme caps

Cause: an organisation with more than 1,024 keys, or a key or name of more than 1,024 bytes, passed the decoder but not the leader, which answered 400 without a field. A cap above 2^50 was refused as if it were no number, and one below 1 was rounded to 0, which means no limit.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -12,6 +12,8 @@
 
 #define FLOW_TASKS_MAX 10000 /* tasks in one step */
 #define FLOW_STEPS_MAX 100 /* steps in one job */
+/* Bytes of a name, address, path prefix or key of a configuration or worker. */
+#define FLOW_NAME_MAX 1024
 #define FLOW_TEXT_MAX 4096 /* bytes of a name, label or checkpoint */
 #define FLOW_PAYLOAD_MAX (64 * 1024) /* bytes of a payload */
 /*
--- a/lib/flow/spec.c
+++ b/lib/flow/spec.c
@@ -1,11 +1,11 @@
 /* Encodings of the structures that commands and snapshots contain. */
 #include "internal.h"
 
-#define NAME_BYTES_MAX 1024 /* of a name, address, path prefix or label */
 /* In one configuration; the document has more than 64 bytes for each. */
 #define QUEUES_MAX (FLOW_DOCUMENT_MAX / 64)
 #define LABELS_MAX 64 /* of one worker */
-#define KEYS_MAX 1024 /* of one organisation */
+/* Of one organisation; each takes at least 4 bytes of the document. */
+#define KEYS_MAX (FLOW_DOCUMENT_MAX / 4)
 /* A configuration with its queues, decoded; larger ones are refused. */
 #define CONFIG_BYTES_MAX (2 * FLOW_DOCUMENT_MAX)
 #define DEFLATE_MIN_BYTES 4096 /* smaller ones fit into a few packets */
@@ -193,10 +193,10 @@
 	struct reader a = get_array(r);
 	struct flow_queue *q = flow_queue_new();
 
-	q->name = get_str(&a, NAME_BYTES_MAX);
-	q->host = get_str(&a, NAME_BYTES_MAX);
-	q->prefix = get_str(&a, NAME_BYTES_MAX);
-	q->pool = get_str(&a, NAME_BYTES_MAX);
+	q->name = get_str(&a, FLOW_NAME_MAX);
+	q->host = get_str(&a, FLOW_NAME_MAX);
+	q->prefix = get_str(&a, FLOW_NAME_MAX);
+	q->pool = get_str(&a, FLOW_NAME_MAX);
 	q->priority = (uint32_t)get_u64(&a);
 	q->max_failures = (uint32_t)get_u64(&a);
 	q->slack_factor = get_double(&a);
@@ -271,10 +271,10 @@
 	struct reader a = get_array(r);
 	struct flow_organisation *o = g_new0(struct flow_organisation, 1);
 
-	o->name = get_str(&a, NAME_BYTES_MAX);
+	o->name = get_str(&a, FLOW_NAME_MAX);
 	o->weight = get_double(&a);
 	get_resources(&a, &o->cap);
-	o->keys = get_strs(&a, NAME_BYTES_MAX, KEYS_MAX);
+	o->keys = get_strs(&a, FLOW_NAME_MAX, KEYS_MAX);
 	r->ok = r->ok && codec_done(&a) && o->name != NULL;
 	return o;
 }
@@ -315,8 +315,8 @@
 	struct reader a = get_array(r);
 	struct flow_pool *p = g_new0(struct flow_pool, 1);
 
-	p->name = get_str(&a, NAME_BYTES_MAX);
-	p->health_path = get_str(&a, NAME_BYTES_MAX);
+	p->name = get_str(&a, FLOW_NAME_MAX);
+	p->health_path = get_str(&a, FLOW_NAME_MAX);
 	p->enforces_capacity = get_bool(&a);
 	p->standby = get_bool(&a);
 	r->ok = r->ok && codec_done(&a) && p->name != NULL;
@@ -422,14 +422,14 @@
 	struct reader a = get_array(r);
 
 	w->id = (uint32_t)get_u64(&a);
-	w->name = get_str(&a, NAME_BYTES_MAX);
-	w->address = get_str(&a, NAME_BYTES_MAX);
+	w->name = get_str(&a, FLOW_NAME_MAX);
+	w->address = get_str(&a, FLOW_NAME_MAX);
 	w->started_ms = get_i64(&a);
-	w->pool = get_str(&a, NAME_BYTES_MAX);
-	w->data_center = get_str(&a, NAME_BYTES_MAX);
-	w->rack = get_str(&a, NAME_BYTES_MAX);
-	w->vm = get_str(&a, NAME_BYTES_MAX);
-	w->labels = get_strs(&a, NAME_BYTES_MAX, LABELS_MAX);
+	w->pool = get_str(&a, FLOW_NAME_MAX);
+	w->data_center = get_str(&a, FLOW_NAME_MAX);
+	w->rack = get_str(&a, FLOW_NAME_MAX);
+	w->vm = get_str(&a, FLOW_NAME_MAX);
+	w->labels = get_strs(&a, FLOW_NAME_MAX, LABELS_MAX);
 	get_resources(&a, &w->capacity);
 	w->draining = get_bool(&a);
 	if (a.left > 0)
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -299,6 +299,92 @@
 	}
 }
 
+/* A document with an organisation that has this many keys of len bytes. */
+static char *
+config_of_keys(int count, int len)
+{
+	GString *list = g_string_new("[{\"name\":\"a\",\"apiKeys\":[");
+	char *body;
+
+	for (int i = 0; i < count; i++)
+		g_string_append_printf(
+		    list, "%s\"%0*d\"", i == 0 ? "" : ",", len, i);
+	g_string_append(list, "]}]");
+	body = g_strdup_printf("{\"version\":7,\"tenants\":%s,\"routes\":[],"
+			       "\"services\":[]}",
+	    list->str);
+	g_string_free(list, TRUE);
+	return body;
+}
+
+/* Guards against a document that its decoder accepts and the leader refuses,
+ * so that the operator is not told which field is wrong. */
+static void
+test_many_and_long_keys(void)
+{
+	struct flow_config in;
+	struct flow_config out;
+	char *many = config_of_keys(2000, 20);
+	char *max = config_of_keys(1, 1024);
+	char *too_long = config_of_keys(1, 1025);
+	const char *const good[] = { many, max };
+	char *message = config_error(too_long);
+
+	g_assert_true(g_str_has_prefix(message, "tenants[0].apiKeys: "));
+	for (size_t i = 0; i < G_N_ELEMENTS(good); i++) {
+		GBytes *bytes;
+		const void *data;
+		gsize len;
+
+		g_assert_true(decode_config(good[i], &in));
+		bytes = flow_config_encode(&in);
+		data = g_bytes_get_data(bytes, &len);
+		g_assert_true(flow_config_decode(data, len, &out));
+		flow_config_clear(&in);
+		flow_config_clear(&out);
+		g_bytes_unref(bytes);
+	}
+	g_free(message);
+	g_free(many);
+	g_free(max);
+	g_free(too_long);
+}
+
+/* A cap above what can be counted is no limit in practice; it is not negative
+ * and is a number, so the document is valid. Guards against its refusal, and
+ * against a cap below 1 that is rounded to 0, which means no limit. */
+static void
+test_extreme_caps(void)
+{
+	static const char body[] =
+	    TENANTS("[{\"name\":\"a\",\"cap\":{\"cpu\":1e300,"
+		    "\"memMb\":9223372036854775807,\"gpu\":1125899906842625}},"
+		    "{\"name\":\"b\",\"cap\":{\"cpu\":0.5,\"memMb\":0.5,"
+		    "\"gpu\":0.5}}]");
+	struct flow_config in;
+	struct flow_config out;
+	const struct flow_organisation *o;
+	GBytes *bytes;
+	gsize len;
+	const void *data;
+
+	g_assert_true(decode_config(body, &in));
+	bytes = flow_config_encode(&in);
+	data = g_bytes_get_data(bytes, &len);
+	g_assert_true(flow_config_decode(data, len, &out));
+	o = out.organisations->pdata[0];
+	g_assert_cmpint(o->cap.millicpus, ==, INT64_C(1) << 50);
+	g_assert_cmpint(o->cap.memory, ==, INT64_C(1) << 50);
+	g_assert_cmpint(o->cap.accelerators, ==, INT64_C(1) << 50);
+	o = out.organisations->pdata[1];
+	g_assert_cmpint(o->cap.millicpus, ==, 1);
+	g_assert_cmpint(o->cap.memory, ==, 1024 * 1024);
+	g_assert_cmpint(o->cap.accelerators, ==, 1);
+	flow_config_clear(&in);
+	flow_config_clear(&out);
+	g_bytes_unref(bytes);
+}
+
 #define WORKER                                                                \
 	"\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","     \
 	"\"slots\":8,\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}," \
@@ -460,6 +546,9 @@
 	g_test_add_func("/platform/public-route", test_public_route);
 	g_test_add_func(
 	    "/platform/errors-without-keys", test_errors_without_keys);
+	g_test_add_func(
+	    "/platform/many-and-long-keys", test_many_and_long_keys);
+	g_test_add_func("/platform/extreme-caps", test_extreme_caps);
 	g_test_add_func("/platform/worker", test_worker);
 	g_test_add_func("/platform/orders", test_orders);
 	g_test_add_func("/platform/answers", test_answers);
