--- a/test/gate_test.c
+++ b/test/gate_test.c
@@ -14,6 +14,7 @@
 	struct gate *gate;
 	int requests;
 	uint64_t last;
+	char *credential; /* of the last request */
 	int answers_received;
 	uint32_t result;
 };
@@ -38,6 +39,8 @@
 		return false;
 	l->requests++;
 	l->last = request->id;
+	g_free(l->credential);
+	l->credential = g_strdup(request->credential);
 	if (!l->accepts)
 		answer(l, request->id, REQUEST_UNAVAILABLE);
 	else if (l->answers)
@@ -193,6 +196,65 @@
 	gate_free(l.gate);
 }
 
+/* A request waits for a leader, is refused by one and lost with the next: it
+ * has its own copy of the key each time. Guards against a call with a valid key
+ * that is answered 401 because a leader was lost, and against one without a key
+ * that gets the key of another. */
+static void
+test_credential_kept(void)
+{
+	struct leader l = setup();
+	char key[] = "key-1";
+	struct request in = { .op = REQUEST_SUBMIT,
+		.path = (char *)"/renders/1",
+		.credential = key };
+
+	l.reachable = false;
+	l.gate = gate_new(on_send, &l);
+	gate_forward(l.gate, &in, LONG_MS, on_answer, &l);
+	memset(key, 'x', sizeof(key) - 1);
+	l.reachable = true;
+	l.accepts = false;
+	gate_leader_changed(l.gate);
+	gate_tick(l.gate, mono_ms());
+	g_assert_cmpstr(l.credential, ==, "key-1");
+	l.accepts = true;
+	gate_tick(l.gate, mono_ms() + 1000);
+	g_assert_cmpint(l.requests, ==, 2);
+	g_assert_cmpstr(l.credential, ==, "key-1");
+	l.answers = true;
+	gate_leader_changed(l.gate);
+	gate_tick(l.gate, mono_ms());
+	g_assert_cmpint(l.requests, ==, 3);
+	g_assert_cmpstr(l.credential, ==, "key-1");
+	g_assert_cmpint(l.answers_received, ==, 1);
+	forward(&l, LONG_MS);
+	g_assert_cmpint(l.requests, ==, 4);
+	g_assert_null(l.credential);
+	gate_free(l.gate);
+	g_free(l.credential);
+}
+
+/* The refusal of a key is final. Guards against a gate that sends the request
+ * again until it times out, as with a leader that is unavailable. */
+static void
+test_unauthenticated(void)
+{
+	struct leader l = setup();
+
+	l.gate = gate_new(on_send, &l);
+	forward(&l, LONG_MS);
+	answer(&l, l.last, REQUEST_UNAUTHENTICATED);
+	g_assert_cmpint(l.answers_received, ==, 1);
+	g_assert_cmpuint(l.result, ==, REQUEST_UNAUTHENTICATED);
+	forward(&l, LONG_MS);
+	answer(&l, l.last, REQUEST_FORBIDDEN);
+	g_assert_cmpint(l.answers_received, ==, 2);
+	g_assert_cmpuint(l.result, ==, REQUEST_FORBIDDEN);
+	g_assert_cmpuint(gate_pending(l.gate), ==, 0);
+	gate_free(l.gate);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -204,5 +266,7 @@
 	g_test_add_func("/gate/replicas-lost", test_replicas_lost);
 	g_test_add_func(
 	    "/gate/replicas-lost-unclear", test_replicas_lost_unclear);
+	g_test_add_func("/gate/credential-kept", test_credential_kept);
+	g_test_add_func("/gate/unauthenticated", test_unauthenticated);
 	return g_test_run();
 }
