--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,5 +1,5 @@
 bt_cases(dispatch
-    SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c
+    SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_keys.c
     stubleader.c stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
@@ -14,4 +14,7 @@
     capacity-shrinks-before-order capacity-shrinks-before-resend
     capacity-shrinks-takeover capacity-late-heartbeat
     capacity-shrinks-below-use best-effort-cores restart-before-order
-    restart-under-order)
+    restart-under-order
+    key-required key-none-configured key-empty-list key-public-queue
+    key-other-organisation key-rotated key-revoked key-takeover
+    key-unconfirmed key-revoked-before-state key-suspended-before-state)
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -126,7 +126,8 @@
 		.host = (char *)"jobs.example",
 		.path = (char *)path,
 		.seq = (int64_t)l->requests,
-		.body = body == NULL ? g_bytes_new_static("", 0) : body };
+		.body = body == NULL ? g_bytes_new_static("", 0) : body,
+		.credential = (char *)l->key };
 
 	dispatch_handle_request(l->dispatch, 0, &a);
 	g_bytes_unref(a.body);
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -29,6 +29,7 @@
 	uint32_t last_result;
 	char *last_text;
 	uint64_t requests;
+	const char *key; /* of the requests sent from now on; NULL: none */
 	int queries; /* to the policy service */
 };
 
