dispatch: a delayed answer about a running job checks the key again

Cause: the answer about a running job is delayed by up to 150 ms and was given without another look at the key or the leadership. A key revoked within the delay got 200 after the acknowledgement of its revocation, and so did one that the successor of a suspended leader had revoked. The delayed request is now kept whole and handled as if it came then: 401 for a revoked key, unavailable without confirmed leadership, which the gate answers by sending it again. request_copy() replaces the copy in lib/gate. dispatch_test key-revoked-before-state and key-suspended-before-state failed before.

--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -61,6 +61,11 @@
 	char *credential; /* key of the caller's organisation; NULL: none */
 };
 
+/* Copies a request; absent texts other than the credential, and an absent body,
+ * become empty. */
+struct request request_copy(const struct request *in);
+void request_clear(struct request *r);
+
 struct answer {
 	uint64_t id;
 	uint32_t result;
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -19,7 +19,7 @@
  * due_ms at the latest. */
 struct state_request {
 	uint64_t process;
-	uint64_t request;
+	struct request request;
 	uint64_t job;
 	int64_t due_ms;
 };
@@ -31,6 +31,28 @@
 	uint64_t context; /* of the first confirmation that suffices */
 };
 
+struct request
+request_copy(const struct request *in)
+{
+	struct request out = *in;
+
+	out.host = g_strdup(in->host == NULL ? "" : in->host);
+	out.path = g_strdup(in->path == NULL ? "" : in->path);
+	out.body = in->body == NULL ? g_bytes_new_static("", 0)
+				    : g_bytes_ref(in->body);
+	out.credential = g_strdup(in->credential);
+	return out;
+}
+
+void
+request_clear(struct request *r)
+{
+	g_free(r->host);
+	g_free(r->path);
+	g_bytes_unref(r->body);
+	g_free(r->credential);
+}
+
 static void
 reply(struct dispatch *d, uint64_t process, uint64_t id,
     enum request_result result, const void *text, size_t len, int64_t retry_ms)
@@ -241,12 +263,23 @@
 	struct state_request *r = g_new0(struct state_request, 1);
 
 	*r = (struct state_request){ .process = process,
-		.request = req->id,
+		.request = request_copy(req),
 		.job = job,
 		.due_ms = mono_ms() + STATE_DELAY_MS };
 	g_queue_push_tail(&d->state_requests, r);
 }
 
+static void
+reply_state(struct dispatch *d, uint64_t process, const struct request *req,
+    const struct flow_job *job)
+{
+	if (job == NULL)
+		reply_text(d, process, req, REQUEST_NO_JOB, "");
+	else
+		reply_text(
+		    d, process, req, REQUEST_DONE, flow_state_name(job->state));
+}
+
 static void
 handle_state(struct dispatch *d, uint64_t process, const struct request *req)
 {
@@ -255,29 +288,37 @@
 
 	if (find_job(d, process, req, &id, &job) == NULL)
 		return;
-	if (job == NULL)
-		reply_text(d, process, req, REQUEST_NO_JOB, "");
-	else if (job->state != FLOW_RUNNING)
-		reply_text(
-		    d, process, req, REQUEST_DONE, flow_state_name(job->state));
-	else
+	if (job != NULL && job->state == FLOW_RUNNING)
 		add_state_request(d, process, req, id);
+	else
+		reply_state(d, process, req, job);
 }
 
 static void
-answer_state_request(struct dispatch *d, struct state_request *r)
+state_request_free(void *arg)
 {
-	const struct flow_job *job = flow_job(d->conf.flow, r->job);
-	struct request req = { .id = r->request };
+	struct state_request *r = arg;
 
-	if (job == NULL)
-		reply_text(d, r->process, &req, REQUEST_NO_JOB, "");
-	else
-		reply_text(d, r->process, &req, REQUEST_DONE,
-		    flow_state_name(job->state));
+	request_clear(&r->request);
 	g_free(r);
 }
 
+/* Answers a delayed request as if it came now: its key may have been revoked
+ * during the delay, or this leader replaced. */
+static void
+answer_state_request(struct dispatch *d, struct state_request *r)
+{
+	const struct flow_job *job;
+	uint64_t id;
+
+	if (!dispatch_may_act(d))
+		reply_text(d, r->process, &r->request, REQUEST_UNAVAILABLE,
+		    "not leading");
+	else if (find_job(d, r->process, &r->request, &id, &job) != NULL)
+		reply_state(d, r->process, &r->request, job);
+	state_request_free(r);
+}
+
 void
 state_requests_job_ended(struct dispatch *d, const struct flow_job *job)
 {
@@ -593,7 +634,7 @@
 requests_drop(struct dispatch *d)
 {
 	g_queue_clear_full(&d->reads, g_free);
-	g_queue_clear_full(&d->state_requests, g_free);
+	g_queue_clear_full(&d->state_requests, state_request_free);
 }
 
 static void (*const handlers[REQUEST_OP_COUNT])(
--- a/lib/gate/gate.c
+++ b/lib/gate/gate.c
@@ -27,10 +27,7 @@
 {
 	struct pending *p = arg;
 
-	g_free(p->request.host);
-	g_free(p->request.path);
-	g_bytes_unref(p->request.body);
-	g_free(p->request.credential);
+	request_clear(&p->request);
 	g_free(p);
 }
 
@@ -107,14 +104,8 @@
 {
 	struct pending *p = g_new0(struct pending, 1);
 
-	p->request = (struct request){ .id = ++g->last_id,
-		.op = request->op,
-		.host = g_strdup(request->host == NULL ? "" : request->host),
-		.path = g_strdup(request->path == NULL ? "" : request->path),
-		.seq = request->seq,
-		.body = request->body == NULL ? g_bytes_new_static("", 0)
-					      : g_bytes_ref(request->body),
-		.credential = g_strdup(request->credential) };
+	p->request = request_copy(request);
+	p->request.id = ++g->last_id;
 	p->deadline_ms = mono_ms() + timeout_ms;
 	p->fn = fn;
 	p->arg = arg;
