--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -90,28 +90,36 @@
 	return flow_organisation_of_key(d->conf.flow, req->credential);
 }
 
+/* What logs show of the key of a request. */
+static const char *
+fingerprint(const struct request *req, char text[AUTH_FINGERPRINT_DIGITS + 1])
+{
+	if (req->credential == NULL)
+		return "none";
+	auth_fingerprint(req->credential, text);
+	return text;
+}
+
 /*
  * Says whether a request may use a queue: it carries the key of an
  * organisation in the current configuration, or needs none. Checked for each
- * request by the leader, whose state is current, so a withdrawn key works
- * nowhere once its withdrawal is acknowledged.
+ * request by the leader, whose state is current, so a revoked key works
+ * nowhere once its revocation is acknowledged.
  */
 static bool
 is_authenticated(
     struct dispatch *d, const struct request *req, const struct flow_queue *q)
 {
-	char fingerprint[AUTH_FINGERPRINT_DIGITS + 1] = "none";
+	char text[AUTH_FINGERPRINT_DIGITS + 1];
 
 	if (flow_config(d->conf.flow)->organisations == NULL || q->public ||
 	    organisation_of(d, req) != NULL)
 		return true;
-	if (req->credential != NULL)
-		auth_fingerprint(req->credential, fingerprint);
 	d->meter.unauthenticated->value++;
 	log_info("dispatch",
 	    "event=unauthenticated op=%u path=%s key=%s "
 	    "version=%" G_GUINT64_FORMAT,
-	    req->op, req->path, fingerprint,
+	    req->op, req->path, fingerprint(req, text),
 	    flow_config(d->conf.flow)->version);
 	return false;
 }
@@ -165,6 +173,8 @@
 {
 	const char *rest = NULL;
 	const struct flow_queue *q = find_queue(d, process, req, &rest);
+	const struct flow_organisation *o;
+	char text[AUTH_FINGERPRINT_DIGITS + 1];
 
 	*job = NULL;
 	if (q == NULL)
@@ -176,9 +186,12 @@
 	*job = flow_job(d->conf.flow, *id);
 	if (*job == NULL || is_owner(d, req, *job))
 		return q;
+	o = organisation_of(d, req);
 	log_info("dispatch",
-	    "event=forbidden job=%016" G_GINT64_MODIFIER "x op=%u", *id,
-	    req->op);
+	    "event=forbidden job=%016" G_GINT64_MODIFIER
+	    "x op=%u organisation=\"%s\" key=%s owner=\"%s\"",
+	    *id, req->op, o == NULL ? "" : o->name, fingerprint(req, text),
+	    (*job)->organisation);
 	reply_text(d, process, req, REQUEST_FORBIDDEN, "");
 	return NULL;
 }
