--- a/test/flow_test.c
+++ b/test/flow_test.c
@@ -183,19 +183,27 @@
 }
 
 static enum flow_apply_result
-submit(struct fixture *x, uint64_t job, struct flow_spec *spec)
+submit_as(struct fixture *x, uint64_t job, const char *organisation,
+    struct flow_spec *spec)
 {
 	struct flow_cmd cmd = { .type = FLOW_CMD_SUBMIT };
 	enum flow_apply_result result;
 
 	cmd.u.submit.job = job;
 	cmd.u.submit.queue = "renders";
+	cmd.u.submit.organisation = (char *)organisation;
 	cmd.u.submit.spec = *spec;
 	result = apply_cmd(x, &cmd);
 	flow_spec_clear(spec);
 	return result;
 }
 
+static enum flow_apply_result
+submit(struct fixture *x, uint64_t job, struct flow_spec *spec)
+{
+	return submit_as(x, job, NULL, spec);
+}
+
 static void
 start(struct fixture *x, uint64_t job, uint32_t occurrence, uint32_t step,
     uint32_t first, uint32_t count, uint32_t number, uint32_t on)
@@ -669,6 +677,54 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+/* --- organisations --- */
+
+static void
+assert_digest(GBytes *bytes, const char *expected)
+{
+	char *digest = g_compute_checksum_for_bytes(G_CHECKSUM_SHA256, bytes);
+
+	g_assert_cmpstr(digest, ==, expected);
+	g_free(digest);
+	g_bytes_unref(bytes);
+}
+
+/*
+ * The encodings of the last version without organisations (commit 222205d), as
+ * SHA-256. Guards against logs and snapshots that this version can't read while
+ * no organisation is configured.
+ */
+static void
+test_earlier_encodings(void)
+{
+	struct fixture x = setup(2);
+	struct flow_config config = make_config(3, 2);
+	struct flow_cmd cmd = { .type = FLOW_CMD_SUBMIT, .at_ms = 5 };
+	struct flow_spec spec = new_spec();
+	uint32_t w = add_worker(&x, "w0", 1);
+
+	assert_digest(flow_config_encode(&config),
+	    "0dfbc5170935d7be16dc783c47c784073bf6d94f0320d860efcd6d3b54423354");
+	flow_config_clear(&config);
+	cmd.u.submit.job = 7;
+	cmd.u.submit.queue = "renders";
+	cmd.u.submit.spec = new_spec();
+	add_step(&cmd.u.submit.spec, 2, true)->label = g_strdup("a");
+	assert_digest(flow_cmd_encode(&cmd),
+	    "9aa74b425805f95c63d7bff8dfa320c04312b9ecbca90b9ff8697e5936448659");
+	flow_spec_clear(&cmd.u.submit.spec);
+	(void)add_step(&spec, 2, false);
+	(void)submit(&x, 7, &spec);
+	spec = new_spec();
+	(void)add_step(&spec, 1, false);
+	(void)submit(&x, 8, &spec);
+	start(&x, 7, 0, 0, 0, 1, 1, w);
+	g_assert_cmpint(cancel(&x, 8), ==, FLOW_ACCEPTED);
+	assert_digest(flow_snapshot(x.flow),
+	    "8bd3d284fa947488a8c44c69885a87a5c7fb6b653368e4660f6f4f88fa241870");
+	teardown(&x);
+}
+
 /* A name stands for the newer of two incarnations of a worker. */
 static void
 test_incarnations(void)
@@ -699,6 +755,231 @@
 	return bytes;
 }
 
+static void
+add_organisation(struct flow_config *c, const char *name, double weight,
+    struct resources cap, const char *const *keys)
+{
+	struct flow_organisation *o = flow_organisation_new();
+
+	o->name = g_strdup(name);
+	o->weight = weight;
+	o->cap = cap;
+	for (int i = 0; keys[i] != NULL; i++)
+		g_ptr_array_add(o->keys, g_strdup(keys[i]));
+	g_ptr_array_add(c->organisations, o);
+}
+
+/* A configuration with two queues, the second public, and organisations; blue
+ * is one key of "blue". */
+static struct flow_config
+config_with_organisations(uint64_t version, const char *blue)
+{
+	const char *const blue_keys[] = { blue, "blue-\xc3\xa9", NULL };
+	const char *const red_keys[] = { NULL };
+	struct flow_config c = make_config(version, 2);
+
+	((struct flow_queue *)c.queues->pdata[1])->public = true;
+	c.organisations =
+	    g_ptr_array_new_with_free_func(flow_organisation_free);
+	add_organisation(&c, "blue", 2.5,
+	    (struct resources){ 64000, INT64_C(1) << 40, 3 }, blue_keys);
+	add_organisation(&c, "red", 0, (struct resources){ 0 }, red_keys);
+	return c;
+}
+
+static void
+assert_organisations(const struct flow_config *c)
+{
+	const struct flow_organisation *o;
+
+	g_assert_cmpuint(c->organisations->len, ==, 2);
+	o = c->organisations->pdata[0];
+	g_assert_cmpstr(o->name, ==, "blue");
+	g_assert_cmpfloat(o->weight, ==, 2.5);
+	g_assert_cmpint(o->cap.millicpus, ==, 64000);
+	g_assert_cmpint(o->cap.memory, ==, INT64_C(1) << 40);
+	g_assert_cmpint(o->cap.accelerators, ==, 3);
+	g_assert_cmpuint(o->keys->len, ==, 2);
+	g_assert_cmpstr(o->keys->pdata[1], ==, "blue-\xc3\xa9");
+	o = c->organisations->pdata[1];
+	g_assert_cmpstr(o->name, ==, "red");
+	g_assert_cmpfloat(o->weight, ==, 0);
+	g_assert_cmpuint(o->keys->len, ==, 0);
+	g_assert_false(((struct flow_queue *)c->queues->pdata[0])->public);
+	g_assert_true(((struct flow_queue *)c->queues->pdata[1])->public);
+}
+
+/* Guards against members of a configuration that get lost between an entry and
+ * the leader or in the log, and against an empty list that is read as none. */
+static void
+test_organisations_encoded(void)
+{
+	struct flow_cmd in = { .type = FLOW_CMD_CONFIG,
+		.u.config = config_with_organisations(3, "blue-1") };
+	struct flow_cmd out;
+	struct flow_config c;
+	GBytes *bytes = flow_config_encode(&in.u.config);
+	GError *err = NULL;
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+
+	g_assert_true(flow_config_decode(data, len, &c));
+	assert_organisations(&c);
+	flow_config_clear(&c);
+	g_bytes_unref(bytes);
+	bytes = flow_cmd_encode(&in);
+	data = g_bytes_get_data(bytes, &len);
+	g_assert_true(flow_cmd_decode(data, len, &out, &err));
+	g_assert_no_error(err);
+	assert_organisations(&out.u.config);
+	flow_cmd_clear(&out);
+	g_bytes_unref(bytes);
+	g_ptr_array_set_size(in.u.config.organisations, 0);
+	bytes = flow_config_encode(&in.u.config);
+	data = g_bytes_get_data(bytes, &len);
+	g_assert_true(flow_config_decode(data, len, &c));
+	g_assert_nonnull(c.organisations);
+	g_assert_cmpuint(c.organisations->len, ==, 0);
+	flow_config_clear(&c);
+	g_bytes_unref(bytes);
+	flow_cmd_clear(&in);
+}
+
+static void
+set_organisations(struct fixture *x, uint64_t version, const char *blue)
+{
+	struct flow_cmd cmd = { .type = FLOW_CMD_CONFIG,
+		.u.config = config_with_organisations(version, blue) };
+
+	(void)apply_cmd(x, &cmd);
+	flow_cmd_clear(&cmd);
+}
+
+static const char *
+holder_of(const struct flow *f, const char *key)
+{
+	const struct flow_organisation *o = flow_organisation_of_key(f, key);
+
+	return o == NULL ? NULL : o->name;
+}
+
+/* Guards against an index of keys that is not that of the current
+ * configuration: after a new version, a stale one, and one without
+ * organisations. */
+static void
+test_keys(void)
+{
+	struct fixture x = setup(1);
+
+	g_assert_null(holder_of(x.flow, "blue-1"));
+	set_organisations(&x, 5, "blue-1");
+	g_assert_cmpstr(holder_of(x.flow, "blue-1"), ==, "blue");
+	g_assert_null(holder_of(x.flow, "blue-2"));
+	g_assert_null(holder_of(x.flow, NULL));
+	g_assert_null(holder_of(x.flow, ""));
+	set_organisations(&x, 6, "blue-2");
+	g_assert_null(holder_of(x.flow, "blue-1"));
+	g_assert_cmpstr(holder_of(x.flow, "blue-2"), ==, "blue");
+	set_organisations(&x, 5, "blue-1");
+	set_organisations(&x, 6, "blue-1");
+	g_assert_null(holder_of(x.flow, "blue-1"));
+	g_assert_cmpstr(holder_of(x.flow, "blue-2"), ==, "blue");
+	g_assert_nonnull(flow_organisation(x.flow, "red"));
+	g_assert_null(flow_organisation(x.flow, "green"));
+	g_assert_null(flow_organisation(x.flow, NULL));
+	configure(&x, 7, 1);
+	g_assert_null(flow_config(x.flow)->organisations);
+	g_assert_null(holder_of(x.flow, "blue-2"));
+	g_assert_null(flow_organisation(x.flow, "red"));
+	teardown(&x);
+}
+
+/* Guards against a replica that starts from a snapshot and knows no keys, old
+ * keys, or not whose jobs they are, also after the jobs have ended. */
+static void
+test_organisations_in_snapshot(void)
+{
+	struct fixture x = setup(2);
+	struct flow *copy = flow_new();
+	struct flow_spec spec;
+	GBytes *first;
+	GBytes *second;
+
+	for (uint64_t job = 7; job < 10; job++) {
+		spec = new_spec();
+		(void)add_step(&spec, 2, false);
+		(void)submit_as(&x, job, job == 9 ? NULL : "blue", &spec);
+	}
+	g_assert_cmpint(cancel(&x, 8), ==, FLOW_ACCEPTED);
+	set_organisations(&x, 5, "blue-1");
+	set_organisations(&x, 6, "blue-2");
+	first = copy_through_snapshot(x.flow, copy);
+	assert_organisations(flow_config(copy));
+	g_assert_null(holder_of(copy, "blue-1"));
+	g_assert_cmpstr(holder_of(copy, "blue-2"), ==, "blue");
+	g_assert_cmpstr(flow_job(copy, 7)->organisation, ==, "blue");
+	g_assert_true(flow_job_ended(flow_job(copy, 8)));
+	g_assert_cmpstr(flow_job(copy, 8)->organisation, ==, "blue");
+	g_assert_null(flow_job(copy, 9)->organisation);
+	second = flow_snapshot(copy);
+	g_assert_true(g_bytes_equal(first, second));
+	g_bytes_unref(first);
+	g_bytes_unref(second);
+	flow_free(copy);
+	teardown(&x);
+}
+
+/* A job keeps the organisation that submitted it first. Guards against one that
+ * takes over a job by submitting it again. */
+static void
+test_resubmitted_by_other(void)
+{
+	struct fixture x = setup(2);
+	struct flow_spec spec = new_spec();
+
+	(void)add_step(&spec, 1, false);
+	g_assert_cmpint(submit_as(&x, 7, "blue", &spec), ==, FLOW_ACCEPTED);
+	spec = new_spec();
+	(void)add_step(&spec, 1, false);
+	g_assert_cmpint(submit_as(&x, 7, "red", &spec), ==, FLOW_DUPLICATE);
+	g_assert_cmpstr(flow_job(x.flow, 7)->organisation, ==, "blue");
+	teardown(&x);
+}
+
+/* Guards against a key or name that is nil in a damaged log, which must be
+ * refused rather than crash the replica. */
+static void
+test_organisations_malformed(void)
+{
+	for (int bad = 0; bad < 4; bad++) {
+		msgpack_sbuffer buf;
+		msgpack_packer pk;
+		struct flow_config c;
+
+		msgpack_sbuffer_init(&buf);
+		msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+		msgpack_pack_array(&pk, 1); /* frame */
+		msgpack_pack_array(&pk, 5);
+		msgpack_pack_int(&pk, 7); /* version */
+		msgpack_pack_bin_with_body(&pk, "{}", 2);
+		msgpack_pack_array(&pk, 0); /* queues */
+		msgpack_pack_array(&pk, 0); /* pools */
+		msgpack_pack_array(&pk, 1); /* organisations */
+		msgpack_pack_array(&pk, bad == 1 ? 5 : 6);
+		put_str(&pk, bad == 2 ? NULL : "blue");
+		msgpack_pack_double(&pk, 1);
+		put_resources(&pk, &(struct resources){ 0 });
+		if (bad != 1) {
+			msgpack_pack_array(&pk, 1);
+			put_str(&pk, bad == 3 ? NULL : "k");
+		}
+		g_assert_true(
+		    flow_config_decode(buf.data, buf.size, &c) == (bad == 0));
+		flow_config_clear(&c);
+		msgpack_sbuffer_destroy(&buf);
+	}
+}
+
 #define CRASHES_AT_START 3 /* that are the limit for a task */
 #define DEADLY 0xdead
 #define INNOCENT 0x1000
@@ -1017,7 +1298,7 @@
 		spec = new_spec();
 		(void)add_step(&spec, 3, rng_below(rng, 2));
 		(void)add_step(&spec, 3, false);
-		(void)submit(x, job, &spec);
+		(void)submit_as(x, job, job % 2 == 0 ? NULL : "blue", &spec);
 		break;
 	case 1:
 		if (rng_below(rng, 6) == 0)
@@ -1120,6 +1401,16 @@
 	    "/flow/large-config-command", test_large_config_command);
 	g_test_add_func(
 	    "/flow/plain-config-command", test_plain_config_command);
+	g_test_add_func("/flow/earlier-encodings", test_earlier_encodings);
+	g_test_add_func(
+	    "/flow/organisations-encoded", test_organisations_encoded);
+	g_test_add_func("/flow/keys", test_keys);
+	g_test_add_func(
+	    "/flow/organisations-in-snapshot", test_organisations_in_snapshot);
+	g_test_add_func(
+	    "/flow/resubmitted-by-other", test_resubmitted_by_other);
+	g_test_add_func(
+	    "/flow/organisations-malformed", test_organisations_malformed);
 	g_test_add_func("/flow/incarnations", test_incarnations);
 	g_test_add_func("/flow/crashes", test_crashes);
 	g_test_add_func("/flow/crashes-later", test_crashes_later);
