speed, flow, dispatch: learn the speeds of workers in the replicated state

The slowness of a worker was measured by the leader with a weight of 0.1 per run and decayed within 4 s, so it was practically unused, and it was lost with the leader. Short urgent tasks and gangs therefore ran on slow workers.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -189,6 +189,7 @@
 	 * the new leader decides that. */
 	if (dispatch_may_act(d))
 		holders_scan(d, now);
+	speeds_scan(d, now);
 	runs_scan(d, now);
 	permits_scan(d, now);
 	state_requests_scan(d, now);
@@ -390,6 +391,7 @@
 		    ->query = 0;
 	flow_set_watch(d->conf.flow, &watch_callbacks, d);
 	holders_load(d);
+	speeds_update(d, d->lead_ms);
 	flow_each_assigned(d->conf.flow, load_run, d);
 	confirm(d, boot_ms());
 }
@@ -484,6 +486,12 @@
 	    "", "Steps that wait for room or a permit.");
 	m->workers = counter_new(
 	    r, COUNTER_GAUGE, "bulrushtide_step_workers", "", "Workers known.");
+	m->slow_workers =
+	    counter_new(r, COUNTER_GAUGE, "bulrushtide_step_slow_workers", "",
+		"Workers whose learnt speed counts as slow.");
+	m->speed_spread = counter_new(r, COUNTER_GAUGE,
+	    "bulrushtide_step_speed_spread_percent", "",
+	    "Run time on slow workers relative to fast ones.");
 	m->start_delay = timer_new(r, "bulrushtide_step_wait_seconds", "",
 	    "Time from a job's acceptance to its first start.");
 	m->commit = timer_new(r, "bulrushtide_step_commit_seconds", "",
--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -75,6 +75,9 @@
 	struct registry *registry;
 	int64_t lease_max_ms; /* the longest lease that a worker accepts */
 	double far_factor; /* run time multiplier off the rack of the data */
+	/* Learnt speeds of workers take effect if the slow tenth of them takes
+	 * at least so many times as long as the fast tenth; 0: not learnt. */
+	double uneven_workers;
 	int64_t retain_ms; /* how long records of ended jobs are kept */
 };
 
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -48,6 +48,9 @@
 	int64_t resend_ms; /* when to send its order again; 0: none to send */
 	int tries;
 	int64_t started_ms;
+	/* Learnt run time multiplier of its worker, in a gang of the slowest
+	 * one, relative to the mean of all workers; 1: not in effect. */
+	double multiplier;
 	int64_t percent; /* its last known progress ... */
 	int64_t progress_ms; /* ... and when that last changed */
 	uint64_t last_poll; /* serial of the last poll that reported it */
@@ -102,6 +105,10 @@
 	int64_t restarted_ms; /* after a crash of the one before; 0: none */
 	double slowdown; /* run time multiplier, measured ... */
 	int64_t slowdown_ms; /* ... at this time */
+	/* Learnt run time multiplier relative to the mean of all workers; 1
+	 * while learnt speeds are not in effect. */
+	double multiplier;
+	bool slow; /* logged as slow */
 	int64_t excluded_until_ms; /* gets no new work until then */
 	struct plan_failure_record failures;
 	int64_t failed_ms; /* when a run last failed there */
@@ -171,6 +178,8 @@
 	struct counter *running;
 	struct counter *waiting;
 	struct counter *workers;
+	struct counter *slow_workers;
+	struct counter *speed_spread;
 	struct timer *start_delay;
 	struct timer *commit;
 	struct timer *policy_query;
@@ -207,6 +216,11 @@
 	int64_t leader_until_ms;
 	GHashTable *started_jobs; /* ids of open jobs that have run */
 	GHashTable *estimates; /* queue name to struct plan_estimate */
+	/* Learnt speeds; see speeds.c. */
+	bool speeds_in_effect;
+	double fast_multiplier; /* of the fast tenth; 1: not in effect */
+	double spread; /* of the slow tenth relative to the fast one */
+	int64_t speeds_ms; /* when these were last updated */
 	GHashTable *racks; /* rack name to number */
 	GArray *reservations; /* struct reservation, most of them not over */
 	int64_t preempt_ms; /* when runs were last considered to preempt */
@@ -290,6 +304,12 @@
  * fence or another incarnation. Returns false for all other results. */
 bool holder_handle_result(struct holder *h, enum agent_result result);
 
+/* speeds.c */
+/* Updates the multipliers of all workers from the replicated state. */
+void speeds_update(struct dispatch *d, int64_t now);
+/* The same if it is due. */
+void speeds_scan(struct dispatch *d, int64_t now);
+
 /* permits.c */
 struct step_permits *step_permits_get(struct dispatch *d,
     const struct flow_job *job, uint32_t occurrence, uint32_t step);
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -58,6 +58,7 @@
 	/* A run resumed from a checkpoint took only part of the run time. */
 	if (step->long_running || (step->checkpointing && r->id.number > 1))
 		return;
+	ran_ms = (int64_t)((double)ran_ms / r->multiplier);
 	slowdown = (double)ran_ms /
 	    (double)MAX(plan_estimate_ms(estimate, step->runtime_ms), 1);
 	plan_estimate_update(estimate, step->runtime_ms, ran_ms);
@@ -103,13 +104,14 @@
 }
 
 /* The estimated run time of the longest chain of dependent steps of a job, or
- * of the steps that an occurrence still has to do. */
+ * of the steps that an occurrence still has to do, on fast workers. */
 static int64_t
 critical_path_ms(struct dispatch *d, const struct flow_job *job,
     const struct flow_occurrence *occurrence)
 {
 	const struct plan_estimate *estimate =
 	    estimate_of_queue(d, job->queue->name);
+	double multiplier = occurrence == NULL ? 1 : d->fast_multiplier;
 	GPtrArray *steps = job->spec.steps;
 	int64_t *path_ms = g_newa(int64_t, steps->len);
 	int64_t longest = 0;
@@ -124,8 +126,9 @@
 			path_ms[i] = MAX(path_ms[i],
 			    path_ms[g_array_index(s->after, uint32_t, k)]);
 		if (!done)
-			path_ms[i] +=
-			    plan_estimate_ms(estimate, s->runtime_ms) +
+			path_ms[i] += (int64_t)(multiplier *
+					  (double)plan_estimate_ms(
+					      estimate, s->runtime_ms)) +
 			    permit_ms(job->queue);
 		longest = MAX(longest, path_ms[i]);
 	}
@@ -151,6 +154,7 @@
 	int64_t runtime_ms = plan_estimate_ms(
 	    estimate, flow_job_step(job, r->id.step)->runtime_ms);
 
+	runtime_ms = (int64_t)((double)runtime_ms * r->multiplier);
 	return MAX(r->started_ms + runtime_ms - mono_ms(), 0);
 }
 
@@ -215,7 +219,9 @@
 		w->plan.capacity = w->plan.free = w->worker->capacity;
 		resources_add(&w->plan.free, &h->used, -1);
 		w->plan.rack = rack_number(d, w->worker->rack);
-		w->plan.slowdown = slowdown_now(h, rd->now);
+		w->plan.slowdown = d->speeds_in_effect
+		    ? MAX(h->multiplier / d->fast_multiplier, 1)
+		    : slowdown_now(h, rd->now);
 		w->plan.task_limit = task_limit;
 		h->in_round = w;
 		g_ptr_array_add(rd->workers, w);
@@ -485,6 +491,23 @@
 		apart_wanted(task) == wanted);
 }
 
+/* A gang ends with its slowest member. Its starts are those from first on. */
+static void
+use_slowest(const struct round *rd, guint first)
+{
+	double slowest = 0;
+
+	for (int pass = 0; pass < 2; pass++)
+		for (guint i = first; i < rd->starts->len; i++) {
+			struct active_run *r = run_find(rd->d,
+			    &g_array_index(rd->starts, struct flow_start, i)
+				 .id);
+
+			slowest = MAX(slowest, r->multiplier);
+			r->multiplier = slowest;
+		}
+}
+
 /* Places the tasks of a step that fit; returns how many. */
 static uint32_t
 place_tasks(struct round *rd, const struct pending_step *p,
@@ -509,6 +532,8 @@
 			: permit_find_valid(permits, w->worker, rd->now));
 		done++;
 	}
+	if (request->gang && rd->d->speeds_in_effect)
+		use_slowest(rd, rd->starts->len - done);
 	g_free(pick);
 	return placed;
 }
@@ -735,12 +760,13 @@
 	    " memory_mb=%" G_GINT64_FORMAT
 	    " waiting_long_running=%u waiting_in_time=%u waiting_late=%u"
 	    " waiting_overdue=%u rounds=%" G_GUINT64_FORMAT
-	    " rounds_ms=%" G_GINT64_FORMAT,
+	    " rounds_ms=%" G_GINT64_FORMAT " speed_spread=%.2f"
+	    " speeds_in_effect=%d",
 	    g_hash_table_size(d->holders), g_hash_table_size(d->runs),
 	    used.millicpus / 1000, all.millicpus / 1000, used.memory >> 20,
 	    all.memory >> 20, tiers[PLAN_LONG_RUNNING], tiers[PLAN_ON_TIME],
 	    tiers[PLAN_LATE], tiers[PLAN_OVERDUE], d->rounds,
-	    d->rounds_us / 1000);
+	    d->rounds_us / 1000, d->spread, d->speeds_in_effect);
 	d->rounds = 0;
 	d->rounds_us = 0;
 }
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -57,6 +57,7 @@
 	r->id = *id;
 	r->holder = h;
 	r->resources = run_resources(step);
+	r->multiplier = h->multiplier;
 	g_hash_table_add(d->runs, r);
 	g_ptr_array_add(h->runs, r);
 	h->suspects += r->suspicion > 0;
@@ -149,7 +150,9 @@
 uint64_t
 runs_end(struct dispatch *d, GArray *ends)
 {
-	struct flow_cmd cmd = { .type = FLOW_CMD_END, .u.ends = ends };
+	struct flow_cmd cmd = { .type = FLOW_CMD_END,
+		.u.ends = ends,
+		.learn_speeds = d->conf.uneven_workers > 0 };
 
 	return dispatch_propose(d, &cmd);
 }
--- a/lib/flow/command.c
+++ b/lib/flow/command.c
@@ -157,7 +157,8 @@
 {
 	GArray *ends = cmd->u.ends;
 
-	msgpack_pack_array(pk, ends->len * 7);
+	/* Without learnt speeds as earlier versions wrote it. */
+	msgpack_pack_array(pk, ends->len * 7 + (cmd->learn_speeds ? 1 : 0));
 	for (guint i = 0; i < ends->len; i++) {
 		const struct flow_end *e =
 		    &g_array_index(ends, struct flow_end, i);
@@ -166,6 +167,8 @@
 		msgpack_pack_uint8(pk, (uint8_t)e->outcome);
 		put_str(pk, e->checkpoint);
 	}
+	if (cmd->learn_speeds)
+		put_bool(pk, true);
 }
 
 static void
@@ -175,8 +178,8 @@
 
 	cmd->u.ends = g_array_new(FALSE, TRUE, sizeof(struct flow_end));
 	g_array_set_clear_func(cmd->u.ends, end_clear);
-	a.ok = a.ok && a.left <= BATCH_MAX * 7;
-	while (a.ok && a.left > 0) {
+	a.ok = a.ok && a.left <= BATCH_MAX * 7 + 1;
+	while (a.ok && a.left > 1) {
 		struct flow_end e;
 
 		run_get(&a, &e.id);
@@ -185,6 +188,8 @@
 		e.checkpoint = get_str(&a, FLOW_TEXT_MAX);
 		g_array_append_val(cmd->u.ends, e);
 	}
+	if (a.left == 1)
+		cmd->learn_speeds = get_bool(&a);
 	r->ok = r->ok && a.ok;
 }
 
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -81,6 +81,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	f->losses = losses_new();
 	f->causes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	f->speeds = speed_new();
 	g_queue_init(&f->active);
 	g_queue_init(&f->ended);
 	return f;
@@ -93,6 +94,7 @@
 	g_queue_clear(&f->ended);
 	g_ptr_array_set_size(f->losses, 0);
 	g_array_set_size(f->causes, 0);
+	speed_clear(f->speeds);
 	g_hash_table_remove_all(f->jobs);
 	g_hash_table_remove_all(f->workers_by_name);
 	g_hash_table_remove_all(f->workers);
@@ -116,6 +118,7 @@
 	g_hash_table_unref(f->queued_counts);
 	g_ptr_array_unref(f->losses);
 	g_array_unref(f->causes);
+	speed_free(f->speeds);
 	g_free(f);
 }
 
@@ -621,7 +624,7 @@
 }
 
 static void
-end_run(struct flow *f, const struct flow_end *e)
+end_run(struct flow *f, const struct flow_end *e, bool learn_speeds)
 {
 	struct flow_job *job;
 	struct flow_occurrence *occ;
@@ -636,6 +639,8 @@
 	step = flow_job_step(job, e->id.step);
 	st = &occ->steps[e->id.step];
 	if (e->outcome == FLOW_END_DONE && !step->long_running) {
+		if (learn_speeds)
+			speeds_learn(f, job, st, &e->id);
 		finish_task(f, job, occ, &e->id);
 		retire_job(f, job);
 		return;
@@ -659,7 +664,8 @@
 apply_end(struct flow *f, struct flow_cmd *cmd)
 {
 	for (guint i = 0; i < cmd->u.ends->len; i++)
-		end_run(f, &g_array_index(cmd->u.ends, struct flow_end, i));
+		end_run(f, &g_array_index(cmd->u.ends, struct flow_end, i),
+		    cmd->learn_speeds);
 	losses_judge(f);
 	return FLOW_ACCEPTED;
 }
@@ -694,6 +700,7 @@
 		g_hash_table_remove(f->jobs, &job->id);
 	}
 	losses_prune(f);
+	speeds_prune(f);
 	return FLOW_ACCEPTED;
 }
 
@@ -737,6 +744,12 @@
 	return &f->config;
 }
 
+const struct speed_table *
+flow_speeds(const struct flow *f)
+{
+	return f->speeds;
+}
+
 const struct flow_queue *
 flow_route(
     const struct flow *f, const char *host, const char *path, const char **rest)
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -9,6 +9,7 @@
 #define FLOW_H
 
 #include "base.h"
+#include "speed.h"
 
 #define FLOW_TASKS_MAX 10000 /* tasks in one step */
 #define FLOW_STEPS_MAX 100 /* steps in one job */
@@ -146,6 +147,8 @@
 	uint32_t assigned;
 	uint32_t done;
 	uint32_t last_failed_run; /* counts a gang's failed run only once */
+	struct speed_peers
+	    peers; /* of the tasks done while speeds are learnt */
 };
 
 /* One execution of all steps of a job. */
@@ -244,6 +247,9 @@
 		uint64_t occurrence_job; /* id of the job */
 		int64_t prune_before_ms; /* removes jobs that ended earlier */
 	} u;
+	/* FLOW_CMD_END: the speeds of the workers are learnt from the runs. The
+	 * leader's setting; in the command so that all replicas agree. */
+	bool learn_speeds;
 	/* u.config as flow_config_encode() returns it, if it is known: spares
 	 * flow_cmd_encode() to compress it again. Not owned; else NULL. */
 	GBytes *encoded_config;
@@ -310,6 +316,8 @@
 /* Cell time of the last applied command. */
 int64_t flow_time_ms(const struct flow *f);
 const struct flow_config *flow_config(const struct flow *f);
+/* The speeds learnt from runs, by the addresses of workers. */
+const struct speed_table *flow_speeds(const struct flow *f);
 /*
  * Finds the queue of a host with the longest matching path prefix and sets
  * *rest to the path after that prefix. Returns NULL if no queue matches.
--- a/lib/flow/internal.h
+++ b/lib/flow/internal.h
@@ -24,6 +24,7 @@
 	GHashTable *queued_counts; /* queue name to jobs in FLOW_QUEUED */
 	GPtrArray *losses; /* struct loss, oldest first */
 	GArray *causes; /* uint64_t: jobs for losses_judge() to give up */
+	struct speed_table *speeds;
 };
 
 /* spec.c: X_put() encodes, X_get() decodes and sets r->ok */
@@ -66,6 +67,17 @@
 uint32_t losses_count(
     const struct flow *f, const struct flow_run *run, enum loss_state state);
 
+/* speeds.c */
+/* Learns from a run that ends as done; to be called while it is assigned. */
+void speeds_learn(struct flow *f, const struct flow_job *job,
+    struct flow_step_state *st, const struct flow_run *run);
+void speeds_prune(struct flow *f);
+/* Says whether there is anything to write. */
+bool speeds_any(const struct flow *f);
+void speeds_put(msgpack_packer *pk, const struct flow *f);
+/* To be called after the jobs were read. */
+void speeds_get(struct flow *f, struct reader *r);
+
 /*
  * routes.c: index of queues, which must outlive it. routes_find() returns the
  * queue with the longest prefix of the path, NULL if there is none, and sets
--- a/lib/flow/snapshot.c
+++ b/lib/flow/snapshot.c
@@ -1,8 +1,12 @@
 /* Snapshots of the state as one msgpack array, and the consistency check. */
 #include "internal.h"
 
-#define SNAPSHOT_FORMAT 2
-#define SNAPSHOT_FORMAT_NO_LOSSES 1 /* of earlier versions */
+/* Of earlier versions; without speeds also of this one. */
+enum snapshot_format {
+	SNAPSHOT_FORMAT_NO_LOSSES = 1,
+	SNAPSHOT_FORMAT_NO_SPEEDS,
+	SNAPSHOT_FORMAT
+};
 
 static void
 step_state_put(msgpack_packer *pk, const struct flow_step_state *st)
@@ -162,11 +166,13 @@
 {
 	msgpack_sbuffer buf;
 	msgpack_packer pk;
+	bool speeds = speeds_any(f);
 
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, 7);
-	msgpack_pack_uint32(&pk, SNAPSHOT_FORMAT);
+	msgpack_pack_array(&pk, speeds ? 8 : 7);
+	msgpack_pack_uint32(
+	    &pk, speeds ? SNAPSHOT_FORMAT : SNAPSHOT_FORMAT_NO_SPEEDS);
 	msgpack_pack_int64(&pk, f->time_ms);
 	msgpack_pack_uint32(&pk, f->last_worker_id);
 	config_put(&pk, &f->config);
@@ -175,6 +181,8 @@
 	g_queue_foreach((GQueue *)&f->ended, put_job_row, &pk);
 	g_queue_foreach((GQueue *)&f->active, put_job_row, &pk);
 	losses_put(&pk, f);
+	if (speeds)
+		speeds_put(&pk, f);
 	return codec_take_buffer(&buf);
 }
 
@@ -196,8 +204,8 @@
 	struct reader list;
 	uint64_t format = get_u64(r);
 
-	r->ok = r->ok &&
-	    (format == SNAPSHOT_FORMAT || format == SNAPSHOT_FORMAT_NO_LOSSES);
+	r->ok = r->ok && format >= SNAPSHOT_FORMAT_NO_LOSSES &&
+	    format <= SNAPSHOT_FORMAT;
 	f->time_ms = get_i64(r);
 	f->last_worker_id = (uint32_t)get_u64(r);
 	config_get(r, &f->config);
@@ -220,8 +228,10 @@
 	while (list.ok && list.left > 0)
 		job_get(f, &list);
 	r->ok = r->ok && list.ok;
-	if (format != SNAPSHOT_FORMAT_NO_LOSSES)
+	if (format > SNAPSHOT_FORMAT_NO_LOSSES)
 		losses_get(f, r);
+	if (format > SNAPSHOT_FORMAT_NO_SPEEDS)
+		speeds_get(f, r);
 }
 
 bool
