plan, dispatch: queries for a gang go to several policy processes at a time

A step had at most one query in flight, so gangs of 20 tasks on a deployment of 350 workers started after 2.0 s (median) and 6.8 s (p90), most of it spent waiting for one call of 0.6 s + 8 ms a worker after another.

plan_select_queries() selects the workers to name and splits them over up to four idle processes. Workers known to be allowed are named first, those in flight are not named again, and the fraction of allowed workers is learned per queue from past answers. A query that fails ends only itself.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -383,6 +383,8 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	d->estimates =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	d->allowed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->racks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	d->reservations = g_array_new(FALSE, FALSE, sizeof(struct reservation));
 	for (guint i = 0; i < d->policy_processes->len; i++)
@@ -411,6 +413,7 @@
 	g_clear_pointer(&d->step_permits, g_hash_table_unref);
 	g_clear_pointer(&d->started_jobs, g_hash_table_unref);
 	g_clear_pointer(&d->estimates, g_hash_table_unref);
+	g_clear_pointer(&d->allowed, g_hash_table_unref);
 	g_clear_pointer(&d->racks, g_hash_table_unref);
 	g_clear_pointer(&d->reservations, g_array_unref);
 }
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -121,14 +121,22 @@
 	uint32_t step;
 	GHashTable *permits; /* worker id to struct permit */
 	GHashTable *denied; /* ids of workers that may not run the step */
-	GArray *queried; /* uint32_t: worker ids in the query in flight */
-	uint64_t query; /* in flight; 0: none */
+	GPtrArray *queries; /* struct step_query: those in flight */
+	GHashTable *queried; /* ids of the workers that these name */
 	int64_t retry_ms; /* no new query before this time */
+	int64_t review_ms; /* nor, while some are in flight, before this one */
 	int64_t preempt_retry_ms; /* nor a new search for runs to preempt */
 	int64_t apart_until_ms; /* how long suspected tasks wait for workers
 				   apart from others; 0: they don't */
 };
 
+/* A query in flight for a step. */
+struct step_query {
+	uint64_t query;
+	uint64_t process;
+	GArray *workers; /* uint32_t: ids of the workers that it names */
+};
+
 struct permit {
 	char *text; /* NULL: allowed, but the permit has to be renewed */
 	int64_t until_ms;
@@ -207,6 +215,7 @@
 	int64_t leader_until_ms;
 	GHashTable *started_jobs; /* ids of open jobs that have run */
 	GHashTable *estimates; /* queue name to struct plan_estimate */
+	GHashTable *allowed; /* queue name to struct plan_allowed */
 	GHashTable *racks; /* rack name to number */
 	GArray *reservations; /* struct reservation, most of them not over */
 	int64_t preempt_ms; /* when runs were last considered to preempt */
@@ -299,12 +308,13 @@
 /* Marks a permit that the worker has rejected as to be renewed. */
 void
 permit_expire(struct dispatch *d, const struct flow_run *id, uint32_t worker);
-/* Says whether a query for the step could be sent now. */
+/* Says whether queries for the step could be sent now. */
 bool permits_can_query(
     const struct dispatch *d, const struct step_permits *s, int64_t now);
 /*
  * Queries the policy service about workers (struct plan_worker) with enough
- * free resources, in order, if that can help to place the step. If partial is
+ * free resources, in order, if that can help to place the step; by several
+ * processes at a time if there are many workers to name. If partial is
  * set, it queries even if they don't suffice for the step, so that more
  * workers become known.
  */
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -7,6 +7,9 @@
 #define PROCESS_BACKOFF_MS 400 /* no query by a process whose query failed */
 #define PERMIT_MARGIN_MS 300 /* a permit is not used so near its expiry */
 #define QUERY_OVERHEAD_MS 150 /* network and a placement round */
+/* Interval of checks whether more queries are useful for a step that has some
+ * in flight; an answer causes a check at once. */
+#define QUERY_REVIEW_MS 50
 
 guint
 step_permits_hash(gconstpointer p)
@@ -36,6 +39,15 @@
 	g_free(p);
 }
 
+static void
+step_query_free(void *arg)
+{
+	struct step_query *q = arg;
+
+	g_array_unref(q->workers);
+	g_free(q);
+}
+
 void
 step_permits_free(void *arg)
 {
@@ -43,7 +55,8 @@
 
 	g_hash_table_unref(s->permits);
 	g_hash_table_unref(s->denied);
-	g_array_unref(s->queried);
+	g_ptr_array_unref(s->queries);
+	g_hash_table_unref(s->queried);
 	g_free(s);
 }
 
@@ -62,7 +75,8 @@
 	*s = key;
 	s->permits = g_hash_table_new_full(NULL, NULL, NULL, permit_free);
 	s->denied = g_hash_table_new(NULL, NULL);
-	s->queried = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	s->queries = g_ptr_array_new_with_free_func(step_query_free);
+	s->queried = g_hash_table_new(NULL, NULL);
 	g_hash_table_add(d->step_permits, s);
 	return s;
 }
@@ -139,18 +153,43 @@
 	}
 }
 
+static bool
+is_idle(const struct policy_process *p, int64_t now)
+{
+	return p->query == 0 && p->backoff_until_ms <= now;
+}
+
 static struct policy_process *
 idle_process(const struct dispatch *d, int64_t now)
 {
-	for (guint i = 0; i < d->policy_processes->len; i++) {
-		struct policy_process *p = d->policy_processes->pdata[i];
-
-		if (p->query == 0 && p->backoff_until_ms <= now)
-			return p;
-	}
+	for (guint i = 0; i < d->policy_processes->len; i++)
+		if (is_idle(d->policy_processes->pdata[i], now))
+			return d->policy_processes->pdata[i];
 	return NULL;
 }
 
+static uint32_t
+count_idle(const struct dispatch *d, int64_t now)
+{
+	uint32_t idle = 0;
+
+	for (guint i = 0; i < d->policy_processes->len; i++)
+		idle += is_idle(d->policy_processes->pdata[i], now);
+	return idle;
+}
+
+static struct plan_allowed *
+allowed_of_queue(struct dispatch *d, const char *queue)
+{
+	struct plan_allowed *allowed = g_hash_table_lookup(d->allowed, queue);
+
+	if (allowed != NULL)
+		return allowed;
+	allowed = g_new0(struct plan_allowed, 1);
+	g_hash_table_insert(d->allowed, g_strdup(queue), allowed);
+	return allowed;
+}
+
 /* How long the queue declares a query about so many workers to take. */
 static int64_t
 query_ms(const struct flow_queue *queue, guint workers)
@@ -172,67 +211,137 @@
 						     : PLAN_PERMIT_UNKNOWN;
 }
 
+static struct step_query *
+find_query(const struct step_permits *s, uint64_t query)
+{
+	for (guint i = 0; i < s->queries->len; i++) {
+		struct step_query *q = s->queries->pdata[i];
+
+		if (q->query == query)
+			return q;
+	}
+	return NULL;
+}
+
+static void
+remove_query(struct step_permits *s, uint64_t query)
+{
+	struct step_query *q = find_query(s, query);
+
+	if (q == NULL)
+		return;
+	for (guint i = 0; i < q->workers->len; i++)
+		g_hash_table_remove(s->queried,
+		    GUINT_TO_POINTER(g_array_index(q->workers, uint32_t, i)));
+	g_ptr_array_remove_fast(s->queries, q);
+	s->review_ms = 0;
+}
+
+/* Takes workers. */
+static void
+add_query(
+    struct step_permits *s, uint64_t query, uint64_t process, GArray *workers)
+{
+	struct step_query *q = g_new0(struct step_query, 1);
+
+	*q = (struct step_query){
+		.query = query, .process = process, .workers = workers
+	};
+	for (guint i = 0; i < workers->len; i++)
+		g_hash_table_add(s->queried,
+		    GUINT_TO_POINTER(g_array_index(workers, uint32_t, i)));
+	g_ptr_array_add(s->queries, q);
+}
+
+/* Sends a query about workers (ids, taken) by an idle process. */
 static void
 send_query(struct dispatch *d, struct step_permits *s, struct policy_process *p,
-    const struct flow_queue *queue, GPtrArray *names, int64_t now)
+    const struct flow_queue *queue, GArray *workers, int64_t now)
 {
-	struct agent_query q = { .job = s->job,
-		.occurrence = s->occurrence,
-		.step = s->step,
-		.workers = (char **)names->pdata };
+	GPtrArray *names = g_ptr_array_new();
+	struct agent_query q = {
+		.job = s->job, .occurrence = s->occurrence, .step = s->step
+	};
 	uint64_t query = ++d->last_query;
 
+	for (guint i = 0; i < workers->len; i++)
+		g_ptr_array_add(names,
+		    holder_find(d, g_array_index(workers, uint32_t, i))->name);
+	g_ptr_array_add(names, NULL);
+	q.workers = (char **)names->pdata;
+	add_query(s, query, p->process, workers);
+	p->query = query;
+	p->since_ms = now;
+	p->due_ms = now + QUERY_TIMEOUT_BASE_MS +
+	    QUERY_TIMEOUT_FACTOR * query_ms(queue, workers->len);
 	if (!d->ops->query_policy(d->arg, p->process, query, &q)) {
+		p->query = 0;
 		p->backoff_until_ms = now + PROCESS_BACKOFF_MS;
-		return;
+		remove_query(s, query);
+	} else {
+		d->meter.policy_queries->value++;
+		log_info("dispatch",
+		    "event=consult query=%" G_GUINT64_FORMAT
+		    " step=%016" G_GINT64_MODIFIER
+		    "x.%u.%u workers=%u process=%" G_GUINT64_FORMAT
+		    " concurrent=%u",
+		    query, s->job, s->occurrence, s->step, names->len - 1,
+		    p->process, s->queries->len);
 	}
-	p->query = s->query = query;
-	p->since_ms = now;
-	p->due_ms = now + QUERY_TIMEOUT_BASE_MS +
-	    QUERY_TIMEOUT_FACTOR * query_ms(queue, names->len);
-	d->meter.policy_queries->value++;
-	log_info("dispatch",
-	    "event=consult query=%" G_GUINT64_FORMAT
-	    " step=%016" G_GINT64_MODIFIER
-	    "x.%u.%u workers=%u process=%" G_GUINT64_FORMAT,
-	    query, s->job, s->occurrence, s->step, names->len - 1, p->process);
+	g_ptr_array_unref(names);
 }
 
-/* Queries the policy service about the candidates that were selected. */
+/* Sends the selected candidates in so many calls. */
 static void
-query_selected(struct dispatch *d, struct step_permits *s,
-    struct policy_process *p, GPtrArray *workers,
-    const struct plan_candidate *candidates, int64_t now)
+send_queries(struct dispatch *d, struct step_permits *s, GPtrArray *workers,
+    const struct plan_candidate *candidates, uint32_t calls, int64_t now)
 {
-	GPtrArray *names = g_ptr_array_new();
+	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
 
-	g_array_set_size(s->queried, 0);
-	for (guint i = 0; i < workers->len; i++) {
-		uint32_t id = ((struct plan_worker *)workers->pdata[i])->worker;
+	for (uint32_t call = 1; call <= calls; call++) {
+		struct policy_process *p = idle_process(d, now);
+		GArray *ids;
 
-		if (!candidates[i].selected)
-			continue;
-		g_ptr_array_add(names, holder_find(d, id)->name);
-		g_array_append_val(s->queried, id);
+		if (p == NULL)
+			return;
+		ids = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+		for (guint i = 0; i < workers->len; i++) {
+			const struct plan_worker *w = workers->pdata[i];
+
+			if (candidates[i].call == call)
+				g_array_append_val(ids, w->worker);
+		}
+		send_query(d, s, p, queue, ids, now);
 	}
-	g_ptr_array_add(names, NULL);
-	send_query(d, s, p, flow_job(d->conf.flow, s->job)->queue, names, now);
-	g_ptr_array_unref(names);
 }
 
-/* Returns a process that could send a query for the step now, or NULL. */
-static struct policy_process *
-process_for_query(
+bool
+permits_can_query(
     const struct dispatch *d, const struct step_permits *s, int64_t now)
 {
-	return s->query != 0 || now < s->retry_ms ? NULL : idle_process(d, now);
+	return s->queries->len < PLAN_QUERIES_MAX && now >= s->retry_ms &&
+	    (s->queries->len == 0 || now >= s->review_ms) &&
+	    idle_process(d, now) != NULL;
 }
 
-bool
-permits_can_query(
-    const struct dispatch *d, const struct step_permits *s, int64_t now)
+/* What is known about the workers that a query may name. */
+static struct plan_candidate *
+query_candidates(const struct step_permits *s,
+    const struct plan_request *request, const GPtrArray *workers,
+    int64_t until_ms)
 {
-	return process_for_query(d, s, now) != NULL;
+	struct plan_candidate *candidates =
+	    g_new0(struct plan_candidate, workers->len + 1);
+
+	for (guint i = 0; i < workers->len; i++) {
+		const struct plan_worker *w = workers->pdata[i];
+
+		candidates[i].fits = plan_fit_count(w, request);
+		candidates[i].permit = permit_state(s, w->worker, until_ms);
+		candidates[i].in_flight = g_hash_table_contains(
+		    s->queried, GUINT_TO_POINTER(w->worker));
+	}
+	return candidates;
 }
 
 void
@@ -241,7 +350,13 @@
     int64_t now)
 {
 	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
-	struct policy_process *process = process_for_query(d, s, now);
+	struct plan_query_limits limits = { .processes =
+						d->policy_processes->len,
+		.idle = count_idle(d, now),
+		.in_flight = s->queries->len,
+		.allowed_fraction =
+		    plan_allowed_fraction(allowed_of_queue(d, queue->name)),
+		.partial = partial };
 	struct plan_candidate *candidates;
 	/* The members of a gang start together, after the answer: their permits
 	 * have to be valid then. */
@@ -249,46 +364,43 @@
 	    (request->gang ? query_ms(queue, OBJECTIVE_QUERY_WORKERS) +
 			QUERY_OVERHEAD_MS
 			   : 0);
+	uint32_t calls;
 
-	if (process == NULL)
+	if (!permits_can_query(d, s, now))
 		return;
-	candidates = g_new0(struct plan_candidate, workers->len + 1);
-	for (guint i = 0; i < workers->len; i++) {
-		const struct plan_worker *worker = workers->pdata[i];
-
-		candidates[i].fits = plan_fit_count(worker, request);
-		candidates[i].permit =
-		    permit_state(s, worker->worker, until_ms);
-	}
-	if (plan_select_query_workers(
-		candidates, workers->len, request, partial) > 0)
-		query_selected(d, s, process, workers, candidates, now);
+	candidates = query_candidates(s, request, workers, until_ms);
+	calls = plan_select_queries(candidates, workers->len, request, &limits);
+	send_queries(d, s, workers, candidates, calls, now);
+	s->review_ms = now + QUERY_REVIEW_MS;
 	g_free(candidates);
 }
 
+/* Finds the step of a query in flight, and the query. */
 static struct step_permits *
-permits_of_query(const struct dispatch *d, uint64_t query)
+permits_of_query(
+    const struct dispatch *d, uint64_t query, struct step_query **out)
 {
 	GHashTableIter iter;
 	gpointer key;
 
 	g_hash_table_iter_init(&iter, d->step_permits);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		if (((struct step_permits *)key)->query == query)
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		*out = find_query(key, query);
+		if (*out != NULL)
 			return key;
+	}
 	return NULL;
 }
 
+/* The queries of the step that are still in flight go on. */
 static void
-query_failed(struct dispatch *d, uint64_t query, int64_t now)
+query_failed(struct step_permits *s, uint64_t query, int64_t now)
 {
-	struct step_permits *s = permits_of_query(d, query);
-
-	log_info(
-	    "dispatch", "event=consult-failed query=%" G_GUINT64_FORMAT, query);
-	if (s == NULL)
-		return;
-	s->query = 0;
+	log_info("dispatch",
+	    "event=consult-failed query=%" G_GUINT64_FORMAT
+	    " step=%016" G_GINT64_MODIFIER "x.%u.%u concurrent=%u",
+	    query, s->job, s->occurrence, s->step, s->queries->len - 1);
+	remove_query(s, query);
 	s->retry_ms = now + QUERY_RETRY_MS;
 }
 
@@ -308,18 +420,54 @@
 	g_hash_table_insert(s->permits, GUINT_TO_POINTER(w->id), p);
 }
 
-/* Marks the workers of a query that got no permit as denied. An answer of the
- * policy service about a step and worker never changes. */
-static void
-deny_others(struct step_permits *s)
+/*
+ * Marks the workers of a query that got no permit as denied. An answer of the
+ * policy service about a step and worker never changes. Returns how many of
+ * them were not known before.
+ */
+static uint32_t
+deny_others(struct step_permits *s, const struct step_query *q)
 {
-	for (guint i = 0; i < s->queried->len; i++) {
+	uint32_t denied = 0;
+
+	for (guint i = 0; i < q->workers->len; i++) {
 		gpointer key =
-		    GUINT_TO_POINTER(g_array_index(s->queried, uint32_t, i));
+		    GUINT_TO_POINTER(g_array_index(q->workers, uint32_t, i));
 
 		if (!g_hash_table_contains(s->permits, key))
-			g_hash_table_add(s->denied, key);
+			denied += g_hash_table_add(s->denied, key);
 	}
+	return denied;
+}
+
+/* Records the answer to a query for a step of the job. */
+static void
+query_answered(struct dispatch *d, struct step_permits *s, struct step_query *q,
+    const struct flow_job *job, const struct agent_permits *permits,
+    int64_t now)
+{
+	guint known = g_hash_table_size(s->permits);
+	int64_t valid_ms = permits->valid_ms > 0 ? permits->valid_ms
+						 : job->queue->permit_valid_ms;
+	uint32_t allowed;
+	uint32_t denied;
+
+	for (guint i = 0; i < permits->allowed->len; i++)
+		add_permit(d, s,
+		    &g_array_index(permits->allowed, struct agent_permit, i),
+		    now + valid_ms - PERMIT_MARGIN_MS);
+	allowed = g_hash_table_size(s->permits) - known;
+	denied = deny_others(s, q);
+	plan_allowed_update(
+	    allowed_of_queue(d, job->queue->name), allowed + denied, allowed);
+	log_info("dispatch",
+	    "event=permits query=%" G_GUINT64_FORMAT
+	    " step=%016" G_GINT64_MODIFIER
+	    "x.%u.%u queried=%u allowed=%u valid_ms=%" G_GINT64_FORMAT
+	    " concurrent=%u",
+	    q->query, s->job, s->occurrence, s->step, q->workers->len,
+	    permits->allowed->len, valid_ms, s->queries->len - 1);
+	remove_query(s, q->query);
 }
 
 void
@@ -329,8 +477,8 @@
 	struct policy_process *p = find_process(d, process);
 	int64_t now = mono_ms();
 	struct step_permits *s;
+	struct step_query *q = NULL;
 	const struct flow_job *job;
-	int64_t valid_ms;
 
 	if (p != NULL && p->query == query) {
 		p->query = 0;
@@ -341,28 +489,24 @@
 	if (!d->active)
 		return;
 	dispatch_schedule_round(d);
-	if (permits == NULL) {
-		query_failed(d, query, now);
-		return;
-	}
-	s = permits_of_query(d, query);
-	job = s == NULL ? NULL : flow_job(d->conf.flow, s->job);
-	if (job == NULL)
+	/* None if the query has timed out or its job has ended. */
+	s = permits_of_query(d, query, &q);
+	if (s == NULL)
 		return;
-	s->query = 0;
-	valid_ms = permits->valid_ms > 0 ? permits->valid_ms
-					 : job->queue->permit_valid_ms;
-	for (guint i = 0; i < permits->allowed->len; i++)
-		add_permit(d, s,
-		    &g_array_index(permits->allowed, struct agent_permit, i),
-		    now + valid_ms - PERMIT_MARGIN_MS);
-	deny_others(s);
-	log_info("dispatch",
-	    "event=permits query=%" G_GUINT64_FORMAT
-	    " step=%016" G_GINT64_MODIFIER
-	    "x.%u.%u queried=%u allowed=%u valid_ms=%" G_GINT64_FORMAT,
-	    query, s->job, s->occurrence, s->step, s->queried->len,
-	    permits->allowed->len, valid_ms);
+	job = flow_job(d->conf.flow, s->job);
+	if (permits == NULL || job == NULL)
+		query_failed(s, query, now);
+	else
+		query_answered(d, s, q, job, permits, now);
+}
+
+/* Says whether the process that sent a query may still answer it. */
+static bool
+is_awaited(const struct dispatch *d, const struct step_query *q)
+{
+	const struct policy_process *p = find_process(d, q->process);
+
+	return p != NULL && p->query == q->query;
 }
 
 /* Ends queries that timed out or whose process has disconnected. */
@@ -383,15 +527,12 @@
 	g_hash_table_iter_init(&iter, d->step_permits);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		struct step_permits *s = key;
-		bool keep = s->query == 0;
-
-		for (guint i = 0; !keep && i < d->policy_processes->len; i++)
-			keep = ((struct policy_process *)
-				       d->policy_processes->pdata[i])
-				   ->query == s->query;
-		if (!keep) {
-			s->query = 0;
-			s->retry_ms = now + QUERY_RETRY_MS;
+
+		for (guint i = s->queries->len; i > 0; i--) {
+			const struct step_query *q = s->queries->pdata[i - 1];
+
+			if (!is_awaited(d, q))
+				query_failed(s, q->query, now);
 		}
 	}
 }
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -157,24 +157,66 @@
 	PLAN_PERMIT_DENIED
 };
 
-/* A worker that a query to the policy service may include. */
+/* A worker that queries to the policy service may name. */
 struct plan_candidate {
 	uint32_t fits; /* tasks of the step that fit there */
 	enum plan_permit permit;
-	bool selected; /* result: include it in the query */
+	bool in_flight; /* a query that names it is not answered yet */
+	uint32_t call; /* result: the call that names it, from 1; 0: none */
 };
 
+/* What limits the queries of a step. */
+struct plan_query_limits {
+	uint32_t processes; /* that can query the policy service */
+	uint32_t idle; /* of these, how many could send a query now */
+	uint32_t in_flight; /* queries of the step without an answer yet */
+	double allowed_fraction; /* of workers with unknown permit */
+	bool partial; /* query also if the answers can't suffice for a gang */
+};
+
+/* Queries of one step that may be in flight at a time. */
+#define PLAN_QUERIES_MAX 4
+/* Limit of the policy service for one call. */
+#define PLAN_CALL_WORKERS_MAX 100
+/* Queries for up to so many workers are short: they are one call, as calls for
+ * fewer workers would hardly end sooner, and may use the reserve. */
+#define PLAN_SHORT_QUERY_WORKERS 20
+
+/* How many processes are kept idle for short queries. */
+uint32_t plan_query_reserve(uint32_t processes);
+
 /*
- * Selects the workers that a query to the policy service includes, in order,
+ * Selects the workers that queries to the policy service name now, and splits
+ * them over calls that are sent at the same time. The load that this addresses:
+ * gangs of 20 tasks on 350 workers of which a third are allowed, with calls of
+ * 0.6 s + 8 ms for each worker, so that calls one after another take seconds;
+ * among them short urgent steps, which need one small call at once.
+ *
+ * Workers known to be allowed are named first, then unknown ones in order,
  * until enough capacity is allowed or likely to be. For a gang, workers with a
  * valid permit count towards it: they need no query, and the gang's members
  * can start as soon as the query is answered. If they did not count, a gang
- * whose permits expire at different times would not query for any. A gang that
- * could not be placed with the answer is not queried for unless partial is
- * set. Returns how many workers were selected; 0: don't send a query.
+ * whose permits expire at different times would not query for any. Workers in
+ * flight count as expected. A gang that could not be placed with the answers is
+ * not queried for unless partial is set. A step that is not a gang has one
+ * selection in flight at a time.
+ *
+ * Returns the number of calls to send; 0: send none.
  */
-uint32_t plan_select_query_workers(struct plan_candidate *candidates,
-    guint count, const struct plan_request *request, bool partial);
+uint32_t plan_select_queries(struct plan_candidate *candidates, guint count,
+    const struct plan_request *request, const struct plan_query_limits *limits);
+
+/* How many of the workers asked about were allowed, by queue. */
+struct plan_allowed {
+	double asked;
+	double allowed;
+};
+
+/* Adds the answers about workers that were not asked about before. */
+void
+plan_allowed_update(struct plan_allowed *a, uint32_t asked, uint32_t allowed);
+/* The expected fraction of workers with unknown permit that are allowed. */
+double plan_allowed_fraction(const struct plan_allowed *a);
 
 /* Returns how many of the requested tasks fit on a worker. */
 uint32_t plan_fit_count(
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -267,6 +267,25 @@
 	return (struct plan_candidate){ .fits = fits, .permit = permit };
 }
 
+/* The only process, idle: nothing is split or held in reserve. */
+static const struct plan_query_limits one_process = {
+	.processes = 1, .idle = 1, .allowed_fraction = 0.4
+};
+static const struct plan_query_limits one_process_partial = {
+	.processes = 1, .idle = 1, .allowed_fraction = 0.4, .partial = true
+};
+
+static uint32_t
+count_named(const struct plan_candidate *candidates, guint count, uint32_t call)
+{
+	uint32_t named = 0;
+
+	for (guint i = 0; i < count; i++)
+		named += call == 0 ? candidates[i].call != 0
+				   : candidates[i].call == call;
+	return named;
+}
+
 /* A gang whose permits expire at different times: valid ones count, and those
  * that expire before the answer are queried again. */
 static void
@@ -285,32 +304,364 @@
 		candidate(9, PLAN_PERMIT_DENIED) };
 
 	g_assert_cmpuint(
-	    plan_select_query_workers(mixed, 5, &five, false), ==, 2);
-	g_assert_true(mixed[2].selected && mixed[3].selected);
-	g_assert_false(
-	    mixed[0].selected || mixed[1].selected || mixed[4].selected);
+	    plan_select_queries(mixed, 5, &five, &one_process), ==, 1);
+	g_assert_cmpuint(count_named(mixed, 5, 0), ==, 2);
+	g_assert_true(mixed[2].call == 1 && mixed[3].call == 1);
 	/* With any answer, fewer than five tasks could start. */
 	g_assert_cmpuint(
-	    plan_select_query_workers(few, 3, &five, false), ==, 0);
-	few[2].selected = false;
-	g_assert_cmpuint(plan_select_query_workers(few, 3, &five, true), ==, 1);
+	    plan_select_queries(few, 3, &five, &one_process), ==, 0);
+	g_assert_cmpuint(count_named(few, 3, 0), ==, 0);
+	g_assert_cmpuint(
+	    plan_select_queries(few, 3, &five, &one_process_partial), ==, 1);
+	g_assert_cmpuint(count_named(few, 3, 0), ==, 1);
 	g_assert_cmpuint(
-	    plan_select_query_workers(none, 2, &five, true), ==, 0);
+	    plan_select_queries(none, 2, &five, &one_process_partial), ==, 0);
 }
 
-/* A query for single tasks covers some spare capacity, but not all workers. */
+/* A query for single tasks covers some spare capacity, but not all workers; it
+ * is one call however many processes are idle, and none follows before it is
+ * answered. Guards against a short urgent step that occupies the processes. */
 static void
 test_query_single(void)
 {
 	struct plan_request two = request_of(2, 6, false);
+	struct plan_query_limits limits = {
+		.processes = 43, .idle = 43, .allowed_fraction = 0.4
+	};
 	struct plan_candidate all[40];
-	uint32_t selected;
 
 	for (guint i = 0; i < 40; i++)
 		all[i] = candidate(1, PLAN_PERMIT_UNKNOWN);
-	selected = plan_select_query_workers(all, 40, &two, false);
-	g_assert_cmpuint(selected, >=, 10);
-	g_assert_cmpuint(selected, <, 20);
+	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 1);
+	g_assert_cmpuint(count_named(all, 40, 0), >=, 10);
+	g_assert_cmpuint(count_named(all, 40, 0), <, 20);
+	/* The reserve is for such queries. */
+	limits.idle = 1;
+	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 1);
+	limits.idle = 42;
+	limits.in_flight = 1;
+	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 0);
+}
+
+/* The queries of a gang are split over idle processes, but not over the
+ * reserve. Guards against calls that take long because each names many workers,
+ * and against gangs that leave no process to short urgent steps. */
+static void
+test_query_split(void)
+{
+	struct plan_request twenty = request_of(20, 6, true);
+	struct plan_query_limits limits = {
+		.processes = 43, .idle = 43, .allowed_fraction = 0.35
+	};
+	struct plan_candidate all[350];
+	uint32_t reserve = plan_query_reserve(43);
+
+	g_assert_cmpuint(reserve, >, 1);
+	for (guint i = 0; i < 350; i++)
+		all[i] = candidate(1, PLAN_PERMIT_UNKNOWN);
+	g_assert_cmpuint(plan_select_queries(all, 350, &twenty, &limits), ==,
+	    PLAN_QUERIES_MAX);
+	/* More than one call can name, and as many in each. */
+	g_assert_cmpuint(count_named(all, 350, 0), >, PLAN_CALL_WORKERS_MAX);
+	g_assert_cmpuint(count_named(all, 350, 1), <, 40);
+	g_assert_cmpuint(count_named(all, 350, PLAN_QUERIES_MAX), >, 30);
+	limits.idle = reserve + 2;
+	g_assert_cmpuint(
+	    plan_select_queries(all, 350, &twenty, &limits), ==, 2);
+	limits.idle = reserve;
+	g_assert_cmpuint(
+	    plan_select_queries(all, 350, &twenty, &limits), ==, 0);
+	g_assert_cmpuint(count_named(all, 350, 0), ==, 0);
+}
+
+/* What is in flight counts as expected: a gang asks about more workers only if
+ * that doesn't suffice. Guards against queries that repeat each other. */
+static void
+test_query_in_flight(void)
+{
+	struct plan_request four = request_of(4, 6, true);
+	struct plan_query_limits limits = { .processes = 43,
+		.idle = 40,
+		.in_flight = 3,
+		.allowed_fraction = 0.4 };
+	struct plan_candidate all[30];
+
+	for (guint i = 0; i < 30; i++) {
+		all[i] = candidate(1, PLAN_PERMIT_UNKNOWN);
+		all[i].in_flight = i < 14;
+	}
+	g_assert_cmpuint(plan_select_queries(all, 30, &four, &limits), ==, 0);
+	for (guint i = 0; i < 10; i++)
+		all[i] = candidate(1, PLAN_PERMIT_DENIED);
+	g_assert_cmpuint(plan_select_queries(all, 30, &four, &limits), ==, 1);
+	for (guint i = 0; i < 14; i++)
+		g_assert_cmpuint(all[i].call, ==, 0);
+	limits.in_flight = PLAN_QUERIES_MAX;
+	g_assert_cmpuint(plan_select_queries(all, 30, &four, &limits), ==, 0);
+}
+
+/* Checks a selection against the limits of the policy service and the step. */
+static void
+check_selection(const struct plan_candidate *candidates, guint count,
+    const struct plan_query_limits *limits, uint32_t calls)
+{
+	uint32_t named = count_named(candidates, count, 0);
+
+	g_assert_cmpuint(calls, <=, limits->idle);
+	g_assert_cmpuint(calls + limits->in_flight, <=,
+	    MAX(PLAN_QUERIES_MAX, limits->in_flight));
+	for (uint32_t call = 1; call <= calls; call++) {
+		uint32_t in_call = count_named(candidates, count, call);
+
+		g_assert_cmpuint(in_call, >, 0);
+		g_assert_cmpuint(in_call, <=, PLAN_CALL_WORKERS_MAX);
+	}
+	for (guint i = 0; i < count; i++) {
+		const struct plan_candidate *c = &candidates[i];
+
+		g_assert_cmpuint(c->call, <=, calls);
+		if (c->call != 0)
+			g_assert_true(!c->in_flight && c->fits > 0 &&
+			    c->permit != PLAN_PERMIT_VALID &&
+			    c->permit != PLAN_PERMIT_DENIED);
+	}
+	if (named > PLAN_SHORT_QUERY_WORKERS)
+		g_assert_cmpuint(limits->idle - calls, >=,
+		    plan_query_reserve(limits->processes));
+	else
+		g_assert_cmpuint(calls, <=, 1);
+}
+
+/* Random steps: no call names more than 100 workers, none names one that is in
+ * flight, and long queries leave the reserve idle. Guards against answers of
+ * the policy service that refuse a whole call. */
+static void
+test_query_limits(void)
+{
+	struct rng rng = { 11 };
+	struct plan_candidate all[600];
+
+	for (int round = 0; round < 4000; round++) {
+		guint count = (guint)rng_below(&rng, G_N_ELEMENTS(all) + 1);
+		struct plan_request request =
+		    request_of((uint32_t)rng_below(&rng, 60) + 1, 2,
+			rng_below(&rng, 2) == 0);
+		struct plan_query_limits limits = {
+			.processes = (uint32_t)rng_below(&rng, 50),
+			.in_flight =
+			    (uint32_t)rng_below(&rng, PLAN_QUERIES_MAX + 2),
+			.allowed_fraction = (double)rng_below(&rng, 100) / 100,
+			.partial = rng_below(&rng, 4) == 0
+		};
+
+		limits.idle = (uint32_t)rng_below(&rng, limits.processes + 1);
+		for (guint i = 0; i < count; i++) {
+			all[i] = candidate((uint32_t)rng_below(&rng, 3),
+			    (enum plan_permit)rng_below(
+				&rng, PLAN_PERMIT_DENIED + 1));
+			all[i].in_flight =
+			    limits.in_flight > 0 && rng_below(&rng, 8) == 0;
+		}
+		check_selection(all, count, &limits,
+		    plan_select_queries(all, count, &request, &limits));
+	}
+}
+
+/* The fraction follows the answers, from a first estimate. */
+static void
+test_allowed_fraction(void)
+{
+	struct plan_allowed allowed = { 0 };
+
+	g_assert_cmpfloat(plan_allowed_fraction(&allowed), >, 0.3);
+	g_assert_cmpfloat(plan_allowed_fraction(&allowed), <, 0.5);
+	for (int i = 0; i < 200; i++)
+		plan_allowed_update(&allowed, 30, 27);
+	g_assert_cmpfloat(plan_allowed_fraction(&allowed), >, 0.85);
+	for (int i = 0; i < 200; i++)
+		plan_allowed_update(&allowed, 30, 3);
+	g_assert_cmpfloat(plan_allowed_fraction(&allowed), <, 0.2);
+	plan_allowed_update(&allowed, 100000, 0);
+	g_assert_cmpfloat(plan_allowed_fraction(&allowed), >, 0);
+}
+
+/* The measured deployment, as test_query_replay() replays it. */
+#define REPLAY_WORKERS 350
+#define REPLAY_PROCESSES 43
+#define REPLAY_GANG 20
+#define REPLAY_ALLOWED_PERCENT 35
+#define REPLAY_CALL_MS 559
+#define REPLAY_WORKER_US 8060
+#define REPLAY_PERMIT_MS 2200 /* 2.5 s less PERMIT_MARGIN_MS */
+#define REPLAY_RENEW_MS 951 /* a call about 30 workers and a round */
+#define REPLAY_TICK_MS 50
+#define REPLAY_FREE_PERCENT 30 /* workers with room for a member */
+#define REPLAY_CHANGE_PERCENT 3 /* of the workers are drawn again each tick */
+#define REPLAY_LIMIT_MS 60000
+
+/* A gang that waits for permits. */
+struct replay {
+	struct rng rng;
+	uint32_t processes;
+	struct plan_candidate workers[REPLAY_WORKERS];
+	bool allowed[REPLAY_WORKERS];
+	int64_t valid_until_ms[REPLAY_WORKERS];
+	uint32_t named_by[REPLAY_WORKERS]; /* slot of its call + 1; 0: none */
+	int64_t answer_ms[PLAN_QUERIES_MAX]; /* 0: no call in this slot */
+	uint32_t calls;
+};
+
+static void
+replay_answers(struct replay *r, int64_t now)
+{
+	for (uint32_t slot = 0; slot < PLAN_QUERIES_MAX; slot++) {
+		if (r->answer_ms[slot] == 0 || r->answer_ms[slot] > now)
+			continue;
+		for (guint i = 0; i < REPLAY_WORKERS; i++) {
+			struct plan_candidate *c = &r->workers[i];
+
+			if (r->named_by[i] != slot + 1)
+				continue;
+			r->named_by[i] = 0;
+			c->in_flight = false;
+			if (r->allowed[i])
+				r->valid_until_ms[i] =
+				    r->answer_ms[slot] + REPLAY_PERMIT_MS;
+			else
+				c->permit = PLAN_PERMIT_DENIED;
+		}
+		r->answer_ms[slot] = 0;
+	}
+}
+
+static uint32_t
+replay_in_flight(const struct replay *r)
+{
+	uint32_t in_flight = 0;
+
+	for (uint32_t slot = 0; slot < PLAN_QUERIES_MAX; slot++)
+		in_flight += r->answer_ms[slot] != 0;
+	return in_flight;
+}
+
+static void
+replay_send(struct replay *r, uint32_t call, int64_t now)
+{
+	uint32_t slot = 0;
+	uint32_t named = 0;
+
+	while (r->answer_ms[slot] != 0)
+		slot++;
+	for (guint i = 0; i < REPLAY_WORKERS; i++) {
+		if (r->workers[i].call != call)
+			continue;
+		r->named_by[i] = slot + 1;
+		r->workers[i].in_flight = true;
+		named++;
+	}
+	r->answer_ms[slot] =
+	    now + REPLAY_CALL_MS + named * REPLAY_WORKER_US / 1000;
+	r->calls++;
+}
+
+/* Other work starts and ends; permits expire. Returns how many members could
+ * start now. */
+static uint32_t
+replay_tick(struct replay *r, int64_t now)
+{
+	uint32_t startable = 0;
+
+	for (guint i = 0; i < REPLAY_WORKERS; i++) {
+		struct plan_candidate *c = &r->workers[i];
+
+		if (now == 0 || rng_below(&r->rng, 100) < REPLAY_CHANGE_PERCENT)
+			c->fits = rng_below(&r->rng, 100) < REPLAY_FREE_PERCENT;
+		if (r->valid_until_ms[i] > 0)
+			c->permit = r->valid_until_ms[i] > now + REPLAY_RENEW_MS
+			    ? PLAN_PERMIT_VALID
+			    : PLAN_PERMIT_EXPIRING;
+		startable += r->valid_until_ms[i] > now ? c->fits : 0;
+	}
+	return startable;
+}
+
+/* Returns how long a gang waits until all members have permits at a time. */
+static int64_t
+replay_gang(uint32_t processes, uint64_t seed, uint32_t *calls)
+{
+	struct plan_request request = request_of(REPLAY_GANG, 6, true);
+	struct replay *r = g_new0(struct replay, 1);
+	int64_t now = 0;
+
+	r->rng = (struct rng){ seed };
+	for (guint i = 0; i < REPLAY_WORKERS; i++)
+		r->allowed[i] =
+		    rng_below(&r->rng, 100) < REPLAY_ALLOWED_PERCENT;
+	for (; now < REPLAY_LIMIT_MS; now += REPLAY_TICK_MS) {
+		struct plan_query_limits limits = { .processes = processes,
+			.allowed_fraction = REPLAY_ALLOWED_PERCENT / 100.0 };
+		uint32_t send;
+
+		replay_answers(r, now);
+		if (replay_tick(r, now) >= REPLAY_GANG)
+			break;
+		limits.in_flight = replay_in_flight(r);
+		limits.idle = processes - limits.in_flight;
+		send = plan_select_queries(
+		    r->workers, REPLAY_WORKERS, &request, &limits);
+		for (uint32_t call = 1; call <= send; call++)
+			replay_send(r, call, now);
+	}
+	*calls = r->calls;
+	g_free(r);
+	return now;
+}
+
+#define REPLAY_GANGS 101
+
+static gint
+by_value(gconstpointer a, gconstpointer b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Sorts the waits of many gangs into waits_ms. */
+static void
+replay_gangs(uint32_t processes, int64_t waits_ms[REPLAY_GANGS])
+{
+	uint32_t sum = 0;
+
+	for (guint i = 0; i < REPLAY_GANGS; i++) {
+		uint32_t calls;
+
+		waits_ms[i] = replay_gang(processes, i + 1, &calls);
+		sum += calls;
+	}
+	qsort(waits_ms, REPLAY_GANGS, sizeof(*waits_ms), by_value);
+	g_test_message("%u processes: median %" G_GINT64_FORMAT
+		       " ms, p90 %" G_GINT64_FORMAT " ms, %.1f calls",
+	    processes, waits_ms[REPLAY_GANGS / 2],
+	    waits_ms[REPLAY_GANGS * 9 / 10], (double)sum / REPLAY_GANGS);
+}
+
+/* Gangs on the measured deployment get their permits in fewer than two thirds
+ * of the time if several calls are sent at a time. Guards against gangs that
+ * wait for one long call after another. */
+static void
+test_query_replay(void)
+{
+	int64_t one[REPLAY_GANGS];
+	int64_t several[REPLAY_GANGS];
+
+	replay_gangs(1, one);
+	replay_gangs(REPLAY_PROCESSES, several);
+	g_assert_cmpint(
+	    several[REPLAY_GANGS / 2] * 3, <, one[REPLAY_GANGS / 2] * 2);
+	g_assert_cmpint(several[REPLAY_GANGS * 9 / 10] * 3, <,
+	    one[REPLAY_GANGS * 9 / 10] * 2);
 }
 
 /* A worker is probed after one failure and excluded after the second; a
@@ -372,6 +723,11 @@
 	g_test_add_func("/plan/preempt-least-loss", test_preempt_least_loss);
 	g_test_add_func("/plan/query-gang", test_query_gang);
 	g_test_add_func("/plan/query-single", test_query_single);
+	g_test_add_func("/plan/query-split", test_query_split);
+	g_test_add_func("/plan/query-in-flight", test_query_in_flight);
+	g_test_add_func("/plan/query-limits", test_query_limits);
+	g_test_add_func("/plan/query-replay", test_query_replay);
+	g_test_add_func("/plan/allowed-fraction", test_allowed_fraction);
 	g_test_add_func("/plan/failing-worker", test_failing_worker);
 	g_test_add_func("/plan/failing-job", test_failing_job);
 	g_test_add_func("/plan/estimate", test_estimate);
