--- a/test/stepcell.c
+++ b/test/stepcell.c
@@ -173,29 +173,52 @@
 	return NULL;
 }
 
-int
-cell_call(struct cell *c, const char *address, enum evhttp_cmd_type method,
+void
+cell_send(struct cell *c, const char *address, enum evhttp_cmd_type method,
     const char *path, const char *body)
 {
-	static const char *const headers[] = { "Host", "jobs.example", NULL };
+	const char *const headers[] = { "Host", "jobs.example",
+		c->key == NULL ? NULL : "Bulrushtide-Credential", c->key,
+		NULL };
 	struct http_peer *conn = caller_connection(c, address);
-	struct http_peer *p =
-	    conn != NULL ? conn : http_peer_new(c->base, address, NULL);
-	int64_t limit = mono_ms() + CALL_TIMEOUT_MS + 1000;
 
 	c->answered = false;
 	c->status = 0;
-	c->peer = p;
-	http_send(p, method, path, headers, body,
+	c->peer_kept = conn != NULL;
+	c->peer = conn != NULL ? conn : http_peer_new(c->base, address, NULL);
+	http_send(c->peer, method, path, headers, body,
 	    body == NULL ? 0 : strlen(body), CALL_TIMEOUT_MS, on_answer, c);
+}
+
+int
+cell_await_answer(struct cell *c)
+{
+	int64_t limit = mono_ms() + CALL_TIMEOUT_MS + 1000;
+	struct http_peer *p;
+
 	while (!c->answered && mono_ms() < limit)
 		cell_run_loop(c);
-	c->peer = NULL;
-	if (conn == NULL)
+	p = g_steal_pointer(&c->peer);
+	if (!c->peer_kept)
 		http_peer_free(p);
 	return c->status;
 }
 
+int
+cell_call(struct cell *c, const char *address, enum evhttp_cmd_type method,
+    const char *path, const char *body)
+{
+	cell_send(c, address, method, path, body);
+	return cell_await_answer(c);
+}
+
+int
+cell_configure(struct cell *c, int i, const char *config)
+{
+	return cell_call(c, c->node[i].control, EVHTTP_REQ_POST,
+	    "/bulrushtide/config/replace", config);
+}
+
 /* --- the stand-in workers --- */
 
 static struct run *
@@ -674,19 +697,27 @@
 	return info.si_code == CLD_EXITED ? "exited" : "ended by a signal";
 }
 
+char *
+cell_read_log(const struct cell *c, int i)
+{
+	char *path = g_strdup_printf("%s/n%d.log", c->dir, i);
+	char *text = NULL;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		text = g_strdup("no log");
+	g_free(path);
+	return text;
+}
+
 void
 cell_print_logs(struct cell *c)
 {
 	for (int i = 0; i < NODES; i++) {
-		char *path = g_strdup_printf("%s/n%d.log", c->dir, i);
-		char *text = NULL;
-		gsize len = 0;
+		char *text = cell_read_log(c, i);
 
-		(void)g_file_get_contents(path, &text, &len, NULL);
 		printf("--- n%d: %s\n%s\n", i, process_state(c->node[i].proc),
-		    text == NULL ? "no log" : tail(text, len));
+		    tail(text, strlen(text)));
 		g_free(text);
-		g_free(path);
 	}
 	(void)fflush(stdout);
 }
@@ -741,9 +772,7 @@
 		cell_start_node(c, i, true);
 	for (int i = 0; i < NODES; i++)
 		CELL_AWAIT(c, cell_node_ready(c, i));
-	CELL_AWAIT(c,
-	    cell_call(c, c->node[3].control, EVHTTP_REQ_POST,
-		"/bulrushtide/config/replace", cell_config) == 200);
+	CELL_AWAIT(c, cell_configure(c, 3, cell_config) == 200);
 	return c;
 }
 
--- a/test/stepcell.h
+++ b/test/stepcell.h
@@ -60,7 +60,9 @@
 	char *body;
 	char *location; /* header of the last answer; "": none */
 	struct http_peer *peer; /* of the call in progress; NULL: none */
+	bool peer_kept; /* peer is a caller_conn */
 	bool answered;
+	const char *key; /* of the calls from now on; NULL: none */
 };
 
 /* The configuration that cell_new() stores. */
@@ -76,6 +78,17 @@
 int cell_call(struct cell *c, const char *address, enum evhttp_cmd_type method,
     const char *path, const char *body);
 
+/* The same in two parts, for one call at a time. */
+void cell_send(struct cell *c, const char *address, enum evhttp_cmd_type method,
+    const char *path, const char *body);
+int cell_await_answer(struct cell *c);
+
+/* Stores a configuration at a node's control address; the HTTP status. */
+int cell_configure(struct cell *c, int node, const char *config);
+
+/* The log of a node so far. Free the result. */
+char *cell_read_log(const struct cell *c, int node);
+
 /* Writes the settings of a node and runs its program. */
 void cell_start_node(struct cell *c, int node, bool first);
 /* Runs the program of a node with the settings that are there. */
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -49,6 +49,17 @@
 	return ++l->proposed;
 }
 
+static void
+free_sending(struct leader *l)
+{
+	if (l->sending == NULL)
+		return;
+	request_clear(l->sending);
+	g_free(g_steal_pointer(&l->sending));
+}
+
+/* Frees the request, as lib/gate does, so that a use after its answer is found
+ * by the sanitizers. */
 static void
 on_answer(void *arg, uint64_t process, const struct answer *a)
 {
@@ -56,6 +67,8 @@
 	gsize len;
 	const char *text = g_bytes_get_data(a->text, &len);
 
+	if (l->sending != NULL && l->sending->id == a->id)
+		free_sending(l);
 	if (a->id != l->awaited)
 		return;
 	l->answers++;
@@ -129,8 +142,11 @@
 		.body = body == NULL ? g_bytes_new_static("", 0) : body,
 		.credential = (char *)l->key };
 
-	dispatch_handle_request(l->dispatch, 0, &a);
+	l->sending = g_new(struct request, 1);
+	*l->sending = request_copy(&a);
 	g_bytes_unref(a.body);
+	dispatch_handle_request(l->dispatch, 0, l->sending);
+	free_sending(l);
 }
 
 void
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -30,6 +30,7 @@
 	char *last_text;
 	uint64_t requests;
 	const char *key; /* of the requests sent from now on; NULL: none */
+	struct request *sending; /* until it is answered, as in lib/gate */
 	int queries; /* to the policy service */
 };
 
