dispatch: a submission that was answered is not read again

Cause: handle_submit() looked up the owner before it looked whether the request had been answered already. With 401, 403, 404 or 410 at the leader's own entry lib/gate has freed the request by then: a read of freed memory, at which the process could crash for any caller without a key.

--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -236,13 +236,15 @@
 	uint64_t job;
 	const struct flow_job *known;
 	const struct flow_queue *q = find_job(d, process, req, &job, &known);
-	const struct flow_organisation *owner = organisation_of(d, req);
+	const struct flow_organisation *owner;
 	gsize len;
 	const void *data;
 	struct proposal *p;
 
+	/* A request that was answered may not exist any more. */
 	if (q == NULL)
 		return;
+	owner = organisation_of(d, req);
 	if (known != NULL) {
 		reply_text(d, process, req, REQUEST_DONE, "");
 		return;
