plan: placement by expected end and run times as a distribution

Where learnt speeds are in effect: work that would be late on a slow worker gets a fast one whatever that leaves free; work with time to spare gets slow ones while less than 30% of the fast workers' capacity is free; a gang, which ends with its slowest member, gets the fastest workers that hold it, of similar speed, and waits for fast ones until its latest start there if it would be late with slow ones. "Late" is judged by the 0.9 quantile of the run time. The candidates of a query to the policy service come in the same order.

plan_estimate keeps the variance of its own errors, which gives quantiles whatever the declared run times are worth, and limits the effect of the few tasks that take several times as long. A run is expected to have ended for certain by the 0.9 quantile; one that is past it is no longer awaited.

--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -309,6 +309,13 @@
 void speeds_update(struct dispatch *d, int64_t now);
 /* The same if it is due. */
 void speeds_scan(struct dispatch *d, int64_t now);
+struct round;
+struct pending_step;
+/* Sums up the fast workers of each pool for a round. */
+void speeds_begin_round(struct round *rd);
+/* Sets what placement by expected end needs, if speeds are in effect. */
+void speeds_describe_step(const struct round *rd, const struct pending_step *p,
+    struct plan_request *request);
 
 /* permits.c */
 struct step_permits *step_permits_get(struct dispatch *d,
@@ -355,6 +362,13 @@
 	GArray *preemptible; /* struct preemptible; NULL: not computed yet */
 };
 
+/* The fast workers of a pool. */
+struct fast_workers {
+	const char *pool;
+	struct resources free;
+	struct resources capacity;
+};
+
 /* A placement round. */
 struct round {
 	struct dispatch *d;
@@ -365,6 +379,7 @@
 	GArray *pending; /* struct pending_step */
 	GArray *starts; /* struct flow_start */
 	struct resources largest_free; /* per resource, over all workers */
+	GArray *fast; /* struct fast_workers, if learnt speeds are in effect */
 	uint64_t serial; /* of the next pending step */
 };
 
@@ -413,7 +428,12 @@
 /* The objective of a job from acceptance to its end, in ms. */
 int64_t round_objective_ms(struct dispatch *d, const struct flow_job *job);
 
-/* The estimated time that a run still takes, in ms. */
+/* The run time on a fast worker that a fraction of the tasks like those of a
+ * job's step doesn't exceed; quantile 0.5: the expected one. */
+int64_t round_runtime_ms(struct dispatch *d, const struct flow_job *job,
+    uint32_t step, double quantile);
+/* The estimated time that a run still takes, in ms; where learnt speeds are in
+ * effect the time after which most such runs have ended. */
 int64_t round_run_remaining_ms(
     struct dispatch *d, const struct flow_job *job, const struct active_run *r);
 
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -85,13 +85,6 @@
 	}
 }
 
-static int64_t
-spare_ms(const struct plan_pending *plan, int64_t now)
-{
-	return plan->accepted_ms + plan->objective_ms - plan->remaining_ms -
-	    now;
-}
-
 /* A run that may be stopped, with the spare time of its job. */
 struct preemptible {
 	struct active_run *run;
@@ -142,7 +135,7 @@
 	urgency = round_urgency(rd->d, job, occurrence);
 	out->spare_ms = plan_tier(&urgency, rd->cell_now) > PLAN_ON_TIME
 	    ? INT64_MAX
-	    : spare_ms(&urgency, rd->cell_now);
+	    : plan_spare_ms(&urgency, rd->cell_now);
 	return true;
 }
 
@@ -184,7 +177,7 @@
 	const GArray *preemptible = preemptible_on(rd, w);
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct plan_victim));
 	int64_t least =
-	    MAX(spare_ms(&p->plan, rd->cell_now), 0) + SPARE_MARGIN_MS;
+	    MAX(plan_spare_ms(&p->plan, rd->cell_now), 0) + SPARE_MARGIN_MS;
 
 	for (guint i = 0; i < preemptible->len; i++) {
 		const struct preemptible *entry =
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -59,6 +59,7 @@
 	if (step->long_running || (step->checkpointing && r->id.number > 1))
 		return;
 	ran_ms = (int64_t)((double)ran_ms / r->multiplier);
+	estimate->robust = d->speeds_in_effect;
 	slowdown = (double)ran_ms /
 	    (double)MAX(plan_estimate_ms(estimate, step->runtime_ms), 1);
 	plan_estimate_update(estimate, step->runtime_ms, ran_ms);
@@ -145,17 +146,32 @@
 		(double)critical_path_ms(d, job, NULL));
 }
 
+int64_t
+round_runtime_ms(struct dispatch *d, const struct flow_job *job, uint32_t step,
+    double quantile)
+{
+	return (int64_t)(d->fast_multiplier *
+	    (double)plan_estimate_quantile_ms(
+		estimate_of_queue(d, job->queue->name),
+		flow_job_step(job, step)->runtime_ms, quantile));
+}
+
 int64_t
 round_run_remaining_ms(
     struct dispatch *d, const struct flow_job *job, const struct active_run *r)
 {
 	const struct plan_estimate *estimate =
 	    estimate_of_queue(d, job->queue->name);
-	int64_t runtime_ms = plan_estimate_ms(
-	    estimate, flow_job_step(job, r->id.step)->runtime_ms);
+	int64_t ran_ms = mono_ms() - r->started_ms;
+	int64_t runtime_ms = plan_estimate_quantile_ms(estimate,
+	    flow_job_step(job, r->id.step)->runtime_ms,
+	    d->speeds_in_effect ? PLAN_QUANTILE_HIGH : 0.5);
 
 	runtime_ms = (int64_t)((double)runtime_ms * r->multiplier);
-	return MAX(r->started_ms + runtime_ms - mono_ms(), 0);
+	/* A run that exceeds most others may take several times as long. */
+	if (d->speeds_in_effect && ran_ms > runtime_ms)
+		return ran_ms;
+	return MAX(runtime_ms - ran_ms, 0);
 }
 
 struct plan_pending
@@ -631,6 +647,8 @@
 		return;
 	workers = allowed_workers(
 	    rd, p, (struct apartness){ .from = SEPARATE_ISOLATED });
+	plan_sort_by_speed(
+	    (struct plan_worker **)workers->pdata, workers->len, request);
 	if (query)
 		permits_query(rd->d, permits, request, workers, false, rd->now);
 	if (preempt)
@@ -657,6 +675,7 @@
 		return;
 	if (count_waiting(rd, p, waiting) == 0)
 		return;
+	speeds_describe_step(rd, p, &request);
 	if (p->job->queue->needs_permit)
 		permits = step_permits_get(
 		    rd->d, p->job, p->occurrence->number, p->step);
@@ -791,6 +810,7 @@
 	if (rd.pending->len > 0) {
 		collect_workers(&rd);
 		find_largest_free(&rd);
+		speeds_begin_round(&rd);
 		g_array_sort_with_data(rd.pending, by_urgency, &rd);
 	}
 	for (guint i = 0; i < rd.pending->len && rd.starts->len < STARTS_MAX;
@@ -800,6 +820,8 @@
 	propose_starts(&rd);
 	log_load(&rd);
 	g_ptr_array_unref(rd.workers);
+	if (rd.fast != NULL)
+		g_array_unref(rd.fast);
 	g_array_unref(rd.pending);
 	g_array_unref(rd.starts);
 }
--- a/lib/dispatch/speeds.c
+++ b/lib/dispatch/speeds.c
@@ -8,12 +8,16 @@
 /* A slow worker counts as normal again below this fraction of the limit, so
  * that noise does not move it back and forth. */
 #define NORMAL_AGAIN 0.85
+#define MULTIPLIER_MAX_LOG2 5.0 /* 32 times as slow as the mean */
+/* Fast workers are scarce while less of their capacity is free. */
+#define SCARCE_FREE 0.3
 #define CROSSINGS_LOGGED_MAX 10 /* per update; the rest by later ones */
 
 static double
 multiplier_of(int64_t slowdown)
 {
-	return exp2((double)slowdown / SPEED_ONE);
+	return exp2(CLAMP((double)slowdown / SPEED_ONE, -MULTIPLIER_MAX_LOG2,
+	    MULTIPLIER_MAX_LOG2));
 }
 
 static struct speed
@@ -99,3 +103,107 @@
 	if (now - d->speeds_ms >= UPDATE_INTERVAL_MS)
 		speeds_update(d, now);
 }
+
+/* A worker with at least this slowdown relative to the fast tenth is slow: half
+ * way to the slow tenth. */
+static double
+slow_from(const struct dispatch *d)
+{
+	return sqrt(d->spread);
+}
+
+static struct fast_workers *
+fast_workers(const struct round *rd, const char *pool)
+{
+	for (guint i = 0; i < rd->fast->len; i++) {
+		struct fast_workers *f =
+		    &g_array_index(rd->fast, struct fast_workers, i);
+
+		if (strcmp(f->pool, pool) == 0)
+			return f;
+	}
+	return NULL;
+}
+
+void
+speeds_begin_round(struct round *rd)
+{
+	if (!rd->d->speeds_in_effect)
+		return;
+	rd->fast = g_array_new(FALSE, TRUE, sizeof(struct fast_workers));
+	for (guint i = 0; i < rd->workers->len; i++) {
+		const struct round_worker *w = rd->workers->pdata[i];
+		struct fast_workers *f = fast_workers(rd, w->worker->pool);
+		struct fast_workers first = { .pool = w->worker->pool };
+
+		if (w->plan.slowdown >= slow_from(rd->d))
+			continue;
+		if (f == NULL) {
+			g_array_append_val(rd->fast, first);
+			f = &g_array_index(
+			    rd->fast, struct fast_workers, rd->fast->len - 1);
+		}
+		resources_add(&f->free, &w->plan.free, 1);
+		resources_add(&f->capacity, &w->plan.capacity, 1);
+	}
+}
+
+static bool
+is_scarce(const struct fast_workers *f)
+{
+	return f == NULL ||
+	    (double)f->free.millicpus <
+	    SCARCE_FREE * (double)f->capacity.millicpus ||
+	    (double)f->free.memory < SCARCE_FREE * (double)f->capacity.memory;
+}
+
+/* Says whether the fast workers of a step's pool, if empty, hold all its tasks.
+ */
+static bool
+fast_suffice(const struct round *rd, const struct pending_step *p,
+    const struct plan_request *request)
+{
+	const struct flow_step_state *st = &p->occurrence->steps[p->step];
+	struct plan_request all = *request;
+	uint32_t fit = 0;
+
+	all.count = st->count;
+	for (guint i = 0; i < rd->workers->len && fit < all.count; i++) {
+		const struct round_worker *w = rd->workers->pdata[i];
+		struct plan_worker empty = w->plan;
+
+		if (w->plan.slowdown >= slow_from(rd->d) ||
+		    strcmp(w->worker->pool, p->job->queue->pool) != 0)
+			continue;
+		empty.free = empty.capacity;
+		empty.step_tasks = 0;
+		fit += plan_fit_count(&empty, &all);
+	}
+	return fit >= all.count;
+}
+
+void
+speeds_describe_step(const struct round *rd, const struct pending_step *p,
+    struct plan_request *request)
+{
+	const struct plan_pending *plan = &p->plan;
+
+	if (rd->fast == NULL || plan->long_running)
+		return;
+	request->runtime_ms = round_runtime_ms(rd->d, p->job, p->step, 0.5);
+	request->runtime_high_ms =
+	    round_runtime_ms(rd->d, p->job, p->step, PLAN_QUANTILE_HIGH);
+	request->slow_from = slow_from(rd->d);
+	request->fast_scarce = is_scarce(fast_workers(rd, p->job->queue->pool));
+	/* The step's share of what its job can spare; best-effort work is due
+	 * at no time. */
+	request->spare_ms = plan->best_effort
+	    ? -1
+	    : (int64_t)((double)plan_spare_ms(plan, rd->cell_now) *
+		  (double)request->runtime_ms /
+		  (double)MAX(plan->remaining_ms, 1));
+	/* Looked up only where it matters. */
+	request->fast_suffice = true;
+	request->fast_suffice =
+	    plan_waits_for_fast(request) && fast_suffice(rd, p, request);
+}
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -32,6 +32,8 @@
 #define PLAN_LATE_FACTOR 3
 
 enum plan_tier plan_tier(const struct plan_pending *step, int64_t now_ms);
+/* The time until the step's latest start; below 0 if that has passed. */
+int64_t plan_spare_ms(const struct plan_pending *step, int64_t now_ms);
 
 /*
  * Orders by tier, then by latest start time; below 0 if a goes first. Work
@@ -49,11 +51,15 @@
  * the declarations' relative errors are modelled as log-normal.
  */
 struct plan_estimate {
+	/* Limits the effect of the few tasks that take several times as long
+	 * as the rest. */
+	bool robust;
 	uint32_t samples;
 	double log_mean; /* of the logarithm of the run time in ms */
 	double log_variance;
 	double error_mean; /* of log(actual / declared) */
 	double error_variance;
+	double residual_variance; /* of log(actual / estimated) */
 };
 
 /* Adds the run time of an ended task. */
@@ -61,6 +67,11 @@
     struct plan_estimate *e, int64_t declared_ms, int64_t actual_ms);
 /* The expected run time of a task; declared_ms is 0 if none was declared. */
 int64_t plan_estimate_ms(const struct plan_estimate *e, int64_t declared_ms);
+#define PLAN_QUANTILE_HIGH 0.9 /* for when a task has ended for certain */
+/* The run time that a fraction of the tasks doesn't exceed; for a quantile of
+ * 0.5 as plan_estimate_ms(). */
+int64_t plan_estimate_quantile_ms(
+    const struct plan_estimate *e, int64_t declared_ms, double quantile);
 
 /* A worker that tasks can be placed on. */
 struct plan_worker {
@@ -111,14 +122,40 @@
 	uint32_t data_rack; /* rack that holds the input data; 0: none */
 	double far_factor; /* run time multiplier on other racks */
 	uint32_t max_per_worker; /* 0: no limit */
+	/*
+	 * For placement by expected end, where the learnt speeds of workers
+	 * are in effect.
+	 */
+	int64_t runtime_ms; /* of a task on a fast worker; 0: not by end */
+	int64_t runtime_high_ms; /* that most of them don't exceed there */
+	int64_t spare_ms; /* that a task may take longer and be on time */
+	double slow_from; /* slowdown from which on a worker is slow */
+	bool fast_scarce; /* little of the fast workers is free */
+	bool fast_suffice; /* the fast workers have capacity for all tasks */
 };
 
+/*
+ * Says whether the request gets only workers on which it ends on time: a gang
+ * that would be late on slow workers but not on fast ones waits for these until
+ * its latest start there. plan_fit_count() is 0 for other workers meanwhile.
+ */
+bool plan_waits_for_fast(const struct plan_request *request);
+/*
+ * Sorts workers by the preference of plan_place() for their speed, those of
+ * equal speed as before; does nothing if placement is not by expected end.
+ */
+void plan_sort_by_speed(struct plan_worker **workers, guint count,
+    const struct plan_request *request);
+
 /*
  * Chooses a worker for each task: the tightest fit, weighed against how fast
- * the worker is, so that large free amounts stay available for large tasks.
- * Subtracts the placed tasks from the workers' free resources. Sets pick to
- * indexes into workers and returns how many tasks were placed; all or 0 for a
- * gang.
+ * the worker is, so that large free amounts stay available for large tasks. If
+ * placement is by expected end, tasks that would be late on slow workers prefer
+ * fast ones, others prefer slow ones while fast ones are scarce, and a gang,
+ * which ends with its slowest member, gets workers of similar speed, the
+ * fastest that hold it. Subtracts the placed tasks from the workers' free
+ * resources. Sets pick to indexes into workers and returns how many tasks were
+ * placed; all or 0 for a gang.
  */
 uint32_t plan_place(struct plan_worker **workers, guint count,
     const struct plan_request *request, uint32_t *pick);
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -261,6 +261,75 @@
 	g_assert_cmpint(plan_estimate_ms(&accurate, 0), <, 9000);
 }
 
+/* The 3 in 100 tasks that take seven times as long widened the estimate, so
+ * that work seemed late that was not. */
+static void
+test_robust(void)
+{
+	struct plan_estimate plain = { 0 };
+	struct plan_estimate robust = { .robust = true };
+	struct rng rng = { 11 };
+
+	for (int i = 0; i < 2000; i++) {
+		double declared = 2000 * exp(0.5 * normal(&rng));
+		double actual = declared * exp(0.2 * normal(&rng));
+
+		if (rng_below(&rng, 100) < 3)
+			actual *= 7;
+		plan_estimate_update(
+		    &plain, (int64_t)declared, (int64_t)actual);
+		plan_estimate_update(
+		    &robust, (int64_t)declared, (int64_t)actual);
+	}
+	g_test_message("plain %.3f robust %.3f", plain.residual_variance,
+	    robust.residual_variance);
+	g_assert_cmpfloat(
+	    robust.residual_variance, <, plain.residual_variance * 0.7);
+	/* The true one is exp(1.28 * 0.2) times the median. */
+	g_assert_cmpint(
+	    plan_estimate_quantile_ms(&robust, 2000, PLAN_QUANTILE_HIGH), <,
+	    2000 * 3 / 2);
+	g_assert_cmpint(
+	    plan_estimate_quantile_ms(&robust, 2000, PLAN_QUANTILE_HIGH), >,
+	    2000 * 23 / 20);
+	/* It still follows a lasting change. */
+	for (int i = 0; i < 200; i++)
+		plan_estimate_update(&robust, 2000, 6000);
+	g_assert_cmpint(plan_estimate_ms(&robust, 2000), >, 5000);
+}
+
+/* A quantile that is off would make work seem late that is not, or have runs
+ * awaited that don't end. */
+static void
+test_quantiles(void)
+{
+	struct plan_estimate e = { 0 };
+	struct rng rng = { 7 };
+	guint below_high = 0;
+	guint below_median = 0;
+
+	g_assert_cmpint(
+	    plan_estimate_quantile_ms(&e, 1000, PLAN_QUANTILE_HIGH), >, 1200);
+	for (int i = 0; i < 4000; i++) {
+		double declared = 6200 * exp(0.5 * normal(&rng));
+		double actual = declared * exp(0.9 * normal(&rng));
+
+		if (i >= 1000) {
+			below_high +=
+			    actual < (double)plan_estimate_quantile_ms(&e,
+					 (int64_t)declared, PLAN_QUANTILE_HIGH);
+			below_median +=
+			    actual < (double)plan_estimate_quantile_ms(
+					 &e, (int64_t)declared, 0.5);
+		}
+		plan_estimate_update(&e, (int64_t)declared, (int64_t)actual);
+	}
+	g_assert_cmpfloat_with_epsilon(below_high / 3000.0, 0.9, 0.07);
+	g_assert_cmpfloat_with_epsilon(below_median / 3000.0, 0.5, 0.07);
+	g_assert_cmpint(plan_estimate_quantile_ms(&e, 800, 0.5) / 10, ==,
+	    plan_estimate_ms(&e, 800) / 10);
+}
+
 static struct plan_candidate
 candidate(uint32_t fits, enum plan_permit permit)
 {
@@ -358,11 +427,402 @@
 	g_assert_cmpint(plan_failure_state(&record, 1000), ==, PLAN_PROBING);
 }
 
+/* A request placed by expected end, with slow workers from 1.5 on. */
+static struct plan_request
+request_by_end(
+    uint32_t count, int64_t cores, bool gang, int64_t runtime_ms, int64_t spare)
+{
+	struct plan_request request = request_of(count, cores, gang);
+
+	request.runtime_ms = runtime_ms;
+	request.runtime_high_ms = runtime_ms * 3 / 2;
+	request.spare_ms = spare;
+	request.slow_from = 1.5;
+	request.fast_suffice = true;
+	return request;
+}
+
+/* Short urgent work ran on slow workers, where it was late, as these were the
+ * tightest fit; it has to get a fast one whatever that leaves free. */
+static void
+test_tight_goes_fast(void)
+{
+	struct plan_worker fast = worker_with(1, 64, 1);
+	struct plan_worker slow = worker_with(2, 4, 1);
+	struct plan_worker *workers[] = { &slow, &fast };
+	struct plan_request request = request_by_end(1, 4, false, 350, 250);
+	uint32_t pick[1];
+
+	slow.slowdown = 2.4;
+	request.fast_scarce = true;
+	g_assert_cmpuint(plan_place(workers, 2, &request, pick), ==, 1);
+	g_assert_cmpuint(pick[0], ==, 1);
+	plan_sort_by_speed(workers, 2, &request);
+	g_assert_true(workers[0] == &fast);
+	/* With no fast one free it does not wait. */
+	fast.free.millicpus = 0;
+	g_assert_cmpuint(plan_place(workers, 2, &request, pick), ==, 1);
+}
+
+/* Work with time to spare must not use up the fast workers that urgent work
+ * is about to need; while there are enough of them it uses them. */
+static void
+test_slack_goes_slow(void)
+{
+	struct plan_worker fast = worker_with(1, 8, 1);
+	struct plan_worker slow = worker_with(2, 8, 1);
+	struct plan_worker *workers[] = { &fast, &slow };
+	struct plan_request request = request_by_end(1, 4, false, 2000, 7000);
+	uint32_t pick[1];
+
+	slow.slowdown = 2.4;
+	request.fast_scarce = true;
+	g_assert_cmpuint(plan_place(workers, 2, &request, pick), ==, 1);
+	g_assert_cmpuint(pick[0], ==, 1);
+	request.fast_scarce = false;
+	g_assert_cmpuint(plan_place(workers, 2, &request, pick), ==, 1);
+	g_assert_cmpuint(pick[0], ==, 0);
+	/* Late anyway: the fast one is left to work that is not. */
+	request.spare_ms = -1;
+	request.fast_scarce = true;
+	g_assert_cmpuint(plan_place(workers, 2, &request, pick), ==, 1);
+	g_assert_cmpuint(pick[0], ==, 1);
+}
+
+/* One slow member makes a gang late, although fast workers hold all of it. */
+static void
+test_gang_of_like_speed(void)
+{
+	struct plan_worker w[] = { worker_with(1, 18, 1), worker_with(2, 64, 1),
+		worker_with(3, 36, 2), worker_with(4, 36, 2) };
+	struct plan_worker *workers[] = { &w[0], &w[1], &w[2], &w[3] };
+	struct plan_request request = request_by_end(4, 18, true, 2900, 9000);
+	uint32_t pick[4];
+
+	w[0].slowdown = 2.4;
+	w[1].slowdown = 2.3;
+	w[3].slowdown = 1.1;
+	g_assert_cmpuint(plan_place(workers, 4, &request, pick), ==, 4);
+	for (int i = 0; i < 4; i++)
+		g_assert_cmpuint(pick[i], >=, 2);
+	/* Two more fit only with the slow ones: it has time and starts. */
+	request.count = 2;
+	request.spare_ms = 1000000;
+	g_assert_cmpuint(plan_place(workers, 4, &request, pick), ==, 2);
+	/* The members on fast workers would only wait for the others. */
+	w[0] = worker_with(1, 18, 1);
+	w[1] = worker_with(2, 64, 1);
+	w[0].slowdown = w[1].slowdown = 2.4;
+	w[2].free = w[2].capacity;
+	request.fast_scarce = true;
+	g_assert_cmpuint(plan_place(workers, 4, &request, pick), ==, 2);
+	g_assert_cmpuint(pick[0], <, 2);
+	g_assert_cmpuint(pick[1], <, 2);
+}
+
+/* A gang that would be late on slow workers waits for fast ones, but not
+ * longer than it can be on time there, and not if they never hold it: it would
+ * otherwise not start at all. */
+static void
+test_gang_waits_for_fast(void)
+{
+	struct plan_worker fast = worker_with(1, 18, 1);
+	struct plan_worker slow = worker_with(2, 64, 1);
+	struct plan_worker *workers[] = { &fast, &slow };
+	struct plan_request request = request_by_end(2, 18, true, 2900, 2900);
+	uint32_t pick[2];
+
+	slow.slowdown = 2.4;
+	g_assert_true(plan_waits_for_fast(&request));
+	g_assert_cmpuint(plan_place(workers, 2, &request, pick), ==, 0);
+	g_assert_cmpuint(plan_fit_count(&slow, &request), ==, 0);
+	request.fast_suffice = false;
+	g_assert_cmpuint(plan_place(workers, 2, &request, pick), ==, 2);
+	slow.free.millicpus = 64000;
+	fast.free.millicpus = 18000;
+	request.fast_suffice = true;
+	request.spare_ms = 1000;
+	g_assert_false(plan_waits_for_fast(&request));
+	g_assert_cmpuint(plan_place(workers, 2, &request, pick), ==, 2);
+}
+
+/* A simulated cell: workers of three speeds, and a wave of gangs, short urgent
+ * jobs and wide jobs with time to spare. */
+#define SIM_WORKERS 350
+#define SIM_CORES 8
+#define SIM_TICK_MS 20
+#define SIM_MS 60000
+
+enum sim_class { SIM_SHORT, SIM_GANG, SIM_WIDE, SIM_CLASSES };
+
+static const struct {
+	uint32_t tasks;
+	int64_t cores;
+	double work_ms;
+	double slack;
+	double target_ms;
+	double per_s; /* arrivals */
+} sim_classes[SIM_CLASSES] = {
+	[SIM_SHORT] = { 1, 1, 500, 1.5, 300, 100 },
+	[SIM_GANG] = { 20, 4, 4200, 2.2, 1000, 1.5 },
+	[SIM_WIDE] = { 6, 1, 3000, 4, 500, 60 },
+};
+
+struct sim_job {
+	enum sim_class class;
+	int64_t accepted_ms;
+	double work_ms; /* of its tasks, on average */
+	int64_t estimate_ms; /* of that */
+	uint32_t waiting; /* tasks */
+	uint32_t running;
+	int64_t end_ms; /* of the last task so far */
+};
+
+struct sim_run {
+	guint worker;
+	struct sim_job *job;
+	int64_t end_ms;
+};
+
+struct sim {
+	struct rng rng;
+	bool by_end;
+	double speed[SIM_WORKERS]; /* run time multiplier */
+	struct plan_worker worker[SIM_WORKERS];
+	struct plan_worker *workers[SIM_WORKERS];
+	GPtrArray *jobs; /* struct sim_job */
+	GPtrArray *waiting; /* of these */
+	GArray *runs; /* struct sim_run */
+	int64_t now;
+};
+
+static void
+sim_arrivals(struct sim *s)
+{
+	double wave = 1 + 0.55 * sin(2 * G_PI * (double)s->now / 30000);
+
+	for (int c = 0; c < SIM_CLASSES; c++) {
+		double expected =
+		    sim_classes[c].per_s * wave * SIM_TICK_MS / 1000;
+
+		while (expected > 0) {
+			struct sim_job *job;
+			bool comes = (double)rng_below(&s->rng, 1000000) / 1e6 <
+			    expected;
+
+			expected -= 1;
+			if (!comes)
+				continue;
+			job = g_new0(struct sim_job, 1);
+			job->class = (enum sim_class)c;
+			job->accepted_ms = s->now;
+			job->work_ms =
+			    sim_classes[c].work_ms * exp(0.3 * normal(&s->rng));
+			job->estimate_ms = (int64_t)(job->work_ms *
+			    exp(0.3 * normal(&s->rng)));
+			job->waiting = sim_classes[c].tasks;
+			g_ptr_array_add(s->jobs, job);
+			g_ptr_array_add(s->waiting, job);
+		}
+	}
+}
+
+static struct plan_pending
+sim_urgency(const struct sim *s, const struct sim_job *job)
+{
+	double fast = s->by_end ? 0.7 : 1;
+
+	return (struct plan_pending){ .accepted_ms = job->accepted_ms,
+		.objective_ms = (int64_t)(sim_classes[job->class].slack *
+			(double)job->estimate_ms +
+		    sim_classes[job->class].target_ms),
+		.remaining_ms = (int64_t)(fast * (double)job->estimate_ms) };
+}
+
+static gint
+sim_by_urgency(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct sim *s = arg;
+	struct plan_pending x = sim_urgency(s, *(struct sim_job *const *)a);
+	struct plan_pending y = sim_urgency(s, *(struct sim_job *const *)b);
+
+	return plan_compare(&x, &y, s->now);
+}
+
+static bool
+sim_fast_scarce(const struct sim *s)
+{
+	int64_t free = 0;
+	int64_t all = 0;
+
+	for (guint i = 0; i < SIM_WORKERS; i++)
+		if (s->speed[i] < 1) {
+			free += s->worker[i].free.millicpus;
+			all += s->worker[i].capacity.millicpus;
+		}
+	return (double)free < 0.3 * (double)all;
+}
+
+static void
+sim_start(struct sim *s, struct sim_job *job, const uint32_t *pick, uint32_t n)
+{
+	double longest = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		double ms = job->work_ms * exp(0.15 * normal(&s->rng)) *
+		    s->speed[pick[i]];
+		struct sim_run run = { .worker = pick[i], .job = job };
+
+		if (rng_below(&s->rng, 100) < 3 && job->class != SIM_GANG)
+			ms *= 7;
+		longest = MAX(longest, ms);
+		run.end_ms = s->now + (int64_t)ms;
+		g_array_append_val(s->runs, run);
+	}
+	for (uint32_t i = 0; job->class == SIM_GANG && i < n; i++)
+		g_array_index(s->runs, struct sim_run, s->runs->len - 1 - i)
+		    .end_ms = s->now + (int64_t)longest;
+	job->waiting -= n;
+	job->running += n;
+}
+
+static void
+sim_place(struct sim *s, struct sim_job *job)
+{
+	struct plan_request request = request_of(job->waiting,
+	    sim_classes[job->class].cores, job->class == SIM_GANG);
+	struct plan_pending urgency = sim_urgency(s, job);
+	uint32_t pick[64];
+
+	if (s->by_end) {
+		request.runtime_ms = urgency.remaining_ms;
+		request.runtime_high_ms = urgency.remaining_ms * 8 / 5;
+		request.spare_ms = plan_spare_ms(&urgency, s->now);
+		request.slow_from = 1.5;
+		request.fast_scarce = sim_fast_scarce(s);
+		request.fast_suffice = true;
+	}
+	sim_start(
+	    s, job, pick, plan_place(s->workers, SIM_WORKERS, &request, pick));
+}
+
+static void
+sim_end_runs(struct sim *s)
+{
+	for (guint i = s->runs->len; i > 0; i--) {
+		struct sim_run *r =
+		    &g_array_index(s->runs, struct sim_run, i - 1);
+		struct resources each = {
+			sim_classes[r->job->class].cores * 1000, GIB, 0
+		};
+
+		if (r->end_ms > s->now)
+			continue;
+		resources_add(&s->worker[r->worker].free, &each, 1);
+		r->job->running--;
+		r->job->end_ms = MAX(r->job->end_ms, r->end_ms);
+		g_array_remove_index_fast(s->runs, i - 1);
+	}
+}
+
+static void
+sim_tick(struct sim *s)
+{
+	sim_end_runs(s);
+	if (s->now < SIM_MS)
+		sim_arrivals(s);
+	g_ptr_array_sort_with_data(s->waiting, sim_by_urgency, s);
+	for (guint i = 0; i < s->waiting->len; i++)
+		sim_place(s, s->waiting->pdata[i]);
+	for (guint i = s->waiting->len; i > 0; i--)
+		if (((struct sim_job *)s->waiting->pdata[i - 1])->waiting == 0)
+			g_ptr_array_remove_index_fast(s->waiting, i - 1);
+	s->now += SIM_TICK_MS;
+}
+
+/* Sets the share of the jobs of each class that end within their objectives,
+ * which count from the work that was really done. */
+static void
+sim_shares(const struct sim *s, double share[SIM_CLASSES])
+{
+	guint in_time[SIM_CLASSES] = { 0 };
+	guint all[SIM_CLASSES] = { 0 };
+
+	for (guint i = 0; i < s->jobs->len; i++) {
+		const struct sim_job *job = s->jobs->pdata[i];
+		double objective =
+		    sim_classes[job->class].slack * job->work_ms +
+		    sim_classes[job->class].target_ms;
+
+		all[job->class]++;
+		in_time[job->class] +=
+		    (double)(job->end_ms - job->accepted_ms) <= objective;
+	}
+	for (int c = 0; c < SIM_CLASSES; c++)
+		share[c] = (double)in_time[c] / all[c];
+}
+
+static void
+simulate(bool by_end, uint64_t seed, double share[SIM_CLASSES])
+{
+	static const double speeds[] = { 0.7, 0.7, 1.7 };
+	struct sim *s = g_new0(struct sim, 1);
+
+	s->rng.state = seed;
+	s->by_end = by_end;
+	s->jobs = g_ptr_array_new_with_free_func(g_free);
+	s->waiting = g_ptr_array_new();
+	s->runs = g_array_new(FALSE, FALSE, sizeof(struct sim_run));
+	for (guint i = 0; i < SIM_WORKERS; i++) {
+		s->worker[i] = worker_with(i, SIM_CORES, 1 + i % 3);
+		s->worker[i].capacity.millicpus = SIM_CORES * 1000;
+		s->workers[i] = &s->worker[i];
+		s->speed[i] = speeds[i % 3];
+		if (by_end)
+			s->worker[i].slowdown =
+			    s->speed[i] / 0.7 * exp(0.1 * normal(&s->rng));
+		s->worker[i].slowdown = MAX(s->worker[i].slowdown, 1);
+	}
+	while (s->now < SIM_MS || s->waiting->len > 0 || s->runs->len > 0)
+		sim_tick(s);
+	sim_shares(s, share);
+	g_ptr_array_unref(s->jobs);
+	g_ptr_array_unref(s->waiting);
+	g_array_unref(s->runs);
+	g_free(s);
+}
+
+/* With learnt speeds no class of work may do worse than without them; short
+ * urgent jobs and gangs were late for the slow workers they ran on. */
+static void
+test_replay_uneven(void)
+{
+	for (uint64_t seed = 1; seed <= 3; seed++) {
+		double without[SIM_CLASSES];
+		double with[SIM_CLASSES];
+
+		simulate(false, seed, without);
+		simulate(true, seed, with);
+		g_test_message("without: short %.3f gang %.3f wide %.3f",
+		    without[SIM_SHORT], without[SIM_GANG], without[SIM_WIDE]);
+		g_test_message("with: short %.3f gang %.3f wide %.3f",
+		    with[SIM_SHORT], with[SIM_GANG], with[SIM_WIDE]);
+		g_assert_cmpfloat(with[SIM_SHORT], >, without[SIM_SHORT]);
+		g_assert_cmpfloat(with[SIM_SHORT], >, 0.955);
+		g_assert_cmpfloat(with[SIM_GANG], >, without[SIM_GANG] + 0.1);
+		g_assert_cmpfloat(with[SIM_GANG], >, 0.95);
+		/* At best 0.97^6: one long task makes such a job late. */
+		g_assert_cmpfloat(with[SIM_WIDE], >, without[SIM_WIDE] - 0.02);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/plan/order", test_order);
+	g_test_add_func("/plan/quantiles", test_quantiles);
+	g_test_add_func("/plan/robust", test_robust);
 	g_test_add_func("/plan/tightest-fit", test_tightest_fit);
 	g_test_add_func("/plan/gang", test_gang);
 	g_test_add_func("/plan/colocated", test_colocated);
@@ -375,5 +835,10 @@
 	g_test_add_func("/plan/failing-worker", test_failing_worker);
 	g_test_add_func("/plan/failing-job", test_failing_job);
 	g_test_add_func("/plan/estimate", test_estimate);
+	g_test_add_func("/plan/tight-goes-fast", test_tight_goes_fast);
+	g_test_add_func("/plan/slack-goes-slow", test_slack_goes_slow);
+	g_test_add_func("/plan/gang-of-like-speed", test_gang_of_like_speed);
+	g_test_add_func("/plan/gang-waits-for-fast", test_gang_waits_for_fast);
+	g_test_add_func("/plan/replay-uneven", test_replay_uneven);
 	return g_test_run();
 }
