dispatch: learn speeds from the ends that workers report; run times for a new leader

The run times of each queue on a normal worker (mean and mean deviation of the run time and of the error of the declared one) are in the replicated state too, so that a new leader starts with them. A gang counts with the slowdown of its slowest worker.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -43,6 +43,8 @@
 	if (!d->active)
 		return 0;
 	cmd->at_ms = MAX(wall_ms(), flow_time_ms(d->conf.flow));
+	cmd->learn_speeds =
+	    cmd->type == FLOW_CMD_END && d->conf.uneven_workers > 0;
 	bytes = flow_cmd_encode(cmd);
 	index = d->ops->propose(d->arg, bytes);
 	g_bytes_unref(bytes);
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -311,6 +311,9 @@
 void speeds_scan(struct dispatch *d, int64_t now);
 struct round;
 struct pending_step;
+/* Starts the estimate of a queue from what earlier leaders have learnt. */
+void speeds_init_estimate(
+    struct dispatch *d, const char *queue, struct plan_estimate *estimate);
 /* Sums up the fast workers of each pool for a round. */
 void speeds_begin_round(struct round *rd);
 /* Sets what placement by expected end needs, if speeds are in effect. */
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -24,6 +24,7 @@
 	if (estimate != NULL)
 		return estimate;
 	estimate = g_new0(struct plan_estimate, 1);
+	speeds_init_estimate(d, queue, estimate);
 	g_hash_table_insert(d->estimates, g_strdup(queue), estimate);
 	return estimate;
 }
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -150,9 +150,7 @@
 uint64_t
 runs_end(struct dispatch *d, GArray *ends)
 {
-	struct flow_cmd cmd = { .type = FLOW_CMD_END,
-		.u.ends = ends,
-		.learn_speeds = d->conf.uneven_workers > 0 };
+	struct flow_cmd cmd = { .type = FLOW_CMD_END, .u.ends = ends };
 
 	return dispatch_propose(d, &cmd);
 }
--- a/lib/dispatch/speeds.c
+++ b/lib/dispatch/speeds.c
@@ -207,3 +207,25 @@
 	request->fast_suffice =
 	    plan_waits_for_fast(request) && fast_suffice(rd, p, request);
 }
+
+static double
+natural_log(int64_t log2_steps)
+{
+	return (double)log2_steps / SPEED_ONE * G_LN2;
+}
+
+void
+speeds_init_estimate(
+    struct dispatch *d, const char *queue, struct plan_estimate *estimate)
+{
+	struct speed_work work =
+	    speed_work_of(flow_speeds(d->conf.flow), queue);
+	struct plan_history history = { .samples = work.samples,
+		.log_mean = natural_log(work.mean),
+		.log_deviation = natural_log(work.deviation),
+		.error_mean = natural_log(work.error_mean),
+		.error_deviation = natural_log(work.error_deviation) };
+
+	if (d->speeds_in_effect && work.samples > 0)
+		plan_estimate_init(estimate, &history);
+}
--- a/lib/flow/speeds.c
+++ b/lib/flow/speeds.c
@@ -5,14 +5,31 @@
  * learning was switched off. */
 #define SPEED_KEEP_MS (60 * 60 * 1000)
 
-/* Says whether the run time of a run tells how fast its worker is. The members
- * of a gang end together, a resumed run takes only part of the run time, and
- * best-effort tasks run on what others leave. */
+/* Says whether the run time of a run tells how fast its worker is. A resumed
+ * run takes only part of the run time, and best-effort tasks run on what others
+ * leave. */
 static bool
 is_sample(const struct flow_step *step, const struct flow_run *run)
 {
-	return !(step->gang && step->count > 1) && !step->long_running &&
-	    !step->best_effort && !(step->checkpointing && run->number > 1);
+	return !step->long_running && !step->best_effort &&
+	    !(step->checkpointing && run->number > 1);
+}
+
+/* The slowdown of the slowest worker that runs a member of a gang. */
+static int64_t
+gang_slowdown(const struct flow *f, const struct flow_step_state *st)
+{
+	int64_t slowest = INT64_MIN;
+
+	for (uint32_t i = 0; i < st->count; i++) {
+		const struct flow_worker *w =
+		    flow_worker(f, st->tasks[i].worker);
+
+		if (w != NULL)
+			slowest = MAX(
+			    slowest, speed_of(f->speeds, w->address).slowdown);
+	}
+	return slowest;
 }
 
 void
@@ -30,7 +47,11 @@
 	if (w == NULL || !is_sample(step, run))
 		return;
 	sample.address = w->address;
-	speed_update(f->speeds, &sample, &st->peers);
+	/* The members of a gang end together: that says nothing of a worker. */
+	if (step->gang && step->count > 1)
+		speed_add_gang(f->speeds, &sample, gang_slowdown(f, st));
+	else
+		speed_update(f->speeds, &sample, &st->peers);
 }
 
 void
@@ -95,7 +116,7 @@
 {
 	uint32_t count = 0;
 
-	msgpack_pack_array(pk, 3);
+	msgpack_pack_array(pk, SPEED_FIELDS + 1);
 	speed_put(pk, f->speeds);
 	each_peers(f, count_peers, &count);
 	msgpack_pack_array(pk, count * 7);
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -400,6 +400,25 @@
 	*average += (sample - *average) * weight;
 }
 
+/* The variance of a normal distribution with a mean absolute deviation. */
+static double
+variance_of_deviation(double deviation)
+{
+	return MAX(deviation * deviation * G_PI / 2, VARIANCE_MIN);
+}
+
+void
+plan_estimate_init(struct plan_estimate *e, const struct plan_history *history)
+{
+	*e = (struct plan_estimate){ .samples = history->samples,
+		.log_mean = history->log_mean,
+		.log_variance = variance_of_deviation(history->log_deviation),
+		.error_mean = history->error_mean,
+		.error_variance =
+		    variance_of_deviation(history->error_deviation) };
+	e->residual_variance = MIN(e->log_variance, e->error_variance);
+}
+
 /* A sample's deviation from a mean as it counts. */
 static double
 limited(const struct plan_estimate *e, double deviation, double variance)
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -62,6 +62,19 @@
 	double residual_variance; /* of log(actual / estimated) */
 };
 
+/* Logarithms of run times in ms and their mean absolute deviations, as far as
+ * they are known from an earlier leader. */
+struct plan_history {
+	uint32_t samples;
+	double log_mean;
+	double log_deviation;
+	double error_mean;
+	double error_deviation;
+};
+
+/* Starts an estimate from a history. */
+void
+plan_estimate_init(struct plan_estimate *e, const struct plan_history *history);
 /* Adds the run time of an ended task. */
 void plan_estimate_update(
     struct plan_estimate *e, int64_t declared_ms, int64_t actual_ms);
--- a/lib/speed/speed.c
+++ b/lib/speed/speed.c
@@ -21,10 +21,17 @@
 #define DEVIATION_MAX (SPEED_ONE * 3 / 2)
 #define QUEUE_DEVIATION_MAX (SPEED_ONE * 3)
 
+/* Mean absolute deviation before there are samples, and their number that it
+ * counts as: that of a normal distribution whose logarithms (base e) have a
+ * standard deviation of 0.5. */
+#define PRIOR_DEVIATION (SPEED_ONE * 58 / 100)
+#define PRIOR_SAMPLES 3
+
 /* A running mean, by name. */
 struct mean {
 	char *name;
 	int64_t value;
+	int64_t deviation; /* mean absolute one */
 	uint32_t weight;
 	uint32_t samples;
 	int64_t updated_ms;
@@ -47,6 +54,7 @@
 	 */
 	struct means workers;
 	struct means queues; /* of log(run time / declared) less slowdown */
+	struct means works; /* by queue, of log(run time) less slowdown */
 };
 
 static void
@@ -112,6 +120,7 @@
 	m = g_new0(struct mean, 1);
 	m->name = g_strdup(name);
 	m->value = value;
+	m->deviation = PRIOR_DEVIATION;
 	m->weight = weight;
 	mean_insert(all, m);
 	return m;
@@ -128,6 +137,8 @@
 	by = deviation * weight / MAX(m->weight, 1);
 	m->value += by;
 	all->sum += by;
+	m->deviation += (ABS(deviation) - m->deviation) * weight /
+	    (m->weight + PRIOR_SAMPLES);
 	m->samples++;
 	m->updated_ms = at_ms;
 	g_queue_unlink(&all->order, m->link);
@@ -141,6 +152,7 @@
 
 	means_init(&t->workers, SPEED_WORKERS_MAX);
 	means_init(&t->queues, SPEED_QUEUES_MAX);
+	means_init(&t->works, SPEED_QUEUES_MAX);
 	return t;
 }
 
@@ -149,6 +161,7 @@
 {
 	means_clear(&t->workers);
 	means_clear(&t->queues);
+	means_clear(&t->works);
 }
 
 void
@@ -159,13 +172,15 @@
 	speed_clear(t);
 	g_hash_table_unref(t->workers.by_name);
 	g_hash_table_unref(t->queues.by_name);
+	g_hash_table_unref(t->works.by_name);
 	g_free(t);
 }
 
 bool
 speed_is_empty(const struct speed_table *t)
 {
-	return t->workers.order.length == 0 && t->queues.order.length == 0;
+	return t->workers.order.length == 0 && t->queues.order.length == 0 &&
+	    t->works.order.length == 0;
 }
 
 static int64_t
@@ -235,28 +250,63 @@
 	peers->count++;
 }
 
+/* Adds a value to the mean of a queue. */
+static void
+queue_add(struct means *all, const struct speed_run *run, int64_t value)
+{
+	struct mean *m = mean_get(all, run->queue, value, 0);
+	int64_t deviation = value - m->value;
+
+	mean_add(all, m,
+	    CLAMP(deviation, -QUEUE_DEVIATION_MAX, QUEUE_DEVIATION_MAX), 1,
+	    QUEUE_SAMPLES_MAX, run->at_ms);
+}
+
+static void
+queue_learn(struct speed_table *t, const struct speed_run *run, int64_t work)
+{
+	queue_add(&t->queues, run, work - speed_log2(run->declared_ms));
+	queue_add(&t->works, run, work);
+}
+
 void
 speed_update(struct speed_table *t, const struct speed_run *run,
     struct speed_peers *peers)
 {
-	int64_t declared = speed_log2(run->declared_ms);
-	const struct mean *known = mean_find(&t->queues, run->queue);
-	struct mean *queue;
+	const struct mean *queue = mean_find(&t->queues, run->queue);
 	int64_t work;
-	int64_t deviation;
 
 	if (peers->count > 0)
 		learn(t, run, peers->sum / peers->count,
 		    WEIGHT_SAMPLE * peers->count / (peers->count + 1));
-	else if (known != NULL && known->samples >= QUEUE_SAMPLES_MIN)
-		learn(t, run, declared + known->value, WEIGHT_DECLARED);
+	else if (queue != NULL && queue->samples >= QUEUE_SAMPLES_MIN)
+		learn(t, run, speed_log2(run->declared_ms) + queue->value,
+		    WEIGHT_DECLARED);
 	work = speed_log2(run->ran_ms) - speed_of(t, run->address).slowdown;
 	peers_add(peers, work);
-	queue = mean_get(&t->queues, run->queue, work - declared, 0);
-	deviation = work - declared - queue->value;
-	mean_add(&t->queues, queue,
-	    CLAMP(deviation, -QUEUE_DEVIATION_MAX, QUEUE_DEVIATION_MAX), 1,
-	    QUEUE_SAMPLES_MAX, run->at_ms);
+	queue_learn(t, run, work);
+}
+
+void
+speed_add_gang(
+    struct speed_table *t, const struct speed_run *run, int64_t slowdown)
+{
+	queue_learn(t, run, speed_log2(run->ran_ms) - slowdown);
+}
+
+struct speed_work
+speed_work_of(const struct speed_table *t, const char *queue)
+{
+	const struct mean *error = mean_find(&t->queues, queue);
+	const struct mean *work = mean_find(&t->works, queue);
+
+	if (error == NULL || work == NULL)
+		return (struct speed_work){ 0 };
+	return (struct speed_work){ .mean = work->value,
+		.deviation = work->deviation,
+		.error_mean = error->value,
+		.error_deviation = error->deviation,
+		.samples = work->samples };
 }
 
 static void
@@ -274,17 +324,19 @@
 {
 	means_prune(&t->workers, before_ms);
 	means_prune(&t->queues, before_ms);
+	means_prune(&t->works, before_ms);
 }
 
 static void
 means_put(msgpack_packer *pk, const struct means *all)
 {
-	msgpack_pack_array(pk, all->order.length * 5);
+	msgpack_pack_array(pk, all->order.length * 6);
 	for (GList *i = all->order.head; i != NULL; i = i->next) {
 		const struct mean *m = i->data;
 
 		put_str(pk, m->name);
 		msgpack_pack_int64(pk, m->value);
+		msgpack_pack_int64(pk, m->deviation);
 		msgpack_pack_uint32(pk, m->weight);
 		msgpack_pack_uint32(pk, m->samples);
 		msgpack_pack_int64(pk, m->updated_ms);
@@ -301,6 +353,7 @@
 
 		m->name = get_str(&a, CODEC_NO_LIMIT);
 		m->value = get_i64(&a);
+		m->deviation = get_amount(&a);
 		m->weight = (uint32_t)get_u64(&a);
 		m->samples = (uint32_t)get_u64(&a);
 		m->updated_ms = get_i64(&a);
@@ -320,6 +373,7 @@
 {
 	means_put(pk, &t->workers);
 	means_put(pk, &t->queues);
+	means_put(pk, &t->works);
 }
 
 void
@@ -328,6 +382,7 @@
 	speed_clear(t);
 	means_get(r, &t->workers);
 	means_get(r, &t->queues);
+	means_get(r, &t->works);
 }
 
 static int
--- a/lib/speed/speed.h
+++ b/lib/speed/speed.h
@@ -37,6 +37,15 @@
 	uint32_t samples;
 };
 
+/* Run times of the tasks of a queue on a normal worker, as logarithms. */
+struct speed_work {
+	int64_t mean;
+	int64_t deviation; /* mean absolute one */
+	int64_t error_mean; /* of the run time less the declared one */
+	int64_t error_deviation;
+	uint32_t samples;
+};
+
 struct speed_table;
 
 struct speed_table *speed_new(void);
@@ -47,12 +56,19 @@
 /* Adds a run, also to the peers of its step. */
 void speed_update(struct speed_table *t, const struct speed_run *run,
     struct speed_peers *peers);
+/* Adds a gang: its members end together, as the slowest of its workers, whose
+ * slowdown is given, lets them; the address is not used. */
+void speed_add_gang(
+    struct speed_table *t, const struct speed_run *run, int64_t slowdown);
+/* Returns what was learnt of a queue; no samples: nothing. */
+struct speed_work speed_work_of(const struct speed_table *t, const char *queue);
 /* Returns the speed of the worker at an address; without samples it counts as
  * normal. */
 struct speed speed_of(const struct speed_table *t, const char *address);
 /* Drops what was last updated before a time. */
 void speed_prune(struct speed_table *t, int64_t before_ms);
 
+#define SPEED_FIELDS 3 /* elements that speed_put() adds to an array */
 void speed_put(struct msgpack_packer *pk, const struct speed_table *t);
 /* Replaces the table; sets r->ok. */
 void speed_get(struct reader *r, struct speed_table *t);
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -170,6 +170,80 @@
 	leader_free(l);
 }
 
+/* Has two fast workers and a slow one, which is the tightest fit for a task,
+ * run a job of 24 tasks. */
+static void
+run_uneven(struct leader *l, struct stub_worker *workers[3])
+{
+	static const char *const names[] = { "a", "b", "slow" };
+	const struct flow_job *job;
+
+	for (int i = 0; i < 3; i++) {
+		workers[i] = stub_worker_new(l->base, names[i]);
+		workers[i]->run_ms = 100;
+	}
+	workers[2]->run_ms = 400;
+	workers[2]->capacity.millicpus /= 2;
+	for (int i = 0; i < 3; i++)
+		leader_heartbeat(l, workers[i], false);
+	leader_submit(l, JOB_PATH, 24, 1000);
+	job = flow_job(l->flow, JOB);
+	while (job->state != FLOW_COMPLETED) {
+		leader_run(l);
+		for (int i = 0; i < 3; i++)
+			(void)stub_worker_tick(workers[i]);
+	}
+	for (int i = 0; i < 3; i++)
+		workers[i]->run_ms = 0;
+}
+
+/* Replaces the leader by a replica that was restored from a snapshot and has
+ * it place one task. Returns the index of the worker that gets it. */
+static int
+takeover_and_place(struct leader *l, struct stub_worker *workers[3])
+{
+	GBytes *snapshot = flow_snapshot(l->flow);
+	int chosen = -1;
+
+	dispatch_resign(l->dispatch);
+	g_assert_true(flow_restore(l->flow, snapshot, NULL));
+	g_bytes_unref(snapshot);
+	dispatch_lead(l->dispatch, 2);
+	AWAIT(l, workers[0]->fence == 2 && workers[2]->fence == 2);
+	leader_submit(l, "/renders/00000000000000a1", 1, 1000);
+	while (chosen < 0) {
+		leader_run(l);
+		for (int i = 0; i < 3; i++)
+			if (workers[i]->running->len > 0)
+				chosen = i;
+	}
+	return chosen;
+}
+
+/* What a leader learns of the speed of workers was lost with it, and the next
+ * one used a slow worker for urgent work. */
+static void
+test_takeover_speeds(void)
+{
+	static const double settings[] = { 1.5, 0 };
+
+	for (int s = 0; s < 2; s++) {
+		struct leader *l = leader_new_uneven(settings[s]);
+		struct stub_worker *workers[3];
+		int chosen;
+
+		run_uneven(l, workers);
+		chosen = takeover_and_place(l, workers);
+		if (settings[s] > 0)
+			g_assert_cmpint(chosen, <, 2);
+		else
+			g_assert_cmpint(chosen, ==, 2); /* as before */
+		for (int i = 0; i < 3; i++)
+			stub_worker_free(workers[i]);
+		leader_free(l);
+	}
+}
+
 /* A new leader orders a run whose start its predecessor committed but for which
  * no order reached the worker. */
 static void
@@ -684,6 +758,7 @@
 	    "/dispatch/leadership-unconfirmed", test_leadership_unconfirmed);
 	g_test_add_func("/dispatch/suspended-leader", test_suspended_leader);
 	g_test_add_func("/dispatch/takeover", test_takeover);
+	g_test_add_func("/dispatch/takeover-speeds", test_takeover_speeds);
 	g_test_add_func(
 	    "/dispatch/takeover-before-order", test_takeover_before_order);
 	g_test_add_func(
--- a/test/flow_test.c
+++ b/test/flow_test.c
@@ -45,6 +45,7 @@
 struct fixture {
 	struct flow *flow;
 	struct flow *mirror; /* gets the same commands; NULL: none */
+	bool learn_speeds; /* by the ends of runs */
 	struct effects effects;
 	int64_t now;
 };
@@ -217,7 +218,8 @@
 end(struct fixture *x, struct flow_run run, enum flow_end_outcome outcome,
     const char *checkpoint)
 {
-	struct flow_cmd cmd = { .type = FLOW_CMD_END };
+	struct flow_cmd cmd = { .type = FLOW_CMD_END,
+		.learn_speeds = x->learn_speeds };
 	struct flow_end e = { run, outcome, (char *)checkpoint };
 
 	cmd.u.ends = g_array_new(FALSE, FALSE, sizeof(struct flow_end));
@@ -994,6 +996,170 @@
 	teardown(&x);
 }
 
+static void
+assert_same_state(const struct flow *a, const struct flow *b)
+{
+	GBytes *first = flow_snapshot(a);
+	GBytes *second = flow_snapshot(b);
+
+	g_assert_true(g_bytes_equal(first, second));
+	g_bytes_unref(first);
+	g_bytes_unref(second);
+}
+
+/* Starts and ends the tasks of a job of one step, which take ran_ms each. */
+static void
+run_single(struct fixture *x, uint64_t job, uint32_t count, bool gang,
+    const uint32_t *workers, const int64_t *ran_ms)
+{
+	submit_single(x, job, count, gang, false);
+	for (uint32_t i = 0; i < count; i++) {
+		struct flow_run run = { job, 0, 0, i, 1 };
+
+		start(x, job, 0, 0, i, 1, 1, workers[i]);
+		x->now += ran_ms[i] - 1;
+		end(x, run, FLOW_END_DONE, NULL);
+	}
+}
+
+static int64_t
+slowdown_at(const struct fixture *x, const char *address)
+{
+	return speed_of(flow_speeds(x->flow), address).slowdown;
+}
+
+/* Speeds belong to addresses: a worker that has restarted under a new name, or
+ * was removed, would otherwise count as normal again. */
+static void
+test_speeds(void)
+{
+	struct fixture x = setup(2);
+	uint32_t w[4];
+	const int64_t ran_ms[] = { 1000, 1000, 1000, 2500 };
+	struct flow_run resumed = { 90, 0, 0, 0, 2 };
+	struct flow_spec spec = new_spec();
+	uint32_t samples;
+
+	x.learn_speeds = true;
+	for (int i = 0; i < 4; i++) {
+		char *address = g_strdup_printf("127.0.0.1:%d", i);
+
+		w[i] = add_worker_at(&x, address, address, 1, false);
+		g_free(address);
+	}
+	for (uint64_t job = 1; job <= 10; job++)
+		run_single(&x, job, 4, false, w, ran_ms);
+	g_assert_cmpint(
+	    slowdown_at(&x, "127.0.0.1:3") - slowdown_at(&x, "127.0.0.1:0"), >,
+	    SPEED_ONE);
+	remove_worker(&x, w[3]);
+	w[3] = add_worker_at(&x, "other", "127.0.0.1:3", 2, false);
+	g_assert_cmpint(
+	    slowdown_at(&x, "127.0.0.1:3") - slowdown_at(&x, "127.0.0.1:0"), >,
+	    SPEED_ONE);
+	/* A resumed run took only part of the time. */
+	samples = speed_of(flow_speeds(x.flow), "127.0.0.1:3").samples;
+	add_step(&spec, 1, false)->checkpointing = true;
+	(void)submit(&x, 90, &spec);
+	start(&x, 90, 0, 0, 0, 1, 2, w[3]);
+	end(&x, resumed, FLOW_END_DONE, NULL);
+	g_assert_cmpuint(
+	    speed_of(flow_speeds(x.flow), "127.0.0.1:3").samples, ==, samples);
+	teardown(&x);
+}
+
+/* The members of a gang end together, so they say nothing about one worker, but
+ * about the run times of their queue. */
+static void
+test_speeds_gang(void)
+{
+	struct fixture x = setup(2);
+	struct flow_run run = { 7, 0, 0, 1, 1 };
+	uint32_t w;
+
+	x.learn_speeds = true;
+	w = add_worker(&x, "w0", 1);
+	submit_single(&x, 7, 3, true, false);
+	start(&x, 7, 0, 0, 0, 3, 1, w);
+	x.now += 1000;
+	end(&x, run, FLOW_END_DONE, NULL);
+	g_assert_cmpuint(
+	    speed_of(flow_speeds(x.flow), "127.0.0.1:1").samples, ==, 0);
+	g_assert_cmpuint(
+	    speed_work_of(flow_speeds(x.flow), "renders").samples, ==, 1);
+	g_assert_cmpint(speed_work_of(flow_speeds(x.flow), "renders").mean, ==,
+	    speed_log2(1001));
+	teardown(&x);
+}
+
+/* Replicas of the previous version read snapshots of format 2 only: a state
+ * without speeds has to be written as such, also once they were dropped. */
+static void
+test_speeds_snapshot_format(void)
+{
+	struct fixture x = setup(2);
+	struct flow *copy = flow_new();
+	struct flow_cmd prune = { .type = FLOW_CMD_PRUNE };
+	const int64_t ran_ms[] = { 1000 };
+	uint32_t w = add_worker(&x, "w0", 1);
+	GBytes *bytes;
+
+	run_single(&x, 1, 1, false, &w, ran_ms);
+	bytes = flow_snapshot(x.flow);
+	g_assert_cmpint(((uint8_t *)g_bytes_get_data(bytes, NULL))[1], ==, 2);
+	g_bytes_unref(bytes);
+	x.learn_speeds = true;
+	run_single(&x, 2, 1, false, &w, ran_ms);
+	bytes = copy_through_snapshot(x.flow, copy);
+	g_assert_cmpint(
+	    ((uint8_t *)g_bytes_get_data(bytes, NULL))[0], ==, 0x98);
+	g_assert_cmpint(((uint8_t *)g_bytes_get_data(bytes, NULL))[1], ==, 3);
+	g_bytes_unref(bytes);
+	assert_same_state(x.flow, copy);
+	x.now += 2 * 60 * 60 * 1000;
+	(void)apply_cmd(&x, &prune);
+	bytes = flow_snapshot(x.flow);
+	g_assert_cmpint(((uint8_t *)g_bytes_get_data(bytes, NULL))[1], ==, 2);
+	g_bytes_unref(bytes);
+	flow_free(copy);
+	teardown(&x);
+}
+
+/* A command without learnt speeds is encoded as before, so that replicas of the
+ * previous version read it; one with them has one element more, which these
+ * reject as malformed. */
+static void
+test_speeds_command(void)
+{
+	struct flow_end e = { { 7, 0, 0, 0, 1 }, FLOW_END_DONE, NULL };
+	struct flow_cmd cmd = { .type = FLOW_CMD_END };
+	struct flow_cmd out;
+	GBytes *plain;
+	GBytes *learning;
+
+	cmd.u.ends = g_array_new(FALSE, FALSE, sizeof(struct flow_end));
+	g_array_append_val(cmd.u.ends, e);
+	plain = flow_cmd_encode(&cmd);
+	cmd.learn_speeds = true;
+	learning = flow_cmd_encode(&cmd);
+	g_assert_cmpuint(
+	    g_bytes_get_size(learning), ==, g_bytes_get_size(plain) + 1);
+	g_assert_cmpint(
+	    ((uint8_t *)g_bytes_get_data(plain, NULL))[3], ==, 0x97);
+	g_assert_true(flow_cmd_decode(g_bytes_get_data(learning, NULL),
+	    g_bytes_get_size(learning), &out, NULL));
+	g_assert_true(out.learn_speeds);
+	g_assert_cmpuint(out.u.ends->len, ==, 1);
+	flow_cmd_clear(&out);
+	g_assert_true(flow_cmd_decode(g_bytes_get_data(plain, NULL),
+	    g_bytes_get_size(plain), &out, NULL));
+	g_assert_false(out.learn_speeds);
+	flow_cmd_clear(&out);
+	g_bytes_unref(plain);
+	g_bytes_unref(learning);
+	g_array_unref(cmd.u.ends);
+}
+
 static void
 random_step(struct fixture *x, struct rng *rng, uint32_t *w)
 {
@@ -1038,17 +1204,6 @@
 	}
 }
 
-static void
-assert_same_state(const struct flow *a, const struct flow *b)
-{
-	GBytes *first = flow_snapshot(a);
-	GBytes *second = flow_snapshot(b);
-
-	g_assert_true(g_bytes_equal(first, second));
-	g_bytes_unref(first);
-	g_bytes_unref(second);
-}
-
 /* Random commands keep the counts right. A replica that was restored from a
  * snapshot half-way has the same state in the end. */
 static void
@@ -1062,6 +1217,7 @@
 		uint32_t w;
 
 		watch_all(&x);
+		x.learn_speeds = seed % 2;
 		w = add_worker(&x, "w0", 1);
 		for (int i = 0; i < 600; i++) {
 			if (i == 300) {
@@ -1132,6 +1288,11 @@
 	    "/flow/long-running-crashes", test_long_running_crashes);
 	g_test_add_func("/flow/crashes-in-snapshot", test_crashes_in_snapshot);
 	g_test_add_func("/flow/earlier-snapshot", test_earlier_snapshot);
+	g_test_add_func("/flow/speeds", test_speeds);
+	g_test_add_func("/flow/speeds-gang", test_speeds_gang);
+	g_test_add_func(
+	    "/flow/speeds-snapshot-format", test_speeds_snapshot_format);
+	g_test_add_func("/flow/speeds-command", test_speeds_command);
 	g_test_add_func("/flow/random", test_random);
 	g_test_add_func("/flow/malformed", test_malformed);
 	return g_test_run();
--- a/test/speed_test.c
+++ b/test/speed_test.c
@@ -178,6 +178,178 @@
 	speed_free(t);
 }
 
+/* Where all workers are equally fast, chance must not make speeds take effect.
+ */
+static void
+test_even(void)
+{
+	struct speed_table *t = speed_new();
+	struct rng rng = { 3 };
+
+	for (guint round = 0; round < 60; round++) {
+		for (guint w = 0; w < WORKERS; w++) {
+			struct speed_peers peers = { 0 };
+			double work_ms = 2000 * exp(0.5 * normal(&rng));
+
+			for (guint i = 0; i < 1 + round % 3; i++) {
+				struct speed_run run = { .queue = "renders",
+					.address =
+					    address_of((w + i) % WORKERS),
+					.declared_ms = (int64_t)(work_ms *
+					    exp(0.9 * normal(&rng))),
+					.ran_ms = (int64_t)(work_ms *
+					    exp(0.2 * normal(&rng))) };
+
+				if (rng_below(&rng, 100) < 3)
+					run.ran_ms *= 7;
+				speed_update(t, &run, &peers);
+			}
+		}
+		g_assert_cmpfloat(spread_of(t), <, 1.75);
+	}
+	g_test_message("spread %.2f", spread_of(t));
+	speed_free(t);
+}
+
+static GBytes *
+encode(const struct speed_table *t)
+{
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, SPEED_FIELDS);
+	speed_put(&pk, t);
+	return codec_take_buffer(&buf);
+}
+
+static struct speed_table *
+decode(GBytes *bytes)
+{
+	struct speed_table *t = speed_new();
+	msgpack_unpacked u;
+	struct reader r;
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+
+	g_assert_true(codec_open(&u, data, len, &r));
+	speed_get(&r, t);
+	g_assert_true(codec_done(&r));
+	codec_close(&u);
+	return t;
+}
+
+/* A replica that was restored from a snapshot half-way must learn the same from
+ * then on, or the replicas' states differ. */
+static void
+test_snapshot(void)
+{
+	struct speed_table *t = speed_new();
+	struct rng rng = { 9 };
+	struct rng same;
+	struct speed_table *copy;
+	GBytes *bytes;
+	GBytes *again;
+
+	run_steps(t, &rng, 50, 20);
+	bytes = encode(t);
+	copy = decode(bytes);
+	g_bytes_unref(bytes);
+	same = rng;
+	run_steps(t, &rng, 50, 20);
+	run_steps(copy, &same, 50, 20);
+	bytes = encode(t);
+	again = encode(copy);
+	g_assert_true(g_bytes_equal(bytes, again));
+	g_bytes_unref(bytes);
+	g_bytes_unref(again);
+	speed_free(t);
+	speed_free(copy);
+}
+
+/* Workers come and go under new addresses: the table must not grow without
+ * bound, and keeps what was used last. */
+static void
+test_bound(void)
+{
+	struct speed_table *t = speed_new();
+	char address[32];
+
+	for (guint i = 0; i < SPEED_WORKERS_MAX + 500; i++) {
+		struct speed_peers peers = { .sum = speed_log2(1000),
+			.count = 5 };
+		struct speed_run run = { .address = address,
+			.queue = "renders",
+			.ran_ms = 2000,
+			.at_ms = i };
+
+		snprintf(address, sizeof(address), "a%u", i);
+		speed_update(t, &run, &peers);
+		run.address = "kept";
+		speed_update(t, &run, &peers);
+	}
+	g_assert_cmpuint(speed_of(t, "kept").samples, >, 4000);
+	g_assert_cmpuint(speed_of(t, "a0").samples, ==, 0);
+	g_assert_cmpuint(speed_of(t, "a500").samples, ==, 0);
+	g_assert_cmpuint(speed_of(t, "a501").samples, ==, 1);
+	g_assert_cmpuint(speed_of(t, address).samples, ==, 1);
+	speed_prune(t, SPEED_WORKERS_MAX + 499);
+	g_assert_cmpuint(speed_of(t, "a501").samples, ==, 0);
+	g_assert_cmpuint(speed_of(t, address).samples, ==, 1);
+	g_assert_false(speed_is_empty(t));
+	speed_prune(t, SPEED_WORKERS_MAX + 500);
+	g_assert_true(speed_is_empty(t));
+	speed_free(t);
+}
+
+/* A worker that becomes slow, or is replaced at its address, is known within
+ * some dozen samples. */
+static void
+test_adapts(void)
+{
+	struct speed_table *t = speed_new();
+	struct speed_run run = { .address = "b", .queue = "renders" };
+	int64_t before;
+
+	for (int i = 0; i < 424; i++) {
+		struct speed_peers peers = { .sum = 9 * speed_log2(1000),
+			.count = 9 };
+
+		run.address = "a";
+		run.ran_ms = 1000;
+		speed_update(t, &run, &peers);
+		run.address = "b";
+		run.ran_ms = i < 400 ? 1000 : 2000;
+		speed_update(t, &run, &peers);
+	}
+	before = speed_of(t, "b").slowdown - speed_of(t, "a").slowdown;
+	g_assert_cmpint(before, >, SPEED_ONE * 3 / 4);
+	speed_free(t);
+}
+
+/* The run times of a queue are taken from a worker of normal speed: fails if
+ * the speeds of the workers enter into them. */
+static void
+test_work(void)
+{
+	struct speed_table *t = speed_new();
+	struct rng rng = { 4 };
+	struct speed_work work;
+
+	g_assert_cmpuint(speed_work_of(t, "renders").samples, ==, 0);
+	run_steps(t, &rng, 400, 20);
+	work = speed_work_of(t, "renders");
+	g_test_message("work %.2f +-%.2f error %.2f +-%.2f",
+	    (double)work.mean / SPEED_ONE, (double)work.deviation / SPEED_ONE,
+	    (double)work.error_mean / SPEED_ONE,
+	    (double)work.error_deviation / SPEED_ONE);
+	g_assert_cmpuint(work.samples, ==, 8000);
+	g_assert_cmpfloat_with_epsilon(
+	    (double)work.mean / SPEED_ONE, log2(2000), 1);
+	speed_free(t);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -185,5 +357,10 @@
 	g_test_add_func("/speed/log2", test_log2);
 	g_test_add_func("/speed/converges", test_converges);
 	g_test_add_func("/speed/single-tasks", test_single_tasks);
+	g_test_add_func("/speed/even", test_even);
+	g_test_add_func("/speed/snapshot", test_snapshot);
+	g_test_add_func("/speed/bound", test_bound);
+	g_test_add_func("/speed/adapts", test_adapts);
+	g_test_add_func("/speed/work", test_work);
 	return g_test_run();
 }
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -236,11 +236,18 @@
 
 struct leader *
 leader_new(void)
+{
+	return leader_new_uneven(0);
+}
+
+struct leader *
+leader_new_uneven(double uneven_workers)
 {
 	struct leader *l = g_new0(struct leader, 1);
 	struct dispatch_conf conf = { .agent = &stub_agent,
 		.lease_max_ms = 6000,
 		.far_factor = 1,
+		.uneven_workers = uneven_workers,
 		.retain_ms = 60000 };
 
 	l->base = event_base_new();
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -46,6 +46,8 @@
 /* Returns a leader of term 1 with the queues "renders" (two attempts) and
  * "allowed" (needs permits) of the pool "desk". */
 struct leader *leader_new(void);
+/* The same with a setting for uneven workers. */
+struct leader *leader_new_uneven(double uneven_workers);
 void leader_free(struct leader *l);
 
 void leader_run(struct leader *l); /* runs the loop for 5 ms */
