share, dispatch: caps on what an organisation has running

The leader now sums the resources of all assigned runs of each organisation, from the proposal of a start to its committed end, and checks the cap when it decides to start a run and again when the order is sent or sent again. The sums follow from the assigned runs, which a new leader loads, so they hold across changes of leader.

While a step waits only for the cap, less urgent steps of its organisation don't start, unless it doesn't fit beside the long-running tasks either. A step keeps its room while the policy service is queried or preempted runs end. A job that can never fit is refused at submission.

New tests: share_test and eleven cases of dispatch_test. Without the checks at the start and the order ten of them failed; without the refusal cap-never-fits did, without the check of the order alone cap-lowered-before-order, without holding back cap-gang-turn, with the long-running tasks ignored cap-gang-beside-service, without the kept room cap-gang-permit.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -235,6 +235,7 @@
 			return;
 		r = run_add(d, h, &s->id, flow_job_step(job, s->id.step));
 		r->may_start = true;
+		organisation_add_order(r);
 	}
 	r->state = RUN_ORDERED;
 	r->started_ms = mono_ms();
@@ -325,6 +326,7 @@
 
 	log_info("dispatch", "event=config-applied version=%" G_GUINT64_FORMAT,
 	    flow_config(d->conf.flow)->version);
+	organisations_config_changed(d);
 	dispatch_schedule_round(d);
 }
 
@@ -353,6 +355,7 @@
 	r = run_add(d, h, &s->id, flow_job_step(job, s->id.step));
 	r->state = RUN_ORDERED;
 	r->may_start = true;
+	organisation_add_order(r);
 	r->started_ms = mono_ms();
 	/* The earlier leader may not have sent the stop order. */
 	if (flow_job_ended(job))
@@ -375,6 +378,8 @@
 	d->holders = g_hash_table_new_full(NULL, NULL, NULL, holder_free);
 	d->addresses = g_hash_table_new(g_str_hash, g_str_equal);
 	d->runs = g_hash_table_new(run_hash, run_equal);
+	d->organisations = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, organisation_free);
 	d->step_permits = g_hash_table_new_full(
 	    step_permits_hash, step_permits_equal, NULL, step_permits_free);
 	d->proposals = g_hash_table_new_full(
@@ -408,6 +413,7 @@
 	g_clear_pointer(&d->addresses, g_hash_table_unref);
 	g_clear_pointer(&d->holders, g_hash_table_unref);
 	g_clear_pointer(&d->runs, g_hash_table_unref);
+	g_clear_pointer(&d->organisations, g_hash_table_unref);
 	g_clear_pointer(&d->step_permits, g_hash_table_unref);
 	g_clear_pointer(&d->started_jobs, g_hash_table_unref);
 	g_clear_pointer(&d->estimates, g_hash_table_unref);
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -40,7 +40,10 @@
 	struct holder *holder;
 	enum run_state state;
 	struct resources resources;
+	struct organisation *organisation; /* NULL: none */
 	uint32_t suspicion; /* flow_task_suspicion() when it was assigned */
+	bool long_running; /* its step is */
+	bool ordered; /* has started, or may have */
 	bool stopping; /* it has to be stopped */
 	bool order_pending; /* an order about it is in flight */
 	bool may_start; /* a start order that got no answer may take effect */
@@ -55,6 +58,19 @@
 	char *permit;
 };
 
+/* An organisation that has runs or waiting steps. */
+struct organisation {
+	char *name;
+	struct resources cap; /* in the current configuration; 0: no limit */
+	guint runs; /* from the proposal of a start to its committed end */
+	struct resources used; /* by these ... */
+	struct resources long_running; /* ... by those that do not end ... */
+	struct resources ordered; /* ... by those that may have started */
+	uint64_t round; /* the last one with a waiting step of it; there: */
+	struct resources claimed; /* for steps about to start */
+	bool held; /* a step waits for the cap: less urgent ones don't start */
+};
+
 /* A worker that may hold a lease, and the connections to it. */
 struct holder {
 	struct dispatch *d;
@@ -125,6 +141,7 @@
 	uint64_t query; /* in flight; 0: none */
 	int64_t retry_ms; /* no new query before this time */
 	int64_t preempt_retry_ms; /* nor a new search for runs to preempt */
+	bool waits_for_cap; /* and that is logged */
 	int64_t apart_until_ms; /* how long suspected tasks wait for workers
 				   apart from others; 0: they don't */
 };
@@ -193,6 +210,7 @@
 	GHashTable *holders; /* worker id to struct holder */
 	GHashTable *addresses; /* to the struct holder started last there */
 	GHashTable *runs; /* set of struct active_run, by task */
+	GHashTable *organisations; /* name to struct organisation */
 	GHashTable *step_permits; /* set of struct step_permits, by step */
 	GHashTable *proposals; /* log index to struct proposal */
 	/* struct policy_process; not cleared when leadership is lost */
@@ -216,6 +234,7 @@
 	int64_t rounds_us; /* time that these took */
 	int64_t removed_ms; /* when old job records were last removed */
 	int64_t load_logged_ms;
+	uint64_t last_round; /* number of the last placement round */
 };
 
 /* dispatch.c */
@@ -325,6 +344,7 @@
 	const struct flow_job *job;
 	const struct flow_occurrence *occurrence;
 	uint32_t step;
+	struct organisation *organisation; /* NULL: no cap applies */
 };
 
 /* A worker that may get work in a placement round. */
@@ -346,6 +366,7 @@
 	GArray *starts; /* struct flow_start */
 	struct resources largest_free; /* per resource, over all workers */
 	uint64_t serial; /* of the next pending step */
+	uint64_t number; /* of this round */
 };
 
 /*
@@ -417,6 +438,45 @@
     const struct holder *h, const struct pending_step *p, int64_t now);
 /* Ends the reservations of workers for a step, if there are any. */
 void preempt_release_workers(struct dispatch *d, const struct pending_step *p);
+/* Says whether workers are reserved for a step. */
+bool preempt_has_reservation(struct round *rd, const struct pending_step *p);
+
+/* organisations.c */
+/* Returns the entry of an organisation, a new one if needed; NULL if name is.
+ */
+struct organisation *organisation_get(struct dispatch *d, const char *name);
+void organisation_free(void *arg);
+/* Takes caps from the configuration that was just applied. */
+void organisations_config_changed(struct dispatch *d);
+void organisations_remove_unused(struct dispatch *d, uint64_t round);
+/* Count a run, that it has started or may have, and that it is over. */
+void organisation_add_run(struct active_run *r, const struct flow_job *job,
+    const struct flow_step *step);
+void organisation_add_order(struct active_run *r);
+void organisation_remove_run(struct active_run *r);
+/* Says whether a run fits under the cap of its organisation beside all runs
+ * that have started or may have. */
+bool organisation_allows_order(const struct active_run *r);
+/* The organisation of a job with a waiting step; NULL if no cap applies. */
+struct organisation *
+organisation_in_round(struct round *rd, const struct flow_job *job);
+/* How many of the requested tasks may start under the cap. */
+uint32_t organisation_room(
+    const struct organisation *o, const struct plan_request *request);
+/* Records that tasks of a step wait for the cap. placeable: the workers would
+ * have room for them if nothing else ran. */
+void organisation_step_waits(struct round *rd, const struct pending_step *p,
+    const struct plan_request *request, bool placeable);
+/*
+ * Keeps room under the cap for a step that is about to start. Otherwise less
+ * urgent work takes it while the policy service is queried, or while preempted
+ * runs end, and the step has to start over.
+ */
+void
+organisation_claim(struct organisation *o, const struct plan_request *request);
+/* Why a job can never start under the cap, and which step; NULL if it can. */
+const char *organisation_misfit(const struct flow_organisation *o,
+    const struct flow_spec *spec, uint32_t *step);
 
 /* requests.c */
 void requests_handle(
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -288,12 +288,18 @@
 		query_unknown(rd, request, workers, permits);
 }
 
+bool
+preempt_has_reservation(struct round *rd, const struct pending_step *p)
+{
+	return find_reservation(rd->d, p, rd->now) != NULL;
+}
+
 bool
 preempt_may_search(struct round *rd, const struct pending_step *p)
 {
 	return rd->preemptions_left > 0 &&
 	    state_of(rd, p)->preempt_retry_ms <= rd->now &&
-	    find_reservation(rd->d, p, rd->now) == NULL;
+	    !preempt_has_reservation(rd, p);
 }
 
 void
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -6,6 +6,8 @@
 
 #define JOB_ID_DIGITS 16 /* hexadecimal */
 #define RETRY_MS 1000 /* suggested if no better estimate exists */
+/* To a job that doesn't fit under a cap: until an operator raises that. */
+#define RETRY_CAP_MS 5000
 
 /*
  * How long the answer about a running job is delayed in case the job ends.
@@ -194,6 +196,30 @@
 	return spec->payload != NULL && spec->steps->len > 0;
 }
 
+/* Refuses a job that can't start under the cap of its organisation. Says
+ * whether it did. */
+static bool
+refuse_misfit(struct dispatch *d, uint64_t process, const struct request *req,
+    const struct flow_organisation *owner, const struct flow_spec *spec)
+{
+	uint32_t step = 0;
+	const char *why =
+	    owner == NULL ? NULL : organisation_misfit(owner, spec, &step);
+
+	if (why == NULL)
+		return false;
+	d->meter.refused->value++;
+	log_info("dispatch",
+	    "event=refused why=%s path=%s organisation=%s step=%u"
+	    " cap_millicpus=%" G_GINT64_FORMAT " cap_memory=%" G_GINT64_FORMAT
+	    " cap_accelerators=%" G_GINT64_FORMAT,
+	    why, req->path, owner->name, step, owner->cap.millicpus,
+	    owner->cap.memory, owner->cap.accelerators);
+	reply(d, process, req->id, REQUEST_REFUSED, why, strlen(why),
+	    RETRY_CAP_MS);
+	return true;
+}
+
 static void
 handle_submit(struct dispatch *d, uint64_t process, const struct request *req)
 {
@@ -219,6 +245,10 @@
 		reply_text(d, process, req, REQUEST_INVALID, "malformed job");
 		return;
 	}
+	if (refuse_misfit(d, process, req, owner, &cmd.u.submit.spec)) {
+		flow_spec_clear(&cmd.u.submit.spec);
+		return;
+	}
 	cmd.u.submit.job = job;
 	cmd.u.submit.queue = q->name;
 	cmd.u.submit.organisation = owner == NULL ? NULL : owner->name;
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -261,9 +261,10 @@
 {
 	const struct flow_step_state *st = &occurrence->steps[step];
 	const struct flow_step *s = flow_job_step(job, step);
-	struct pending_step p = {
-		.job = job, .occurrence = occurrence, .step = step
-	};
+	struct pending_step p = { .job = job,
+		.occurrence = occurrence,
+		.step = step,
+		.organisation = organisation_in_round(rd, job) };
 
 	if (st->pending == 0 || !flow_step_ready(job, occurrence, step))
 		return;
@@ -613,6 +614,40 @@
 	g_ptr_array_unref(workers);
 }
 
+/* Says whether the workers would have room for a step if nothing else ran. */
+static bool
+is_placeable(const struct round *rd, const struct pending_step *p,
+    const struct plan_request *request)
+{
+	const struct flow_step *step = flow_job_step(p->job, p->step);
+	uint32_t need = request->gang ? request->count : 1;
+	uint32_t fit = 0;
+
+	for (guint i = 0; i < rd->workers->len && fit < need; i++) {
+		const struct round_worker *w = rd->workers->pdata[i];
+		struct plan_worker empty = w->plan;
+
+		empty.free = empty.capacity;
+		empty.step_tasks = 0;
+		empty.task_limit = request->count;
+		if (strcmp(w->worker->pool, p->job->queue->pool) == 0 &&
+		    has_label(w->worker, step->label))
+			fit += plan_fit_count(&empty, request);
+	}
+	return fit >= need;
+}
+
+/* Keeps room under the cap for tasks that are about to start. */
+static void
+claim_room(struct round *rd, const struct pending_step *p,
+    const struct plan_request *request, const struct step_permits *permits)
+{
+	if (p->organisation != NULL &&
+	    ((permits != NULL && permits->query != 0) ||
+		preempt_has_reservation(rd, p)))
+		organisation_claim(p->organisation, request);
+}
+
 static void
 place_step(struct round *rd, const struct pending_step *p)
 {
@@ -626,25 +661,37 @@
 	struct step_permits *permits = NULL;
 	uint32_t waiting[SEPARATE_ALL + 1] = { 0 };
 	uint32_t left = 0;
+	uint32_t room;
+	uint32_t over_cap;
 
 	if (!resources_fit(&request.per_task, &rd->largest_free) &&
 	    !is_urgent(rd, p))
 		return;
-	if (count_waiting(rd, p, waiting) == 0)
+	request.count = over_cap = count_waiting(rd, p, waiting);
+	if (request.count == 0)
 		return;
+	room = organisation_room(p->organisation, &request);
+	over_cap -= room;
 	if (p->job->queue->needs_permit)
 		permits = step_permits_get(
 		    rd->d, p->job, p->occurrence->number, p->step);
 	for (int s = SEPARATE_ISOLATED; s <= SEPARATE_ALL; s++) {
-		request.count = waiting[s];
+		request.count = MIN(waiting[s], room);
+		room -= request.count;
 		left += place_separate(
 		    rd, p, &request, (enum separation)s, permits);
 	}
-	request.count = left;
-	if (left == 0)
+	if (left == 0) {
 		preempt_release_workers(rd->d, p);
-	else
-		make_room(rd, p, &request, permits);
+		request.count = over_cap;
+		if (over_cap > 0)
+			organisation_step_waits(
+			    rd, p, &request, is_placeable(rd, p, &request));
+		return;
+	}
+	request.count = left;
+	make_room(rd, p, &request, permits);
+	claim_room(rd, p, &request, permits);
 }
 
 static void
@@ -743,6 +790,7 @@
 	    d->rounds_us / 1000);
 	d->rounds = 0;
 	d->rounds_us = 0;
+	organisations_remove_unused(d, rd->number);
 }
 
 void
@@ -750,6 +798,7 @@
 {
 	struct round rd = { .d = d,
 		.now = now,
+		.number = ++d->last_round,
 		.cell_now =
 		    MAX(g_get_real_time() / 1000, flow_time_ms(d->conf.flow)),
 		.workers = g_ptr_array_new_with_free_func(round_worker_free),
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -51,6 +51,7 @@
     const struct flow_step *step)
 {
 	struct active_run *r = g_new0(struct active_run, 1);
+	const struct flow_job *job = flow_job(d->conf.flow, id->job);
 	const struct flow_task *task = flow_task(d->conf.flow, id, NULL);
 
 	r->suspicion = task == NULL ? 0 : flow_task_suspicion(task);
@@ -61,6 +62,7 @@
 	g_ptr_array_add(h->runs, r);
 	h->suspects += r->suspicion > 0;
 	resources_add(&h->used, &r->resources, 1);
+	organisation_add_run(r, job, step);
 	return r;
 }
 
@@ -80,6 +82,7 @@
 	struct holder *h = r->holder;
 
 	resources_add(&h->used, &r->resources, -1);
+	organisation_remove_run(r);
 	g_hash_table_remove(h->d->runs, r);
 	g_ptr_array_remove_fast(h->runs, r);
 	h->suspects -= r->suspicion > 0;
@@ -317,14 +320,14 @@
 
 /* Gives up a run that doesn't fit any more. */
 static void
-run_withdraw(struct active_run *r)
+run_withdraw(struct active_run *r, const char *why)
 {
 	if (!r->may_start) {
-		run_end(r, FLOW_END_REFUSED, "capacity-shrunk");
+		run_end(r, FLOW_END_REFUSED, why);
 		return;
 	}
-	log_info("dispatch", "event=stop run=%s worker=%s why=capacity-shrunk",
-	    run_name(&r->id), r->holder->name);
+	log_info("dispatch", "event=stop run=%s worker=%s why=%s",
+	    run_name(&r->id), r->holder->name, why);
 	r->holder->d->meter.stops->value++;
 	run_stop(r);
 }
@@ -349,7 +352,11 @@
 		return;
 	}
 	if (!run_fits(r)) {
-		run_withdraw(r);
+		run_withdraw(r, "capacity-shrunk");
+		return;
+	}
+	if (!organisation_allows_order(r)) {
+		run_withdraw(r, "cap-lowered");
 		return;
 	}
 	order.payload = job->spec.payload;
@@ -361,6 +368,7 @@
 	}
 	r->order_pending = true;
 	r->resend_ms = 0;
+	organisation_add_order(r);
 	send_order(h, &r->id, false, false, d->conf.agent->write_start(&order));
 }
 
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,6 +1,6 @@
 bt_cases(dispatch
     SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c
-    stubleader.c stubworker.c proc.c
+    dispatch_organisations.c     stubleader.c stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
     ends-acked-after-commit leadership-unconfirmed suspended-leader takeover
@@ -14,4 +14,6 @@
     capacity-shrinks-before-order capacity-shrinks-before-resend
     capacity-shrinks-takeover capacity-late-heartbeat
     capacity-shrinks-below-use best-effort-cores restart-before-order
-    restart-under-order)
+    restart-under-order cap-over-workers cap-takeover cap-lowered
+    cap-lowered-before-order cap-silent-worker cap-gang-turn cap-gang-beside-service
+    cap-gang-permit cap-no-preemption cap-never-fits cap-other-organisations)
--- /dev/null
+++ b/test/dispatch_organisations.c
@@ -0,0 +1,469 @@
+/* lib/dispatch with organisations whose caps limit what they have running. */
+#include <string.h>
+
+#include "dispatch_test.h"
+#include "stubleader.h"
+
+#define GANG 0x77
+#define GANG_PATH "/renders/0000000000000077"
+#define OTHER_PATH "/renders/0000000000000088"
+
+static const struct flow_run gang_member = { GANG, 0, 0, 0, 1 };
+
+static struct flow_organisation *
+organisation_new(const char *name, struct resources cap)
+{
+	struct flow_organisation *o = flow_organisation_new();
+
+	o->name = g_strdup(name);
+	o->weight = 1;
+	o->cap = cap;
+	g_ptr_array_add(o->keys, g_strdup_printf("key-of-%s", name));
+	return o;
+}
+
+/* The next version of the configuration: "acme" has the cap, "other" none. */
+static GBytes *
+next_config(struct leader *l, struct resources cap)
+{
+	struct flow_config c = *flow_config(l->flow);
+	GBytes *bytes;
+
+	c.version++;
+	c.organisations =
+	    g_ptr_array_new_with_free_func(flow_organisation_free);
+	g_ptr_array_add(c.organisations, organisation_new("acme", cap));
+	g_ptr_array_add(c.organisations,
+	    organisation_new("other", (struct resources){ 0 }));
+	bytes = flow_config_encode(&c);
+	g_ptr_array_unref(c.organisations);
+	return bytes;
+}
+
+static void
+set_cap(struct leader *l, struct resources cap)
+{
+	leader_request(l, REQUEST_CONFIG, "", next_config(l, cap));
+	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
+}
+
+static void
+set_cap_millicpus(struct leader *l, int64_t millicpus)
+{
+	set_cap(l, (struct resources){ .millicpus = millicpus });
+}
+
+static struct leader *
+leader_with_cap(int64_t millicpus)
+{
+	struct leader *l = leader_new();
+
+	set_cap_millicpus(l, millicpus);
+	return l;
+}
+
+static struct stub_worker *
+add_worker(struct leader *l, const char *name)
+{
+	struct stub_worker *w = stub_worker_new(l->base, name);
+
+	leader_heartbeat(l, w, false);
+	AWAIT(l, w->polls > 1);
+	return w;
+}
+
+/* Sends a request with the key of an organisation; takes body. */
+static void
+send_as(struct leader *l, const char *organisation, enum request_op op,
+    const char *path, GBytes *body)
+{
+	char *key = g_strdup_printf("key-of-%s", organisation);
+	struct request a = { .id = ++l->requests,
+		.op = op,
+		.host = (char *)"jobs.example",
+		.path = (char *)path,
+		.body = body,
+		.credential = key };
+
+	l->awaited = a.id;
+	dispatch_handle_request(l->dispatch, 0, &a);
+	g_bytes_unref(body);
+	g_free(key);
+}
+
+static uint32_t
+request_as(struct leader *l, const char *organisation, enum request_op op,
+    const char *path, GBytes *body)
+{
+	int before = l->answers;
+
+	send_as(l, organisation, op, path, body);
+	AWAIT(l, l->answers > before);
+	return l->last_result;
+}
+
+/* Submits a job of one step. */
+static uint32_t
+submit(struct leader *l, const char *organisation, const char *path,
+    struct flow_step step)
+{
+	return request_as(
+	    l, organisation, REQUEST_SUBMIT, path, leader_spec(step));
+}
+
+static struct flow_step
+tasks(uint32_t count, int64_t millicpus)
+{
+	return (struct flow_step){ .count = count,
+		.resources = { millicpus, 1 << 20, 0 },
+		.runtime_ms = 60000 };
+}
+
+/* Urgent, so that it goes before tasks(). */
+static struct flow_step
+gang(uint32_t count, int64_t millicpus)
+{
+	return (struct flow_step){ .count = count,
+		.resources = { millicpus, 1 << 20, 0 },
+		.runtime_ms = 1500,
+		.gang = true };
+}
+
+static void
+submit_accepted(struct leader *l, const char *organisation, const char *path,
+    struct flow_step step)
+{
+	g_assert_cmpuint(submit(l, organisation, path, step), ==, REQUEST_DONE);
+}
+
+/* Ends the run that started first; all report full progress, so that none is
+ * stopped as stuck. */
+static void
+end_first(struct stub_worker *w)
+{
+	struct flow_run id = g_array_index(w->running, struct stub_run, 0).id;
+
+	stub_worker_end(w, &id, AGENT_DONE);
+}
+
+static void
+complete_progress(struct stub_worker *w)
+{
+	for (guint i = 0; i < w->running->len; i++)
+		g_array_index(w->running, struct stub_run, i).percent = 100;
+}
+
+/* Lets the leader run and checks that no more than so many tasks run on both
+ * workers. */
+static void
+run_and_check(struct leader *l, const struct stub_worker *a,
+    const struct stub_worker *b, guint most, int64_t ms)
+{
+	int64_t until = mono_ms() + ms;
+
+	while (mono_ms() < until) {
+		g_assert_cmpuint(a->running->len + b->running->len, <=, most);
+		leader_run(l);
+	}
+}
+
+/* An organisation has tasks on two workers that each have room for more: it
+ * exceeded its cap on measured days, as nothing counted them together. */
+static void
+test_over_workers(void)
+{
+	struct leader *l = leader_with_cap(5000);
+	struct stub_worker *a = add_worker(l, "a");
+	struct stub_worker *b = add_worker(l, "b");
+
+	submit_accepted(l, "acme", JOB_PATH, tasks(9, 1000));
+	AWAIT(l, a->running->len + b->running->len == 5);
+	run_and_check(l, a, b, 5, 400);
+	end_first(a);
+	AWAIT(l, a->running->len + b->running->len == 5);
+	run_and_check(l, a, b, 5, 400);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* The cap of one organisation doesn't hold back another, nor a job that was
+ * submitted without a key. */
+static void
+test_other_organisations(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a");
+	struct stub_worker *b = add_worker(l, "b");
+
+	leader_submit(l, OTHER_PATH, 2, 1000);
+	set_cap_millicpus(l, 1000);
+	submit_accepted(l, "acme", JOB_PATH, tasks(9, 1000));
+	submit_accepted(
+	    l, "other", "/renders/0000000000000099", tasks(9, 1000));
+	AWAIT(l, a->running->len + b->running->len == 8);
+	g_assert_cmpuint(flow_job(l->flow, JOB)->assigned, ==, 1);
+	g_assert_cmpuint(flow_job(l->flow, 0x99)->assigned, ==, 5);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* The leader is lost after it committed starts whose orders got no answer. The
+ * next one counts them before it places anything. */
+static void
+test_takeover(void)
+{
+	struct leader *l = leader_with_cap(2000);
+	struct stub_worker *a = add_worker(l, "a");
+	struct stub_worker *b = add_worker(l, "b");
+
+	a->hold_starts = b->hold_starts = 1000;
+	submit_accepted(l, "acme", JOB_PATH, tasks(6, 1000));
+	AWAIT(l, a->starts + b->starts >= 2);
+	dispatch_resign(l->dispatch);
+	a->hold_starts = b->hold_starts = 0;
+	dispatch_lead(l->dispatch, 2);
+	AWAIT(l, a->running->len + b->running->len == 2);
+	run_and_check(l, a, b, 2, 600);
+	g_assert_cmpuint(flow_job(l->flow, JOB)->assigned, ==, 2);
+	g_assert_cmpint(a->stops + b->stops, ==, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* The cap is lowered below what runs: that runs on, and nothing starts until
+ * it fits. */
+static void
+test_lowered(void)
+{
+	struct leader *l = leader_with_cap(4000);
+	struct stub_worker *a = add_worker(l, "a");
+	struct stub_worker *b = add_worker(l, "b");
+
+	submit_accepted(l, "acme", JOB_PATH, tasks(8, 1000));
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+	set_cap_millicpus(l, 2000);
+	end_first(a);
+	run_and_check(l, a, b, 3, 300);
+	g_assert_cmpuint(a->running->len, ==, 3);
+	end_first(a);
+	run_and_check(l, a, b, 2, 300);
+	end_first(a);
+	AWAIT(l, a->running->len + b->running->len == 2);
+	run_and_check(l, a, b, 2, 300);
+	g_assert_cmpint(a->stops, ==, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* The cap is lowered between the decision to start runs and their orders: those
+ * that don't fit any more are not ordered. */
+static void
+test_lowered_before_order(void)
+{
+	struct leader *l = leader_with_cap(4000);
+	struct stub_worker *a = add_worker(l, "a");
+	struct stub_worker *b = add_worker(l, "b");
+	GBytes *lowered = next_config(l, (struct resources){ 1000, 0, 0 });
+	uint64_t proposed;
+
+	l->hold_commands = true;
+	send_as(
+	    l, "acme", REQUEST_SUBMIT, JOB_PATH, leader_spec(tasks(3, 1000)));
+	leader_send(l, REQUEST_CONFIG, "", lowered);
+	leader_apply(l);
+	proposed = l->proposed;
+	AWAIT(l, l->proposed > proposed);
+	leader_release_commands(l);
+	AWAIT(l, a->running->len + b->running->len == 1);
+	run_and_check(l, a, b, 1, 400);
+	g_assert_cmpint(a->starts + b->starts, ==, 1);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* A worker falls silent: its runs may go on until its lease is over, and count
+ * as long. */
+static void
+test_silent_worker(void)
+{
+	struct leader *l = leader_with_cap(2000);
+	struct stub_worker *a = add_worker(l, "a");
+	struct stub_worker *b;
+	int64_t lease_until_ms;
+
+	submit_accepted(l, "acme", JOB_PATH, tasks(6, 1000));
+	AWAIT(l, a->running->len == 2);
+	b = add_worker(l, "b");
+	lease_until_ms = a->lease_until_ms;
+	a->unresponsive = true;
+	AWAIT(l, b->starts > 0);
+	g_assert_cmpint(mono_ms(), >, lease_until_ms);
+	AWAIT(l, b->running->len == 2);
+	leader_run_for(l, 300);
+	g_assert_cmpuint(b->running->len, ==, 2);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* A gang that fits under the cap by itself waits behind small tasks of its
+ * organisation. These don't take each core that becomes free, or the gang would
+ * never start. */
+static void
+test_gang_turn(void)
+{
+	struct leader *l = leader_with_cap(4000);
+	struct stub_worker *a = add_worker(l, "a");
+	struct stub_worker *b = add_worker(l, "b");
+
+	submit_accepted(l, "acme", JOB_PATH, tasks(40, 1000));
+	AWAIT(l, a->running->len + b->running->len == 4);
+	complete_progress(a);
+	complete_progress(b);
+	submit_accepted(l, "acme", GANG_PATH, gang(3, 1000));
+	for (guint left = 3; left >= 1; left--) {
+		end_first(a->running->len > 0 ? a : b);
+		if (left > 1)
+			run_and_check(l, a, b, left, 200);
+	}
+	AWAIT(l,
+	    stub_worker_runs(a, &gang_member) ||
+		stub_worker_runs(b, &gang_member));
+	AWAIT(l, a->running->len + b->running->len == 4);
+	g_assert_cmpint(a->stops + b->stops, ==, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* A gang that doesn't fit beside a long-running task of its organisation would
+ * wait for ever: it doesn't hold back what fits. */
+static void
+test_gang_beside_service(void)
+{
+	struct leader *l = leader_with_cap(3000);
+	struct stub_worker *a = add_worker(l, "a");
+	struct stub_worker *b = add_worker(l, "b");
+	struct flow_step service = tasks(1, 1000);
+
+	service.long_running = true;
+	submit_accepted(l, "acme", OTHER_PATH, service);
+	AWAIT(l, a->running->len + b->running->len == 1);
+	submit_accepted(l, "acme", GANG_PATH, gang(3, 1000));
+	submit_accepted(l, "acme", JOB_PATH, tasks(9, 1000));
+	/* Before the gang can't be on time and goes behind the others. */
+	leader_run_for(l, 1000);
+	g_assert_cmpuint(a->running->len + b->running->len, ==, 3);
+	g_assert_cmpuint(flow_job(l->flow, JOB)->assigned, ==, 2);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* While the policy service is queried for a gang, the tasks of its organisation
+ * don't take the room that the gang waited for. */
+static void
+test_gang_permit(void)
+{
+	struct leader *l = leader_with_cap(4000);
+	struct stub_worker *a = add_worker(l, "a");
+	struct stub_worker *b = add_worker(l, "b");
+	struct stub_worker *c = add_worker(l, "c");
+
+	submit_accepted(l, "acme", OTHER_PATH, tasks(1, 2000));
+	submit_accepted(l, "acme", JOB_PATH, tasks(40, 2000));
+	AWAIT(l, a->running->len + b->running->len + c->running->len == 2);
+	l->accept_queries = true;
+	dispatch_process_changed(l->dispatch, 1, true);
+	submit_accepted(l, "acme", "/allowed/0000000000000077", gang(2, 1000));
+	leader_run_for(l, 200);
+	/* Blocked by the cap: its permits would expire before it can start. */
+	g_assert_cmpint(l->queries, ==, 0);
+	g_assert_cmpuint(request_as(l, "acme", REQUEST_CANCEL, OTHER_PATH,
+			     g_bytes_new_static("", 0)),
+	    ==, REQUEST_DONE);
+	AWAIT(l, l->queries > 0);
+	/* Its answer is awaited for 430 ms. */
+	leader_run_for(l, 300);
+	g_assert_cmpuint(flow_job(l->flow, JOB)->assigned, ==, 1);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	stub_worker_free(c);
+	leader_free(l);
+}
+
+/* A step that waits for its cap has no use for the resources of others: it
+ * stops no runs and reserves no workers. */
+static void
+test_no_preemption(void)
+{
+	struct leader *l = leader_with_cap(3000);
+	struct stub_worker *a = add_worker(l, "a");
+	struct flow_step resumable = tasks(3, 1000);
+
+	resumable.checkpointing = true;
+	submit_accepted(l, "acme", JOB_PATH, tasks(1, 1000));
+	AWAIT(l, a->running->len == 1);
+	submit_accepted(l, "other", OTHER_PATH, resumable);
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+	submit_accepted(l, "acme", GANG_PATH, gang(3, 1000));
+	leader_run_for(l, 1500);
+	g_assert_cmpint(a->stops, ==, 0);
+	g_assert_cmpuint(a->running->len, ==, 4);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* A job that can't start under the cap, ever, is refused at once rather than
+ * accepted and never finished. */
+static void
+test_never_fits(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a");
+
+	set_cap(l, (struct resources){ 3000, 8 << 20, 0 });
+	g_assert_cmpuint(
+	    submit(l, "acme", GANG_PATH, gang(4, 1000)), ==, REQUEST_REFUSED);
+	g_assert_cmpint(l->last_retry_ms, >, 0);
+	g_assert_cmpstr(l->last_text, ==, "gang-above-cap");
+	g_assert_cmpuint(
+	    submit(l, "acme", GANG_PATH, tasks(1, 3001)), ==, REQUEST_REFUSED);
+	g_assert_cmpstr(l->last_text, ==, "task-above-cap");
+	g_assert_cmpuint(submit(l, "acme", GANG_PATH,
+			     (struct flow_step){
+				 .count = 1, .resources = { 1, 9 << 20, 0 } }),
+	    ==, REQUEST_REFUSED);
+	g_assert_null(flow_job(l->flow, GANG));
+	submit_accepted(l, "other", GANG_PATH, gang(4, 1000));
+	submit_accepted(l, "acme", JOB_PATH, tasks(4, 1000));
+	AWAIT(l, a->running->len == 4);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+void
+organisation_tests_add(void)
+{
+	g_test_add_func("/dispatch/cap-over-workers", test_over_workers);
+	g_test_add_func(
+	    "/dispatch/cap-other-organisations", test_other_organisations);
+	g_test_add_func("/dispatch/cap-takeover", test_takeover);
+	g_test_add_func("/dispatch/cap-lowered", test_lowered);
+	g_test_add_func(
+	    "/dispatch/cap-lowered-before-order", test_lowered_before_order);
+	g_test_add_func("/dispatch/cap-silent-worker", test_silent_worker);
+	g_test_add_func("/dispatch/cap-gang-turn", test_gang_turn);
+	g_test_add_func(
+	    "/dispatch/cap-gang-beside-service", test_gang_beside_service);
+	g_test_add_func("/dispatch/cap-gang-permit", test_gang_permit);
+	g_test_add_func("/dispatch/cap-no-preemption", test_no_preemption);
+	g_test_add_func("/dispatch/cap-never-fits", test_never_fits);
+}
--- /dev/null
+++ b/test/share.cmake
@@ -0,0 +1,1 @@
+bt_test(share_test SOURCES share_test.c DEPENDS share)
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -60,6 +60,7 @@
 		return;
 	l->answers++;
 	l->last_result = a->result;
+	l->last_retry_ms = a->retry_ms;
 	g_free(l->last_text);
 	l->last_text = g_strndup(text, len);
 }
@@ -68,8 +69,10 @@
 on_query_policy(
     void *arg, uint64_t process, uint64_t query, const struct agent_query *q)
 {
-	((struct leader *)arg)->queries++;
-	return false;
+	struct leader *l = arg;
+
+	l->queries++;
+	return l->accept_queries;
 }
 
 static void
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -27,9 +27,11 @@
 	uint64_t awaited; /* id of the last leader_request() ... */
 	int answers; /* ... answers to such requests */
 	uint32_t last_result;
+	int64_t last_retry_ms;
 	char *last_text;
 	uint64_t requests;
 	int queries; /* to the policy service */
+	bool accept_queries; /* and let them wait; else they fail */
 };
 
 /* Runs the loop until the condition holds. */
