--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,6 +1,6 @@
 bt_cases(dispatch
     SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_keys.c
-    stubleader.c stubworker.c proc.c
+    dispatch_organisations.c stubleader.c stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
     ends-acked-after-commit leadership-unconfirmed suspended-leader takeover takeover-speeds
@@ -17,4 +17,7 @@
     restart-under-order
     key-required key-none-configured key-empty-list key-public-queue
     key-other-organisation key-rotated key-revoked key-takeover
-    key-unconfirmed key-revoked-before-state key-suspended-before-state)
+    key-unconfirmed key-revoked-before-state key-suspended-before-state
+    cap-over-workers cap-takeover cap-lowered
+    cap-lowered-before-order cap-silent-worker cap-gang-turn cap-gang-beside-service
+    cap-gang-permit cap-no-preemption cap-never-fits cap-other-organisations)
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -785,5 +785,6 @@
 	crash_tests_add();
 	capacity_tests_add();
 	key_tests_add();
+	organisation_tests_add();
 	return g_test_run();
 }
