soak: configurations add and revoke keys while faults are injected

Calls carry valid, revoked and future keys; the run fails if a revoked or future key gets 200 or a valid one 401, without any margin of time.

--- a/test/soak.c
+++ b/test/soak.c
@@ -4,10 +4,12 @@
  * lost. Links to them and to workers are cut, blocked in one direction,
  * delayed and reset. Workers shrink and grow, and crash under a few deadly
  * jobs. Faults follow each other and overlap, while jobs are submitted over
- * connections that callers keep open. The test checks what callers and workers
- * see: accepted jobs are completed, deadly ones given up, no task runs in two
- * places or again after it has ended as done, no worker is filled over its
- * capacity, the configuration is not lost.
+ * connections that callers keep open and configurations add and revoke keys.
+ * The test checks what callers and workers see: accepted jobs are completed,
+ * deadly ones given up, no task runs in two places or again after it has ended
+ * as done, no worker is filled over its capacity, the configuration is not
+ * lost, no key is accepted before it is added or after the acknowledgement of
+ * its revocation, and none refused in between.
  * The seed decides everything but the timing of the processes.
  *
  *     soak SEED SECONDS
@@ -31,6 +33,11 @@
 #define DEADLY_MAX 3
 #define CAPACITY_GAP_MS 1500 /* between changes of a worker's capacity */
 #define WORKER_SALT 0x776f726b65727331 /* own random numbers for workers */
+#define KEY_CALL_GAP_MS 40 /* between calls with various keys */
+#define KEY_CHANGE_GAP_MS 600 /* between configurations */
+#define KEY_SALT 0x6b657973 /* own random numbers for keys */
+#define JOB_KEY "job-key" /* in all versions */
+#define FIRST_VERSION 8 /* cell_config has 7 */
 #define COMPLETION_LIMIT_MS 90000 /* until all accepted jobs are completed */
 #define LINKS (NODES + WORKERS)
 
@@ -48,6 +55,14 @@
 	int64_t disk_lost_ms; /* time of the last lost disk */
 	int jobs;
 	bool accepted[JOBS_MAX];
+	struct rng key_rng;
+	int version; /* last one whose acknowledgement has arrived */
+	int proposed; /* version + 1 while that may have been stored */
+	char *config; /* the document of version */
+	int64_t version_ms; /* of the next one */
+	int64_t key_call_ms; /* of the next call with some key */
+	int refused; /* calls with a revoked key that got 401 */
+	int key_faults; /* answers that no key should get */
 };
 
 static void
@@ -274,6 +289,88 @@
 	s->jobs++;
 }
 
+/* --- keys --- */
+
+/* Version N adds key-N and revokes key-(N - 2). */
+static char *
+key_config(int version)
+{
+	return g_strdup_printf(
+	    "{\"version\":%d,\"routes\":[{\"name\":\"q\","
+	    "\"host\":\"jobs.example\",\"pathPrefix\":\"/q/\","
+	    "\"service\":\"desk\",\"timeoutMs\":3000,\"maxAttempts\":2,"
+	    "\"slackFactor\":2,\"targetLatencyMs\":500}],"
+	    "\"services\":[{\"name\":\"desk\"}],\"tenants\":["
+	    "{\"name\":\"a\",\"apiKeys\":[\"" JOB_KEY "\"]},"
+	    "{\"name\":\"b\",\"apiKeys\":[\"key-%d\",\"key-%d\"]}]}",
+	    version, version, version - 1);
+}
+
+/* Sends the next version, as an operator does: the same one again until it is
+ * acknowledged. Says whether it was. */
+static bool
+change_keys(struct soak *s, int i)
+{
+	char *config = key_config(s->version + 1);
+
+	s->proposed = s->version + 1;
+	if (cell_configure(s->cell, i, config) != 200) {
+		g_free(config);
+		return false;
+	}
+	s->version = s->proposed;
+	g_free(s->config);
+	s->config = config;
+	s->version_ms = mono_ms() + KEY_CHANGE_GAP_MS;
+	return true;
+}
+
+/*
+ * Calls with the key of a version: the next one, whose key is unknown yet, one
+ * of the last two, whose keys are valid, or an earlier one, whose key is
+ * revoked. While the next one may be stored, its own key and the one that it
+ * revokes are left out.
+ */
+static void
+call_with_key(struct soak *s, int i)
+{
+	int age = (int)rng_below(&s->key_rng, 6) - 1;
+	int number = s->version - age;
+	bool valid = age == 0 || age == 1;
+	char *key = g_strdup_printf("key-%d", number);
+	int status;
+
+	s->key_call_ms = mono_ms() + KEY_CALL_GAP_MS;
+	if ((age == 1 || age == -1) && s->proposed > s->version) {
+		g_free(key);
+		return;
+	}
+	s->cell->key = key;
+	status = cell_call(
+	    s->cell, s->cell->node[i].callers, EVHTTP_REQ_GET, "/q/", NULL);
+	s->cell->key = JOB_KEY;
+	s->refused += status == 401;
+	if (status == (valid ? 401 : 200)) {
+		printf("soak: n%d answers %d to %s at version %d\n", i, status,
+		    key, s->version);
+		s->key_faults++;
+	}
+	g_free(key);
+}
+
+static void
+use_keys(struct soak *s)
+{
+	int i = healthy_node(s);
+
+	if (i < 0)
+		return;
+	if (mono_ms() >= s->version_ms && rng_below(&s->key_rng, 2) == 0)
+		(void)change_keys(s, i);
+	else if (mono_ms() >= s->key_call_ms)
+		call_with_key(s, i);
+}
+
 static void
 inject_faults(struct soak *s, int64_t until_ms)
 {
@@ -289,6 +386,7 @@
 		if (mono_ms() >= s->capacity_ms)
 			change_capacity(s);
 		submit_job(s);
+		use_keys(s);
 		cell_run_loop(s->cell);
 	}
 	end_due_faults(s, INT64_MAX);
@@ -346,7 +444,7 @@
 		CELL_AWAIT(s->cell,
 		    cell_call(s->cell, s->cell->node[i].control, EVHTTP_REQ_GET,
 			"/bulrushtide/config/read", NULL) == 200);
-		if (strcmp(s->cell->body, cell_config) == 0)
+		if (strcmp(s->cell->body, s->config) == 0)
 			continue;
 		printf("soak: n%d reads back %s\n", i, s->cell->body);
 		return false;
@@ -368,16 +466,25 @@
 	s.disk_lost_ms = mono_ms();
 	s.cell = cell_new();
 	s.cell->rng.state = seed ^ WORKER_SALT;
+	s.key_rng.state = seed ^ KEY_SALT;
+	s.version = FIRST_VERSION - 1;
+	s.cell->key = JOB_KEY;
+	CELL_AWAIT(s.cell, change_keys(&s, 0));
 	inject_faults(&s, mono_ms() + seconds * 1000);
 	for (int i = 0; i < NODES; i++)
 		CELL_AWAIT(s.cell, cell_node_ready(s.cell, i));
-	ok = check_jobs(&s) && check_done_once(&s) && check_config(&s);
+	CELL_AWAIT(s.cell, change_keys(&s, 0));
+	ok = s.key_faults == 0 && check_jobs(&s) && check_done_once(&s) &&
+	    check_config(&s);
 	for (int i = 0; i < s.jobs; i++)
 		accepted += s.accepted[i];
 	printf("soak: seed %" G_GUINT64_FORMAT ": %s, %d of %d jobs accepted, "
-	       "%u tasks done, %d crashes of workers\n",
+	       "%u tasks done, %d crashes of workers, %d versions, "
+	       "%d keys refused\n",
 	    seed, ok ? "passed" : "FAILED", accepted, s.jobs,
-	    g_hash_table_size(s.cell->done), s.cell->crashes);
+	    g_hash_table_size(s.cell->done), s.cell->crashes,
+	    s.version - FIRST_VERSION + 1, s.refused);
+	g_free(s.config);
 	if (!ok) {
 		cell_print_logs(s.cell);
 		printf("soak: logs in %s\n", s.cell->dir);
