--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -382,7 +382,7 @@
 {
 	/* g_qsort_with_data() is stable. */
 	if (by_end(request))
-		g_qsort_with_data(workers, (gint)count, sizeof(*workers),
+		g_qsort_with_data(workers, (gint)count, sizeof(gpointer),
 		    by_speed, (gpointer)request);
 }
 
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -89,9 +89,9 @@
 /* A worker that tasks can be placed on. */
 struct plan_worker {
 	uint32_t worker; /* id */
+	uint32_t rack; /* 0: none */
 	struct resources free;
 	struct resources capacity;
-	uint32_t rack; /* 0: none */
 	double slowdown; /* run time multiplier of this worker; 1: normal */
 	uint32_t step_tasks; /* tasks of the step that are there already */
 	uint32_t task_limit; /* most tasks to add now, whatever is free */
