--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -91,11 +91,11 @@
 	h->d = d;
 	h->id = w->id;
 	h->slowdown = 1;
-	h->multiplier = 1;
 	h->heartbeat_ms = mono_ms();
 	h->heartbeat_seq = w->seq;
 	h->runs = g_ptr_array_new();
 	update_address(h, w);
+	speeds_init_holder(h);
 	g_hash_table_insert(d->holders, GUINT_TO_POINTER(h->id), h);
 	return h;
 }
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -126,6 +126,7 @@
 	uint64_t job;
 	uint32_t occurrence;
 	uint32_t step;
+	bool wait_logged; /* that it waits for fast workers */
 	GHashTable *permits; /* worker id to struct permit */
 	GHashTable *denied; /* ids of workers that may not run the step */
 	GArray *queried; /* uint32_t: worker ids in the query in flight */
@@ -308,6 +309,8 @@
 void speeds_update(struct dispatch *d, int64_t now);
 /* The same if it is due. */
 void speeds_scan(struct dispatch *d, int64_t now);
+/* Sets the multiplier of a new worker from its address. */
+void speeds_init_holder(struct holder *h);
 struct round;
 struct pending_step;
 /* Starts the estimate of a queue from what earlier leaders have learnt. */
@@ -315,6 +318,9 @@
     struct dispatch *d, const char *queue, struct plan_estimate *estimate);
 /* Sums up the fast workers of each pool for a round. */
 void speeds_begin_round(struct round *rd);
+/* Logs once that a gang waits for fast workers, if it does. */
+void speeds_log_wait(const struct round *rd, const struct pending_step *p,
+    const struct plan_request *request);
 /* Sets what placement by expected end needs, if speeds are in effect. */
 void speeds_describe_step(const struct round *rd, const struct pending_step *p,
     struct plan_request *request);
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -644,6 +644,7 @@
 	    is_urgent(rd, p) && preempt_may_search(rd, p);
 	GPtrArray *workers;
 
+	speeds_log_wait(rd, p, request);
 	if (!query && !preempt)
 		return;
 	workers = allowed_workers(
--- a/lib/dispatch/speeds.c
+++ b/lib/dispatch/speeds.c
@@ -26,6 +26,14 @@
 	return speed_of(flow_speeds(h->d->conf.flow), h->address);
 }
 
+void
+speeds_init_holder(struct holder *h)
+{
+	h->multiplier = h->d->speeds_in_effect
+	    ? multiplier_of(speed_of_holder(h).slowdown)
+	    : 1;
+}
+
 /* Sets the spread over all workers and whether speeds are in effect. */
 static void
 update_spread(struct dispatch *d)
@@ -87,8 +95,7 @@
 		struct holder *h = value;
 		struct speed speed = speed_of_holder(h);
 
-		h->multiplier =
-		    d->speeds_in_effect ? multiplier_of(speed.slowdown) : 1;
+		speeds_init_holder(h);
 		if (logged < CROSSINGS_LOGGED_MAX)
 			logged += update_slow(h, &speed);
 		slow += h->slow;
@@ -208,6 +215,28 @@
 	    plan_waits_for_fast(request) && fast_suffice(rd, p, request);
 }
 
+void
+speeds_log_wait(const struct round *rd, const struct pending_step *p,
+    const struct plan_request *request)
+{
+	struct step_permits *s;
+
+	if (!plan_waits_for_fast(request))
+		return;
+	s = step_permits_get(rd->d, p->job, p->occurrence->number, p->step);
+	if (s->wait_logged)
+		return;
+	s->wait_logged = true;
+	log_info("dispatch",
+	    "event=gang-waits-for-fast step=%016" G_GINT64_MODIFIER
+	    "x.%u.%u tasks=%u runtime_ms=%" G_GINT64_FORMAT
+	    " runtime_high_ms=%" G_GINT64_FORMAT " spare_ms=%" G_GINT64_FORMAT
+	    " slow_from=%.2f fast_scarce=%d",
+	    p->job->id, p->occurrence->number, p->step, request->count,
+	    request->runtime_ms, request->runtime_high_ms, request->spare_ms,
+	    request->slow_from, request->fast_scarce);
+}
+
 static double
 natural_log(int64_t log2_steps)
 {
