--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -103,6 +103,7 @@
 	uint32_t lost_runs; /* with that lease */
 	uint64_t acked; /* ended runs up to this number are durable */
 	uint64_t proposed_end; /* ended runs up to this number are proposed */
+	bool slow; /* by its learnt speed, as logged */
 	bool ends_pending; /* that proposal isn't applied yet */
 	uint64_t polls; /* serial of the last poll */
 	int64_t answered_ms; /* time of its last answer; 0: none yet */
@@ -124,7 +125,6 @@
 	/* Learnt run time multiplier relative to the mean of all workers; 1
 	 * while learnt speeds are not in effect. */
 	double multiplier;
-	bool slow; /* logged as slow */
 	int64_t excluded_until_ms; /* gets no new work until then */
 	struct plan_failure_record failures;
 	int64_t failed_ms; /* when a run last failed there */
@@ -142,6 +142,7 @@
 	uint64_t job;
 	uint32_t occurrence;
 	uint32_t step;
+	bool wait_logged; /* that it waits for fast workers */
 	GHashTable *permits; /* worker id to struct permit */
 	GHashTable *denied; /* ids of workers that may not run the step */
 	GPtrArray *queries; /* struct step_query: those in flight */
@@ -223,6 +224,7 @@
 	bool active; /* this replica leads */
 	uint64_t term;
 	bool fenced; /* a worker knows a higher term */
+	bool speeds_in_effect; /* learnt speeds; see speeds.c */
 	int64_t lead_ms; /* when leadership began */
 	GHashTable *holders; /* worker id to struct holder */
 	GHashTable *addresses; /* to the struct holder started last there */
@@ -242,8 +244,6 @@
 	int64_t leader_until_ms;
 	GHashTable *started_jobs; /* ids of open jobs that have run */
 	GHashTable *estimates; /* queue name to struct plan_estimate */
-	/* Learnt speeds; see speeds.c. */
-	bool speeds_in_effect;
 	double fast_multiplier; /* of the fast tenth; 1: not in effect */
 	double spread; /* of the slow tenth relative to the fast one */
 	int64_t speeds_ms; /* when these were last updated */
@@ -337,6 +337,8 @@
 void speeds_update(struct dispatch *d, int64_t now);
 /* The same if it is due. */
 void speeds_scan(struct dispatch *d, int64_t now);
+/* Sets the multiplier of a new worker from its address. */
+void speeds_init_holder(struct holder *h);
 struct round;
 struct pending_step;
 /* Starts the estimate of a queue from what earlier leaders have learnt. */
@@ -344,6 +346,9 @@
     struct dispatch *d, const char *queue, struct plan_estimate *estimate);
 /* Sums up the fast workers of each pool for a round. */
 void speeds_begin_round(struct round *rd);
+/* Logs once that a gang waits for fast workers, if it does. */
+void speeds_log_wait(const struct round *rd, const struct pending_step *p,
+    const struct plan_request *request);
 /* Sets what placement by expected end needs, if speeds are in effect. */
 void speeds_describe_step(const struct round *rd, const struct pending_step *p,
     struct plan_request *request);
