dispatch: queries ahead of dependent steps and for gangs without room

A step whose predecessors are expected to end within the duration of its query is queried for already, with the resources that these will free, so that a job of several steps no longer waits for the policy service after each one. For a gang that finds no room, which workers are allowed is learned meanwhile; later only these are asked about. Both leave twice the reserve of processes idle, and a step is queried for at most twice before it is ready, since a predecessor may run much longer than expected. bulrushtide_step_consults_ahead_total counts the calls.

Plan: follow-up queries of a gang also respect the reserve; a step that found only the reserve idle for a second may use one process of it.

dispatch_policy.c tests queries by several processes, failed and lost ones, late answers, a change of leader, the single small query, queries ahead and learning.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -481,6 +481,9 @@
 	m->policy_queries =
 	    counter_new(r, COUNTER_TOTAL, "bulrushtide_step_consults_total", "",
 		"Calls to the policy service.");
+	m->policy_queries_ahead = counter_new(r, COUNTER_TOTAL,
+	    "bulrushtide_step_consults_ahead_total", "",
+	    "Of these, calls for steps that could not start yet.");
 	m->running = counter_new(r, COUNTER_GAUGE, "bulrushtide_step_running",
 	    "", "Runs held or reserved now.");
 	m->waiting = counter_new(r, COUNTER_GAUGE, "bulrushtide_step_waiting",
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -125,6 +125,9 @@
 	GHashTable *queried; /* ids of the workers that these name */
 	int64_t retry_ms; /* no new query before this time */
 	int64_t review_ms; /* nor, while some are in flight, before this one */
+	int64_t learn_ms; /* nor, to learn what is allowed, before this one */
+	int64_t passed_over_ms; /* since when only the reserve is idle, or 0 */
+	uint32_t ahead; /* how often it was queried for before it was ready */
 	int64_t preempt_retry_ms; /* nor a new search for runs to preempt */
 	int64_t apart_until_ms; /* how long suspected tasks wait for workers
 				   apart from others; 0: they don't */
@@ -176,6 +179,7 @@
 	struct counter *resends;
 	struct counter *polls;
 	struct counter *policy_queries;
+	struct counter *policy_queries_ahead;
 	struct counter *running;
 	struct counter *waiting;
 	struct counter *workers;
@@ -218,6 +222,7 @@
 	GHashTable *allowed; /* queue name to struct plan_allowed */
 	GHashTable *racks; /* rack name to number */
 	GArray *reservations; /* struct reservation, most of them not over */
+	int64_t ahead_ms; /* when steps to query ahead for were last sought */
 	int64_t preempt_ms; /* when runs were last considered to preempt */
 	int64_t round_ms; /* start of the last placement round ... */
 	int64_t round_duration_us; /* ... and how long it took */
@@ -321,6 +326,28 @@
 void permits_query(struct dispatch *d, struct step_permits *s,
     const struct plan_request *request, GPtrArray *workers, bool partial,
     int64_t now);
+/*
+ * Queries for a step that is not ready yet; workers: those with the resources
+ * that they will have then. Does so a limited number of times.
+ */
+void permits_query_ahead(struct dispatch *d, struct step_permits *s,
+    const struct plan_request *request, GPtrArray *workers, int64_t now);
+bool permits_can_query_ahead(
+    const struct dispatch *d, const struct step_permits *s, int64_t now);
+/* Says whether there are processes to spare for queries ahead. */
+bool permits_can_look_ahead(const struct dispatch *d, int64_t now);
+/* How long a query for a step takes until its permits can be used. */
+int64_t permits_ready_ms(const struct flow_queue *queue, bool gang);
+/*
+ * Queries about workers not known to be allowed, as if all their resources were
+ * free, for a step that runs may be preempted for.
+ */
+void permits_query_unknown(struct dispatch *d, struct step_permits *s,
+    const struct plan_request *request, GPtrArray *workers, int64_t now);
+/* Queries ahead for a gang that doesn't fit now, until enough workers are known
+ * to be allowed. */
+void permits_learn(struct dispatch *d, struct step_permits *s,
+    const struct plan_request *request, GPtrArray *workers, int64_t now);
 /* Says whether a permit was issued for a worker, even if it has expired. */
 bool permit_issued(const struct step_permits *s, uint32_t worker);
 void permits_remove_job(struct dispatch *d, const struct flow_job *job);
@@ -335,6 +362,7 @@
 	const struct flow_job *job;
 	const struct flow_occurrence *occurrence;
 	uint32_t step;
+	bool ahead; /* it will only be ready soon: query, don't place */
 };
 
 /* A worker that may get work in a placement round. */
@@ -353,6 +381,8 @@
 	GPtrArray *workers; /* struct round_worker, by free millicpus */
 	int preemptions_left; /* steps that runs may still be preempted for */
 	GArray *pending; /* struct pending_step */
+	bool look_ahead; /* whether steps that will be ready are sought */
+	GArray *ahead; /* struct pending_step: those found */
 	GArray *starts; /* struct flow_start */
 	struct resources largest_free; /* per resource, over all workers */
 	uint64_t serial; /* of the next pending step */
@@ -411,6 +441,22 @@
 struct plan_pending round_urgency(struct dispatch *d,
     const struct flow_job *job, const struct flow_occurrence *occurrence);
 
+/* Orders workers (struct plan_worker) by free millicpus. */
+void round_sort_workers(GPtrArray *workers);
+/* The workers (struct round_worker) that the step's constraints and its queue
+ * allow, those with most free first. */
+GPtrArray *round_allowed_workers(
+    struct round *rd, const struct pending_step *p, struct apartness apart);
+
+/* ahead.c */
+/* Prepares a round to find steps to query for before they are ready. */
+void ahead_init(struct round *rd);
+/* Adds the steps of an occurrence that are expected to be ready soon. */
+void ahead_add_steps(struct round *rd, const struct flow_job *job,
+    const struct flow_occurrence *occurrence);
+void ahead_query(struct round *rd, const struct pending_step *p,
+    const struct plan_request *request);
+
 /* preempt.c */
 void round_worker_free(void *arg);
 /* Says whether a search for runs to preempt for a step is due in this round. */
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -10,6 +10,12 @@
 /* Interval of checks whether more queries are useful for a step that has some
  * in flight; an answer causes a check at once. */
 #define QUERY_REVIEW_MS 50
+/* How often a step is queried for before it is ready: predecessors may run much
+ * longer than expected, and permits expire after a few seconds. */
+#define QUERIES_AHEAD_MAX 2
+#define LEARN_INTERVAL_MS 100 /* of checks which workers a gang may use */
+#define RESERVE_WAIT_MS 1000 /* then a step may use one of the reserve */
+#define SHORT_QUERY_WORKERS 10 /* that a query for single tasks names */
 
 guint
 step_permits_hash(gconstpointer p)
@@ -256,7 +262,7 @@
 /* Sends a query about workers (ids, taken) by an idle process. */
 static void
 send_query(struct dispatch *d, struct step_permits *s, struct policy_process *p,
-    const struct flow_queue *queue, GArray *workers, int64_t now)
+    const struct flow_queue *queue, GArray *workers, bool ahead, int64_t now)
 {
 	GPtrArray *names = g_ptr_array_new();
 	struct agent_query q = {
@@ -280,13 +286,14 @@
 		remove_query(s, query);
 	} else {
 		d->meter.policy_queries->value++;
+		d->meter.policy_queries_ahead->value += ahead;
 		log_info("dispatch",
 		    "event=consult query=%" G_GUINT64_FORMAT
 		    " step=%016" G_GINT64_MODIFIER
 		    "x.%u.%u workers=%u process=%" G_GUINT64_FORMAT
-		    " concurrent=%u",
+		    " concurrent=%u ahead=%d",
 		    query, s->job, s->occurrence, s->step, names->len - 1,
-		    p->process, s->queries->len);
+		    p->process, s->queries->len, ahead);
 	}
 	g_ptr_array_unref(names);
 }
@@ -294,7 +301,8 @@
 /* Sends the selected candidates in so many calls. */
 static void
 send_queries(struct dispatch *d, struct step_permits *s, GPtrArray *workers,
-    const struct plan_candidate *candidates, uint32_t calls, int64_t now)
+    const struct plan_candidate *candidates, uint32_t calls, bool ahead,
+    int64_t now)
 {
 	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
 
@@ -311,7 +319,7 @@
 			if (candidates[i].call == call)
 				g_array_append_val(ids, w->worker);
 		}
-		send_query(d, s, p, queue, ids, now);
+		send_query(d, s, p, queue, ids, ahead, now);
 	}
 }
 
@@ -344,35 +352,158 @@
 	return candidates;
 }
 
-void
-permits_query(struct dispatch *d, struct step_permits *s,
-    const struct plan_request *request, GPtrArray *workers, bool partial,
-    int64_t now)
+int64_t
+permits_ready_ms(const struct flow_queue *queue, bool gang)
 {
-	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
-	struct plan_query_limits limits = { .processes =
-						d->policy_processes->len,
-		.idle = count_idle(d, now),
-		.in_flight = s->queries->len,
-		.allowed_fraction =
-		    plan_allowed_fraction(allowed_of_queue(d, queue->name)),
-		.partial = partial };
+	return QUERY_OVERHEAD_MS +
+	    query_ms(
+		queue, gang ? OBJECTIVE_QUERY_WORKERS : SHORT_QUERY_WORKERS);
+}
+
+/* Says whether a step has waited for more than the reserve long enough. */
+static bool
+is_passed_over(
+    struct step_permits *s, const struct plan_query_limits *limits, int64_t now)
+{
+	if (limits->idle > plan_query_reserve(limits->processes))
+		s->passed_over_ms = 0;
+	else if (s->passed_over_ms == 0)
+		s->passed_over_ms = now;
+	return s->passed_over_ms != 0 &&
+	    now - s->passed_over_ms > RESERVE_WAIT_MS;
+}
+
+/*
+ * Sends the queries that are useful now; limits has partial and ahead set.
+ * Permits that are valid after until_ms need no query. Returns the number of
+ * calls.
+ */
+static uint32_t
+query_step(struct dispatch *d, struct step_permits *s,
+    const struct plan_request *request, GPtrArray *workers,
+    struct plan_query_limits limits, int64_t until_ms, int64_t now)
+{
+	const char *queue = flow_job(d->conf.flow, s->job)->queue->name;
 	struct plan_candidate *candidates;
-	/* The members of a gang start together, after the answer: their permits
-	 * have to be valid then. */
-	int64_t until_ms = now +
-	    (request->gang ? query_ms(queue, OBJECTIVE_QUERY_WORKERS) +
-			QUERY_OVERHEAD_MS
-			   : 0);
 	uint32_t calls;
 
 	if (!permits_can_query(d, s, now))
-		return;
+		return 0;
+	limits.processes = d->policy_processes->len;
+	limits.idle = count_idle(d, now);
+	limits.in_flight = s->queries->len;
+	limits.allowed_fraction =
+	    plan_allowed_fraction(allowed_of_queue(d, queue));
+	if (!limits.ahead)
+		limits.passed_over = is_passed_over(s, &limits, now);
 	candidates = query_candidates(s, request, workers, until_ms);
 	calls = plan_select_queries(candidates, workers->len, request, &limits);
-	send_queries(d, s, workers, candidates, calls, now);
+	send_queries(d, s, workers, candidates, calls, limits.ahead, now);
 	s->review_ms = now + QUERY_REVIEW_MS;
+	if (calls > 0)
+		s->passed_over_ms = 0;
 	g_free(candidates);
+	return calls;
+}
+
+/* The members of a gang start together, after the answer: their permits have to
+ * be valid then. */
+static int64_t
+needed_until_ms(const struct dispatch *d, const struct step_permits *s,
+    const struct plan_request *request, int64_t now)
+{
+	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
+
+	return request->gang ? now + permits_ready_ms(queue, true) : now;
+}
+
+void
+permits_query(struct dispatch *d, struct step_permits *s,
+    const struct plan_request *request, GPtrArray *workers, bool partial,
+    int64_t now)
+{
+	(void)query_step(d, s, request, workers,
+	    (struct plan_query_limits){ .partial = partial },
+	    needed_until_ms(d, s, request, now), now);
+}
+
+bool
+permits_can_look_ahead(const struct dispatch *d, int64_t now)
+{
+	return count_idle(d, now) >
+	    plan_query_ahead_reserve(d->policy_processes->len);
+}
+
+bool
+permits_can_query_ahead(
+    const struct dispatch *d, const struct step_permits *s, int64_t now)
+{
+	return s->ahead < QUERIES_AHEAD_MAX && s->queries->len == 0 &&
+	    permits_can_query(d, s, now);
+}
+
+void
+permits_query_ahead(struct dispatch *d, struct step_permits *s,
+    const struct plan_request *request, GPtrArray *workers, int64_t now)
+{
+	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
+
+	if (permits_can_query_ahead(d, s, now) &&
+	    query_step(d, s, request, workers,
+		(struct plan_query_limits){ .ahead = true },
+		now + permits_ready_ms(queue, request->gang), now) > 0)
+		s->ahead++;
+}
+
+/* Copies of workers as if all their resources were free; without those that a
+ * permit was issued for, if except is not NULL. */
+static GPtrArray *
+empty_workers(const GPtrArray *workers, const struct step_permits *except)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < workers->len; i++) {
+		const struct plan_worker *w = workers->pdata[i];
+		struct plan_worker *copy;
+
+		if (except != NULL && permit_issued(except, w->worker))
+			continue;
+		copy = g_memdup2(w, sizeof(*w));
+		copy->free = copy->capacity;
+		g_ptr_array_add(out, copy);
+	}
+	return out;
+}
+
+void
+permits_query_unknown(struct dispatch *d, struct step_permits *s,
+    const struct plan_request *request, GPtrArray *workers, int64_t now)
+{
+	GPtrArray *unknown = empty_workers(workers, s);
+
+	permits_query(d, s, request, unknown, true, now);
+	g_ptr_array_unref(unknown);
+}
+
+void
+permits_learn(struct dispatch *d, struct step_permits *s,
+    const struct plan_request *request, GPtrArray *workers, int64_t now)
+{
+	GPtrArray *empty;
+
+	if (now < s->learn_ms || s->queries->len > 0 ||
+	    !permits_can_look_ahead(d, now))
+		return;
+	s->learn_ms = now + LEARN_INTERVAL_MS;
+	empty = empty_workers(workers, NULL);
+	/* One task each, as later few of the allowed workers will have room. */
+	for (guint i = 0; i < empty->len; i++)
+		((struct plan_worker *)empty->pdata[i])->task_limit = 1;
+	/* Permits need not be valid. */
+	(void)query_step(d, s, request, empty,
+	    (struct plan_query_limits){ .partial = true, .ahead = true },
+	    INT64_MIN, now);
+	g_ptr_array_unref(empty);
 }
 
 /* Finds the step of a query in flight, and the query. */
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -249,28 +249,6 @@
 	g_ptr_array_unref(workers);
 }
 
-/* Queries the policy service about workers not known to be allowed, as if all
- * their resources were free. */
-static void
-query_unknown(struct round *rd, const struct plan_request *request,
-    GPtrArray *workers, struct step_permits *permits)
-{
-	GPtrArray *unknown = g_ptr_array_new_with_free_func(g_free);
-
-	for (guint i = 0; i < workers->len; i++) {
-		struct plan_worker *w = workers->pdata[i];
-		struct plan_worker *copy;
-
-		if (permit_issued(permits, w->worker))
-			continue;
-		copy = g_memdup2(w, sizeof(*w));
-		copy->free = copy->capacity;
-		g_ptr_array_add(unknown, copy);
-	}
-	permits_query(rd->d, permits, request, unknown, true, rd->now);
-	g_ptr_array_unref(unknown);
-}
-
 static struct step_permits *
 state_of(const struct round *rd, const struct pending_step *p)
 {
@@ -285,7 +263,8 @@
 {
 	state_of(rd, p)->preempt_retry_ms = rd->now + PREEMPT_RETRY_MS;
 	if (permits != NULL)
-		query_unknown(rd, request, workers, permits);
+		permits_query_unknown(
+		    rd->d, permits, request, workers, rd->now);
 }
 
 bool
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -190,6 +190,12 @@
 	    : x->free.millicpus < y->free.millicpus;
 }
 
+void
+round_sort_workers(GPtrArray *workers)
+{
+	g_ptr_array_sort(workers, by_free_descending);
+}
+
 static void
 collect_workers(struct round *rd)
 {
@@ -220,7 +226,7 @@
 		h->in_round = w;
 		g_ptr_array_add(rd->workers, w);
 	}
-	g_ptr_array_sort(rd->workers, by_free_descending);
+	round_sort_workers(rd->workers);
 }
 
 /* Says whether a task is pending and its start isn't proposed already. */
@@ -297,8 +303,10 @@
 		    job->occurrences->pdata[i];
 		struct plan_pending urgency;
 
-		if (occurrence->due_ms > rd->cell_now ||
-		    !has_pending_step(job, occurrence))
+		if (occurrence->due_ms > rd->cell_now)
+			continue;
+		ahead_add_steps(rd, job, occurrence);
+		if (!has_pending_step(job, occurrence))
 			continue;
 		urgency = round_urgency(rd->d, job, occurrence);
 		for (guint s = 0; s < job->spec.steps->len; s++)
@@ -405,10 +413,8 @@
 		drop_probing(workers);
 }
 
-/* The workers that the step's constraints and its queue allow, those with most
- * free first. */
-static GPtrArray *
-allowed_workers(
+GPtrArray *
+round_allowed_workers(
     struct round *rd, const struct pending_step *p, struct apartness apart)
 {
 	GPtrArray *out = g_ptr_array_new();
@@ -519,7 +525,7 @@
     struct apartness apart, const struct step_permits *permits)
 {
 	GPtrArray *workers = permits == NULL
-	    ? allowed_workers(rd, p, apart)
+	    ? round_allowed_workers(rd, p, apart)
 	    : permitted_workers(rd, p, permits, apart);
 
 	if (workers->len > 0)
@@ -604,10 +610,14 @@
 
 	if (!query && !preempt)
 		return;
-	workers = allowed_workers(
+	workers = round_allowed_workers(
 	    rd, p, (struct apartness){ .from = SEPARATE_ISOLATED });
-	if (query)
+	if (query) {
 		permits_query(rd->d, permits, request, workers, false, rd->now);
+		if (request->gang)
+			permits_learn(
+			    rd->d, permits, request, workers, rd->now);
+	}
 	if (preempt)
 		preempt_for_step(rd, p, request, workers, permits);
 	g_ptr_array_unref(workers);
@@ -627,6 +637,11 @@
 	uint32_t waiting[SEPARATE_ALL + 1] = { 0 };
 	uint32_t left = 0;
 
+	if (p->ahead) {
+		request.count = count_waiting(rd, p, waiting);
+		ahead_query(rd, p, &request);
+		return;
+	}
 	if (!resources_fit(&request.per_task, &rd->largest_free) &&
 	    !is_urgent(rd, p))
 		return;
@@ -760,9 +775,10 @@
 		    g_array_new(FALSE, TRUE, sizeof(struct pending_step)),
 		.starts = g_array_new(FALSE, TRUE, sizeof(struct flow_start)) };
 
+	ahead_init(&rd);
 	flow_each_active_job(d->conf.flow, add_pending_steps, &rd);
 	d->meter.waiting->value = rd.pending->len;
-	if (rd.pending->len > 0) {
+	if (rd.pending->len + rd.ahead->len > 0) {
 		collect_workers(&rd);
 		find_largest_free(&rd);
 		g_array_sort_with_data(rd.pending, by_urgency, &rd);
@@ -771,9 +787,13 @@
 	     i++)
 		place_step(
 		    &rd, &g_array_index(rd.pending, struct pending_step, i));
+	for (guint i = 0; i < rd.ahead->len; i++)
+		place_step(
+		    &rd, &g_array_index(rd.ahead, struct pending_step, i));
 	propose_starts(&rd);
 	log_load(&rd);
 	g_ptr_array_unref(rd.workers);
+	g_array_unref(rd.ahead);
 	g_array_unref(rd.pending);
 	g_array_unref(rd.starts);
 }
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -172,6 +172,10 @@
 	uint32_t in_flight; /* queries of the step without an answer yet */
 	double allowed_fraction; /* of workers with unknown permit */
 	bool partial; /* query also if the answers can't suffice for a gang */
+	bool ahead; /* the answers are not needed yet: leave more idle */
+	/* The step has waited for processes so long that it may use one of the
+	 * reserve for a long query. */
+	bool passed_over;
 };
 
 /* Queries of one step that may be in flight at a time. */
@@ -179,11 +183,14 @@
 /* Limit of the policy service for one call. */
 #define PLAN_CALL_WORKERS_MAX 100
 /* Queries for up to so many workers are short: they are one call, as calls for
- * fewer workers would hardly end sooner, and may use the reserve. */
+ * fewer workers would hardly end sooner. A step's only query in flight may use
+ * the reserve if it is short and needed now. */
 #define PLAN_SHORT_QUERY_WORKERS 20
 
 /* How many processes are kept idle for short queries. */
 uint32_t plan_query_reserve(uint32_t processes);
+/* How many queries ahead leave idle. */
+uint32_t plan_query_ahead_reserve(uint32_t processes);
 
 /*
  * Selects the workers that queries to the policy service name now, and splits
--- a/lib/plan/queries.c
+++ b/lib/plan/queries.c
@@ -13,6 +13,8 @@
 /* One process in so many is kept idle, and at most RESERVE_MAX. */
 #define RESERVE_PROCESSES 8
 #define RESERVE_MAX 4
+/* Queries ahead leave so many times the reserve, for what becomes ready. */
+#define AHEAD_RESERVE_FACTOR 2
 /* The expected fraction of allowed workers before any answer, and how many
  * answers it counts as. */
 #define ALLOWED_FRACTION 0.4
@@ -27,6 +29,12 @@
 	return MIN(processes / RESERVE_PROCESSES, RESERVE_MAX);
 }
 
+uint32_t
+plan_query_ahead_reserve(uint32_t processes)
+{
+	return plan_query_reserve(processes) * AHEAD_RESERVE_FACTOR;
+}
+
 void
 plan_allowed_update(struct plan_allowed *a, uint32_t asked, uint32_t allowed)
 {
@@ -105,12 +113,20 @@
 	}
 }
 
+/* How many calls of a long query, or a further one, may be sent. */
 static uint32_t
-idle_beyond_reserve(const struct plan_query_limits *limits)
+calls_beyond_reserve(const struct plan_query_limits *limits)
 {
-	uint32_t reserve = plan_query_reserve(limits->processes);
-
-	return limits->idle > reserve ? limits->idle - reserve : 0;
+	uint32_t reserve = limits->ahead
+	    ? plan_query_ahead_reserve(limits->processes)
+	    : plan_query_reserve(limits->processes);
+
+	if (limits->idle > reserve)
+		return MIN(limits->idle - reserve,
+		    PLAN_QUERIES_MAX - limits->in_flight);
+	return limits->passed_over && limits->in_flight == 0 && !limits->ahead
+	    ? MIN(limits->idle, 1)
+	    : 0;
 }
 
 /* How many calls a selection is split into. */
@@ -120,10 +136,9 @@
 	uint32_t calls =
 	    (workers + PLAN_SHORT_QUERY_WORKERS - 1) / PLAN_SHORT_QUERY_WORKERS;
 
-	if (calls <= 1)
+	if (calls <= 1 && limits->in_flight == 0 && !limits->ahead)
 		return MIN(calls, limits->idle);
-	calls = MIN(calls, PLAN_QUERIES_MAX - limits->in_flight);
-	return MIN(calls, idle_beyond_reserve(limits));
+	return MIN(calls, calls_beyond_reserve(limits));
 }
 
 /* Deals the selected workers out to the calls in turn, so that a call that
@@ -147,7 +162,7 @@
 		return false;
 	if (limits->in_flight == 0)
 		return true;
-	return request->gang && !limits->partial &&
+	return request->gang && !limits->partial && !limits->ahead &&
 	    found < request->count * REFILL_CAPACITY_FACTOR;
 }
 
@@ -162,16 +177,16 @@
 
 	for (guint i = 0; i < count; i++)
 		candidates[i].call = 0;
-	if (request->gang)
+	if (request->gang || limits->ahead)
 		s.found = capacity_without_query(candidates, count, fraction);
 	if (!may_query(request, limits, s.found))
 		return 0;
-	if (limits->in_flight == 0)
+	/* A few more workers than needed, as calls take long compared with what
+	 * each worker adds. */
+	if (limits->in_flight == 0 && s.found < s.enough)
 		s.least =
 		    request->gang ? QUERY_WORKERS_GANG : QUERY_WORKERS_MIN;
-	s.most = PLAN_CALL_WORKERS_MAX *
-	    CLAMP(idle_beyond_reserve(limits), 1,
-		PLAN_QUERIES_MAX - limits->in_flight);
+	s.most = PLAN_CALL_WORKERS_MAX * MAX(calls_beyond_reserve(limits), 1);
 	select_workers(candidates, count, PLAN_PERMIT_EXPIRING, fraction, &s);
 	select_workers(candidates, count, PLAN_PERMIT_UNKNOWN, fraction, &s);
 	if (!request->gang || limits->partial || s.found >= request->count)
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,6 +1,6 @@
 bt_cases(dispatch
     SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c
-    stubleader.c stubworker.c proc.c
+    dispatch_policy.c stubleader.c stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
     ends-acked-after-commit leadership-unconfirmed suspended-leader takeover
@@ -14,4 +14,6 @@
     capacity-shrinks-before-order capacity-shrinks-before-resend
     capacity-shrinks-takeover capacity-late-heartbeat
     capacity-shrinks-below-use best-effort-cores restart-before-order
-    restart-under-order)
+    restart-under-order policy-split policy-query-fails
+    policy-process-lost policy-late-answers policy-takeover policy-single
+    policy-ahead policy-ahead-overdue policy-learn)
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -407,14 +407,6 @@
 	leader_free(l);
 }
 
-/* Makes all runs report progress of 100%, so that none is stopped as stuck. */
-static void
-complete_progress(struct stub_worker *w)
-{
-	for (guint i = 0; i < w->running->len; i++)
-		g_array_index(w->running, struct stub_run, i).percent = 100;
-}
-
 #define SERVICE 0x5e1f5e1f5e1f5e1f
 #define SERVICE_PATH "/renders/5e1f5e1f5e1f5e1f"
 /* A long-running task has to be at work again within this time. */
@@ -476,7 +468,7 @@
 	leader_heartbeat(l, b, false);
 	leader_submit(l, JOB_PATH, 30, 1000);
 	AWAIT(l, b->running->len == 4);
-	complete_progress(b);
+	stub_worker_complete_progress(b);
 	lease_until_ms = a->lease_until_ms;
 	stub_worker_crash(a);
 	AWAIT(l, stub_worker_runs(b, &service_second));
@@ -563,7 +555,7 @@
 
 	leader_heartbeat(l, a, false);
 	fill_worker(l, a, 200000);
-	complete_progress(a);
+	stub_worker_complete_progress(a);
 	for (int i = 0; i < 20; i++) {
 		char *path = g_strdup_printf("/renders/%016x", 0x100 + i);
 
@@ -594,7 +586,7 @@
 	dispatch_process_changed(l->dispatch, 1, true);
 	leader_heartbeat(l, a, false);
 	fill_worker(l, a, 200000);
-	complete_progress(a);
+	stub_worker_complete_progress(a);
 	submit_gang(l, "/allowed/0000000000000077", 60000);
 	AWAIT(l, l->queries > 0);
 	stub_worker_free(a);
@@ -709,5 +701,6 @@
 	g_test_add_func("/dispatch/state-delayed", test_state_delayed);
 	crash_tests_add();
 	capacity_tests_add();
+	policy_tests_add();
 	return g_test_run();
 }
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -372,6 +372,38 @@
 	g_assert_cmpuint(
 	    plan_select_queries(all, 350, &twenty, &limits), ==, 0);
 	g_assert_cmpuint(count_named(all, 350, 0), ==, 0);
+	/* Not for ever, if the other processes never get idle. */
+	limits.passed_over = true;
+	g_assert_cmpuint(
+	    plan_select_queries(all, 350, &twenty, &limits), ==, 1);
+	g_assert_cmpuint(count_named(all, 350, 0), ==, PLAN_CALL_WORKERS_MAX);
+}
+
+/* Queries ahead leave the reserve idle, however short they are, and name no
+ * worker if enough are known to be allowed. Guards against speculation that
+ * delays work that is ready. */
+static void
+test_query_ahead(void)
+{
+	struct plan_request two = request_of(2, 6, true);
+	struct plan_query_limits limits = { .processes = 43,
+		.idle = plan_query_ahead_reserve(43),
+		.allowed_fraction = 0.4,
+		.partial = true,
+		.ahead = true };
+	struct plan_candidate all[20];
+
+	for (guint i = 0; i < 20; i++)
+		all[i] = candidate(1, PLAN_PERMIT_UNKNOWN);
+	g_assert_cmpuint(plan_select_queries(all, 20, &two, &limits), ==, 0);
+	g_assert_cmpuint(limits.idle, >, plan_query_reserve(43));
+	limits.idle++;
+	g_assert_cmpuint(plan_select_queries(all, 20, &two, &limits), ==, 1);
+	for (guint i = 0; i < 5; i++)
+		all[i] = candidate(1, PLAN_PERMIT_VALID);
+	g_assert_cmpuint(plan_select_queries(all, 20, &two, &limits), ==, 0);
+	two.gang = limits.partial = false;
+	g_assert_cmpuint(plan_select_queries(all, 20, &two, &limits), ==, 0);
 }
 
 /* What is in flight counts as expected: a gang asks about more workers only if
@@ -425,11 +457,16 @@
 			    c->permit != PLAN_PERMIT_VALID &&
 			    c->permit != PLAN_PERMIT_DENIED);
 	}
-	if (named > PLAN_SHORT_QUERY_WORKERS)
+	g_assert_cmpuint(
+	    (named + PLAN_CALL_WORKERS_MAX - 1) / PLAN_CALL_WORKERS_MAX, <=,
+	    calls);
+	if (calls == 1 && limits->in_flight == 0 && !limits->ahead &&
+	    (named <= PLAN_SHORT_QUERY_WORKERS || limits->passed_over))
+		return;
+	if (calls > 0)
 		g_assert_cmpuint(limits->idle - calls, >=,
-		    plan_query_reserve(limits->processes));
-	else
-		g_assert_cmpuint(calls, <=, 1);
+		    limits->ahead ? plan_query_ahead_reserve(limits->processes)
+				  : plan_query_reserve(limits->processes));
 }
 
 /* Random steps: no call names more than 100 workers, none names one that is in
@@ -451,7 +488,9 @@
 			.in_flight =
 			    (uint32_t)rng_below(&rng, PLAN_QUERIES_MAX + 2),
 			.allowed_fraction = (double)rng_below(&rng, 100) / 100,
-			.partial = rng_below(&rng, 4) == 0
+			.partial = rng_below(&rng, 4) == 0,
+			.ahead = rng_below(&rng, 4) == 0,
+			.passed_over = rng_below(&rng, 4) == 0
 		};
 
 		limits.idle = (uint32_t)rng_below(&rng, limits.processes + 1);
@@ -609,6 +648,7 @@
 		limits.idle = processes - limits.in_flight;
 		send = plan_select_queries(
 		    r->workers, REPLAY_WORKERS, &request, &limits);
+		check_selection(r->workers, REPLAY_WORKERS, &limits, send);
 		for (uint32_t call = 1; call <= send; call++)
 			replay_send(r, call, now);
 	}
@@ -724,6 +764,7 @@
 	g_test_add_func("/plan/query-gang", test_query_gang);
 	g_test_add_func("/plan/query-single", test_query_single);
 	g_test_add_func("/plan/query-split", test_query_split);
+	g_test_add_func("/plan/query-ahead", test_query_ahead);
 	g_test_add_func("/plan/query-in-flight", test_query_in_flight);
 	g_test_add_func("/plan/query-limits", test_query_limits);
 	g_test_add_func("/plan/query-replay", test_query_replay);
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -68,8 +68,72 @@
 on_query_policy(
     void *arg, uint64_t process, uint64_t query, const struct agent_query *q)
 {
-	((struct leader *)arg)->queries++;
-	return false;
+	struct leader *l = arg;
+	struct stub_call *call;
+
+	l->queries++;
+	if (!l->policy_connected)
+		return false;
+	call = g_new0(struct stub_call, 1);
+	*call = (struct stub_call){ .process = process,
+		.query = query,
+		.job = q->job,
+		.step = q->step,
+		.workers = g_strdupv(q->workers) };
+	g_ptr_array_add(l->calls, call);
+	return true;
+}
+
+static void
+call_free(void *arg)
+{
+	struct stub_call *call = arg;
+
+	g_strfreev(call->workers);
+	g_free(call);
+}
+
+/* Frees the call. */
+static void
+answer_call(
+    struct leader *l, struct stub_call *call, struct agent_permits *permits)
+{
+	dispatch_permits_received(
+	    l->dispatch, call->process, call->query, permits);
+	g_ptr_array_remove(l->calls, call);
+}
+
+void
+leader_allow(struct leader *l, struct stub_call *call, int64_t valid_ms)
+{
+	struct agent_permits permits;
+
+	agent_permits_init(&permits);
+	permits.valid_ms = valid_ms;
+	for (char **w = call->workers; *w != NULL; w++) {
+		struct agent_permit p = { .worker = g_strdup(*w),
+			.permit = g_strdup("permit") };
+
+		g_array_append_val(permits.allowed, p);
+	}
+	answer_call(l, call, &permits);
+	agent_permits_clear(&permits);
+}
+
+void
+leader_deny(struct leader *l, struct stub_call *call)
+{
+	struct agent_permits permits;
+
+	agent_permits_init(&permits);
+	answer_call(l, call, &permits);
+	agent_permits_clear(&permits);
+}
+
+void
+leader_fail_call(struct leader *l, struct stub_call *call)
+{
+	answer_call(l, call, NULL);
 }
 
 static void
@@ -173,7 +237,7 @@
 		.slack_factor = 2,
 		.target_ms = 1000,
 		.needs_permit = true,
-		.permit_call_ms = 10 };
+		.permit_call_ms = 500 };
 	g_ptr_array_add(c.queues, q);
 	g_ptr_array_add(c.pools, pool);
 	leader_request(l, REQUEST_CONFIG, "", flow_config_encode(&c));
@@ -201,22 +265,48 @@
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 }
 
-GBytes *
-leader_spec(struct flow_step values)
+static struct flow_step *
+new_step(struct flow_step values)
 {
-	struct flow_spec spec = { .payload = g_strdup("work"),
-		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
 	struct flow_step *s = flow_step_new();
-	GBytes *bytes;
 
 	values.after = s->after;
 	*s = values;
-	g_ptr_array_add(spec.steps, s);
+	return s;
+}
+
+/* Takes the steps; second may be NULL. */
+static GBytes *
+encode_spec(struct flow_step *first, struct flow_step *second)
+{
+	struct flow_spec spec = { .payload = g_strdup("work"),
+		.steps = g_ptr_array_new_with_free_func(flow_step_free) };
+	GBytes *bytes;
+
+	g_ptr_array_add(spec.steps, first);
+	if (second != NULL)
+		g_ptr_array_add(spec.steps, second);
 	bytes = flow_spec_encode(&spec);
 	flow_spec_clear(&spec);
 	return bytes;
 }
 
+GBytes *
+leader_spec(struct flow_step values)
+{
+	return encode_spec(new_step(values), NULL);
+}
+
+GBytes *
+leader_spec_chain(struct flow_step first, struct flow_step second)
+{
+	struct flow_step *s = new_step(second);
+	uint32_t predecessor = 0;
+
+	g_array_append_val(s->after, predecessor);
+	return encode_spec(new_step(first), s);
+}
+
 void
 leader_submit(
     struct leader *l, const char *path, uint32_t count, int64_t millicpus)
@@ -246,6 +336,7 @@
 	l->base = event_base_new();
 	l->flow = flow_new();
 	l->registry = registry_new();
+	l->calls = g_ptr_array_new_with_free_func(call_free);
 	g_queue_init(&l->commands);
 	conf.base = l->base;
 	conf.flow = l->flow;
@@ -262,6 +353,7 @@
 {
 	dispatch_free(l->dispatch);
 	leader_run_for(l, 20);
+	g_ptr_array_unref(l->calls);
 	g_queue_clear_full(&l->commands, (GDestroyNotify)g_bytes_unref);
 	flow_free(l->flow);
 	registry_free(l->registry);
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -12,6 +12,15 @@
 #define JOB 0x1234567812345678
 #define JOB_PATH "/renders/1234567812345678"
 
+/* A call that a policy process was told to make. */
+struct stub_call {
+	uint64_t process;
+	uint64_t query;
+	uint64_t job;
+	uint32_t step;
+	char **workers; /* names */
+};
+
 struct leader {
 	struct event_base *base;
 	struct flow *flow;
@@ -30,6 +39,8 @@
 	char *last_text;
 	uint64_t requests;
 	int queries; /* to the policy service */
+	bool policy_connected; /* the policy processes take calls */
+	GPtrArray *calls; /* struct stub_call, those not answered yet */
 };
 
 /* Runs the loop until the condition holds. */
@@ -50,6 +61,11 @@
 
 void leader_run(struct leader *l); /* runs the loop for 5 ms */
 void leader_run_for(struct leader *l, int64_t ms);
+/* Answers a call: all of its workers are allowed for so long, or none is, or
+ * the call fails. */
+void leader_allow(struct leader *l, struct stub_call *call, int64_t valid_ms);
+void leader_deny(struct leader *l, struct stub_call *call);
+void leader_fail_call(struct leader *l, struct stub_call *call);
 /* Applies the oldest of the commands that hold_commands kept. */
 void leader_apply(struct leader *l);
 /* Applies all of them and those proposed from now on. */
@@ -65,6 +81,8 @@
 leader_heartbeat(struct leader *l, const struct stub_worker *w, bool draining);
 /* Encodes a job with one step, which depends on no other step. */
 GBytes *leader_spec(struct flow_step values);
+/* Encodes a job with two steps; the second depends on the first. */
+GBytes *leader_spec_chain(struct flow_step first, struct flow_step second);
 void leader_submit(
     struct leader *l, const char *path, uint32_t count, int64_t millicpus);
 void
--- a/test/stubworker.c
+++ b/test/stubworker.c
@@ -415,6 +415,13 @@
 	{ EVHTTP_REQ_POST, "/look", on_poll },
 };
 
+void
+stub_worker_complete_progress(struct stub_worker *w)
+{
+	for (guint i = 0; i < w->running->len; i++)
+		g_array_index(w->running, struct stub_run, i).percent = 100;
+}
+
 int
 stub_worker_execute_held(struct stub_worker *w)
 {
--- a/test/stubworker.h
+++ b/test/stubworker.h
@@ -70,6 +70,8 @@
 /* Ends a running run. */
 void stub_worker_end(struct stub_worker *w, const struct flow_run *id,
     enum agent_outcome outcome);
+/* Makes all runs report progress of 100%, so that none is stopped as stuck. */
+void stub_worker_complete_progress(struct stub_worker *w);
 /* Executes the held start orders; returns how many runs it started. */
 int stub_worker_execute_held(struct stub_worker *w);
 bool stub_worker_runs(const struct stub_worker *w, const struct flow_run *id);
