--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,6 +1,6 @@
 bt_cases(dispatch
     SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_keys.c
-    dispatch_organisations.c stubleader.c stubworker.c proc.c
+    dispatch_organisations.c dispatch_policy.c stubleader.c stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
     ends-acked-after-commit leadership-unconfirmed suspended-leader takeover takeover-speeds
@@ -20,4 +20,7 @@
     key-unconfirmed key-revoked-before-state key-suspended-before-state
     cap-over-workers cap-takeover cap-lowered
     cap-lowered-before-order cap-silent-worker cap-gang-turn cap-gang-beside-service
-    cap-gang-permit cap-no-preemption cap-never-fits cap-other-organisations)
+    cap-gang-permit cap-no-preemption cap-never-fits cap-other-organisations
+    policy-split policy-query-fails
+    policy-process-lost policy-late-answers policy-takeover policy-single
+    policy-ahead policy-ahead-overdue policy-learn)
--- a/test/dispatch_organisations.c
+++ b/test/dispatch_organisations.c
@@ -379,7 +379,7 @@
 	submit_accepted(l, "acme", OTHER_PATH, tasks(1, 2000));
 	submit_accepted(l, "acme", JOB_PATH, tasks(40, 2000));
 	AWAIT(l, a->running->len + b->running->len + c->running->len == 2);
-	l->accept_queries = true;
+	l->policy_connected = true;
 	dispatch_process_changed(l->dispatch, 1, true);
 	submit_accepted(l, "acme", "/allowed/0000000000000077", gang(2, 1000));
 	leader_run_for(l, 200);
