--- /dev/null
+++ b/test/cost.cmake
@@ -0,0 +1,1 @@
+bt_test(cost_test SOURCES cost_test.c DEPENDS cost)
