--- /dev/null
+++ b/test/admit.cmake
@@ -0,0 +1,1 @@
+bt_test(admit_test SOURCES admit_test.c DEPENDS admit)
