dispatch: refuse jobs under overload with the setting overload=yield

The placement round supplies lib/admit with the load of each pool. A refused job was not proposed, so that it certainly has not run; a job that is being committed is not refused when its request is sent again. With overload=keep, the default, behaviour is unchanged.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -385,6 +385,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->racks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	d->reservations = g_array_new(FALSE, FALSE, sizeof(struct reservation));
+	admission_lead(d);
 	for (guint i = 0; i < d->policy_processes->len; i++)
 		((struct policy_process *)d->policy_processes->pdata[i])
 		    ->query = 0;
@@ -413,6 +414,7 @@
 	g_clear_pointer(&d->estimates, g_hash_table_unref);
 	g_clear_pointer(&d->racks, g_hash_table_unref);
 	g_clear_pointer(&d->reservations, g_array_unref);
+	admission_resign(d);
 }
 
 bool
@@ -458,10 +460,16 @@
 	    "bulrushtide_step_jobs_accepted_total", "", "Jobs made durable.");
 	m->refused =
 	    counter_new(r, COUNTER_TOTAL, "bulrushtide_step_jobs_refused_total",
-		"", "Jobs refused before they had any effect.");
+		"why=\"overload\"", "Jobs refused before they had any effect.");
 	m->unauthenticated = counter_new(r, COUNTER_TOTAL,
 	    "bulrushtide_step_unauthenticated_total", "",
 	    "Calls without a valid key.");
+	m->used_permille =
+	    counter_new(r, COUNTER_GAUGE, "bulrushtide_step_used_permille", "",
+		"Use of the fullest pool, with overload=yield.");
+	m->refused_remembered =
+	    counter_new(r, COUNTER_GAUGE, "bulrushtide_step_refused_remembered",
+		"", "Refused jobs whose callers may return.");
 	m->starts = counter_new(r, COUNTER_TOTAL,
 	    "bulrushtide_step_starts_total", "", "Runs assigned to workers.");
 	m->stops = counter_new(r, COUNTER_TOTAL, "bulrushtide_step_stops_total",
--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -76,6 +76,8 @@
 	int64_t lease_max_ms; /* the longest lease that a worker accepts */
 	double far_factor; /* run time multiplier off the rack of the data */
 	int64_t retain_ms; /* how long records of ended jobs are kept */
+	/* Under overload, refuse, delay and stop what costs callers least. */
+	bool yield_under_overload;
 };
 
 /*
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "cost.h"
 #include "dispatch.h"
 #include "httpd.h"
 #include "logs.h"
@@ -161,6 +162,8 @@
 	struct counter *accepted;
 	struct counter *refused;
 	struct counter *unauthenticated;
+	struct counter *used_permille;
+	struct counter *refused_remembered;
 	struct counter *starts;
 	struct counter *stops;
 	struct counter *lost;
@@ -209,6 +212,9 @@
 	GHashTable *estimates; /* queue name to struct plan_estimate */
 	GHashTable *racks; /* rack name to number */
 	GArray *reservations; /* struct reservation, most of them not over */
+	/* Only with the setting overload=yield: */
+	GHashTable *admits; /* pool name to struct admit */
+	GHashTable *job_rates; /* organisation to struct job_rate */
 	int64_t preempt_ms; /* when runs were last considered to preempt */
 	int64_t round_ms; /* start of the last placement round ... */
 	int64_t round_duration_us; /* ... and how long it took */
@@ -393,6 +399,12 @@
 /* The objective of a job from acceptance to its end, in ms. */
 int64_t round_objective_ms(struct dispatch *d, const struct flow_job *job);
 
+/* The estimated run time of the longest chain of a job's steps, in ms. */
+int64_t round_critical_path_ms(struct dispatch *d, const struct flow_job *job);
+/* The estimated run time of a task, in ms. */
+int64_t round_task_ms(struct dispatch *d, const struct flow_job *job,
+    const struct flow_step *step);
+
 /* The estimated time that a run still takes, in ms. */
 int64_t round_run_remaining_ms(
     struct dispatch *d, const struct flow_job *job, const struct active_run *r);
@@ -418,6 +430,19 @@
 /* Ends the reservations of workers for a step, if there are any. */
 void preempt_release_workers(struct dispatch *d, const struct pending_step *p);
 
+/* admission.c */
+void admission_lead(struct dispatch *d);
+void admission_resign(struct dispatch *d);
+/* Records the load that a round has found. */
+void admission_update(struct round *rd);
+/* What lib/cost needs to know about the job of a step that waits for work. */
+struct cost_job admission_cost_job(
+    const struct round *rd, const struct pending_step *p, int64_t work);
+/* Decides on a job that is not known yet; returns 0 to accept it, or the time
+ * after which its caller should return. */
+int64_t admission_retry_ms(struct dispatch *d, const struct flow_queue *q,
+    uint64_t id, const struct flow_spec *spec, const char *organisation);
+
 /* requests.c */
 void requests_handle(
     struct dispatch *d, uint64_t process, const struct request *req);
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -194,6 +194,44 @@
 	return spec->payload != NULL && spec->steps->len > 0;
 }
 
+static void
+find_submit(gpointer key, gpointer value, gpointer arg)
+{
+	const struct proposal *p = value;
+	struct proposal *out = arg;
+
+	if (p->fn == submit_applied && p->job == out->job)
+		out->index = p->index;
+}
+
+/* Says whether the job is proposed already, by a request that was sent again:
+ * it may be committed, so it can't be refused any more. */
+static bool
+submit_proposed(struct dispatch *d, uint64_t job)
+{
+	struct proposal found = { .job = job };
+
+	g_hash_table_foreach(d->proposals, find_submit, &found);
+	return found.index != 0;
+}
+
+/* Refuses a job if that costs callers less than to accept it. */
+static bool
+refuse(struct dispatch *d, uint64_t process, const struct request *req,
+    const struct flow_queue *q, const struct flow_cmd *cmd)
+{
+	int64_t retry_ms;
+
+	if (!d->conf.yield_under_overload ||
+	    submit_proposed(d, cmd->u.submit.job))
+		return false;
+	retry_ms = admission_retry_ms(d, q, cmd->u.submit.job,
+	    &cmd->u.submit.spec, cmd->u.submit.organisation);
+	if (retry_ms > 0)
+		reply(d, process, req->id, REQUEST_REFUSED, "", 0, retry_ms);
+	return retry_ms > 0;
+}
+
 static void
 handle_submit(struct dispatch *d, uint64_t process, const struct request *req)
 {
@@ -222,6 +260,10 @@
 	cmd.u.submit.job = job;
 	cmd.u.submit.queue = q->name;
 	cmd.u.submit.organisation = owner == NULL ? NULL : owner->name;
+	if (refuse(d, process, req, q, &cmd)) {
+		flow_spec_clear(&cmd.u.submit.spec);
+		return;
+	}
 	p = dispatch_propose_then(d, &cmd, submit_applied);
 	flow_spec_clear(&cmd.u.submit.spec);
 	if (p == NULL) {
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -142,14 +142,26 @@
 		(double)critical_path_ms(d, job, NULL));
 }
 
+int64_t
+round_critical_path_ms(struct dispatch *d, const struct flow_job *job)
+{
+	return critical_path_ms(d, job, NULL);
+}
+
+int64_t
+round_task_ms(struct dispatch *d, const struct flow_job *job,
+    const struct flow_step *step)
+{
+	return plan_estimate_ms(
+	    estimate_of_queue(d, job->queue->name), step->runtime_ms);
+}
+
 int64_t
 round_run_remaining_ms(
     struct dispatch *d, const struct flow_job *job, const struct active_run *r)
 {
-	const struct plan_estimate *estimate =
-	    estimate_of_queue(d, job->queue->name);
-	int64_t runtime_ms = plan_estimate_ms(
-	    estimate, flow_job_step(job, r->id.step)->runtime_ms);
+	int64_t runtime_ms =
+	    round_task_ms(d, job, flow_job_step(job, r->id.step));
 
 	return MAX(r->started_ms + runtime_ms - mono_ms(), 0);
 }
@@ -762,6 +774,8 @@
 
 	flow_each_active_job(d->conf.flow, add_pending_steps, &rd);
 	d->meter.waiting->value = rd.pending->len;
+	if (d->conf.yield_under_overload)
+		admission_update(&rd);
 	if (rd.pending->len > 0) {
 		collect_workers(&rd);
 		find_largest_free(&rd);
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,5 +1,6 @@
 bt_cases(dispatch
     SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c
+    dispatch_overload.c
     stubleader.c stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
@@ -14,4 +15,6 @@
     capacity-shrinks-before-order capacity-shrinks-before-resend
     capacity-shrinks-takeover capacity-late-heartbeat
     capacity-shrinks-below-use best-effort-cores restart-before-order
-    restart-under-order)
+    restart-under-order overload-refused overload-off overload-room
+    overload-overdue overload-proposed overload-takeover
+    overload-never-fits)
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -709,5 +709,6 @@
 	g_test_add_func("/dispatch/state-delayed", test_state_delayed);
 	crash_tests_add();
 	capacity_tests_add();
+	overload_tests_add();
 	return g_test_run();
 }
--- a/test/dispatch_test.h
+++ b/test/dispatch_test.h
@@ -4,5 +4,6 @@
 
 void crash_tests_add(void);
 void capacity_tests_add(void);
+void overload_tests_add(void);
 
 #endif
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -247,16 +247,20 @@
 	g_assert_cmpstr(s.node.seeds->pdata[1], ==, "10.1.0.2:7720");
 	g_assert_true(s.node.first_start);
 	g_assert_null(s.control_address);
+	g_assert_false(s.node.dispatch.yield_under_overload);
 	platform_settings_clear(&s);
-	g_assert_true(
-	    read_settings(NODE "peer-ports=7720,7735\ndata-dir=\n", &s));
+	g_assert_true(read_settings(
+	    NODE "peer-ports=7720,7735\ndata-dir=\noverload=yield\n", &s));
 	g_assert_null(s.node.data_dir);
+	g_assert_true(s.node.dispatch.yield_under_overload);
 	platform_settings_clear(&s);
 	g_assert_false(read_settings(NODE, &s));
 	g_assert_false(
 	    read_settings(NODE "peer-ports=1,2\ncallers=here\n", &s));
 	g_assert_false(
 	    read_settings(NODE "peer-ports=1,2\nlease-max-ms=-4\n", &s));
+	g_assert_false(
+	    read_settings(NODE "peer-ports=1,2\noverload=maybe\n", &s));
 	g_assert_false(
 	    read_settings(NODE "peer-ports=1,2\nfirst-start=7\n", &s));
 }
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -60,6 +60,7 @@
 		return;
 	l->answers++;
 	l->last_result = a->result;
+	l->last_retry_ms = a->retry_ms;
 	g_free(l->last_text);
 	l->last_text = g_strndup(text, len);
 }
@@ -234,14 +235,15 @@
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 }
 
-struct leader *
-leader_new(void)
+static struct leader *
+leader_create(bool yield_under_overload)
 {
 	struct leader *l = g_new0(struct leader, 1);
 	struct dispatch_conf conf = { .agent = &stub_agent,
 		.lease_max_ms = 6000,
 		.far_factor = 1,
-		.retain_ms = 60000 };
+		.retain_ms = 60000,
+		.yield_under_overload = yield_under_overload };
 
 	l->base = event_base_new();
 	l->flow = flow_new();
@@ -257,6 +259,18 @@
 	return l;
 }
 
+struct leader *
+leader_new(void)
+{
+	return leader_create(false);
+}
+
+struct leader *
+leader_new_yielding(void)
+{
+	return leader_create(true);
+}
+
 void
 leader_free(struct leader *l)
 {
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -27,6 +27,7 @@
 	uint64_t awaited; /* id of the last leader_request() ... */
 	int answers; /* ... answers to such requests */
 	uint32_t last_result;
+	int64_t last_retry_ms;
 	char *last_text;
 	uint64_t requests;
 	int queries; /* to the policy service */
@@ -46,6 +47,8 @@
 /* Returns a leader of term 1 with the queues "renders" (two attempts) and
  * "allowed" (needs permits) of the pool "desk". */
 struct leader *leader_new(void);
+/* The same with the setting overload=yield. */
+struct leader *leader_new_yielding(void);
 void leader_free(struct leader *l);
 
 void leader_run(struct leader *l); /* runs the loop for 5 ms */
