plan, cost: an order of steps by weight, beside the one by latest start

Within a tier the order by latest start lets a gang that can hardly be in time go before many small jobs. The order by weight goes by the value per work, less as long as there is time to spare.

--- a/lib/cost/cost.c
+++ b/lib/cost/cost.c
@@ -4,6 +4,10 @@
  * A quarter: late work is served after all work that can be in time. */
 #define LATE_PERMILLE 250
 
+/* A job that has so much time to spare counts half as much as one that has
+ * none: about a run time of the work that it competes with. */
+#define SPARE_HALF_MS 2000
+
 int64_t
 cost_work(const struct resources *per_task, int64_t count, int64_t runtime_ms,
     const struct resources *all)
@@ -59,6 +63,18 @@
 	return delay + ((value - delay) >> MIN(attempts_left, 10));
 }
 
+int64_t
+cost_of_waiting(const struct cost_job *job, int64_t now_ms)
+{
+	int64_t slack_ms = MAX(job->objective_ms - job->remaining_ms, 1);
+	int64_t spare_ms =
+	    CLAMP(job->first_ms + slack_ms - now_ms, 0, slack_ms);
+	int64_t late =
+	    cost_of_delay(job, job->first_ms + job->objective_ms + 1);
+
+	return late * (slack_ms - spare_ms) / slack_ms;
+}
+
 int64_t
 cost_of_stop(
     const struct cost_job *job, int64_t end_ms, const struct cost_stop *stop)
@@ -69,6 +85,18 @@
 	    stop->lost_work * stop->price / COST_WORK_UNIT;
 }
 
+int64_t
+cost_weight(const struct cost_job *job, int64_t now_ms)
+{
+	int64_t price = cost_per_work(job, cost_value(job));
+	int64_t spare_ms =
+	    job->first_ms + job->objective_ms - job->remaining_ms - now_ms;
+
+	if (spare_ms < 0)
+		spare_ms += (COST_USEFUL_OBJECTIVES - 1) * job->objective_ms;
+	return price * SPARE_HALF_MS / (SPARE_HALF_MS + MAX(spare_ms, 0));
+}
+
 int64_t
 cost_per_work(const struct cost_job *job, int64_t cost)
 {
--- a/lib/cost/cost.h
+++ b/lib/cost/cost.h
@@ -61,10 +61,22 @@
 int64_t cost_of_refusal(
     const struct cost_job *job, uint32_t attempts_left, int64_t end_ms);
 
+/*
+ * The expected loss if the job goes on waiting for room at a time: rises from 0
+ * to the loss of being late as the time to spare is used up.
+ */
+int64_t cost_of_waiting(const struct cost_job *job, int64_t now_ms);
+
 /* The loss if a run that could end at end_ms is stopped and restarted. */
 int64_t cost_of_stop(
     const struct cost_job *job, int64_t end_ms, const struct cost_stop *stop);
 
+/*
+ * How far the job goes before others that are in time, late or overdue like it:
+ * its value per work, less as long as there is time to spare.
+ */
+int64_t cost_weight(const struct cost_job *job, int64_t now_ms);
+
 /* A cost per COST_WORK_UNIT of the work that the job needs. */
 int64_t cost_per_work(const struct cost_job *job, int64_t cost);
 
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -26,6 +26,9 @@
 	bool best_effort;
 	bool long_running;
 	uint64_t serial; /* order of acceptance, the last tie-breaker */
+	/* Only for PLAN_ORDER_COST: */
+	int64_t weight; /* the larger goes first in its tier, see lib/cost */
+	bool aged; /* was passed over for so long that it goes first */
 };
 
 /* A job that ends later than this many objectives is of no use any more. */
@@ -43,6 +46,25 @@
 int plan_compare(
     const struct plan_pending *a, const struct plan_pending *b, int64_t now_ms);
 
+/*
+ * Orders to choose from. PLAN_ORDER_COST has the tiers of plan_compare(), with
+ * aged steps after the long-running ones; within a tier the larger weight goes
+ * first.
+ */
+enum plan_order_kind {
+	PLAN_ORDER_LATEST_START, /* plan_compare() */
+	PLAN_ORDER_COST,
+	PLAN_ORDER_COUNT
+};
+
+struct plan_order {
+	const char *name;
+	int (*compare)(const struct plan_pending *a,
+	    const struct plan_pending *b, int64_t now_ms);
+};
+
+extern const struct plan_order plan_orders[PLAN_ORDER_COUNT];
+
 /*
  * Statistics that correct the declared run times of one kind of task. How
  * inaccurate callers' declarations are differs by kind. Actual run times and
@@ -129,6 +151,7 @@
 	struct resources resources; /* freed when it ends */
 	int64_t lost_ms; /* run time lost by stopping it; 0: it can resume */
 	bool ends_soon; /* needs no stop: its end is awaited */
+	int64_t cost; /* to callers, of stopping it; not used here */
 	bool chosen;
 };
 
--- a/test/cost_test.c
+++ b/test/cost_test.c
@@ -125,6 +125,20 @@
 	g_assert_cmpint(cost_of_stop(&job, end_ms, &stop), ==, 36000);
 }
 
+/* Guards against runs that are stopped for a job that has time to wait for
+ * room, and against one that is late without having asked for any. */
+static void
+test_waiting(void)
+{
+	struct cost_job job = urgent();
+	int64_t late = cost_of_delay(&job, 1000 + 1751);
+
+	g_assert_cmpint(cost_of_waiting(&job, 1000), ==, 0);
+	g_assert_cmpint(cost_of_waiting(&job, 1000 + 375), ==, late / 2);
+	g_assert_cmpint(cost_of_waiting(&job, 1000 + 750), ==, late);
+	g_assert_cmpint(cost_of_waiting(&job, 9000), ==, late);
+}
+
 /* Guards against large jobs that are preferred to many small ones that the
  * same room would serve. */
 static void
@@ -139,6 +153,27 @@
 	g_assert_cmpint(cost_per_work(&small, cost_value(&small)), >, 0);
 }
 
+/* Guards against a job that needs much room and goes before one that needs
+ * little and costs as much when late, or against work with much time that goes
+ * before work of the same kind without any. */
+static void
+test_weight(void)
+{
+	struct cost_job small = urgent();
+	struct cost_job large = gang();
+	struct cost_job other = gang();
+
+	g_assert_cmpint(
+	    cost_weight(&small, 1000), >, cost_weight(&large, 1000));
+	other.first_ms = -5000;
+	g_assert_cmpint(
+	    cost_weight(&other, 1000), >, cost_weight(&large, 1000));
+	/* It has just become late: it is of use for long. */
+	other.first_ms = 1000 - 14640;
+	g_assert_cmpint(cost_weight(&other, 1000), <,
+	    cost_per_work(&other, cost_value(&other)));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -148,6 +183,8 @@
 	g_test_add_func("/cost/work", test_work);
 	g_test_add_func("/cost/refusal", test_refusal);
 	g_test_add_func("/cost/stop", test_stop);
+	g_test_add_func("/cost/waiting", test_waiting);
 	g_test_add_func("/cost/per-work", test_per_work);
+	g_test_add_func("/cost/weight", test_weight);
 	return g_test_run();
 }
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -57,6 +57,57 @@
 	g_assert_cmpint(plan_compare(&overdue, &late, 1200), >, 0);
 }
 
+/* Guards against an order by cost in which late work takes room from work that
+ * can be in time, or a job that needs much room goes before one that needs
+ * little and costs as much when late. */
+static void
+test_order_by_cost(void)
+{
+	int (*compare)(const struct plan_pending *, const struct plan_pending *,
+	    int64_t) = plan_orders[PLAN_ORDER_COST].compare;
+	struct plan_pending small = { .objective_ms = 4000,
+		.remaining_ms = 1000,
+		.weight = 30000,
+		.serial = 3 };
+	struct plan_pending large = { .objective_ms = 4000,
+		.remaining_ms = 1000,
+		.weight = 200,
+		.serial = 0 };
+	struct plan_pending late = {
+		.objective_ms = 1500, .remaining_ms = 1000, .weight = 90000
+	};
+	struct plan_pending overdue = {
+		.objective_ms = 500, .remaining_ms = 1000, .weight = 90000
+	};
+	struct plan_pending service = { .long_running = true };
+
+	g_assert_cmpint(compare(&small, &large, 1200), <, 0);
+	g_assert_cmpint(compare(&large, &small, 1200), >, 0);
+	g_assert_cmpint(compare(&large, &late, 1200), <, 0);
+	g_assert_cmpint(compare(&late, &overdue, 1200), <, 0);
+	g_assert_cmpint(compare(&service, &small, 1200), <, 0);
+}
+
+/* Guards against work that is passed over for ever. */
+static void
+test_order_aged(void)
+{
+	int (*compare)(const struct plan_pending *, const struct plan_pending *,
+	    int64_t) = plan_orders[PLAN_ORDER_COST].compare;
+	struct plan_pending urgent = {
+		.objective_ms = 4000, .remaining_ms = 1000, .weight = 30000
+	};
+	struct plan_pending aged = { .accepted_ms = -100000,
+		.objective_ms = 500,
+		.remaining_ms = 1000,
+		.weight = 1,
+		.aged = true };
+	struct plan_pending service = { .long_running = true };
+
+	g_assert_cmpint(compare(&aged, &urgent, 1200), <, 0);
+	g_assert_cmpint(compare(&service, &aged, 1200), <, 0);
+}
+
 /* Small tasks go where they fit tightest; large free amounts stay. */
 static void
 test_tightest_fit(void)
@@ -363,6 +414,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/plan/order", test_order);
+	g_test_add_func("/plan/order-by-cost", test_order_by_cost);
+	g_test_add_func("/plan/order-aged", test_order_aged);
 	g_test_add_func("/plan/tightest-fit", test_tightest_fit);
 	g_test_add_func("/plan/gang", test_gang);
 	g_test_add_func("/plan/colocated", test_colocated);
