--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -10,6 +10,10 @@
 #define REACHED_MIN_PERMILLE 600
 #define REACHED_AVERAGE_MS 2000
 #define ARRIVALS_AVERAGE_MS 3000 /* several arrivals of each queue */
+/* Part of the rate of arrivals that is expected to last: bursts pass. With all
+ * of it, replays of 1.2 times the capacity cost three times as much, as gangs
+ * were refused that would have been in time. */
+#define ARRIVALS_LASTING 0.5
 /* Least part of the capacity that is assumed to be left by more urgent
  * arrivals: their rate is an estimate. */
 #define LEFT_MIN_PERMILLE 50
@@ -26,8 +30,8 @@
 	bool full;
 	int64_t changed_ms; /* since when the use is on the other side */
 	double reached; /* cores that work reaches on full workers */
-	/* Accepted work per ms, by its time to spare on arrival. */
-	struct admit_amount arrivals[ADMIT_BUCKETS];
+	/* Accepted work, decaying with ARRIVALS_AVERAGE_MS. */
+	struct admit_amount arrivals[ADMIT_CLASSES];
 	struct refused_table refused;
 };
 
@@ -62,21 +66,40 @@
 	return (int)CLAMP(spare / ADMIT_BUCKET_MS, 0, ADMIT_BUCKETS - 1);
 }
 
+static int
+class_of(int64_t weight)
+{
+	gulong w = (gulong)CLAMP(weight, 2, INT32_MAX);
+	guint bits = g_bit_storage(w);
+
+	return (int)(2 * bits + (w >> (bits - 2) & 1));
+}
+
 static void
-amount_add(struct admit_amount *to, const struct cost_job *job)
+amount_add(struct admit_amount *to, const struct cost_job *job, int64_t spare)
 {
 	to->work += (double)job->work;
 	to->cost += (double)cost_value(job);
+	to->spare += (double)job->work * (double)MAX(spare, 0);
+}
+
+/* Adds work that waits. */
+static void
+load_add(struct admit_load *load, const struct cost_job *job, int64_t now_ms)
+{
+	int64_t spare = spare_ms(job, 1, now_ms);
+
+	amount_add(spare < 0
+		? &load->late
+		: &load->waiting[class_of(cost_weight(job, now_ms))],
+	    job, spare);
 }
 
 void
 admit_load_add(
     struct admit_load *load, const struct cost_job *job, int64_t task_ms)
 {
-	int64_t spare = spare_ms(job, 1, load->now_ms);
-
-	amount_add(
-	    spare < 0 ? &load->late : &load->waiting[bucket_of(spare)], job);
+	load_add(load, job, load->now_ms);
 	load->waiting_cores += (double)job->work / (double)MAX(task_ms, 1);
 }
 
@@ -110,7 +133,7 @@
 {
 	double sum = l->late.work;
 
-	for (int i = 0; i < ADMIT_BUCKETS; i++)
+	for (int i = 0; i < ADMIT_CLASSES; i++)
 		sum += l->waiting[i].work;
 	return sum;
 }
@@ -127,7 +150,7 @@
 		a->changed_ms = a->load.now_ms;
 		return;
 	}
-	if (a->load.now_ms - a->changed_ms < FULL_FOR_MS)
+	if (!a->full && a->load.now_ms - a->changed_ms < FULL_FOR_MS)
 		return;
 	a->full = !a->full;
 	a->changed_ms = a->load.now_ms;
@@ -156,24 +179,33 @@
 	    1 - (double)elapsed_ms / (elapsed_ms + ARRIVALS_AVERAGE_MS);
 
 	a->load = *load;
-	for (int i = 0; i < ADMIT_BUCKETS; i++) {
+	for (int i = 0; i < ADMIT_CLASSES; i++)
 		a->arrivals[i].work *= keep;
-		a->arrivals[i].cost *= keep;
-	}
 	update_full(a);
 	update_reached(a, elapsed_ms);
 	refused_expire(&a->refused, load->now_ms);
 }
 
-/* Arrivals in cores that have less to spare than a bucket. */
+/* Arrivals in cores from a class on. */
 static double
-arrival_rate(const struct admit *a, int below)
+arrival_rate(const struct admit *a, int from)
 {
 	double sum = 0;
 
-	for (int i = 0; i < below; i++)
+	for (int i = from; i < ADMIT_CLASSES; i++)
 		sum += a->arrivals[i].work;
-	return sum / ARRIVALS_AVERAGE_MS;
+	return sum * ARRIVALS_LASTING / ARRIVALS_AVERAGE_MS;
+}
+
+/* Work that waits and can be in time, from a class on. */
+static double
+work_from(const struct admit *a, int from)
+{
+	double sum = 0;
+
+	for (int i = from; i < ADMIT_CLASSES; i++)
+		sum += a->load.waiting[i].work;
+	return sum;
 }
 
 /* How long the tasks that wait take on average. */
@@ -238,68 +270,53 @@
 	    (int64_t)MIN((work - started) / rate, (double)NEVER_MS);
 }
 
-/* The wait for the work that goes first: what has less to spare, and the
- * refused work that costs more; once late, all other work that waits. */
+/* The wait for the work that goes first: what has at least the same weight,
+ * also of refused callers that return; once late, all other work that waits. */
 static int64_t
 wait_ms(const struct admit *a, const struct admit_request *r, int64_t spare)
 {
 	double own = (double)r->job.work +
 	    (double)refused_work(&a->refused,
 		cost_per_work(&r->job, cost_value(&r->job)), r->id);
-	int bucket = bucket_of(spare);
-	double ahead = own;
-	int64_t wait;
+	int class = class_of(cost_weight(&r->job, r->now_ms));
+	int64_t wait = time_to_start(
+	    a, own + work_from(a, class), arrival_rate(a, class + 1));
 
-	for (int i = 0; spare >= 0 && i <= bucket; i++)
-		ahead += a->load.waiting[i].work;
-	wait = time_to_start(a, ahead, arrival_rate(a, bucket));
 	if (spare >= 0 && wait <= spare)
 		return wait;
 	return time_to_start(
-	    a, own + waiting_work(&a->load), arrival_rate(a, ADMIT_BUCKETS));
-}
-
-static double
-price_of(const struct admit_amount *m)
-{
-	return m->cost / MAX(m->work, 1);
+	    a, own + waiting_work(&a->load), arrival_rate(a, 0));
 }
 
 /*
- * The loss of accepted work that a job in its place makes late. Work that has
- * to start by a time is compared with what the workers can start by then; what
- * exceeds it is late, and of that the work that costs least for its size.
+ * The loss of accepted work that a job delays: what has less weight, if the
+ * wait for what goes before it and the job is longer than it can spare. As much
+ * of it as the job's work is late then, the cheapest first.
  */
 static int64_t
-displaced_cost(const struct admit *a, const struct cost_job *job, int64_t spare)
+displaced_cost(const struct admit *a, const struct cost_job *job,
+    int64_t now_ms, int64_t spare)
 {
-	struct supply s;
-	double demand = 0;
-	double rate = 0; /* of arrivals */
-	double cheapest = (double)cost_value(job) / (double)MAX(job->work, 1);
-	double worst = 0;
+	int own = class_of(cost_weight(job, now_ms));
+	double ahead = work_from(a, own) + (double)job->work;
+	double cheapest = -1;
 
 	if (spare < 0)
 		return 0; /* it goes after all that can be in time */
-	supply_init(a, &s);
-	/* The open bucket has no end by which its work has to start. */
-	for (int i = 0; i < ADMIT_BUCKETS - 1; i++) {
-		const struct admit_amount *w = &a->load.waiting[i];
-		double started = supply_next(a, &s, i, 0);
-		double before;
-		double after;
-
-		rate += a->arrivals[i].work / ARRIVALS_AVERAGE_MS;
-		demand += w->work + rate * ADMIT_BUCKET_MS;
-		if (w->work > 0)
-			cheapest = MIN(cheapest, price_of(w));
-		if (i < bucket_of(spare))
+	for (int i = own - 1; i >= 0; i--) {
+		const struct admit_amount *m = &a->load.waiting[i];
+		double price;
+
+		if (m->work <= 0)
 			continue;
-		before = MAX(demand - started, 0);
-		after = MAX(demand + (double)job->work - started, 0);
-		worst = MAX(worst, (after - before) * cheapest);
+		ahead += m->work;
+		price = m->cost / m->work;
+		if ((double)time_to_start(a, ahead, arrival_rate(a, i + 1)) >
+			m->spare / m->work &&
+		    (cheapest < 0 || price < cheapest))
+			cheapest = price;
 	}
-	return (int64_t)worst;
+	return cheapest < 0 ? 0 : (int64_t)((double)job->work * cheapest);
 }
 
 /* Deterministic, so that a repeated decision gives the same delay. */
@@ -345,13 +362,9 @@
 static void
 record_arrival(struct admit *a, const struct cost_job *job, int64_t now_ms)
 {
-	int64_t spare = spare_ms(job, 1, now_ms);
-
-	amount_add(&a->arrivals[bucket_of(spare)], job);
+	amount_add(&a->arrivals[class_of(cost_weight(job, now_ms))], job, 0);
 	/* Counts as waiting until the next round has seen it. */
-	amount_add(
-	    spare < 0 ? &a->load.late : &a->load.waiting[bucket_of(spare)],
-	    job);
+	load_add(&a->load, job, now_ms);
 }
 
 static void
@@ -367,8 +380,8 @@
 	out->retry_ms = retry_ms(a, r, out->spare_ms);
 	end_ms = r->now_ms + out->ahead_ms + r->job.remaining_ms;
 	return_end_ms = r->now_ms + out->retry_ms + r->job.remaining_ms;
-	out->accept_cost =
-	    cost_of_delay(&r->job, end_ms) + displaced_cost(a, &r->job, spare);
+	out->accept_cost = cost_of_delay(&r->job, end_ms) +
+	    displaced_cost(a, &r->job, r->now_ms, spare);
 	out->refuse_cost = cost_of_refusal(&r->job,
 	    COST_ATTEMPTS_MAX - MIN(out->attempt, COST_ATTEMPTS_MAX),
 	    MAX(end_ms, return_end_ms));
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -8,16 +8,18 @@
 
 #include "cost.h"
 
-/* Waiting work is counted by the time left until it has to start to end within
- * its objective, in steps of ADMIT_BUCKET_MS; the last bucket is open. */
+/* Work is counted by its weight (cost_weight()), two classes for each doubling,
+ * and runs by the time until they end, in steps of ADMIT_BUCKET_MS. */
+#define ADMIT_CLASSES 64
 #define ADMIT_BUCKETS 80
 #define ADMIT_BUCKET_MS 250
 #define ADMIT_REFUSED_MAX 4096 /* refused jobs that are remembered */
 
-/* Work and what callers lose if none of it is in time. */
+/* Work of one class. */
 struct admit_amount {
 	double work; /* core-ms */
-	double cost;
+	double cost; /* if all of it is of no use */
+	double spare; /* core-ms times the ms until it has to start */
 };
 
 /* The load as a placement round sees it. */
@@ -27,7 +29,7 @@
 	struct resources used;
 	/* Cores that runs leave, by the time left until they end. */
 	double freed[ADMIT_BUCKETS];
-	struct admit_amount waiting[ADMIT_BUCKETS]; /* can be in time */
+	struct admit_amount waiting[ADMIT_CLASSES]; /* can be in time */
 	struct admit_amount late; /* waits too, but can't be in time */
 	double waiting_cores; /* of all tasks that wait */
 };
