--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -84,6 +84,8 @@
 	 * at least so many times as long as the fast tenth; 0: not learnt. */
 	double uneven_workers;
 	int64_t retain_ms; /* how long records of ended jobs are kept */
+	/* Under overload, refuse, delay and stop what costs callers least. */
+	bool yield_under_overload;
 };
 
 /*
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "cost.h"
 #include "dispatch.h"
 #include "httpd.h"
 #include "logs.h"
@@ -57,7 +58,8 @@
 	int64_t percent; /* its last known progress ... */
 	int64_t progress_ms; /* ... and when that last changed */
 	uint64_t last_poll; /* serial of the last poll that reported it */
-	char *checkpoint; /* the newest one reported */
+	char *checkpoint; /* the newest one reported ... */
+	int64_t checkpoint_ms; /* ... and when; 0: none yet */
 	char *permit;
 };
 
@@ -197,6 +199,8 @@
 	struct counter *accepted;
 	struct counter *refused;
 	struct counter *unauthenticated;
+	struct counter *used_permille;
+	struct counter *refused_remembered;
 	struct counter *starts;
 	struct counter *stops;
 	struct counter *lost;
@@ -255,6 +259,11 @@
 	GHashTable *racks; /* rack name to number */
 	GArray *reservations; /* struct reservation, most of them not over */
 	int64_t ahead_ms; /* when steps to query ahead for were last sought */
+	/* Only with the setting overload=yield: */
+	GHashTable *admits; /* pool name to struct admit */
+	GHashTable *job_rates; /* organisation to struct job_rate */
+	struct flow_run aged_step; /* goes first until it is placed */
+	int64_t aged_ms; /* since when */
 	int64_t preempt_ms; /* when runs were last considered to preempt */
 	int64_t round_ms; /* start of the last placement round ... */
 	int64_t round_duration_us; /* ... and how long it took */
@@ -440,6 +449,7 @@
 	struct dispatch *d;
 	int64_t now; /* monotonic */
 	int64_t cell_now; /* cell time, see flow.h */
+	const struct plan_order *order;
 	GPtrArray *workers; /* struct round_worker, by free millicpus */
 	int preemptions_left; /* steps that runs may still be preempted for */
 	GArray *pending; /* struct pending_step */
@@ -500,7 +510,9 @@
 /* The run time on a fast worker that a fraction of the tasks like those of a
  * job's step doesn't exceed; quantile 0.5: the expected one. */
 int64_t round_runtime_ms(struct dispatch *d, const struct flow_job *job,
-    uint32_t step, double quantile);
+    const struct flow_step *step, double quantile);
+/* The estimated run time of the longest chain of a job's steps, in ms. */
+int64_t round_critical_path_ms(struct dispatch *d, const struct flow_job *job);
 /* The estimated time that a run still takes, in ms; where learnt speeds are in
  * effect the time after which most such runs have ended. */
 int64_t round_run_remaining_ms(
@@ -527,6 +539,9 @@
     const struct plan_request *request);
 
 /* preempt.c */
+/* Says whether a run is one of a step; run number and task are ignored. */
+bool step_has_run(const struct pending_step *p, const struct flow_run *id);
+struct flow_run step_id(const struct pending_step *p);
 void round_worker_free(void *arg);
 /* Says whether a search for runs to preempt for a step is due in this round. */
 bool preempt_may_search(struct round *rd, const struct pending_step *p);
@@ -582,6 +597,20 @@
 const char *organisation_misfit(const struct flow_organisation *o,
     const struct flow_spec *spec, uint32_t *step);
 
+/* admission.c */
+void admission_lead(struct dispatch *d);
+void admission_resign(struct dispatch *d);
+/* Records the load that a round has found. Sets the weight of the steps that
+ * wait, and which of them goes first because of its age. */
+void admission_update(struct round *rd);
+/* What lib/cost needs to know about the job of a step that waits for work. */
+struct cost_job admission_cost_job(
+    const struct round *rd, const struct pending_step *p, int64_t work);
+/* Decides on a job that is not known yet; returns 0 to accept it, or the time
+ * after which its caller should return. */
+int64_t admission_retry_ms(struct dispatch *d, const struct flow_queue *q,
+    uint64_t id, const struct flow_spec *spec, const char *organisation);
+
 /* requests.c */
 void requests_handle(
     struct dispatch *d, uint64_t process, const struct request *req);
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -148,13 +148,19 @@
 }
 
 int64_t
-round_runtime_ms(struct dispatch *d, const struct flow_job *job, uint32_t step,
-    double quantile)
+round_runtime_ms(struct dispatch *d, const struct flow_job *job,
+    const struct flow_step *step, double quantile)
 {
 	return (int64_t)(d->fast_multiplier *
 	    (double)plan_estimate_quantile_ms(
-		estimate_of_queue(d, job->queue->name),
-		flow_job_step(job, step)->runtime_ms, quantile));
+		estimate_of_queue(d, job->queue->name), step->runtime_ms,
+		quantile));
+}
+
+int64_t
+round_critical_path_ms(struct dispatch *d, const struct flow_job *job)
+{
+	return critical_path_ms(d, job, NULL);
 }
 
 int64_t
@@ -345,7 +351,7 @@
 	const struct pending_step *y = b;
 	const struct round *rd = arg;
 
-	return plan_compare(&x->plan, &y->plan, rd->cell_now);
+	return rd->order->compare(&x->plan, &y->plan, rd->cell_now);
 }
 
 static bool
@@ -632,11 +638,12 @@
 }
 
 /* Says whether other runs may be preempted for a step: if it can still end on
- * time, or is long-running. */
+ * time, is long-running, or was passed over for too long. */
 static bool
 is_urgent(const struct round *rd, const struct pending_step *p)
 {
-	return plan_tier(&p->plan, rd->cell_now) <= PLAN_ON_TIME;
+	return p->plan.aged ||
+	    plan_tier(&p->plan, rd->cell_now) <= PLAN_ON_TIME;
 }
 
 /* Queries the policy service and preempts runs for tasks of a step that could
@@ -862,6 +869,9 @@
 	struct round rd = { .d = d,
 		.now = now,
 		.number = ++d->last_round,
+		.order = &plan_orders[d->conf.yield_under_overload
+			? PLAN_ORDER_COST
+			: PLAN_ORDER_LATEST_START],
 		.cell_now =
 		    MAX(g_get_real_time() / 1000, flow_time_ms(d->conf.flow)),
 		.workers = g_ptr_array_new_with_free_func(round_worker_free),
@@ -875,6 +885,8 @@
 	ahead_init(&rd);
 	flow_each_active_job(d->conf.flow, add_pending_steps, &rd);
 	d->meter.waiting->value = rd.pending->len;
+	if (d->conf.yield_under_overload)
+		admission_update(&rd);
 	if (rd.pending->len + rd.ahead->len > 0) {
 		collect_workers(&rd);
 		find_largest_free(&rd);
--- a/lib/dispatch/speeds.c
+++ b/lib/dispatch/speeds.c
@@ -194,12 +194,13 @@
     struct plan_request *request)
 {
 	const struct plan_pending *plan = &p->plan;
+	const struct flow_step *step = flow_job_step(p->job, p->step);
 
 	if (rd->fast == NULL || plan->long_running)
 		return;
-	request->runtime_ms = round_runtime_ms(rd->d, p->job, p->step, 0.5);
+	request->runtime_ms = round_runtime_ms(rd->d, p->job, step, 0.5);
 	request->runtime_high_ms =
-	    round_runtime_ms(rd->d, p->job, p->step, PLAN_QUANTILE_HIGH);
+	    round_runtime_ms(rd->d, p->job, step, PLAN_QUANTILE_HIGH);
 	request->slow_from = slow_from(rd->d);
 	request->fast_scarce = is_scarce(fast_workers(rd, p->job->queue->pool));
 	/* The step's share of what its job can spare; best-effort work is due
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,6 +1,7 @@
 bt_cases(dispatch
     SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_keys.c
-    dispatch_organisations.c dispatch_policy.c stubleader.c stubworker.c proc.c
+    dispatch_organisations.c dispatch_overload.c dispatch_policy.c stubleader.c
+    stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
     ends-acked-after-commit leadership-unconfirmed suspended-leader takeover takeover-speeds
@@ -23,4 +24,7 @@
     cap-gang-permit cap-no-preemption cap-never-fits cap-other-organisations
     policy-split policy-query-fails
     policy-process-lost policy-late-answers policy-takeover policy-single
-    policy-ahead policy-ahead-overdue policy-learn)
+    policy-ahead policy-ahead-overdue policy-learn
+    overload-refused overload-off overload-room
+    overload-overdue overload-proposed overload-takeover
+    overload-never-fits)
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -779,5 +779,6 @@
 	key_tests_add();
 	organisation_tests_add();
 	policy_tests_add();
+	overload_tests_add();
 	return g_test_run();
 }
--- a/test/dispatch_test.h
+++ b/test/dispatch_test.h
@@ -7,5 +7,6 @@
 void key_tests_add(void);
 void organisation_tests_add(void);
 void policy_tests_add(void);
+void overload_tests_add(void);
 
 #endif
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -342,21 +342,16 @@
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 }
 
-struct leader *
-leader_new(void)
-{
-	return leader_new_uneven(0);
-}
-
-struct leader *
-leader_new_uneven(double uneven_workers)
+static struct leader *
+leader_create(double uneven_workers, bool yield_under_overload)
 {
 	struct leader *l = g_new0(struct leader, 1);
 	struct dispatch_conf conf = { .agent = &stub_agent,
 		.lease_max_ms = 6000,
 		.far_factor = 1,
 		.uneven_workers = uneven_workers,
-		.retain_ms = 60000 };
+		.retain_ms = 60000,
+		.yield_under_overload = yield_under_overload };
 
 	l->base = event_base_new();
 	l->flow = flow_new();
@@ -373,6 +368,24 @@
 	return l;
 }
 
+struct leader *
+leader_new(void)
+{
+	return leader_create(0, false);
+}
+
+struct leader *
+leader_new_yielding(void)
+{
+	return leader_create(0, true);
+}
+
+struct leader *
+leader_new_uneven(double uneven_workers)
+{
+	return leader_create(uneven_workers, false);
+}
+
 void
 leader_free(struct leader *l)
 {
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -62,6 +62,8 @@
 struct leader *leader_new(void);
 /* The same with a setting for uneven workers. */
 struct leader *leader_new_uneven(double uneven_workers);
+/* The same with the setting overload=yield. */
+struct leader *leader_new_yielding(void);
 void leader_free(struct leader *l);
 
 void leader_run(struct leader *l); /* runs the loop for 5 ms */
