--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -254,8 +254,8 @@
 	/* Disabled unless the settings enable it. */
 	g_assert_cmpfloat(s.node.dispatch.uneven_workers, ==, 0);
 	platform_settings_clear(&s);
-	g_assert_true(read_settings(
-	    NODE "peer-ports=1,2\nuneven-workers=1.75\n", &s));
+	g_assert_true(
+	    read_settings(NODE "peer-ports=1,2\nuneven-workers=1.75\n", &s));
 	g_assert_cmpfloat(s.node.dispatch.uneven_workers, ==, 1.75);
 	platform_settings_clear(&s);
 	g_assert_false(read_settings(NODE, &s));
