--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -125,8 +125,8 @@
 		    (int64_t)request->max_per_worker -
 			MIN(worker->step_tasks, request->max_per_worker));
 	n = MIN(n, (int64_t)worker->task_limit);
-	if (plan_waits_for_fast(request) && is_slow(worker, request) &&
-	    is_late(worker, request))
+	if (by_end(request) && plan_waits_for_fast(request) &&
+	    is_slow(worker, request) && is_late(worker, request))
 		return 0;
 	return (uint32_t)MIN(n, (int64_t)request->count);
 }
@@ -170,7 +170,7 @@
 /* The workers that tasks are placed on. */
 struct scope {
 	uint32_t rack; /* 0: any */
-	double min_slowdown;
+	double min_slowdown; /* used only with max_slowdown */
 	double max_slowdown; /* 0: any */
 };
 
@@ -178,11 +178,15 @@
 in_scope(const struct scope *scope, const struct plan_worker *worker,
     const struct plan_request *request)
 {
-	double slowdown = slowdown_on(worker, request);
+	double slowdown;
 
-	return (scope->rack == 0 || worker->rack == scope->rack) &&
-	    slowdown >= scope->min_slowdown &&
-	    (scope->max_slowdown == 0 || slowdown <= scope->max_slowdown);
+	if (scope->rack != 0 && worker->rack != scope->rack)
+		return false;
+	if (scope->max_slowdown == 0)
+		return true;
+	slowdown = slowdown_on(worker, request);
+	return slowdown >= scope->min_slowdown &&
+	    slowdown <= scope->max_slowdown;
 }
 
 /* Lower is better. The members of a gang that are faster than its slowest one
