--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -538,10 +538,37 @@
 #define REPLAY_CHANGE_PERCENT 3 /* of the workers are drawn again each tick */
 #define REPLAY_LIMIT_MS 60000
 
+/* Policy processes, which make one call at a time each. */
+struct replay_pool {
+	uint32_t processes;
+	int64_t busy_until_ms[REPLAY_PROCESSES];
+};
+
+static uint32_t
+pool_idle(const struct replay_pool *pool, int64_t now)
+{
+	uint32_t idle = 0;
+
+	for (uint32_t i = 0; i < pool->processes; i++)
+		idle += pool->busy_until_ms[i] <= now;
+	return idle;
+}
+
+static void
+pool_take(struct replay_pool *pool, int64_t now, int64_t until)
+{
+	uint32_t i = 0;
+
+	while (pool->busy_until_ms[i] > now)
+		i++;
+	g_assert_cmpuint(i, <, pool->processes);
+	pool->busy_until_ms[i] = until;
+}
+
 /* A gang that waits for permits. */
 struct replay {
 	struct rng rng;
-	uint32_t processes;
+	int64_t since_ms;
 	struct plan_candidate workers[REPLAY_WORKERS];
 	bool allowed[REPLAY_WORKERS];
 	int64_t valid_until_ms[REPLAY_WORKERS];
@@ -584,7 +611,8 @@
 }
 
 static void
-replay_send(struct replay *r, uint32_t call, int64_t now)
+replay_send(
+    struct replay *r, struct replay_pool *pool, uint32_t call, int64_t now)
 {
 	uint32_t slot = 0;
 	uint32_t named = 0;
@@ -600,6 +628,7 @@
 	}
 	r->answer_ms[slot] =
 	    now + REPLAY_CALL_MS + named * REPLAY_WORKER_US / 1000;
+	pool_take(pool, now, r->answer_ms[slot]);
 	r->calls++;
 }
 
@@ -613,7 +642,8 @@
 	for (guint i = 0; i < REPLAY_WORKERS; i++) {
 		struct plan_candidate *c = &r->workers[i];
 
-		if (now == 0 || rng_below(&r->rng, 100) < REPLAY_CHANGE_PERCENT)
+		if (now == r->since_ms ||
+		    rng_below(&r->rng, 100) < REPLAY_CHANGE_PERCENT)
 			c->fits = rng_below(&r->rng, 100) < REPLAY_FREE_PERCENT;
 		if (r->valid_until_ms[i] > 0)
 			c->permit = r->valid_until_ms[i] > now + REPLAY_RENEW_MS
@@ -624,34 +654,52 @@
 	return startable;
 }
 
-/* Returns how long a gang waits until all members have permits at a time. */
-static int64_t
-replay_gang(uint32_t processes, uint64_t seed, uint32_t *calls)
+static struct replay *
+replay_new(uint64_t seed, int64_t now)
 {
-	struct plan_request request = request_of(REPLAY_GANG, 6, true);
 	struct replay *r = g_new0(struct replay, 1);
-	int64_t now = 0;
 
 	r->rng = (struct rng){ seed };
+	r->since_ms = now;
 	for (guint i = 0; i < REPLAY_WORKERS; i++)
 		r->allowed[i] =
 		    rng_below(&r->rng, 100) < REPLAY_ALLOWED_PERCENT;
-	for (; now < REPLAY_LIMIT_MS; now += REPLAY_TICK_MS) {
-		struct plan_query_limits limits = { .processes = processes,
-			.allowed_fraction = REPLAY_ALLOWED_PERCENT / 100.0 };
-		uint32_t send;
-
-		replay_answers(r, now);
-		if (replay_tick(r, now) >= REPLAY_GANG)
-			break;
-		limits.in_flight = replay_in_flight(r);
-		limits.idle = processes - limits.in_flight;
-		send = plan_select_queries(
-		    r->workers, REPLAY_WORKERS, &request, &limits);
-		check_selection(r->workers, REPLAY_WORKERS, &limits, send);
-		for (uint32_t call = 1; call <= send; call++)
-			replay_send(r, call, now);
-	}
+	return r;
+}
+
+/* Returns whether all members have permits now; if not, sends what is
+ * useful. */
+static bool
+replay_step(struct replay *r, struct replay_pool *pool, int64_t now)
+{
+	struct plan_request request = request_of(REPLAY_GANG, 6, true);
+	struct plan_query_limits limits = { .processes = pool->processes,
+		.allowed_fraction = REPLAY_ALLOWED_PERCENT / 100.0 };
+	uint32_t send;
+
+	replay_answers(r, now);
+	if (replay_tick(r, now) >= REPLAY_GANG)
+		return true;
+	limits.in_flight = replay_in_flight(r);
+	limits.idle = pool_idle(pool, now);
+	send =
+	    plan_select_queries(r->workers, REPLAY_WORKERS, &request, &limits);
+	check_selection(r->workers, REPLAY_WORKERS, &limits, send);
+	for (uint32_t call = 1; call <= send; call++)
+		replay_send(r, pool, call, now);
+	return false;
+}
+
+/* Returns how long a gang waits until all members have permits at a time. */
+static int64_t
+replay_gang(uint32_t processes, uint64_t seed, uint32_t *calls)
+{
+	struct replay_pool pool = { .processes = processes };
+	struct replay *r = replay_new(seed, 0);
+	int64_t now = 0;
+
+	while (now < REPLAY_LIMIT_MS && !replay_step(r, &pool, now))
+		now += REPLAY_TICK_MS;
 	*calls = r->calls;
 	g_free(r);
 	return now;
@@ -704,6 +752,98 @@
 	    one[REPLAY_GANGS * 9 / 10] * 2);
 }
 
+#define MIX_MS 120000
+#define MIX_GANG_PERCENT 5 /* of ticks at which a burst of gangs arrives */
+#define MIX_BURST 4 /* gangs that arrive together */
+#define MIX_SHORT_PERCENT 40 /* of ticks at which a short step arrives */
+#define MIX_SHORT_MS 640 /* a call about 10 workers */
+#define MIX_GANGS_MAX 64
+
+/* Bursts of gangs among short urgent steps, which go first in each round. */
+struct mix {
+	struct rng rng;
+	struct replay_pool pool;
+	struct replay *gangs[MIX_GANGS_MAX];
+	guint gang_count;
+	GArray *gang_waits; /* int64_t */
+	GQueue shorts; /* int64_t: arrival */
+	GArray *short_waits; /* int64_t */
+};
+
+static void
+mix_shorts(struct mix *m, int64_t now)
+{
+	if (rng_below(&m->rng, 100) < MIX_SHORT_PERCENT)
+		g_queue_push_tail(&m->shorts, g_memdup2(&now, sizeof(now)));
+	while (!g_queue_is_empty(&m->shorts) && pool_idle(&m->pool, now) > 0) {
+		int64_t *since = g_queue_pop_head(&m->shorts);
+		int64_t wait = now - *since;
+
+		g_array_append_val(m->short_waits, wait);
+		pool_take(&m->pool, now, now + MIX_SHORT_MS);
+		g_free(since);
+	}
+}
+
+static void
+mix_gangs(struct mix *m, int64_t now)
+{
+	bool burst = rng_below(&m->rng, 100) < MIX_GANG_PERCENT;
+
+	for (int i = 0; burst && i < MIX_BURST && m->gang_count < MIX_GANGS_MAX;
+	     i++)
+		m->gangs[m->gang_count++] =
+		    replay_new(rng_below(&m->rng, 1 << 30), now);
+	for (guint i = 0; i < m->gang_count;) {
+		int64_t wait = now - m->gangs[i]->since_ms;
+
+		if (!replay_step(m->gangs[i], &m->pool, now)) {
+			i++;
+			continue;
+		}
+		g_array_append_val(m->gang_waits, wait);
+		g_free(m->gangs[i]);
+		m->gangs[i] = m->gangs[--m->gang_count];
+	}
+}
+
+static int64_t
+percentile(GArray *values, guint percent)
+{
+	g_array_sort(values, by_value);
+	return g_array_index(values, int64_t, values->len * percent / 100);
+}
+
+/* Short steps among bursts of gangs get a process at once. Guards against
+ * gangs that occupy all processes with several calls each. */
+static void
+test_query_mix(void)
+{
+	struct mix m = { .rng = { 3 },
+		.pool = { .processes = REPLAY_PROCESSES },
+		.gang_waits = g_array_new(FALSE, FALSE, sizeof(int64_t)),
+		.short_waits = g_array_new(FALSE, FALSE, sizeof(int64_t)) };
+
+	g_queue_init(&m.shorts);
+	for (int64_t now = 0; now < MIX_MS; now += REPLAY_TICK_MS) {
+		mix_shorts(&m, now);
+		mix_gangs(&m, now);
+	}
+	g_test_message("%u gangs: median %" G_GINT64_FORMAT
+		       " ms, p90 %" G_GINT64_FORMAT
+		       " ms; %u short steps wait p99 %" G_GINT64_FORMAT " ms",
+	    m.gang_waits->len, percentile(m.gang_waits, 50),
+	    percentile(m.gang_waits, 90), m.short_waits->len,
+	    percentile(m.short_waits, 99));
+	g_assert_cmpint(percentile(m.short_waits, 99), ==, 0);
+	g_assert_cmpint(percentile(m.gang_waits, 90), <, 2000);
+	while (m.gang_count > 0)
+		g_free(m.gangs[--m.gang_count]);
+	g_queue_clear_full(&m.shorts, g_free);
+	g_array_unref(m.gang_waits);
+	g_array_unref(m.short_waits);
+}
+
 /* A worker is probed after one failure and excluded after the second; a
  * success or time ends the probing. */
 static void
@@ -768,6 +908,7 @@
 	g_test_add_func("/plan/query-in-flight", test_query_in_flight);
 	g_test_add_func("/plan/query-limits", test_query_limits);
 	g_test_add_func("/plan/query-replay", test_query_replay);
+	g_test_add_func("/plan/query-mix", test_query_mix);
 	g_test_add_func("/plan/allowed-fraction", test_allowed_fraction);
 	g_test_add_func("/plan/failing-worker", test_failing_worker);
 	g_test_add_func("/plan/failing-job", test_failing_job);
