dispatch: runs that resume elsewhere leave a draining worker before it may go

Runs that resume from a checkpoint and would outlast the stay are now stopped 0.7 s before it is over (setting drain-ms). Runs without a checkpoint are left, as many still end in time, so the fault is narrowed, not closed.

--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -83,6 +83,8 @@
 	/* Learnt speeds of workers take effect if the slow tenth of them takes
 	 * at least so many times as long as the fast tenth; 0: not learnt. */
 	double uneven_workers;
+	/* How long a worker that drains stays at least; 0: not known. */
+	int64_t drain_ms;
 	int64_t retain_ms; /* how long records of ended jobs are kept */
 	/* Under overload, refuse, delay and stop what costs callers least. */
 	bool yield_under_overload;
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -5,6 +5,9 @@
 #define POLL_EXPIRED_MS 1000 /* between polls of a worker without a lease */
 #define LEASE_END_MARGIN_MS 60 /* beyond the computed end of a lease */
 #define PRIOR_LEASE_MARGIN_MS 400 /* for an earlier leader's last orders */
+/* Before a draining worker may leave: time to stop a run and to learn of its
+ * end. */
+#define EVACUATE_MS 700
 #define REMOVE_AFTER_MS 8000 /* after the last heartbeat, without a lease */
 
 struct holder *
@@ -186,6 +189,8 @@
 	    "event=worker id=%u worker=%s address=%s "
 	    "started_ms=%" G_GINT64_FORMAT " pool=%s draining=%d",
 	    w->id, w->name, w->address, w->started_ms, w->pool, w->draining);
+	if (w->draining && h->draining_ms == 0)
+		h->draining_ms = mono_ms();
 	if (end_older_incarnations(d, w))
 		h->restarted_ms = mono_ms();
 	dispatch_schedule_round(d);
@@ -695,6 +700,51 @@
 	    h->dead);
 }
 
+/* Says whether a run would be cut off by its worker's leaving, and resumes from
+ * a checkpoint if it is stopped before. */
+static bool
+is_to_evacuate(const struct active_run *r)
+{
+	const struct flow_job *job =
+	    flow_job(r->holder->d->conf.flow, r->id.job);
+	const struct flow_step *step;
+
+	if (r->state != RUN_ACCEPTED || r->stopping || job == NULL ||
+	    flow_job_ended(job))
+		return false;
+	step = flow_job_step(job, r->id.step);
+	return step->checkpointing && !step->gang && !step->long_running &&
+	    round_run_remaining_ms(r->holder->d, job, r) > EVACUATE_MS;
+}
+
+/*
+ * Stops the runs that resume elsewhere shortly before a draining worker may
+ * leave. Otherwise their work since the last checkpoint is lost, and a run that
+ * ends just as the worker leaves is not known to have ended: its task would run
+ * twice.
+ */
+static void
+evacuate(struct holder *h, int64_t now)
+{
+	const struct dispatch *d = h->d;
+
+	if (d->conf.drain_ms == 0 || h->draining_ms == 0 || h->dead ||
+	    now < h->draining_ms + d->conf.drain_ms - EVACUATE_MS)
+		return;
+	for (guint i = 0; i < h->runs->len; i++) {
+		struct active_run *r = h->runs->pdata[i];
+
+		if (!is_to_evacuate(r))
+			continue;
+		log_info("dispatch",
+		    "event=stop run=%s worker=%s why=worker-leaves "
+		    "draining_ms=%" G_GINT64_FORMAT,
+		    run_name(&r->id), h->name, now - h->draining_ms);
+		d->meter.stops->value++;
+		run_stop(r);
+	}
+}
+
 static void
 scan_holder(struct holder *h, int64_t now)
 {
@@ -711,6 +761,7 @@
 	 * since. */
 	if (h->dead && h->runs->len > 0)
 		(void)end_all_runs(h, "its incarnation is over");
+	evacuate(h, now);
 	maybe_remove(h, now);
 	holder_poll(h, now);
 }
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -96,6 +96,7 @@
 	bool poll_failed; /* did not answer the last poll */
 	bool unreachable; /* an order could not be sent since its last answer */
 	bool deregistered;
+	int64_t draining_ms; /* since when it drains; 0: it doesn't */
 	bool dead; /* this incarnation is over ... */
 	int64_t dead_ms; /* ... since when */
 	bool name_reused; /* a later incarnation has its name and address */
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,6 +1,6 @@
 bt_cases(dispatch
     SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_keys.c
-    dispatch_organisations.c dispatch_overload.c dispatch_policy.c stubleader.c
+    dispatch_organisations.c dispatch_drain.c dispatch_overload.c dispatch_policy.c stubleader.c
     stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
@@ -27,4 +27,5 @@
     policy-ahead policy-ahead-overdue policy-learn
     overload-refused overload-off overload-room
     overload-overdue overload-proposed overload-takeover
-    overload-never-fits)
+    overload-never-fits
+    drain-evacuates drain-unknown)
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -780,5 +780,6 @@
 	organisation_tests_add();
 	policy_tests_add();
 	overload_tests_add();
+	drain_tests_add();
 	return g_test_run();
 }
--- a/test/dispatch_test.h
+++ b/test/dispatch_test.h
@@ -8,5 +8,6 @@
 void organisation_tests_add(void);
 void policy_tests_add(void);
 void overload_tests_add(void);
+void drain_tests_add(void);
 
 #endif
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -342,17 +342,16 @@
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 }
 
+/* conf: the settings that differ from the defaults. */
 static struct leader *
-leader_create(double uneven_workers, bool yield_under_overload)
+leader_create(struct dispatch_conf conf)
 {
 	struct leader *l = g_new0(struct leader, 1);
-	struct dispatch_conf conf = { .agent = &stub_agent,
-		.lease_max_ms = 6000,
-		.far_factor = 1,
-		.uneven_workers = uneven_workers,
-		.retain_ms = 60000,
-		.yield_under_overload = yield_under_overload };
 
+	conf.agent = &stub_agent;
+	conf.lease_max_ms = 6000;
+	conf.far_factor = 1;
+	conf.retain_ms = 60000;
 	l->base = event_base_new();
 	l->flow = flow_new();
 	l->registry = registry_new();
@@ -371,19 +370,27 @@
 struct leader *
 leader_new(void)
 {
-	return leader_create(0, false);
+	return leader_create((struct dispatch_conf){ 0 });
 }
 
 struct leader *
 leader_new_yielding(void)
 {
-	return leader_create(0, true);
+	return leader_create(
+	    (struct dispatch_conf){ .yield_under_overload = true });
 }
 
 struct leader *
 leader_new_uneven(double uneven_workers)
 {
-	return leader_create(uneven_workers, false);
+	return leader_create(
+	    (struct dispatch_conf){ .uneven_workers = uneven_workers });
+}
+
+struct leader *
+leader_new_draining(int64_t drain_ms)
+{
+	return leader_create((struct dispatch_conf){ .drain_ms = drain_ms });
 }
 
 void
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -60,6 +60,8 @@
 /* Returns a leader of term 1 with the queues "renders" (two attempts) and
  * "allowed" (needs permits) of the pool "desk". */
 struct leader *leader_new(void);
+/* The same with a setting for how long a draining worker stays. */
+struct leader *leader_new_draining(int64_t drain_ms);
 /* The same with a setting for uneven workers. */
 struct leader *leader_new_uneven(double uneven_workers);
 /* The same with the setting overload=yield. */
