dispatch: no refusal under a lowered cap once the job is proposed

A submit that is sent again while its first copy is being committed was checked against the cap as it is now. If the cap had been lowered in between, the sender was told that the job had not run, and the job ran after its commit. As admission does, the check now leaves out jobs that are proposed.

Test cap-lowered-before-commit: the second copy got REQUEST_REFUSED before, waits for the commit now.

--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -231,30 +231,6 @@
 	return spec->payload != NULL && spec->steps->len > 0;
 }
 
-/* Refuses a job that can't start under the cap of its organisation. Says
- * whether it did. */
-static bool
-refuse_misfit(struct dispatch *d, uint64_t process, const struct request *req,
-    const struct flow_organisation *owner, const struct flow_spec *spec)
-{
-	uint32_t step = 0;
-	const char *why =
-	    owner == NULL ? NULL : organisation_misfit(owner, spec, &step);
-
-	if (why == NULL)
-		return false;
-	d->meter.refused->value++;
-	log_info("dispatch",
-	    "event=refused why=%s path=%s organisation=%s step=%u"
-	    " cap_millicpus=%" G_GINT64_FORMAT " cap_memory=%" G_GINT64_FORMAT
-	    " cap_accelerators=%" G_GINT64_FORMAT,
-	    why, req->path, owner->name, step, owner->cap.millicpus,
-	    owner->cap.memory, owner->cap.accelerators);
-	reply(d, process, req->id, REQUEST_REFUSED, why, strlen(why),
-	    RETRY_CAP_MS);
-	return true;
-}
-
 static void
 find_submit(gpointer key, gpointer value, gpointer arg)
 {
@@ -276,6 +252,31 @@
 	return found.index != 0;
 }
 
+/* Refuses a job that can't start under the cap of its organisation. Says
+ * whether it did. */
+static bool
+refuse_misfit(struct dispatch *d, uint64_t process, const struct request *req,
+    const struct flow_organisation *owner, const struct flow_cmd *cmd)
+{
+	uint32_t step = 0;
+	const char *why = owner == NULL
+	    ? NULL
+	    : organisation_misfit(owner, &cmd->u.submit.spec, &step);
+
+	if (why == NULL || submit_proposed(d, cmd->u.submit.job))
+		return false;
+	d->meter.refused->value++;
+	log_info("dispatch",
+	    "event=refused why=%s path=%s organisation=%s step=%u"
+	    " cap_millicpus=%" G_GINT64_FORMAT " cap_memory=%" G_GINT64_FORMAT
+	    " cap_accelerators=%" G_GINT64_FORMAT,
+	    why, req->path, owner->name, step, owner->cap.millicpus,
+	    owner->cap.memory, owner->cap.accelerators);
+	reply(d, process, req->id, REQUEST_REFUSED, why, strlen(why),
+	    RETRY_CAP_MS);
+	return true;
+}
+
 /* Refuses a job if that costs callers less than to accept it. */
 static bool
 refuse(struct dispatch *d, uint64_t process, const struct request *req,
@@ -320,14 +321,11 @@
 		reply_text(d, process, req, REQUEST_INVALID, "malformed job");
 		return;
 	}
-	if (refuse_misfit(d, process, req, owner, &cmd.u.submit.spec)) {
-		flow_spec_clear(&cmd.u.submit.spec);
-		return;
-	}
 	cmd.u.submit.job = job;
 	cmd.u.submit.queue = q->name;
 	cmd.u.submit.organisation = owner == NULL ? NULL : owner->name;
-	if (refuse(d, process, req, q, &cmd)) {
+	if (refuse_misfit(d, process, req, owner, &cmd) ||
+	    refuse(d, process, req, q, &cmd)) {
 		flow_spec_clear(&cmd.u.submit.spec);
 		return;
 	}
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -20,7 +20,7 @@
     key-other-organisation key-rotated key-revoked key-takeover
     key-unconfirmed key-revoked-before-state key-suspended-before-state
     cap-over-workers cap-takeover cap-lowered
-    cap-lowered-before-order cap-silent-worker cap-gang-turn cap-gang-beside-service
+    cap-lowered-before-order cap-lowered-before-commit cap-silent-worker cap-gang-turn cap-gang-beside-service
     cap-gang-permit cap-no-preemption cap-never-fits cap-other-organisations
     policy-split policy-query-fails
     policy-process-lost policy-late-answers policy-takeover policy-single
--- a/test/dispatch_organisations.c
+++ b/test/dispatch_organisations.c
@@ -449,6 +449,35 @@
 	leader_free(l);
 }
 
+/* Guards against the answer "has not run" for a job whose first request is
+ * being committed, when its sender has sent it again after the cap was lowered
+ * below what the job needs. */
+static void
+test_lowered_before_commit(void)
+{
+	struct leader *l = leader_with_cap(4000);
+	struct stub_worker *a = add_worker(l, "a");
+
+	l->hold_commands = true;
+	leader_send(l, REQUEST_CONFIG, "",
+	    next_config(l, (struct resources){ 1000, 0, 0 }));
+	send_as(
+	    l, "acme", REQUEST_SUBMIT, JOB_PATH, leader_spec(tasks(1, 2000)));
+	leader_apply(l);
+	l->last_result = REQUEST_OP_COUNT;
+	send_as(
+	    l, "acme", REQUEST_SUBMIT, JOB_PATH, leader_spec(tasks(1, 2000)));
+	g_assert_cmpuint(l->last_result, ==, REQUEST_OP_COUNT);
+	leader_release_commands(l);
+	AWAIT(l, l->last_result == REQUEST_DONE);
+	g_assert_nonnull(flow_job(l->flow, JOB));
+	/* A job that is not known is refused under this cap. */
+	g_assert_cmpuint(
+	    submit(l, "acme", OTHER_PATH, tasks(1, 2000)), ==, REQUEST_REFUSED);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 void
 organisation_tests_add(void)
 {
@@ -459,6 +488,8 @@
 	g_test_add_func("/dispatch/cap-lowered", test_lowered);
 	g_test_add_func(
 	    "/dispatch/cap-lowered-before-order", test_lowered_before_order);
+	g_test_add_func(
+	    "/dispatch/cap-lowered-before-commit", test_lowered_before_commit);
 	g_test_add_func("/dispatch/cap-silent-worker", test_silent_worker);
 	g_test_add_func("/dispatch/cap-gang-turn", test_gang_turn);
 	g_test_add_func(
