plan, settings: no endless search for the workers of a gang

Settings took nan and inf as numbers. With far-factor=nan and uneven-workers set, the search for the fastest workers that hold a gang never ended, as no limit of the slowdown includes an undefined one, and the leader hung.

Seen before: plan-test gang-undefined-speed ran until its time-out, and the settings were accepted.

--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -321,8 +321,12 @@
     const struct plan_request *request)
 {
 	struct scope scope = { .max_slowdown = LIKE_SPEED };
+	double slowest = 0;
 
-	while (!all_fit(workers, count, request, &scope))
+	for (guint i = 0; i < count; i++)
+		slowest = MAX(slowest, slowdown_on(workers[i], request));
+	while (scope.max_slowdown < slowest &&
+	    !all_fit(workers, count, request, &scope))
 		scope.max_slowdown *= LIKE_SPEED;
 	return scope;
 }
@@ -356,11 +360,12 @@
 	if (request->gang && !all_fit(workers, count, request, &any))
 		return 0;
 	if (request->gang && by_end(request))
-		return place_gang_by_end(workers, count, request, pick);
-	if (request->colocated &&
+		placed = place_gang_by_end(workers, count, request, pick);
+	else if (request->colocated &&
 	    place_on_one_rack(workers, count, request, &any, pick))
-		return request->count;
-	placed = place_tasks(workers, count, request, &any, pick);
+		placed = request->count;
+	else
+		placed = place_tasks(workers, count, request, &any, pick);
 	if (request->gang && placed < request->count) {
 		release(workers, request, pick, placed);
 		return 0;
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -1374,6 +1374,25 @@
 	g_free(s);
 }
 
+/* Guards against a search for the fastest workers that hold a gang which never
+ * ends, as a worker has an undefined speed: a leader hung with far-factor=nan.
+ */
+static void
+test_gang_undefined_speed(void)
+{
+	struct plan_worker a = worker_with(1, 64, 1);
+	struct plan_worker b = worker_with(2, 64, 2);
+	struct plan_worker *workers[] = { &a, &b };
+	struct plan_request request = request_of(2, 40, true);
+	uint32_t pick[2];
+
+	request.runtime_ms = request.runtime_high_ms = 1000;
+	request.slow_from = 1.5;
+	b.slowdown = NAN;
+	g_assert_cmpuint(plan_place(workers, 2, &request, pick), ==, 0);
+	g_assert_cmpint(a.free.millicpus, ==, 64000);
+}
+
 /* With learnt speeds no class of work may do worse than without them; short
  * urgent jobs and gangs were late for the slow workers they ran on. */
 static void
@@ -1430,6 +1449,8 @@
 	g_test_add_func("/plan/slack-goes-slow", test_slack_goes_slow);
 	g_test_add_func("/plan/gang-of-like-speed", test_gang_of_like_speed);
 	g_test_add_func("/plan/gang-waits-for-fast", test_gang_waits_for_fast);
+	g_test_add_func(
+	    "/plan/gang-undefined-speed", test_gang_undefined_speed);
 	g_test_add_func("/plan/replay-uneven", test_replay_uneven);
 	return g_test_run();
 }
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -537,6 +537,12 @@
 	    read_settings(NODE "peer-ports=1,2\ncallers=here\n", &s));
 	g_assert_false(
 	    read_settings(NODE "peer-ports=1,2\nlease-max-ms=-4\n", &s));
+	/* A gang on workers of infinite or undefined slowdown hung the leader.
+	 */
+	g_assert_false(
+	    read_settings(NODE "peer-ports=1,2\nfar-factor=nan\n", &s));
+	g_assert_false(
+	    read_settings(NODE "peer-ports=1,2\nuneven-workers=inf\n", &s));
 	g_assert_false(
 	    read_settings(NODE "peer-ports=1,2\noverload=maybe\n", &s));
 	g_assert_false(
