dispatch, cost: the stops of one job count once, by the time to spare used up

A stop counted as free as long as the job could still just be in time, and the repeated work of each run as if it carried the whole job. A run is not stopped for a step of less weight.

--- a/lib/cost/cost.c
+++ b/lib/cost/cost.c
@@ -77,11 +77,15 @@
 
 int64_t
 cost_of_stop(
-    const struct cost_job *job, int64_t end_ms, const struct cost_stop *stop)
+    const struct cost_job *job, int64_t now_ms, const struct cost_stop *stop)
 {
-	int64_t later_ms = end_ms + stop->restart_ms + stop->lost_ms;
+	int64_t later_ms = now_ms + stop->restart_ms + stop->lost_ms;
+	int64_t delay = cost_of_delay(job, later_ms + job->remaining_ms) -
+	    cost_of_delay(job, now_ms + job->remaining_ms);
+	int64_t waiting =
+	    cost_of_waiting(job, later_ms) - cost_of_waiting(job, now_ms);
 
-	return cost_of_delay(job, later_ms) - cost_of_delay(job, end_ms) +
+	return MAX(delay, waiting) +
 	    stop->lost_work * stop->price / COST_WORK_UNIT;
 }
 
--- a/lib/cost/cost.h
+++ b/lib/cost/cost.h
@@ -28,11 +28,11 @@
 	int64_t work; /* core-ms that it still needs, see cost_work() */
 };
 
-/* The consequences of stopping a run. */
+/* The consequences of stopping runs of a job. */
 struct cost_stop {
-	int64_t restart_ms; /* until it runs again */
-	int64_t lost_ms; /* run time since its checkpoint */
-	int64_t lost_work; /* the same in core-ms */
+	int64_t restart_ms; /* until they run again */
+	int64_t lost_ms; /* run time since the checkpoint, the longest */
+	int64_t lost_work; /* the same in core-ms, of all of them */
 	/* Value of capacity: cost per COST_WORK_UNIT of the work that waits. */
 	int64_t price;
 };
@@ -67,9 +67,12 @@
  */
 int64_t cost_of_waiting(const struct cost_job *job, int64_t now_ms);
 
-/* The loss if a run that could end at end_ms is stopped and restarted. */
+/*
+ * The loss if runs of the job are stopped now: the time to spare that it uses
+ * up, valued like that of a job that waits, and the work that is repeated.
+ */
 int64_t cost_of_stop(
-    const struct cost_job *job, int64_t end_ms, const struct cost_stop *stop);
+    const struct cost_job *job, int64_t now_ms, const struct cost_stop *stop);
 
 /*
  * How far the job goes before others that are in time, late or overdue like it:
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -103,8 +103,9 @@
 	int64_t ran_ms;
 	int64_t remaining_ms;
 	bool resumes; /* from a checkpoint */
-	int64_t lost_ms; /* run time since that, with overload=yield */
-	int64_t cost; /* to callers, of stopping it, with overload=yield */
+	/* With overload=yield: */
+	int64_t lost_ms; /* run time since that checkpoint */
+	int64_t weight; /* of its job; 0: can't be in time */
 	/* If it resumes; INT64_MAX if its job can't end on time: plan_compare()
 	 * ranks such a job behind all that can. */
 	int64_t spare_ms;
@@ -121,27 +122,42 @@
 	g_free(w);
 }
 
-/* Sets what stopping a run costs callers: its job may end too late, and the
- * work since its checkpoint is repeated, which takes as much capacity from
- * others as the run is worth itself. */
-static void
-set_cost(const struct round *rd, const struct plan_pending *urgency,
-    const struct flow_job *job, struct preemptible *out)
+/* The core-ms that the tasks of a job's occurrence still need on a worker. */
+static int64_t
+work_left(const struct round *rd, const struct flow_job *job,
+    const struct flow_occurrence *occurrence, const struct resources *all)
 {
-	const struct active_run *r = out->run;
-	struct pending_step p = { .plan = *urgency, .job = job };
+	int64_t sum = 0;
+
+	for (guint i = 0; i < job->spec.steps->len; i++) {
+		const struct flow_step *s = flow_job_step(job, i);
+		const struct flow_step_state *st = &occurrence->steps[i];
+		struct resources per_task = run_resources(s);
+
+		sum += cost_work(&per_task, st->count - st->done,
+		    round_task_ms(rd->d, job, s), all);
+	}
+	return sum;
+}
+
+/* The job of a run, as lib/cost describes it. */
+static struct cost_job
+job_of_run(const struct round *rd, const struct active_run *r,
+    const struct flow_job *job, const struct plan_pending *urgency)
+{
+	const struct flow_occurrence *occurrence =
+	    flow_occurrence(job, r->id.occurrence);
 	const struct resources *all =
 	    &flow_worker(rd->d->conf.flow, r->holder->id)->capacity;
-	struct cost_job cost = admission_cost_job(
-	    rd, &p, cost_work(&r->resources, 1, out->remaining_ms, all));
-	struct cost_stop stop = { .restart_ms = RESTART_MS };
-
-	out->lost_ms = rd->now - MAX(r->started_ms, r->checkpoint_ms);
-	stop.lost_ms = out->lost_ms;
-	stop.lost_work = cost_work(&r->resources, 1, out->lost_ms, all);
-	stop.price = cost_per_work(&cost, cost_value(&cost));
-	out->cost =
-	    cost_of_stop(&cost, rd->cell_now + cost.remaining_ms, &stop);
+	struct pending_step p = { .plan = *urgency, .job = job };
+
+	return admission_cost_job(rd, &p, work_left(rd, job, occurrence, all));
+}
+
+static int64_t
+since_checkpoint(const struct round *rd, const struct active_run *r)
+{
+	return rd->now - MAX(r->started_ms, r->checkpoint_ms);
 }
 
 /* Says whether a run may be preempted at all, and describes it. */
@@ -173,8 +189,13 @@
 	out->spare_ms = plan_tier(&urgency, rd->cell_now) > PLAN_ON_TIME
 	    ? INT64_MAX
 	    : spare_ms(&urgency, rd->cell_now);
-	if (rd->d->conf.yield_under_overload)
-		set_cost(rd, &urgency, job, out);
+	if (rd->d->conf.yield_under_overload) {
+		struct cost_job cost = job_of_run(rd, r, job, &urgency);
+
+		out->lost_ms = since_checkpoint(rd, r);
+		if (out->spare_ms != INT64_MAX)
+			out->weight = cost_weight(&cost, rd->cell_now);
+	}
 	return true;
 }
 
@@ -208,7 +229,8 @@
 	if (!entry->resumes || entry->spare_ms <= least_spare_ms)
 		return false;
 	if (yields)
-		return entry->run->id.number <= STOPS_MAX;
+		return entry->run->id.number <= STOPS_MAX &&
+		    (p->plan.aged || entry->weight < p->plan.weight);
 	return entry->run->id.number <= PREEMPTIONS_MAX &&
 	    entry->ran_ms >= RUN_MIN_MS;
 }
@@ -230,7 +252,6 @@
 			.resources = entry->run->resources,
 			.lost_ms =
 			    entry->resumes ? entry->lost_ms : entry->ran_ms,
-			.cost = entry->cost,
 			.ends_soon = p->plan.long_running &&
 			    entry->remaining_ms < ENDS_SOON_MS };
 
@@ -327,10 +348,45 @@
 		query_unknown(rd, request, workers, permits);
 }
 
+/* The stops of one job's runs. */
+struct job_stops {
+	struct cost_job job;
+	struct cost_stop stop;
+};
+
+/* Adds a run to the stops of its job: the job is late once, whatever number of
+ * its runs is stopped. */
+static void
+add_stop(struct round *rd, GHashTable *stops, const struct active_run *r)
+{
+	const struct flow_job *job = flow_job(rd->d->conf.flow, r->id.job);
+	const struct resources *all =
+	    &flow_worker(rd->d->conf.flow, r->holder->id)->capacity;
+	struct job_stops *s = g_hash_table_lookup(stops, job);
+	int64_t lost_ms = since_checkpoint(rd, r);
+
+	if (s == NULL) {
+		struct plan_pending urgency = round_urgency(
+		    rd->d, job, flow_occurrence(job, r->id.occurrence));
+
+		s = g_new0(struct job_stops, 1);
+		s->job = job_of_run(rd, r, job, &urgency);
+		s->stop.restart_ms = RESTART_MS;
+		s->stop.price = cost_per_work(&s->job, cost_value(&s->job));
+		g_hash_table_insert(stops, (gpointer)job, s);
+	}
+	s->stop.lost_ms = MAX(s->stop.lost_ms, lost_ms);
+	s->stop.lost_work += cost_work(&r->resources, 1, lost_ms, all);
+}
+
 /* What callers lose by the stops of the selected runs. */
 static int64_t
-cost_of_selected(const struct plan_preemption *preemptions, guint count)
+cost_of_selected(
+    struct round *rd, const struct plan_preemption *preemptions, guint count)
 {
+	GHashTable *stops = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	GHashTableIter iter;
+	gpointer value;
 	int64_t sum = 0;
 
 	for (guint i = 0; i < count; i++) {
@@ -341,9 +397,16 @@
 			    &g_array_index(victims, struct plan_victim, k);
 
 			if (v->chosen && !v->ends_soon)
-				sum += v->cost;
+				add_stop(rd, stops, v->run);
 		}
 	}
+	g_hash_table_iter_init(&iter, stops);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct job_stops *s = value;
+
+		sum += cost_of_stop(&s->job, rd->cell_now, &s->stop);
+	}
+	g_hash_table_unref(stops);
 	return sum;
 }
 
@@ -361,7 +424,7 @@
 	    p->plan.aged)
 		return true;
 	gain = cost_of_waiting(&job, rd->cell_now);
-	cost = cost_of_selected(preemptions, count);
+	cost = cost_of_selected(rd, preemptions, count);
 	if (gain <= cost)
 		return false;
 	log_info("dispatch",
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -151,7 +151,6 @@
 	struct resources resources; /* freed when it ends */
 	int64_t lost_ms; /* run time lost by stopping it; 0: it can resume */
 	bool ends_soon; /* needs no stop: its end is awaited */
-	int64_t cost; /* to callers, of stopping it; not used here */
 	bool chosen;
 };
 
--- a/test/cost_test.c
+++ b/test/cost_test.c
@@ -105,24 +105,32 @@
 	}
 }
 
-/* Guards against stops that seem free: of a run that becomes late by it, or
- * that has much to repeat. */
+/* Guards against stops that seem free: of a run whose job has little time to
+ * spare, or that has much to repeat. */
 static void
 test_stop(void)
 {
 	struct cost_job job = gang();
 	struct cost_stop stop = { .restart_ms = 500 };
-	int64_t end_ms = 1000 + 14640 - 1000;
+	int64_t late = cost_of_delay(&job, 1000 + 14640 + 1);
+	int64_t now_ms = 1000 + 14640 - 6200 - 1000;
+	int64_t early = cost_of_stop(&job, 1000, &stop);
+	int64_t cost;
 
-	g_assert_cmpint(cost_of_stop(&job, end_ms, &stop), ==, 0);
+	g_assert_cmpint(early, >, 0);
+	g_assert_cmpint(early, <, late / 10);
 	stop.lost_ms = 2000;
-	g_assert_cmpint(cost_of_stop(&job, end_ms, &stop), >, 0);
+	cost = cost_of_stop(&job, now_ms, &stop);
+	g_assert_cmpint(cost, ==, late);
 	/* It is late anyway: only the repeated work counts. */
-	end_ms = 1000 + 14640 + 1000;
-	g_assert_cmpint(cost_of_stop(&job, end_ms, &stop), ==, 0);
+	now_ms += 2000;
+	g_assert_cmpint(cost_of_stop(&job, now_ms, &stop), ==, 0);
 	stop.lost_work = 36000;
 	stop.price = 1000;
-	g_assert_cmpint(cost_of_stop(&job, end_ms, &stop), ==, 36000);
+	g_assert_cmpint(cost_of_stop(&job, now_ms, &stop), ==, 36000);
+	/* And then it is of no use any more. */
+	now_ms = 1000 + 3 * 14640 - 6200 - 1000;
+	g_assert_cmpint(cost_of_stop(&job, now_ms, &stop), >, 36000);
 }
 
 /* Guards against runs that are stopped for a job that has time to wait for
--- a/test/dispatch_overload.c
+++ b/test/dispatch_overload.c
@@ -26,15 +26,9 @@
 {
 	leader_submit(l, FILL_PATH, 4, 1000);
 	AWAIT(l, a->running->len == 4);
-}
-
-/* Fills the workers for so long that jobs may be refused. */
-static void
-saturate(struct leader *l, const struct stub_worker *a)
-{
-	fill(l, a);
-	leader_submit(l, BACKLOG_PATH, 10, 1000);
-	leader_run_for(l, FULL_MS);
+	/* Else they are moved, as they make no progress. */
+	for (guint i = 0; i < a->running->len; i++)
+		g_array_index(a->running, struct stub_run, i).percent = 100;
 }
 
 /* Submits a job of half a second, with an objective of two seconds. */
@@ -47,6 +41,33 @@
 		.runtime_ms = 500 }));
 }
 
+/* Submits jobs until the workers have been full for so long that one is
+ * refused. */
+static void
+await_refusal(struct leader *l)
+{
+	int64_t limit = mono_ms() + AWAIT_LIMIT_MS;
+	static int id = 0x1000;
+
+	do {
+		char *path = g_strdup_printf("/renders/%016x", id++);
+
+		g_assert_cmpint(mono_ms(), <, limit);
+		leader_run_for(l, 100);
+		submit_short(l, path);
+		g_free(path);
+	} while (l->last_result != REQUEST_REFUSED);
+}
+
+/* Fills the workers for so long that jobs are refused. */
+static void
+saturate(struct leader *l, const struct stub_worker *a)
+{
+	fill(l, a);
+	leader_submit(l, BACKLOG_PATH, 10, 1000);
+	await_refusal(l);
+}
+
 static void
 cancel(struct leader *l, const char *path)
 {
@@ -78,8 +99,13 @@
 	g_assert_null(flow_job(l->flow, JOB));
 	cancel(l, FILL_PATH);
 	cancel(l, BACKLOG_PATH);
-	AWAIT(l, a->running->len == 0);
-	leader_run_for(l, 100);
+	a->run_ms = 50; /* for the jobs accepted before */
+	for (int64_t until = mono_ms() + 1000; mono_ms() < until;) {
+		(void)stub_worker_tick(a);
+		leader_run(l);
+	}
+	g_assert_cmpuint(a->running->len, ==, 0);
+	a->run_ms = 0;
 	g_assert_null(flow_job(l->flow, JOB));
 	submit_short(l, JOB_PATH);
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
@@ -94,7 +120,9 @@
 	struct leader *l = leader_new();
 	struct stub_worker *a = add_worker(l);
 
-	saturate(l, a);
+	fill(l, a);
+	leader_submit(l, BACKLOG_PATH, 10, 1000);
+	leader_run_for(l, FULL_MS);
 	submit_short(l, JOB_PATH);
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 	finish(l, a);
@@ -185,7 +213,7 @@
 	fill(l, a);
 	submit_short(l, JOB_PATH);
 	leader_submit(l, BACKLOG_PATH, 10, 1000);
-	leader_run_for(l, FULL_MS);
+	await_refusal(l);
 	submit_short(l, "/renders/0000000000000055");
 	g_assert_cmpuint(l->last_result, ==, REQUEST_REFUSED);
 	dispatch_resign(l->dispatch);
@@ -195,9 +223,7 @@
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 	submit_short(l, "/renders/0000000000000055");
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
-	leader_run_for(l, FULL_MS);
-	submit_short(l, "/renders/0000000000000056");
-	g_assert_cmpuint(l->last_result, ==, REQUEST_REFUSED);
+	await_refusal(l);
 	submit_short(l, "/renders/0000000000000055");
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 	finish(l, a);
