admit: replays of load patterns and of random loads

Work counts as made late only if its wait is twice what it can spare: with once, a load wave had five times as many refusals.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -17,6 +17,10 @@
 /* Least part of the capacity that is assumed to be left by more urgent
  * arrivals: their rate is an estimate. */
 #define LEFT_MIN_PERMILLE 50
+/* Waiting work counts as made late if its wait is this many times what it can
+ * spare. With 1, replays refused five times as many jobs under a load wave and
+ * cost twice as much: the wait is estimated without preemption. */
+#define DISPLACED_FACTOR 2
 #define RETRY_MIN_MS 300
 #define RETRY_MAX_MS 15000
 #define SPREAD_PERCENT                                         \
@@ -312,7 +316,7 @@
 		ahead += m->work;
 		price = m->cost / m->work;
 		if ((double)time_to_start(a, ahead, arrival_rate(a, i + 1)) >
-			m->spare / m->work &&
+			DISPLACED_FACTOR * m->spare / m->work &&
 		    (cheapest < 0 || price < cheapest))
 			cheapest = price;
 	}
--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -1,5 +1,5 @@
 /* Tests of the admission of jobs under overload. */
-#include "admit.h"
+#include "overload_replay.h"
 
 #define GIB (INT64_C(1) << 30)
 #define ROUND_MS 50
@@ -228,10 +228,237 @@
 	admit_free(a);
 }
 
+/* Differences below a hundredth of the value of all jobs are those of a few
+ * jobs, which differ with the seed. */
+#define MARGIN(r) ((r).value / 100)
+#define SEEDS 2
+/* The platform reports the states of jobs for two minutes. */
+#define WAIT_MAX_MS 120000
+
+static void
+add_result(struct replay_result *sum, const struct replay_result *r)
+{
+	sum->cost += r->cost;
+	sum->value += r->value;
+	sum->jobs += r->jobs;
+	sum->in_time += r->in_time;
+	sum->late += r->late;
+	sum->useless += r->useless;
+	sum->given_up += r->given_up;
+	sum->refusals += r->refusals;
+	sum->refusals_with_room += r->refusals_with_room;
+	sum->stops += r->stops;
+	sum->unfinished += r->unfinished;
+	sum->most_stops = MAX(sum->most_stops, r->most_stops);
+	sum->longest_wait_ms = MAX(sum->longest_wait_ms, r->longest_wait_ms);
+	for (int i = 0; i < 3; i++) {
+		sum->priority_in_time[i] += r->priority_in_time[i];
+		sum->priority_jobs[i] += r->priority_jobs[i];
+	}
+}
+
+static struct replay_result
+replay(enum replay_load_kind kind, enum replay_rules_kind rules)
+{
+	struct replay_result sum = { 0 };
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct replay_load load = replay_loads[kind];
+		struct replay_result r;
+
+		load.seed = seed;
+		r = replay_run(&load, &replay_rules[rules]);
+		add_result(&sum, &r);
+	}
+	g_test_message("%s, %s: cost=%" G_GINT64_FORMAT
+		       " jobs=%u in_time=%u late=%u useless=%u never=%u "
+		       "refusals=%u stops=%u longest_ms=%" G_GINT64_FORMAT,
+	    replay_loads[kind].name, replay_rules[rules].name, sum.cost,
+	    sum.jobs, sum.in_time, sum.late, sum.useless, sum.given_up,
+	    sum.refusals, sum.stops, sum.longest_wait_ms);
+	return sum;
+}
+
+/* What holds under every load: an accepted job is finished, and soon enough
+ * that its caller still learns of it; none is stopped again and again; hardly
+ * any job is refused while there is room. */
+static void
+check_bounds(const struct replay_result *r)
+{
+	g_assert_cmpuint(r->unfinished, ==, 0);
+	g_assert_cmpint(r->longest_wait_ms, <, WAIT_MAX_MS);
+	g_assert_cmpuint(r->most_stops, <=, 2);
+	g_assert_cmpuint(r->refusals_with_room * 100, <=, r->refusals + 100);
+}
+
+/* Guards against rules that cost callers more than simpler ones, or than those
+ * before, under the load that they are made for. */
+static struct replay_result
+check_load(enum replay_load_kind kind)
+{
+	struct replay_result yields = replay(kind, REPLAY_YIELD);
+	struct replay_result before = replay(kind, REPLAY_BEFORE);
+
+	check_bounds(&yields);
+	for (int i = 0; i < REPLAY_RULES_COUNT; i++) {
+		struct replay_result other;
+
+		if (i == REPLAY_YIELD || i == REPLAY_BEFORE)
+			continue;
+		other = replay(kind, i);
+		if (i <= REPLAY_PRIORITY)
+			g_assert_cmpint(
+			    yields.cost, <=, other.cost + MARGIN(other));
+	}
+	g_assert_cmpint(yields.cost, <=, before.cost + MARGIN(before));
+	/* A hundredth: which jobs are too late differs, and so their number. */
+	g_assert_cmpuint(
+	    yields.useless, <=, before.useless + yields.jobs / 100);
+	/* Nearly all short urgent work is in time: it needs little room. */
+	g_assert_cmpuint(
+	    yields.priority_in_time[0] * 100, >=, yields.priority_jobs[0] * 98);
+	return yields;
+}
+
+/* Guards against urgent work that waits for, or is refused with, the work that
+ * fills the workers. */
+static void
+test_replay_burst(void)
+{
+	struct replay_result r = check_load(REPLAY_BURST);
+
+	g_assert_cmpuint(r.refusals, ==, 0);
+	g_assert_cmpuint(r.late + r.useless, ==, 0);
+}
+
+/* Guards against gangs that starve because small tasks take each free core. */
+static void
+test_replay_behind_small(void)
+{
+	struct replay_result r = check_load(REPLAY_BEHIND_SMALL);
+
+	g_assert_cmpuint(r.useless + r.given_up, ==, 0);
+}
+
+/* Guards against an organisation that slows down others by what it sends
+ * beyond its entitlement. */
+static void
+test_replay_spike(void)
+{
+	struct replay_result r = check_load(REPLAY_SPIKE);
+
+	g_assert_cmpuint(
+	    r.priority_in_time[1] * 100, >=, r.priority_jobs[1] * 95);
+}
+
+/* Guards against refusals, and against late work, beyond what the loss of a
+ * third of the workers makes necessary. */
+static void
+test_replay_lost(void)
+{
+	struct replay_result r = check_load(REPLAY_LOST);
+
+	g_assert_cmpuint(r.given_up + r.useless, ==, 0);
+}
+
+/* Guards against refusals at the crest of a wave whose trough has room. */
+static void
+test_replay_wave(void)
+{
+	struct replay_result r = check_load(REPLAY_WAVE);
+
+	g_assert_cmpuint(r.given_up * 100, <=, r.jobs);
+	g_assert_cmpuint(r.useless * 100, <=, r.jobs);
+}
+
+static void
+test_replay_heavy(void)
+{
+	(void)check_load(REPLAY_HEAVY);
+}
+
+/* Guards against accepted work that helps nobody when callers want far more
+ * than the workers can do. */
+static void
+test_replay_twice(void)
+{
+	struct replay_result r = check_load(REPLAY_TWICE);
+
+	/* The promise of an acceptance holds for 96 of 100 jobs. */
+	g_assert_cmpuint(r.useless * 25, <=, r.jobs);
+}
+
+/* A class of random size and urgency. */
+static struct replay_class
+random_class(struct rng *rng)
+{
+	bool gang = rng_below(rng, 3) == 0;
+
+	return (struct replay_class){ .priority = (uint32_t)rng_below(rng, 3),
+		.tasks = 1 + (uint32_t)rng_below(rng, gang ? 16 : 40),
+		.millicpus = 500 + (int64_t)rng_below(rng, 18000),
+		.memory_mb = 512 + (int64_t)rng_below(rng, 40000),
+		.runtime_ms = 200 + (int64_t)rng_below(rng, 6000),
+		.gang = gang,
+		.checkpointing = rng_below(rng, 2) == 0,
+		.slack_factor = 1.2 + (double)rng_below(rng, 30) / 10,
+		.target_ms = 250 + (int64_t)rng_below(rng, 3000),
+		.until_ms = 40000,
+		.wave = (double)rng_below(rng, 8) / 10 };
+}
+
+/* Guards against loads that nobody thought of: under none of them is the sum
+ * of the costs above that of serving first what came first by more than a
+ * tenth, and a hundredth of the value of all jobs; nothing starves. */
+static void
+test_random(void)
+{
+	for (uint64_t seed = 1; seed <= 15; seed++) {
+		struct rng rng = { .state = seed * 7919 };
+		struct replay_class classes[4];
+		struct replay_load load = { .name = "random",
+			.workers = 12,
+			.until_ms = 40000,
+			.classes = classes,
+			.class_count = G_N_ELEMENTS(classes),
+			.seed = seed };
+		/* Of the capacity, asked for by all classes together. */
+		double part = 0.5 + (double)rng_below(&rng, 150) / 100;
+		struct replay_result r;
+		struct replay_result first;
+
+		load.lost_workers = (uint32_t)rng_below(&rng, 5);
+		for (guint i = 0; i < load.class_count; i++) {
+			struct replay_class *c = &classes[i];
+			double work;
+
+			*c = random_class(&rng);
+			work = (double)(c->tasks * c->runtime_ms) *
+			    MAX((double)c->millicpus / 64000,
+				(double)c->memory_mb / 262144) /
+			    1000;
+			c->per_s = part * load.workers / 4 / work;
+		}
+		r = replay_run(&load, &replay_rules[REPLAY_YIELD]);
+		first = replay_run(&load, &replay_rules[REPLAY_FIRST_COME]);
+		g_test_message(
+		    "seed=%u part=%.2f jobs=%u cost=%" G_GINT64_FORMAT
+		    " first_come=%" G_GINT64_FORMAT
+		    " refusals=%u useless=%u first_useless=%u "
+		    "longest_ms=%" G_GINT64_FORMAT,
+		    (guint)seed, part, r.jobs, r.cost, first.cost, r.refusals,
+		    r.useless, first.useless, r.longest_wait_ms);
+		check_bounds(&r);
+		g_assert_cmpint(
+		    r.cost, <=, first.cost * 11 / 10 + MARGIN(first));
+	}
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	replay_loads_init();
 	g_test_add_func("/admit/room", test_room);
 	g_test_add_func("/admit/short-queue", test_short_queue);
 	g_test_add_func("/admit/return", test_return);
@@ -241,5 +468,13 @@
 	g_test_add_func("/admit/exempt", test_exempt);
 	g_test_add_func("/admit/bounded", test_bounded);
 	g_test_add_func("/admit/no-workers", test_no_workers);
+	g_test_add_func("/admit/replay-burst", test_replay_burst);
+	g_test_add_func("/admit/replay-behind-small", test_replay_behind_small);
+	g_test_add_func("/admit/replay-spike", test_replay_spike);
+	g_test_add_func("/admit/replay-lost", test_replay_lost);
+	g_test_add_func("/admit/replay-wave", test_replay_wave);
+	g_test_add_func("/admit/replay-heavy", test_replay_heavy);
+	g_test_add_func("/admit/replay-twice", test_replay_twice);
+	g_test_add_func("/admit/random", test_random);
 	return g_test_run();
 }
