--- /dev/null
+++ b/bench/admit.cmake
@@ -0,0 +1,1 @@
+bt_program(admit_bench SOURCES admit_bench.c DEPENDS admit plan)
