--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -17,4 +17,4 @@
     capacity-shrinks-below-use best-effort-cores restart-before-order
     restart-under-order overload-refused overload-off overload-room
     overload-overdue overload-proposed overload-takeover
-    overload-never-fits)
+    overload-never-fits overload-stops)
--- a/test/dispatch_overload.c
+++ b/test/dispatch_overload.c
@@ -20,15 +20,21 @@
 	return a;
 }
 
+/* Else runs are moved, as they make no progress. */
+static void
+complete_progress(const struct stub_worker *a)
+{
+	for (guint i = 0; i < a->running->len; i++)
+		g_array_index(a->running, struct stub_run, i).percent = 100;
+}
+
 /* Runs that end in a minute take all 4 cores. */
 static void
 fill(struct leader *l, const struct stub_worker *a)
 {
 	leader_submit(l, FILL_PATH, 4, 1000);
 	AWAIT(l, a->running->len == 4);
-	/* Else they are moved, as they make no progress. */
-	for (guint i = 0; i < a->running->len; i++)
-		g_array_index(a->running, struct stub_run, i).percent = 100;
+	complete_progress(a);
 }
 
 /* Submits a job of half a second, with an objective of two seconds. */
@@ -242,9 +248,88 @@
 	finish(l, a);
 }
 
+/* Four runs that can resume from a checkpoint take all cores. */
+static void
+fill_resumable(struct leader *l, struct stub_worker *a)
+{
+	leader_submit_step(l, FILL_PATH,
+	    (struct flow_step){ .count = 4,
+		.resources = { 1000, 1 << 20, 0 },
+		.runtime_ms = 60000,
+		.checkpointing = true });
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+}
+
+/* Submits a gang of two that takes three of four cores, and returns whether its
+ * first member runs within a time. */
+static bool
+run_gang(struct leader *l, struct stub_worker *a, uint64_t job, int64_t ms)
+{
+	struct flow_run member = { job, 0, 0, 0, 1 };
+	int64_t until = mono_ms() + ms;
+	char *path =
+	    g_strdup_printf("/renders/%016" G_GINT64_MODIFIER "x", job);
+
+	leader_submit_step(l, path,
+	    (struct flow_step){ .count = 2,
+		.resources = { 1500, 1 << 20, 0 },
+		.runtime_ms = 1500,
+		.gang = true });
+	g_free(path);
+	while (!stub_worker_runs(a, &member) && mono_ms() < until) {
+		leader_run(l);
+		complete_progress(a);
+	}
+	return stub_worker_runs(a, &member);
+}
+
+/* Ends the two members of a gang after their declared run time, and lets the
+ * runs resume. */
+static void
+end_gang(struct leader *l, struct stub_worker *a, uint64_t job)
+{
+	struct flow_run member = { job, 0, 0, 0, 1 };
+	int64_t until = mono_ms() + 1500;
+
+	AWAIT(l, a->running->len == 3);
+	while (mono_ms() < until) {
+		leader_run(l);
+		complete_progress(a);
+	}
+	stub_worker_end(a, &member, AGENT_DONE);
+	member.index = 1;
+	stub_worker_end(a, &member, AGENT_DONE);
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+}
+
+/* Guards against runs that are stopped again and again, each time with work
+ * that is repeated: the third gang finds too few that were not stopped twice.
+ */
+static void
+test_stops(void)
+{
+	struct leader *l = leader_new_yielding();
+	struct stub_worker *a = add_worker(l);
+	int stops;
+
+	fill_resumable(l, a);
+	g_assert_true(run_gang(l, a, 0x71, AWAIT_LIMIT_MS));
+	end_gang(l, a, 0x71);
+	g_assert_true(run_gang(l, a, 0x72, AWAIT_LIMIT_MS));
+	end_gang(l, a, 0x72);
+	stops = a->stops;
+	g_assert_cmpint(stops, >=, 6);
+	g_assert_false(run_gang(l, a, 0x73, 2000));
+	g_assert_cmpint(a->stops, ==, stops);
+	finish(l, a);
+}
+
 void
 overload_tests_add(void)
 {
+	g_test_add_func("/dispatch/overload-stops", test_stops);
 	g_test_add_func("/dispatch/overload-refused", test_refused);
 	g_test_add_func("/dispatch/overload-off", test_off);
 	g_test_add_func("/dispatch/overload-room", test_room);
