--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -103,7 +103,7 @@
 	g_assert_cmpint(out.attempt, ==, 1);
 	/* The objective counts from the first attempt. */
 	g_assert_cmpint(out.retry_ms, <=, 3 * 4000 - 1000);
-	now = run_load(a, now, out.retry_ms, 950, 100000);
+	(void)run_load(a, now, out.retry_ms, 950, 100000);
 	first.now_ms = back;
 	out = admit_decide(a, &first);
 	g_assert_true(out.accept);
--- a/test/overload_loads.c
+++ b/test/overload_loads.c
@@ -6,27 +6,27 @@
 #define WORKERS 35
 
 /* 3 tasks of 9.9 cores, 1 s. */
-#define URGENT(rate, is_gang)                                           \
-	{                                                               \
-		.priority = 0, .tasks = 3, .millicpus = 9900,           \
-		.memory_mb = 4096, .runtime_ms = 1000, .gang = is_gang, \
-		.slack_factor = 1.5, .target_ms = 250, .per_s = rate,   \
-		.until_ms = LOAD_MS                                     \
+#define URGENT(rate, is_gang)                                             \
+	{                                                                 \
+		.priority = 0, .tasks = 3, .millicpus = 9900,             \
+		.memory_mb = 4096, .runtime_ms = 1000, .gang = (is_gang), \
+		.slack_factor = 1.5, .target_ms = 250, .per_s = (rate),   \
+		.until_ms = LOAD_MS                                       \
 	}
 /* 16 tasks of 18 cores and 36 GB, 6.2 s, at the same time. */
-#define GANG(rate)                                                     \
-	{                                                              \
-		.priority = 1, .tasks = 16, .millicpus = 18000,        \
-		.memory_mb = 36864, .runtime_ms = 6200, .gang = true,  \
-		.slack_factor = 2.2, .target_ms = 1000, .per_s = rate, \
-		.until_ms = LOAD_MS                                    \
+#define GANG(rate)                                                       \
+	{                                                                \
+		.priority = 1, .tasks = 16, .millicpus = 18000,          \
+		.memory_mb = 36864, .runtime_ms = 6200, .gang = true,    \
+		.slack_factor = 2.2, .target_ms = 1000, .per_s = (rate), \
+		.until_ms = LOAD_MS                                      \
 	}
 /* 37 tasks of 6.9 cores, 2.2 s, that resume from checkpoints. */
 #define BATCH(rate)                                                           \
 	{                                                                     \
 		.priority = 2, .tasks = 37, .millicpus = 6900,                \
 		.memory_mb = 4096, .runtime_ms = 2200, .checkpointing = true, \
-		.slack_factor = 4, .target_ms = 3000, .per_s = rate,          \
+		.slack_factor = 4, .target_ms = 3000, .per_s = (rate),        \
 		.until_ms = LOAD_MS                                           \
 	}
 
@@ -43,11 +43,11 @@
 static struct replay_class twice[] = { URGENT(8.8, false), URGENT(4.4, true),
 	GANG(0.86), BATCH(3.2) };
 
-#define LOAD(text, list, lost)                                          \
-	{                                                               \
-		.name = text, .workers = WORKERS, .lost_workers = lost, \
-		.until_ms = LOAD_MS, .classes = list,                   \
-		.class_count = G_N_ELEMENTS(list)                       \
+#define LOAD(text, list, lost)                                              \
+	{                                                                   \
+		.name = (text), .workers = WORKERS, .lost_workers = (lost), \
+		.until_ms = LOAD_MS, .classes = (list),                     \
+		.class_count = G_N_ELEMENTS(list)                           \
 	}
 
 const struct replay_load replay_loads[REPLAY_LOAD_COUNT] = {
--- a/test/overload_replay.c
+++ b/test/overload_replay.c
@@ -421,9 +421,8 @@
 
 		if (!may_stop(p, t, j))
 			continue;
-		if (p->rules->preemption == REPLAY_STOPS_COST) {
+		if (p->rules->preemption == REPLAY_STOPS_COST)
 			v.lost_ms = since_checkpoint(p, t);
-		}
 		g_array_append_val(out[t->worker].victims, v);
 	}
 }
@@ -493,7 +492,7 @@
 preempt(struct replay *p, struct job *j)
 {
 	uint32_t n = p->load->workers;
-	struct plan_preemption *all = g_new0(struct plan_preemption, n);
+	struct plan_preemption *all = g_new0(struct plan_preemption, n + 1);
 	struct plan_worker *copies =
 	    g_memdup2(p->workers, n * sizeof(struct plan_worker));
 	struct plan_request request = request_of(j);
@@ -653,6 +652,7 @@
 	p->open = g_ptr_array_new();
 	p->running = g_ptr_array_new();
 	p->admit = admit_new();
+	g_assert(p->load->workers > 0);
 	p->workers = g_new0(struct plan_worker, p->load->workers);
 	for (uint32_t i = 0; i < p->load->workers; i++)
 		p->workers[i] = (struct plan_worker){ .worker = i,
--- a/test/overload_replay.h
+++ b/test/overload_replay.h
@@ -13,14 +13,14 @@
 struct replay_class {
 	uint32_t priority;
 	uint32_t tasks;
+	uint32_t entitled_permille; /* 0: all */
+	bool gang;
+	bool checkpointing; /* once a second */
 	int64_t millicpus; /* per task */
 	int64_t memory_mb;
 	int64_t runtime_ms;
-	bool gang;
-	bool checkpointing; /* once a second */
 	double slack_factor;
 	int64_t target_ms;
-	uint32_t entitled_permille; /* 0: all */
 	double per_s; /* arrivals per second ... */
 	int64_t from_ms; /* ... in this time */
 	int64_t until_ms;
