--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -27,5 +27,4 @@
     policy-ahead policy-ahead-overdue policy-learn
     overload-refused overload-off overload-room
     overload-overdue overload-proposed overload-takeover
-    overload-never-fits
-    drain-evacuates drain-unknown)
+    overload-never-fits overload-stops drain-evacuates drain-unknown)
--- a/test/dispatch_overload.c
+++ b/test/dispatch_overload.c
@@ -20,21 +20,21 @@
 	return a;
 }
 
-/* Runs that end in a minute take all 4 cores. */
+/* Else runs are moved, as they make no progress. */
 static void
-fill(struct leader *l, const struct stub_worker *a)
+complete_progress(const struct stub_worker *a)
 {
-	leader_submit(l, FILL_PATH, 4, 1000);
-	AWAIT(l, a->running->len == 4);
+	for (guint i = 0; i < a->running->len; i++)
+		g_array_index(a->running, struct stub_run, i).percent = 100;
 }
 
-/* Fills the workers for so long that jobs may be refused. */
+/* Runs that end in a minute take all 4 cores. */
 static void
-saturate(struct leader *l, const struct stub_worker *a)
+fill(struct leader *l, const struct stub_worker *a)
 {
-	fill(l, a);
-	leader_submit(l, BACKLOG_PATH, 10, 1000);
-	leader_run_for(l, FULL_MS);
+	leader_submit(l, FILL_PATH, 4, 1000);
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
 }
 
 /* Submits a job of half a second, with an objective of two seconds. */
@@ -47,6 +47,33 @@
 		.runtime_ms = 500 }));
 }
 
+/* Submits jobs until the workers have been full for so long that one is
+ * refused. */
+static void
+await_refusal(struct leader *l)
+{
+	int64_t limit = mono_ms() + AWAIT_LIMIT_MS;
+	static int id = 0x1000;
+
+	do {
+		char *path = g_strdup_printf("/renders/%016x", id++);
+
+		g_assert_cmpint(mono_ms(), <, limit);
+		leader_run_for(l, 100);
+		submit_short(l, path);
+		g_free(path);
+	} while (l->last_result != REQUEST_REFUSED);
+}
+
+/* Fills the workers for so long that jobs are refused. */
+static void
+saturate(struct leader *l, const struct stub_worker *a)
+{
+	fill(l, a);
+	leader_submit(l, BACKLOG_PATH, 10, 1000);
+	await_refusal(l);
+}
+
 static void
 cancel(struct leader *l, const char *path)
 {
@@ -78,8 +105,13 @@
 	g_assert_null(flow_job(l->flow, JOB));
 	cancel(l, FILL_PATH);
 	cancel(l, BACKLOG_PATH);
-	AWAIT(l, a->running->len == 0);
-	leader_run_for(l, 100);
+	a->run_ms = 50; /* for the jobs accepted before */
+	for (int64_t until = mono_ms() + 1000; mono_ms() < until;) {
+		(void)stub_worker_tick(a);
+		leader_run(l);
+	}
+	g_assert_cmpuint(a->running->len, ==, 0);
+	a->run_ms = 0;
 	g_assert_null(flow_job(l->flow, JOB));
 	submit_short(l, JOB_PATH);
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
@@ -94,7 +126,9 @@
 	struct leader *l = leader_new();
 	struct stub_worker *a = add_worker(l);
 
-	saturate(l, a);
+	fill(l, a);
+	leader_submit(l, BACKLOG_PATH, 10, 1000);
+	leader_run_for(l, FULL_MS);
 	submit_short(l, JOB_PATH);
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 	finish(l, a);
@@ -185,7 +219,7 @@
 	fill(l, a);
 	submit_short(l, JOB_PATH);
 	leader_submit(l, BACKLOG_PATH, 10, 1000);
-	leader_run_for(l, FULL_MS);
+	await_refusal(l);
 	submit_short(l, "/renders/0000000000000055");
 	g_assert_cmpuint(l->last_result, ==, REQUEST_REFUSED);
 	dispatch_resign(l->dispatch);
@@ -195,9 +229,7 @@
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 	submit_short(l, "/renders/0000000000000055");
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
-	leader_run_for(l, FULL_MS);
-	submit_short(l, "/renders/0000000000000056");
-	g_assert_cmpuint(l->last_result, ==, REQUEST_REFUSED);
+	await_refusal(l);
 	submit_short(l, "/renders/0000000000000055");
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 	finish(l, a);
@@ -216,9 +248,88 @@
 	finish(l, a);
 }
 
+/* Four runs that can resume from a checkpoint take all cores. */
+static void
+fill_resumable(struct leader *l, struct stub_worker *a)
+{
+	leader_submit_step(l, FILL_PATH,
+	    (struct flow_step){ .count = 4,
+		.resources = { 1000, 1 << 20, 0 },
+		.runtime_ms = 60000,
+		.checkpointing = true });
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+}
+
+/* Submits a gang of two that takes three of four cores, and returns whether its
+ * first member runs within a time. */
+static bool
+run_gang(struct leader *l, struct stub_worker *a, uint64_t job, int64_t ms)
+{
+	struct flow_run member = { job, 0, 0, 0, 1 };
+	int64_t until = mono_ms() + ms;
+	char *path =
+	    g_strdup_printf("/renders/%016" G_GINT64_MODIFIER "x", job);
+
+	leader_submit_step(l, path,
+	    (struct flow_step){ .count = 2,
+		.resources = { 1500, 1 << 20, 0 },
+		.runtime_ms = 1500,
+		.gang = true });
+	g_free(path);
+	while (!stub_worker_runs(a, &member) && mono_ms() < until) {
+		leader_run(l);
+		complete_progress(a);
+	}
+	return stub_worker_runs(a, &member);
+}
+
+/* Ends the two members of a gang after their declared run time, and lets the
+ * runs resume. */
+static void
+end_gang(struct leader *l, struct stub_worker *a, uint64_t job)
+{
+	struct flow_run member = { job, 0, 0, 0, 1 };
+	int64_t until = mono_ms() + 1500;
+
+	AWAIT(l, a->running->len == 3);
+	while (mono_ms() < until) {
+		leader_run(l);
+		complete_progress(a);
+	}
+	stub_worker_end(a, &member, AGENT_DONE);
+	member.index = 1;
+	stub_worker_end(a, &member, AGENT_DONE);
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+}
+
+/* Guards against runs that are stopped again and again, each time with work
+ * that is repeated: the third gang finds too few that were not stopped twice.
+ */
+static void
+test_stops(void)
+{
+	struct leader *l = leader_new_yielding();
+	struct stub_worker *a = add_worker(l);
+	int stops;
+
+	fill_resumable(l, a);
+	g_assert_true(run_gang(l, a, 0x71, AWAIT_LIMIT_MS));
+	end_gang(l, a, 0x71);
+	g_assert_true(run_gang(l, a, 0x72, AWAIT_LIMIT_MS));
+	end_gang(l, a, 0x72);
+	stops = a->stops;
+	g_assert_cmpint(stops, >=, 6);
+	g_assert_false(run_gang(l, a, 0x73, 2000));
+	g_assert_cmpint(a->stops, ==, stops);
+	finish(l, a);
+}
+
 void
 overload_tests_add(void)
 {
+	g_test_add_func("/dispatch/overload-stops", test_stops);
 	g_test_add_func("/dispatch/overload-refused", test_refused);
 	g_test_add_func("/dispatch/overload-off", test_off);
 	g_test_add_func("/dispatch/overload-room", test_room);
