share, dispatch: shares of the workers and rates by the weights of organisations

A placement round now goes in turns: each organisation is due tasks up to its entitlement (its weight over those of all that have work), then up to twice and four times as much, then whatever fits.

Preemption: an on-time step of an organisation within its entitlement may stop resumable runs of one above, no more than that has too much; runs of one within are not stopped for one above.

Admission: an organisation whose own work waits for capacity, that uses its entitlement and sends more jobs per second than its weight is refused, unless there is room for the job. The state of the rates is the leader's only.

Metrics of 32 organisations by name and the rest as "other", log lines event=wait and event=organisation-load. Counters of one name follow each other in the metrics page whenever they were added. dominant_share() of lib/sched moves to lib/share, which both schedulers use.

Tests: seven new cases of share_test and of dispatch_test. With the order as before share-order, share-preemption and share-kept failed, with the old rule of preemption share-preemption and share-kept, without the limit to the surplus share-surplus, without refusals refused-over-weight, without the look for room not-refused-with-room, with unbounded or ungrouped metrics organisation-metrics.

--- a/lib/counter/counter.c
+++ b/lib/counter/counter.c
@@ -32,6 +32,19 @@
 	g_free(r);
 }
 
+/* Behind the last counter of that name, as those share a header; -1: last. */
+static int
+position_for(const struct registry *r, const char *name)
+{
+	for (guint i = r->counters->len; i > 0; i--) {
+		const struct counter *c = r->counters->pdata[i - 1];
+
+		if (strcmp(c->name, name) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
 struct counter *
 counter_new(struct registry *r, enum counter_type type, const char *name,
     const char *labels, const char *help)
@@ -43,7 +56,7 @@
 		.labels = labels,
 		.type = type,
 		.scale = 1 };
-	g_ptr_array_add(r->counters, c);
+	g_ptr_array_insert(r->counters, position_for(r, name), c);
 	return c;
 }
 
--- a/lib/counter/counter.h
+++ b/lib/counter/counter.h
@@ -62,8 +62,9 @@
 
 /*
  * Renders all metrics in the order in which they were added, counters and
- * gauges first; the caller frees the text. Metrics of one name with different
- * labels share one header if they were added one after another.
+ * gauges first; the caller frees the text. Counters of one name with different
+ * labels follow each other under one header; histograms do if they were added
+ * one after another.
  */
 char *registry_render(const struct registry *r);
 
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -518,6 +518,8 @@
 	d->arg = arg;
 	d->policy_processes =
 	    g_ptr_array_new_with_free_func(policy_process_free);
+	d->organisation_meters =
+	    g_ptr_array_new_with_free_func(organisation_meters_free);
 	g_queue_init(&d->reads);
 	g_queue_init(&d->state_requests);
 	meters_new(&d->meter, conf->registry);
@@ -536,5 +538,6 @@
 	event_free(d->timer);
 	event_free(d->round_event);
 	g_ptr_array_unref(d->policy_processes);
+	g_ptr_array_unref(d->organisation_meters);
 	g_free(d);
 }
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -8,6 +8,7 @@
 #include "httpd.h"
 #include "logs.h"
 #include "plan.h"
+#include "share.h"
 
 #define SCAN_MS 50 /* interval of the periodic scans */
 #define ORDER_CONNECTIONS 3 /* for orders to one worker */
@@ -58,17 +59,36 @@
 	char *permit;
 };
 
+/* Metrics of an organisation, or of all that have none of their own. */
+struct organisation_meters {
+	char *name;
+	char *labels;
+	struct counter *running;
+	struct counter *waiting;
+	struct counter *refused;
+	struct counter *cap;
+	struct counter *entitlement;
+};
+
 /* An organisation that has runs or waiting steps. */
 struct organisation {
 	char *name;
 	struct resources cap; /* in the current configuration; 0: no limit */
+	double weight; /* in the same; 1 if it is not there */
 	guint runs; /* from the proposal of a start to its committed end */
 	struct resources used; /* by these ... */
 	struct resources long_running; /* ... by those that do not end ... */
-	struct resources ordered; /* ... by those that may have started */
+	struct resources ordered; /* ... by those that may have started ... */
+	struct resources stopping; /* ... and by those that are to stop */
+	struct share_bucket bucket; /* of the jobs that it sends */
+	struct organisation_meters *meters;
 	uint64_t round; /* the last one with a waiting step of it; there: */
 	struct resources claimed; /* for steps about to start */
 	bool held; /* a step waits for the cap: less urgent ones don't start */
+	bool lacks_room; /* a step found no room on the workers */
+	guint waiting; /* steps */
+	uint64_t search; /* for runs to preempt, that this is for: */
+	struct resources offered; /* by runs that may be stopped */
 };
 
 /* A worker that may hold a lease, and the connections to it. */
@@ -142,6 +162,7 @@
 	int64_t retry_ms; /* no new query before this time */
 	int64_t preempt_retry_ms; /* nor a new search for runs to preempt */
 	bool waits_for_cap; /* and that is logged */
+	bool waits_for_share; /* the same */
 	int64_t apart_until_ms; /* how long suspected tasks wait for workers
 				   apart from others; 0: they don't */
 };
@@ -235,6 +256,11 @@
 	int64_t removed_ms; /* when old job records were last removed */
 	int64_t load_logged_ms;
 	uint64_t last_round; /* number of the last placement round */
+	struct resources available; /* capacity of its workers ... */
+	double weights; /* ... and of the organisations that had work then */
+	uint64_t last_search; /* for runs to preempt */
+	GPtrArray *organisation_meters; /* kept when leadership is lost */
+	int64_t organisations_logged_ms;
 };
 
 /* dispatch.c */
@@ -344,7 +370,9 @@
 	const struct flow_job *job;
 	const struct flow_occurrence *occurrence;
 	uint32_t step;
-	struct organisation *organisation; /* NULL: no cap applies */
+	struct organisation *organisation; /* NULL: there are none */
+	uint32_t turn; /* of the round, see share_tasks_due() */
+	bool tried; /* all that fits is placed, in this round */
 };
 
 /* A worker that may get work in a placement round. */
@@ -442,8 +470,8 @@
 bool preempt_has_reservation(struct round *rd, const struct pending_step *p);
 
 /* organisations.c */
-/* Returns the entry of an organisation, a new one if needed; NULL if name is.
- */
+/* Returns the entry of an organisation, a new one if needed. NULL names work
+ * that belongs to none, which has a weight of 1 and no cap. */
 struct organisation *organisation_get(struct dispatch *d, const char *name);
 void organisation_free(void *arg);
 /* Takes caps from the configuration that was just applied. */
@@ -457,12 +485,36 @@
 /* Says whether a run fits under the cap of its organisation beside all runs
  * that have started or may have. */
 bool organisation_allows_order(const struct active_run *r);
-/* The organisation of a job with a waiting step; NULL if no cap applies. */
+/* The organisation of a job with a waiting step; NULL if there are none in the
+ * configuration. */
 struct organisation *
 organisation_in_round(struct round *rd, const struct flow_job *job);
 /* How many of the requested tasks may start under the cap. */
 uint32_t organisation_room(
     const struct organisation *o, const struct plan_request *request);
+/* Prepares the shares of a round, once its steps and workers are known. */
+void organisations_prepare(struct round *rd);
+/* How many tasks of a step may start in a turn of the round. */
+uint32_t organisation_due(
+    const struct round *rd, const struct pending_step *p, uint32_t turn);
+/* Records that tasks of a step found no room on the workers. */
+void organisation_lacks_room(struct round *rd, const struct pending_step *p);
+/*
+ * Says whether a run may be stopped for an on-time step; has_time: it still
+ * ends on time. In one search no more runs are offered than the organisation
+ * has above its entitlement.
+ */
+bool organisation_may_preempt(struct round *rd, const struct pending_step *p,
+    struct active_run *r, bool has_time);
+/* Counts that a run is to stop. */
+void organisation_stop_run(struct active_run *r);
+/* Counts a job that an organisation sends. Returns the delay after which to
+ * retry if it is to be refused, else 0. */
+int64_t organisation_refuse_ms(struct dispatch *d, const char *name,
+    const struct flow_queue *queue, const struct flow_spec *spec);
+/* Updates the metrics and logs the load of each organisation. */
+void organisations_report(struct dispatch *d, int64_t now);
+void organisation_meters_free(void *arg);
 /* Records that tasks of a step wait for the cap. placeable: the workers would
  * have room for them if nothing else ran. */
 void organisation_step_waits(struct round *rd, const struct pending_step *p,
--- a/lib/dispatch/organisations.c
+++ b/lib/dispatch/organisations.c
@@ -4,7 +4,9 @@
  * from the replicated state, so it holds across changes of leader.
  */
 #include "impl.h"
-#include "share.h"
+
+#define METERS_MAX 32 /* organisations with metrics of their own */
+#define REPORT_INTERVAL_MS 5000 /* between log lines of one organisation */
 
 /* Caps and weights are copied, as the next configuration frees this one. */
 static void
@@ -14,6 +16,7 @@
 	    flow_organisation(d->conf.flow, o->name);
 
 	o->cap = c == NULL ? (struct resources){ 0 } : c->cap;
+	o->weight = c == NULL ? 1 : c->weight;
 }
 
 void
@@ -33,7 +36,7 @@
 	struct organisation *o;
 
 	if (name == NULL)
-		return NULL;
+		name = "";
 	o = g_hash_table_lookup(d->organisations, name);
 	if (o != NULL)
 		return o;
@@ -62,8 +65,6 @@
 
 	r->organisation = o;
 	r->long_running = step->long_running;
-	if (o == NULL)
-		return;
 	o->runs++;
 	resources_add(&o->used, &r->resources, 1);
 	if (r->long_running)
@@ -75,20 +76,20 @@
 {
 	struct organisation *o = r->organisation;
 
-	if (o == NULL)
-		return;
 	o->runs--;
 	resources_add(&o->used, &r->resources, -1);
 	if (r->long_running)
 		resources_add(&o->long_running, &r->resources, -1);
 	if (r->ordered)
 		resources_add(&o->ordered, &r->resources, -1);
+	if (r->stopping)
+		resources_add(&o->stopping, &r->resources, -1);
 }
 
 void
 organisation_add_order(struct active_run *r)
 {
-	if (r->organisation != NULL && !r->ordered)
+	if (!r->ordered)
 		resources_add(&r->organisation->ordered, &r->resources, 1);
 	r->ordered = true;
 }
@@ -96,11 +97,8 @@
 bool
 organisation_allows_order(const struct active_run *r)
 {
-	struct resources sum;
+	struct resources sum = r->organisation->ordered;
 
-	if (r->organisation == NULL)
-		return true;
-	sum = r->organisation->ordered;
 	if (!r->ordered)
 		resources_add(&sum, &r->resources, 1);
 	return share_fits_cap(&sum, &r->organisation->cap);
@@ -114,11 +112,13 @@
 	if (flow_config(rd->d->conf.flow)->organisations == NULL)
 		return NULL;
 	o = organisation_get(rd->d, job->organisation);
-	if (o != NULL && o->round != rd->number) {
+	if (o->round != rd->number) {
 		o->round = rd->number;
 		o->claimed = (struct resources){ 0 };
-		o->held = false;
+		o->held = o->lacks_room = false;
+		o->waiting = 0;
 	}
+	o->waiting++;
 	return o;
 }
 
@@ -138,30 +138,79 @@
 	    &used, &o->cap, &request->per_task, request->count, request->gang);
 }
 
-/* Logs once for each step that it waits for the cap. */
+static double
+entitlement(const struct dispatch *d, const struct organisation *o)
+{
+	return d->weights > 0 ? o->weight / d->weights : 0;
+}
+
+void
+organisations_prepare(struct round *rd)
+{
+	struct dispatch *d = rd->d;
+	GHashTableIter iter;
+	gpointer value;
+
+	d->available = (struct resources){ 0 };
+	for (guint i = 0; i < rd->workers->len; i++) {
+		const struct plan_worker *w = rd->workers->pdata[i];
+
+		resources_add(&d->available, &w->capacity, 1);
+	}
+	/* Shares are of processor and memory only. */
+	d->available.accelerators = 0;
+	d->weights = 0;
+	g_hash_table_iter_init(&iter, d->organisations);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct organisation *o = value;
+
+		if (o->runs > 0 || o->round == rd->number)
+			d->weights += o->weight;
+	}
+}
+
+uint32_t
+organisation_due(
+    const struct round *rd, const struct pending_step *p, uint32_t turn)
+{
+	const struct flow_step *step = flow_job_step(p->job, p->step);
+	const struct organisation *o = p->organisation;
+	struct resources per_task = run_resources(step);
+
+	if (o == NULL || step->long_running || turn == SHARE_TURNS - 1)
+		return UINT32_MAX;
+	/* It uses what no other work needs, its organisation's or not. */
+	if (step->best_effort)
+		return 0;
+	return share_tasks_due(&o->used, &rd->d->available,
+	    entitlement(rd->d, o), turn, &per_task, step->count, step->gang);
+}
+
+/* Logs that a step waits for the cap or the share of its organisation. */
 static void
-log_wait(struct round *rd, const struct pending_step *p,
-    const struct plan_request *request)
+log_wait(const struct round *rd, const struct pending_step *p, const char *why)
 {
 	const struct organisation *o = p->organisation;
-	struct step_permits *state =
-	    step_permits_get(rd->d, p->job, p->occurrence->number, p->step);
 
-	if (state->waits_for_cap)
-		return;
-	state->waits_for_cap = true;
 	log_info("dispatch",
-	    "event=wait why=cap job=%016" G_GINT64_MODIFIER
-	    "x occurrence=%u step=%u organisation=%s tasks=%u gang=%d held=%d"
+	    "event=wait why=%s job=%016" G_GINT64_MODIFIER
+	    "x occurrence=%u step=%u organisation=%s held=%d"
 	    " used_millicpus=%" G_GINT64_FORMAT
 	    " cap_millicpus=%" G_GINT64_FORMAT " used_memory=%" G_GINT64_FORMAT
 	    " cap_memory=%" G_GINT64_FORMAT
 	    " used_accelerators=%" G_GINT64_FORMAT
-	    " cap_accelerators=%" G_GINT64_FORMAT,
-	    p->job->id, p->occurrence->number, p->step, o->name, request->count,
-	    request->gang, o->held, o->used.millicpus, o->cap.millicpus,
-	    o->used.memory, o->cap.memory, o->used.accelerators,
-	    o->cap.accelerators);
+	    " cap_accelerators=%" G_GINT64_FORMAT
+	    " share=%.4f entitlement=%.4f",
+	    why, p->job->id, p->occurrence->number, p->step, o->name, o->held,
+	    o->used.millicpus, o->cap.millicpus, o->used.memory, o->cap.memory,
+	    o->used.accelerators, o->cap.accelerators,
+	    share_dominant(&o->used, &rd->d->available), entitlement(rd->d, o));
+}
+
+static struct step_permits *
+state_of(const struct round *rd, const struct pending_step *p)
+{
+	return step_permits_get(rd->d, p->job, p->occurrence->number, p->step);
 }
 
 void
@@ -170,7 +219,9 @@
 {
 	struct organisation *o = p->organisation;
 
-	log_wait(rd, p, request);
+	if (!state_of(rd, p)->waits_for_cap)
+		log_wait(rd, p, "cap");
+	state_of(rd, p)->waits_for_cap = true;
 	/* Beside the long-running tasks it would never fit, however long the
 	 * other work was held back. */
 	if (placeable &&
@@ -180,6 +231,60 @@
 		o->held = true;
 }
 
+void
+organisation_lacks_room(struct round *rd, const struct pending_step *p)
+{
+	struct organisation *o = p->organisation;
+
+	if (o == NULL || p->plan.best_effort)
+		return;
+	o->lacks_room = true;
+	if (!p->tried || state_of(rd, p)->waits_for_share ||
+	    !share_over_due(&o->used, &rd->d->available, entitlement(rd->d, o)))
+		return;
+	state_of(rd, p)->waits_for_share = true;
+	log_wait(rd, p, "share");
+}
+
+void
+organisation_stop_run(struct active_run *r)
+{
+	if (!r->stopping)
+		resources_add(&r->organisation->stopping, &r->resources, 1);
+}
+
+/* Says whether an organisation is above its entitlement without the runs that
+ * are to stop or were offered before in this search. */
+static bool
+has_surplus(const struct round *rd, struct organisation *o)
+{
+	struct resources rest = o->used;
+
+	if (o->search != rd->d->last_search) {
+		o->search = rd->d->last_search;
+		o->offered = (struct resources){ 0 };
+	}
+	resources_add(&rest, &o->stopping, -1);
+	resources_add(&rest, &o->offered, -1);
+	return share_dominant(&rest, &rd->d->available) > entitlement(rd->d, o);
+}
+
+bool
+organisation_may_preempt(struct round *rd, const struct pending_step *p,
+    struct active_run *r, bool has_time)
+{
+	struct share_side urgent = { p->organisation, p->turn == 0 };
+	struct share_side victim = { r->organisation, true };
+
+	if (p->organisation == NULL)
+		return has_time;
+	victim.within = !has_surplus(rd, r->organisation);
+	if (!share_may_preempt(&urgent, &victim, has_time))
+		return false;
+	resources_add(&r->organisation->offered, &r->resources, 1);
+	return true;
+}
+
 void
 organisation_claim(struct organisation *o, const struct plan_request *request)
 {
@@ -203,8 +308,194 @@
 	return NULL;
 }
 
+/* Says whether the free resources suffice for a step: for one task of it, or
+ * for a whole gang. */
+static bool
+has_room(const struct dispatch *d, const struct flow_queue *queue,
+    const struct flow_step *step)
+{
+	struct plan_request request = { .count = step->gang ? step->count : 1,
+		.per_task = run_resources(step) };
+	uint32_t fit = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->holders);
+	while (fit < request.count &&
+	    g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct holder *h = value;
+		const struct flow_worker *w = flow_worker(d->conf.flow, h->id);
+		struct plan_worker worker = { .task_limit = UINT32_MAX };
+
+		if (!holder_available(h, mono_ms()) ||
+		    strcmp(w->pool, queue->pool) != 0)
+			continue;
+		worker.free = w->capacity;
+		resources_add(&worker.free, &h->used, -1);
+		fit += plan_fit_count(&worker, &request);
+	}
+	return fit >= request.count;
+}
+
+int64_t
+organisation_refuse_ms(struct dispatch *d, const char *name,
+    const struct flow_queue *queue, const struct flow_spec *spec)
+{
+	struct organisation *o = organisation_get(d, name);
+	int64_t now = mono_ms();
+
+	if (share_bucket_take(&o->bucket, o->weight, now) ||
+	    o->round != d->last_round || !o->lacks_room ||
+	    !share_over_due(&o->used, &d->available, entitlement(d, o)))
+		return 0;
+	for (guint i = 0; i < spec->steps->len; i++) {
+		const struct flow_step *step = spec->steps->pdata[i];
+
+		if (step->after->len == 0 && has_room(d, queue, step))
+			return 0;
+	}
+	if (o->meters != NULL)
+		o->meters->refused->value++;
+	return share_bucket_retry_ms(&o->bucket, o->weight, now);
+}
+
+static struct counter *
+meter_new(struct dispatch *d, const struct organisation_meters *m,
+    enum counter_type type, const char *name, const char *help)
+{
+	return counter_new(d->conf.registry, type, name, m->labels, help);
+}
+
+static struct organisation_meters *
+meters_new(struct dispatch *d, const char *name)
+{
+	struct organisation_meters *m = g_new0(struct organisation_meters, 1);
+	char *escaped = g_strescape(name, NULL);
+
+	m->name = g_strdup(name);
+	m->labels = g_strdup_printf("organisation=\"%s\"", escaped);
+	g_free(escaped);
+	m->running = meter_new(d, m, COUNTER_GAUGE,
+	    "bulrushtide_organisation_running_millicpus",
+	    "Processor that the organisation has running.");
+	m->waiting = meter_new(d, m, COUNTER_GAUGE,
+	    "bulrushtide_organisation_waiting", "Its steps that wait.");
+	m->refused = meter_new(d, m, COUNTER_TOTAL,
+	    "bulrushtide_organisation_refused_total",
+	    "Its jobs refused as beyond its weight.");
+	m->cap = meter_new(d, m, COUNTER_GAUGE,
+	    "bulrushtide_organisation_cap_millicpus",
+	    "Its cap on processor; 0: none.");
+	m->entitlement = meter_new(d, m, COUNTER_GAUGE,
+	    "bulrushtide_organisation_entitlement",
+	    "Its share of the workers while all are used.");
+	m->entitlement->scale = 1e-6;
+	g_ptr_array_add(d->organisation_meters, m);
+	return m;
+}
+
+void
+organisation_meters_free(void *arg)
+{
+	struct organisation_meters *m = arg;
+
+	g_free(m->name);
+	g_free(m->labels);
+	g_free(m);
+}
+
+static struct organisation_meters *
+find_meters(const struct dispatch *d, const char *name)
+{
+	for (guint i = 0; i < d->organisation_meters->len; i++) {
+		struct organisation_meters *m =
+		    d->organisation_meters->pdata[i];
+
+		if (strcmp(m->name, name) == 0)
+			return m;
+	}
+	return NULL;
+}
+
+/* The first METERS_MAX organisations have metrics of their own, the others
+ * share those named "other". */
+static struct organisation_meters *
+meters_of(struct dispatch *d, const char *name)
+{
+	struct organisation_meters *m = find_meters(d, name);
+
+	if (m == NULL && d->organisation_meters->len >= METERS_MAX) {
+		name = "other";
+		m = find_meters(d, name);
+	}
+	return m == NULL ? meters_new(d, name) : m;
+}
+
+static void
+log_load(const struct dispatch *d, const struct organisation *o)
+{
+	log_info("dispatch",
+	    "event=organisation-load organisation=%s runs=%u waiting=%u"
+	    " millicpus=%" G_GINT64_FORMAT " memory=%" G_GINT64_FORMAT
+	    " share=%.4f entitlement=%.4f weight=%g held=%d lacks_room=%d",
+	    o->name, o->runs, o->waiting, o->used.millicpus, o->used.memory,
+	    share_dominant(&o->used, &d->available), entitlement(d, o),
+	    o->weight, o->held, o->lacks_room);
+}
+
+static void
+add_to_meters(const struct dispatch *d, const struct organisation *o)
+{
+	struct organisation_meters *m = o->meters;
+
+	m->running->value += o->used.millicpus;
+	m->waiting->value += o->waiting;
+	m->cap->value += o->cap.millicpus;
+	m->entitlement->value += (int64_t)(entitlement(d, o) * 1e6);
+}
+
+static void
+clear_gauges(struct dispatch *d)
+{
+	for (guint i = 0; i < d->organisation_meters->len; i++) {
+		struct organisation_meters *m =
+		    d->organisation_meters->pdata[i];
+
+		m->running->value = m->waiting->value = 0;
+		m->cap->value = m->entitlement->value = 0;
+	}
+}
+
+void
+organisations_report(struct dispatch *d, int64_t now)
+{
+	bool log = now - d->organisations_logged_ms >= REPORT_INTERVAL_MS;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (flow_config(d->conf.flow)->organisations == NULL)
+		return;
+	if (log)
+		d->organisations_logged_ms = now;
+	clear_gauges(d);
+	g_hash_table_iter_init(&iter, d->organisations);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct organisation *o = value;
+
+		if (o->round != d->last_round) {
+			o->waiting = 0;
+			o->held = o->lacks_room = false;
+		}
+		if (o->meters == NULL)
+			o->meters = meters_of(d, o->name);
+		add_to_meters(d, o);
+		if (log)
+			log_load(d, o);
+	}
+}
+
 /* Removes the entries that have neither runs nor, in the last round, waiting
- * steps. */
+ * steps, and that differ in no other way from new ones. */
 void
 organisations_remove_unused(struct dispatch *d, uint64_t round)
 {
@@ -215,7 +506,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct organisation *o = value;
 
-		if (o->runs == 0 && o->round != round)
+		if (o->runs == 0 && o->round != round &&
+		    share_bucket_full(&o->bucket, o->weight, mono_ms()))
 			g_hash_table_iter_remove(&iter);
 	}
 }
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -164,16 +164,17 @@
 /* Says whether a run may be stopped for a step that needs runs with at least
  * so much spare time. */
 static bool
-may_preempt(const struct preemptible *entry, const struct pending_step *p,
-    int64_t least_spare_ms)
+may_preempt(struct round *rd, const struct preemptible *entry,
+    const struct pending_step *p, int64_t least_spare_ms)
 {
 	if (entry->run->stopping || entry->run->id.job == p->job->id)
 		return false;
 	if (p->plan.long_running)
 		return true;
-	return entry->resumes && entry->spare_ms > least_spare_ms &&
-	    entry->run->id.number <= PREEMPTIONS_MAX &&
-	    entry->ran_ms >= RUN_MIN_MS;
+	return entry->resumes && entry->run->id.number <= PREEMPTIONS_MAX &&
+	    entry->ran_ms >= RUN_MIN_MS &&
+	    organisation_may_preempt(
+		rd, p, entry->run, entry->spare_ms > least_spare_ms);
 }
 
 /* The runs on a worker that may be stopped for a step. */
@@ -195,7 +196,7 @@
 			.ends_soon = p->plan.long_running &&
 			    entry->remaining_ms < ENDS_SOON_MS };
 
-		if (may_preempt(entry, p, least))
+		if (may_preempt(rd, entry, p, least))
 			g_array_append_val(out, v);
 	}
 	return out;
@@ -313,6 +314,7 @@
 	uint32_t fit;
 
 	rd->preemptions_left--;
+	rd->d->last_search++;
 	rd->d->preempt_ms = rd->now;
 	preemptions = g_new0(struct plan_preemption, workers->len + 1);
 	copies = g_new0(struct plan_worker, workers->len + 1);
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -220,6 +220,28 @@
 	return true;
 }
 
+/* Refuses a job that its organisation sends beyond its weight while work waits
+ * for capacity. Says whether it did. */
+static bool
+refuse_over_entitlement(struct dispatch *d, uint64_t process,
+    const struct request *req, const struct flow_organisation *owner,
+    const struct flow_queue *q, const struct flow_spec *spec)
+{
+	int64_t retry_ms =
+	    owner == NULL ? 0 : organisation_refuse_ms(d, owner->name, q, spec);
+
+	if (retry_ms == 0)
+		return false;
+	d->meter.refused->value++;
+	log_info("dispatch",
+	    "event=refused why=over-entitlement path=%s organisation=%s"
+	    " weight=%g retry_ms=%" G_GINT64_FORMAT,
+	    req->path, owner->name, owner->weight, retry_ms);
+	reply(d, process, req->id, REQUEST_REFUSED, "over-entitlement",
+	    strlen("over-entitlement"), retry_ms);
+	return true;
+}
+
 static void
 handle_submit(struct dispatch *d, uint64_t process, const struct request *req)
 {
@@ -245,7 +267,9 @@
 		reply_text(d, process, req, REQUEST_INVALID, "malformed job");
 		return;
 	}
-	if (refuse_misfit(d, process, req, owner, &cmd.u.submit.spec)) {
+	if (refuse_misfit(d, process, req, owner, &cmd.u.submit.spec) ||
+	    refuse_over_entitlement(
+		d, process, req, owner, q, &cmd.u.submit.spec)) {
 		flow_spec_clear(&cmd.u.submit.spec);
 		return;
 	}
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -261,15 +261,15 @@
 {
 	const struct flow_step_state *st = &occurrence->steps[step];
 	const struct flow_step *s = flow_job_step(job, step);
-	struct pending_step p = { .job = job,
-		.occurrence = occurrence,
-		.step = step,
-		.organisation = organisation_in_round(rd, job) };
+	struct pending_step p = {
+		.job = job, .occurrence = occurrence, .step = step
+	};
 
 	if (st->pending == 0 || !flow_step_ready(job, occurrence, step))
 		return;
 	if (s->gang && !gang_waits(rd, job, occurrence, step))
 		return;
+	p.organisation = organisation_in_round(rd, job);
 	p.plan = *urgency;
 	p.plan.best_effort = s->best_effort;
 	p.plan.long_running = s->long_running;
@@ -649,7 +649,7 @@
 }
 
 static void
-place_step(struct round *rd, const struct pending_step *p)
+place_step(struct round *rd, struct pending_step *p, uint32_t due)
 {
 	const struct flow_step *step = flow_job_step(p->job, p->step);
 	struct plan_request request = { .per_task = run_resources(step),
@@ -664,14 +664,19 @@
 	uint32_t room;
 	uint32_t over_cap;
 
+	p->tried = true;
 	if (!resources_fit(&request.per_task, &rd->largest_free) &&
-	    !is_urgent(rd, p))
+	    !is_urgent(rd, p)) {
+		organisation_lacks_room(rd, p);
 		return;
+	}
 	request.count = over_cap = count_waiting(rd, p, waiting);
 	if (request.count == 0)
 		return;
 	room = organisation_room(p->organisation, &request);
 	over_cap -= room;
+	p->tried = due >= request.count;
+	room = MIN(room, due);
 	if (p->job->queue->needs_permit)
 		permits = step_permits_get(
 		    rd->d, p->job, p->occurrence->number, p->step);
@@ -690,10 +695,27 @@
 		return;
 	}
 	request.count = left;
+	organisation_lacks_room(rd, p);
 	make_room(rd, p, &request, permits);
 	claim_room(rd, p, &request, permits);
 }
 
+/* Places the steps in their order, as far as a turn of the round allows. */
+static void
+place_turn(struct round *rd, uint32_t turn)
+{
+	for (guint i = 0; i < rd->pending->len && rd->starts->len < STARTS_MAX;
+	     i++) {
+		struct pending_step *p =
+		    &g_array_index(rd->pending, struct pending_step, i);
+		uint32_t due = p->tried ? 0 : organisation_due(rd, p, turn);
+
+		p->turn = turn;
+		if (due > 0)
+			place_step(rd, p, due);
+	}
+}
+
 static void
 find_largest_free(struct round *rd)
 {
@@ -790,6 +812,7 @@
 	    d->rounds_us / 1000);
 	d->rounds = 0;
 	d->rounds_us = 0;
+	organisations_report(d, rd->now);
 	organisations_remove_unused(d, rd->number);
 }
 
@@ -809,17 +832,19 @@
 		    g_array_new(FALSE, TRUE, sizeof(struct pending_step)),
 		.starts = g_array_new(FALSE, TRUE, sizeof(struct flow_start)) };
 
+	uint32_t turns =
+	    flow_config(d->conf.flow)->organisations == NULL ? 1 : SHARE_TURNS;
+
 	flow_each_active_job(d->conf.flow, add_pending_steps, &rd);
 	d->meter.waiting->value = rd.pending->len;
 	if (rd.pending->len > 0) {
 		collect_workers(&rd);
 		find_largest_free(&rd);
+		organisations_prepare(&rd);
 		g_array_sort_with_data(rd.pending, by_urgency, &rd);
 	}
-	for (guint i = 0; i < rd.pending->len && rd.starts->len < STARTS_MAX;
-	     i++)
-		place_step(
-		    &rd, &g_array_index(rd.pending, struct pending_step, i));
+	for (uint32_t turn = 0; turn < turns; turn++)
+		place_turn(&rd, turn);
 	propose_starts(&rd);
 	log_load(&rd);
 	g_ptr_array_unref(rd.workers);
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -378,6 +378,7 @@
 	struct holder *h = r->holder;
 	struct dispatch *d = h->d;
 
+	organisation_stop_run(r);
 	r->stopping = true;
 	if (r->state == RUN_ENDING || !holder_takes_orders(h))
 		return;
--- a/lib/sched/fair.c
+++ b/lib/sched/fair.c
@@ -1,4 +1,5 @@
 /* Fair shares of teams: weighted dominant resource relative to the quota. */
+#include "share.h"
 #include "table.h"
 
 struct team *
@@ -27,21 +28,6 @@
 	t->quota = *quota;
 }
 
-static double
-ratio(int64_t part, int64_t whole)
-{
-	return whole > 0 ? (double)part / (double)whole : 0;
-}
-
-double
-dominant_share(const struct resources *part, const struct resources *whole)
-{
-	double share = ratio(part->millicpus, whole->millicpus);
-
-	share = MAX(share, ratio(part->memory, whole->memory));
-	return MAX(share, ratio(part->accelerators, whole->accelerators));
-}
-
 static bool
 within(int64_t amount, int64_t quota)
 {
@@ -57,7 +43,7 @@
 
 	/* Without a quota a team is entitled to its weight's share of all. */
 	if (resources_equal(&t->quota, &none))
-		return dominant_share(sum, &s->total) * (double)s->weight_sum <=
+		return share_dominant(sum, &s->total) * (double)s->weight_sum <=
 		    (double)t->weight;
 	return within(sum->millicpus, t->quota.millicpus) &&
 	    within(sum->memory, t->quota.memory) &&
@@ -92,9 +78,9 @@
 	double ratio;
 
 	if (resources_equal(&t->quota, &none))
-		return dominant_share(&t->used, &s->total) *
+		return share_dominant(&t->used, &s->total) *
 		    (double)s->weight_sum / (double)t->weight;
-	ratio = dominant_share(&t->used, &t->quota);
+	ratio = share_dominant(&t->used, &t->quota);
 	/* Use beyond the quota is weighted. */
 	return ratio <= 1 ? ratio : 1 + (ratio - 1) / (double)t->weight;
 }
@@ -105,5 +91,5 @@
 	const struct team *t =
 	    g_hash_table_lookup(s->teams, GUINT_TO_POINTER(id));
 
-	return t != NULL ? dominant_share(&t->used, &s->total) : 0;
+	return t != NULL ? share_dominant(&t->used, &s->total) : 0;
 }
--- a/lib/sched/round.c
+++ b/lib/sched/round.c
@@ -1,6 +1,7 @@
 /* Scheduling rounds. */
 #include <math.h>
 
+#include "share.h"
 #include "table.h"
 
 #define GANG_RETRY_MS 100 /* between searches for a gang */
@@ -155,7 +156,7 @@
 	if (s->policy->share_step > 0)
 		entry.share = floor(entry.share / s->policy->share_step);
 	if (s->policy->large_first)
-		entry.size = dominant_share(&shape->key.resources, &s->total);
+		entry.size = share_dominant(&shape->key.resources, &s->total);
 	if (urgent_within_quota(s, job))
 		return entry;
 	within = waited_ms(s, job) >= s->policy->quota_after_ms &&
--- a/lib/sched/table.h
+++ b/lib/sched/table.h
@@ -238,9 +238,6 @@
  * for its urgent work. */
 bool team_within_quota_nonpreemptible(
     const struct sched *s, const struct team *t, const struct resources *more);
-/* The largest of the shares that part has of whole, by resource. */
-double
-dominant_share(const struct resources *part, const struct resources *whole);
 /* Use relative to what the team is entitled to; 1: all of it. */
 double team_usage_ratio(const struct sched *s, const struct team *t);
 
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -16,4 +16,5 @@
     capacity-shrinks-below-use best-effort-cores restart-before-order
     restart-under-order cap-over-workers cap-takeover cap-lowered
     cap-lowered-before-order cap-silent-worker cap-gang-turn cap-gang-beside-service
-    cap-gang-permit cap-no-preemption cap-never-fits cap-other-organisations)
+    cap-gang-permit cap-no-preemption cap-never-fits cap-other-organisations share-order share-preemption
+    share-surplus share-kept refused-over-weight not-refused-with-room organisation-metrics)
--- a/test/dispatch_organisations.c
+++ b/test/dispatch_organisations.c
@@ -1,4 +1,5 @@
-/* lib/dispatch with organisations whose caps limit what they have running. */
+/* lib/dispatch with organisations: caps on what they have running, shares of
+ * the workers, and the rate of their jobs. */
 #include <string.h>
 
 #include "dispatch_test.h"
@@ -449,9 +450,230 @@
 	leader_free(l);
 }
 
+static guint
+assigned(const struct leader *l, uint64_t job)
+{
+	return flow_job(l->flow, job)->assigned;
+}
+
+/* All workers are full of one organisation, which has more work waiting that is
+ * as urgent. Another gets half of what becomes free until it has its half, not
+ * only what is left. */
+static void
+test_share_order(void)
+{
+	struct leader *l = leader_with_cap(0);
+	struct stub_worker *a = add_worker(l, "a");
+
+	submit_accepted(l, "acme", JOB_PATH, tasks(40, 1000));
+	AWAIT(l, a->running->len == 4);
+	submit_accepted(l, "other", OTHER_PATH, tasks(40, 1000));
+	for (int i = 0; i < 2; i++) {
+		complete_progress(a);
+		end_first(a);
+		leader_run_for(l, 100);
+	}
+	g_assert_cmpuint(assigned(l, 0x88), ==, 2);
+	g_assert_cmpuint(assigned(l, JOB), ==, 2);
+	for (int i = 0; i < 6; i++) {
+		complete_progress(a);
+		end_first(a);
+		leader_run_for(l, 100);
+		g_assert_cmpuint(assigned(l, JOB), >=, 2);
+	}
+	g_assert_cmpuint(assigned(l, 0x88), ==, 2);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* What others leave idle is used, and returned within seconds: runs above the
+ * entitlement of their organisation that can resume are stopped, although their
+ * own job has no time to spare; no more than the other is due. */
+static void
+test_share_preemption(void)
+{
+	struct leader *l = leader_with_cap(0);
+	struct stub_worker *a = add_worker(l, "a");
+	struct flow_step resumable = tasks(8, 1000);
+	struct flow_step urgent = tasks(8, 1000);
+
+	/* On time for 2 s, so with less spare time than is asked for. */
+	resumable.runtime_ms = 1000;
+	resumable.checkpointing = true;
+	urgent.runtime_ms = 3000;
+	submit_accepted(l, "acme", JOB_PATH, resumable);
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+	leader_run_for(l, 700);
+	submit_accepted(l, "other", OTHER_PATH, urgent);
+	AWAIT(l, assigned(l, 0x88) == 2);
+	leader_run_for(l, 1000);
+	g_assert_cmpuint(assigned(l, 0x88), ==, 2);
+	g_assert_cmpuint(assigned(l, JOB), ==, 2);
+	g_assert_cmpint(a->stops, ==, 2);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* A gang that is larger than what the other has above its entitlement takes
+ * nothing of that: both would take the rest from each other in turn. */
+static void
+test_share_surplus(void)
+{
+	struct leader *l = leader_with_cap(0);
+	struct stub_worker *a = add_worker(l, "a");
+	struct flow_step resumable = tasks(8, 1000);
+
+	resumable.runtime_ms = 1000;
+	resumable.checkpointing = true;
+	submit_accepted(l, "acme", JOB_PATH, resumable);
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+	leader_run_for(l, 700);
+	submit_accepted(l, "other", GANG_PATH, gang(3, 1000));
+	leader_run_for(l, 1000);
+	g_assert_cmpint(a->stops, ==, 0);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* A run of an organisation within its entitlement is not stopped for one that
+ * has its own already, however urgent its step. */
+static void
+test_share_kept(void)
+{
+	struct leader *l = leader_with_cap(0);
+	struct stub_worker *a = add_worker(l, "a");
+	struct flow_step resumable = tasks(2, 1000);
+
+	resumable.runtime_ms = 60000;
+	resumable.checkpointing = true;
+	submit_accepted(l, "acme", JOB_PATH, resumable);
+	submit_accepted(l, "other", OTHER_PATH, tasks(2, 1000));
+	AWAIT(l, a->running->len == 4);
+	complete_progress(a);
+	leader_run_for(l, 700);
+	submit_accepted(l, "other", GANG_PATH, gang(2, 1000));
+	leader_run_for(l, 1000);
+	g_assert_cmpint(a->stops, ==, 0);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* Sends jobs of one task until one is refused, or so many. */
+static int
+send_until_refused(struct leader *l, const char *organisation, int most)
+{
+	for (int i = 0; i < most; i++) {
+		char *path = g_strdup_printf("/renders/%016x", 0x1000 + i);
+		uint32_t result = submit(l, organisation, path, tasks(1, 1000));
+
+		g_free(path);
+		if (result == REQUEST_REFUSED)
+			return i;
+		g_assert_cmpuint(result, ==, REQUEST_DONE);
+	}
+	return most;
+}
+
+/* An organisation of weight 1 floods full workers: what it sends beyond a job
+ * per second is refused at once, with a delay; nothing of another is. */
+static void
+test_refused_over_weight(void)
+{
+	struct leader *l = leader_with_cap(0);
+	struct stub_worker *a = add_worker(l, "a");
+
+	submit_accepted(l, "acme", JOB_PATH, tasks(40, 1000));
+	AWAIT(l, a->running->len == 4);
+	leader_run_for(l, 100);
+	g_assert_cmpint(send_until_refused(l, "acme", 40), <, 15);
+	g_assert_cmpstr(l->last_text, ==, "over-entitlement");
+	g_assert_cmpint(l->last_retry_ms, >, 0);
+	submit_accepted(l, "other", OTHER_PATH, tasks(1, 1000));
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* While capacity is free, nothing is refused, however fast it is sent; not even
+ * while a task that is too large for what is free waits. */
+static void
+test_not_refused_with_room(void)
+{
+	struct leader *l = leader_with_cap(0);
+	struct stub_worker *a = add_worker(l, "a");
+
+	a->capacity.millicpus = 50000;
+	leader_heartbeat(l, a, false);
+	submit_accepted(l, "other", OTHER_PATH, tasks(1, 1000));
+	submit_accepted(l, "acme", JOB_PATH, tasks(2, 26000));
+	AWAIT(l, a->running->len == 2);
+	g_assert_cmpint(send_until_refused(l, "acme", 20), ==, 20);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* Metrics are kept for 32 organisations by name at most, as names come from the
+ * configuration. */
+static void
+test_metrics_bounded(void)
+{
+	struct leader *l = leader_with_cap(0);
+	struct stub_worker *a = add_worker(l, "a");
+	struct flow_config c = *flow_config(l->flow);
+	GBytes *bytes;
+	char *text;
+	int lines = 0;
+
+	c.version++;
+	c.organisations =
+	    g_ptr_array_new_with_free_func(flow_organisation_free);
+	for (int i = 0; i < 40; i++) {
+		char *name = g_strdup_printf("firm-%d", i);
+
+		g_ptr_array_add(c.organisations,
+		    organisation_new(name, (struct resources){ 0 }));
+		g_free(name);
+	}
+	bytes = flow_config_encode(&c);
+	g_ptr_array_unref(c.organisations);
+	leader_request(l, REQUEST_CONFIG, "", bytes);
+	for (int i = 0; i < 40; i++) {
+		char *name = g_strdup_printf("firm-%d", i);
+		char *path = g_strdup_printf("/renders/%016x", 0x2000 + i);
+
+		submit_accepted(l, name, path, tasks(1, 1000));
+		g_free(name);
+		g_free(path);
+	}
+	leader_run_for(l, 2200);
+	text = registry_render(l->registry);
+	for (const char *s = text;
+	     (s = strstr(s, "\nbulrushtide_organisation_waiting{")) != NULL;
+	     s++)
+		lines++;
+	g_assert_cmpint(lines, ==, 33);
+	g_assert_nonnull(strstr(text, "waiting{organisation=\"other\"} 8\n"));
+	g_assert_null(
+	    strstr(strstr(text, "# TYPE bulrushtide_organisation_waiting") + 1,
+		"# TYPE bulrushtide_organisation_waiting"));
+	g_free(text);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 void
 organisation_tests_add(void)
 {
+	g_test_add_func("/dispatch/share-order", test_share_order);
+	g_test_add_func("/dispatch/share-preemption", test_share_preemption);
+	g_test_add_func("/dispatch/share-surplus", test_share_surplus);
+	g_test_add_func("/dispatch/share-kept", test_share_kept);
+	g_test_add_func(
+	    "/dispatch/refused-over-weight", test_refused_over_weight);
+	g_test_add_func(
+	    "/dispatch/not-refused-with-room", test_not_refused_with_room);
+	g_test_add_func("/dispatch/organisation-metrics", test_metrics_bounded);
 	g_test_add_func("/dispatch/cap-over-workers", test_over_workers);
 	g_test_add_func(
 	    "/dispatch/cap-other-organisations", test_other_organisations);
--- a/test/share.cmake
+++ b/test/share.cmake
@@ -1,1 +1,1 @@
-bt_test(share_test SOURCES share_test.c DEPENDS share)
+bt_test(share_test SOURCES share_test.c share_replay.c DEPENDS share plan)
