--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -128,7 +128,7 @@
 		struct resources per_task = run_resources(s);
 
 		sum += cost_work(&per_task, st->count - st->done,
-		    round_task_ms(rd->d, job, s), all);
+		    round_runtime_ms(rd->d, job, s, 0.5), all);
 	}
 	return sum;
 }
@@ -210,7 +210,7 @@
 /* Says whether a run may be stopped for a step that needs runs with at least
  * so much spare time. */
 static bool
-may_preempt(const struct round *rd, const struct preemptible *entry,
+may_preempt(struct round *rd, const struct preemptible *entry,
     const struct pending_step *p, int64_t least_spare_ms)
 {
 	bool yields = rd->d->conf.yield_under_overload;
@@ -219,7 +219,9 @@
 		return false;
 	if (p->plan.long_running)
 		return true;
-	if (!entry->resumes || entry->spare_ms <= least_spare_ms)
+	if (!entry->resumes ||
+	    !organisation_may_preempt(
+		rd, p, entry->run, entry->spare_ms > least_spare_ms))
 		return false;
 	if (yields)
 		return entry->run->id.number <= STOPS_MAX &&
@@ -431,6 +433,7 @@
 	uint32_t fit;
 
 	rd->preemptions_left--;
+	rd->d->last_search++;
 	rd->d->preempt_ms = rd->now;
 	preemptions = g_new0(struct plan_preemption, workers->len + 1);
 	copies = g_new0(struct plan_worker, workers->len + 1);
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -294,6 +294,31 @@
 	return retry_ms > 0;
 }
 
+/* Refuses a job that its organisation sends beyond its weight while work waits
+ * for capacity. Says whether it did. */
+static bool
+refuse_over_entitlement(struct dispatch *d, uint64_t process,
+    const struct request *req, const struct flow_organisation *owner,
+    const struct flow_queue *q, const struct flow_cmd *cmd)
+{
+	int64_t retry_ms;
+
+	if (owner == NULL || submit_proposed(d, cmd->u.submit.job))
+		return false;
+	retry_ms =
+	    organisation_refuse_ms(d, owner->name, q, &cmd->u.submit.spec);
+	if (retry_ms == 0)
+		return false;
+	d->meter.refused->value++;
+	log_info("dispatch",
+	    "event=refused why=over-entitlement path=%s organisation=%s"
+	    " weight=%g retry_ms=%" G_GINT64_FORMAT,
+	    req->path, owner->name, owner->weight, retry_ms);
+	reply(d, process, req->id, REQUEST_REFUSED, "over-entitlement",
+	    strlen("over-entitlement"), retry_ms);
+	return true;
+}
+
 static void
 handle_submit(struct dispatch *d, uint64_t process, const struct request *req)
 {
@@ -325,6 +350,7 @@
 	cmd.u.submit.queue = q->name;
 	cmd.u.submit.organisation = owner == NULL ? NULL : owner->name;
 	if (refuse_misfit(d, process, req, owner, &cmd) ||
+	    refuse_over_entitlement(d, process, req, owner, q, &cmd) ||
 	    refuse(d, process, req, q, &cmd)) {
 		flow_spec_clear(&cmd.u.submit.spec);
 		return;
