flow: index organisations by name

flow_organisation() compared the name with each organisation in turn. With overload=yield it is called for each waiting step in each placement round: up to 10,000 steps times 1,000 organisations. It is a look-up in a table now, which is rebuilt with the other indexes of a configuration. The behaviour is unchanged; flow_test passes with sanitizers.

--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -82,6 +82,7 @@
 	f->losses = losses_new();
 	f->causes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	f->speeds = speed_new();
+	f->organisations = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&f->active);
 	g_queue_init(&f->ended);
 	return f;
@@ -101,6 +102,7 @@
 	g_hash_table_remove_all(f->queued_counts);
 	g_clear_pointer(&f->routes, routes_free);
 	g_clear_pointer(&f->auth, auth_free);
+	g_hash_table_remove_all(f->organisations);
 	flow_config_clear(&f->config);
 	f->last_worker_id = 0;
 	f->time_ms = 0;
@@ -119,6 +121,7 @@
 	g_ptr_array_unref(f->losses);
 	g_array_unref(f->causes);
 	speed_free(f->speeds);
+	g_hash_table_unref(f->organisations);
 	g_free(f);
 }
 
@@ -313,10 +316,12 @@
 	f->routes = routes_new(f->config.queues);
 	auth_free(f->auth);
 	f->auth = organisations == NULL ? NULL : auth_new();
+	g_hash_table_remove_all(f->organisations);
 	for (guint i = 0; organisations != NULL && i < organisations->len;
 	     i++) {
-		const struct flow_organisation *o = organisations->pdata[i];
+		struct flow_organisation *o = organisations->pdata[i];
 
+		g_hash_table_insert(f->organisations, o->name, o);
 		for (guint k = 0; k < o->keys->len; k++)
 			(void)auth_add(f->auth, o->keys->pdata[k], i);
 	}
@@ -760,15 +765,8 @@
 const struct flow_organisation *
 flow_organisation(const struct flow *f, const char *name)
 {
-	const GPtrArray *all = f->config.organisations;
-
-	for (guint i = 0; all != NULL && name != NULL && i < all->len; i++) {
-		const struct flow_organisation *o = all->pdata[i];
-
-		if (strcmp(o->name, name) == 0)
-			return o;
-	}
-	return NULL;
+	return name == NULL ? NULL
+			    : g_hash_table_lookup(f->organisations, name);
 }
 
 const struct flow_organisation *
--- a/lib/flow/internal.h
+++ b/lib/flow/internal.h
@@ -15,6 +15,8 @@
 	struct flow_config config;
 	struct routes *routes; /* of config; NULL: none */
 	struct auth *auth; /* keys of config; NULL: no organisations */
+	/* Name to struct flow_organisation of config. */
+	GHashTable *organisations;
 	uint32_t last_worker_id;
 	GHashTable *workers; /* id to struct flow_worker */
 	GHashTable *workers_by_name; /* name to its newest incarnation */
