dispatch: no selection of workers for queries ahead that can't be sent

Steps to query ahead for are sought while processes are to spare. The first of them may take these; for each of the others the allowed workers were still copied and sorted, every 50 ms, and then no call was sent. The check of the reserve now comes first. The queries that are sent are the same; the tests policy-ahead and policy-ahead-overdue pass.

--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -438,8 +438,9 @@
 permits_can_query_ahead(
     const struct dispatch *d, const struct step_permits *s, int64_t now)
 {
+	/* Earlier steps of the round may have taken the processes to spare. */
 	return s->ahead < QUERIES_AHEAD_MAX && s->queries->len == 0 &&
-	    permits_can_query(d, s, now);
+	    permits_can_look_ahead(d, now) && permits_can_query(d, s, now);
 }
 
 void
