dispatch: a proposed start has not run yet

The remaining time of a run was computed from its start time, which is 0 until the start is committed. With overload=yield admission counted such runs as about to end, or, with learnt speeds in effect, as running for as long as the machine is up. They now have their whole run time left. Only admission asks about runs that are proposed, so nothing changes with overload=keep. No test: the load that admission sees is not visible outside lib/dispatch.

--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -169,7 +169,8 @@
 {
 	const struct plan_estimate *estimate =
 	    estimate_of_queue(d, job->queue->name);
-	int64_t ran_ms = mono_ms() - r->started_ms;
+	/* A start that is proposed has no start time yet. */
+	int64_t ran_ms = r->started_ms == 0 ? 0 : mono_ms() - r->started_ms;
 	int64_t runtime_ms = plan_estimate_quantile_ms(estimate,
 	    flow_job_step(job, r->id.step)->runtime_ms,
 	    d->speeds_in_effect ? PLAN_QUANTILE_HIGH : 0.5);
