--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -155,6 +155,7 @@
 	int64_t passed_over_ms; /* since when only the reserve is idle, or 0 */
 	uint32_t ahead; /* how often it was queried for before it was ready */
 	int64_t preempt_retry_ms; /* nor a new search for runs to preempt */
+	int64_t aged_ms; /* cell time at which it last went first, or 0 */
 	bool waits_for_cap; /* and that is logged */
 	int64_t apart_until_ms; /* how long suspected tasks wait for workers
 				   apart from others; 0: they don't */
@@ -262,7 +263,7 @@
 	/* Only with the setting overload=yield: */
 	GHashTable *admits; /* pool name to struct admit */
 	GHashTable *job_rates; /* organisation to struct job_rate */
-	struct flow_run aged_step; /* goes first until it is placed */
+	struct flow_run aged_step; /* goes first, see mark_aged() */
 	int64_t aged_ms; /* since when */
 	int64_t preempt_ms; /* when runs were last considered to preempt */
 	int64_t round_ms; /* start of the last placement round ... */
@@ -368,6 +369,9 @@
     struct plan_request *request);
 
 /* permits.c */
+/* Returns NULL if nothing was recorded about the step yet. */
+struct step_permits *step_permits_find(const struct dispatch *d,
+    const struct flow_job *job, uint32_t occurrence, uint32_t step);
 struct step_permits *step_permits_get(struct dispatch *d,
     const struct flow_job *job, uint32_t occurrence, uint32_t step);
 /* The permit for a worker, or NULL if there is none or it expires soon. */
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -67,18 +67,28 @@
 }
 
 struct step_permits *
-step_permits_get(struct dispatch *d, const struct flow_job *job,
+step_permits_find(const struct dispatch *d, const struct flow_job *job,
     uint32_t occurrence, uint32_t step)
 {
 	struct step_permits key = {
 		.job = job->id, .occurrence = occurrence, .step = step
 	};
-	struct step_permits *s = g_hash_table_lookup(d->step_permits, &key);
+
+	return g_hash_table_lookup(d->step_permits, &key);
+}
+
+struct step_permits *
+step_permits_get(struct dispatch *d, const struct flow_job *job,
+    uint32_t occurrence, uint32_t step)
+{
+	struct step_permits *s = step_permits_find(d, job, occurrence, step);
 
 	if (s != NULL)
 		return s;
 	s = g_new0(struct step_permits, 1);
-	*s = key;
+	s->job = job->id;
+	s->occurrence = occurrence;
+	s->step = step;
 	s->permits = g_hash_table_new_full(NULL, NULL, NULL, permit_free);
 	s->denied = g_hash_table_new(NULL, NULL);
 	s->queries = g_ptr_array_new_with_free_func(step_query_free);
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -27,4 +27,4 @@
     policy-ahead policy-ahead-overdue policy-learn
     overload-refused overload-off overload-room
     overload-overdue overload-proposed overload-takeover
-    overload-never-fits)
+    overload-never-fits overload-aged-turns)
--- a/test/dispatch_overload.c
+++ b/test/dispatch_overload.c
@@ -4,6 +4,7 @@
 #include "stubleader.h"
 
 #define FILL_PATH "/renders/00000000000000f1"
+#define BACKLOG 0xb1
 #define BACKLOG_PATH "/renders/00000000000000b1"
 /* After so long on full workers jobs may be refused. */
 #define FULL_MS 800
@@ -216,6 +217,53 @@
 	finish(l, a);
 }
 
+/* Makes all that was submitted so much older. */
+static void
+advance(struct leader *l, int64_t ms)
+{
+	struct flow_cmd cmd = { .type = FLOW_CMD_PRUNE,
+		.at_ms = g_get_real_time() / 1000 + ms };
+	GBytes *bytes = flow_cmd_encode(&cmd);
+	enum flow_apply_result result;
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+
+	g_assert_true(flow_apply(l->flow, data, len, &result, NULL));
+	g_bytes_unref(bytes);
+}
+
+/* Guards against an overdue job that never runs because an older one fits on no
+ * worker: the older one was the one that goes first, for ever. */
+static void
+test_aged_turns(void)
+{
+	struct leader *l = leader_new_yielding();
+	struct stub_worker *a = add_worker(l);
+
+	/* Less than four cores: nothing is refused. */
+	leader_submit(l, FILL_PATH, 3, 1000);
+	leader_submit_step(l, "/renders/0000000000000099",
+	    (struct flow_step){ .count = 1,
+		.resources = { 9000, 1 << 20, 0 },
+		.runtime_ms = 500 });
+	leader_submit_step(l, JOB_PATH,
+	    (struct flow_step){ .count = 1,
+		.resources = { 2000, 1 << 20, 0 },
+		.runtime_ms = 500 });
+	/* Can be in time, so it goes before overdue work. */
+	leader_submit(l, BACKLOG_PATH, 40, 2000);
+	AWAIT(l, a->running->len == 3);
+	advance(l, 45000);
+	leader_run_for(l, 6000);
+	cancel(l, FILL_PATH);
+	AWAIT(l,
+	    flow_job(l->flow, JOB)->assigned +
+		    flow_job(l->flow, BACKLOG)->assigned ==
+		2);
+	g_assert_cmpuint(flow_job(l->flow, JOB)->assigned, ==, 1);
+	finish(l, a);
+}
+
 void
 overload_tests_add(void)
 {
@@ -226,4 +274,5 @@
 	g_test_add_func("/dispatch/overload-proposed", test_proposed);
 	g_test_add_func("/dispatch/overload-takeover", test_takeover);
 	g_test_add_func("/dispatch/overload-never-fits", test_never_fits);
+	g_test_add_func("/dispatch/overload-aged-turns", test_aged_turns);
 }
