dispatch: count refusals for a cap apart from those for overload

Both were counted with the label why="overload", so an operator who sees refusals would look for missing capacity where a cap is too low. Refusals for a cap now have why="cap". Test cap-never-fits checks it: it failed before.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -475,6 +475,9 @@
 	m->refused =
 	    counter_new(r, COUNTER_TOTAL, "bulrushtide_step_jobs_refused_total",
 		"why=\"overload\"", "Jobs refused before they had any effect.");
+	m->refused_by_cap =
+	    counter_new(r, COUNTER_TOTAL, "bulrushtide_step_jobs_refused_total",
+		"why=\"cap\"", "Jobs refused before they had any effect.");
 	m->unauthenticated = counter_new(r, COUNTER_TOTAL,
 	    "bulrushtide_step_unauthenticated_total", "",
 	    "Calls without a valid key.");
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -105,7 +105,6 @@
 	uint32_t lost_runs; /* with that lease */
 	uint64_t acked; /* ended runs up to this number are durable */
 	uint64_t proposed_end; /* ended runs up to this number are proposed */
-	bool slow; /* by its learnt speed, as logged */
 	bool ends_pending; /* that proposal isn't applied yet */
 	uint64_t polls; /* serial of the last poll */
 	int64_t answered_ms; /* time of its last answer; 0: none yet */
@@ -127,6 +126,7 @@
 	/* Learnt run time multiplier relative to the mean of all workers; 1
 	 * while learnt speeds are not in effect. */
 	double multiplier;
+	bool slow; /* by its learnt speed, as logged */
 	int64_t excluded_until_ms; /* gets no new work until then */
 	struct plan_failure_record failures;
 	int64_t failed_ms; /* when a run last failed there */
@@ -138,13 +138,13 @@
 	int64_t until_ms;
 };
 
-/* What the policy service has answered about one step, and when what failed is
- * tried again. Steps without a policy service have one too. */
+/* What rounds remember of a step that waits: what the policy service has
+ * answered, when what failed is tried again, and what was logged. Steps without
+ * a policy service have one too. */
 struct step_permits {
 	uint64_t job;
 	uint32_t occurrence;
 	uint32_t step;
-	bool wait_logged; /* that it waits for fast workers */
 	GHashTable *permits; /* worker id to struct permit */
 	GHashTable *denied; /* ids of workers that may not run the step */
 	GPtrArray *queries; /* struct step_query: those in flight */
@@ -154,11 +154,12 @@
 	int64_t learn_ms; /* nor, to learn what is allowed, before this one */
 	int64_t passed_over_ms; /* since when only the reserve is idle, or 0 */
 	uint32_t ahead; /* how often it was queried for before it was ready */
-	int64_t preempt_retry_ms; /* nor a new search for runs to preempt */
-	int64_t aged_ms; /* cell time at which it last went first, or 0 */
-	bool waits_for_cap; /* and that is logged */
+	int64_t preempt_retry_ms; /* no search for runs to preempt before */
 	int64_t apart_until_ms; /* how long suspected tasks wait for workers
 				   apart from others; 0: they don't */
+	int64_t aged_ms; /* cell time at which it last went first, or 0 */
+	bool cap_wait_logged; /* that it waits for the cap */
+	bool fast_wait_logged; /* that it waits for fast workers */
 };
 
 /* A query in flight for a step. */
@@ -199,6 +200,7 @@
 struct meters {
 	struct counter *accepted;
 	struct counter *refused;
+	struct counter *refused_by_cap;
 	struct counter *unauthenticated;
 	struct counter *used_permille;
 	struct counter *refused_remembered;
@@ -233,7 +235,6 @@
 	bool active; /* this replica leads */
 	uint64_t term;
 	bool fenced; /* a worker knows a higher term */
-	bool speeds_in_effect; /* learnt speeds; see speeds.c */
 	int64_t lead_ms; /* when leadership began */
 	GHashTable *holders; /* worker id to struct holder */
 	GHashTable *addresses; /* to the struct holder started last there */
@@ -253,14 +254,15 @@
 	int64_t leader_until_ms;
 	GHashTable *started_jobs; /* ids of open jobs that have run */
 	GHashTable *estimates; /* queue name to struct plan_estimate */
+	bool speeds_in_effect; /* learnt speeds; see speeds.c */
 	double fast_multiplier; /* of the fast tenth; 1: not in effect */
 	double spread; /* of the slow tenth relative to the fast one */
-	int64_t speeds_ms; /* when these were last updated */
+	int64_t speeds_ms; /* when the speeds were last updated */
 	GHashTable *allowed; /* queue name to struct plan_allowed */
 	GHashTable *racks; /* rack name to number */
 	GArray *reservations; /* struct reservation, most of them not over */
 	int64_t ahead_ms; /* when steps to query ahead for were last sought */
-	/* Only with the setting overload=yield: */
+	/* The next four are used only with the setting overload=yield. */
 	GHashTable *admits; /* pool name to struct admit */
 	GHashTable *job_rates; /* organisation to struct job_rate */
 	struct flow_run aged_step; /* goes first, see mark_aged() */
@@ -348,14 +350,14 @@
 bool holder_handle_result(struct holder *h, enum agent_result result);
 
 /* speeds.c */
+struct round;
+struct pending_step;
 /* Updates the multipliers of all workers from the replicated state. */
 void speeds_update(struct dispatch *d, int64_t now);
 /* The same if it is due. */
 void speeds_scan(struct dispatch *d, int64_t now);
 /* Sets the multiplier of a new worker from its address. */
 void speeds_init_holder(struct holder *h);
-struct round;
-struct pending_step;
 /* Starts the estimate of a queue from what earlier leaders have learnt. */
 void speeds_init_estimate(
     struct dispatch *d, const char *queue, struct plan_estimate *estimate);
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -265,7 +265,7 @@
 
 	if (why == NULL || submit_proposed(d, cmd->u.submit.job))
 		return false;
-	d->meter.refused->value++;
+	d->meter.refused_by_cap->value++;
 	log_info("dispatch",
 	    "event=refused why=%s path=%s organisation=%s step=%u"
 	    " cap_millicpus=%" G_GINT64_FORMAT " cap_memory=%" G_GINT64_FORMAT
--- a/test/dispatch_organisations.c
+++ b/test/dispatch_organisations.c
@@ -1,6 +1,7 @@
 /* lib/dispatch with organisations whose caps limit what they have running. */
 #include <string.h>
 
+#include "counter.h"
 #include "dispatch_test.h"
 #include "stubleader.h"
 
@@ -428,6 +429,7 @@
 {
 	struct leader *l = leader_new();
 	struct stub_worker *a = add_worker(l, "a");
+	char *metrics;
 
 	set_cap(l, (struct resources){ 3000, 8 << 20, 0 });
 	g_assert_cmpuint(
@@ -442,6 +444,11 @@
 				 .count = 1, .resources = { 1, 9 << 20, 0 } }),
 	    ==, REQUEST_REFUSED);
 	g_assert_null(flow_job(l->flow, GANG));
+	/* Refusals for the cap were shown as refusals for overload. */
+	metrics = registry_render(l->registry);
+	g_assert_nonnull(strstr(
+	    metrics, "bulrushtide_step_jobs_refused_total{why=\"cap\"} 3"));
+	g_free(metrics);
 	submit_accepted(l, "other", GANG_PATH, gang(4, 1000));
 	submit_accepted(l, "acme", JOB_PATH, tasks(4, 1000));
 	AWAIT(l, a->running->len == 4);
