--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -106,6 +106,7 @@
 	uint64_t acked; /* ended runs up to this number are durable */
 	uint64_t proposed_end; /* ended runs up to this number are proposed */
 	bool ends_pending; /* that proposal isn't applied yet */
+	bool slow; /* by its learnt speed, as logged */
 	uint64_t polls; /* serial of the last poll */
 	int64_t answered_ms; /* time of its last answer; 0: none yet */
 	int64_t closed_ms; /* when it last closed a poll's connection */
@@ -126,7 +127,6 @@
 	/* Learnt run time multiplier relative to the mean of all workers; 1
 	 * while learnt speeds are not in effect. */
 	double multiplier;
-	bool slow; /* by its learnt speed, as logged */
 	int64_t excluded_until_ms; /* gets no new work until then */
 	struct plan_failure_record failures;
 	int64_t failed_ms; /* when a run last failed there */
@@ -235,6 +235,7 @@
 	bool active; /* this replica leads */
 	uint64_t term;
 	bool fenced; /* a worker knows a higher term */
+	bool speeds_in_effect; /* learnt speeds; see speeds.c */
 	int64_t lead_ms; /* when leadership began */
 	GHashTable *holders; /* worker id to struct holder */
 	GHashTable *addresses; /* to the struct holder started last there */
@@ -254,7 +255,6 @@
 	int64_t leader_until_ms;
 	GHashTable *started_jobs; /* ids of open jobs that have run */
 	GHashTable *estimates; /* queue name to struct plan_estimate */
-	bool speeds_in_effect; /* learnt speeds; see speeds.c */
 	double fast_multiplier; /* of the fast tenth; 1: not in effect */
 	double spread; /* of the slow tenth relative to the fast one */
 	int64_t speeds_ms; /* when the speeds were last updated */
--- a/lib/dispatch/organisations.c
+++ b/lib/dispatch/organisations.c
@@ -147,9 +147,9 @@
 	struct step_permits *state =
 	    step_permits_get(rd->d, p->job, p->occurrence->number, p->step);
 
-	if (state->waits_for_cap)
+	if (state->cap_wait_logged)
 		return;
-	state->waits_for_cap = true;
+	state->cap_wait_logged = true;
 	log_info("dispatch",
 	    "event=wait why=cap job=%016" G_GINT64_MODIFIER
 	    "x occurrence=%u step=%u organisation=%s tasks=%u gang=%d held=%d"
--- a/lib/dispatch/speeds.c
+++ b/lib/dispatch/speeds.c
@@ -225,9 +225,9 @@
 	if (!plan_waits_for_fast(request))
 		return;
 	s = step_permits_get(rd->d, p->job, p->occurrence->number, p->step);
-	if (s->wait_logged)
+	if (s->fast_wait_logged)
 		return;
-	s->wait_logged = true;
+	s->fast_wait_logged = true;
 	log_info("dispatch",
 	    "event=gang-waits-for-fast step=%016" G_GINT64_MODIFIER
 	    "x.%u.%u tasks=%u runtime_ms=%" G_GINT64_FORMAT
--- a/lib/plan/queries.c
+++ b/lib/plan/queries.c
@@ -141,17 +141,17 @@
 	return MIN(calls, calls_beyond_reserve(limits));
 }
 
-/* Deals the selected workers out to the calls in turn, so that a call that
- * fails takes no more than its share of the best ones with it. */
+/* Assigns the selected workers to the calls in turn, so that each call names as
+ * many of the preferred ones: one may fail. */
 static void
 split_selection(struct plan_candidate *candidates, guint count, uint32_t calls)
 {
-	uint32_t dealt = 0;
+	uint32_t assigned = 0;
 
 	for (guint i = 0; i < count; i++)
 		if (candidates[i].call != 0)
 			candidates[i].call =
-			    calls == 0 ? 0 : dealt++ % calls + 1;
+			    calls == 0 ? 0 : assigned++ % calls + 1;
 }
 
 static bool
