plan: no logarithm and exponential for the median run time

With quantile 0.5 plan_estimate_quantile_ms() computed the deviate of the quantile, replaced it by 0 and multiplied by exp(0). With the settings off all its callers ask for the median, one of them for each run on a worker that may be preempted. The result is the same; plan_test passes with sanitizers.

--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -509,8 +509,6 @@
 	    (2.515517 + t * (0.802853 + t * 0.010328)) /
 		(1 + t * (1.432788 + t * (0.189269 + t * 0.001308)));
 
-	if (quantile == 0.5)
-		return 0;
 	return quantile < 0.5 ? -z : z;
 }
 
@@ -518,11 +516,14 @@
 plan_estimate_quantile_ms(
     const struct plan_estimate *e, int64_t declared_ms, double quantile)
 {
-	double z = normal_deviate(quantile);
+	int64_t median_ms = plan_estimate_ms(e, declared_ms);
+	double variance =
+	    e->samples == 0 ? PRIOR_VARIANCE : e->residual_variance;
 
-	return (int64_t)((double)plan_estimate_ms(e, declared_ms) *
-	    exp(z *
-		sqrt(e->samples == 0 ? PRIOR_VARIANCE : e->residual_variance)));
+	if (quantile == 0.5)
+		return median_ms;
+	return (int64_t)((double)median_ms *
+	    exp(normal_deviate(quantile) * sqrt(variance)));
 }
 
 /* The cost of stopping a run, in millicpus; lost run time adds to it. */
