--- a/lib/dispatch/organisations.c
+++ b/lib/dispatch/organisations.c
@@ -219,9 +219,9 @@
 {
 	struct organisation *o = p->organisation;
 
-	if (!state_of(rd, p)->waits_for_cap)
+	if (!state_of(rd, p)->cap_wait_logged)
 		log_wait(rd, p, "cap");
-	state_of(rd, p)->waits_for_cap = true;
+	state_of(rd, p)->cap_wait_logged = true;
 	/* Beside the long-running tasks it would never fit, however long the
 	 * other work was held back. */
 	if (placeable &&
@@ -239,10 +239,10 @@
 	if (o == NULL || p->plan.best_effort)
 		return;
 	o->lacks_room = true;
-	if (!p->tried || state_of(rd, p)->waits_for_share ||
+	if (!p->tried || state_of(rd, p)->share_wait_logged ||
 	    !share_over_due(&o->used, &rd->d->available, entitlement(rd->d, o)))
 		return;
-	state_of(rd, p)->waits_for_share = true;
+	state_of(rd, p)->share_wait_logged = true;
 	log_wait(rd, p, "share");
 }
 
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -27,6 +27,6 @@
     policy-ahead policy-ahead-overdue policy-learn
     overload-refused overload-off overload-room
     overload-overdue overload-proposed overload-takeover
-    overload-never-fits overload-stops drain-evacuates drain-unknown
+    overload-never-fits overload-stops overload-aged-turns drain-evacuates drain-unknown
     share-order share-preemption
     share-surplus share-kept refused-over-weight not-refused-with-room organisation-metrics)
