--- a/lib/dispatch/organisations.c
+++ b/lib/dispatch/organisations.c
@@ -8,13 +8,11 @@
 #define METERS_MAX 32 /* organisations with metrics of their own */
 #define REPORT_INTERVAL_MS 5000 /* between log lines of one organisation */
 
-/* Caps and weights are copied, as the next configuration frees this one. */
+/* Caps and weights are copied, as the next configuration frees this one. NULL:
+ * the organisation is not in the configuration. */
 static void
-read_settings(const struct dispatch *d, struct organisation *o)
+set_settings(struct organisation *o, const struct flow_organisation *c)
 {
-	const struct flow_organisation *c =
-	    flow_organisation(d->conf.flow, o->name);
-
 	o->cap = c == NULL ? (struct resources){ 0 } : c->cap;
 	o->weight = c == NULL ? 1 : c->weight;
 }
@@ -22,12 +20,21 @@
 void
 organisations_config_changed(struct dispatch *d)
 {
+	const GPtrArray *all = flow_config(d->conf.flow)->organisations;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, d->organisations);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		read_settings(d, value);
+		set_settings(value, NULL);
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		const struct flow_organisation *c = all->pdata[i];
+		struct organisation *o =
+		    g_hash_table_lookup(d->organisations, c->name);
+
+		if (o != NULL)
+			set_settings(o, c);
+	}
 }
 
 struct organisation *
@@ -42,7 +49,7 @@
 		return o;
 	o = g_new0(struct organisation, 1);
 	o->name = g_strdup(name);
-	read_settings(d, o);
+	set_settings(o, flow_organisation(d->conf.flow, name));
 	g_hash_table_insert(d->organisations, o->name, o);
 	return o;
 }
