--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -509,8 +509,9 @@
 /* Counts that a run is to stop. */
 void organisation_stop_run(struct active_run *r);
 /* Counts a job that an organisation sends. Returns the delay after which to
- * retry if it is to be refused, else 0. */
-int64_t organisation_refuse_ms(struct dispatch *d, const char *name,
+ * retry if it is to be refused, else 0. path: for the log. */
+int64_t
+organisation_refuse_ms(struct dispatch *d, const char *name, const char *path,
     const struct flow_queue *queue, const struct flow_spec *spec);
 /* Updates the metrics and logs the load of each organisation. */
 void organisations_report(struct dispatch *d, int64_t now);
--- a/lib/dispatch/organisations.c
+++ b/lib/dispatch/organisations.c
@@ -345,11 +345,12 @@
 }
 
 int64_t
-organisation_refuse_ms(struct dispatch *d, const char *name,
+organisation_refuse_ms(struct dispatch *d, const char *name, const char *path,
     const struct flow_queue *queue, const struct flow_spec *spec)
 {
 	struct organisation *o = organisation_get(d, name);
 	int64_t now = mono_ms();
+	int64_t retry_ms;
 
 	if (share_bucket_take(&o->bucket, o->weight, now) ||
 	    o->round != d->last_round || !o->lacks_room ||
@@ -363,7 +364,15 @@
 	}
 	if (o->meters != NULL)
 		o->meters->refused->value++;
-	return share_bucket_retry_ms(&o->bucket, o->weight, now);
+	retry_ms = share_bucket_retry_ms(&o->bucket, o->weight, now);
+	log_info("dispatch",
+	    "event=refused why=over-entitlement path=%s organisation=%s"
+	    " rate=%.2f weight=%g share=%.4f entitlement=%.4f waiting=%u"
+	    " retry_ms=%" G_GINT64_FORMAT,
+	    path, o->name, o->bucket.rate, o->weight,
+	    share_dominant(&o->used, &d->available), entitlement(d, o),
+	    o->waiting, retry_ms);
+	return retry_ms;
 }
 
 static struct counter *
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -227,16 +227,13 @@
     const struct request *req, const struct flow_organisation *owner,
     const struct flow_queue *q, const struct flow_spec *spec)
 {
-	int64_t retry_ms =
-	    owner == NULL ? 0 : organisation_refuse_ms(d, owner->name, q, spec);
+	int64_t retry_ms = owner == NULL
+	    ? 0
+	    : organisation_refuse_ms(d, owner->name, req->path, q, spec);
 
 	if (retry_ms == 0)
 		return false;
 	d->meter.refused->value++;
-	log_info("dispatch",
-	    "event=refused why=over-entitlement path=%s organisation=%s"
-	    " weight=%g retry_ms=%" G_GINT64_FORMAT,
-	    req->path, owner->name, owner->weight, retry_ms);
 	reply(d, process, req->id, REQUEST_REFUSED, "over-entitlement",
 	    strlen("over-entitlement"), retry_ms);
 	return true;
--- a/lib/share/bucket.c
+++ b/lib/share/bucket.c
@@ -1,4 +1,6 @@
 /* Rates: jobs that an organisation sends, against its weight per second. */
+#include <math.h>
+
 #include "share.h"
 
 /* Organisations whose jobs arrive at random at the rate of their weight: in the
@@ -9,6 +11,8 @@
 #define BURST_MIN 1.0
 /* The longest delay that is asked for: load changes within some seconds. */
 #define RETRY_MAX_MS 15000
+/* Time constant of the average rate, which is only reported. */
+#define RATE_MS 5000.0
 
 static double
 burst(double weight)
@@ -23,7 +27,10 @@
 		b->tokens = burst(weight);
 		b->started = true;
 	} else if (now_ms > b->updated_ms) {
-		b->tokens += weight * (double)(now_ms - b->updated_ms) / 1000;
+		double age_ms = (double)(now_ms - b->updated_ms);
+
+		b->tokens += weight * age_ms / 1000;
+		b->rate *= exp(-age_ms / RATE_MS);
 	}
 	b->tokens = MIN(b->tokens, burst(weight));
 	b->updated_ms = now_ms;
@@ -37,6 +44,7 @@
 	refill(b, weight, now_ms);
 	within = b->tokens >= 1;
 	b->tokens = MAX(b->tokens - 1, 0);
+	b->rate += 1000 / RATE_MS;
 	return within;
 }
 
--- a/lib/share/share.h
+++ b/lib/share/share.h
@@ -70,6 +70,7 @@
 struct share_bucket {
 	bool started;
 	double tokens; /* jobs that it may send at once */
+	double rate; /* of all jobs that it sends, per second, averaged */
 	int64_t updated_ms; /* time that tokens is valid for */
 	int64_t promised_ms; /* latest time that a retry was asked for */
 };
--- a/test/share_test.c
+++ b/test/share_test.c
@@ -230,6 +230,19 @@
 	g_assert_true(share_bucket_full(&b, 2, 20000));
 }
 
+/* The rate that log lines report is that at which jobs are sent, refused ones
+ * included. */
+static void
+test_bucket_rate(void)
+{
+	struct share_bucket b = { 0 };
+
+	for (int64_t now_ms = 0; now_ms < 60000; now_ms += 100)
+		(void)share_bucket_take(&b, 1, now_ms);
+	g_assert_cmpfloat(b.rate, >, 9.5);
+	g_assert_cmpfloat(b.rate, <, 10.5);
+}
+
 /* A weight of 0 gives no rate; the delay stays finite. */
 static void
 test_bucket_without_weight(void)
@@ -252,6 +265,7 @@
 	g_test_add_func("/share/tasks-due", test_tasks_due);
 	g_test_add_func("/share/may-preempt", test_may_preempt);
 	g_test_add_func("/share/bucket", test_bucket);
+	g_test_add_func("/share/bucket-rate", test_bucket_rate);
 	g_test_add_func(
 	    "/share/bucket-without-weight", test_bucket_without_weight);
 	g_test_add_func("/share/rush", test_rush);
