--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -305,15 +305,11 @@
 
 	if (owner == NULL || submit_proposed(d, cmd->u.submit.job))
 		return false;
-	retry_ms =
-	    organisation_refuse_ms(d, owner->name, q, &cmd->u.submit.spec);
+	retry_ms = organisation_refuse_ms(
+	    d, owner->name, req->path, q, &cmd->u.submit.spec);
 	if (retry_ms == 0)
 		return false;
 	d->meter.refused->value++;
-	log_info("dispatch",
-	    "event=refused why=over-entitlement path=%s organisation=%s"
-	    " weight=%g retry_ms=%" G_GINT64_FORMAT,
-	    req->path, owner->name, owner->weight, retry_ms);
 	reply(d, process, req->id, REQUEST_REFUSED, "over-entitlement",
 	    strlen("over-entitlement"), retry_ms);
 	return true;
