dispatch: shares decide the order only while an organisation is far above its own

Now the order changes while one uses 1.5 times its entitlement and a tenth of all workers more, and 5 s after.

--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -263,6 +263,8 @@
 	GHashTable *addresses; /* to the struct holder started last there */
 	GHashTable *runs; /* set of struct active_run, by task */
 	GHashTable *organisations; /* name to struct organisation */
+	/* Until then shares decide the order. */
+	int64_t contended_until_ms;
 	GHashTable *step_permits; /* set of struct step_permits, by step */
 	GHashTable *proposals; /* log index to struct proposal */
 	/* struct policy_process; not cleared when leadership is lost */
--- a/lib/dispatch/organisations.c
+++ b/lib/dispatch/organisations.c
@@ -7,6 +7,17 @@
 
 #define METERS_MAX 32 /* organisations with metrics of their own */
 #define REPORT_INTERVAL_MS 5000 /* between log lines of one organisation */
+/*
+ * Shares decide the order only while some organisation uses so many times its
+ * entitlement, and so much of all workers beyond it. Below that, use differs
+ * from the entitlements by chance, for example by a gang of a small
+ * organisation, and an order by shares makes urgent work late for the sake of
+ * work that has time.
+ */
+#define CONTENDED_SHARE 1.5
+#define CONTENDED_EXCESS 0.1
+/* After that the others get what they are still due. */
+#define CONTENDED_HOLD_MS 5000
 
 /* Caps and weights are copied, as the next configuration frees this one. NULL:
  * the organisation is not in the configuration. */
@@ -151,6 +162,15 @@
 	return d->weights > 0 ? o->weight / d->weights : 0;
 }
 
+static bool
+is_far_above(const struct dispatch *d, const struct organisation *o)
+{
+	double due = entitlement(d, o);
+
+	return share_over_due(&o->used, &d->available,
+	    MAX(CONTENDED_SHARE * due, due + CONTENDED_EXCESS));
+}
+
 void
 organisations_prepare(struct round *rd)
 {
@@ -174,6 +194,20 @@
 		if (o->runs > 0 || o->round == rd->number)
 			d->weights += o->weight;
 	}
+	g_hash_table_iter_init(&iter, d->organisations);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct organisation *o = value;
+
+		if (o->runs > 0 && is_far_above(d, o))
+			d->contended_until_ms = rd->now + CONTENDED_HOLD_MS;
+	}
+}
+
+/* Says whether shares decide the order. */
+static bool
+is_contended(const struct round *rd)
+{
+	return rd->now < rd->d->contended_until_ms;
 }
 
 uint32_t
@@ -184,7 +218,8 @@
 	const struct organisation *o = p->organisation;
 	struct resources per_task = run_resources(step);
 
-	if (o == NULL || step->long_running || turn == SHARE_TURNS - 1)
+	if (o == NULL || step->long_running || turn == SHARE_TURNS - 1 ||
+	    !is_contended(rd))
 		return UINT32_MAX;
 	/* It uses what no other work needs, its organisation's or not. */
 	if (step->best_effort)
@@ -285,6 +320,10 @@
 
 	if (p->organisation == NULL)
 		return has_time;
+	/* Without turns the entitlement is compared here. */
+	if (!is_contended(rd))
+		urgent.within = !share_over_due(&p->organisation->used,
+		    &rd->d->available, entitlement(rd->d, p->organisation));
 	victim.within = !has_surplus(rd, r->organisation);
 	if (!share_may_preempt(&urgent, &victim, has_time))
 		return false;
