dispatch, admit, plan: decisions that can be asked without recording them

A command that explains where a job would go must use the functions that placement and admission use, and some of them record what they decide. admit_ask() is the decision of admit_decide(); round_try() places a step in a round whose picks are only listed; preempt_try() selects runs without stopping them; holder_state(), round_obstacle() and plan_obstacle() state the reason for which holder_available(), the allowed workers and plan_fit_count() pass a worker over. Behaviour is unchanged.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -368,8 +368,8 @@
 }
 
 static void
-compare_costs(
-    struct admit *a, const struct admit_request *r, struct admit_decision *out)
+compare_costs(const struct admit *a, const struct admit_request *r,
+    struct admit_decision *out)
 {
 	int64_t spare = spare_ms(&r->job, 1, r->now_ms);
 	int64_t end_ms;
@@ -389,20 +389,35 @@
 	    out->accept_cost <= out->refuse_cost;
 }
 
+/* Sets the time of the caller's first attempt; returns which attempt it is. */
+static uint32_t
+set_first_attempt(const struct admit *a, struct admit_request *r)
+{
+	const struct refused *before = refused_find(&a->refused, r->id);
+
+	r->job.first_ms = before == NULL ? r->now_ms : before->first_ms;
+	return before == NULL ? 1 : before->attempts + 1;
+}
+
 struct admit_decision
-admit_decide(struct admit *a, const struct admit_request *request)
+admit_ask(const struct admit *a, const struct admit_request *request)
 {
-	struct admit_decision out = { .accept = true, .attempt = 1 };
+	struct admit_decision out = { .accept = true };
 	struct admit_request r = *request;
-	const struct refused *before = refused_find(&a->refused, r.id);
 
-	r.job.first_ms = r.now_ms;
-	if (before != NULL) {
-		r.job.first_ms = before->first_ms;
-		out.attempt = before->attempts + 1;
-	}
+	out.attempt = set_first_attempt(a, &r);
 	if (a->full && !r.exempt)
 		compare_costs(a, &r, &out);
+	return out;
+}
+
+struct admit_decision
+admit_decide(struct admit *a, const struct admit_request *request)
+{
+	struct admit_decision out = admit_ask(a, request);
+	struct admit_request r = *request;
+
+	(void)set_first_attempt(a, &r);
 	if (out.accept) {
 		refused_remove(&a->refused, r.id);
 		record_arrival(a, &r.job, r.now_ms);
--- a/lib/admit/admit.h
+++ b/lib/admit/admit.h
@@ -45,7 +45,7 @@
 struct admit_request {
 	uint64_t id;
 	int64_t now_ms;
-	struct cost_job job; /* first_ms is set by admit_decide() */
+	struct cost_job job; /* first_ms is set by the decision */
 	bool exempt; /* never refused: long-running, or fits no worker */
 };
 
@@ -68,6 +68,9 @@
 /* Replaces the load; to be called at least once a second. */
 void admit_update(struct admit *a, const struct admit_load *load);
 
+/* Decides without recording anything. */
+struct admit_decision
+admit_ask(const struct admit *a, const struct admit_request *request);
 /* Decides and records the decision. */
 struct admit_decision
 admit_decide(struct admit *a, const struct admit_request *request);
--- a/lib/dispatch/admission.c
+++ b/lib/dispatch/admission.c
@@ -359,6 +359,44 @@
 	    admit_used_permille(a));
 }
 
+static struct admit_request
+request_for(struct dispatch *d, const struct admit *a,
+    const struct flow_job *job, const char *organisation)
+{
+	int64_t now = MAX(g_get_real_time() / 1000, flow_time_ms(d->conf.flow));
+	struct resources capacity = admit_capacity(a);
+
+	return (struct admit_request){ .id = job->id,
+		.now_ms = now,
+		.exempt = is_exempt(d, &job->spec, job->queue),
+		.job = { .priority = job->queue->priority,
+		    .entitled_permille =
+			entitled_permille(d, organisation, now),
+		    .objective_ms = round_objective_ms(d, job),
+		    .remaining_ms = round_critical_path_ms(d, job),
+		    .work = work_of(d, job, &capacity) } };
+}
+
+uint32_t
+admission_ask(struct dispatch *d, const struct flow_queue *q, uint64_t id,
+    const struct flow_spec *spec, const char *organisation,
+    struct admit_decision *out)
+{
+	struct flow_job job = {
+		.id = id, .queue = (struct flow_queue *)q, .spec = *spec
+	};
+	const struct admit *a = g_hash_table_lookup(d->admits, q->pool);
+	struct admit_request r;
+
+	/* A pool without load so far is not full. */
+	*out = (struct admit_decision){ .accept = true };
+	if (a == NULL)
+		return COST_ENTITLED_FULL;
+	r = request_for(d, a, &job, organisation);
+	*out = admit_ask(a, &r);
+	return r.job.entitled_permille;
+}
+
 int64_t
 admission_retry_ms(struct dispatch *d, const struct flow_queue *q, uint64_t id,
     const struct flow_spec *spec, const char *organisation)
@@ -367,21 +405,11 @@
 	struct flow_job job = {
 		.id = id, .queue = (struct flow_queue *)q, .spec = *spec
 	};
-	int64_t now = MAX(g_get_real_time() / 1000, flow_time_ms(d->conf.flow));
 	struct admit *a = admit_of_pool(d, q->pool);
-	struct resources capacity = admit_capacity(a);
-	struct admit_request r = { .id = id,
-		.now_ms = now,
-		.exempt = is_exempt(d, spec, q),
-		.job = { .priority = q->priority,
-		    .entitled_permille =
-			entitled_permille(d, organisation, now),
-		    .objective_ms = round_objective_ms(d, &job),
-		    .remaining_ms = round_critical_path_ms(d, &job),
-		    .work = work_of(d, &job, &capacity) } };
+	struct admit_request r = request_for(d, a, &job, organisation);
 	struct admit_decision out = admit_decide(a, &r);
 
-	count_job(d, organisation, now);
+	count_job(d, organisation, r.now_ms);
 	if (out.accept)
 		return 0;
 	d->meter.refused->value++;
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -358,17 +358,28 @@
 	return result == AGENT_FENCED || result == AGENT_OTHER_INCARNATION;
 }
 
-bool
-holder_available(const struct holder *h, int64_t now)
+enum holder_state
+holder_state(const struct holder *h, int64_t now)
 {
 	const struct flow_worker *w = flow_worker(h->d->conf.flow, h->id);
 
-	if (w == NULL || w->draining || h->deregistered || h->dead ||
-	    h->removing || !h->polled || h->unreachable || h->has_strays ||
-	    now < h->excluded_until_ms ||
+	if (w == NULL || h->deregistered || h->dead || h->removing)
+		return HOLDER_LEAVING;
+	if (w->draining)
+		return HOLDER_DRAINING;
+	if (!h->polled || h->unreachable ||
 	    now - h->answered_ms > CONTACT_MAX_AGE_MS)
-		return false;
-	return plan_failure_state(&h->failures, now) != PLAN_EXCLUDED;
+		return HOLDER_SILENT;
+	if (h->has_strays || now < h->excluded_until_ms ||
+	    plan_failure_state(&h->failures, now) == PLAN_EXCLUDED)
+		return HOLDER_EXCLUDED;
+	return HOLDER_AVAILABLE;
+}
+
+bool
+holder_available(const struct holder *h, int64_t now)
+{
+	return holder_state(h, now) == HOLDER_AVAILABLE;
 }
 
 uint32_t
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -327,6 +327,15 @@
 bool holder_takes_orders(const struct holder *h);
 /* Returns the worker that started last at the address, or NULL. */
 struct holder *holder_latest_at(const struct dispatch *d, const char *address);
+/* Whether a worker may get new work. */
+enum holder_state {
+	HOLDER_AVAILABLE,
+	HOLDER_LEAVING, /* its incarnation is over, or about to be */
+	HOLDER_DRAINING,
+	HOLDER_SILENT, /* has not answered lately */
+	HOLDER_EXCLUDED /* for a time, after failures or faults */
+};
+enum holder_state holder_state(const struct holder *h, int64_t now);
 /* Says whether the worker may get new work. */
 bool holder_available(const struct holder *h, int64_t now);
 /* Returns how many tasks the worker may get now, whatever its resources. */
@@ -370,6 +379,10 @@
 /* permits.c */
 struct step_permits *step_permits_get(struct dispatch *d,
     const struct flow_job *job, uint32_t occurrence, uint32_t step);
+/* A copy that shares the tables, which must not be changed through it. */
+struct step_permits *step_permits_copy(const struct step_permits *s);
+enum plan_permit
+permit_state(const struct step_permits *s, uint32_t worker, int64_t until_ms);
 /* The permit for a worker, or NULL if there is none or it expires soon. */
 const char *
 permit_find_valid(const struct step_permits *s, uint32_t worker, int64_t now);
@@ -460,6 +473,27 @@
 	GArray *fast; /* struct fast_workers, if learnt speeds are in effect */
 	uint64_t serial; /* of the next pending step */
 	uint64_t number; /* of this round */
+	/* struct plan_worker: if not NULL, the placement is only tried, the
+	 * workers chosen for tasks are added here, and nothing is recorded. */
+	GPtrArray *picks;
+};
+
+/* What came of trying to place a step. */
+struct round_trial {
+	struct plan_request request; /* for the tasks left, or all of them */
+	uint32_t tasks; /* that wait */
+	uint32_t over_cap; /* of these, those that the cap has no room for */
+	uint32_t left; /* of the others, those that no worker has room for */
+	bool may_preempt; /* runs may be stopped for it */
+};
+
+/* Why a worker that may get work gets none of a step. */
+enum round_obstacle {
+	ROUND_ALLOWED,
+	ROUND_OTHER_POOL,
+	ROUND_NO_LABEL,
+	ROUND_RESERVED, /* for another step */
+	ROUND_APART /* from the runs there, which may crash workers */
 };
 
 /*
@@ -498,6 +532,20 @@
 
 /* round.c */
 void round_run(struct dispatch *d, int64_t now);
+/* Starts a round that round_clear() ends, and collects its workers. */
+void round_init(struct round *rd, struct dispatch *d, int64_t now);
+void round_collect(struct round *rd);
+void round_clear(struct round *rd);
+/* Tries to place a step. Takes what it would get from the resources of the
+ * round's workers, and adds these workers to rd->picks. */
+struct round_trial round_try(struct round *rd, const struct pending_step *p);
+enum round_obstacle
+round_obstacle(const struct round *rd, const struct pending_step *p,
+    struct apartness apart, struct holder *h, const struct flow_worker *w);
+/* A step of an occurrence, as a round would place it. */
+struct pending_step round_pending_step(struct round *rd,
+    const struct flow_job *job, const struct flow_occurrence *occurrence,
+    uint32_t step, const struct plan_pending *urgency);
 /* Updates the run time estimates from a run that succeeded. */
 void round_record_runtime(struct dispatch *d, const struct flow_job *job,
     const struct active_run *r, int64_t ran_ms);
@@ -552,6 +600,10 @@
 void preempt_for_step(struct round *rd, const struct pending_step *p,
     const struct plan_request *request, GPtrArray *workers,
     struct step_permits *permits);
+/* Returns how many runs preempt_for_step() would stop. */
+uint32_t preempt_try(struct round *rd, const struct pending_step *p,
+    const struct plan_request *request, const GPtrArray *workers,
+    const struct step_permits *permits);
 /* Says whether a worker is reserved for another step. */
 bool preempt_reserved_for_other(
     const struct holder *h, const struct pending_step *p, int64_t now);
@@ -611,7 +663,31 @@
 int64_t admission_retry_ms(struct dispatch *d, const struct flow_queue *q,
     uint64_t id, const struct flow_spec *spec, const char *organisation);
 
+struct admit_decision;
+/* The same without recording anything; out: what it rests on. Returns the part
+ * of the job's value that its organisation is entitled to, in permille. */
+uint32_t admission_ask(struct dispatch *d, const struct flow_queue *q,
+    uint64_t id, const struct flow_spec *spec, const char *organisation,
+    struct admit_decision *out);
+
+/* explain.c */
+/* A job to explain. */
+struct explain_request {
+	const struct flow_queue *queue;
+	uint64_t id; /* 0: not named */
+	const struct flow_job *known; /* NULL: not accepted yet */
+	bool proposed; /* its submission is, so it can't be refused */
+	bool unauthenticated; /* it would be refused for its key */
+	const struct flow_spec *spec;
+	const struct flow_organisation *owner; /* NULL: none */
+	const char *fingerprint; /* of its key */
+};
+/* Says in JSON what a submission would come to now. Changes nothing. */
+char *explain_job(struct dispatch *d, const struct explain_request *r);
+
 /* requests.c */
+/* To a job that doesn't fit under a cap: until an operator raises that. */
+#define RETRY_CAP_MS 5000
 void requests_handle(
     struct dispatch *d, uint64_t process, const struct request *req);
 /* Answers the reads that waited for a confirmation of leadership. */
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -87,6 +87,18 @@
 	return s;
 }
 
+struct step_permits *
+step_permits_copy(const struct step_permits *s)
+{
+	struct step_permits *out = g_memdup2(s, sizeof(*s));
+
+	g_hash_table_ref(out->permits);
+	g_hash_table_ref(out->denied);
+	g_ptr_array_ref(out->queries);
+	g_hash_table_ref(out->queried);
+	return out;
+}
+
 const char *
 permit_find_valid(const struct step_permits *s, uint32_t worker, int64_t now)
 {
@@ -204,7 +216,7 @@
 	    int64_t)(queue->permit_call_ms + queue->permit_worker_ms * workers);
 }
 
-static enum plan_permit
+enum plan_permit
 permit_state(const struct step_permits *s, uint32_t worker, int64_t until_ms)
 {
 	gpointer key = GUINT_TO_POINTER(worker);
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -342,10 +342,11 @@
 	cost = cost_of_selected(preemptions, count);
 	if (gain <= cost)
 		return false;
-	log_info("dispatch",
-	    "event=preempt for=%016" G_GINT64_MODIFIER
-	    "x gain=%" G_GINT64_FORMAT " cost=%" G_GINT64_FORMAT,
-	    p->job->id, gain, cost);
+	if (rd->picks == NULL)
+		log_info("dispatch",
+		    "event=preempt for=%016" G_GINT64_MODIFIER
+		    "x gain=%" G_GINT64_FORMAT " cost=%" G_GINT64_FORMAT,
+		    p->job->id, gain, cost);
 	return true;
 }
 
@@ -357,38 +358,86 @@
 	    !preempt_has_reservation(rd, p);
 }
 
-void
-preempt_for_step(struct round *rd, const struct pending_step *p,
-    const struct plan_request *request, GPtrArray *workers,
-    struct step_permits *permits)
-{
+/* The runs selected for a step. */
+struct selection {
 	struct plan_preemption *preemptions;
-	struct plan_worker *copies;
-	guint count = 0;
+	struct plan_worker *copies; /* of the workers */
+	guint count; /* of both */
+	bool worth; /* the step has room then, and that is worth the stops */
+};
+
+static struct selection
+select_runs(struct round *rd, const struct pending_step *p,
+    const struct plan_request *request, const GPtrArray *workers,
+    const struct step_permits *permits)
+{
+	struct selection s = { .preemptions = g_new0(
+				   struct plan_preemption, workers->len + 1),
+		.copies = g_new0(struct plan_worker, workers->len + 1) };
 	uint32_t fit;
 
-	rd->preemptions_left--;
-	rd->d->preempt_ms = rd->now;
-	preemptions = g_new0(struct plan_preemption, workers->len + 1);
-	copies = g_new0(struct plan_worker, workers->len + 1);
 	for (guint i = 0; i < workers->len; i++) {
 		struct round_worker *w = workers->pdata[i];
 
 		if (permits != NULL && !permit_issued(permits, w->plan.worker))
 			continue;
-		copies[count] = w->plan;
-		preemptions[count].worker = &copies[count];
-		preemptions[count].victims = victims_on(rd, w, p);
-		count++;
+		s.copies[s.count] = w->plan;
+		s.preemptions[s.count].worker = &s.copies[s.count];
+		s.preemptions[s.count].victims = victims_on(rd, w, p);
+		s.count++;
 	}
-	fit = plan_preempt(preemptions, count, request);
-	if ((fit == request->count || (p->plan.long_running && fit > 0)) &&
-	    is_worth_stops(rd, p, preemptions, count))
-		preempt_selected(rd, p, request, preemptions, count, permits);
+	fit = plan_preempt(s.preemptions, s.count, request);
+	s.worth =
+	    (fit == request->count || (p->plan.long_running && fit > 0)) &&
+	    is_worth_stops(rd, p, s.preemptions, s.count);
+	return s;
+}
+
+static void
+selection_clear(struct selection *s)
+{
+	for (guint i = 0; i < s->count; i++)
+		g_array_unref(s->preemptions[i].victims);
+	g_free(s->preemptions);
+	g_free(s->copies);
+}
+
+void
+preempt_for_step(struct round *rd, const struct pending_step *p,
+    const struct plan_request *request, GPtrArray *workers,
+    struct step_permits *permits)
+{
+	struct selection s;
+
+	rd->preemptions_left--;
+	rd->d->preempt_ms = rd->now;
+	s = select_runs(rd, p, request, workers, permits);
+	if (s.worth)
+		preempt_selected(
+		    rd, p, request, s.preemptions, s.count, permits);
 	else
 		retry_later(rd, p, request, workers, permits);
-	for (guint i = 0; i < count; i++)
-		g_array_unref(preemptions[i].victims);
-	g_free(preemptions);
-	g_free(copies);
+	selection_clear(&s);
+}
+
+uint32_t
+preempt_try(struct round *rd, const struct pending_step *p,
+    const struct plan_request *request, const GPtrArray *workers,
+    const struct step_permits *permits)
+{
+	struct selection s = select_runs(rd, p, request, workers, permits);
+	uint32_t stops = 0;
+
+	for (guint i = 0; s.worth && i < s.count; i++) {
+		const GArray *victims = s.preemptions[i].victims;
+
+		for (guint k = 0; k < victims->len; k++) {
+			const struct plan_victim *v =
+			    &g_array_index(victims, struct plan_victim, k);
+
+			stops += v->chosen && !v->ends_soon;
+		}
+	}
+	selection_clear(&s);
+	return stops;
 }
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -289,26 +289,38 @@
 	return true;
 }
 
-static void
-add_pending_step(struct round *rd, const struct flow_job *job,
+struct pending_step
+round_pending_step(struct round *rd, const struct flow_job *job,
     const struct flow_occurrence *occurrence, uint32_t step,
     const struct plan_pending *urgency)
 {
-	const struct flow_step_state *st = &occurrence->steps[step];
 	const struct flow_step *s = flow_job_step(job, step);
-	struct pending_step p = { .job = job,
+	struct pending_step p = { .plan = *urgency,
+		.job = job,
 		.occurrence = occurrence,
 		.step = step,
 		.organisation = organisation_in_round(rd, job) };
 
+	p.plan.best_effort = s->best_effort;
+	p.plan.long_running = s->long_running;
+	p.plan.serial = rd->serial++;
+	return p;
+}
+
+static void
+add_pending_step(struct round *rd, const struct flow_job *job,
+    const struct flow_occurrence *occurrence, uint32_t step,
+    const struct plan_pending *urgency)
+{
+	const struct flow_step_state *st = &occurrence->steps[step];
+	const struct flow_step *s = flow_job_step(job, step);
+	struct pending_step p;
+
 	if (st->pending == 0 || !flow_step_ready(job, occurrence, step))
 		return;
 	if (s->gang && !gang_waits(rd, job, occurrence, step))
 		return;
-	p.plan = *urgency;
-	p.plan.best_effort = s->best_effort;
-	p.plan.long_running = s->long_running;
-	p.plan.serial = rd->serial++;
+	p = round_pending_step(rd, job, occurrence, step, urgency);
 	g_array_append_val(rd->pending, p);
 }
 
@@ -418,6 +430,20 @@
 			g_ptr_array_remove_index_fast(workers, i - 1);
 }
 
+enum round_obstacle
+round_obstacle(const struct round *rd, const struct pending_step *p,
+    struct apartness apart, struct holder *h, const struct flow_worker *w)
+{
+	if (strcmp(w->pool, p->job->queue->pool) != 0)
+		return ROUND_OTHER_POOL;
+	if (!has_label(w, flow_job_step(p->job, p->step)->label))
+		return ROUND_NO_LABEL;
+	if (preempt_reserved_for_other(h, p, rd->now))
+		return ROUND_RESERVED;
+	return apart_allows(h, p->job->id, apart, rd->now) ? ROUND_ALLOWED
+							   : ROUND_APART;
+}
+
 /* Adds a worker if the step's constraints, its queue and the separation from
  * other runs allow it. */
 static void
@@ -426,10 +452,7 @@
 {
 	const struct flow_step *step = flow_job_step(p->job, p->step);
 
-	if (strcmp(w->worker->pool, p->job->queue->pool) != 0 ||
-	    !has_label(w->worker, step->label) ||
-	    preempt_reserved_for_other(w->holder, p, rd->now) ||
-	    !apart_allows(w->holder, p->job->id, apart, rd->now))
+	if (round_obstacle(rd, p, apart, w->holder, w->worker) != ROUND_ALLOWED)
 		return;
 	w->plan.step_tasks =
 	    step->max_per_worker == 0 ? 0 : count_step_tasks(w->holder, p);
@@ -550,7 +573,10 @@
 	    (struct plan_worker **)workers->pdata, workers->len, request, pick);
 	uint32_t done = 0;
 
-	for (uint32_t i = 0; done < placed && i < st->count; i++) {
+	for (uint32_t i = 0; rd->picks != NULL && i < placed; i++)
+		g_ptr_array_add(rd->picks, workers->pdata[pick[i]]);
+	for (uint32_t i = 0;
+	     rd->picks == NULL && done < placed && i < st->count; i++) {
 		struct plan_worker *w = workers->pdata[pick[done]];
 
 		if (!is_to_place(rd, p, i, wanted))
@@ -562,7 +588,7 @@
 			: permit_find_valid(permits, w->worker, rd->now));
 		done++;
 	}
-	if (request->gang && rd->d->speeds_in_effect)
+	if (done > 0 && request->gang && rd->d->speeds_in_effect)
 		use_slowest(rd, rd->starts->len - done);
 	g_free(pick);
 	return placed;
@@ -710,20 +736,73 @@
 		organisation_claim(p->organisation, request);
 }
 
-static void
-place_step(struct round *rd, const struct pending_step *p)
+static struct plan_request
+request_of(struct round *rd, const struct pending_step *p)
 {
 	const struct flow_step *step = flow_job_step(p->job, p->step);
-	struct plan_request request = { .per_task = run_resources(step),
+
+	return (struct plan_request){ .per_task = run_resources(step),
 		.gang = step->gang,
 		.colocated = step->colocated,
 		.data_rack = rack_number(rd->d, step->data_rack),
 		.far_factor = rd->d->conf.far_factor,
 		.max_per_worker = step->max_per_worker };
-	struct step_permits *permits = NULL;
-	uint32_t waiting[SEPARATE_ALL + 1] = { 0 };
+}
+
+static struct step_permits *
+permits_of(struct round *rd, const struct pending_step *p)
+{
+	return p->job->queue->needs_permit
+	    ? step_permits_get(rd->d, p->job, p->occurrence->number, p->step)
+	    : NULL;
+}
+
+/* Places the waiting tasks that the cap has room for. Returns how many of them
+ * are left over; over_cap: how many tasks it has no room for. */
+static uint32_t
+place_waiting(struct round *rd, const struct pending_step *p,
+    struct plan_request *request, const uint32_t waiting[SEPARATE_ALL + 1],
+    const struct step_permits *permits, uint32_t *over_cap)
+{
+	uint32_t room = organisation_room(p->organisation, request);
 	uint32_t left = 0;
-	uint32_t room;
+
+	*over_cap = request->count - room;
+	for (int s = SEPARATE_ISOLATED; s <= SEPARATE_ALL; s++) {
+		request->count = MIN(waiting[s], room);
+		room -= request->count;
+		left +=
+		    place_separate(rd, p, request, (enum separation)s, permits);
+	}
+	return left;
+}
+
+struct round_trial
+round_try(struct round *rd, const struct pending_step *p)
+{
+	uint32_t waiting[SEPARATE_ALL + 1] = { 0 };
+	struct round_trial out = { .request = request_of(rd, p) };
+
+	out.request.count = out.tasks = count_waiting(rd, p, waiting);
+	if (out.tasks == 0)
+		return out;
+	speeds_describe_step(rd, p, &out.request);
+	out.left = place_waiting(
+	    rd, p, &out.request, waiting, permits_of(rd, p), &out.over_cap);
+	out.may_preempt = out.left > 0 &&
+	    !flow_job_step(p->job, p->step)->best_effort && is_urgent(rd, p);
+	out.request.count =
+	    out.left + out.over_cap > 0 ? out.left + out.over_cap : out.tasks;
+	return out;
+}
+
+static void
+place_step(struct round *rd, const struct pending_step *p)
+{
+	struct plan_request request = request_of(rd, p);
+	struct step_permits *permits;
+	uint32_t waiting[SEPARATE_ALL + 1] = { 0 };
+	uint32_t left;
 	uint32_t over_cap;
 
 	if (p->ahead) {
@@ -735,21 +814,12 @@
 	if (!resources_fit(&request.per_task, &rd->largest_free) &&
 	    !is_urgent(rd, p))
 		return;
-	request.count = over_cap = count_waiting(rd, p, waiting);
+	request.count = count_waiting(rd, p, waiting);
 	if (request.count == 0)
 		return;
 	speeds_describe_step(rd, p, &request);
-	room = organisation_room(p->organisation, &request);
-	over_cap -= room;
-	if (p->job->queue->needs_permit)
-		permits = step_permits_get(
-		    rd->d, p->job, p->occurrence->number, p->step);
-	for (int s = SEPARATE_ISOLATED; s <= SEPARATE_ALL; s++) {
-		request.count = MIN(waiting[s], room);
-		room -= request.count;
-		left += place_separate(
-		    rd, p, &request, (enum separation)s, permits);
-	}
+	permits = permits_of(rd, p);
+	left = place_waiting(rd, p, &request, waiting, permits, &over_cap);
 	if (left == 0) {
 		preempt_release_workers(rd->d, p);
 		request.count = over_cap;
@@ -864,11 +934,11 @@
 }
 
 void
-round_run(struct dispatch *d, int64_t now)
+round_init(struct round *rd, struct dispatch *d, int64_t now)
 {
-	struct round rd = { .d = d,
+	*rd = (struct round){ .d = d,
 		.now = now,
-		.number = ++d->last_round,
+		.number = d->last_round,
 		.order = &plan_orders[d->conf.yield_under_overload
 			? PLAN_ORDER_COST
 			: PLAN_ORDER_LATEST_START],
@@ -881,16 +951,44 @@
 		.pending =
 		    g_array_new(FALSE, TRUE, sizeof(struct pending_step)),
 		.starts = g_array_new(FALSE, TRUE, sizeof(struct flow_start)) };
+}
+
+void
+round_collect(struct round *rd)
+{
+	collect_workers(rd);
+	find_largest_free(rd);
+	speeds_begin_round(rd);
+}
+
+void
+round_clear(struct round *rd)
+{
+	g_ptr_array_unref(rd->workers);
+	if (rd->fast != NULL)
+		g_array_unref(rd->fast);
+	if (rd->ahead != NULL)
+		g_array_unref(rd->ahead);
+	if (rd->picks != NULL)
+		g_ptr_array_unref(rd->picks);
+	g_array_unref(rd->pending);
+	g_array_unref(rd->starts);
+}
+
+void
+round_run(struct dispatch *d, int64_t now)
+{
+	struct round rd;
 
+	d->last_round++;
+	round_init(&rd, d, now);
 	ahead_init(&rd);
 	flow_each_active_job(d->conf.flow, add_pending_steps, &rd);
 	d->meter.waiting->value = rd.pending->len;
 	if (d->conf.yield_under_overload)
 		admission_update(&rd);
 	if (rd.pending->len + rd.ahead->len > 0) {
-		collect_workers(&rd);
-		find_largest_free(&rd);
-		speeds_begin_round(&rd);
+		round_collect(&rd);
 		g_array_sort_with_data(rd.pending, by_urgency, &rd);
 	}
 	for (guint i = 0; i < rd.pending->len && rd.starts->len < STARTS_MAX;
@@ -902,10 +1000,5 @@
 		    &rd, &g_array_index(rd.ahead, struct pending_step, i));
 	propose_starts(&rd);
 	log_load(&rd);
-	g_ptr_array_unref(rd.workers);
-	if (rd.fast != NULL)
-		g_array_unref(rd.fast);
-	g_array_unref(rd.ahead);
-	g_array_unref(rd.pending);
-	g_array_unref(rd.starts);
+	round_clear(&rd);
 }
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -108,8 +108,8 @@
 	    !is_late_with(1, request);
 }
 
-uint32_t
-plan_fit_count(
+static int64_t
+tasks_in_free(
     const struct plan_worker *worker, const struct plan_request *request)
 {
 	int64_t n =
@@ -117,20 +117,48 @@
 
 	n = MIN(
 	    n, tasks_that_fit(worker->free.memory, request->per_task.memory));
-	n = MIN(n,
+	return MIN(n,
 	    tasks_that_fit(
 		worker->free.accelerators, request->per_task.accelerators));
+}
+
+static bool
+is_too_slow(
+    const struct plan_worker *worker, const struct plan_request *request)
+{
+	return by_end(request) && plan_waits_for_fast(request) &&
+	    is_slow(worker, request) && is_late(worker, request);
+}
+
+uint32_t
+plan_fit_count(
+    const struct plan_worker *worker, const struct plan_request *request)
+{
+	int64_t n = tasks_in_free(worker, request);
+
 	if (request->max_per_worker > 0)
 		n = MIN(n,
 		    (int64_t)request->max_per_worker -
 			MIN(worker->step_tasks, request->max_per_worker));
 	n = MIN(n, (int64_t)worker->task_limit);
-	if (by_end(request) && plan_waits_for_fast(request) &&
-	    is_slow(worker, request) && is_late(worker, request))
+	if (is_too_slow(worker, request))
 		return 0;
 	return (uint32_t)MIN(n, (int64_t)request->count);
 }
 
+enum plan_obstacle
+plan_obstacle(
+    const struct plan_worker *worker, const struct plan_request *request)
+{
+	if (plan_fit_count(worker, request) > 0)
+		return PLAN_FITS;
+	if (tasks_in_free(worker, request) == 0)
+		return PLAN_NO_RESOURCES;
+	if (is_too_slow(worker, request))
+		return PLAN_TOO_SLOW;
+	return worker->task_limit == 0 ? PLAN_TASK_LIMIT : PLAN_MAX_PER_WORKER;
+}
+
 static double
 fraction(int64_t part, int64_t whole)
 {
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -302,4 +302,16 @@
 uint32_t plan_fit_count(
     const struct plan_worker *worker, const struct plan_request *request);
 
+/* Why plan_fit_count() is 0 for a worker. */
+enum plan_obstacle {
+	PLAN_FITS,
+	PLAN_NO_RESOURCES,
+	PLAN_TOO_SLOW, /* the request waits for fast workers */
+	PLAN_TASK_LIMIT,
+	PLAN_MAX_PER_WORKER
+};
+/* The request is for at least one task. */
+enum plan_obstacle plan_obstacle(
+    const struct plan_worker *worker, const struct plan_request *request);
+
 #endif
