dispatch: REQUEST_EXPLAIN says what a submission would come to now

Operators could not see why a job waits or is refused without sending it. The leader answers with a JSON text: queue, organisation, accepted or refused, and for each ready step the workers it would get, how many are passed over for which reason, which runs would be stopped, and the expected start and end. It asks the functions of placement and admission on copies of the tables that they extend; nothing is proposed, queried, counted or remembered.

--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -27,6 +27,8 @@
 	REQUEST_WORKER_LEFT, /* path: the name of the worker */
 	REQUEST_CONFIG, /* body: a configuration */
 	REQUEST_CONFIG_READ,
+	/* host, path, credential; body: a job's spec. Answered with JSON. */
+	REQUEST_EXPLAIN,
 	REQUEST_OP_COUNT
 };
 
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -6,8 +6,6 @@
 
 #define JOB_ID_DIGITS 16 /* hexadecimal */
 #define RETRY_MS 1000 /* suggested if no better estimate exists */
-/* To a job that doesn't fit under a cap: until an operator raises that. */
-#define RETRY_CAP_MS 5000
 
 /*
  * How long the answer about a running job is delayed in case the job ends.
@@ -343,6 +341,67 @@
 	p->received_ms = mono_ms();
 }
 
+/* Fills in what a request to explain is about. If the path names no queue, or
+ * its key is not valid for it, it answers the request and returns false. A
+ * request without a key is explained all the same. */
+static bool
+explain_target(struct dispatch *d, uint64_t process, const struct request *req,
+    struct explain_request *out)
+{
+	const char *rest = NULL;
+
+	out->queue = flow_route(d->conf.flow, req->host, req->path, &rest);
+	if ((out->queue == NULL || req->credential != NULL) &&
+	    find_queue(d, process, req, &rest) == NULL)
+		return false;
+	out->owner = organisation_of(d, req);
+	out->unauthenticated = out->owner == NULL && !out->queue->public &&
+	    flow_config(d->conf.flow)->organisations != NULL;
+	if (*rest == '\0')
+		return true;
+	if (!parse_job(rest, &out->id)) {
+		reply_text(d, process, req, REQUEST_INVALID,
+		    "path: the job's id must be 16 hexadecimal digits");
+		return false;
+	}
+	out->known = flow_job(d->conf.flow, out->id);
+	out->proposed = submit_proposed(d, out->id);
+	if (out->known == NULL || is_owner(d, req, out->known))
+		return true;
+	if (!out->unauthenticated) {
+		reply_text(d, process, req, REQUEST_FORBIDDEN, "");
+		return false;
+	}
+	out->known = NULL; /* not shown without its organisation's key */
+	out->id = 0;
+	return true;
+}
+
+static void
+handle_explain(struct dispatch *d, uint64_t process, const struct request *req)
+{
+	char key[AUTH_FINGERPRINT_DIGITS + 1];
+	struct explain_request r = { .fingerprint = fingerprint(req, key) };
+	struct flow_spec spec = { 0 };
+	gsize len;
+	const void *data;
+	char *text;
+
+	if (!explain_target(d, process, req, &r))
+		return;
+	data = g_bytes_get_data(req->body, &len);
+	if (!flow_spec_decode(data, len, &spec) || !spec_valid(&spec)) {
+		flow_spec_clear(&spec);
+		reply_text(d, process, req, REQUEST_INVALID, "malformed job");
+		return;
+	}
+	r.spec = &spec;
+	text = explain_job(d, &r);
+	flow_spec_clear(&spec);
+	reply_text(d, process, req, REQUEST_DONE, text);
+	free(text);
+}
+
 static void
 add_state_request(struct dispatch *d, uint64_t process,
     const struct request *req, uint64_t job)
@@ -734,6 +793,7 @@
 	[REQUEST_WORKER_LEFT] = handle_worker_left,
 	[REQUEST_CONFIG] = handle_config,
 	[REQUEST_CONFIG_READ] = handle_config_read,
+	[REQUEST_EXPLAIN] = handle_explain,
 };
 
 void
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,5 +1,6 @@
 bt_cases(dispatch
-    SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_keys.c
+    SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_explain.c
+    dispatch_keys.c
     dispatch_organisations.c dispatch_overload.c dispatch_policy.c stubleader.c
     stubworker.c proc.c
     DEPENDS dispatch httpd
@@ -27,4 +28,8 @@
     policy-ahead policy-ahead-overdue policy-learn
     overload-refused overload-off overload-room
     overload-overdue overload-proposed overload-takeover
-    overload-never-fits)
+    overload-never-fits
+    explain-reasons explain-max-per-worker explain-excluded explain-permits
+    explain-reserved explain-slow
+    explain-organisation explain-gang explain-waiting explain-as-submitted
+    explain-changes-nothing explain-invalid)
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -172,7 +172,7 @@
 
 /* Has two fast workers and a slow one, which is the tightest fit for a task,
  * run a job of 24 tasks. */
-static void
+void
 run_uneven(struct leader *l, struct stub_worker *workers[3])
 {
 	static const char *const names[] = { "a", "b", "slow" };
@@ -780,5 +780,6 @@
 	organisation_tests_add();
 	policy_tests_add();
 	overload_tests_add();
+	explain_tests_add();
 	return g_test_run();
 }
