platform, bulrushctl: explain a submission over HTTP and as a command

POST /v1/explain at the metrics address forwards REQUEST_EXPLAIN to the leader and answers with its JSON text; bulrushctl explain shows it as text or JSON, with the key from the environment or a file.

--- a/bulrushctl/client.c
+++ b/bulrushctl/client.c
@@ -229,6 +229,9 @@
 	evhttp_add_header(headers, "traceparent", parent);
 	if (req->key != NULL)
 		evhttp_add_header(headers, "Idempotency-Key", req->key);
+	if (req->credential != NULL)
+		evhttp_add_header(
+		    headers, "Bulrushtide-Credential", req->credential);
 	if (req->body != NULL) {
 		evhttp_add_header(headers, "Content-Type", "application/json");
 		evbuffer_add(evhttp_request_get_output_buffer(http), req->body,
--- a/bulrushctl/client.h
+++ b/bulrushctl/client.h
@@ -18,6 +18,7 @@
 	enum evhttp_cmd_type method;
 	const char *path;
 	const char *key; /* Idempotency-Key header, or NULL */
+	const char *credential; /* key of the caller, or NULL */
 	const char *body; /* JSON text, or NULL */
 	int64_t wait_ms; /* how long the entry may delay its reply */
 	bool cancels; /* the outcome "cancelled" counts as success */
--- a/bulrushctl/completion.bash
+++ b/bulrushctl/completion.bash
@@ -7,6 +7,7 @@
 	plan) echo "--from" ;;
 	apply) echo "--wait --author= --if-version=" ;;
 	submit) echo "--key= --wait-ms=" ;;
+	explain) echo "--host= --path= --key-file=" ;;
 	get) echo "--wait-ms=" ;;
 	cancel) echo "--team= --prefix=" ;;
 	esac
@@ -15,7 +16,7 @@
 _bulrushctl()
 {
 	local cur=${COMP_WORDS[COMP_CWORD]} commands command= word
-	commands="check plan apply config submit get cancel status nodes
+	commands="check plan apply config submit explain get cancel status nodes
 	    workers teams trace drain replica"
 	for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
 		case " ${commands//[[:space:]]/ } " in
@@ -30,7 +31,7 @@
 	case $command in
 	"") COMPREPLY=($(compgen -W "$commands" -- "$cur")) ;;
 	check | plan | apply) COMPREPLY=($(compgen -d -- "$cur")) ;;
-	submit) COMPREPLY=($(compgen -f -- "$cur")) ;;
+	submit | explain) COMPREPLY=($(compgen -f -- "$cur")) ;;
 	replica) COMPREPLY=($(compgen -W "add remove" -- "$cur")) ;;
 	esac
 }
--- a/bulrushctl/ctl.h
+++ b/bulrushctl/ctl.h
@@ -41,6 +41,7 @@
 extern const struct command command_apply;
 extern const struct command command_config;
 extern const struct command command_submit;
+extern const struct command command_explain;
 extern const struct command command_get;
 extern const struct command command_cancel;
 extern const struct command command_status;
@@ -69,6 +70,10 @@
 /* Appends a percent-encoded segment to a path; caller frees. */
 char *ctl_path(const char *prefix, const char *segment);
 
+/* Reads a JSON object from a file, "-": standard input. Returns its text, to be
+ * freed with free(); NULL after printing an error. */
+char *ctl_read_object(const char *file);
+
 /* Prints a JSON value on one line. */
 void print_json(const json_t *value);
 
--- a/bulrushctl/job.c
+++ b/bulrushctl/job.c
@@ -82,9 +82,8 @@
 	return s;
 }
 
-/* Reads a job from a file or standard input; NULL after printing an error. */
-static char *
-read_body(const char *file)
+char *
+ctl_read_object(const char *file)
 {
 	json_error_t err;
 	json_t *body = strcmp(file, "-") == 0
@@ -135,7 +134,7 @@
 
 	if (key == NULL)
 		return EXIT_USAGE;
-	body = read_body(argv[0]);
+	body = ctl_read_object(argv[0]);
 	if (body == NULL) {
 		g_free(key);
 		return EXIT_FAILED;
--- a/bulrushctl/main.c
+++ b/bulrushctl/main.c
@@ -19,6 +19,7 @@
 	&command_apply,
 	&command_config,
 	&command_submit,
+	&command_explain,
 	&command_get,
 	&command_cancel,
 	&command_status,
--- a/test/cellnode.cmake
+++ b/test/cellnode.cmake
@@ -1,5 +1,5 @@
 bt_cases(cellnode SOURCES cellnode_test.c stepcell.c proc.c tcp.c DEPENDS base httpd
-    CASES whole-path large-config config-near-limit
+    CASES whole-path explain large-config config-near-limit
     config-slow-entry losses stops early-reload key-leader-killed
     key-all-killed key-process-paused key-added key-not-logged)
 add_dependencies(cellnode_test bulrushtide-platform faultproxy)
--- a/test/cellnode_test.c
+++ b/test/cellnode_test.c
@@ -41,6 +41,49 @@
 	cell_free(c);
 }
 
+#define EXPLAIN "/v1/explain?host=jobs.example&path=/q/"
+
+static int
+call_explain(struct cell *c, int node, const char *path, const char *body)
+{
+	return cell_call(c, c->node[node].metrics, EVHTTP_REQ_POST, path, body);
+}
+
+/* Guards against an explanation that depends on which process is asked, that
+ * submits the job, or that hides what is wrong with the request. */
+static void
+test_explain(void)
+{
+	static const char job[] = "{\"steps\":[{\"count\":2,\"cpu\":1000}]}";
+	struct cell *c = cell_new();
+
+	CELL_AWAIT(c, cell_submit(c, 3, JOB("1")));
+	CELL_AWAIT(c, cell_state_is(c, 1, JOB("1"), "completed"));
+	for (int i = 0; i < NODES; i++) {
+		g_assert_cmpint(
+		    call_explain(c, i, EXPLAIN "0000000000000002", job), ==,
+		    200);
+		g_assert_nonnull(strstr(c->body, "\"outcome\":\"accepted\""));
+		g_assert_nonnull(strstr(c->body, "\"placed\":2"));
+	}
+	g_assert_cmpint(
+	    cell_call(c, c->node[0].callers, EVHTTP_REQ_GET, JOB("2"), NULL),
+	    ==, 410);
+	g_assert_cmpint(call_explain(c, 0, "/v1/explain?host=h", job), ==, 400);
+	g_assert_nonnull(strstr(c->body, "path: missing"));
+	g_assert_cmpint(
+	    call_explain(c, 0, EXPLAIN, "{\"steps\":[{},{\"cpu\":-1}]}"), ==,
+	    400);
+	g_assert_nonnull(strstr(c->body, "steps[1]"));
+	g_assert_cmpint(
+	    call_explain(c, 0, "/v1/explain?host=h&path=/none/", job), ==, 404);
+	g_assert_nonnull(strstr(c->body, "no such queue"));
+	for (int i = 1; i < NODES; i++)
+		cell_kill_node(c, i);
+	CELL_AWAIT(c, call_explain(c, 0, EXPLAIN, job) == 503);
+	cell_free(c);
+}
+
 #define LARGE_QUEUES 1000 /* a document of 160 KB */
 #define QUEUES_NEAR_LIMIT 25000 /* a document of nearly 4 MiB */
 
@@ -578,6 +621,7 @@
 	/* A process may close a connection that a test still writes to. */
 	signal(SIGPIPE, SIG_IGN);
 	g_test_add_func("/cellnode/whole-path", test_whole_path);
+	g_test_add_func("/cellnode/explain", test_explain);
 	g_test_add_func("/cellnode/large-config", test_large_config);
 	g_test_add_func("/cellnode/config-near-limit", test_config_near_limit);
 	g_test_add_func("/cellnode/config-slow-entry", test_config_slow_entry);
--- a/test/ctl_test.c
+++ b/test/ctl_test.c
@@ -29,6 +29,7 @@
 	enum evhttp_cmd_type method;
 	char *uri;
 	char *key; /* Idempotency-Key header, or NULL */
+	char *credential; /* Bulrushtide-Credential header, or NULL */
 	char *body;
 };
 
@@ -56,6 +57,9 @@
 		.uri = g_strdup(evhttp_request_get_uri(req)),
 		.key = g_strdup(evhttp_find_header(
 		    evhttp_request_get_input_headers(req), "Idempotency-Key")),
+		.credential = g_strdup(
+		    evhttp_find_header(evhttp_request_get_input_headers(req),
+			"Bulrushtide-Credential")),
 		.body = g_strndup(body == NULL ? "" : body, len),
 	};
 }
@@ -152,6 +156,7 @@
 	for (int i = 0; i < e->received_count; i++) {
 		g_free(e->received[i].uri);
 		g_free(e->received[i].key);
+		g_free(e->received[i].credential);
 		g_free(e->received[i].body);
 	}
 	g_free(e);
@@ -220,6 +225,10 @@
 
 static const char job_file[] = EXAMPLES "/halvorsen/jobs/stock-check.json";
 
+#define EXPLAIN                                                     \
+	"explain --host=h --path=/p/1 " EXAMPLES "/halvorsen/jobs/" \
+	"stock-check.json"
+
 static void
 test_usage(void)
 {
@@ -228,7 +237,8 @@
 		"--entry=nowhere:1 status", "--entry=127.0.0.1:0 status",
 		"cancel", "cancel 1 --team=a", "replica add a",
 		"replica move a@127.0.0.1:1", "submit --nope x",
-		"submit --wait-ms=-1 x", "--nope" };
+		"submit --wait-ms=-1 x", "explain x", "explain --host=h x",
+		"explain --host=h --path=/p/", "--nope" };
 
 	g_unsetenv("BULRUSHTIDE_ENTRY");
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
@@ -479,6 +489,20 @@
 		.body = "{\"outcome\":\"not-run\"}",
 		.retry_after = "3600" },
 	    1, "retry after 3600 s" },
+	{ EXPLAIN,
+	    { .status = 200,
+		.body = "{\"outcome\":\"accepted\",\"queue\":\"q\"}" },
+	    0, "" },
+	{ EXPLAIN,
+	    { .status = 200,
+		.body = "{\"outcome\":\"refused\",\"reason\":\"key\","
+			"\"message\":\"a call needs a valid key\"}" },
+	    1, "bulrushctl: refused (key): a call needs a valid key\n" },
+	{ EXPLAIN,
+	    { .status = 404,
+		.body = "{\"outcome\":\"not-run\",\"message\":\"no queue\"}" },
+	    1, "bulrushctl: not-run: no queue\n" },
+	{ EXPLAIN " --timeout-ms=1000", { .status = HANG }, 3, "unknown" },
 	{ "drain e1", { .status = 202, .body = "{\"outcome\":\"accepted\"}" },
 	    0, "" },
 };
@@ -499,6 +523,36 @@
 	}
 }
 
+/* Guards against a key that is not sent, or sent with a line end, and against
+ * parameters that are not escaped. */
+static void
+test_explain(void)
+{
+	static const struct answer answer = { .status = 200,
+		.body = "{\"outcome\":\"accepted\",\"queue\":\"q\","
+			"\"expected\":{\"start_in_ms\":7},"
+			"\"steps\":[{\"step\":0,\"tasks\":2,\"placed\":1,"
+			"\"passed_over\":{\"label\":3},"
+			"\"workers\":[{\"worker\":\"w1\"}]}]}" };
+	struct answer script[] = { answer, answer };
+	struct entry *e;
+	struct run r;
+
+	g_setenv("BULRUSHTIDE_KEY", "secret\n", TRUE);
+	r = run_with(EXPLAIN, script, &e);
+	g_unsetenv("BULRUSHTIDE_KEY");
+	g_assert_cmpint(r.exit, ==, 0);
+	g_assert_cmpstr(
+	    e->received[0].uri, ==, "/v1/explain?host=h&path=%2Fp%2F1");
+	g_assert_cmpstr(e->received[0].credential, ==, "secret");
+	assert_has(r.out, "expected start in 7 ms");
+	assert_has(r.out, "step 0: 1 of 2 tasks");
+	assert_has(r.out, "passed over: 3 label\n");
+	assert_has(r.out, "w1");
+	run_clear(&r);
+	entry_free(e);
+}
+
 /* If a job may have been accepted, the error names the key to retry with. */
 static void
 test_submit_unknown(void)
@@ -649,6 +703,7 @@
 	g_test_add_func("/ctl/submit-resend", test_submit_resend);
 	g_test_add_func("/ctl/submit-unknown", test_submit_unknown);
 	g_test_add_func("/ctl/answers", test_answers);
+	g_test_add_func("/ctl/explain", test_explain);
 	g_test_add_func("/ctl/unreachable", test_unreachable);
 	g_test_add_func("/ctl/second-entry", test_second_entry);
 	g_test_add_func("/ctl/bodies", test_bodies);
--- a/test/stepcell.c
+++ b/test/stepcell.c
@@ -17,6 +17,7 @@
 #define CALL_TIMEOUT_MS 4000
 #define PEER_PORT "7998" /* the same on all addresses, as on the platform */
 #define READY_PORT "7999"
+#define METRICS_PORT "7996"
 #define CONTROL_PORT "7997" /* the same on all nodes */
 #define LOG_TAIL_BYTES 4000
 #define FIRST_MILLICPUS 1000 /* of a task of a job's first step ... */
@@ -572,11 +573,11 @@
 	char *text = g_strdup_printf(
 	    "[node]\nname=n%d\ndata-center=z\nip=%s\npeer-ports=%s\n"
 	    "peer-listen=%s\nseeds=%s:1,%s:1\nfirst-start=%s\ndata-dir=%s\n"
-	    "callers=%s\ncontrol=%s\nready=%s:%s\ngrace-s=4\n"
+	    "callers=%s\ncontrol=%s\nready=%s:%s\nmetrics=%s\ngrace-s=4\n"
 	    "lease-max-ms=6000\nretain-s=60\n",
 	    i, n->ip, PEER_PORT, n->listen, c->node[0].ip, c->node[seed].ip,
 	    first ? "true" : "false", n->data == NULL ? "" : n->data,
-	    n->callers, n->control, n->ip, READY_PORT);
+	    n->callers, n->control, n->ip, READY_PORT, n->metrics);
 
 	g_assert_true(g_file_set_contents(n->settings, text, -1, NULL));
 	g_free(text);
@@ -758,6 +759,7 @@
 		n->ip = node_ip(i);
 		n->callers = free_address(n->ip);
 		n->control = g_strdup_printf("%s:%s", n->ip, CONTROL_PORT);
+		n->metrics = g_strdup_printf("%s:%s", n->ip, METRICS_PORT);
 		n->listen = free_address(n->ip);
 		n->settings = g_strdup_printf("%s/n%d.conf", c->dir, i);
 		if (i >= DISKS)
@@ -791,6 +793,7 @@
 		g_free(n->data);
 		g_free(n->callers);
 		g_free(n->control);
+		g_free(n->metrics);
 	}
 	proc_free(c->proxy);
 	for (int i = 0; i < WORKERS; i++)
--- a/test/stepcell.h
+++ b/test/stepcell.h
@@ -37,6 +37,7 @@
 	char *data; /* NULL: no disk */
 	char *callers;
 	char *control;
+	char *metrics;
 	char *listen; /* for peers, behind the proxy */
 	struct http_peer *caller_conn; /* kept open between calls */
 	uint64_t file_max; /* file size limit of its next start; 0: none */
