--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,6 +1,7 @@
 bt_cases(dispatch
-    SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_keys.c
-    dispatch_organisations.c dispatch_drain.c dispatch_overload.c dispatch_policy.c stubleader.c
+    SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_drain.c
+    dispatch_explain.c dispatch_keys.c dispatch_organisations.c
+    dispatch_overload.c dispatch_policy.c stubleader.c
     stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
@@ -29,4 +30,8 @@
     overload-overdue overload-proposed overload-takeover
     overload-never-fits overload-stops overload-aged-turns drain-evacuates drain-unknown
     share-order share-preemption
-    share-surplus share-kept refused-over-weight not-refused-with-room organisation-metrics)
+    share-surplus share-kept refused-over-weight not-refused-with-room organisation-metrics
+    explain-reasons explain-max-per-worker explain-excluded explain-permits
+    explain-reserved explain-slow
+    explain-organisation explain-gang explain-waiting explain-as-submitted
+    explain-changes-nothing explain-invalid)
