--- a/lib/dispatch/dispatch.h
+++ b/lib/dispatch/dispatch.h
@@ -88,6 +88,8 @@
 	/* How long a worker that drains stays at least; 0: not known. */
 	int64_t drain_ms;
 	int64_t retain_ms; /* how long records of ended jobs are kept */
+	/* Query the policy service for steps that can't start yet. */
+	bool queries_ahead;
 	/* Under overload, refuse, delay and stop what costs callers least. */
 	bool yield_under_overload;
 };
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -452,7 +452,8 @@
 bool
 permits_can_look_ahead(const struct dispatch *d, int64_t now)
 {
-	return count_idle(d, now) >
+	return d->conf.queries_ahead &&
+	    count_idle(d, now) >
 	    plan_query_ahead_reserve(d->policy_processes->len);
 }
 
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -352,6 +352,7 @@
 	conf.lease_max_ms = 6000;
 	conf.far_factor = 1;
 	conf.retain_ms = 60000;
+	conf.queries_ahead = true;
 	l->base = event_base_new();
 	l->flow = flow_new();
 	l->registry = registry_new();
