--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -116,7 +116,6 @@
 	bool poll_failed; /* did not answer the last poll */
 	bool unreachable; /* an order could not be sent since its last answer */
 	bool deregistered;
-	int64_t draining_ms; /* since when it drains; 0: it doesn't */
 	bool dead; /* this incarnation is over ... */
 	int64_t dead_ms; /* ... since when */
 	bool name_reused; /* a later incarnation has its name and address */
@@ -133,6 +132,7 @@
 	int64_t closed_ms; /* when it last closed a poll's connection */
 	int64_t heartbeat_ms; /* time of its last heartbeat */
 	int64_t heartbeat_seq;
+	int64_t draining_ms; /* since when it drains; 0: it doesn't */
 	struct resources used; /* by runs that are assigned or proposed */
 	/* The step that the worker's free resources are reserved for until
 	 * reserved_until_ms, while the runs preempted for it are ending;
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -14,7 +14,9 @@
  * longer than expected, and permits expire after a few seconds. */
 #define QUERIES_AHEAD_MAX 2
 #define LEARN_INTERVAL_MS 100 /* of checks which workers a gang may use */
-#define RESERVE_WAIT_MS 1000 /* then a step may use one of the reserve */
+/* Then a step may use one of the reserve. Sooner, the gangs that wait where the
+ * policy service is the bottleneck leave none to short urgent steps. */
+#define RESERVE_WAIT_MS 5000
 #define SHORT_QUERY_WORKERS 10 /* that a query for single tasks names */
 
 guint
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -371,8 +371,9 @@
 	const char *rest = NULL;
 
 	out->queue = flow_route(d->conf.flow, req->host, req->path, &rest);
-	if ((out->queue == NULL || req->credential != NULL) &&
-	    find_queue(d, process, req, &rest) == NULL)
+	if (out->queue == NULL || req->credential != NULL)
+		out->queue = find_queue(d, process, req, &rest);
+	if (out->queue == NULL)
 		return false;
 	out->owner = organisation_of(d, req);
 	out->unauthenticated = out->owner == NULL && !out->queue->public &&
