dispatch: no search of all workers for each step that waits for a cap; account after the changes

Each step over a cap looked at all workers in each round although the organisation's other steps were held back already, and rounds without organisations summed up the workers. Not measured at that size since.

--- a/lib/dispatch/organisations.c
+++ b/lib/dispatch/organisations.c
@@ -178,6 +178,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	/* Without organisations a round costs nothing more. */
+	if (g_hash_table_size(d->organisations) == 0)
+		return;
 	d->available = (struct resources){ 0 };
 	for (guint i = 0; i < rd->workers->len; i++) {
 		const struct plan_worker *w = rd->workers->pdata[i];
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -831,8 +831,9 @@
 		preempt_release_workers(rd->d, p);
 		request.count = over_cap;
 		if (over_cap > 0)
-			organisation_step_waits(
-			    rd, p, &request, is_placeable(rd, p, &request));
+			organisation_step_waits(rd, p, &request,
+			    p->organisation->held ||
+				is_placeable(rd, p, &request));
 		return;
 	}
 	request.count = left;
