--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -416,6 +416,15 @@
 	limits.processes = d->policy_processes->len;
 	limits.idle = count_idle(d, now);
 	limits.in_flight = s->queries->len;
+	/* Where most processes are busy the policy service is the bottleneck,
+	 * and several calls take more of its time than one: each step has one
+	 * at a time then, by any process. */
+	if (!limits.ahead && limits.idle * 2 <= limits.processes) {
+		if (limits.in_flight > 0)
+			return 0;
+		limits.processes = 0;
+		limits.idle = MIN(limits.idle, 1);
+	}
 	limits.allowed_fraction =
 	    plan_allowed_fraction(allowed_of_queue(d, queue));
 	if (!limits.ahead)
