Tests: the three cases that failed under load, traced and mended

fault_answer-lost: between the one-way cut of the link and the request more than LINK_IDLE_MS (3 s) passed, so the entry had closed the silent link and never sent the request; its 503 was true. Reproduced by a delay of 3.5 s there; delays of 290, 350 and 600 ms at the request or the kill did not fail. The leader is now killed once it has logged that the job is committed, and only then is 503 wrong; such a log line for each submission is new in bulrushtided.

dispatch_deadly-gangs: the process stood still for over 350 ms between a confirmation of leadership and a submission, which dispatch then answers UNAVAILABLE as it must (reproduced by a pause of 300 and 600 ms there). The stand-in now sends such a request again, as lib/gate does.

dispatch_service-worker-lost: a pause of 5 s, longer than the leases, fails 24 of 26 times; pauses of 0.7 and 1.7 s at 26 moments each and of 0.3 and 0.6 s at a stop order never did. All workers of the case live in the paused process, so its premise that one of them keeps its lease is gone. The case now notices such a pause and starts over, three times at most.

--- a/bulrushtided/requests.c
+++ b/bulrushtided/requests.c
@@ -138,6 +138,13 @@
 on_submit_result(
     struct leader *l, struct waiter *w, const struct cell_result *result)
 {
+	const struct cell_job *j = cell_job(l->cell, result->job);
+
+	log_info("leader",
+	    "event=submitted job=%" G_GUINT64_FORMAT
+	    " name=%s outcome=%s client=%" G_GUINT64_FORMAT,
+	    result->job, j == NULL ? "" : j->spec.name,
+	    outcome_name(result->outcome), w->client);
 	if (result->outcome != OUT_ACCEPTED) {
 		l->node->counters.requests_not_run->value++;
 		reply_result(l, w, result);
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -84,6 +84,9 @@
 
 /* Waits until a process has logged the text after its last start. */
 void cluster_await_log(struct cluster *c, const char *name, const char *text);
+/* Says whether a process logs a text within a time, since its last start. */
+bool cluster_logged_within(
+    struct cluster *c, const char *name, const char *text, int64_t ms);
 
 /*
  * Returns a batch job with one task, whose payload has the key as token and
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -31,6 +31,8 @@
 	uint64_t applied;
 	bool no_quorum; /* nothing is committed or confirmed */
 	bool unconfirmed; /* leadership is not confirmed */
+	int64_t ran_ms; /* end of the last leader_run() ... */
+	int64_t stalled_ms; /* ... and the longest time between two of them */
 	uint64_t context; /* of the last confirmation requested */
 	bool hold_commands; /* commands wait for leader_apply() */
 	uint64_t awaited; /* id of the last leader_request() ... */
@@ -83,6 +85,8 @@
 /* Sends a request; leader_request() awaits the answer. Takes body. */
 void leader_send(
     struct leader *l, enum request_op op, const char *path, GBytes *body);
+/* As lib/gate does, sends the request again if a leader has not carried it out
+ * because its leadership is not confirmed yet. */
 void leader_request(
     struct leader *l, enum request_op op, const char *path, GBytes *body);
 GBytes *leader_worker(const struct stub_worker *w, bool draining);
