dispatch: a gang doesn't wait for fast workers that the policy service denies it

Denied workers are now left out, so the step asks about the others at once. policy-fast-denied fails without the change.

--- a/lib/dispatch/speeds.c
+++ b/lib/dispatch/speeds.c
@@ -164,13 +164,23 @@
 	    (double)f->free.memory < SCARCE_FREE * (double)f->capacity.memory;
 }
 
-/* Says whether the fast workers of a step's pool, if empty, hold all its tasks.
- */
+/* Says whether the policy service has denied a step a worker. */
+static bool
+is_denied(const struct step_permits *permits, uint32_t worker)
+{
+	return permits != NULL &&
+	    permit_state(permits, worker, 0) == PLAN_PERMIT_DENIED;
+}
+
+/* Says whether the fast workers of a step's pool, if empty, hold all its tasks;
+ * without those that the policy service has denied it. */
 static bool
 fast_suffice(const struct round *rd, const struct pending_step *p,
     const struct plan_request *request)
 {
 	const struct flow_step_state *st = &p->occurrence->steps[p->step];
+	const struct step_permits *permits =
+	    step_permits_find(rd->d, p->job, p->occurrence->number, p->step);
 	struct plan_request all = *request;
 	uint32_t fit = 0;
 
@@ -180,7 +190,8 @@
 		struct plan_worker empty = w->plan;
 
 		if (w->plan.slowdown >= slow_from(rd->d) ||
-		    strcmp(w->worker->pool, p->job->queue->pool) != 0)
+		    strcmp(w->worker->pool, p->job->queue->pool) != 0 ||
+		    is_denied(permits, w->plan.worker))
 			continue;
 		empty.free = empty.capacity;
 		empty.step_tasks = 0;
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -25,7 +25,7 @@
     cap-gang-permit cap-no-preemption cap-never-fits cap-other-organisations
     policy-split policy-query-fails
     policy-process-lost policy-late-answers policy-takeover policy-single
-    policy-ahead policy-ahead-overdue policy-learn
+    policy-ahead policy-ahead-overdue policy-learn policy-fast-denied
     overload-refused overload-off overload-room
     overload-overdue overload-proposed overload-takeover
     overload-never-fits overload-stops overload-aged-turns drain-evacuates drain-unknown
--- a/test/dispatch_policy.c
+++ b/test/dispatch_policy.c
@@ -8,6 +8,7 @@
 #define WORKERS 24 /* more than a short query names */
 #define PROCESSES 4
 #define VALID_MS 20000 /* of permits; no test takes so long */
+#define UNHURRIED_MS 10000 /* run time of a gang with as much to spare */
 #define GANG 0x77
 #define GANG_PATH "/allowed/0000000000000077"
 
@@ -361,6 +362,37 @@
 	cell_free(&c);
 }
 
+/* A gang that would be late on slow workers is denied the fast ones. Guards
+ * against a gang that waits for them, beside workers that are free, until its
+ * latest start has passed. */
+static void
+test_fast_denied(void)
+{
+	struct leader *l = leader_new_uneven(1.75);
+	struct stub_worker *workers[3];
+	struct stub_worker *slow;
+
+	run_uneven(l, workers);
+	leader_run_for(l, 700); /* until the speeds are in effect */
+	slow = workers[2];
+	l->policy_connected = true;
+	dispatch_process_changed(l->dispatch, 1, true);
+	leader_submit_step(l, GANG_PATH,
+	    (struct flow_step){ .count = 2,
+		.resources = { 1000, 1 << 20, 0 },
+		.runtime_ms = UNHURRIED_MS,
+		.gang = true });
+	AWAIT(l, l->calls->len == 1);
+	leader_deny(l, l->calls->pdata[0]);
+	leader_run_for(l, UNHURRIED_MS / 10);
+	g_assert_cmpuint(l->calls->len, ==, 1);
+	leader_allow(l, l->calls->pdata[0], VALID_MS);
+	AWAIT(l, slow->running->len == 2);
+	for (int i = 0; i < 3; i++)
+		stub_worker_free(workers[i]);
+	leader_free(l);
+}
+
 void
 policy_tests_add(void)
 {
@@ -373,4 +405,5 @@
 	g_test_add_func("/dispatch/policy-ahead", test_ahead);
 	g_test_add_func("/dispatch/policy-ahead-overdue", test_ahead_overdue);
 	g_test_add_func("/dispatch/policy-learn", test_learn);
+	g_test_add_func("/dispatch/policy-fast-denied", test_fast_denied);
 }
