dispatch: steps that can be of use go by what waiting costs their callers

Change: one order for steps on time and late, by the value per work that is lost if they wait (cost_weight(): what is lost by being late, until late, and the rest until it is of no use). It was the order of overload=yield, with late work behind all that can be in time; now it is the only one. The order by latest start stays as the tie-break. Aged turns are part of it.

--- a/lib/cost/cost.c
+++ b/lib/cost/cost.c
@@ -89,16 +89,27 @@
 	    stop->lost_work * stop->price / COST_WORK_UNIT;
 }
 
+/* How much of a loss is at stake while it takes so long until it can't be
+ * avoided any more. */
+static int64_t
+at_stake(int64_t loss, int64_t spare_ms)
+{
+	return spare_ms < 0 ? 0
+			    : loss * SPARE_HALF_MS / (SPARE_HALF_MS + spare_ms);
+}
+
 int64_t
 cost_weight(const struct cost_job *job, int64_t now_ms)
 {
-	int64_t price = cost_per_work(job, cost_value(job));
+	int64_t value = cost_per_work(job, cost_value(job));
+	int64_t if_late = value * LATE_PERMILLE / 1000;
 	int64_t spare_ms =
 	    job->first_ms + job->objective_ms - job->remaining_ms - now_ms;
+	int64_t useful_ms =
+	    spare_ms + (COST_USEFUL_OBJECTIVES - 1) * job->objective_ms;
 
-	if (spare_ms < 0)
-		spare_ms += (COST_USEFUL_OBJECTIVES - 1) * job->objective_ms;
-	return price * SPARE_HALF_MS / (SPARE_HALF_MS + MAX(spare_ms, 0));
+	return at_stake(value - if_late, spare_ms) +
+	    at_stake(if_late, useful_ms);
 }
 
 int64_t
--- a/lib/cost/cost.h
+++ b/lib/cost/cost.h
@@ -75,8 +75,11 @@
     const struct cost_job *job, int64_t now_ms, const struct cost_stop *stop);
 
 /*
- * How far the job goes before others that are in time, late or overdue like it:
- * its value per work, less as long as there is time to spare.
+ * How far the job goes before others that can be of use like it: the value per
+ * work that it loses if it has to wait, less as long as there is time to spare.
+ * Being late costs most of its value, being too late to be of use the rest, so
+ * work that has just missed its objective still goes before work with much time
+ * and little value for its size. 0: it can't be of use any more.
  */
 int64_t cost_weight(const struct cost_job *job, int64_t now_ms);
 
--- a/lib/dispatch/admission.c
+++ b/lib/dispatch/admission.c
@@ -8,13 +8,6 @@
 /* A run beyond its estimate is expected to take a quarter of its time more:
  * some tasks take several times as long as others. */
 #define OVERRUN_DIVISOR 4
-/* Overdue steps wait so long behind all work that can be of use. */
-#define AGED_MS 30000
-#define AGED_TURN_MS 1000
-/* The longest turn: to query the policy service, stop runs and start. A step
- * may fit on no worker, or wait for the cap of its organisation. */
-#define AGED_TURN_MAX_MS 5000
-
 /* Accepted jobs of one organisation. */
 struct job_rate {
 	double jobs; /* decays with RATE_AVERAGE_MS */
@@ -44,8 +37,6 @@
 {
 	d->admits = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, admit_destroy);
-	d->aged_step = (struct flow_run){ 0 };
-	d->aged_ms = 0;
 	d->job_rates =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -205,98 +196,7 @@
 		    cost_work(&per_task, p->occurrence->steps[p->step].pending,
 			task_ms, &l->capacity));
 		admit_load_add(l, &job, task_ms);
-		p->plan.weight = cost_weight(&job, rd->cell_now);
-	}
-}
-
-/* How long a step can't be of use any more. */
-static int64_t
-useless_for_ms(const struct round *rd, const struct pending_step *p)
-{
-	if (p->plan.best_effort || p->plan.long_running)
-		return 0;
-	return rd->cell_now + p->plan.remaining_ms - p->plan.accepted_ms -
-	    PLAN_LATE_FACTOR * p->plan.objective_ms;
-}
-
-/* The step whose turn it is, or NULL if it doesn't wait any more. */
-static struct pending_step *
-find_aged(struct round *rd)
-{
-	for (guint i = 0; i < rd->pending->len; i++) {
-		struct pending_step *p =
-		    &g_array_index(rd->pending, struct pending_step, i);
-
-		if (step_has_run(p, &rd->d->aged_step))
-			return p;
-	}
-	return NULL;
-}
-
-/* When a step was accepted, or last went first if that was later. */
-static int64_t
-passed_over_since(const struct round *rd, const struct pending_step *p)
-{
-	const struct step_permits *s =
-	    step_permits_find(rd->d, p->job, p->occurrence->number, p->step);
-
-	return s == NULL ? p->plan.accepted_ms
-			 : MAX(p->plan.accepted_ms, s->aged_ms);
-}
-
-/* The overdue step that was passed over for longest, or NULL. */
-static struct pending_step *
-choose_aged(const struct round *rd)
-{
-	struct pending_step *longest = NULL;
-	int64_t longest_since_ms = INT64_MAX;
-
-	for (guint i = 0; i < rd->pending->len; i++) {
-		struct pending_step *p =
-		    &g_array_index(rd->pending, struct pending_step, i);
-		int64_t since_ms;
-
-		if (useless_for_ms(rd, p) <= AGED_MS)
-			continue;
-		since_ms = passed_over_since(rd, p);
-		if (since_ms >= longest_since_ms)
-			continue;
-		longest = p;
-		longest_since_ms = since_ms;
 	}
-	return longest;
-}
-
-/*
- * One step goes first that has been overdue for AGED_MS, until it is placed or
- * AGED_TURN_MAX_MS are over; the next one AGED_TURN_MS after it at the
- * earliest. So each gets its turn, also beside steps that can't be placed, and
- * the turns take little from work that can be in time.
- */
-static void
-mark_aged(struct round *rd)
-{
-	struct dispatch *d = rd->d;
-	struct pending_step *p = find_aged(rd);
-
-	if (p != NULL && rd->now - d->aged_ms < AGED_TURN_MAX_MS) {
-		p->plan.aged = true;
-		return;
-	}
-	if (rd->now - d->aged_ms < AGED_TURN_MS)
-		return;
-	p = choose_aged(rd);
-	if (p == NULL)
-		return;
-	p->plan.aged = true;
-	step_permits_get(d, p->job, p->occurrence->number, p->step)->aged_ms =
-	    rd->cell_now;
-	d->aged_step = step_id(p);
-	d->aged_ms = rd->now;
-	log_info("dispatch",
-	    "event=aged job=%016" G_GINT64_MODIFIER
-	    "x step=%u overdue_ms=%" G_GINT64_FORMAT,
-	    p->job->id, p->step, useless_for_ms(rd, p));
 }
 
 /* Metrics show the pool that is used most. */
@@ -333,7 +233,6 @@
 	while (g_hash_table_iter_next(&iter, &pool, &load))
 		admit_update(admit_of_pool(rd->d, pool), load);
 	g_hash_table_unref(loads);
-	mark_aged(rd);
 	update_meters(rd->d);
 }
 
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -396,6 +396,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->racks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	d->reservations = g_array_new(FALSE, FALSE, sizeof(struct reservation));
+	d->aged_step = (struct flow_run){ 0 };
+	d->aged_ms = 0;
 	admission_lead(d);
 	for (guint i = 0; i < d->policy_processes->len; i++)
 		((struct policy_process *)d->policy_processes->pdata[i])
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -286,7 +286,7 @@
 	GHashTable *racks; /* rack name to number */
 	GArray *reservations; /* struct reservation, most of them not over */
 	int64_t ahead_ms; /* when steps to query ahead for were last sought */
-	/* The next four are used only with the setting overload=yield. */
+	/* The next two are used only with the setting overload=yield. */
 	GHashTable *admits; /* pool name to struct admit */
 	GHashTable *job_rates; /* organisation to struct job_rate */
 	struct flow_run aged_step; /* goes first, see mark_aged() */
@@ -499,7 +499,6 @@
 	struct dispatch *d;
 	int64_t now; /* monotonic */
 	int64_t cell_now; /* cell time, see flow.h */
-	const struct plan_order *order;
 	GPtrArray *workers; /* struct round_worker, by free millicpus */
 	int preemptions_left; /* steps that runs may still be preempted for */
 	GArray *pending; /* struct pending_step */
@@ -614,6 +613,10 @@
 GPtrArray *round_allowed_workers(
     struct round *rd, const struct pending_step *p, struct apartness apart);
 
+/* order.c */
+/* Sorts the steps that wait, once the round's workers are known. */
+void order_steps(struct round *rd);
+
 /* ahead.c */
 /* Prepares a round to find steps to query for before they are ready. */
 void ahead_init(struct round *rd);
@@ -714,8 +717,7 @@
 /* admission.c */
 void admission_lead(struct dispatch *d);
 void admission_resign(struct dispatch *d);
-/* Records the load that a round has found. Sets the weight of the steps that
- * wait, and which of them goes first because of its age. */
+/* Records the load that a round has found. */
 void admission_update(struct round *rd);
 /* What lib/cost needs to know about the job of a step that waits for work. */
 struct cost_job admission_cost_job(
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -357,16 +357,6 @@
 	}
 }
 
-static gint
-by_urgency(gconstpointer a, gconstpointer b, gpointer arg)
-{
-	const struct pending_step *x = a;
-	const struct pending_step *y = b;
-	const struct round *rd = arg;
-
-	return rd->order->compare(&x->plan, &y->plan, rd->cell_now);
-}
-
 static bool
 has_label(const struct flow_worker *w, const char *label)
 {
@@ -965,9 +955,6 @@
 	*rd = (struct round){ .d = d,
 		.now = now,
 		.number = d->last_round,
-		.order = &plan_orders[d->conf.yield_under_overload
-			? PLAN_ORDER_COST
-			: PLAN_ORDER_LATEST_START],
 		.cell_now =
 		    MAX(g_get_real_time() / 1000, flow_time_ms(d->conf.flow)),
 		.workers = g_ptr_array_new_with_free_func(round_worker_free),
@@ -1018,7 +1005,7 @@
 		admission_update(&rd);
 	if (rd.pending->len + rd.ahead->len > 0) {
 		round_collect(&rd);
-		g_array_sort_with_data(rd.pending, by_urgency, &rd);
+		order_steps(&rd);
 	}
 	for (uint32_t turn = 0; turn < turns; turn++)
 		place_turn(&rd, turn);
--- a/lib/plan/plan.c
+++ b/lib/plan/plan.c
@@ -42,7 +42,7 @@
 }
 
 int
-plan_compare(
+plan_compare_latest_start(
     const struct plan_pending *a, const struct plan_pending *b, int64_t now_ms)
 {
 	enum plan_tier ta = plan_tier(a, now_ms);
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -26,8 +26,7 @@
 	bool best_effort;
 	bool long_running;
 	uint64_t serial; /* order of acceptance, the last tie-breaker */
-	/* Only for PLAN_ORDER_COST: */
-	int64_t weight; /* the larger goes first in its tier, see lib/cost */
+	int64_t weight; /* the larger goes first, see cost_weight() */
 	bool aged; /* was passed over for so long that it goes first */
 };
 
@@ -39,33 +38,22 @@
 int64_t plan_spare_ms(const struct plan_pending *step, int64_t now_ms);
 
 /*
- * Orders by tier, then by latest start time; below 0 if a goes first. Work
- * that can't be on time any more goes after work that can, so that bursts of
- * small urgent jobs are not delayed by large gangs. Long-running tasks go
- * first: their objective has passed when one has to be restarted, so under
- * load they would otherwise wait behind all other work.
+ * The order in which steps get capacity; below 0 if a goes first. The load that
+ * it answers: full workers, large jobs with time to spare, and small ones that
+ * have just missed their objective, often because one of their tasks took
+ * several times as long as expected. Those are late by less, the sooner they go
+ * on, at little cost to the others.
+ *
+ * Long-running tasks go first: their objective has passed when one has to be
+ * restarted, so under load they would otherwise wait behind all other work.
+ * Aged steps follow, then those that can still be of use, by weight. Steps that
+ * can't be of use any more go by latest start, before best-effort work.
  */
 int plan_compare(
     const struct plan_pending *a, const struct plan_pending *b, int64_t now_ms);
-
-/*
- * Orders to choose from. PLAN_ORDER_COST has the tiers of plan_compare(), with
- * aged steps after the long-running ones; within a tier the larger weight goes
- * first.
- */
-enum plan_order_kind {
-	PLAN_ORDER_LATEST_START, /* plan_compare() */
-	PLAN_ORDER_COST,
-	PLAN_ORDER_COUNT
-};
-
-struct plan_order {
-	const char *name;
-	int (*compare)(const struct plan_pending *a,
-	    const struct plan_pending *b, int64_t now_ms);
-};
-
-extern const struct plan_order plan_orders[PLAN_ORDER_COUNT];
+/* Orders by tier, then by latest start, priority and order of acceptance. */
+int plan_compare_latest_start(
+    const struct plan_pending *a, const struct plan_pending *b, int64_t now_ms);
 
 /*
  * Statistics that correct the declared run times of one kind of task. How
