dispatch: brief policy queries keep processes, also where most are busy

The reserve of processes counted a query as short by the number of its workers, not by its time, and was dropped while most processes were busy.

Change: only queries of queues that answer within 100 ms use the reserve, unless none was wanted for 10 s; it holds also while most processes are busy, and is a quarter of the processes, at most 4, instead of an eighth. The replay queries-after-restart fails with the old rule (260 ms for 250).

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -398,6 +398,7 @@
 	d->reservations = g_array_new(FALSE, FALSE, sizeof(struct reservation));
 	d->aged_step = (struct flow_run){ 0 };
 	d->aged_ms = 0;
+	d->brief_query_ms = 0;
 	admission_lead(d);
 	for (guint i = 0; i < d->policy_processes->len; i++)
 		((struct policy_process *)d->policy_processes->pdata[i])
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -286,6 +286,7 @@
 	GHashTable *racks; /* rack name to number */
 	GArray *reservations; /* struct reservation, most of them not over */
 	int64_t ahead_ms; /* when steps to query ahead for were last sought */
+	int64_t brief_query_ms; /* when a brief query was last wanted */
 	/* The next two are used only with the setting overload=yield. */
 	GHashTable *admits; /* pool name to struct admit */
 	GHashTable *job_rates; /* organisation to struct job_rate */
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -18,6 +18,9 @@
  * policy service is the bottleneck leave none to short urgent steps. */
 #define RESERVE_WAIT_MS 5000
 #define SHORT_QUERY_WORKERS 10 /* that a query for single tasks names */
+/* The reserve is kept for so long after a brief query was wanted. A new leader
+ * learns of them in its first round, which asks for urgent steps first. */
+#define RESERVE_UNUSED_MS 10000
 
 guint
 step_permits_hash(gconstpointer p)
@@ -397,6 +400,17 @@
 	    now - s->passed_over_ms > RESERVE_WAIT_MS;
 }
 
+/* Says whether a short query of a queue may use the reserve: if it is brief, or
+ * nobody needs the reserve as there were no brief ones for a while. */
+static bool
+may_use_reserve(struct dispatch *d, const struct flow_queue *queue, int64_t now)
+{
+	if (query_ms(queue, SHORT_QUERY_WORKERS) <= PLAN_BRIEF_QUERY_MS)
+		d->brief_query_ms = now;
+	return d->brief_query_ms == now || d->brief_query_ms == 0 ||
+	    now - d->brief_query_ms > RESERVE_UNUSED_MS;
+}
+
 /*
  * Sends the queries that are useful now; limits has partial and ahead set.
  * Permits that are valid after until_ms need no query. Returns the number of
@@ -407,7 +421,7 @@
     const struct plan_request *request, GPtrArray *workers,
     struct plan_query_limits limits, int64_t until_ms, int64_t now)
 {
-	const char *queue = flow_job(d->conf.flow, s->job)->queue->name;
+	const struct flow_queue *queue = flow_job(d->conf.flow, s->job)->queue;
 	struct plan_candidate *candidates;
 	uint32_t calls;
 
@@ -416,17 +430,10 @@
 	limits.processes = d->policy_processes->len;
 	limits.idle = count_idle(d, now);
 	limits.in_flight = s->queries->len;
-	/* Where most processes are busy the policy service is the bottleneck,
-	 * and several calls take more of its time than one: each step has one
-	 * at a time then, by any process. */
-	if (!limits.ahead && limits.idle * 2 <= limits.processes) {
-		if (limits.in_flight > 0)
-			return 0;
-		limits.processes = 0;
-		limits.idle = MIN(limits.idle, 1);
-	}
+	limits.saturated = !limits.ahead && limits.idle * 2 <= limits.processes;
+	limits.brief = may_use_reserve(d, queue, now);
 	limits.allowed_fraction =
-	    plan_allowed_fraction(allowed_of_queue(d, queue));
+	    plan_allowed_fraction(allowed_of_queue(d, queue->name));
 	if (!limits.ahead)
 		limits.passed_over = is_passed_over(s, &limits, now);
 	candidates = query_candidates(s, request, workers, until_ms);
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -233,6 +233,10 @@
 	double allowed_fraction; /* of workers with unknown permit */
 	bool partial; /* query also if the answers can't suffice for a gang */
 	bool ahead; /* the answers are not needed yet: leave more idle */
+	bool brief; /* the step's queries are, so they may use the reserve */
+	/* Most processes are busy: the policy service is the bottleneck, and
+	 * several calls take more of its time than one. */
+	bool saturated;
 	/* The step has waited for processes so long that it may use one of the
 	 * reserve for a long query. */
 	bool passed_over;
@@ -244,14 +248,22 @@
 #define PLAN_CALL_WORKERS_MAX 100
 /* Queries for up to so many workers are short: they are one call, as calls for
  * fewer workers would hardly end sooner. A step's only query in flight may use
- * the reserve if it is short and needed now. */
+ * the reserve if it is short, brief and needed now. */
 #define PLAN_SHORT_QUERY_WORKERS 20
 
-/* How many processes are kept idle for short queries. */
+/* How many processes are kept idle for brief queries. */
 uint32_t plan_query_reserve(uint32_t processes);
 /* How many queries ahead leave idle. */
 uint32_t plan_query_ahead_reserve(uint32_t processes);
 
+/*
+ * A query that takes so long is brief: a start takes as long besides. The load
+ * that this answers: many steps need permits at once, as after a restart, and
+ * long queries for work with time to spare take all processes for half a
+ * second, while urgent steps wait whose queries would take 30 ms.
+ */
+#define PLAN_BRIEF_QUERY_MS 100
+
 /*
  * Selects the workers that queries to the policy service name now, and splits
  * them over calls that are sent at the same time. The load that this addresses:
--- a/lib/plan/queries.c
+++ b/lib/plan/queries.c
@@ -10,8 +10,9 @@
 /* More workers are named while calls are in flight if the capacity expected
  * from these is below this multiple: answers vary by about a fifth. */
 #define REFILL_CAPACITY_FACTOR 1.25
-/* One process in so many is kept idle, and at most RESERVE_MAX. */
-#define RESERVE_PROCESSES 8
+/* One process in so many is kept idle, and at most RESERVE_MAX: after a restart
+ * several brief queries are needed at a time. */
+#define RESERVE_PROCESSES 4
 #define RESERVE_MAX 4
 /* Queries ahead leave so many times the reserve, for what becomes ready. */
 #define AHEAD_RESERVE_FACTOR 2
@@ -136,7 +137,10 @@
 	uint32_t calls =
 	    (workers + PLAN_SHORT_QUERY_WORKERS - 1) / PLAN_SHORT_QUERY_WORKERS;
 
-	if (calls <= 1 && limits->in_flight == 0 && !limits->ahead)
+	if (limits->saturated)
+		calls = MIN(calls, 1);
+	if (calls <= 1 && limits->in_flight == 0 && limits->brief &&
+	    !limits->ahead)
 		return MIN(calls, limits->idle);
 	return MIN(calls, calls_beyond_reserve(limits));
 }
@@ -162,8 +166,8 @@
 		return false;
 	if (limits->in_flight == 0)
 		return true;
-	return request->gang && !limits->partial && !limits->ahead &&
-	    found < request->count * REFILL_CAPACITY_FACTOR;
+	return request->gang && !limits->saturated && !limits->partial &&
+	    !limits->ahead && found < request->count * REFILL_CAPACITY_FACTOR;
 }
 
 uint32_t
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -446,9 +446,10 @@
 test_query_single(void)
 {
 	struct plan_request two = request_of(2, 6, false);
-	struct plan_query_limits limits = {
-		.processes = 43, .idle = 43, .allowed_fraction = 0.4
-	};
+	struct plan_query_limits limits = { .processes = 43,
+		.idle = 43,
+		.allowed_fraction = 0.4,
+		.brief = true };
 	struct plan_candidate all[40];
 
 	for (guint i = 0; i < 40; i++)
@@ -456,14 +457,99 @@
 	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 1);
 	g_assert_cmpuint(count_named(all, 40, 0), >=, 10);
 	g_assert_cmpuint(count_named(all, 40, 0), <, 20);
-	/* The reserve is for such queries. */
+	/* The reserve is for such queries, if they are brief. */
 	limits.idle = 1;
 	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 1);
+	limits.saturated = true;
+	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 1);
+	limits.brief = false;
+	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 0);
+	limits.idle = plan_query_reserve(43) + 1;
+	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 1);
+	limits.saturated = false;
+	limits.brief = true;
 	limits.idle = 42;
 	limits.in_flight = 1;
 	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 0);
 }
 
+#define RESTART_PROCESSES 12
+#define RESTART_STEPS 64
+#define LONG_QUERY_MS 500
+#define BRIEF_QUERY_MS 30
+#define URGENT_WAIT_MS 250 /* the time that callers grant besides the run */
+
+/* A step that waits for one answer. */
+struct restart_step {
+	int64_t ready_ms;
+	int64_t asked_ms; /* -1: not yet */
+	bool brief;
+};
+
+/* Asks for the steps that are ready, the urgent ones first, as far as processes
+ * are idle. */
+static void
+ask_for_steps(struct restart_step *steps, int64_t *busy_until, int64_t now)
+{
+	struct plan_request two = request_of(2, 6, false);
+	struct plan_candidate all[10];
+
+	for (int i = 0; i < RESTART_STEPS; i++) {
+		struct restart_step *s = &steps[i];
+		struct plan_query_limits limits = { .processes =
+							RESTART_PROCESSES,
+			.allowed_fraction = 0.4,
+			.brief = s->brief };
+		int idle = 0;
+
+		for (int k = 0; k < RESTART_PROCESSES; k++) {
+			limits.idle += busy_until[k] <= now;
+			if (busy_until[k] <= now)
+				idle = k;
+		}
+		limits.saturated = limits.idle * 2 <= limits.processes;
+		for (int k = 0; k < 10; k++)
+			all[k] = candidate(1, PLAN_PERMIT_UNKNOWN);
+		if (s->asked_ms >= 0 || s->ready_ms > now ||
+		    plan_select_queries(all, 10, &two, &limits) == 0)
+			continue;
+		s->asked_ms = now;
+		busy_until[idle] =
+		    now + (s->brief ? BRIEF_QUERY_MS : LONG_QUERY_MS);
+	}
+}
+
+/*
+ * After a restart 32 batches need permits by long queries at once, and an
+ * urgent step by a brief one every 20 ms. Guards against long queries that take
+ * all processes, so that urgent steps wait for half a second, and against a
+ * reserve that leaves the batches behind.
+ */
+static void
+test_queries_after_restart(void)
+{
+	struct restart_step steps[RESTART_STEPS];
+	int64_t busy_until[RESTART_PROCESSES] = { 0 };
+	int64_t last_ms = 0;
+
+	for (int i = 0; i < RESTART_STEPS; i++)
+		steps[i] = (struct restart_step){ .brief = i % 2 == 0,
+			.ready_ms = i % 2 == 0 ? i * 10 : 0,
+			.asked_ms = -1 };
+	for (int64_t now = 0; now < 10000; now += 10)
+		ask_for_steps(steps, busy_until, now);
+	for (int i = 0; i < RESTART_STEPS; i++) {
+		g_assert_cmpint(steps[i].asked_ms, >=, 0);
+		if (steps[i].brief)
+			g_assert_cmpint(steps[i].asked_ms - steps[i].ready_ms,
+			    <=, URGENT_WAIT_MS);
+		last_ms = MAX(last_ms, steps[i].asked_ms);
+	}
+	/* Three quarters of the processes are left to the long queries. */
+	g_assert_cmpint(last_ms, <=,
+	    RESTART_STEPS / 2 * LONG_QUERY_MS / (RESTART_PROCESSES * 3 / 4));
+}
+
 /* The queries of a gang are split over idle processes, but not over the
  * reserve. Guards against calls that take long because each names many workers,
  * and against gangs that leave no process to short urgent steps. */
@@ -1437,6 +1523,8 @@
 	g_test_add_func("/plan/query-gang", test_query_gang);
 	g_test_add_func("/plan/query-single", test_query_single);
 	g_test_add_func("/plan/query-split", test_query_split);
+	g_test_add_func(
+	    "/plan/queries-after-restart", test_queries_after_restart);
 	g_test_add_func("/plan/query-ahead", test_query_ahead);
 	g_test_add_func("/plan/query-in-flight", test_query_in_flight);
 	g_test_add_func("/plan/query-limits", test_query_limits);
