dispatch: a file for each decision of a round

Now pending.c has the steps that wait, order.c their order, candidates.c the workers that a step may get, place.c its placement, preempt.c what gives way to it, estimates.c run times and objectives, and round.c the round itself. Functions moved, and named after their files; no change of behaviour. dispatch_test, sanitized: 106 of 106 passed.

--- a/lib/dispatch/admission.c
+++ b/lib/dispatch/admission.c
@@ -147,7 +147,7 @@
 run_remaining_ms(
     struct round *rd, const struct flow_job *job, const struct active_run *r)
 {
-	int64_t remaining = round_run_remaining_ms(rd->d, job, r);
+	int64_t remaining = estimate_run_remaining_ms(rd->d, job, r);
 
 	if (r->started_ms == 0)
 		return remaining;
@@ -187,7 +187,7 @@
 		struct admit_load *l =
 		    load_of_pool(loads, rd, p->job->queue->pool);
 		struct resources per_task = run_resources(step);
-		int64_t task_ms = round_runtime_ms(rd->d, p->job, step, 0.5);
+		int64_t task_ms = estimate_runtime_ms(rd->d, p->job, step, 0.5);
 		struct cost_job job;
 
 		if (step->best_effort || step->long_running)
@@ -286,7 +286,7 @@
 		struct resources per_task = run_resources(s);
 
 		sum += cost_work(&per_task, s->count,
-		    round_runtime_ms(d, job, s, 0.5), capacity);
+		    estimate_runtime_ms(d, job, s, 0.5), capacity);
 	}
 	return sum;
 }
@@ -319,8 +319,8 @@
 		.job = { .priority = job->queue->priority,
 		    .entitled_permille =
 			entitled_permille(d, organisation, now),
-		    .objective_ms = round_objective_ms(d, job),
-		    .remaining_ms = round_critical_path_ms(d, job),
+		    .objective_ms = estimate_objective_ms(d, job),
+		    .remaining_ms = estimate_critical_path_ms(d, job),
 		    .work = work_of(d, job, &capacity) } };
 }
 
--- a/lib/dispatch/ahead.c
+++ b/lib/dispatch/ahead.c
@@ -33,7 +33,7 @@
 			continue;
 		r = run_find(rd->d, &id);
 		if (r == NULL || r->stopping ||
-		    round_run_remaining_ms(rd->d, job, r) > within_ms)
+		    estimate_run_remaining_ms(rd->d, job, r) > within_ms)
 			return false;
 	}
 	return true;
@@ -71,7 +71,7 @@
 
 		if (!ready_soon(rd, job, occurrence, i))
 			continue;
-		p.plan = round_urgency(rd->d, job, occurrence);
+		p.plan = estimate_urgency(rd->d, job, occurrence);
 		g_array_append_val(rd->ahead, p);
 	}
 }
@@ -116,13 +116,13 @@
 	if (request->count == 0 ||
 	    !permits_can_query_ahead(rd->d, permits, rd->now))
 		return;
-	allowed = round_allowed_workers(
+	allowed = candidates_allowed(
 	    rd, p, (struct apartness){ .from = SEPARATE_ISOLATED });
 	workers = g_ptr_array_new_with_free_func(g_free);
 	for (guint i = 0; i < allowed->len; i++)
 		g_ptr_array_add(
 		    workers, worker_when_ready(allowed->pdata[i], p));
-	round_sort_workers(workers);
+	candidates_sort(workers);
 	plan_sort_by_speed(
 	    (struct plan_worker **)workers->pdata, workers->len, request);
 	permits_query_ahead(rd->d, permits, request, workers, rd->now);
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -214,7 +214,7 @@
 		    " objective_ms=%" G_GINT64_FORMAT,
 		    job->id, job->queue->name, flow_state_name(job->state),
 		    job->ended_ms - job->accepted_ms,
-		    round_objective_ms(d, job));
+		    estimate_objective_ms(d, job));
 	if (flow_job_ended(job)) {
 		permits_remove_job(d, job);
 		state_requests_job_ended(d, job);
@@ -292,7 +292,7 @@
 	if (r == NULL)
 		return;
 	if (outcome == FLOW_END_DONE)
-		round_record_runtime(d, job, r, mono_ms() - r->started_ms);
+		estimate_record_runtime(d, job, r, mono_ms() - r->started_ms);
 	run_remove(r);
 	if (outcome != FLOW_END_DONE && flow_job_step(job, s->id.step)->gang)
 		stop_gang(d, job, &s->id);
--- a/lib/dispatch/explain.c
+++ b/lib/dispatch/explain.c
@@ -70,9 +70,9 @@
 };
 
 static const enum reason round_reasons[] = {
-	[ROUND_NO_LABEL] = REASON_LABEL,
-	[ROUND_RESERVED] = REASON_RESERVED,
-	[ROUND_APART] = REASON_APART,
+	[CANDIDATE_NO_LABEL] = REASON_LABEL,
+	[CANDIDATE_RESERVED] = REASON_RESERVED,
+	[CANDIDATE_APART] = REASON_APART,
 };
 
 static const enum reason plan_reasons[] = {
@@ -265,17 +265,17 @@
 	const struct apartness apart = { .from = SEPARATE_ISOLATED };
 	const struct flow_worker *w = flow_worker(v->x->d.conf.flow, h->id);
 	enum holder_state state = holder_state(h, v->x->rd.now);
-	enum round_obstacle obstacle = w == NULL
-	    ? ROUND_ALLOWED
-	    : round_obstacle(&v->x->rd, v->p, apart, h, w);
+	enum candidate_obstacle obstacle = w == NULL
+	    ? CANDIDATE_ALLOWED
+	    : candidate_obstacle(&v->x->rd, v->p, apart, h, w);
 
-	if (obstacle == ROUND_OTHER_POOL)
+	if (obstacle == CANDIDATE_OTHER_POOL)
 		return REASON_POOL;
 	if (state != HOLDER_AVAILABLE)
 		return state_reasons[state];
 	if (h->in_round == NULL)
 		return REASON_PROBING;
-	if (obstacle != ROUND_ALLOWED)
+	if (obstacle != CANDIDATE_ALLOWED)
 		return round_reasons[obstacle];
 	if (count_picks(v, &h->in_round->plan) > 0)
 		return REASON_CHOSEN;
@@ -328,7 +328,7 @@
 			    r->long_running)
 				continue;
 			end.remaining_ms =
-			    round_run_remaining_ms(&x->d, job, r);
+			    estimate_run_remaining_ms(&x->d, job, r);
 			g_array_append_val(ends, end);
 		}
 	}
@@ -422,7 +422,7 @@
 		return;
 	v->end_ms = last_ms +
 	    (int64_t)(slowest(v) *
-		(double)round_runtime_ms(&v->x->d, v->p->job, s, 0.5));
+		(double)estimate_runtime_ms(&v->x->d, v->p->job, s, 0.5));
 }
 
 static json_t *
@@ -536,10 +536,10 @@
 {
 	struct step_view v = { .x = x, .p = p, .first_pick = x->rd.picks->len };
 
-	v.trial = round_try(&x->rd, p);
+	v.trial = place_try(&x->rd, p);
 	if (v.trial.tasks == 0)
 		return; /* all of them run, or are about to */
-	v.allowed = round_allowed_workers(
+	v.allowed = candidates_allowed(
 	    &x->rd, p, (struct apartness){ .from = SEPARATE_ISOLATED });
 	count_reasons(&v);
 	v.stops = count_stops(&v);
@@ -565,14 +565,14 @@
 
 	if (occurrence->due_ms > x->rd.cell_now)
 		return;
-	urgency = round_urgency(&x->d, job, occurrence);
+	urgency = estimate_urgency(&x->d, job, occurrence);
 	for (guint i = 0; i < job->spec.steps->len; i++) {
 		struct pending_step p;
 
 		if (occurrence->steps[i].pending == 0 ||
 		    !flow_step_ready(job, occurrence, i))
 			continue;
-		p = round_pending_step(&x->rd, job, occurrence, i, &urgency);
+		p = pending_step_of(&x->rd, job, occurrence, i, &urgency);
 		explain_step(x, &p);
 	}
 }
@@ -593,7 +593,7 @@
 			return -1;
 		x->start_ms = MAX(x->start_ms, o->due_ms - x->rd.cell_now);
 		end_ms = MAX(MAX(end_ms, x->end_ms),
-		    x->start_ms + round_urgency(&x->d, job, o).remaining_ms);
+		    x->start_ms + estimate_urgency(&x->d, job, o).remaining_ms);
 	}
 	if (occurrences->len == 0)
 		x->start_ms = -1;
@@ -733,7 +733,7 @@
 	set_outcome(&x, out);
 	set_request(r, out);
 	end_ms = explain_steps(&x, job, occurrences);
-	set_estimate(&x, out, round_objective_ms(&x.d, job), end_ms);
+	set_estimate(&x, out, estimate_objective_ms(&x.d, job), end_ms);
 	text = json_dumps(out, JSON_COMPACT);
 	json_decref(out);
 	json_decref(x.steps);
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -526,7 +526,7 @@
 			g_free(r->checkpoint);
 			r->checkpoint = g_strdup(a->checkpoint);
 		}
-		round_record_progress(r, a->percent, now);
+		estimate_record_progress(r, a->percent, now);
 	}
 }
 
@@ -725,7 +725,7 @@
 		return false;
 	step = flow_job_step(job, r->id.step);
 	return step->checkpointing && !step->gang && !step->long_running &&
-	    round_run_remaining_ms(r->holder->d, job, r) > EVACUATE_MS;
+	    estimate_run_remaining_ms(r->holder->d, job, r) > EVACUATE_MS;
 }
 
 /*
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -525,12 +525,12 @@
 };
 
 /* Why a worker that may get work gets none of a step. */
-enum round_obstacle {
-	ROUND_ALLOWED,
-	ROUND_OTHER_POOL,
-	ROUND_NO_LABEL,
-	ROUND_RESERVED, /* for another step */
-	ROUND_APART /* from the runs there, which may crash workers */
+enum candidate_obstacle {
+	CANDIDATE_ALLOWED,
+	CANDIDATE_OTHER_POOL,
+	CANDIDATE_NO_LABEL,
+	CANDIDATE_RESERVED, /* for another step */
+	CANDIDATE_APART /* from the runs there, which may crash workers */
 };
 
 /*
@@ -573,51 +573,80 @@
 void round_init(struct round *rd, struct dispatch *d, int64_t now);
 void round_collect(struct round *rd);
 void round_clear(struct round *rd);
-/* Tries to place a step. Takes what it would get from the resources of the
- * round's workers, and adds these workers to rd->picks. */
-struct round_trial round_try(struct round *rd, const struct pending_step *p);
-enum round_obstacle
-round_obstacle(const struct round *rd, const struct pending_step *p,
-    struct apartness apart, struct holder *h, const struct flow_worker *w);
+
+/* pending.c */
+/* Adds the steps with tasks that could start now. */
+void pending_collect(struct round *rd);
 /* A step of an occurrence, as a round would place it. */
-struct pending_step round_pending_step(struct round *rd,
+struct pending_step pending_step_of(struct round *rd,
     const struct flow_job *job, const struct flow_occurrence *occurrence,
     uint32_t step, const struct plan_pending *urgency);
+/* Says whether a task is pending and its start isn't proposed already. */
+bool pending_task(const struct round *rd, const struct flow_job *job,
+    const struct flow_occurrence *occurrence, uint32_t step, uint32_t index);
+/* Counts the waiting tasks by the separation that they want; those of a gang
+ * count for its most suspected member. Returns how many there are. */
+uint32_t pending_count(const struct round *rd, const struct pending_step *p,
+    uint32_t count[SEPARATE_ALL + 1]);
+
+/* order.c */
+/* Sorts the steps that wait, once the round's workers are known. */
+void order_steps(struct round *rd);
+
+/* candidates.c */
+/* Collects the workers that may get work in a round, those with most free
+ * first. */
+void candidates_collect(struct round *rd);
+uint32_t candidate_rack(struct dispatch *d, const char *rack);
+bool candidate_has_label(const struct flow_worker *w, const char *label);
+enum candidate_obstacle
+candidate_obstacle(const struct round *rd, const struct pending_step *p,
+    struct apartness apart, struct holder *h, const struct flow_worker *w);
+/* Orders workers (struct plan_worker) by free millicpus. */
+void candidates_sort(GPtrArray *workers);
+/* The workers (struct round_worker) that the step's constraints and its queue
+ * allow, those with most free first. */
+GPtrArray *candidates_allowed(
+    struct round *rd, const struct pending_step *p, struct apartness apart);
+/* Those of them that there is a valid permit for. */
+GPtrArray *candidates_permitted(struct round *rd, const struct pending_step *p,
+    const struct step_permits *permits, struct apartness apart);
+
+/* place.c */
+/* Places the tasks of a step, at most so many; queries the policy service and
+ * preempts runs for those that find no room. */
+void place_step(struct round *rd, struct pending_step *p, uint32_t due);
+/* Tries to place a step. Takes what it would get from the resources of the
+ * round's workers, and adds these workers to rd->picks. */
+struct round_trial place_try(struct round *rd, const struct pending_step *p);
+
+/* estimates.c */
 /* Updates the run time estimates from a run that succeeded. */
-void round_record_runtime(struct dispatch *d, const struct flow_job *job,
+void estimate_record_runtime(struct dispatch *d, const struct flow_job *job,
     const struct active_run *r, int64_t ran_ms);
 /* Records a run's progress; stops a run that makes none, so that it restarts
  * on another worker. */
-void round_record_progress(struct active_run *r, int64_t percent, int64_t now);
+void
+estimate_record_progress(struct active_run *r, int64_t percent, int64_t now);
+/* The slowdown of a worker now: old measurements decay towards 1. */
+double estimate_slowdown(const struct holder *h, int64_t now);
 /* The objective of a job from acceptance to its end, in ms. */
-int64_t round_objective_ms(struct dispatch *d, const struct flow_job *job);
-
+int64_t estimate_objective_ms(struct dispatch *d, const struct flow_job *job);
 /* The run time on a fast worker that a fraction of the tasks like those of a
  * job's step doesn't exceed; quantile 0.5: the expected one. */
-int64_t round_runtime_ms(struct dispatch *d, const struct flow_job *job,
+int64_t estimate_runtime_ms(struct dispatch *d, const struct flow_job *job,
     const struct flow_step *step, double quantile);
 /* The estimated run time of the longest chain of a job's steps, in ms. */
-int64_t round_critical_path_ms(struct dispatch *d, const struct flow_job *job);
+int64_t
+estimate_critical_path_ms(struct dispatch *d, const struct flow_job *job);
 /* The estimated time that a run still takes, in ms; where learnt speeds are in
  * effect the time after which most such runs have ended. */
-int64_t round_run_remaining_ms(
+int64_t estimate_run_remaining_ms(
     struct dispatch *d, const struct flow_job *job, const struct active_run *r);
-
-/* Returns the urgency of an occurrence: its objective and remaining work. */
-struct plan_pending round_urgency(struct dispatch *d,
+/* The urgency of an occurrence: its objective and remaining work. */
+struct plan_pending estimate_urgency(struct dispatch *d,
     const struct flow_job *job, const struct flow_occurrence *occurrence);
 
-/* Orders workers (struct plan_worker) by free millicpus. */
-void round_sort_workers(GPtrArray *workers);
-/* The workers (struct round_worker) that the step's constraints and its queue
- * allow, those with most free first. */
-GPtrArray *round_allowed_workers(
-    struct round *rd, const struct pending_step *p, struct apartness apart);
-
-/* order.c */
-/* Sorts the steps that wait, once the round's workers are known. */
-void order_steps(struct round *rd);
-
 /* ahead.c */
 /* Prepares a round to find steps to query for before they are ready. */
 void ahead_init(struct round *rd);
--- a/lib/dispatch/order.c
+++ b/lib/dispatch/order.c
@@ -50,7 +50,7 @@
 			continue;
 		job = admission_cost_job(rd, p,
 		    cost_work(&per_task, p->occurrence->steps[p->step].pending,
-			round_runtime_ms(rd->d, p->job, step, 0.5),
+			estimate_runtime_ms(rd->d, p->job, step, 0.5),
 			all == NULL ? &none : all));
 		p->plan.weight = cost_weight(&job, rd->cell_now);
 	}
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -128,7 +128,7 @@
 		struct resources per_task = run_resources(s);
 
 		sum += cost_work(&per_task, st->count - st->done,
-		    round_runtime_ms(rd->d, job, s, 0.5), all);
+		    estimate_runtime_ms(rd->d, job, s, 0.5), all);
 	}
 	return sum;
 }
@@ -173,12 +173,12 @@
 		return false;
 	out->run = r;
 	out->ran_ms = rd->now - r->started_ms;
-	out->remaining_ms = round_run_remaining_ms(rd->d, job, r);
+	out->remaining_ms = estimate_run_remaining_ms(rd->d, job, r);
 	out->resumes = step->checkpointing;
 	/* The spare time of other runs is not needed. */
 	if (!out->resumes)
 		return true;
-	urgency = round_urgency(rd->d, job, occurrence);
+	urgency = estimate_urgency(rd->d, job, occurrence);
 	out->spare_ms = plan_tier(&urgency, rd->cell_now) > PLAN_ON_TIME
 	    ? INT64_MAX
 	    : plan_spare_ms(&urgency, rd->cell_now);
@@ -346,7 +346,7 @@
 	int64_t lost_ms = since_checkpoint(rd, r);
 
 	if (s == NULL) {
-		struct plan_pending urgency = round_urgency(
+		struct plan_pending urgency = estimate_urgency(
 		    rd->d, job, flow_occurrence(job, r->id.occurrence));
 
 		s = g_new0(struct job_stops, 1);
--- a/lib/dispatch/speeds.c
+++ b/lib/dispatch/speeds.c
@@ -209,9 +209,9 @@
 
 	if (rd->fast == NULL || plan->long_running)
 		return;
-	request->runtime_ms = round_runtime_ms(rd->d, p->job, step, 0.5);
+	request->runtime_ms = estimate_runtime_ms(rd->d, p->job, step, 0.5);
 	request->runtime_high_ms =
-	    round_runtime_ms(rd->d, p->job, step, PLAN_QUANTILE_HIGH);
+	    estimate_runtime_ms(rd->d, p->job, step, PLAN_QUANTILE_HIGH);
 	request->slow_from = slow_from(rd->d);
 	request->fast_scarce = is_scarce(fast_workers(rd, p->job->queue->pool));
 	/* The step's share of what its job can spare; best-effort work is due
