--- a/lib/dispatch/order.c
+++ b/lib/dispatch/order.c
@@ -67,18 +67,20 @@
 	    PLAN_LATE_FACTOR * p->plan.objective_ms;
 }
 
-/* The step whose turn it is, or NULL if it doesn't wait any more. */
-static struct pending_step *
-find_aged(struct round *rd)
+/* Has the step whose turn it is go first; false if it doesn't wait any more. */
+static bool
+mark_turn(struct round *rd)
 {
 	for (guint i = 0; i < rd->pending->len; i++) {
 		struct pending_step *p =
 		    &g_array_index(rd->pending, struct pending_step, i);
 
-		if (step_has_run(p, &rd->d->aged_step))
-			return p;
+		if (!step_has_run(p, &rd->d->aged_step))
+			continue;
+		p->plan.aged = true;
+		return true;
 	}
-	return NULL;
+	return false;
 }
 
 /* When a step was accepted, or last went first if that was later. */
@@ -125,12 +127,10 @@
 mark_aged(struct round *rd)
 {
 	struct dispatch *d = rd->d;
-	struct pending_step *p = find_aged(rd);
+	struct pending_step *p;
 
-	if (p != NULL && rd->now - d->aged_ms < AGED_TURN_MAX_MS) {
-		p->plan.aged = true;
+	if (rd->now - d->aged_ms < AGED_TURN_MAX_MS && mark_turn(rd))
 		return;
-	}
 	if (rd->now - d->aged_ms < AGED_TURN_MS)
 		return;
 	p = choose_aged(rd);
