--- a/lib/cost/cost.c
+++ b/lib/cost/cost.c
@@ -1,7 +1,6 @@
 #include "cost.h"
 
-/* The value of a late but useful result, in permille of that of one in time.
- * A quarter: late work is served after all work that can be in time. */
+/* The value of a late but useful result, in permille of that of one in time. */
 #define LATE_PERMILLE 250
 
 /* A job that has so much time to spare counts half as much as one that has
@@ -102,14 +101,14 @@
 cost_weight(const struct cost_job *job, int64_t now_ms)
 {
 	int64_t value = cost_per_work(job, cost_value(job));
-	int64_t if_late = value * LATE_PERMILLE / 1000;
+	int64_t late_value = value * LATE_PERMILLE / 1000;
 	int64_t spare_ms =
 	    job->first_ms + job->objective_ms - job->remaining_ms - now_ms;
 	int64_t useful_ms =
 	    spare_ms + (COST_USEFUL_OBJECTIVES - 1) * job->objective_ms;
 
-	return at_stake(value - if_late, spare_ms) +
-	    at_stake(if_late, useful_ms);
+	return at_stake(value - late_value, spare_ms) +
+	    at_stake(late_value, useful_ms);
 }
 
 int64_t
--- a/lib/dispatch/candidates.c
+++ b/lib/dispatch/candidates.c
@@ -2,7 +2,7 @@
 #include "impl.h"
 
 uint32_t
-candidate_rack(struct dispatch *d, const char *rack)
+rack_number(struct dispatch *d, const char *rack)
 {
 	gpointer known;
 
@@ -57,7 +57,7 @@
 		w->plan.worker = h->id;
 		w->plan.capacity = w->plan.free = w->worker->capacity;
 		resources_add(&w->plan.free, &h->used, -1);
-		w->plan.rack = candidate_rack(d, w->worker->rack);
+		w->plan.rack = rack_number(d, w->worker->rack);
 		w->plan.slowdown = d->speeds_in_effect
 		    ? MAX(h->multiplier / d->fast_multiplier, 1)
 		    : estimate_slowdown(h, rd->now);
@@ -69,7 +69,7 @@
 }
 
 bool
-candidate_has_label(const struct flow_worker *w, const char *label)
+has_label(const struct flow_worker *w, const char *label)
 {
 	if (label == NULL)
 		return true;
@@ -138,7 +138,7 @@
 {
 	if (strcmp(w->pool, p->job->queue->pool) != 0)
 		return CANDIDATE_OTHER_POOL;
-	if (!candidate_has_label(w, flow_job_step(p->job, p->step)->label))
+	if (!has_label(w, flow_job_step(p->job, p->step)->label))
 		return CANDIDATE_NO_LABEL;
 	if (preempt_reserved_for_other(h, p, rd->now))
 		return CANDIDATE_RESERVED;
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -582,11 +582,11 @@
     const struct flow_job *job, const struct flow_occurrence *occurrence,
     uint32_t step, const struct plan_pending *urgency);
 /* Says whether a task is pending and its start isn't proposed already. */
-bool pending_task(const struct round *rd, const struct flow_job *job,
+bool task_waits(const struct round *rd, const struct flow_job *job,
     const struct flow_occurrence *occurrence, uint32_t step, uint32_t index);
 /* Counts the waiting tasks by the separation that they want; those of a gang
  * count for its most suspected member. Returns how many there are. */
-uint32_t pending_count(const struct round *rd, const struct pending_step *p,
+uint32_t count_waiting(const struct round *rd, const struct pending_step *p,
     uint32_t count[SEPARATE_ALL + 1]);
 
 /* order.c */
@@ -597,8 +597,8 @@
 /* Collects the workers that may get work in a round, those with most free
  * first. */
 void candidates_collect(struct round *rd);
-uint32_t candidate_rack(struct dispatch *d, const char *rack);
-bool candidate_has_label(const struct flow_worker *w, const char *label);
+uint32_t rack_number(struct dispatch *d, const char *rack);
+bool has_label(const struct flow_worker *w, const char *label);
 enum candidate_obstacle
 candidate_obstacle(const struct round *rd, const struct pending_step *p,
     struct apartness apart, struct holder *h, const struct flow_worker *w);
--- a/lib/dispatch/pending.c
+++ b/lib/dispatch/pending.c
@@ -4,7 +4,7 @@
 #include "impl.h"
 
 bool
-pending_task(const struct round *rd, const struct flow_job *job,
+task_waits(const struct round *rd, const struct flow_job *job,
     const struct flow_occurrence *occurrence, uint32_t step, uint32_t index)
 {
 	const struct flow_task *task = &occurrence->steps[step].tasks[index];
@@ -24,7 +24,7 @@
 	const struct flow_step_state *st = &occurrence->steps[step];
 
 	if (st->pending < st->count ||
-	    !pending_task(rd, job, occurrence, step, 0))
+	    !task_waits(rd, job, occurrence, step, 0))
 		return false;
 	for (uint32_t i = 0; i < st->count; i++)
 		if (apart_holds_back(
@@ -101,7 +101,7 @@
 }
 
 uint32_t
-pending_count(const struct round *rd, const struct pending_step *p,
+count_waiting(const struct round *rd, const struct pending_step *p,
     uint32_t count[SEPARATE_ALL + 1])
 {
 	enum separation most = SEPARATE_ISOLATED;
@@ -110,7 +110,7 @@
 	for (uint32_t i = 0; i < p->occurrence->steps[p->step].count; i++) {
 		enum separation wanted;
 
-		if (!pending_task(rd, p->job, p->occurrence, p->step, i))
+		if (!task_waits(rd, p->job, p->occurrence, p->step, i))
 			continue;
 		wanted = apart_wanted(&p->occurrence->steps[p->step].tasks[i]);
 		most = MAX(most, wanted);
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -400,15 +400,18 @@
 	    now - s->passed_over_ms > RESERVE_WAIT_MS;
 }
 
-/* Says whether a short query of a queue may use the reserve: if it is brief, or
- * nobody needs the reserve as there were no brief ones for a while. */
 static bool
-may_use_reserve(struct dispatch *d, const struct flow_queue *queue, int64_t now)
+is_brief(const struct flow_queue *queue)
 {
-	if (query_ms(queue, SHORT_QUERY_WORKERS) <= PLAN_BRIEF_QUERY_MS)
-		d->brief_query_ms = now;
-	return d->brief_query_ms == now || d->brief_query_ms == 0 ||
-	    now - d->brief_query_ms > RESERVE_UNUSED_MS;
+	return query_ms(queue, SHORT_QUERY_WORKERS) <= PLAN_BRIEF_QUERY_MS;
+}
+
+/* Says whether brief queries were wanted lately. */
+static bool
+needs_reserve(const struct dispatch *d, int64_t now)
+{
+	return d->brief_query_ms != 0 &&
+	    now - d->brief_query_ms <= RESERVE_UNUSED_MS;
 }
 
 /*
@@ -431,7 +434,9 @@
 	limits.idle = count_idle(d, now);
 	limits.in_flight = s->queries->len;
 	limits.saturated = !limits.ahead && limits.idle * 2 <= limits.processes;
-	limits.brief = may_use_reserve(d, queue, now);
+	if (is_brief(queue))
+		d->brief_query_ms = now;
+	limits.may_use_reserve = is_brief(queue) || !needs_reserve(d, now);
 	limits.allowed_fraction =
 	    plan_allowed_fraction(allowed_of_queue(d, queue->name));
 	if (!limits.ahead)
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -37,7 +37,7 @@
 	const struct flow_task *task =
 	    &p->occurrence->steps[p->step].tasks[index];
 
-	return pending_task(rd, p->job, p->occurrence, p->step, index) &&
+	return task_waits(rd, p->job, p->occurrence, p->step, index) &&
 	    (flow_job_step(p->job, p->step)->gang ||
 		apart_wanted(task) == wanted);
 }
@@ -191,7 +191,7 @@
 		empty.step_tasks = 0;
 		empty.task_limit = request->count;
 		if (strcmp(w->worker->pool, p->job->queue->pool) == 0 &&
-		    candidate_has_label(w->worker, step->label))
+		    has_label(w->worker, step->label))
 			fit += plan_fit_count(&empty, request);
 	}
 	return fit >= need;
@@ -216,7 +216,7 @@
 	return (struct plan_request){ .per_task = run_resources(step),
 		.gang = step->gang,
 		.colocated = step->colocated,
-		.data_rack = candidate_rack(rd->d, step->data_rack),
+		.data_rack = rack_number(rd->d, step->data_rack),
 		.far_factor = rd->d->conf.far_factor,
 		.max_per_worker = step->max_per_worker };
 }
@@ -257,7 +257,7 @@
 	uint32_t waiting[SEPARATE_ALL + 1] = { 0 };
 	struct round_trial out = { .request = request_of(rd, p) };
 
-	out.request.count = out.tasks = pending_count(rd, p, waiting);
+	out.request.count = out.tasks = count_waiting(rd, p, waiting);
 	if (out.tasks == 0)
 		return out;
 	speeds_describe_step(rd, p, &out.request);
@@ -280,7 +280,7 @@
 	uint32_t over_cap;
 
 	if (p->ahead) {
-		request.count = pending_count(rd, p, waiting);
+		request.count = count_waiting(rd, p, waiting);
 		speeds_describe_step(rd, p, &request);
 		ahead_query(rd, p, &request);
 		return;
@@ -291,7 +291,7 @@
 		organisation_lacks_room(rd, p);
 		return;
 	}
-	request.count = pending_count(rd, p, waiting);
+	request.count = count_waiting(rd, p, waiting);
 	if (request.count == 0)
 		return;
 	p->tried = due >= request.count;
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -233,7 +233,7 @@
 	double allowed_fraction; /* of workers with unknown permit */
 	bool partial; /* query also if the answers can't suffice for a gang */
 	bool ahead; /* the answers are not needed yet: leave more idle */
-	bool brief; /* the step's queries are, so they may use the reserve */
+	bool may_use_reserve; /* its queries are brief, or no others are */
 	/* Most processes are busy: the policy service is the bottleneck, and
 	 * several calls take more of its time than one. */
 	bool saturated;
--- a/lib/plan/queries.c
+++ b/lib/plan/queries.c
@@ -139,7 +139,7 @@
 
 	if (limits->saturated)
 		calls = MIN(calls, 1);
-	if (calls <= 1 && limits->in_flight == 0 && limits->brief &&
+	if (calls <= 1 && limits->in_flight == 0 && limits->may_use_reserve &&
 	    !limits->ahead)
 		return MIN(calls, limits->idle);
 	return MIN(calls, calls_beyond_reserve(limits));
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -449,7 +449,7 @@
 	struct plan_query_limits limits = { .processes = 43,
 		.idle = 43,
 		.allowed_fraction = 0.4,
-		.brief = true };
+		.may_use_reserve = true };
 	struct plan_candidate all[40];
 
 	for (guint i = 0; i < 40; i++)
@@ -462,12 +462,12 @@
 	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 1);
 	limits.saturated = true;
 	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 1);
-	limits.brief = false;
+	limits.may_use_reserve = false;
 	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 0);
 	limits.idle = plan_query_reserve(43) + 1;
 	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 1);
 	limits.saturated = false;
-	limits.brief = true;
+	limits.may_use_reserve = true;
 	limits.idle = 42;
 	limits.in_flight = 1;
 	g_assert_cmpuint(plan_select_queries(all, 40, &two, &limits), ==, 0);
@@ -499,7 +499,7 @@
 		struct plan_query_limits limits = { .processes =
 							RESTART_PROCESSES,
 			.allowed_fraction = 0.4,
-			.brief = s->brief };
+			.may_use_reserve = s->brief };
 		int idle = 0;
 
 		for (int k = 0; k < RESTART_PROCESSES; k++) {
