review: case 4, a lasting job that fails at its start keeps all others out

Tried: one job of eight lasting tasks that fail 100 ms after each start, on 48 minions of 32 cores that are nearly empty.

--- a/review/standin/cell.c
+++ b/review/standin/cell.c
@@ -36,6 +36,7 @@
 #define START_LIMIT_MS 25000
 #define CASE_LIMIT_S 118 /* then it ends with a signal, and its processes */
 #define BODY_MAX (4 << 20)
+#define FAILS_MARK "fails="
 
 int64_t
 now_ms(void)
@@ -796,16 +797,21 @@
 	return o;
 }
 
+/* The spec says how long a task runs, and after what time it fails. */
 static void
 start_run(struct minion *m, const json_t *o, const char *task, int64_t number)
 {
 	const char *spec = json_string_value(json_object_get(o, "spec"));
 	struct task_seen *t = task_seen(m->cell, task);
 	struct run *r = g_new0(struct run, 1);
+	const char *fails = strstr(spec, FAILS_MARK);
 
 	r->task = g_strdup(task);
 	r->number = number;
 	r->due_ms = now_ms() + strtoll(spec, NULL, 10);
+	if (fails != NULL)
+		r->fails_ms =
+		    now_ms() + strtoll(fails + strlen(FAILS_MARK), NULL, 10);
 	g_ptr_array_add(m->runs, r);
 	t->starts++;
 	t->overlapped |= t->running > 0;
@@ -1061,6 +1067,8 @@
 
 		if (lapsed)
 			end_run(m, r, "lapsed");
+		else if (r->fails_ms != 0 && now >= r->fails_ms)
+			end_run(m, r, "failed");
 		else if (now >= r->due_ms)
 			end_run(m, r, "done");
 	}
--- a/review/standin/cell.h
+++ b/review/standin/cell.h
@@ -18,7 +18,7 @@
 
 #define CELL_DISKS 3 /* processes with a disk */
 #define CELL_NODES 6
-#define CELL_MINIONS_MAX 16
+#define CELL_MINIONS_MAX 48
 #define CELL_SERVICE "template-forge"
 #define CELL_HOST "jobs.example"
 #define CELL_PREFIX "/proofs/"
@@ -49,7 +49,7 @@
 	char *task;
 	int64_t number;
 	int64_t due_ms;
-	bool checkpointing;
+	int64_t fails_ms; /* 0: it doesn't */
 };
 
 struct end {
