--- a/review/5/case.c
+++ b/review/5/case.c
@@ -11,7 +11,7 @@
 #define MINIONS 6
 #define MINIONS_B 2 /* of kind b; the last ones */
 #define NEXT 4 /* the process that is called after the frozen one */
-#define DRAIN_MS 2200
+#define SERVE_MS (DRAIN_MS + 200) /* drained minions go on for a little */
 #define CALL_MS 1000 /* without an answer the next process is called */
 #define DOWN_MS 2000 /* until a minion starts again */
 #define FREEZE_MS 6000
@@ -94,7 +94,7 @@
 		b[i]->beat_node = NEXT;
 		note(c, "%s drains", b[i]->id);
 	}
-	cell_run(c, DRAIN_MS);
+	cell_run(c, SERVE_MS);
 	/* One of the core that doesn't lead. */
 	frozen = (cell_leader(c) + 1) % CELL_DISKS;
 	if (c->trouble)
--- a/review/standin/cell.c
+++ b/review/standin/cell.c
@@ -36,6 +36,7 @@
 #define START_LIMIT_MS 25000
 #define CASE_LIMIT_S 118 /* then it could not run, and its processes end */
 #define BODY_MAX (4 << 20)
+#define LASTING_MS 300000 /* a run that has more to go lasts */
 #define FAILS_MARK "fails="
 
 int64_t
@@ -722,6 +723,14 @@
 		"reason", reason));
 }
 
+/* Of a task that lasts: at work. Of any other it rises all the time. */
+static int
+percent(const struct run *r)
+{
+	return r->due_ms - now_ms() > LASTING_MS ? 100
+						 : (int)(now_ms() / 100 % 90);
+}
+
 static void
 answer_poll(struct minion *m)
 {
@@ -736,8 +745,7 @@
 
 		(void)json_array_append_new(running,
 		    json_pack("[sIsii]", r->task, (json_int_t)r->number,
-			m->checkpoint_len == 0 ? "" : saved,
-			(int)(now_ms() / 100 % 90), 100));
+			m->checkpoint_len == 0 ? "" : saved, percent(r), 100));
 	}
 	for (guint i = 0; i < m->ends->len && i < LIST_MAX; i++) {
 		const struct end *e = m->ends->pdata[i];
@@ -981,6 +989,7 @@
 	m->lease_until_ms = 0;
 	m->last_end = m->acked = 0;
 	m->draining = m->drain_acked = false;
+	m->drain_ms = 0;
 	m->next_beat_ms = 0;
 	m->poll = NULL;
 	g_hash_table_remove_all(m->highest);
@@ -1044,16 +1053,28 @@
 	struct cell *c = m->cell;
 	char *path =
 	    g_strdup_printf("/bulrushtide/instances/%s/heartbeat", m->id);
-	char *body = g_strdup_printf(
+	char remaining[48] = "";
+	char *body;
+
+	if (m->draining && m->drain_ms == 0)
+		m->drain_ms = now_ms();
+	if (m->draining)
+		(void)g_snprintf(remaining, sizeof(remaining),
+		    "\"drainRemainingMs\":%d,",
+		    (int)MAX(m->drain_ms + DRAIN_MS - now_ms(), 0));
+	body = g_strdup_printf(
 	    "{\"service\":\"" CELL_SERVICE
 	    "\",\"address\":\"%s\",\"zone\":\"kochi-a\",\"version\":\"v1\","
-	    "\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,\"capacity\":{"
+	    "\"slots\":8,\"state\":\"%s\",%s\"coldRemainingMs\":0,\"capacity\":"
+	    "{"
 	    "\"cpu\":%" G_GINT64_FORMAT ",\"memMb\":%" G_GINT64_FORMAT
-	    ",\"gpu\":0},\"labels\":[\"%s\",\"%s\"],\"currentTimeMs\":"
+	    ",\"gpu\":0},\"labels\":[\"%s\",\"%s\"],\"machine\":\"m-%s\","
+	    "\"currentTimeMs\":"
 	    "%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
 	    ",\"seq\":%" G_GINT64_FORMAT "}",
-	    m->address, m->draining ? "draining" : "ready", m->cpu, m->mem_mb,
-	    m->kind, m->rack, minion_clock(m), m->born, ++m->seq);
+	    m->address, m->draining ? "draining" : "ready", remaining, m->cpu,
+	    m->mem_mb, m->kind, m->rack, m->id, minion_clock(m), m->born,
+	    ++m->seq);
 
 	m->next_beat_ms = now_ms() + BEAT_MS;
 	(void)call_send(c, c->node[m->beat_node].control, EVHTTP_REQ_POST, path,
--- a/review/standin/cell.h
+++ b/review/standin/cell.h
@@ -25,6 +25,7 @@
 
 /* Bounds of a small deployment, as the pages give them. */
 #define MAX_HOLD_MS 6000
+#define DRAIN_MS 2000
 #define CANCEL_MS 3000
 #define VISIBLE_MS 3000
 #define FINISH_S 14
@@ -77,6 +78,7 @@
 	bool cut; /* no byte gets through to it, or from it */
 	bool draining;
 	bool drain_acked;
+	int64_t drain_ms; /* when it has begun to drain; 0: it hasn't */
 	size_t checkpoint_len;
 	struct evhttp *server;
 	int64_t fence;
