replica: a deposed leader gives up its proposals before it applies its successor's

Cause: proposals are found by their log index. A woken replica receives, in one pass, the append that replaces its own tail and the commit of the replacement, and applied these entries before it told its owner that leadership was lost. The effects of the successor's commands answered the old proposals.

Entries of the leader's own term are its own proposals and are still answered. What is dropped is sent again by the entries, and decided by its id.

Related paths: acknowledgements of ended runs, the watch callbacks of the state and bulrushtided's waiters had the same cause and go through the same call; the flag of a proposed cell id outlived its term and is now kept by term; orders, polls and permits are matched by term or by numbers that are not used again.

--- a/bulrushtided/leader.c
+++ b/bulrushtided/leader.c
@@ -216,14 +216,21 @@
 	g_free(w);
 }
 
+void
+leader_deposed(struct leader *l)
+{
+	if (l->active)
+		stop_leading(l);
+}
+
 void
 leader_replica_updated(void *arg)
 {
 	struct leader *l = arg;
 	bool leads = replica_leads(l->node->replica);
 
-	if (l->active && (!leads || replica_term(l->node->replica) != l->term))
-		stop_leading(l);
+	if (!leads || replica_term(l->node->replica) != l->term)
+		leader_deposed(l);
 	if (!l->active && leads)
 		start_leading(l);
 	if (!l->active)
--- a/bulrushtided/leader.h
+++ b/bulrushtided/leader.h
@@ -13,8 +13,9 @@
 struct leader *leader_new(struct node *node);
 void leader_free(struct leader *l);
 
-/* Callbacks of the replica (struct replica_ops). */
+/* For the callbacks of the replica (struct replica_ops). */
 void leader_applied(void *arg, uint64_t index, struct cell_result *result);
+void leader_deposed(struct leader *l);
 void leader_replica_updated(void *arg);
 void leader_read_done(void *arg, uint64_t context, bool ok);
 
--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -237,6 +237,14 @@
 	return true;
 }
 
+static void
+on_deposed(void *arg)
+{
+	struct node *node = arg;
+
+	leader_deposed(node->leader);
+}
+
 static GBytes *
 on_snapshot(void *arg)
 {
@@ -303,6 +311,7 @@
 }
 
 static const struct replica_ops replica_ops = { .apply = on_apply,
+	.deposed = on_deposed,
 	.snapshot = on_snapshot,
 	.restore = on_restore,
 	.updated = on_updated,
--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -64,6 +64,17 @@
 	    mono_ms() - n->started_ms > BOOTSTRAP_WAIT_MS;
 }
 
+static void
+on_deposed(void *arg)
+{
+	struct cellnode *n = arg;
+
+	if (!dispatch_leads(n->dispatch))
+		return;
+	dispatch_resign(n->dispatch);
+	gate_leader_changed(n->gate);
+}
+
 /* Starts or stops dispatching with leadership and announces the term. */
 static void
 on_replica_updated(void *arg)
@@ -72,11 +83,8 @@
 	bool leads = replica_leads(n->replica) && may_serve(n);
 	uint64_t term = leads ? replica_term(n->replica) : 0;
 
-	if (dispatch_leads(n->dispatch) &&
-	    (!leads || mesh_leading_term(n->mesh) != term)) {
-		dispatch_resign(n->dispatch);
-		gate_leader_changed(n->gate);
-	}
+	if (!leads || mesh_leading_term(n->mesh) != term)
+		on_deposed(n);
 	mesh_set_leading_term(n->mesh, term);
 	if (leads && !dispatch_leads(n->dispatch)) {
 		dispatch_lead(n->dispatch, term);
@@ -167,6 +175,7 @@
 }
 
 static const struct replica_ops replica_ops = { .apply = on_apply,
+	.deposed = on_deposed,
 	.snapshot = on_snapshot,
 	.restore = on_restore,
 	.updated = on_replica_updated,
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -415,7 +415,9 @@
 {
 	if (!d->active)
 		return;
-	log_info("dispatch", "event=resign term=%" G_GUINT64_FORMAT, d->term);
+	log_info("dispatch",
+	    "event=resign term=%" G_GUINT64_FORMAT " proposals=%u", d->term,
+	    g_hash_table_size(d->proposals));
 	d->active = false;
 	flow_set_watch(d->conf.flow, NULL, NULL);
 	requests_drop(d);
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -218,6 +218,20 @@
 		g_error("replica: a membership entry can't be decoded");
 }
 
+/* Ends the owner's leadership before it sees what a later leader did. */
+static void
+depose_owner(struct replica *r)
+{
+	if (r->owner_term == 0)
+		return;
+	log_info("replica",
+	    "deposed: led in term %" G_GUINT64_FORMAT
+	    ", now in term %" G_GUINT64_FORMAT,
+	    r->owner_term, raft_term(r->raft));
+	r->owner_term = 0;
+	r->ops->deposed(r->arg);
+}
+
 static void
 apply_all(struct replica *r, GPtrArray *committed)
 {
@@ -225,6 +239,8 @@
 		struct raft_entry *e = committed->pdata[i];
 
 		g_assert(e->index == r->applied + 1);
+		if (e->term != r->owner_term)
+			depose_owner(r);
 		if (e->type == RAFT_DATA)
 			apply_data(r, e);
 		if (e->type == RAFT_MEMBERS)
@@ -358,16 +374,24 @@
 	uint8_t id[8];
 	GBytes *data;
 
-	if (r->cell_id != 0 || r->cell_id_proposed ||
+	if (r->cell_id != 0 || r->cell_id_term == raft_term(r->raft) ||
 	    !raft_own_term_committed(r->raft))
 		return;
 	put_u64(id, random_id());
 	data = add_tag(TAG_CELL_ID, id, sizeof(id));
-	r->cell_id_proposed = raft_propose(r->raft, data) != 0;
+	if (raft_propose(r->raft, data) != 0)
+		r->cell_id_term = raft_term(r->raft);
 	g_bytes_unref(data);
 	replica_schedule_output(r);
 }
 
+static void
+update_owner(struct replica *r)
+{
+	r->owner_term = replica_leads(r) ? raft_term(r->raft) : 0;
+	r->ops->updated(r->arg);
+}
+
 static void
 on_output(evutil_socket_t fd, short what, void *arg)
 {
@@ -380,13 +404,14 @@
 	raft_take_output(r->raft, &out);
 	if (raft_output_empty(&out)) {
 		raft_output_clear(&out);
-		r->ops->updated(r->arg);
+		update_owner(r);
 		return;
 	}
 	send_messages(r, out.messages);
 	if (out.snapshot != NULL) {
 		GError *err = NULL;
 
+		depose_owner(r);
 		if (!restore(r, out.snapshot, &err))
 			g_error("replica: a snapshot can't be restored: %s",
 			    err->message);
@@ -407,7 +432,7 @@
 	propose_cell_id(r);
 	snapshot_if_due(r);
 	raft_output_clear(&out);
-	r->ops->updated(r->arg);
+	update_owner(r);
 }
 
 static void
--- a/lib/replica/replica.h
+++ b/lib/replica/replica.h
@@ -45,6 +45,13 @@
 	/* Applies the committed command at this log index. */
 	bool (*apply)(void *arg, uint64_t index, const void *data, size_t len,
 	    GError **err);
+	/*
+	 * Another replica leads since. Called before the first entry or
+	 * snapshot of a later leader is applied: what this replica has proposed
+	 * and not seen applied by then may never be, and other commands may be
+	 * applied at its log indices.
+	 */
+	void (*deposed)(void *arg);
 	/* Returns the whole state of the state machine. */
 	GBytes *(*snapshot)(void *arg);
 	/* Replaces the state by one that snapshot() returned. */
--- a/lib/replica/replica_impl.h
+++ b/lib/replica/replica_impl.h
@@ -37,7 +37,9 @@
 	bool wait_logged; /* the wait for a cell without a leader was logged */
 	bool has_cell_entry; /* the log has the entry with the cell id */
 	int64_t opened_ms;
-	bool cell_id_proposed;
+	uint64_t cell_id_term; /* term in which the cell id was proposed */
+	/* Term in which the owner may act as the leader; 0: it must not. */
+	uint64_t owner_term;
 	bool failed; /* storage failed: must not lead or acknowledge */
 	/* uint64_t id of an absent member to int64_t time in ms */
 	GHashTable *absent_since;
--- a/test/replica_test.c
+++ b/test/replica_test.c
@@ -16,6 +16,7 @@
 
 struct node {
 	struct cluster *cluster;
+	struct event_base *base;
 	char *name;
 	char *dir;
 	struct replica *replica; /* NULL: not running */
@@ -23,12 +24,14 @@
 	uint64_t cell_id;
 	bool formed;
 	bool isolated; /* no messages to or from other nodes */
+	bool frozen; /* its events are handled when it wakes */
+	GHashTable *proposed; /* log index to letter, while it leads */
 	GString *state; /* applied commands, one letter each */
 	int failures;
+	int depositions;
 };
 
 struct cluster {
-	struct event_base *base;
 	struct node node[NODES];
 };
 
@@ -68,22 +71,40 @@
 on_send(void *arg, uint64_t to, GBytes *message)
 {
 	struct node *n = arg;
-	struct delivery *d = g_new0(struct delivery, 1);
+	struct node *receiver = find_node(n->cluster, to);
+	struct delivery *d;
 	struct timeval soon = { .tv_usec = 200 };
 
+	if (receiver == NULL)
+		return;
+	d = g_new0(struct delivery, 1);
 	*d = (struct delivery){ n->cluster, n->id, to, g_bytes_ref(message) };
-	event_base_once(n->cluster->base, -1, EV_TIMEOUT, deliver, d, &soon);
+	event_base_once(receiver->base, -1, EV_TIMEOUT, deliver, d, &soon);
 }
 
 static bool
 on_apply(void *arg, uint64_t index, const void *data, size_t len, GError **err)
 {
 	struct node *n = arg;
+	gpointer letter =
+	    g_hash_table_lookup(n->proposed, GUINT_TO_POINTER(index));
 
+	if (letter != NULL)
+		g_assert_cmpint(
+		    *(const char *)data, ==, GPOINTER_TO_INT(letter));
 	g_string_append_len(n->state, data, (gssize)len);
 	return true;
 }
 
+static void
+on_deposed(void *arg)
+{
+	struct node *n = arg;
+
+	g_hash_table_remove_all(n->proposed);
+	n->depositions++;
+}
+
 static GBytes *
 on_snapshot(void *arg)
 {
@@ -107,6 +128,10 @@
 static void
 on_updated(void *arg)
 {
+	struct node *n = arg;
+
+	if (!replica_leads(n->replica))
+		g_hash_table_remove_all(n->proposed);
 }
 
 static void
@@ -150,6 +175,7 @@
 }
 
 static const struct replica_ops ops = { .apply = on_apply,
+	.deposed = on_deposed,
 	.snapshot = on_snapshot,
 	.restore = on_restore,
 	.updated = on_updated,
@@ -162,7 +188,7 @@
 static void
 node_start(struct node *n)
 {
-	struct replica_conf conf = { .base = n->cluster->base,
+	struct replica_conf conf = { .base = n->base,
 		.name = n->name,
 		.data_dir = n->dir,
 		.snapshot_entries = 50,
@@ -195,10 +221,10 @@
 static void
 run_loop(struct cluster *c)
 {
-	struct timeval tv = { .tv_usec = 5000 };
-
-	event_base_loopexit(c->base, &tv);
-	event_base_dispatch(c->base);
+	for (int i = 0; i < NODES; i++)
+		if (!c->node[i].frozen)
+			event_base_loop(c->node[i].base, EVLOOP_NONBLOCK);
+	g_usleep(1000);
 }
 
 /* Logs the status of each replica when a wait times out. */
@@ -234,7 +260,7 @@
 {
 	for (int i = 0; i < NODES; i++)
 		if (c->node[i].replica != NULL && !c->node[i].isolated &&
-		    replica_leads(c->node[i].replica))
+		    !c->node[i].frozen && replica_leads(c->node[i].replica))
 			return &c->node[i];
 	return NULL;
 }
@@ -315,14 +341,15 @@
 	struct cluster *c = g_new0(struct cluster, 1);
 	char *top = g_dir_make_tmp("replica-test-XXXXXX", NULL);
 
-	c->base = event_base_new();
 	for (int i = 0; i < NODES; i++) {
 		struct node *n = &c->node[i];
 
 		n->cluster = c;
 		n->name = g_strdup_printf("r%d", i);
 		n->dir = g_strdup_printf("%s/%d", top, i);
+		n->base = event_base_new();
 		n->state = g_string_new(NULL);
+		n->proposed = g_hash_table_new(NULL, NULL);
 		g_assert_cmpint(g_mkdir_with_parents(n->dir, 0700), ==, 0);
 	}
 	for (int i = 0; i < count; i++)
@@ -346,13 +373,15 @@
 		g_free(n->name);
 		g_free(n->dir);
 		g_string_free(n->state, TRUE);
+		g_hash_table_unref(n->proposed);
 	}
 	remove_tree(top);
 	g_free(top);
 	/* Messages in flight are freed on delivery. */
 	for (int i = 0; i < 4; i++)
 		run_loop(c);
-	event_base_free(c->base);
+	for (int i = 0; i < NODES; i++)
+		event_base_free(c->node[i].base);
 	g_free(c);
 }
 
@@ -552,6 +581,42 @@
 	cluster_free(c);
 }
 
+/* Proposes letters on a leader without letting it send them. */
+static void
+propose_letters(struct node *n, const char *letters)
+{
+	for (const char *p = letters; *p != '\0'; p++) {
+		GBytes *bytes = g_bytes_new(p, 1);
+		uint64_t index = replica_propose(n->replica, bytes);
+
+		g_assert_cmpuint(index, !=, 0);
+		g_hash_table_insert(
+		    n->proposed, GUINT_TO_POINTER(index), GINT_TO_POINTER(*p));
+		g_bytes_unref(bytes);
+	}
+}
+
+/* Guards against a frozen leader that, when it wakes, takes commands of its
+ * successor for those that it had proposed at the same log indices. */
+static void
+test_deposed_leader_proposals(void)
+{
+	struct cluster *c = cluster_new(3);
+	struct node *n = leader(c);
+
+	commit_letter(c, 'a');
+	AWAIT(c, all_have(c, "a"));
+	propose_letters(n, "xyz");
+	n->frozen = true;
+	commit_letter(c, 'b');
+	commit_letter(c, 'c');
+	g_assert_cmpstr(n->state->str, ==, "a");
+	n->frozen = false;
+	AWAIT(c, all_have(c, "abc") && stable_member_count(c) == 3);
+	g_assert_cmpint(n->depositions, ==, 1);
+	cluster_free(c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -566,5 +631,7 @@
 	g_test_add_func("/replica/quorum-lost", test_quorum_lost);
 	g_test_add_func("/replica/quorum-kept", test_quorum_kept);
 	g_test_add_func("/replica/learner-promoted", test_learner_promoted);
+	g_test_add_func(
+	    "/replica/deposed-leader-proposals", test_deposed_leader_proposals);
 	return g_test_run();
 }
