dispatch: commit nothing that replicas can't apply; drop checkpoints that are too long

Cause: the leader proposed what a worker had listed without the limits that the decoder of the log has. Requests, heartbeats and configurations are decoded with these limits before they are proposed; ends of runs were not.

A checkpoint over 4,096 bytes is not proposed: the task keeps the last one that fits. Each command is decoded before it is proposed, and withheld if replicas can't read it.

Related paths: ends of over 20,000 runs lost with one worker, or of 2,000 with checkpoints of 4 KB, made a command that is refused or doesn't fit into a frame; one command now has 1,000 ends at most. bulrushtided decodes what it proposes as well.

--- a/bulrushtided/leader.c
+++ b/bulrushtided/leader.c
@@ -14,17 +14,37 @@
 	return now > last ? now : last;
 }
 
+/* Says whether replicas can apply an encoded command: one that they can't read
+ * would end all of them, at each start again. */
+static bool
+is_readable(GBytes *bytes)
+{
+	struct cell_cmd copy;
+	GError *err = NULL;
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+
+	if (cell_cmd_decode(data, len, &copy, &err)) {
+		cell_cmd_clear(&copy);
+		return true;
+	}
+	log_error("leader", "withheld a command: %s", err->message);
+	g_error_free(err);
+	return false;
+}
+
 uint64_t
 leader_propose(struct leader *l, struct cell_cmd *cmd)
 {
 	GBytes *bytes;
-	uint64_t index;
+	uint64_t index = 0;
 
 	if (!l->active)
 		return 0;
 	cmd->at_ms = leader_now(l);
 	bytes = cell_cmd_encode(cmd);
-	index = replica_propose(l->node->replica, bytes);
+	if (is_readable(bytes))
+		index = replica_propose(l->node->replica, bytes);
 	g_bytes_unref(bytes);
 	return index;
 }
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -34,11 +34,37 @@
 	return g_get_real_time() / 1000;
 }
 
+/*
+ * Says whether replicas can apply an encoded command: one that they can't read
+ * would end all of them, at each start again. An encoded configuration was
+ * read when it was received.
+ */
+static bool
+is_readable(const struct flow_cmd *cmd, GBytes *bytes)
+{
+	struct flow_cmd copy;
+	GError *err = NULL;
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+
+	if (cmd->type == FLOW_CMD_CONFIG && cmd->encoded_config != NULL)
+		return true;
+	if (flow_cmd_decode(data, len, &copy, &err)) {
+		flow_cmd_clear(&copy);
+		return true;
+	}
+	log_error("dispatch",
+	    "event=command-withheld type=%d bytes=%zu why=\"%s\"", cmd->type,
+	    (size_t)len, err->message);
+	g_error_free(err);
+	return false;
+}
+
 uint64_t
 dispatch_propose(struct dispatch *d, struct flow_cmd *cmd)
 {
 	GBytes *bytes;
-	uint64_t index;
+	uint64_t index = 0;
 
 	if (!d->active)
 		return 0;
@@ -46,7 +72,8 @@
 	cmd->learn_speeds =
 	    cmd->type == FLOW_CMD_END && d->conf.uneven_workers > 0;
 	bytes = flow_cmd_encode(cmd);
-	index = d->ops->propose(d->arg, bytes);
+	if (is_readable(cmd, bytes))
+		index = d->ops->propose(d->arg, bytes);
 	g_bytes_unref(bytes);
 	return index;
 }
@@ -500,6 +527,9 @@
 	    "", "Runs that ended with their worker or its lease.");
 	m->failed = counter_new(r, COUNTER_TOTAL,
 	    "bulrushtide_step_failed_total", "", "Runs that ended as failed.");
+	m->checkpoints_dropped = counter_new(r, COUNTER_TOTAL,
+	    "bulrushtide_step_checkpoints_dropped_total", "",
+	    "Ends with a checkpoint that was too long to keep.");
 	m->resends = counter_new(r, COUNTER_TOTAL,
 	    "bulrushtide_step_order_resends_total", "",
 	    "Orders sent again for want of an answer.");
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -281,8 +281,8 @@
 	return count;
 }
 
-/* Proposes the end of all runs of an incarnation that is over; returns of how
- * many. */
+/* Proposes the end of the runs of an incarnation that is over, of as many as
+ * fit into a command; returns of how many. */
 static uint32_t
 end_all_runs(struct holder *h, const char *why)
 {
@@ -290,7 +290,7 @@
 	GPtrArray *ended = g_ptr_array_new();
 	uint32_t count;
 
-	for (guint i = 0; i < h->runs->len; i++) {
+	for (guint i = 0; i < h->runs->len && ends->len < FLOW_ENDS_MAX; i++) {
 		struct active_run *r = h->runs->pdata[i];
 		struct flow_end e = { .id = r->id,
 			.outcome = run_lost_outcome(r),
@@ -449,7 +449,39 @@
 	holder_poll(h, mono_ms());
 }
 
-/* Proposes new ends; the poll after they are durable acknowledges them. */
+static bool
+fits_checkpoint(const char *checkpoint)
+{
+	return checkpoint == NULL || strlen(checkpoint) <= FLOW_CHECKPOINT_MAX;
+}
+
+/* The checkpoint of an ended run. In place of one that is too long, the last
+ * one that was kept: the task then repeats some work. */
+static char *
+end_checkpoint(const struct active_run *r, const struct agent_end *e)
+{
+	if (fits_checkpoint(e->checkpoint))
+		return e->checkpoint;
+	log_warn("dispatch",
+	    "event=checkpoint-dropped run=%s worker=%s bytes=%zu max=%d "
+	    "kept=%d",
+	    run_name(&e->id), r->holder->name, strlen(e->checkpoint),
+	    FLOW_CHECKPOINT_MAX, r->checkpoint != NULL);
+	r->holder->d->meter.checkpoints_dropped->value++;
+	return r->checkpoint;
+}
+
+static gint
+compare_ends(gconstpointer a, gconstpointer b)
+{
+	uint64_t x = ((const struct agent_end *)a)->number;
+	uint64_t y = ((const struct agent_end *)b)->number;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Proposes new ends, as many as fit into a command; the poll after they are
+ * durable acknowledges them. */
 static void
 handle_ends(struct holder *h, const struct agent_report *report, int64_t now)
 {
@@ -459,20 +491,21 @@
 	uint64_t last = h->proposed_end;
 
 	cmd.u.ends = g_array_new(FALSE, TRUE, sizeof(struct flow_end));
+	g_array_sort(report->ends, compare_ends);
 	for (guint i = 0; i < report->ends->len; i++) {
 		struct agent_end *e =
 		    &g_array_index(report->ends, struct agent_end, i);
 		struct flow_end end = { .id = e->id,
-			.outcome = end_outcome(e->outcome),
-			.checkpoint = e->checkpoint };
+			.outcome = end_outcome(e->outcome) };
 		struct active_run *r = run_find(d, &e->id);
 
 		if (r != NULL && r->id.number == e->id.number && r->holder == h)
 			r->last_poll = h->polls;
 		run_mark_started(d, &e->id);
-		if (e->number <= h->proposed_end)
+		if (e->number <= h->proposed_end ||
+		    cmd.u.ends->len == FLOW_ENDS_MAX)
 			continue;
-		last = MAX(last, e->number);
+		last = e->number;
 		record_outcome(h, e, now);
 		log_info("dispatch",
 		    "event=end run=%s worker=%s number=%" G_GUINT64_FORMAT
@@ -483,6 +516,7 @@
 		/* A run on another worker is not affected. */
 		if (r != NULL && r->holder == h &&
 		    r->id.number == e->id.number) {
+			end.checkpoint = end_checkpoint(r, e);
 			g_array_append_val(cmd.u.ends, end);
 			r->state = RUN_ENDING;
 		}
@@ -520,7 +554,8 @@
 			r->state = RUN_ACCEPTED;
 			r->accepted_ms = now;
 		}
-		if (a->checkpoint != NULL && *a->checkpoint != '\0') {
+		if (a->checkpoint != NULL && *a->checkpoint != '\0' &&
+		    fits_checkpoint(a->checkpoint)) {
 			if (g_strcmp0(r->checkpoint, a->checkpoint) != 0)
 				r->checkpoint_ms = now;
 			g_free(r->checkpoint);
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -230,6 +230,7 @@
 	struct counter *stops;
 	struct counter *lost;
 	struct counter *failed;
+	struct counter *checkpoints_dropped;
 	struct counter *resends;
 	struct counter *polls;
 	struct counter *policy_queries;
--- a/lib/flow/command.c
+++ b/lib/flow/command.c
@@ -171,6 +171,18 @@
 		put_bool(pk, true);
 }
 
+/* Earlier versions committed checkpoints of any length, and stopped at each
+ * start when they read them back. */
+static char *
+get_checkpoint(struct reader *r)
+{
+	char *text = get_str(r, CODEC_NO_LIMIT);
+
+	if (text != NULL && strlen(text) > FLOW_CHECKPOINT_MAX)
+		g_clear_pointer(&text, g_free);
+	return text;
+}
+
 static void
 get_ends(struct reader *r, struct flow_cmd *cmd)
 {
@@ -185,7 +197,7 @@
 		run_get(&a, &e.id);
 		e.outcome =
 		    (enum flow_end_outcome)get_below(&a, FLOW_END_COUNT);
-		e.checkpoint = get_str(&a, FLOW_TEXT_MAX);
+		e.checkpoint = get_checkpoint(&a);
 		g_array_append_val(cmd->u.ends, e);
 	}
 	if (a.left == 1)
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -15,7 +15,11 @@
 #define FLOW_STEPS_MAX 100 /* steps in one job */
 /* Bytes of a name, address, path prefix or key of a configuration or worker. */
 #define FLOW_NAME_MAX 1024
-#define FLOW_TEXT_MAX 4096 /* bytes of a name, label or checkpoint */
+#define FLOW_TEXT_MAX 4096 /* bytes of a name or label */
+#define FLOW_CHECKPOINT_MAX 4096 /* bytes of a checkpoint; longer: not kept */
+/* Ends in one command: with their checkpoints they fit into a frame, which has
+ * 8 MiB at most. */
+#define FLOW_ENDS_MAX 1000
 #define FLOW_PAYLOAD_MAX (64 * 1024) /* bytes of a payload */
 /*
  * A task's job is given up once the weights of the workers that crashed under
--- a/lib/flow/snapshot.c
+++ b/lib/flow/snapshot.c
@@ -44,7 +44,7 @@
 		t->failures = (uint32_t)get_u64(&row);
 		t->worker = (uint32_t)get_u64(&row);
 		t->assigned_ms = get_i64(&row);
-		t->checkpoint = get_str(&row, FLOW_TEXT_MAX);
+		t->checkpoint = get_str(&row, FLOW_CHECKPOINT_MAX);
 		r->ok = codec_done(&row);
 		st->pending += t->state == FLOW_PENDING;
 		st->assigned += t->state == FLOW_ASSIGNED;
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,7 +1,7 @@
 bt_cases(dispatch
     SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_drain.c
     dispatch_explain.c dispatch_keys.c dispatch_organisations.c
-    dispatch_overload.c dispatch_policy.c stubleader.c
+    dispatch_overload.c dispatch_policy.c dispatch_reports.c stubleader.c
     stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
@@ -34,4 +34,5 @@
     explain-reasons explain-max-per-worker explain-excluded explain-permits
     explain-reserved explain-slow
     explain-organisation explain-gang explain-waiting explain-as-submitted
-    explain-changes-nothing explain-invalid)
+    explain-changes-nothing explain-invalid
+    checkpoint-too-long)
--- /dev/null
+++ b/test/dispatch_reports.c
@@ -0,0 +1,53 @@
+/* lib/dispatch and what workers report of their runs. */
+#include <string.h>
+
+#include "dispatch_test.h"
+#include "stubleader.h"
+
+static const struct flow_run first_run = { JOB, 0, 0, 0, 1 };
+static const struct flow_run second_run = { JOB, 0, 0, 0, 2 };
+
+static void
+set_checkpoint(struct stub_worker *w, const char *checkpoint)
+{
+	g_free(w->checkpoint);
+	w->checkpoint = g_strdup(checkpoint);
+}
+
+/* Guards against replicas that can't apply an end that was committed, as its
+ * checkpoint is longer than they accept. */
+static void
+test_checkpoint_too_long(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	char *text = g_strnfill(FLOW_CHECKPOINT_MAX + 1, 'x');
+	const struct flow_task *task;
+
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, stub_worker_runs(a, &first_run));
+	set_checkpoint(a, "short");
+	AWAIT(l, a->polls > 2);
+	set_checkpoint(a, text);
+	stub_worker_end(a, &first_run, AGENT_STOPPED);
+	AWAIT(l, stub_worker_runs(a, &second_run));
+	task = flow_task(l->flow, &second_run, NULL);
+	g_assert_cmpstr(task->checkpoint, ==, "short");
+	g_assert_cmpuint(a->max_acked, ==, 1);
+	text[FLOW_CHECKPOINT_MAX] = '\0';
+	set_checkpoint(a, text);
+	stub_worker_end(a, &second_run, AGENT_STOPPED);
+	AWAIT(l, a->max_acked == 2);
+	g_assert_cmpstr(task->checkpoint, ==, text);
+	g_free(text);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+void
+report_tests_add(void)
+{
+	g_test_add_func(
+	    "/dispatch/checkpoint-too-long", test_checkpoint_too_long);
+}
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -810,5 +810,6 @@
 	overload_tests_add();
 	drain_tests_add();
 	explain_tests_add();
+	report_tests_add();
 	return g_test_run();
 }
--- a/test/dispatch_test.h
+++ b/test/dispatch_test.h
@@ -17,5 +17,6 @@
 void overload_tests_add(void);
 void drain_tests_add(void);
 void explain_tests_add(void);
+void report_tests_add(void);
 
 #endif
--- a/test/flow.cmake
+++ b/test/flow.cmake
@@ -1,1 +1,1 @@
-bt_test(flow_test SOURCES flow_test.c DEPENDS flow)
+bt_test(flow_test SOURCES flow_test.c DEPENDS flow wire)
--- a/test/flow_test.c
+++ b/test/flow_test.c
@@ -3,6 +3,7 @@
 
 #include "codec.h"
 #include "flow.h"
+#include "wire.h"
 
 /* Effects that the callbacks reported for the last command. */
 struct effects {
@@ -336,6 +337,48 @@
 	teardown(&x);
 }
 
+/* Guards against replicas that stop at each start, as their log has an end with
+ * a checkpoint that is longer than they accept. */
+static void
+test_long_checkpoint_in_log(void)
+{
+	struct fixture x = setup(3);
+	struct flow_spec spec = new_spec();
+	char *text = g_strnfill(FLOW_CHECKPOINT_MAX + 1, 'x');
+	uint32_t w = add_worker(&x, "w0", 1);
+
+	(void)add_step(&spec, 1, false);
+	(void)submit(&x, 7, &spec);
+	start(&x, 7, 0, 0, 0, 1, 1, w);
+	end(&x, (struct flow_run){ 7, 0, 0, 0, 1 }, FLOW_END_STOPPED, text);
+	g_assert_cmpint(task(&x, 7, 0, 0)->state, ==, FLOW_PENDING);
+	g_assert_null(task(&x, 7, 0, 0)->checkpoint);
+	g_free(text);
+	teardown(&x);
+}
+
+/* Guards against a command that is too large for a frame, so that no follower
+ * ever gets it. */
+static void
+test_ends_fit_frame(void)
+{
+	struct flow_cmd cmd = { .type = FLOW_CMD_END };
+	char *text = g_strnfill(FLOW_CHECKPOINT_MAX, 'x');
+	struct flow_end e = { { UINT64_MAX, UINT32_MAX, FLOW_STEPS_MAX - 1,
+				  FLOW_TASKS_MAX - 1, UINT32_MAX },
+		FLOW_END_STOPPED, text };
+	GBytes *bytes;
+
+	cmd.u.ends = g_array_new(FALSE, FALSE, sizeof(struct flow_end));
+	for (int i = 0; i < FLOW_ENDS_MAX; i++)
+		g_array_append_val(cmd.u.ends, e);
+	bytes = flow_cmd_encode(&cmd);
+	g_assert_cmpuint(g_bytes_get_size(bytes), <, FRAME_MAX / 2);
+	g_bytes_unref(bytes);
+	g_array_unref(cmd.u.ends);
+	g_free(text);
+}
+
 static void
 test_failures(void)
 {
@@ -1544,6 +1587,9 @@
 	g_test_add_func("/flow/steps-in-order", test_steps_in_order);
 	g_test_add_func("/flow/resubmitted", test_resubmitted);
 	g_test_add_func("/flow/ends-once", test_ends_once);
+	g_test_add_func(
+	    "/flow/long-checkpoint-in-log", test_long_checkpoint_in_log);
+	g_test_add_func("/flow/ends-fit-frame", test_ends_fit_frame);
 	g_test_add_func("/flow/failures", test_failures);
 	g_test_add_func("/flow/gang", test_gang);
 	g_test_add_func("/flow/gang-done-late", test_gang_done_late);
--- a/test/stubworker.c
+++ b/test/stubworker.c
@@ -78,20 +78,23 @@
 	struct agent_end e = { 0 };
 	struct agent_running r = { 0 };
 	unsigned outcome;
+	int checkpoint = 0; /* offset in the line */
 
 	if (sscanf(line,
 		"R %" SCNu64 " %" SCNu32 " %" SCNu32 " %" SCNu32 " %" SCNu32
-		" %" SCNi64,
+		" %" SCNi64 " %n",
 		&r.id.job, &r.id.occurrence, &r.id.step, &r.id.index,
-		&r.id.number, &r.percent) == 6) {
+		&r.id.number, &r.percent, &checkpoint) == 6) {
+		r.checkpoint = g_strdup(line + checkpoint);
 		g_array_append_val(out->running, r);
 		return true;
 	}
 	if (sscanf(line,
 		"E %" SCNu64 " %" SCNu64 " %" SCNu32 " %" SCNu32 " %" SCNu32
-		" %" SCNu32 " %u",
+		" %" SCNu32 " %u %n",
 		&e.number, &e.id.job, &e.id.occurrence, &e.id.step, &e.id.index,
-		&e.id.number, &outcome) == 7) {
+		&e.id.number, &outcome, &checkpoint) == 7) {
+		e.checkpoint = g_strdup(line + checkpoint);
 		e.outcome = (enum agent_outcome)outcome;
 		g_array_append_val(out->ends, e);
 		return true;
@@ -173,8 +176,8 @@
 		    &g_array_index(w->running, struct stub_run, i);
 		char *run = run_text(&r->id);
 
-		g_string_append_printf(
-		    out, "R %s %" PRIi64 "\n", run, r->percent);
+		g_string_append_printf(out, "R %s %" PRIi64 " %s\n", run,
+		    r->percent, w->checkpoint);
 		g_free(run);
 	}
 	for (guint i = 0; i < w->ends->len; i++) {
@@ -182,8 +185,8 @@
 		    &g_array_index(w->ends, struct agent_end, i);
 		char *run = run_text(&e->id);
 
-		g_string_append_printf(out, "E %" PRIu64 " %s %d\n", e->number,
-		    run, (int)e->outcome);
+		g_string_append_printf(out, "E %" PRIu64 " %s %d %s\n",
+		    e->number, run, (int)e->outcome, w->checkpoint);
 		g_free(run);
 	}
 	answer(req, 200, g_string_free(out, FALSE));
@@ -461,6 +464,7 @@
 	w->name = g_strdup(name);
 	w->address = free_address(ip);
 	w->started_ms = g_get_real_time() / 1000;
+	w->checkpoint = g_strdup("");
 	w->capacity = (struct resources){ 4000, 1 << 30, 0 };
 	w->running = g_array_new(FALSE, TRUE, sizeof(struct stub_run));
 	w->ends = g_array_new(FALSE, TRUE, sizeof(struct agent_end));
@@ -540,5 +544,6 @@
 	g_array_unref(w->held_starts);
 	g_free(w->name);
 	g_free(w->address);
+	g_free(w->checkpoint);
 	g_free(w);
 }
--- a/test/stubworker.h
+++ b/test/stubworker.h
@@ -27,6 +27,7 @@
 	int64_t lease_until_ms; /* monotonic clock of this process */
 	uint64_t acked;
 	uint64_t last_end;
+	char *checkpoint; /* of all its runs, without spaces; "": none */
 	GArray *running; /* struct stub_run */
 	GArray *ends; /* struct agent_end, not acknowledged yet */
 	GPtrArray *unanswered; /* struct http_request, never answered */
