dispatch: a run that a cut list of ends does not name is not taken for lost

Cause: a run that a report lists neither as running nor as ended counts as lost, but a worker lists 500 ends at a time. The others are in the next answer, 7 ms later in the run that was traced; exactly the 124 beyond the first 500 were started again.

The next poll follows at once, as the ends are committed and acknowledged.

--- a/lib/dispatch/agent.h
+++ b/lib/dispatch/agent.h
@@ -72,6 +72,9 @@
 	int64_t started_ms; /* wall time of the incarnation's start; 0: none */
 	GArray *running; /* struct agent_running */
 	GArray *ends; /* struct agent_end */
+	/* The worker may have more ends to list, once these are acknowledged: a
+	 * run that is not listed may have ended. */
+	bool ends_cut;
 };
 
 /* Query to the policy service: which of these workers may run a step? */
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -566,9 +566,10 @@
 }
 
 /*
- * A run that the worker had before this poll was sent, but that it reports
- * neither as running nor as ended, is lost. A run that an earlier leader
- * ordered, and that the worker does not have, is ordered again.
+ * To be called with complete lists only. A run that the worker had before this
+ * poll was sent, but that it reports neither as running nor as ended, is lost.
+ * A run that an earlier leader ordered, and that the worker does not have, is
+ * ordered again.
  */
 static void
 handle_missing(struct holder *h, int64_t now)
@@ -632,7 +633,12 @@
 		    h->name, report->running->len, report->ends->len);
 	handle_ends(h, report, now);
 	handle_running(h, report, now);
-	handle_missing(h, now);
+	if (report->ends_cut)
+		log_info("dispatch",
+		    "event=ends-cut worker=%s ends=%u acked=%" G_GUINT64_FORMAT,
+		    h->name, report->ends->len, h->acked);
+	else
+		handle_missing(h, now);
 	if (first)
 		dispatch_schedule_round(h->d);
 }
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -35,4 +35,4 @@
     explain-reserved explain-slow
     explain-organisation explain-gang explain-waiting explain-as-submitted
     explain-changes-nothing explain-invalid
-    checkpoint-too-long)
+    checkpoint-too-long ends-cut)
--- a/test/dispatch_reports.c
+++ b/test/dispatch_reports.c
@@ -45,9 +45,42 @@
 	leader_free(l);
 }
 
+#define TASKS (2 * STUB_ENDS_MAX + 1)
+
+/* Guards against runs that are taken for lost and started again, after they
+ * have ended as done, when a worker has more ends to list than fit into one
+ * answer. */
+static void
+test_ends_cut(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, TASKS, 100);
+	AWAIT(l, a->running->len == TASKS);
+	/* They end while no answer gets through. */
+	AWAIT(l, a->poll != NULL);
+	a->unresponsive = true;
+	g_ptr_array_add(a->unanswered, g_steal_pointer(&a->poll));
+	leader_run_for(l, 300);
+	for (uint32_t i = 0; i < TASKS; i++) {
+		struct flow_run id = { JOB, 0, 0, i, 1 };
+
+		stub_worker_end(a, &id, AGENT_DONE);
+	}
+	a->unresponsive = false;
+	AWAIT(l, a->max_acked == TASKS);
+	g_assert_cmpint(a->starts, ==, TASKS);
+	g_assert_cmpint(flow_job(l->flow, JOB)->state, ==, FLOW_COMPLETED);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 void
 report_tests_add(void)
 {
 	g_test_add_func(
 	    "/dispatch/checkpoint-too-long", test_checkpoint_too_long);
+	g_test_add_func("/dispatch/ends-cut", test_ends_cut);
 }
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -490,6 +490,38 @@
 	agent_report_clear(&r);
 }
 
+/* Reads a report with so many ends; returns whether it may have been cut. */
+static bool
+is_cut(int ends)
+{
+	GString *text = g_string_new("{\"currentTimeMs\":1,\"endedRuns\":[");
+	struct agent_report r;
+	bool cut;
+
+	for (int i = 0; i < ends; i++)
+		g_string_append_printf(text,
+		    "%s[%d,\"5c0e7a21d94b36f8.0.0.%d\",1,\"done\",\"\"]",
+		    i == 0 ? "" : ",", i + 1, i);
+	g_string_append(text, "]}");
+	agent_report_init(&r);
+	g_assert_true(platform_agent.read_report(text->str, text->len, &r));
+	g_assert_cmpint((int)r.ends->len, ==, ends);
+	cut = r.ends_cut;
+	agent_report_clear(&r);
+	g_string_free(text, TRUE);
+	return cut;
+}
+
+/* Guards against a list of ends that is taken for complete although a worker
+ * lists 500 at a time. */
+static void
+test_ends_cut(void)
+{
+	g_assert_false(is_cut(0));
+	g_assert_false(is_cut(499));
+	g_assert_true(is_cut(500));
+}
+
 static bool
 read_settings(const char *text, struct platform_settings *s)
 {
@@ -568,6 +600,7 @@
 	g_test_add_func("/platform/worker", test_worker);
 	g_test_add_func("/platform/orders", test_orders);
 	g_test_add_func("/platform/answers", test_answers);
+	g_test_add_func("/platform/ends-cut", test_ends_cut);
 	g_test_add_func("/platform/settings", test_settings);
 	return g_test_run();
 }
--- a/test/stubworker.c
+++ b/test/stubworker.c
@@ -114,6 +114,7 @@
 			 &out->started_ms) == 2;
 	for (int i = 1; ok && lines[i] != NULL; i++)
 		ok = read_line(lines[i], out);
+	out->ends_cut = out->ends->len == STUB_ENDS_MAX;
 	g_strfreev(lines);
 	g_free(text);
 	return ok;
@@ -180,7 +181,7 @@
 		    r->percent, w->checkpoint);
 		g_free(run);
 	}
-	for (guint i = 0; i < w->ends->len; i++) {
+	for (guint i = 0; i < MIN(w->ends->len, STUB_ENDS_MAX); i++) {
 		struct agent_end *e =
 		    &g_array_index(w->ends, struct agent_end, i);
 		char *run = run_text(&e->id);
--- a/test/stubworker.h
+++ b/test/stubworker.h
@@ -10,6 +10,8 @@
 #include "agent.h"
 #include "httpd.h"
 
+#define STUB_ENDS_MAX 4 /* ends in one answer; the others in later ones */
+
 struct stub_run {
 	struct flow_run id;
 	int64_t percent;
