dispatch: failures of a long-running task cost others a bounded amount

Cause: each failure counted in full against its worker, as long-running tasks have no count of their own failures. Two put a worker out of use for 1 to 2.5 s, then on trial with one task; that was the failing task again, since such tasks come first. With tens of starts a second all workers were excluded or on trial.

The leader now keeps, for a long-running step, the workers on which it has failed within 10 s of a start. A failure counts once for a worker, and less the more workers failed before; the step goes to other workers first and leaves those on trial alone; early ends are followed by a back-off of up to 2 s, below the 6 s in which a task has to be at work again. Batch tasks are weighed as before.

Related paths: restarts of a task that ends at once as done were unbounded as well and back off too; stuck runs and batch failures are bounded by attempts; lib/health judges by jobs.

--- a/lib/dispatch/candidates.c
+++ b/lib/dispatch/candidates.c
@@ -116,7 +116,9 @@
 
 /*
  * Drops probing workers, for work that should not fail there: gangs, which one
- * failed member ends, and last attempts. Keeps them if they are the majority.
+ * failed member ends, and last attempts; and for work that has failed
+ * elsewhere, whose failure would say nothing about the worker. Keeps them if
+ * they are the majority.
  */
 static void
 drop_probing(GPtrArray *workers)
@@ -142,6 +144,8 @@
 		return CANDIDATE_NO_LABEL;
 	if (preempt_reserved_for_other(h, p, rd->now))
 		return CANDIDATE_RESERVED;
+	if (apart.avoid_failed && retry_has_failed_on(rd, p, h))
+		return CANDIDATE_APART;
 	return apart_allows(h, p->job->id, apart, rd->now) ? CANDIDATE_ALLOWED
 							   : CANDIDATE_APART;
 }
@@ -163,9 +167,11 @@
 }
 
 static void
-drop_unsuitable(const struct pending_step *p, GPtrArray *workers)
+drop_unsuitable(
+    const struct round *rd, const struct pending_step *p, GPtrArray *workers)
 {
-	if (flow_job_step(p->job, p->step)->gang || last_attempt(p))
+	if (flow_job_step(p->job, p->step)->gang || last_attempt(p) ||
+	    retry_has_failed(rd, p))
 		drop_probing(workers);
 }
 
@@ -177,7 +183,7 @@
 
 	for (guint i = 0; i < rd->workers->len; i++)
 		add_if_allowed(rd, p, apart, rd->workers->pdata[i], out);
-	drop_unsuitable(p, out);
+	drop_unsuitable(rd, p, out);
 	return out;
 }
 
@@ -202,6 +208,6 @@
 		if (h != NULL && h->in_round != NULL)
 			add_if_allowed(rd, p, apart, h->in_round, out);
 	}
-	drop_unsuitable(p, out);
+	drop_unsuitable(rd, p, out);
 	return out;
 }
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -411,22 +411,41 @@
 	return outcome == AGENT_FAILED ? FLOW_END_FAILED : FLOW_END_STOPPED;
 }
 
+/* How much a failure of a run counts against its worker. r: NULL if the run is
+ * not known any more. */
+static double
+end_weight(struct dispatch *d, const struct agent_end *e,
+    const struct active_run *r, int64_t now)
+{
+	const struct flow_job *job = flow_job(d->conf.flow, e->id.job);
+	const struct flow_task *task = flow_task(d->conf.flow, &e->id, NULL);
+
+	if (task == NULL)
+		return plan_failure_weight(0);
+	if (r != NULL && flow_job_step(job, e->id.step)->long_running)
+		return retry_record_end(
+		    d, job, r, e->outcome == AGENT_FAILED, now);
+	return plan_failure_weight(task->failures > 0 ? 1 : 0);
+}
+
 /* Updates the failure record of a worker from a run that ended there. */
 static void
-record_outcome(struct holder *h, const struct agent_end *e, int64_t now)
+record_outcome(struct holder *h, const struct agent_end *e,
+    const struct active_run *r, int64_t now)
 {
-	const struct flow_task *task = flow_task(h->d->conf.flow, &e->id, NULL);
 	enum plan_failure_state before = plan_failure_state(&h->failures, now);
 	enum plan_failure_state after;
+	double weight;
 
 	if (e->outcome != AGENT_DONE && e->outcome != AGENT_FAILED)
 		return;
-	if (e->outcome == AGENT_FAILED) {
+	weight = end_weight(h->d, e, r, now);
+	if (e->outcome == AGENT_FAILED)
 		h->d->meter.failed->value++;
+	if (e->outcome == AGENT_FAILED && weight > 0)
 		h->failed_ms = now;
-	}
-	plan_failure_update(&h->failures, e->outcome == AGENT_DONE,
-	    task != NULL && task->failures > 0, now);
+	plan_failure_update(
+	    &h->failures, e->outcome == AGENT_DONE, weight, now);
 	after = plan_failure_state(&h->failures, now);
 	if (after == PLAN_EXCLUDED && before != PLAN_EXCLUDED)
 		log_info("dispatch",
@@ -498,15 +517,17 @@
 		struct flow_end end = { .id = e->id,
 			.outcome = end_outcome(e->outcome) };
 		struct active_run *r = run_find(d, &e->id);
+		bool assigned =
+		    r != NULL && r->holder == h && r->id.number == e->id.number;
 
-		if (r != NULL && r->id.number == e->id.number && r->holder == h)
+		if (assigned)
 			r->last_poll = h->polls;
 		run_mark_started(d, &e->id);
 		if (e->number <= h->proposed_end ||
 		    cmd.u.ends->len == FLOW_ENDS_MAX)
 			continue;
 		last = e->number;
-		record_outcome(h, e, now);
+		record_outcome(h, e, assigned ? r : NULL, now);
 		log_info("dispatch",
 		    "event=end run=%s worker=%s number=%" G_GUINT64_FORMAT
 		    " how=%s known=%d ran_ms=%" G_GINT64_FORMAT,
@@ -514,8 +535,7 @@
 		    agent_outcome_name(e->outcome), r != NULL,
 		    r == NULL ? 0 : now - r->started_ms);
 		/* A run on another worker is not affected. */
-		if (r != NULL && r->holder == h &&
-		    r->id.number == e->id.number) {
+		if (assigned) {
 			end.checkpoint = end_checkpoint(r, e);
 			g_array_append_val(cmd.u.ends, end);
 			r->state = RUN_ENDING;
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -182,6 +182,9 @@
 	int64_t aged_ms; /* cell time at which it last went first, or 0 */
 	bool cap_wait_logged; /* that it waits for the cap */
 	bool fast_wait_logged; /* that it waits for fast workers */
+	/* Of a long-running step, see retries.c; NULL: none. */
+	GArray *retries; /* struct retry, by the index of the task */
+	GHashTable *failed_on; /* ids of workers */
 };
 
 /* A query in flight for a step. */
@@ -549,6 +552,7 @@
 struct apartness {
 	enum separation from;
 	bool avoid_restarted; /* not on workers that have crashed lately */
+	bool avoid_failed; /* not on workers on which the step has failed */
 };
 
 /* apart.c */
@@ -568,6 +572,20 @@
 /* Ends that waiting time. */
 void apart_stop_waiting(struct round *rd, const struct pending_step *p);
 
+/* retries.c */
+/* Records that a run of a long-running task has ended by itself. Returns how
+ * much a failure counts against its worker. */
+double retry_record_end(struct dispatch *d, const struct flow_job *job,
+    const struct active_run *r, bool failed, int64_t now);
+/* Says whether a task is not to be started again yet. */
+bool retry_waits(const struct dispatch *d, const struct flow_job *job,
+    uint32_t occurrence, uint32_t step, uint32_t index, int64_t now);
+/* Says whether runs of a long-running step have failed early since one of them
+ * has lasted: on any worker, on this one. */
+bool retry_has_failed(const struct round *rd, const struct pending_step *p);
+bool retry_has_failed_on(const struct round *rd, const struct pending_step *p,
+    const struct holder *h);
+
 /* round.c */
 void round_run(struct dispatch *d, int64_t now);
 /* Starts a round that round_clear() ends, and collects its workers. */
--- a/lib/dispatch/pending.c
+++ b/lib/dispatch/pending.c
@@ -12,6 +12,8 @@
 
 	return task->state == FLOW_PENDING &&
 	    !apart_holds_back(rd, flow_job_step(job, step), task) &&
+	    !retry_waits(
+		rd->d, job, occurrence->number, step, index, rd->now) &&
 	    run_find(rd->d, &id) == NULL;
 }
 
@@ -28,7 +30,9 @@
 		return false;
 	for (uint32_t i = 0; i < st->count; i++)
 		if (apart_holds_back(
-			rd, flow_job_step(job, step), &st->tasks[i]))
+			rd, flow_job_step(job, step), &st->tasks[i]) ||
+		    retry_waits(
+			rd->d, job, occurrence->number, step, i, rd->now))
 			return false;
 	return true;
 }
--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -68,6 +68,8 @@
 	g_hash_table_unref(s->denied);
 	g_ptr_array_unref(s->queries);
 	g_hash_table_unref(s->queried);
+	g_clear_pointer(&s->retries, g_array_unref);
+	g_clear_pointer(&s->failed_on, g_hash_table_unref);
 	g_free(s);
 }
 
@@ -107,6 +109,10 @@
 {
 	struct step_permits *out = g_memdup2(s, sizeof(*s));
 
+	if (out->retries != NULL)
+		g_array_ref(out->retries);
+	if (out->failed_on != NULL)
+		g_hash_table_ref(out->failed_on);
 	g_hash_table_ref(out->permits);
 	g_hash_table_ref(out->denied);
 	g_ptr_array_ref(out->queries);
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -115,18 +115,20 @@
     const struct step_permits *permits)
 {
 	bool suspects = wanted != SEPARATE_ISOLATED;
+	bool failed = retry_has_failed(rd, p);
 	bool waited = request->count > 0 && suspects;
 
 	for (int s = wanted; s >= SEPARATE_ISOLATED && request->count > 0;
 	     s--) {
 		struct apartness apart = { .from = (enum separation)s,
-			.avoid_restarted = suspects };
+			.avoid_restarted = suspects,
+			.avoid_failed = failed };
 
 		if (s != (int)wanted && !apart_may_relax(rd, p, wanted))
 			break;
-		if (suspects)
+		if (suspects || failed)
 			place_apart(rd, p, request, wanted, apart, permits);
-		apart.avoid_restarted = false;
+		apart.avoid_restarted = apart.avoid_failed = false;
 		if (request->count > 0)
 			place_apart(rd, p, request, wanted, apart, permits);
 	}
--- a/lib/plan/failures.c
+++ b/lib/plan/failures.c
@@ -9,8 +9,6 @@
 
 /* Time constant of the decay: one failure leads to probing for some 3 s. */
 #define DECAY_MS 6000
-/* Score of a failure of a task that failed before: it may itself be faulty. */
-#define REPEATED_SCORE 0.5
 /* Exceeded by one failure, until a success or the decay lowers it. */
 #define PROBE_SCORE 0.6
 /* Exceeded by two failures with no success between them. */
@@ -28,7 +26,7 @@
 
 void
 plan_failure_update(struct plan_failure_record *r, bool succeeded,
-    bool failed_before, int64_t now_ms)
+    double weight, int64_t now_ms)
 {
 	r->score = decayed_score(r, now_ms);
 	r->updated_ms = now_ms;
@@ -38,7 +36,9 @@
 			r->backoff_ms = 0;
 		return;
 	}
-	r->score += failed_before ? REPEATED_SCORE : 1;
+	if (weight <= 0)
+		return;
+	r->score += weight;
 	if (r->score < EXCLUDE_SCORE || now_ms < r->excluded_until_ms)
 		return;
 	r->backoff_ms =
@@ -46,6 +46,12 @@
 	r->excluded_until_ms = now_ms + r->backoff_ms;
 }
 
+double
+plan_failure_weight(uint32_t other_workers)
+{
+	return 1.0 / (1 + other_workers);
+}
+
 enum plan_failure_state
 plan_failure_state(const struct plan_failure_record *r, int64_t now_ms)
 {
--- a/lib/plan/plan.h
+++ b/lib/plan/plan.h
@@ -128,11 +128,14 @@
 };
 
 /*
- * Records a run that ended by itself, not by a stop. failed_before: the task
- * has failed earlier, so that the task and not the worker may be at fault.
+ * Records a run that ended by itself, not by a stop. weight: how much a failure
+ * counts.
  */
 void plan_failure_update(struct plan_failure_record *r, bool succeeded,
-    bool failed_before, int64_t now_ms);
+    double weight, int64_t now_ms);
+/* The weight of a failure of work that has failed on so many other workers: the
+ * more these are, the likelier the work is at fault. */
+double plan_failure_weight(uint32_t other_workers);
 enum plan_failure_state
 plan_failure_state(const struct plan_failure_record *r, int64_t now_ms);
 
--- a/test/stubworker.h
+++ b/test/stubworker.h
@@ -40,6 +40,7 @@
 	int hold_starts; /* how many start orders to hold without an answer */
 	GArray *held_starts; /* struct flow_run: those orders */
 	int fail_runs; /* how many runs fail as soon as they start */
+	bool (*fails)(const struct flow_run *id); /* the same; NULL: none */
 	int refuse_starts; /* how many start orders to refuse: no resources */
 	/* Runs that crash the worker; NULL: none. */
 	bool (*is_deadly)(const struct flow_run *id);
