platform, dispatch: one odd row or number does not hide what else a worker reports

Reported by others: an entry that is deeply nested, or has a number or a port out of range, ended the processes that read it or stopped them from following the list. Looked for in each reader of heartbeats, runs, permits, configurations, frames and stored entries.

Found: one unreadable row made a report unreadable at each poll, until the lease lapsed and all runs of the worker started again. An end with a number of 2^62 made the leader ignore all later ends and tell the worker to forget them. A report without its lists counted as a worker without runs. Run numbers were cut to 32 bits. A stored address with a port out of range ended each replica that led. Clocks, slack factors and progress could overflow. Answers had no limit of size.

Rows that can't be read are left out; numbers are checked against what a worker can have counted; a report needs both lists; figures have limits where they are decoded. Heartbeats with such ports and JSON of 100,000 levels were refused before; tests hold that now.

--- a/lib/dispatch/agent.h
+++ b/lib/dispatch/agent.h
@@ -75,6 +75,7 @@
 	/* The worker may have more ends to list, once these are acknowledged: a
 	 * run that is not listed may have ended. */
 	bool ends_cut;
+	uint32_t unreadable; /* rows of both lists that name no run */
 };
 
 /* Query to the policy service: which of these workers may run a step? */
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -1,5 +1,6 @@
 /* Workers: polls that renew their lease and report their runs, lease expiry. */
 #include "impl.h"
+#include "settings.h"
 
 #define POLL_RETRY_MS 150 /* after a poll without an answer */
 #define POLL_EXPIRED_MS 1000 /* between polls of a worker without a lease */
@@ -9,6 +10,10 @@
  * end. */
 #define EVACUATE_MS 700
 #define REMOVE_AFTER_MS 8000 /* after the last heartbeat, without a lease */
+/* A worker can't have numbered more ends than this, plus one for each
+ * millisecond since its start. */
+#define ENDS_AT_START_MAX 1000000
+#define STRAYS_STOPPED_MAX 64 /* unassigned runs to stop for each poll */
 
 struct holder *
 holder_find(const struct dispatch *d, uint32_t id)
@@ -98,6 +103,9 @@
 	h->heartbeat_seq = w->seq;
 	h->runs = g_ptr_array_new();
 	update_address(h, w);
+	/* Nothing can have been sent there. */
+	if (!address_valid(h->address, false))
+		holder_declare_dead(h, "its address is invalid");
 	speeds_init_holder(h);
 	g_hash_table_insert(d->holders, GUINT_TO_POINTER(h->id), h);
 	return h;
@@ -499,6 +507,22 @@
 	return x < y ? -1 : x > y;
 }
 
+/* A number that is too high would make all later ends count as known, and have
+ * the worker forget them. */
+static bool
+is_plausible(const struct holder *h, const struct agent_end *e)
+{
+	int64_t age_ms = g_get_real_time() / 1000 - h->started_ms;
+
+	if (e->number <= ENDS_AT_START_MAX + (uint64_t)MAX(age_ms, 0))
+		return true;
+	log_warn("dispatch",
+	    "event=end-ignored run=%s worker=%s number=%" G_GUINT64_FORMAT
+	    " why=\"higher than the worker can have counted\"",
+	    run_name(&e->id), h->name, e->number);
+	return false;
+}
+
 /* Proposes new ends, as many as fit into a command; the poll after they are
  * durable acknowledges them. */
 static void
@@ -520,6 +544,8 @@
 		bool assigned =
 		    r != NULL && r->holder == h && r->id.number == e->id.number;
 
+		if (!is_plausible(h, e))
+			continue;
 		if (assigned)
 			r->last_poll = h->polls;
 		run_mark_started(d, &e->id);
@@ -556,6 +582,8 @@
 static void
 handle_running(struct holder *h, const struct agent_report *report, int64_t now)
 {
+	uint32_t strays = 0;
+
 	h->has_strays = false;
 	for (guint i = 0; i < report->running->len; i++) {
 		struct agent_running *a =
@@ -565,7 +593,8 @@
 		if (r == NULL || r->holder != h ||
 		    r->id.number != a->id.number) {
 			h->has_strays = true;
-			run_stop_unassigned(h, &a->id);
+			if (++strays <= STRAYS_STOPPED_MAX)
+				run_stop_unassigned(h, &a->id);
 			continue;
 		}
 		r->last_poll = h->polls;
@@ -651,6 +680,13 @@
 		log_info("dispatch",
 		    "event=worker-connected worker=%s running=%u ends=%u",
 		    h->name, report->running->len, report->ends->len);
+	if (report->unreadable != h->unreadable_rows)
+		log_warn("dispatch",
+		    "event=rows-unreadable worker=%s rows=%u running=%u "
+		    "ends=%u",
+		    h->name, report->unreadable, report->running->len,
+		    report->ends->len);
+	h->unreadable_rows = report->unreadable;
 	handle_ends(h, report, now);
 	handle_running(h, report, now);
 	if (report->ends_cut)
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -151,6 +151,7 @@
 	int64_t excluded_until_ms; /* gets no new work until then */
 	struct plan_failure_record failures;
 	int64_t failed_ms; /* when a run last failed there */
+	uint32_t unreadable_rows; /* in its last report */
 };
 
 /* Workers are reserved for a step until this time. */
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -3,6 +3,7 @@
 
 #include "auth.h"
 #include "impl.h"
+#include "settings.h"
 
 #define JOB_ID_DIGITS 16 /* hexadecimal */
 #define RETRY_MS 1000 /* suggested if no better estimate exists */
@@ -679,7 +680,9 @@
 	gsize len;
 	const void *data = g_bytes_get_data(req->body, &len);
 
-	if (!flow_worker_decode(data, len, &in)) {
+	if (!flow_worker_decode(data, len, &in) ||
+	    !address_valid(in.address, false)) {
+		flow_worker_clear(&in);
 		reply_text(
 		    d, process, req, REQUEST_INVALID, "malformed worker");
 		return;
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -93,7 +93,8 @@
 void
 run_mark_started(struct dispatch *d, const struct flow_run *id)
 {
-	if (!g_hash_table_contains(d->started_jobs, &id->job))
+	if (flow_job(d->conf.flow, id->job) != NULL &&
+	    !g_hash_table_contains(d->started_jobs, &id->job))
 		g_hash_table_add(
 		    d->started_jobs, g_memdup2(&id->job, sizeof(id->job)));
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -20,6 +20,10 @@
 /* Ends in one command: with their checkpoints they fit into a frame, which has
  * 8 MiB at most. */
 #define FLOW_ENDS_MAX 1000
+/* Figures of a configuration; larger ones count as these. */
+#define FLOW_SLACK_MAX 1000.0
+#define FLOW_PERMIT_MS_MAX ((double)(INT64_C(1) << 40))
+#define FLOW_WEIGHT_MAX 1e9
 #define FLOW_PAYLOAD_MAX (64 * 1024) /* bytes of a payload */
 /*
  * A task's job is given up once the weights of the workers that crashed under
--- a/lib/flow/spec.c
+++ b/lib/flow/spec.c
@@ -1,4 +1,6 @@
 /* Encodings of the structures that commands and snapshots contain. */
+#include <math.h>
+
 #include "internal.h"
 
 /* In one configuration; the document has more than 64 bytes for each. */
@@ -51,6 +53,13 @@
 	STEP_BEST_EFFORT = 32
 };
 
+/* Estimates and shares are computed from it in integers. */
+static double
+get_figure(struct reader *r, double max)
+{
+	return fmin(fmax(get_double(r), 0), max);
+}
+
 static uint32_t
 step_flags(const struct flow_step *s)
 {
@@ -199,11 +208,11 @@
 	q->pool = get_str(&a, FLOW_NAME_MAX);
 	q->priority = (uint32_t)get_u64(&a);
 	q->max_failures = (uint32_t)get_u64(&a);
-	q->slack_factor = get_double(&a);
+	q->slack_factor = get_figure(&a, FLOW_SLACK_MAX);
 	q->target_ms = get_amount(&a);
 	q->needs_permit = get_bool(&a);
-	q->permit_call_ms = get_double(&a);
-	q->permit_worker_ms = get_double(&a);
+	q->permit_call_ms = get_figure(&a, FLOW_PERMIT_MS_MAX);
+	q->permit_worker_ms = get_figure(&a, FLOW_PERMIT_MS_MAX);
 	q->permit_valid_ms = get_amount(&a);
 	if (a.left > 0)
 		q->public = get_bool(&a);
@@ -272,7 +281,7 @@
 	struct flow_organisation *o = g_new0(struct flow_organisation, 1);
 
 	o->name = get_str(&a, FLOW_NAME_MAX);
-	o->weight = get_double(&a);
+	o->weight = get_figure(&a, FLOW_WEIGHT_MAX);
 	get_resources(&a, &o->cap);
 	o->keys = get_strs(&a, FLOW_NAME_MAX, KEYS_MAX);
 	r->ok = r->ok && codec_done(&a) && o->name != NULL;
--- a/lib/httpd/client.c
+++ b/lib/httpd/client.c
@@ -27,9 +27,11 @@
 static struct evhttp_connection *
 connection(struct http_peer *p)
 {
-	if (p->conn == NULL)
-		p->conn =
-		    evhttp_connection_base_new(p->base, NULL, p->ip, p->port);
+	if (p->conn != NULL)
+		return p->conn;
+	p->conn = evhttp_connection_base_new(p->base, NULL, p->ip, p->port);
+	evhttp_connection_set_max_headers_size(p->conn, HTTP_HEADERS_MAX);
+	evhttp_connection_set_max_body_size(p->conn, HTTP_ANSWER_MAX);
 	return p->conn;
 }
 
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -35,5 +35,5 @@
     explain-reserved explain-slow
     explain-organisation explain-gang explain-waiting explain-as-submitted
     explain-changes-nothing explain-invalid
-    checkpoint-too-long ends-cut
+    checkpoint-too-long ends-cut odd-end-number odd-address
     failing-service failing-service-backs-off failing-service-moves)
--- a/test/dispatch_reports.c
+++ b/test/dispatch_reports.c
@@ -77,10 +77,74 @@
 	leader_free(l);
 }
 
+/* Guards against an end with a number that is too large, after which no end of
+ * the worker is taken note of, and all are forgotten by it. */
+static void
+test_odd_end_number(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	struct agent_end odd = { .number = UINT64_C(1) << 62,
+		.id = { 0x77, 0, 0, 0, 1 },
+		.outcome = AGENT_DONE };
+
+	leader_heartbeat(l, a, false);
+	g_array_append_val(a->ends, odd);
+	AWAIT(l, a->polls > 2);
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, stub_worker_runs(a, &first_run));
+	odd = (struct agent_end){
+		.number = ++a->last_end, .id = first_run, .outcome = AGENT_DONE
+	};
+	g_array_remove_index(a->running, 0);
+	g_array_prepend_val(a->ends, odd);
+	AWAIT(l, flow_job(l->flow, JOB)->state == FLOW_COMPLETED);
+	AWAIT(l, a->max_acked > 0);
+	g_assert_cmpuint(a->max_acked, ==, 1);
+	g_assert_cmpint(a->starts, ==, 1);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* Guards against an entry with a port out of range, new or in the log of an
+ * earlier version, that ends each replica that leads. */
+static void
+test_odd_address(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	struct flow_worker odd = { .name = (char *)"odd",
+		.address = (char *)"10.0.0.1:99999",
+		.pool = (char *)"desk",
+		.started_ms = a->started_ms,
+		.capacity = { 4000, 1 << 30, 0 } };
+	struct flow_cmd cmd = { .type = FLOW_CMD_WORKER, .u.worker = odd };
+	enum flow_apply_result outcome;
+	GBytes *bytes = flow_cmd_encode(&cmd);
+	gsize len;
+	const void *data = g_bytes_get_data(bytes, &len);
+
+	leader_request(l, REQUEST_WORKER, "", flow_worker_encode(&odd));
+	g_assert_cmpuint(l->last_result, ==, REQUEST_INVALID);
+	g_assert_null(flow_worker_named(l->flow, "odd"));
+	dispatch_resign(l->dispatch);
+	g_assert_true(flow_apply(l->flow, data, len, &outcome, NULL));
+	dispatch_lead(l->dispatch, 2);
+	AWAIT(l, flow_worker_named(l->flow, "odd") == NULL);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, stub_worker_runs(a, &first_run));
+	g_bytes_unref(bytes);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 void
 report_tests_add(void)
 {
 	g_test_add_func(
 	    "/dispatch/checkpoint-too-long", test_checkpoint_too_long);
 	g_test_add_func("/dispatch/ends-cut", test_ends_cut);
+	g_test_add_func("/dispatch/odd-end-number", test_odd_end_number);
+	g_test_add_func("/dispatch/odd-address", test_odd_address);
 }
--- a/test/flow_test.c
+++ b/test/flow_test.c
@@ -357,6 +357,41 @@
 	teardown(&x);
 }
 
+/* Guards against figures of a configuration that overflow the integers that
+ * estimates are computed in. */
+static void
+test_large_figures(void)
+{
+	struct flow_config c;
+	struct flow_config out;
+	struct flow_queue *q = flow_queue_new();
+	GBytes *bytes;
+	gsize len;
+	const void *data;
+
+	flow_config_init(&c);
+	c.version = 1;
+	c.document = g_bytes_new_static("{}", 2);
+	q->name = g_strdup("q");
+	q->host = g_strdup("h");
+	q->prefix = g_strdup("/q/");
+	q->pool = g_strdup("p");
+	q->slack_factor = 1e300;
+	q->permit_call_ms = 1e300;
+	q->permit_worker_ms = -1;
+	g_ptr_array_add(c.queues, q);
+	bytes = flow_config_encode(&c);
+	data = g_bytes_get_data(bytes, &len);
+	g_assert_true(flow_config_decode(data, len, &out));
+	q = out.queues->pdata[0];
+	g_assert_cmpfloat(q->slack_factor, ==, FLOW_SLACK_MAX);
+	g_assert_cmpfloat(q->permit_call_ms, ==, FLOW_PERMIT_MS_MAX);
+	g_assert_cmpfloat(q->permit_worker_ms, ==, 0);
+	g_bytes_unref(bytes);
+	flow_config_clear(&c);
+	flow_config_clear(&out);
+}
+
 /* Guards against a command that is too large for a frame, so that no follower
  * ever gets it. */
 static void
@@ -1590,6 +1625,7 @@
 	g_test_add_func(
 	    "/flow/long-checkpoint-in-log", test_long_checkpoint_in_log);
 	g_test_add_func("/flow/ends-fit-frame", test_ends_fit_frame);
+	g_test_add_func("/flow/large-figures", test_large_figures);
 	g_test_add_func("/flow/failures", test_failures);
 	g_test_add_func("/flow/gang", test_gang);
 	g_test_add_func("/flow/gang-done-late", test_gang_done_late);
--- a/test/fuzz.cmake
+++ b/test/fuzz.cmake
@@ -26,3 +26,4 @@
 target_include_directories(frame_fuzz PRIVATE ${CMAKE_SOURCE_DIR}/bulrushtided)
 bt_fuzz(body DEPENDS api)
 bt_fuzz(cell DEPENDS cell)
+bt_fuzz(platform DEPENDS platform)
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -239,6 +239,31 @@
 	g_free(address);
 }
 
+/* Guards against an answer of any length that is kept in memory until it is
+ * complete. */
+static void
+test_answer_too_long(void)
+{
+	struct fixture f = { .base = event_base_new(), .status = -1 };
+	char *address = free_address();
+	struct httpd *h =
+	    httpd_new(f.base, address, routes, G_N_ELEMENTS(routes), &f, NULL);
+	struct http_peer *p = http_peer_new(f.base, address, NULL);
+
+	http_send(
+	    p, EVHTTP_REQ_GET, "/hold", NULL, NULL, 0, 60000, on_answer, &f);
+	event_base_dispatch(f.base);
+	g_assert_nonnull(f.deferred);
+	http_reply(f.deferred, 200, g_strnfill(HTTP_ANSWER_MAX + 1, 'x'), 0);
+	event_base_dispatch(f.base);
+	g_assert_cmpint(f.status, ==, 0);
+	http_peer_free(p);
+	httpd_free(h);
+	event_base_free(f.base);
+	g_free(f.body);
+	g_free(address);
+}
+
 /* A request to an address where nobody listens ends with status 0. */
 static void
 test_no_listener(void)
@@ -265,6 +290,7 @@
 	g_test_add_func("/httpd/skip-body", test_skip_body);
 	g_test_add_func("/httpd/malformed-head", test_malformed_head);
 	g_test_add_func("/httpd/caller-disconnected", test_caller_disconnected);
+	g_test_add_func("/httpd/answer-too-long", test_answer_too_long);
 	g_test_add_func("/httpd/no-listener", test_no_listener);
 	return g_test_run();
 }
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -420,6 +420,170 @@
 	}
 }
 
+/* Returns a JSON text of so many nested arrays. */
+static char *
+nested_arrays(size_t depth)
+{
+	char *open = g_strnfill(depth, '[');
+	char *close = g_strnfill(depth, ']');
+	char *text = g_strconcat(open, close, NULL);
+
+	g_free(open);
+	g_free(close);
+	return text;
+}
+
+/* Guards against heartbeats of another writer, with numbers or ports out of
+ * range or nested deeply, that end a process or name a worker to use. */
+static void
+test_odd_heartbeats(void)
+{
+	static const struct {
+		const char *from;
+		const char *to;
+	} changes[] = {
+		{ "10.0.0.9:8080", "10.0.0.9:65536" },
+		{ "10.0.0.9:8080", "10.0.0.9:-1" },
+		{ "10.0.0.9:8080", "10.0.0.9:99999999999999999999" },
+		{ "10.0.0.9:8080", "10.0.0.9" },
+		{ "10.0.0.9:8080", "worker.example:8080" },
+		{ "\"cpu\":16000", "\"cpu\":1e30" },
+		{ "\"cpu\":16000", "\"cpu\":1e999" },
+		{ "\"cpu\":16000", "\"cpu\":99999999999999999999" },
+		{ "\"memMb\":32768", "\"memMb\":9007199254740993" },
+		{ "\"cpu\":16000", "\"cpu\":-1" },
+		{ "\"born\":99", "\"born\":9223372036854775807" },
+		{ "\"seq\":4", "\"seq\":1e300" },
+	};
+	static const char good[] = "{" WORKER ",\"seq\":4,\"state\":\"ready\"}";
+	char *nested = nested_arrays(100000);
+	char *body = g_strconcat(
+	    "{" WORKER ",\"seq\":4,\"state\":\"ready\",\"x\":", nested, "}",
+	    NULL);
+	struct flow_worker w;
+	int64_t seq;
+
+	g_assert_true(
+	    platform_worker_decode(good, strlen(good), "i-1", &w, &seq, NULL));
+	flow_worker_clear(&w);
+	g_assert_false(
+	    platform_worker_decode(body, strlen(body), "i-1", &w, &seq, NULL));
+	g_free(body);
+	for (size_t i = 0; i < G_N_ELEMENTS(changes); i++) {
+		GString *text = g_string_new(good);
+
+		g_assert_cmpuint(
+		    g_string_replace(text, changes[i].from, changes[i].to, 1),
+		    ==, 1);
+		g_assert_false(platform_worker_decode(
+		    text->str, text->len, "i-1", &w, &seq, NULL));
+		g_string_free(text, TRUE);
+	}
+	g_free(nested);
+}
+
+#define TASK "\"5c0e7a21d94b36f8.0.1.17\""
+
+static bool
+read_report(const char *text, struct agent_report *r)
+{
+	agent_report_init(r);
+	return platform_agent.read_report(text, strlen(text), r);
+}
+
+/* Guards against one odd row among the runs of a worker that hides the others,
+ * so that these are taken for lost, or that is taken for another run. */
+static void
+test_odd_rows(void)
+{
+	static const char *const running[] = { "[" TASK ",4294967297,\"\",1]",
+		"[" TASK ",0,\"\",1]", "[" TASK ",-1,\"\",1]",
+		"[" TASK ",1e300,\"\",1]", "[" TASK ",\"1\",\"\",1]",
+		"[7,1,\"\",1]", "[\"x\",1,\"\",1]", "[]", "{}", "null", "1",
+		"[\"+c0e7a21d94b36f8.0.1.17\",1,\"\",1]",
+		"[\"5c0e7a21d94b36f8.0.1.99999999999\",1,\"\",1]",
+		"[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]" };
+	static const char *const ends[] = { "[0," TASK ",1,\"done\",\"\"]",
+		"[-5," TASK ",1,\"done\",\"\"]",
+		"[1e300," TASK ",1,\"done\",\"\"]",
+		"[2," TASK ",4294967297,\"done\",\"\"]",
+		"[2," TASK ",1,\"melted\",\"\"]", "[2," TASK ",1,7,\"\"]",
+		"[2,null,1,\"done\",\"\"]", "[]", "7", "null" };
+	struct agent_report r;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(running); i++) {
+		char *text = g_strdup_printf(
+		    "{\"currentTimeMs\":1,\"endedRuns\":[],\"running\":[%s,"
+		    "[" TASK ",2,\"\",1e308,-1e308]]}",
+		    running[i]);
+
+		g_assert_true(read_report(text, &r));
+		g_assert_cmpuint(r.running->len, ==, 1);
+		g_assert_cmpuint(r.unreadable, ==, 1);
+		g_assert_cmpint(
+		    g_array_index(r.running, struct agent_running, 0).percent,
+		    ==, 100);
+		agent_report_clear(&r);
+		g_free(text);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
+		char *text = g_strdup_printf(
+		    "{\"currentTimeMs\":1,\"running\":[],\"endedRuns\":[%s,"
+		    "[9," TASK ",1,\"done\",\"\"]]}",
+		    ends[i]);
+
+		g_assert_true(read_report(text, &r));
+		g_assert_cmpuint(r.ends->len, ==, 1);
+		g_assert_cmpuint(r.unreadable, ==, 1);
+		agent_report_clear(&r);
+		g_free(text);
+	}
+}
+
+/* Guards against an answer without its lists, or with a clock out of range,
+ * that is taken for the report of a worker on which nothing runs. */
+static void
+test_odd_reports(void)
+{
+	static const char *const bad[] = { "{\"currentTimeMs\":1}",
+		"{\"currentTimeMs\":1,\"running\":[]}",
+		"{\"currentTimeMs\":1,\"running\":{},\"endedRuns\":[]}",
+		"{\"currentTimeMs\":9223372036854775807,\"running\":[],"
+		"\"endedRuns\":[]}",
+		"{\"currentTimeMs\":1,\"born\":9223372036854775807,"
+		"\"running\":[],\"endedRuns\":[]}" };
+	char *nested = nested_arrays(100000);
+	char *text = g_strdup_printf(
+	    "{\"currentTimeMs\":1,\"running\":%s,\"endedRuns\":[]}", nested);
+	struct agent_report r;
+
+	g_assert_false(read_report(text, &r));
+	agent_report_clear(&r);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_assert_false(read_report(bad[i], &r));
+		agent_report_clear(&r);
+	}
+	g_free(text);
+	g_free(nested);
+}
+
+/* Guards against an odd row of the policy service that hides the permits for
+ * other workers. */
+static void
+test_odd_permits(void)
+{
+	static const char text[] =
+	    "{\"good\":[[\"i-1\",7],[\"i-2\",\"t\"],[],null,[8,\"t\"]]}";
+	struct agent_permits p;
+
+	agent_permits_init(&p);
+	g_assert_true(platform_agent.read_permits(text, strlen(text), &p));
+	g_assert_cmpuint(p.allowed->len, ==, 1);
+	g_assert_cmpstr(
+	    g_array_index(p.allowed, struct agent_permit, 0).worker, ==, "i-2");
+	agent_permits_clear(&p);
+}
+
 static void
 test_orders(void)
 {
@@ -502,7 +666,7 @@
 		g_string_append_printf(text,
 		    "%s[%d,\"5c0e7a21d94b36f8.0.0.%d\",1,\"done\",\"\"]",
 		    i == 0 ? "" : ",", i + 1, i);
-	g_string_append(text, "]}");
+	g_string_append(text, "],\"running\":[]}");
 	agent_report_init(&r);
 	g_assert_true(platform_agent.read_report(text->str, text->len, &r));
 	g_assert_cmpint((int)r.ends->len, ==, ends);
@@ -601,6 +765,10 @@
 	g_test_add_func("/platform/orders", test_orders);
 	g_test_add_func("/platform/answers", test_answers);
 	g_test_add_func("/platform/ends-cut", test_ends_cut);
+	g_test_add_func("/platform/odd-heartbeats", test_odd_heartbeats);
+	g_test_add_func("/platform/odd-rows", test_odd_rows);
+	g_test_add_func("/platform/odd-reports", test_odd_reports);
+	g_test_add_func("/platform/odd-permits", test_odd_permits);
 	g_test_add_func("/platform/settings", test_settings);
 	return g_test_run();
 }
