dispatch: a late deregistration does not take the next incarnation out of use

Cause: the call names a worker, not its incarnation, and made whichever has the name drain, in the replicated state, where an incarnation that drains does so for good.

A worker that leaves has said before that it drains. So the call changes no replicated state any more: it says that a draining worker is gone, and keeps one that doesn't drain from new work until its next heartbeat says that it is ready.

Related paths: heartbeats, poll answers, orders and ends carry the start time, the worker id or the term.

dispatch_test drain-old-deregistration fails on the code before (the job never starts).

--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -753,7 +753,7 @@
 	    h->name, agent_result_name(result), status, why == NULL ? "" : why,
 	    h->answered_ms == 0 ? -1 : now - h->answered_ms);
 	if (!holder_handle_result(h, result) && h->deregistered &&
-	    h->answered_ms != 0 && why != NULL &&
+	    h->draining_ms != 0 && h->answered_ms != 0 && why != NULL &&
 	    strcmp(why, HTTP_NO_CONNECTION) == 0)
 		holder_declare_dead(h, "deregistered and not reachable");
 }
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -115,7 +115,7 @@
 	bool polled; /* has answered a poll in this term */
 	bool poll_failed; /* did not answer the last poll */
 	bool unreachable; /* an order could not be sent since its last answer */
-	bool deregistered;
+	bool deregistered; /* has left, or an earlier incarnation has */
 	bool dead; /* this incarnation is over ... */
 	int64_t dead_ms; /* ... since when */
 	bool name_reused; /* a later incarnation has its name and address */
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -662,6 +662,13 @@
 		}
 		h->heartbeat_seq = req->seq;
 		h->heartbeat_ms = mono_ms();
+		if (h->deregistered && !in->draining && !known->draining) {
+			log_info("dispatch",
+			    "event=worker-stays worker=%s "
+			    "seq=%" G_GINT64_FORMAT,
+			    h->name, req->seq);
+			h->deregistered = false;
+		}
 		/* An incarnation that has begun to drain keeps draining. */
 		in->draining |= known->draining;
 		if (same_worker(known, in) && !h->removing) {
@@ -691,6 +698,12 @@
 	flow_worker_clear(&in);
 }
 
+/*
+ * The call names a worker, not its incarnation, and an entry may have held it
+ * up until the next one is at work under the same name. A worker that leaves
+ * has said before that it drains, which is in the replicated state. Of one that
+ * hasn't, it only counts until it says again that it is ready.
+ */
 static void
 handle_worker_left(
     struct dispatch *d, uint64_t process, const struct request *req)
@@ -698,18 +711,13 @@
 	const struct flow_worker *known =
 	    flow_worker_named(d->conf.flow, req->path);
 	struct holder *h = known == NULL ? NULL : holder_find(d, known->id);
-	struct flow_worker w;
 
-	if (h == NULL) {
-		reply_text(d, process, req, REQUEST_DONE, "");
-		return;
+	if (h != NULL) {
+		log_info("dispatch", "event=worker-left worker=%s draining=%d",
+		    h->name, known->draining);
+		h->deregistered = true;
 	}
-	log_info("dispatch", "event=worker-left worker=%s", h->name);
-	h->deregistered = true;
-	flow_worker_copy(&w, known);
-	w.draining = true;
-	propose_worker(d, process, req, &w);
-	flow_worker_clear(&w);
+	reply_text(d, process, req, REQUEST_DONE, "");
 }
 
 static void
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -29,6 +29,7 @@
     overload-refused overload-off overload-room
     overload-overdue overload-proposed overload-takeover
     overload-never-fits overload-stops overload-aged-turns drain-evacuates drain-unknown
+    drain-old-deregistration drain-left-for-good
     share-order share-preemption
     share-surplus share-kept refused-over-weight not-refused-with-room organisation-metrics
     explain-reasons explain-max-per-worker explain-excluded explain-permits
--- a/test/dispatch_drain.c
+++ b/test/dispatch_drain.c
@@ -67,9 +67,61 @@
 	leader_free(l);
 }
 
+/* Guards against a deregistration that is delivered late, and takes the next
+ * incarnation of the worker out of use for good. */
+static void
+test_old_deregistration(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+
+	leader_heartbeat(l, a, false);
+	AWAIT(l, a->polls > 1);
+	leader_request(l, REQUEST_WORKER_LEFT, "a", NULL);
+	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
+	leader_submit(l, JOB_PATH, 1, 1000);
+	leader_run_for(l, 300);
+	g_assert_cmpint(a->starts, ==, 0);
+	leader_heartbeat(l, a, false);
+	AWAIT(l, stub_worker_runs(a, &first_run));
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* Guards against new work for a worker that has drained and left, and whose
+ * earlier heartbeat comes late, also after a change of leader. */
+static void
+test_left_for_good(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	struct stub_worker *b = stub_worker_new(l->base, "b");
+
+	leader_heartbeat(l, a, false);
+	leader_heartbeat(l, a, true);
+	AWAIT(l, a->polls > 1);
+	leader_request(l, REQUEST_WORKER_LEFT, "a", NULL);
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, 1, 1000);
+	leader_run_for(l, 300);
+	dispatch_resign(l->dispatch);
+	dispatch_lead(l->dispatch, 2);
+	leader_heartbeat(l, a, false);
+	leader_run_for(l, 300);
+	leader_heartbeat(l, b, false);
+	AWAIT(l, stub_worker_runs(b, &first_run));
+	g_assert_cmpint(a->starts, ==, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
 void
 drain_tests_add(void)
 {
 	g_test_add_func("/dispatch/drain-evacuates", test_evacuates);
 	g_test_add_func("/dispatch/drain-unknown", test_unknown);
+	g_test_add_func(
+	    "/dispatch/drain-old-deregistration", test_old_deregistration);
+	g_test_add_func("/dispatch/drain-left-for-good", test_left_for_good);
 }
