dispatch: a worker with rows that are never acknowledged is polled with a pause

A worker answers a poll at once while it lists ends that are not acknowledged. The line about an ignored end is written once for each number.

--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -507,19 +507,30 @@
 	return x < y ? -1 : x > y;
 }
 
+/* A worker answers at once while it lists ends that are not acknowledged, so
+ * one that never will be must not lead to polls without a pause. */
+static void
+poll_later(struct holder *h, int64_t now)
+{
+	h->poll_due_ms = now + POLL_RETRY_MS;
+}
+
 /* A number that is too high would make all later ends count as known, and have
  * the worker forget them. */
 static bool
-is_plausible(const struct holder *h, const struct agent_end *e)
+is_plausible(struct holder *h, const struct agent_end *e)
 {
 	int64_t age_ms = g_get_real_time() / 1000 - h->started_ms;
 
 	if (e->number <= ENDS_AT_START_MAX + (uint64_t)MAX(age_ms, 0))
 		return true;
-	log_warn("dispatch",
-	    "event=end-ignored run=%s worker=%s number=%" G_GUINT64_FORMAT
-	    " why=\"higher than the worker can have counted\"",
-	    run_name(&e->id), h->name, e->number);
+	if (h->ignored_end != e->number)
+		log_warn("dispatch",
+		    "event=end-ignored run=%s worker=%s "
+		    "number=%" G_GUINT64_FORMAT
+		    " why=\"higher than the worker can have counted\"",
+		    run_name(&e->id), h->name, e->number);
+	h->ignored_end = e->number;
 	return false;
 }
 
@@ -544,8 +555,10 @@
 		bool assigned =
 		    r != NULL && r->holder == h && r->id.number == e->id.number;
 
-		if (!is_plausible(h, e))
+		if (!is_plausible(h, e)) {
+			poll_later(h, now);
 			continue;
+		}
 		if (assigned)
 			r->last_poll = h->polls;
 		run_mark_started(d, &e->id);
@@ -687,6 +700,8 @@
 		    h->name, report->unreadable, report->running->len,
 		    report->ends->len);
 	h->unreadable_rows = report->unreadable;
+	if (report->unreadable > 0)
+		poll_later(h, now);
 	handle_ends(h, report, now);
 	handle_running(h, report, now);
 	if (report->ends_cut)
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -152,6 +152,7 @@
 	struct plan_failure_record failures;
 	int64_t failed_ms; /* when a run last failed there */
 	uint32_t unreadable_rows; /* in its last report */
+	uint64_t ignored_end; /* number of the last end that was; 0: none */
 };
 
 /* Workers are reserved for a step until this time. */
--- a/test/dispatch_reports.c
+++ b/test/dispatch_reports.c
@@ -45,6 +45,7 @@
 	leader_free(l);
 }
 
+#define POLL_PAUSE_MS 100 /* the least, after a report with odd rows */
 #define TASKS (2 * STUB_ENDS_MAX + 1)
 
 /* Guards against runs that are taken for lost and started again, after they
@@ -78,7 +79,8 @@
 }
 
 /* Guards against an end with a number that is too large, after which no end of
- * the worker is taken note of, and all are forgotten by it. */
+ * the worker is taken note of, all are forgotten by it, or it is polled without
+ * a pause. */
 static void
 test_odd_end_number(void)
 {
@@ -87,10 +89,17 @@
 	struct agent_end odd = { .number = UINT64_C(1) << 62,
 		.id = { 0x77, 0, 0, 0, 1 },
 		.outcome = AGENT_DONE };
+	int64_t begin_ms;
+	int polls;
 
 	leader_heartbeat(l, a, false);
 	g_array_append_val(a->ends, odd);
 	AWAIT(l, a->polls > 2);
+	begin_ms = mono_ms();
+	polls = a->polls;
+	leader_run_for(l, 1000);
+	g_assert_cmpint(
+	    a->polls - polls, <=, (mono_ms() - begin_ms) / POLL_PAUSE_MS + 1);
 	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, stub_worker_runs(a, &first_run));
 	odd = (struct agent_end){
