dispatch: no record of early ends for a job that has ended

It would have been created after the job's records were removed, and kept until the leadership ends.

--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -430,7 +430,8 @@
 
 	if (task == NULL)
 		return plan_failure_weight(0);
-	if (r != NULL && flow_job_step(job, e->id.step)->long_running)
+	if (r != NULL && !flow_job_ended(job) &&
+	    flow_job_step(job, e->id.step)->long_running)
 		return retry_record_end(
 		    d, job, r, e->outcome == AGENT_FAILED, now);
 	return plan_failure_weight(task->failures > 0 ? 1 : 0);
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -210,6 +210,19 @@
 	g_free(address);
 }
 
+/* Sends a request whose reply is deferred. */
+static struct http_peer *
+send_held(struct fixture *f, const char *address)
+{
+	struct http_peer *p = http_peer_new(f->base, address, NULL);
+
+	http_send(
+	    p, EVHTTP_REQ_GET, "/hold", NULL, NULL, 0, 60000, on_answer, f);
+	event_base_dispatch(f->base);
+	g_assert_nonnull(f->deferred);
+	return p;
+}
+
 /*
  * The caller disconnects before the deferred reply is sent. The reply is
  * dropped, and the request no longer counts as pending.
@@ -221,12 +234,8 @@
 	char *address = free_address();
 	struct httpd *h =
 	    httpd_new(f.base, address, routes, G_N_ELEMENTS(routes), &f, NULL);
-	struct http_peer *p = http_peer_new(f.base, address, NULL);
+	struct http_peer *p = send_held(&f, address);
 
-	http_send(
-	    p, EVHTTP_REQ_GET, "/hold", NULL, NULL, 0, 60000, on_answer, &f);
-	event_base_dispatch(f.base);
-	g_assert_nonnull(f.deferred);
 	g_assert_cmpint(httpd_pending(h), ==, 1);
 	http_peer_free(p);
 	event_base_loop(f.base, EVLOOP_NONBLOCK);
@@ -248,12 +257,8 @@
 	char *address = free_address();
 	struct httpd *h =
 	    httpd_new(f.base, address, routes, G_N_ELEMENTS(routes), &f, NULL);
-	struct http_peer *p = http_peer_new(f.base, address, NULL);
+	struct http_peer *p = send_held(&f, address);
 
-	http_send(
-	    p, EVHTTP_REQ_GET, "/hold", NULL, NULL, 0, 60000, on_answer, &f);
-	event_base_dispatch(f.base);
-	g_assert_nonnull(f.deferred);
 	http_reply(f.deferred, 200, g_strnfill(HTTP_ANSWER_MAX + 1, 'x'), 0);
 	event_base_dispatch(f.base);
 	g_assert_cmpint(f.status, ==, 0);
