--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -274,9 +274,10 @@
 		timer_add(d->meter.start_delay,
 		    flow_time_ms(d->conf.flow) - job->accepted_ms);
 	log_info("dispatch",
-	    "event=start run=%s worker=%s queue=%s waited_ms=%" G_GINT64_FORMAT
-	    " fence=%" G_GUINT64_FORMAT " multiplier=%.2f",
-	    run_name(&s->id), r->holder->name, job->queue->name,
+	    "event=start run=%s worker=%s id=%u queue=%s "
+	    "waited_ms=%" G_GINT64_FORMAT " fence=%" G_GUINT64_FORMAT
+	    " multiplier=%.2f",
+	    run_name(&s->id), r->holder->name, s->worker, job->queue->name,
 	    flow_time_ms(d->conf.flow) - job->accepted_ms, d->term,
 	    r->multiplier);
 	run_start(r);
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -313,10 +313,12 @@
 		}
 		h->d->meter.lost->value++;
 		log_warn("dispatch",
-		    "event=run-lost run=%s worker=%s why=\"%s\" beside=%u "
-		    "since_answer_ms=%" G_GINT64_FORMAT,
-		    run_name(&r->id), h->name, why, runs_beside(r),
-		    h->answered_ms == 0 ? -1 : mono_ms() - h->answered_ms);
+		    "event=run-lost run=%s worker=%s id=%u why=\"%s\" "
+		    "beside=%u since_answer_ms=%" G_GINT64_FORMAT
+		    " lease_over_ms=%" G_GINT64_FORMAT,
+		    run_name(&r->id), h->name, h->id, why, runs_beside(r),
+		    h->answered_ms == 0 ? -1 : mono_ms() - h->answered_ms,
+		    mono_ms() - leases_end_ms(h));
 		g_array_append_val(ends, e);
 		g_ptr_array_add(ended, r);
 	}
@@ -330,14 +332,26 @@
 	return count;
 }
 
+static guint
+orders_outstanding(const struct holder *h)
+{
+	guint count = 0;
+
+	for (int i = 0; i < ORDER_CONNECTIONS; i++)
+		if (h->order_peer[i] != NULL)
+			count += (guint)http_peer_outstanding(h->order_peer[i]);
+	return count;
+}
+
 void
 holder_declare_dead(struct holder *h, const char *why)
 {
 	if (!h->dead) {
 		log_warn("dispatch",
-		    "event=worker-dead worker=%s address=%s why=\"%s\" "
-		    "lost_runs=%u",
-		    h->name, h->address, why, h->lost_runs);
+		    "event=worker-dead worker=%s id=%u address=%s why=\"%s\" "
+		    "lost_runs=%u polling=%d orders=%u",
+		    h->name, h->id, h->address, why, h->lost_runs, h->polling,
+		    orders_outstanding(h));
 		h->dead = true;
 		h->dead_ms = mono_ms();
 	}
@@ -692,8 +706,8 @@
 	h->answered_ms = now;
 	if (first)
 		log_info("dispatch",
-		    "event=worker-connected worker=%s running=%u ends=%u",
-		    h->name, report->running->len, report->ends->len);
+		    "event=worker-connected worker=%s id=%u running=%u ends=%u",
+		    h->name, h->id, report->running->len, report->ends->len);
 	if (report->unreadable != h->unreadable_rows)
 		log_warn("dispatch",
 		    "event=rows-unreadable worker=%s rows=%u running=%u "
@@ -764,9 +778,10 @@
 	h->poll_due_ms =
 	    now + (h->lease_expired ? POLL_EXPIRED_MS : POLL_RETRY_MS);
 	log_info("dispatch",
-	    "event=poll-failed worker=%s result=%s status=%d why=\"%s\" "
-	    "since_answer_ms=%" G_GINT64_FORMAT,
-	    h->name, agent_result_name(result), status, why == NULL ? "" : why,
+	    "event=poll-failed worker=%s id=%u result=%s status=%d "
+	    "why=\"%s\" since_answer_ms=%" G_GINT64_FORMAT,
+	    h->name, h->id, agent_result_name(result), status,
+	    why == NULL ? "" : why,
 	    h->answered_ms == 0 ? -1 : now - h->answered_ms);
 	if (!holder_handle_result(h, result) && h->deregistered &&
 	    h->draining_ms != 0 && h->answered_ms != 0 && why != NULL &&
@@ -820,8 +835,8 @@
 	if (h->removing || h->runs->len > 0 || !(h->dead || no_heartbeat))
 		return;
 	h->removing = dispatch_propose(h->d, &cmd) != 0;
-	log_info("dispatch", "event=worker-removed worker=%s dead=%d", h->name,
-	    h->dead);
+	log_info("dispatch", "event=worker-removed worker=%s id=%u dead=%d",
+	    h->name, h->id, h->dead);
 }
 
 /* Says whether a run would be cut off by its worker's leaving, and resumes from
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -175,8 +175,8 @@
 	g_array_append_val(ends, e);
 	if (runs_end(d, ends) != 0)
 		r->state = RUN_ENDING;
-	log_info("dispatch", "event=run-over run=%s worker=%s why=%s",
-	    run_name(&r->id), r->holder->name, why);
+	log_info("dispatch", "event=run-over run=%s worker=%s id=%u why=%s",
+	    run_name(&r->id), r->holder->name, r->holder->id, why);
 	g_array_unref(ends);
 }
 
