test: workers that restart under their names; three cases fail

The stand-in worker of the dispatch tests could not return under its own name with a clock of its own, accepted orders for any name, and didn't obey its lease; now it does. Three new cases, each named after its failure, fail on this code: restart-lease (a task at two workers), restart-orders (5 start orders of the earlier incarnation carried out by the later one) and restart-acknowledgement (ends up to 5 acknowledged to a worker that has none).

--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -1,7 +1,7 @@
 bt_cases(dispatch
     SOURCES dispatch_test.c dispatch_crash.c dispatch_capacity.c dispatch_drain.c
     dispatch_explain.c dispatch_keys.c dispatch_organisations.c
-    dispatch_overload.c dispatch_policy.c dispatch_reports.c dispatch_retries.c stubleader.c
+    dispatch_overload.c dispatch_policy.c dispatch_reports.c dispatch_restart.c dispatch_retries.c stubleader.c
     stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
@@ -16,7 +16,7 @@
     capacity-shrinks-before-order capacity-shrinks-before-resend
     capacity-shrinks-takeover capacity-late-heartbeat
     capacity-shrinks-below-use best-effort-cores restart-before-order
-    restart-under-order
+    restart-under-order restart-lease restart-orders restart-acknowledgement
     key-required key-none-configured key-empty-list key-public-queue
     key-other-organisation key-rotated key-revoked key-takeover
     key-unconfirmed key-revoked-before-state key-suspended-before-state
--- /dev/null
+++ b/test/dispatch_restart.c
@@ -0,0 +1,140 @@
+/* lib/dispatch with workers that restart under their names. */
+#include "dispatch_test.h"
+#include "stubleader.h"
+
+#define LEASE_MAX_MS 6000 /* as in the settings of the leader */
+#define DOWN_MS 300
+#define STOP_MS 300
+#define ORDERS 5 /* more than there are connections for orders */
+
+/* Returns a worker that obeys its lease, and is in contact. */
+static struct stub_worker *
+add_worker(struct leader *l, const char *name, int64_t millicpus)
+{
+	struct stub_worker *w = stub_worker_new(l->base, name);
+
+	w->lease_max_ms = LEASE_MAX_MS;
+	w->stop_ms = STOP_MS;
+	w->capacity.millicpus = millicpus;
+	leader_heartbeat(l, w, false);
+	AWAIT(l, w->polls > 1);
+	return w;
+}
+
+static void
+set_millicpus(struct leader *l, struct stub_worker *w, int64_t millicpus)
+{
+	w->capacity.millicpus = millicpus;
+	leader_heartbeat(l, w, false);
+}
+
+/* Runs the loop; no task may run on both workers. */
+static void
+step(struct leader *l, struct stub_worker *a, struct stub_worker *b)
+{
+	leader_run(l);
+	(void)stub_worker_tick(a);
+	(void)stub_worker_tick(b);
+	for (guint i = 0; i < a->running->len; i++)
+		g_assert_false(stub_worker_has_task(
+		    b, &g_array_index(a->running, struct stub_run, i).id));
+}
+
+#define STEP_UNTIL(l, a, b, condition)                        \
+	do {                                                  \
+		int64_t limit = mono_ms() + AWAIT_LIMIT_MS;   \
+                                                              \
+		while (!(condition)) {                        \
+			g_assert_cmpint(mono_ms(), <, limit); \
+			step(l, a, b);                        \
+		}                                             \
+	} while (0)
+
+/*
+ * Guards against a lease of the earlier incarnation that the later one takes
+ * for its own: it outlasts what the leader has granted, and a run goes on after
+ * it was started again elsewhere.
+ */
+static void
+test_lease(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 4000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->running->len == 1);
+	stub_worker_crash(a);
+	leader_run_for(l, DOWN_MS);
+	stub_worker_restart_under_name(a);
+	AWAIT(l, a->polls > 0);
+	leader_heartbeat(l, a, false);
+	STEP_UNTIL(l, a, b, a->running->len == 1);
+	leader_run_for(l, DOWN_MS);
+	a->unresponsive = true;
+	set_millicpus(l, b, 4000);
+	STEP_UNTIL(l, a, b, b->running->len == 1);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* Guards against orders of the earlier incarnation, queued or without an
+ * answer, that the later one carries out. */
+static void
+test_orders(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 8000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+	int64_t until;
+
+	a->hold_starts = ORDERS;
+	leader_submit(l, JOB_PATH, ORDERS, 1000);
+	AWAIT(l, a->held_starts->len > 0);
+	stub_worker_crash(a);
+	a->hold_starts = 0;
+	stub_worker_restart_under_name(a);
+	leader_run_for(l, DOWN_MS);
+	g_assert_cmpint(a->starts, ==, 0);
+	leader_heartbeat(l, a, false);
+	set_millicpus(l, b, 8000);
+	until = mono_ms() + 2 * STOP_MS;
+	while (mono_ms() < until)
+		step(l, a, b);
+	STEP_UNTIL(l, a, b, a->running->len + b->running->len == ORDERS);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* Guards against a later incarnation that forgets its ends because those of the
+ * earlier one are acknowledged to it: ends are numbered from 1 again. */
+static void
+test_acknowledgement(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 8000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+
+	a->run_ms = 1;
+	leader_submit(l, JOB_PATH, ORDERS, 1000);
+	STEP_UNTIL(l, a, b, a->max_acked == ORDERS);
+	stub_worker_crash(a);
+	leader_run_for(l, DOWN_MS);
+	stub_worker_restart_under_name(a);
+	AWAIT(l, a->polls > 0);
+	g_assert_cmpuint(a->max_acked, ==, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+void
+restart_tests_add(void)
+{
+	g_test_add_func("/dispatch/restart-lease", test_lease);
+	g_test_add_func("/dispatch/restart-orders", test_orders);
+	g_test_add_func(
+	    "/dispatch/restart-acknowledgement", test_acknowledgement);
+}
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -811,6 +811,7 @@
 	drain_tests_add();
 	explain_tests_add();
 	report_tests_add();
+	restart_tests_add();
 	retry_tests_add();
 	return g_test_run();
 }
--- a/test/dispatch_test.h
+++ b/test/dispatch_test.h
@@ -18,6 +18,7 @@
 void drain_tests_add(void);
 void explain_tests_add(void);
 void report_tests_add(void);
+void restart_tests_add(void);
 void retry_tests_add(void);
 
 #endif
--- a/test/stubworker.c
+++ b/test/stubworker.c
@@ -147,10 +147,16 @@
 	http_reply_text(req, status, "text/plain", text);
 }
 
+static int64_t
+clock_ms(const struct stub_worker *w)
+{
+	return mono_ms() - w->clock_zero_ms;
+}
+
 static void
-answer_clock(struct http_request *req)
+answer_clock(const struct stub_worker *w, struct http_request *req)
 {
-	answer(req, 200, g_strdup_printf("%" PRIi64, mono_ms()));
+	answer(req, 200, g_strdup_printf("%" PRIi64, clock_ms(w)));
 }
 
 static void
@@ -171,7 +177,7 @@
 	}
 	event_del(w->poll_timer);
 	g_string_append_printf(
-	    out, "%" PRIi64 " %" PRIi64 "\n", mono_ms(), w->started_ms);
+	    out, "%" PRIi64 " %" PRIi64 "\n", clock_ms(w), w->started_ms);
 	for (guint i = 0; i < w->running->len; i++) {
 		struct stub_run *r =
 		    &g_array_index(w->running, struct stub_run, i);
@@ -242,6 +248,12 @@
 	    id->number;
 }
 
+bool
+stub_worker_has_task(const struct stub_worker *w, const struct flow_run *id)
+{
+	return find_run(w, id) >= 0;
+}
+
 /* Says whether this run or a later one of its task has ended or was stopped. */
 static bool
 has_ended(const struct stub_worker *w, const struct flow_run *id)
@@ -271,14 +283,30 @@
 	return ok;
 }
 
-/* Says whether to handle the request; if unresponsive it is never answered. */
+/* Says whether to handle the request: it is not if it is for a worker of
+ * another name; if unresponsive it is never answered. */
 static bool
-is_responsive(struct stub_worker *w, struct http_request *req)
+is_to_handle(struct stub_worker *w, struct http_request *req)
 {
-	if (!w->unresponsive)
-		return true;
-	g_ptr_array_add(w->unanswered, req);
-	return false;
+	if (w->unresponsive) {
+		g_ptr_array_add(w->unanswered, req);
+		return false;
+	}
+	if (g_strcmp0(http_header(req, stub_agent.worker_header), w->name) !=
+	    0) {
+		answer_refusal(req, AGENT_OTHER_INCARNATION);
+		return false;
+	}
+	return true;
+}
+
+/* Leases don't get shorter. */
+static void
+extend_lease(struct stub_worker *w, int64_t until_ms)
+{
+	if (w->lease_max_ms > 0)
+		until_ms = MIN(until_ms, clock_ms(w) + w->lease_max_ms);
+	w->lease_until_ms = MAX(w->lease_until_ms, until_ms);
 }
 
 static void
@@ -300,7 +328,7 @@
 	uint64_t fence;
 	int64_t lease_until_ms;
 
-	if (!is_responsive(w, req))
+	if (!is_to_handle(w, req))
 		return;
 	g_assert_true(read_order(req, &r.id, &fence, &lease_until_ms));
 	w->starts++;
@@ -335,8 +363,8 @@
 	}
 	if (find_run(w, &r.id) < 0)
 		g_array_append_val(w->running, r);
-	w->lease_until_ms = MAX(w->lease_until_ms, lease_until_ms);
-	answer_clock(req);
+	extend_lease(w, lease_until_ms);
+	answer_clock(w, req);
 	if (w->fail_runs > 0 || (w->fails != NULL && w->fails(&r.id))) {
 		w->fail_runs = MAX(w->fail_runs - 1, 0);
 		stub_worker_end(w, &r.id, AGENT_FAILED);
@@ -351,11 +379,17 @@
 	uint64_t fence;
 	int64_t unused;
 
-	if (!is_responsive(w, req))
+	if (!is_to_handle(w, req))
 		return;
 	g_assert_true(read_order(req, &id, &fence, &unused));
 	w->stops++;
-	if (stub_worker_runs(w, &id)) {
+	if (stub_worker_runs(w, &id) && w->stop_ms > 0) {
+		struct stub_run *r = &g_array_index(
+		    w->running, struct stub_run, (guint)find_run(w, &id));
+
+		if (r->stop_due_ms == 0)
+			r->stop_due_ms = mono_ms() + w->stop_ms;
+	} else if (stub_worker_runs(w, &id)) {
 		g_array_remove_index(w->running, (guint)find_run(w, &id));
 		report_end(w, &id, AGENT_STOPPED);
 	} else {
@@ -366,7 +400,7 @@
 				&id))
 				g_array_remove_index(w->held_starts, i - 1);
 	}
-	answer_clock(req);
+	answer_clock(w, req);
 }
 
 static void
@@ -389,7 +423,7 @@
 	int wait_ms;
 	struct timeval tv = { 0 };
 
-	if (!is_responsive(w, req))
+	if (!is_to_handle(w, req))
 		return;
 	text = g_strndup(req->body, req->body_len);
 	g_assert_cmpint(sscanf(text, "%" SCNi64 " %" SCNu64 " %" SCNu64 " %d",
@@ -402,7 +436,7 @@
 		return;
 	}
 	w->fence = fence;
-	w->lease_until_ms = MAX(w->lease_until_ms, lease_until_ms);
+	extend_lease(w, lease_until_ms);
 	remove_acked(w, acked);
 	answer_poll(w); /* an earlier poll that timed out */
 	w->poll = req;
@@ -436,7 +470,7 @@
 					  w->held_starts, struct flow_run, i) };
 
 		if (find_run(w, &r.id) >= 0 || has_ended(w, &r.id) ||
-		    mono_ms() > w->lease_until_ms)
+		    clock_ms(w) > w->lease_until_ms)
 			continue;
 		g_array_append_val(w->running, r);
 		started++;
@@ -485,7 +519,7 @@
 		g_ptr_array_add(w->unanswered, g_steal_pointer(&w->poll));
 	event_del(w->poll_timer);
 	for (guint i = 0; i < w->unanswered->len; i++)
-		answer_clock(w->unanswered->pdata[i]);
+		answer_clock(w, w->unanswered->pdata[i]);
 	g_ptr_array_set_size(w->unanswered, 0);
 	httpd_free(g_steal_pointer(&w->server));
 	w->crashes++;
@@ -493,23 +527,51 @@
 }
 
 void
-stub_worker_restart(struct stub_worker *w)
+stub_worker_restart_under_name(struct stub_worker *w)
 {
-	char *name = g_strdup_printf("%s+", w->name);
-
-	g_free(w->name);
-	w->name = name;
 	w->started_ms = g_get_real_time() / 1000;
+	w->clock_zero_ms = mono_ms();
 	w->fence = 0;
 	w->lease_until_ms = 0;
 	w->acked = 0;
 	w->last_end = 0;
+	w->starts = 0;
+	w->stops = 0;
+	w->polls = 0;
+	w->max_acked = 0;
 	g_array_set_size(w->running, 0);
 	g_array_set_size(w->ends, 0);
 	g_array_set_size(w->held_starts, 0);
 	listen_for_orders(w);
 }
 
+void
+stub_worker_restart(struct stub_worker *w)
+{
+	char *name = g_strdup_printf("%s+", w->name);
+
+	g_free(w->name);
+	w->name = name;
+	stub_worker_restart_under_name(w);
+}
+
+/* Says whether a run has ended by now, and how. */
+static bool
+has_run_out(const struct stub_worker *w, const struct stub_run *r, int64_t now,
+    enum agent_outcome *outcome)
+{
+	*outcome = AGENT_LEASE_EXPIRED;
+	if (w->lease_max_ms > 0 && clock_ms(w) > w->lease_until_ms)
+		return true;
+	*outcome = AGENT_STOPPED;
+	if (r->stop_due_ms != 0 && now >= r->stop_due_ms)
+		return true;
+	*outcome = AGENT_DONE;
+	return w->run_ms > 0 &&
+	    (w->never_ends == NULL || !w->never_ends(&r->id)) &&
+	    now - r->started_ms >= w->run_ms;
+}
+
 bool
 stub_worker_tick(struct stub_worker *w)
 {
@@ -521,14 +583,14 @@
 		stub_worker_restart(w);
 		return true;
 	}
-	for (guint i = w->running->len; w->run_ms > 0 && i > 0; i--) {
+	for (guint i = w->running->len; i > 0; i--) {
 		struct stub_run *r =
 		    &g_array_index(w->running, struct stub_run, i - 1);
 		struct flow_run id = r->id;
+		enum agent_outcome outcome;
 
-		if ((w->never_ends == NULL || !w->never_ends(&id)) &&
-		    now - r->started_ms >= w->run_ms)
-			stub_worker_end(w, &id, AGENT_DONE);
+		if (has_run_out(w, r, now, &outcome))
+			stub_worker_end(w, &id, outcome);
 	}
 	return false;
 }
--- a/test/stubworker.h
+++ b/test/stubworker.h
@@ -16,6 +16,7 @@
 	struct flow_run id;
 	int64_t percent;
 	int64_t started_ms;
+	int64_t stop_due_ms; /* when a stop takes effect; 0: none */
 };
 
 struct stub_worker {
@@ -26,7 +27,8 @@
 	int64_t started_ms;
 	struct resources capacity;
 	uint64_t fence;
-	int64_t lease_until_ms; /* monotonic clock of this process */
+	int64_t clock_zero_ms; /* monotonic time at which its clock was 0 */
+	int64_t lease_until_ms; /* on its clock */
 	uint64_t acked;
 	uint64_t last_end;
 	char *checkpoint; /* of all its runs, without spaces; "": none */
@@ -45,10 +47,14 @@
 	/* Runs that crash the worker; NULL: none. */
 	bool (*is_deadly)(const struct flow_run *id);
 	int64_t deadly_after_ms; /* from their start; 0: before any answer */
+	/* Shortens longer leases, and ends all runs when the lease expires; 0:
+	 * does neither. */
+	int64_t lease_max_ms;
+	int64_t stop_ms; /* how long a stop takes */
 	int64_t run_ms; /* after which a run is done; 0: never */
 	bool (*never_ends)(const struct flow_run *id); /* NULL: none */
 	int64_t down_ms; /* from a crash to the restart; 0: stays down */
-	/* Received so far. */
+	/* Received so far, by this incarnation except for crashes. */
 	int starts;
 	int crashes;
 	int64_t crashed_ms; /* time of the last crash */
@@ -67,8 +73,11 @@
 
 /* Starts a crashed worker again at its address, under a new name. */
 void stub_worker_restart(struct stub_worker *w);
-/* Ends runs that have run for run_ms; restarts the worker after down_ms.
- * Returns true if it has restarted. */
+/* The same under its name, with a new clock. */
+void stub_worker_restart_under_name(struct stub_worker *w);
+/* Ends runs that have run for run_ms, that have stopped, or whose lease has
+ * expired; restarts the worker after down_ms. Returns true if it has restarted.
+ */
 bool stub_worker_tick(struct stub_worker *w);
 
 /* Ends a running run. */
@@ -79,5 +88,8 @@
 /* Executes the held start orders; returns how many runs it started. */
 int stub_worker_execute_held(struct stub_worker *w);
 bool stub_worker_runs(const struct stub_worker *w, const struct flow_run *id);
+/* The same for any run of its task. */
+bool
+stub_worker_has_task(const struct stub_worker *w, const struct flow_run *id);
 
 #endif
