replica_test: messages in flight are freed with their cluster

Cause: on_send() leaves each message to event_base_once(), and only its delivery freed it. cluster_free() runs the loops four times, about 3 ms between the first and the last look at the timers; the timers of these loops don't have to be due by then, though they are for 200 us (their clock is probably the coarse one, 4 ms a tick here; not traced), and a node whose events aren't handled never gets its messages.

Change: deliveries are listed in the cluster; those that are left are freed after the event bases, which drop their events. The loops still run before that, as a check that a freed replica leaves no event behind. No check of a case is changed.

--- a/test/replica_test.c
+++ b/test/replica_test.c
@@ -33,10 +33,12 @@
 
 struct cluster {
 	struct node node[NODES];
+	GQueue in_flight; /* struct delivery */
 };
 
 /* A message in flight. */
 struct delivery {
+	GList link; /* in in_flight */
 	struct cluster *cluster;
 	uint64_t from;
 	uint64_t to;
@@ -52,6 +54,15 @@
 	return NULL;
 }
 
+static void
+delivery_free(void *arg)
+{
+	struct delivery *d = arg;
+
+	g_bytes_unref(d->bytes);
+	g_free(d);
+}
+
 static void
 deliver(evutil_socket_t fd, short what, void *arg)
 {
@@ -61,10 +72,10 @@
 	gsize len;
 	const void *data = g_bytes_get_data(d->bytes, &len);
 
+	g_queue_unlink(&d->cluster->in_flight, &d->link);
 	if (to != NULL && from != NULL && !to->isolated && !from->isolated)
 		replica_receive(to->replica, d->from, data, len);
-	g_bytes_unref(d->bytes);
-	g_free(d);
+	delivery_free(d);
 }
 
 static void
@@ -78,7 +89,12 @@
 	if (receiver == NULL)
 		return;
 	d = g_new0(struct delivery, 1);
-	*d = (struct delivery){ n->cluster, n->id, to, g_bytes_ref(message) };
+	*d = (struct delivery){ .link.data = d,
+		.cluster = n->cluster,
+		.from = n->id,
+		.to = to,
+		.bytes = g_bytes_ref(message) };
+	g_queue_push_tail_link(&n->cluster->in_flight, &d->link);
 	event_base_once(receiver->base, -1, EV_TIMEOUT, deliver, d, &soon);
 }
 
@@ -377,11 +393,17 @@
 	}
 	remove_tree(top);
 	g_free(top);
-	/* Messages in flight are freed on delivery. */
+	/* No event of a freed replica may still be pending. */
 	for (int i = 0; i < 4; i++)
 		run_loop(c);
 	for (int i = 0; i < NODES; i++)
 		event_base_free(c->node[i].base);
+	/* Those still in flight are not delivered any more. The links are part
+	 * of them. */
+	for (GList *i = c->in_flight.head, *next; i != NULL; i = next) {
+		next = i->next;
+		delivery_free(i->data);
+	}
 	g_free(c);
 }
 
