dispatch: a late heartbeat does not bring back an earlier incarnation

Callers would see a worker overloaded and its runs stopped: a heartbeat of the earlier incarnation that says something new and arrives while the first one of the later is being committed was compared with what is committed only. It was proposed behind it, made a new record of the earlier incarnation and took the name; the next heartbeat then made a second record of the later one, and both were given work.

A heartbeat is now also compared with those that are being committed.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -85,6 +85,7 @@
 
 	if (p->starts != NULL)
 		g_array_unref(p->starts);
+	g_free(p->worker);
 	g_free(p);
 }
 
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -635,6 +635,26 @@
 	}
 	p->process = process;
 	p->request = req->id;
+	p->worker = g_strdup(in->name);
+	p->started_ms = in->started_ms;
+}
+
+/* Says whether a later incarnation of a worker is being committed. */
+static bool
+later_proposed(const struct dispatch *d, const struct flow_worker *in)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->proposals);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct proposal *p = value;
+
+		if (p->started_ms > in->started_ms &&
+		    g_strcmp0(p->worker, in->name) == 0)
+			return true;
+	}
+	return false;
 }
 
 static void
@@ -647,7 +667,8 @@
 	const struct holder *latest = holder_latest_at(d, in->address);
 
 	if ((latest != NULL && latest->started_ms > in->started_ms) ||
-	    (known != NULL && known->started_ms > in->started_ms)) {
+	    (known != NULL && known->started_ms > in->started_ms) ||
+	    later_proposed(d, in)) {
 		log_info("dispatch",
 		    "event=stale-heartbeat worker=%s "
 		    "started_ms=%" G_GINT64_FORMAT,
--- a/test/dispatch_restart.c
+++ b/test/dispatch_restart.c
@@ -130,6 +130,50 @@
 	leader_free(l);
 }
 
+static void
+count_incarnation(void *arg, const struct flow_worker *w)
+{
+	guint *count = arg;
+
+	(*count)++;
+}
+
+/* Guards against a heartbeat of the earlier incarnation that comes while the
+ * first one of the later is being committed: the worker then has two records,
+ * and gets work for both. */
+static void
+test_late_heartbeat(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 4000);
+	GBytes *late = leader_worker(a, true);
+	guint records = 0;
+	int64_t until;
+
+	stub_worker_crash(a);
+	leader_run_for(l, 10);
+	stub_worker_restart_under_name(a);
+	l->hold_commands = true;
+	leader_send(l, REQUEST_WORKER, "", leader_worker(a, false));
+	leader_send(l, REQUEST_WORKER, "", late);
+	leader_release_commands(l);
+	leader_heartbeat(l, a, false);
+	g_assert_cmpint(
+	    flow_worker_named(l->flow, "a")->started_ms, ==, a->started_ms);
+	leader_submit(l, JOB_PATH, ORDERS, 1000);
+	until = mono_ms() + DOWN_MS;
+	while (mono_ms() < until) {
+		leader_run(l);
+		g_assert_cmpuint(a->running->len, <, ORDERS);
+	}
+	AWAIT(l, a->running->len == ORDERS - 1);
+	flow_each_worker(l->flow, count_incarnation, &records);
+	g_assert_cmpuint(records, ==, 1);
+	g_assert_cmpint(a->stops, ==, 0);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 void
 restart_tests_add(void)
 {
@@ -137,4 +181,6 @@
 	g_test_add_func("/dispatch/restart-orders", test_orders);
 	g_test_add_func(
 	    "/dispatch/restart-acknowledgement", test_acknowledgement);
+	g_test_add_func(
+	    "/dispatch/restart-late-heartbeat", test_late_heartbeat);
 }
