dispatch: a permit counts only for the incarnation that it was asked for

Cause: the answer of the policy service names workers, and the name was looked up when it came. If the worker had restarted since the query, the permit was kept for the new incarnation, where it isn't valid: its start was refused, and the step waited for another query.

The name is now looked up among the workers of the query.

--- a/lib/dispatch/permits.c
+++ b/lib/dispatch/permits.c
@@ -588,20 +588,35 @@
 	s->retry_ms = now + QUERY_RETRY_MS;
 }
 
+/* Returns the worker of that name that a query is about: not a later
+ * incarnation, for which its permit isn't valid. 0: none. */
+static uint32_t
+queried_worker(
+    const struct dispatch *d, const struct step_query *q, const char *name)
+{
+	for (guint i = 0; i < q->workers->len; i++) {
+		uint32_t id = g_array_index(q->workers, uint32_t, i);
+		const struct holder *h = holder_find(d, id);
+
+		if (h != NULL && !h->dead && strcmp(h->name, name) == 0)
+			return id;
+	}
+	return 0;
+}
+
 static void
 add_permit(struct dispatch *d, struct step_permits *s,
-    const struct agent_permit *in, int64_t until_ms)
+    const struct step_query *q, const struct agent_permit *in, int64_t until_ms)
 {
-	const struct flow_worker *w =
-	    flow_worker_named(d->conf.flow, in->worker);
+	uint32_t worker = queried_worker(d, q, in->worker);
 	struct permit *p;
 
-	if (w == NULL)
+	if (worker == 0)
 		return;
 	p = g_new0(struct permit, 1);
 	p->text = g_strdup(in->permit);
 	p->until_ms = until_ms;
-	g_hash_table_insert(s->permits, GUINT_TO_POINTER(w->id), p);
+	g_hash_table_insert(s->permits, GUINT_TO_POINTER(worker), p);
 }
 
 /*
@@ -637,7 +652,7 @@
 	uint32_t denied;
 
 	for (guint i = 0; i < permits->allowed->len; i++)
-		add_permit(d, s,
+		add_permit(d, s, q,
 		    &g_array_index(permits->allowed, struct agent_permit, i),
 		    now + valid_ms - PERMIT_MARGIN_MS);
 	allowed = g_hash_table_size(s->permits) - known;
--- a/test/dispatch_restart.c
+++ b/test/dispatch_restart.c
@@ -174,6 +174,32 @@
 	leader_free(l);
 }
 
+/* Guards against a permit that is asked for the earlier incarnation and used at
+ * the later one, where it isn't valid. */
+static void
+test_permit(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 4000);
+
+	l->policy_connected = true;
+	dispatch_process_changed(l->dispatch, 1, true);
+	leader_submit(l, "/allowed/0000000000000077", 1, 1000);
+	AWAIT(l, l->calls->len == 1);
+	stub_worker_crash(a);
+	leader_run_for(l, 10);
+	stub_worker_restart_under_name(a);
+	leader_heartbeat(l, a, false);
+	AWAIT(l, a->polls > 1);
+	leader_allow(l, l->calls->pdata[0], AWAIT_LIMIT_MS);
+	AWAIT(l, l->calls->len == 1);
+	g_assert_cmpint(a->starts, ==, 0);
+	leader_allow(l, l->calls->pdata[0], AWAIT_LIMIT_MS);
+	AWAIT(l, a->running->len == 1);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 void
 restart_tests_add(void)
 {
@@ -183,4 +209,5 @@
 	    "/dispatch/restart-acknowledgement", test_acknowledgement);
 	g_test_add_func(
 	    "/dispatch/restart-late-heartbeat", test_late_heartbeat);
+	g_test_add_func("/dispatch/restart-permit", test_permit);
 }
