--- a/test/crowd_test.c
+++ b/test/crowd_test.c
@@ -20,6 +20,8 @@
 
 #include "proc.h"
 
+#define CONFIG_PATH "/bulrushtide/config/replace"
+
 /* The lowered limits. The crowds that send bytes have fewer connections than
  * CONNECTIONS_MAX, so that only the limit of bytes can stop them. */
 #define CONNECTIONS_MAX 64
@@ -362,32 +364,33 @@
 
 /* --- the process --- */
 
-/* A configuration of this many queues, the first of which is /q/. */
-static char *
-make_config(int version, int queues)
+/* Pads a JSON object to len bytes with a field that nobody reads. */
+static GString *
+pad(const char *object, size_t len)
 {
-	GString *text = g_string_new(NULL);
+	GString *out = g_string_new("{\"note\":\"");
 
-	g_string_printf(text, "{\"version\":%d,\"routes\":[", version);
-	for (int i = 0; i < queues; i++)
-		g_string_append_printf(text,
-		    "%s{\"name\":\"q%d\",\"host\":\"jobs.example\","
-		    "\"pathPrefix\":\"/q%.0d/\",\"service\":\"desk\","
-		    "\"timeoutMs\":3000,\"maxAttempts\":2,"
-		    "\"slackFactor\":2,\"targetLatencyMs\":500}",
-		    i == 0 ? "" : ",", i, i);
-	g_string_append(text, "],\"services\":[{\"name\":\"desk\"}]}");
-	return g_string_free(text, FALSE);
+	while (out->len + strlen("\",") + strlen(object) - 1 < len)
+		g_string_append_c(out, 'x');
+	g_string_append(out, "\",");
+	return g_string_append(out, object + 1);
 }
 
+/* Stores a configuration of len bytes. */
 static void
-configure(struct site *s, int version, int queues)
+configure(struct site *s, int version, size_t len)
 {
+	char *config = g_strdup_printf(
+	    "{\"version\":%d,\"routes\":[{\"name\":\"q\",\"host\":"
+	    "\"jobs.example\",\"pathPrefix\":\"/q/\",\"service\":\"desk\","
+	    "\"timeoutMs\":3000,\"maxAttempts\":2}],\"services\":[{"
+	    "\"name\":\"desk\"}]}",
+	    version);
+
 	g_free(s->config);
-	s->config = make_config(version, queues);
-	ask(s, CONTROL,
-	    make_request("POST", "/bulrushtide/config/replace", "", s->config),
-	    "{}");
+	s->config = g_string_free(pad(config, len), FALSE);
+	g_free(config);
+	ask(s, CONTROL, make_request("POST", CONFIG_PATH, "", s->config), "{}");
 }
 
 /* Has AddressSanitizer return freed memory, so that the process's memory shows
@@ -441,7 +444,7 @@
 }
 
 static struct site *
-site_new(const char *limits, int queues)
+site_new(const char *limits, size_t config_len)
 {
 	struct site *s = g_new0(struct site, 1);
 	char *data;
@@ -455,17 +458,17 @@
 		s->address[i] = free_address(s->ip);
 	s->crowd = g_ptr_array_new_with_free_func(member_free);
 	start(s, limits);
-	configure(s, 7, queues);
+	configure(s, 7, config_len);
 	measure_calm(s);
 	return s;
 }
 
 static struct site *
-site_with_limits(int queues)
+site_with_limits(size_t config_len)
 {
 	char *limits = g_strdup_printf("connections-max=%d\nheld-max-kib=%d\n",
 	    CONNECTIONS_MAX, HELD_MAX_KIB);
-	struct site *s = site_new(limits, queues);
+	struct site *s = site_new(limits, config_len);
 
 	g_free(limits);
 	return s;
@@ -560,8 +563,6 @@
 
 /* --- the cases --- */
 
-#define CONFIG_PATH "/bulrushtide/config/replace"
-
 static char *
 post_head(const char *path, const char *headers)
 {
@@ -586,7 +587,7 @@
 test_announced_bodies(void)
 {
 	static const char length[] = "Content-Length: 4294967296\r\n";
-	struct site *s = site_with_limits(1);
+	struct site *s = site_with_limits(0);
 	GString *unit = g_string_new("xxxxxxxxxxxxxxxx");
 
 	join(s, CALLERS, 24, post_head("/q/00000000000000ff", length), unit,
@@ -606,7 +607,7 @@
 test_unfinished_bodies(void)
 {
 	static const char chunked[] = "Transfer-Encoding: chunked\r\n";
-	struct site *s = site_with_limits(1);
+	struct site *s = site_with_limits(0);
 	GString *unit = make_chunk();
 
 	for (enum place to = CALLERS; to <= METRICS; to++) {
@@ -630,7 +631,7 @@
 static void
 test_unfinished_heads(void)
 {
-	struct site *s = site_with_limits(1);
+	struct site *s = site_with_limits(0);
 	GString *unit = g_string_new("a:b\r\n");
 
 	for (enum place to = CALLERS; to <= METRICS; to++)
@@ -640,13 +641,11 @@
 	g_string_free(unit, TRUE);
 }
 
-#define LARGE_QUEUES 13000 /* a configuration of 2 MiB */
-
 /* Guards against answers that pile up because their callers don't read. */
 static void
 test_unread_answers(void)
 {
-	struct site *s = site_with_limits(LARGE_QUEUES);
+	struct site *s = site_with_limits(2 * BODY_MAX);
 	GString *config = g_string_new(
 	    "GET /bulrushtide/config/read HTTP/1.1\r\nHost: x\r\n\r\n");
 	GString *metrics =
@@ -663,7 +662,7 @@
 static void
 test_silent_connections(void)
 {
-	struct site *s = site_with_limits(1);
+	struct site *s = site_with_limits(0);
 
 	for (enum place to = CALLERS; to < PLACES; to++)
 		join(s, to, 40, g_strdup(""), NULL, 0, true);
@@ -675,7 +674,7 @@
 static void
 test_unfinished_frames(void)
 {
-	struct site *s = site_with_limits(1);
+	struct site *s = site_with_limits(0);
 	GString *unit = g_string_new_len("\x00\x7f\xff\xff", 4);
 
 	while (unit->len < SEND_BYTES)
@@ -685,25 +684,13 @@
 	g_string_free(unit, TRUE);
 }
 
-/* A job with a field that nobody reads, of len bytes in all. */
-static GString *
-make_large_job(size_t len)
-{
-	GString *out = g_string_new("{\"note\":\"");
-
-	while (out->len < len - strlen("\",") - strlen(job) + 1)
-		g_string_append_c(out, 'x');
-	g_string_append(out, "\",");
-	return g_string_append(out, job + 1);
-}
-
 /* Guards against valid requests near the limit of a connection that are
  * complete all at once. */
 static void
 test_many_requests(void)
 {
-	struct site *s = site_with_limits(1);
-	GString *body = make_large_job(BODY_MAX - 1024);
+	struct site *s = site_with_limits(0);
+	GString *body = pad(job, BODY_MAX - 1024);
 	char *length = g_strdup_printf("Content-Length: %zu\r\n", body->len);
 
 	for (int i = 0; i < 60; i++) {
@@ -727,8 +714,8 @@
 static void
 test_body_in_limits(void)
 {
-	struct site *s = site_with_limits(1);
-	GString *body = make_large_job(PAGES_BODY_MAX);
+	struct site *s = site_with_limits(0);
+	GString *body = pad(job, PAGES_BODY_MAX);
 
 	g_assert_cmpuint(body->len, ==, PAGES_BODY_MAX);
 	ask_submit(s, "", body->str);
@@ -740,7 +727,7 @@
 static void
 test_head_in_limits(void)
 {
-	struct site *s = site_with_limits(1);
+	struct site *s = site_with_limits(0);
 	GString *headers = g_string_new(NULL);
 	char *value = g_strnfill(1000, 'x');
 
@@ -754,16 +741,14 @@
 	g_free(value);
 }
 
-#define QUEUES_NEAR_LIMIT 25000 /* a configuration of nearly 4 MiB */
-
 /* Guards against limits, as they are without settings for them, that refuse a
  * configuration of the permitted size. */
 static void
 test_config_in_limits(void)
 {
-	struct site *s = site_new("", 1);
+	struct site *s = site_new("", 0);
 
-	configure(s, 8, QUEUES_NEAR_LIMIT);
+	configure(s, 8, CONTROL_BODY_MAX - 1024);
 	ask_all(s);
 	site_free(s);
 }
