--- a/test/crowd_test.c
+++ b/test/crowd_test.c
@@ -294,18 +294,21 @@
 }
 
 /* Fails the test unless the request gets 200 and a body with that end. An
- * ordinary caller tries again when it is refused. Frees the request. Does
- * nothing once the test has failed, so that a hang is met only once. */
+ * ordinary caller tries again after 429, 5xx or no answer. Frees the request.
+ * Does nothing once the test has failed, so that a hang is met only once. */
 static void
 ask(struct site *s, enum place to, GString *request, const char *end)
 {
 	int64_t limit = mono_ms() + AWAIT_MS;
 	GString *in = g_string_new(NULL);
 	bool ok = g_test_failed();
+	bool final = false;
 
-	while (!ok && mono_ms() < limit && is_alive(s)) {
-		ok = call(s, to, request, in) == 200 &&
-		    g_str_has_suffix(in->str, end);
+	while (!ok && !final && mono_ms() < limit && is_alive(s)) {
+		int status = call(s, to, request, in);
+
+		ok = status == 200 && g_str_has_suffix(in->str, end);
+		final = status >= 400 && status < 500 && status != 429;
 		if (!ok)
 			g_usleep(POLL_US);
 	}
