httpd, wire: one limit for what others make the process hold

Cause: limits were for one connection (1 or 4 MiB of body, 8 MiB of frame, any answer), and connections counted per server and only from their first complete request. So a crowd of unfinished bodies, heads or frames, of answers that nobody reads, or of connections that say nothing, had no limit in all.

Change: lib/inbound counts all accepted connections of the process, those of peers too, from when they are accepted, and the bytes that they make it hold. Beyond the limits a connection without a request in progress is closed: the one that has been idle longest, those first that never had an answer, or the one that holds the most. Large requests and answers that don't fit get 503, before they have had any effect. A peer that has not said hello may send 64 KiB at once, and is closed first when there are too many links; it can make the process dial 512 addresses at most. The defaults, 2048 connections (as before for each server) and 32 MiB, are settings.

--- a/bulrushtided/peers.c
+++ b/bulrushtided/peers.c
@@ -256,6 +256,7 @@
 on_accept(void *arg, evutil_socket_t fd)
 {
 	struct peers *p = arg;
+	struct link *l;
 
 	if (p->conns->len >= SESSIONS_MAX + 2 * p->peers->len) {
 		log_warn("peers",
@@ -263,7 +264,9 @@
 		evutil_closesocket(fd);
 		return;
 	}
-	add_conn(p, link_accept(p->node->base, fd, &ops, NULL), false);
+	l = link_accept(p->node->base, fd, &ops, NULL);
+	if (l != NULL)
+		add_conn(p, l, false);
 }
 
 static void
--- /dev/null
+++ b/lib/httpd/connection.c
@@ -0,0 +1,222 @@
+/*
+ * Connections of servers, from when they are accepted. evhttp tells of one only
+ * with its first complete request, so the callback that makes the bufferevent
+ * of a connection is used to learn of it.
+ */
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "impl.h"
+#include "inbound.h"
+
+struct connection {
+	struct httpd *httpd;
+	struct bufferevent *bev; /* a reference */
+	struct evhttp_connection *ev; /* NULL: evhttp has not made it yet */
+	struct event *attach; /* to be attached; NULL: it is */
+	struct inbound *inbound; /* NULL: refused */
+	size_t request_held; /* bytes of requests that are not complete, or
+				whose answer is not read */
+	bool answered; /* the last request is */
+};
+
+static void
+connection_free(void *arg)
+{
+	struct connection *c = arg;
+
+	if (c->inbound != NULL)
+		inbound_remove(c->inbound);
+	if (c->attach != NULL)
+		event_free(c->attach);
+	bufferevent_decref(c->bev);
+	g_free(c);
+}
+
+GHashTable *
+connections_new(void)
+{
+	return g_hash_table_new_full(NULL, NULL, NULL, connection_free);
+}
+
+static void
+forget(struct connection *c)
+{
+	struct httpd *h = c->httpd;
+
+	evbuffer_remove_cb(
+	    bufferevent_get_input(c->bev), connection_on_input, c);
+	evbuffer_remove_cb(
+	    bufferevent_get_output(c->bev), connection_on_output, c);
+	if (h->inputs != NULL)
+		skip_connection_closed(h, c->bev);
+	g_hash_table_remove(h->connections, c->bev);
+}
+
+static void
+on_closed(struct evhttp_connection *ev, void *arg)
+{
+	forget(arg);
+}
+
+/* Finds the connection that evhttp has made of the bufferevent: it is the
+ * argument of its callbacks, which evhttp clears when it frees it. Returns
+ * false if it has freed it; c is then freed, too. */
+static bool
+attach(struct connection *c)
+{
+	bufferevent_event_cb event_cb;
+	void *ev;
+
+	if (c->attach == NULL)
+		return true;
+	event_free(g_steal_pointer(&c->attach));
+	bufferevent_getcb(c->bev, NULL, NULL, &event_cb, &ev);
+	if (event_cb == NULL) {
+		forget(c);
+		return false;
+	}
+	c->ev = ev;
+	evhttp_connection_set_closecb(c->ev, on_closed, c);
+	return true;
+}
+
+static void
+on_attach(evutil_socket_t fd, short what, void *arg)
+{
+	struct connection *c = arg;
+
+	if (attach(c) && c->inbound == NULL)
+		evhttp_connection_free(c->ev);
+}
+
+static void
+inbound_close(void *arg)
+{
+	struct connection *c = arg;
+
+	if (attach(c))
+		evhttp_connection_free(c->ev);
+}
+
+/* evhttp frees the connection when it finds its end. */
+static void
+inbound_close_later(void *arg)
+{
+	struct connection *c = arg;
+
+	shutdown(bufferevent_getfd(c->bev), SHUT_RDWR);
+}
+
+static const struct inbound_ops inbound_ops = { .close = inbound_close,
+	.close_later = inbound_close_later };
+
+static void
+hold_request(struct connection *c, ssize_t bytes)
+{
+	c->request_held += (size_t)bytes;
+	if (c->inbound != NULL)
+		inbound_hold(c->inbound, bytes);
+}
+
+void
+connection_on_input(
+    struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct connection *c = arg;
+
+	if (info->n_added > 0 && !skip_is_filtering(c->httpd, buf))
+		hold_request(c, (ssize_t)info->n_added);
+}
+
+void
+connection_on_output(
+    struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct connection *c = arg;
+
+	if (c->inbound == NULL)
+		return;
+	inbound_hold(
+	    c->inbound, (ssize_t)info->n_added - (ssize_t)info->n_deleted);
+	if (c->answered && evbuffer_get_length(buf) == 0) {
+		c->answered = false;
+		/* Except what has come of the next request. */
+		hold_request(c,
+		    (ssize_t)evbuffer_get_length(
+			bufferevent_get_input(c->bev)) -
+			(ssize_t)c->request_held);
+	}
+}
+
+struct bufferevent *
+connection_new(struct event_base *base, void *httpd)
+{
+	static const struct timeval now = { 0 };
+	struct httpd *h = httpd;
+	struct connection *c = g_new0(struct connection, 1);
+
+	c->httpd = h;
+	c->bev = bufferevent_socket_new(base, -1, 0);
+	bufferevent_incref(c->bev);
+	c->inbound = inbound_add(&inbound_ops, c);
+	c->attach = event_new(base, -1, 0, on_attach, c);
+	event_add(c->attach, &now);
+	g_hash_table_insert(h->connections, c->bev, c);
+	if (h->inputs != NULL)
+		skip_connection_new(h, c->bev);
+	/* Called before those of skip.c, which were added first. */
+	evbuffer_add_cb(bufferevent_get_input(c->bev), connection_on_input, c);
+	evbuffer_add_cb(
+	    bufferevent_get_output(c->bev), connection_on_output, c);
+	return c->bev;
+}
+
+static struct connection *
+find(const struct httpd *h, struct evhttp_request *ev)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(ev);
+
+	return conn == NULL ? NULL
+			    : g_hash_table_lookup(h->connections,
+				  evhttp_connection_get_bufferevent(conn));
+}
+
+size_t
+connection_request_complete(struct httpd *h, struct evhttp_request *ev)
+{
+	struct connection *c = find(h, ev);
+	size_t held;
+
+	if (c == NULL)
+		return 0;
+	held = c->request_held;
+	hold_request(c, -(ssize_t)held);
+	inbound_hold_request((ssize_t)held);
+	if (c->inbound != NULL)
+		inbound_set_busy(c->inbound, true);
+	return held;
+}
+
+void
+connection_request_answered(
+    struct httpd *h, struct evhttp_request *ev, size_t held)
+{
+	struct connection *c = find(h, ev);
+
+	inbound_hold_request(-(ssize_t)held);
+	if (c == NULL || c->inbound == NULL)
+		return;
+	c->answered = true;
+	inbound_set_busy(c->inbound, false);
+	inbound_set_served(c->inbound);
+	hold_request(c, (ssize_t)held);
+}
+
+void
+connection_discarded(struct httpd *h, struct bufferevent *bev, size_t bytes)
+{
+	struct connection *c = g_hash_table_lookup(h->connections, bev);
+
+	hold_request(c, -(ssize_t)MIN(bytes, c->request_held));
+}
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -12,7 +12,9 @@
 #include <event2/listener.h>
 
 #include "impl.h"
+#include "inbound.h"
 
+#define HTTP_SMALL_BYTES (32 * 1024) /* such a request is never refused */
 #define LISTEN_BACKLOG 256
 #define HEADER_EXTRA_BYTES 4 /* ": " and CRLF */
 #define REQUEST_LINE_BYTES 16 /* estimate, without the path */
@@ -96,31 +98,6 @@
 	return sum;
 }
 
-static void
-on_connection_closed(struct evhttp_connection *conn, void *arg)
-{
-	struct httpd *h = arg;
-
-	g_hash_table_remove(h->connections, conn);
-	if (h->inputs != NULL)
-		skip_connection_closed(h, conn);
-}
-
-/* Counts a connection at its first request; false if over the limit. */
-static bool
-admit(struct httpd *h, struct evhttp_connection *conn)
-{
-	if (g_hash_table_contains(h->connections, conn))
-		return true;
-	if (g_hash_table_size(h->connections) >= HTTP_CONNECTIONS_MAX) {
-		totals.refused++;
-		return false;
-	}
-	g_hash_table_add(h->connections, conn);
-	evhttp_connection_set_closecb(conn, on_connection_closed, h);
-	return true;
-}
-
 static void
 refuse(struct http_request *req, int status, const char *outcome,
     const char *reason, const char *message)
@@ -155,11 +132,13 @@
 	    REQUEST_LINE_BYTES +
 	    header_bytes(evhttp_request_get_input_headers(ev));
 	h->pending++;
-	if (!admit(h, evhttp_request_get_connection(ev))) {
+	req->held = connection_request_complete(h, ev);
+	if (req->held > HTTP_SMALL_BYTES && inbound_is_full()) {
+		totals.refused++;
 		evhttp_add_header(evhttp_request_get_output_headers(ev),
 		    "Connection", "close");
-		refuse(req, 503, "not-run", "too-many-connections",
-		    "the limit of open connections is reached");
+		refuse(req, 503, "not-run", "too-many-bytes",
+		    "the requests in progress hold too many bytes");
 		return;
 	}
 	req->route = find_route(h, req, &other_method);
@@ -190,7 +169,7 @@
 	h->routes = routes;
 	h->count = count;
 	h->arg = arg;
-	h->connections = g_hash_table_new(NULL, NULL);
+	h->connections = connections_new();
 	h->http = evhttp_new(base);
 	g_assert(h->http != NULL);
 	httpd_set_body_max(h, HTTP_BODY_MAX);
@@ -200,6 +179,7 @@
 	    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
 		EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
 	evhttp_set_gencb(h->http, on_request, h);
+	evhttp_set_bevcb(h->http, connection_new, h);
 	h->listener = evconnlistener_new_bind(base, NULL, NULL,
 	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
 	    LISTEN_BACKLOG, (struct sockaddr *)&ss, len);
@@ -230,7 +210,6 @@
 	h->skip_path = path;
 	h->skip = fn;
 	h->inputs = skip_inputs_new();
-	evhttp_set_bevcb(h->http, skip_connection_new, h);
 }
 
 void
@@ -321,15 +300,34 @@
 		evhttp_add_header(headers, "Connection", "close");
 	evbuffer_add(out, body, len);
 	totals.bytes_out += len + REPLY_HEAD_BYTES;
+	connection_request_answered(req->server, req->ev, req->held);
 	/* If the caller has disconnected, evhttp frees req->ev here. */
 	evhttp_send_reply(req->ev, status, NULL, out);
 	evbuffer_free(out);
 	request_free(req);
 }
 
+/* Says whether an answer can be held until it is read; else refuses the
+ * request. */
+static bool
+check_room(struct http_request *req, size_t len)
+{
+	if (len <= HTTP_SMALL_BYTES || inbound_has_room(len))
+		return true;
+	totals.refused++;
+	http_set_header(req, "Connection", "close");
+	refuse(req, 503, "not-run", "too-many-bytes",
+	    "answers that are not read hold too many bytes");
+	return false;
+}
+
 void
 http_reply(struct http_request *req, int status, char *json, int retry_after_s)
 {
+	if (!check_room(req, strlen(json))) {
+		g_free(json);
+		return;
+	}
 	send_reply(
 	    req, status, "application/json", json, strlen(json), retry_after_s);
 	g_free(json);
@@ -339,7 +337,8 @@
 http_reply_text(
     struct http_request *req, int status, const char *type, char *text)
 {
-	send_reply(req, status, type, text, strlen(text), 0);
+	if (check_room(req, strlen(text)))
+		send_reply(req, status, type, text, strlen(text), 0);
 	g_free(text);
 }
 
@@ -347,5 +346,6 @@
 http_reply_bytes(struct http_request *req, int status, const char *type,
     const void *body, size_t len)
 {
-	send_reply(req, status, type, body, len, 0);
+	if (check_room(req, len))
+		send_reply(req, status, type, body, len, 0);
 }
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -1,7 +1,8 @@
 /*
  * HTTP on libevent's evhttp: a server with a route table and size limits,
  * whose handlers may reply asynchronously, and a client with one persistent
- * connection per peer.
+ * connection per peer. Connections of the server count against the limits of
+ * lib/inbound.
  */
 #ifndef HTTPD_H
 #define HTTPD_H
@@ -17,7 +18,6 @@
 /* Bytes of an answer: a worker's list of 1,000 runs and 500 ends, each with a
  * checkpoint of 4 KiB, has half of it. */
 #define HTTP_ANSWER_MAX (12 * 1024 * 1024)
-#define HTTP_CONNECTIONS_MAX 2048 /* open connections per server */
 #define HTTP_IDLE_S 75 /* the server closes connections idle for longer */
 #define HTTP_PARAMS_MAX 3 /* '*' segments in a pattern */
 
@@ -33,6 +33,7 @@
 	const void *body;
 	size_t body_len;
 	uint64_t skipped_len; /* of a body that was skipped; 0: it was not */
+	size_t held; /* bytes that count against the limit of lib/inbound */
 	int64_t arrived_ms; /* monotonic */
 	const struct http_route *route;
 	struct httpd *server;
@@ -106,7 +107,7 @@
 	uint64_t bytes_in; /* bodies and headers, without TCP/IP headers */
 	uint64_t bytes_out; /* bodies and an estimate of the headers */
 	uint64_t requests;
-	uint64_t refused; /* requests beyond HTTP_CONNECTIONS_MAX */
+	uint64_t refused; /* requests beyond the limit of lib/inbound */
 };
 const struct http_stats *http_stats(void);
 
--- a/lib/httpd/impl.h
+++ b/lib/httpd/impl.h
@@ -7,6 +7,8 @@
 /* Tells on_request() the length of a body that was skipped. */
 #define SKIPPED_HEADER "X-Skipped-Length"
 
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evconnlistener;
 
 struct httpd {
@@ -21,13 +23,33 @@
 	/* Input buffer of a connection to its state; NULL: skips no bodies. */
 	GHashTable *inputs;
 	int pending;
-	GHashTable *connections; /* struct evhttp_connection *, open */
+	/* struct bufferevent * to struct connection */
+	GHashTable *connections;
 	bool closing; /* replies carry "Connection: close" */
 };
 
+/* connection.c */
+GHashTable *connections_new(void);
+struct bufferevent *connection_new(struct event_base *base, void *httpd);
+void connection_on_input(
+    struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg);
+void connection_on_output(
+    struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg);
+/* A request was received. Returns the bytes that it holds, until it is answered
+ * and the answer was read or the connection has ended. */
+size_t connection_request_complete(struct httpd *h, struct evhttp_request *ev);
+/* To be called before the answer is sent. */
+void connection_request_answered(
+    struct httpd *h, struct evhttp_request *ev, size_t held);
+/* Bytes of a body that were received and skipped. */
+void
+connection_discarded(struct httpd *h, struct bufferevent *bev, size_t bytes);
+
 /* skip.c: connections of a server that skips bodies. */
 GHashTable *skip_inputs_new(void);
-struct bufferevent *skip_connection_new(struct event_base *base, void *httpd);
-void skip_connection_closed(struct httpd *h, struct evhttp_connection *conn);
+void skip_connection_new(struct httpd *h, struct bufferevent *bev);
+void skip_connection_closed(struct httpd *h, struct bufferevent *bev);
+/* Says whether the filter is changing the input that it has been given. */
+bool skip_is_filtering(const struct httpd *h, const struct evbuffer *buf);
 
 #endif
--- a/lib/httpd/skip.c
+++ b/lib/httpd/skip.c
@@ -23,6 +23,7 @@
 /* Input of a connection. */
 struct input {
 	struct httpd *httpd;
+	struct bufferevent *bev;
 	enum input_state state;
 	uint64_t left; /* bytes of the body */
 	struct evbuffer *received; /* not yet filtered */
@@ -180,10 +181,12 @@
 {
 	size_t n = MIN(in->left, evbuffer_get_length(src));
 
-	if (in->state == INPUT_BODY)
+	if (in->state == INPUT_BODY) {
 		evbuffer_remove_buffer(src, dst, n);
-	else
+	} else {
 		evbuffer_drain(src, n);
+		connection_discarded(in->httpd, in->bev, n);
+	}
 	in->left -= n;
 	if (in->left == 0)
 		in->state = INPUT_HEAD;
@@ -237,26 +240,30 @@
 	return g_hash_table_new_full(NULL, NULL, NULL, input_free);
 }
 
-struct bufferevent *
-skip_connection_new(struct event_base *base, void *httpd)
+void
+skip_connection_new(struct httpd *h, struct bufferevent *bev)
 {
-	struct httpd *h = httpd;
 	struct input *in = g_new0(struct input, 1);
-	struct bufferevent *bev = bufferevent_socket_new(base, -1, 0);
 	struct evbuffer *buf = bufferevent_get_input(bev);
 
 	in->httpd = h;
+	in->bev = bev;
 	in->received = evbuffer_new();
-	/* Takes the place of a closed connection that had the same address. */
-	g_hash_table_replace(h->inputs, buf, in);
+	g_hash_table_insert(h->inputs, buf, in);
 	evbuffer_add_cb(buf, on_input, h);
-	return bev;
 }
 
 void
-skip_connection_closed(struct httpd *h, struct evhttp_connection *conn)
+skip_connection_closed(struct httpd *h, struct bufferevent *bev)
 {
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
-
 	g_hash_table_remove(h->inputs, bufferevent_get_input(bev));
 }
+
+bool
+skip_is_filtering(const struct httpd *h, const struct evbuffer *buf)
+{
+	const struct input *in =
+	    h->inputs == NULL ? NULL : g_hash_table_lookup(h->inputs, buf);
+
+	return in != NULL && in->filtering;
+}
--- a/lib/mesh/mesh.c
+++ b/lib/mesh/mesh.c
@@ -18,7 +18,9 @@
 #define LONG_DIAL_INTERVAL 4
 /* An address that is no seed is removed if it does not answer for so long. */
 #define PEER_EXPIRY_MS 60000
-#define LINKS_MAX 512 /* beyond it no connection is accepted */
+#define LINKS_MAX 512 /* beyond it those without a hello are closed */
+#define PEERS_MAX 512 /* addresses to dial, besides seeds */
+#define HELLO_MAX_BYTES (64 * 1024) /* names some hundred replicas */
 
 enum mesh_frame { FRAME_HELLO = 1, FRAME_PING, FRAME_RAFT };
 
@@ -170,7 +172,7 @@
 	struct peer *p = find_peer(m, address);
 
 	if (p != NULL || strcmp(address, m->address) == 0 ||
-	    !address_valid(address, false))
+	    !address_valid(address, false) || m->peers->len >= PEERS_MAX)
 		return p;
 	p = g_new0(struct peer, 1);
 	p->address = g_strdup(address);
@@ -216,6 +218,7 @@
 	}
 	shape_clear_message(&hello_shape, &l->hello);
 	l->hello = hello;
+	link_set_frame_max(l->link, FRAME_MAX);
 	if (l->peer != NULL)
 		l->peer->dials = 0;
 	add_peers(m, &l->hello);
@@ -291,18 +294,39 @@
 	return l;
 }
 
+/* Closes an accepted link whose peer has not sent its hello. */
+static void
+close_unknown(struct mesh *m)
+{
+	for (guint i = 0; i < m->links->len; i++) {
+		struct mesh_link *l = m->links->pdata[i];
+
+		if (l->peer == NULL && l->hello.name == NULL) {
+			close_link(l, "closed for others");
+			return;
+		}
+	}
+}
+
 static void
 on_accept(void *arg, evutil_socket_t fd)
 {
 	struct mesh *m = arg;
+	struct link *link;
 
+	if (m->links->len >= LINKS_MAX)
+		close_unknown(m);
 	if (m->links->len >= LINKS_MAX) {
 		log_warn("mesh",
 		    "event=link-refused why=\"connection limit reached\"");
 		evutil_closesocket(fd);
 		return;
 	}
-	add_link(m, link_accept(m->base, fd, &link_ops, NULL), NULL);
+	link = link_accept(m->base, fd, &link_ops, NULL);
+	if (link == NULL)
+		return;
+	link_set_frame_max(link, HELLO_MAX_BYTES);
+	add_link(m, link, NULL);
 }
 
 static void
--- a/lib/wire/link.c
+++ b/lib/wire/link.c
@@ -10,6 +10,7 @@
 #include <event2/listener.h>
 #include <event2/util.h>
 
+#include "inbound.h"
 #include "wire.h"
 
 #define LENGTH_BYTES 4
@@ -21,6 +22,8 @@
 	void *arg;
 	bool in_callback;
 	bool closed; /* freed when the callback returns */
+	uint32_t frame_max;
+	struct inbound *inbound; /* NULL: a link that was dialled */
 };
 
 struct listener {
@@ -40,6 +43,8 @@
 static void
 destroy(struct link *l)
 {
+	if (l->inbound != NULL)
+		inbound_remove(g_steal_pointer(&l->inbound));
 	if (l->bev != NULL)
 		bufferevent_free(l->bev);
 	g_free(l);
@@ -65,7 +70,7 @@
 	if (evbuffer_copyout(in, &len, sizeof(len)) < LENGTH_BYTES)
 		return false;
 	len = ntohl(len);
-	if (len > FRAME_MAX) {
+	if (len > l->frame_max) {
 		fail(l, "frame exceeds the size limit");
 		return false;
 	}
@@ -123,6 +128,7 @@
 
 	l->ops = ops;
 	l->arg = arg;
+	l->frame_max = FRAME_MAX;
 	l->bev = bufferevent_socket_new(
 	    base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	g_assert(l->bev != NULL);
@@ -149,15 +155,65 @@
 	return NULL;
 }
 
+/* Not to be called within a callback of the link. */
+static void
+inbound_close(void *arg)
+{
+	struct link *l = arg;
+
+	fail(l, "closed for others");
+	destroy(l);
+}
+
+/* The event loop reports the end to the owner. */
+static void
+inbound_close_later(void *arg)
+{
+	struct link *l = arg;
+
+	shutdown(bufferevent_getfd(l->bev), SHUT_RDWR);
+}
+
+static const struct inbound_ops inbound_ops = { .close = inbound_close,
+	.close_later = inbound_close_later };
+
+static void
+on_buffered(
+    struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct link *l = arg;
+
+	if (l->inbound != NULL)
+		inbound_hold(l->inbound,
+		    (ssize_t)info->n_added - (ssize_t)info->n_deleted);
+}
+
 struct link *
 link_accept(struct event_base *base, evutil_socket_t fd,
     const struct link_ops *ops, void *arg)
 {
+	struct link *l;
 	int one = 1;
 
 	evutil_make_socket_nonblocking(fd);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	return link_new(base, fd, ops, arg);
+	l = link_new(base, fd, ops, arg);
+	l->inbound = inbound_add(&inbound_ops, l);
+	if (l->inbound == NULL) {
+		destroy(l);
+		return NULL;
+	}
+	evbuffer_add_cb(bufferevent_get_input(l->bev), on_buffered, l);
+	evbuffer_add_cb(bufferevent_get_output(l->bev), on_buffered, l);
+	return l;
+}
+
+void
+link_set_frame_max(struct link *l, uint32_t bytes)
+{
+	l->frame_max = bytes;
+	if (bytes == FRAME_MAX && l->inbound != NULL)
+		inbound_set_served(l->inbound);
 }
 
 void
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -33,10 +33,14 @@
  */
 struct link *link_dial(struct event_base *base, const char *address,
     const struct link_ops *ops, void *arg);
-/* Makes a link of an accepted socket and takes ownership of it. */
+/* Makes a link of an accepted socket and takes ownership of it. It counts
+ * against the limits of lib/inbound: it may end at any time. Returns NULL if it
+ * is refused by these; fd is closed then. */
 struct link *link_accept(struct event_base *base, evutil_socket_t fd,
     const struct link_ops *ops, void *arg);
 void link_set_arg(struct link *l, void *arg);
+/* Ends the link if the peer announces a longer frame. Initially FRAME_MAX. */
+void link_set_frame_max(struct link *l, uint32_t bytes);
 void *link_arg(const struct link *l);
 /*
  * Queues a copy of a frame of at most FRAME_MAX bytes. If more than
--- /dev/null
+++ b/test/inbound.cmake
@@ -0,0 +1,1 @@
+bt_test(inbound_test SOURCES inbound_test.c DEPENDS inbound)
