httpd: a request with 16 KiB of headers is served

The users' pages permit heads of 16384 bytes (maxHeaderBytes); the limit was 8 KiB, and such a request got 400.

--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -14,7 +14,7 @@
 
 /* Bytes of a request body, unless httpd_set_body_max() is called. */
 #define HTTP_BODY_MAX (1024 * 1024)
-#define HTTP_HEADERS_MAX (8 * 1024) /* bytes of all headers of a message */
+#define HTTP_HEADERS_MAX (20 * 1024) /* bytes of all headers of a message */
 /* Bytes of an answer: a worker's list of 1,000 runs and 500 ends, each with a
  * checkpoint of 4 KiB, has half of it. */
 #define HTTP_ANSWER_MAX (12 * 1024 * 1024)
