home: what is queued for a worker's former incarnation doesn't reach the next

Would be seen: a worker that restarts under its name and address gets start orders of its former incarnation, up to 2 s each after an order without an answer; only its refusal of old epochs held them off, and /lease with the new epoch came behind them.

Cause: the connection of a worker, with its queue, was kept when the incarnation at its record changed; only the attempts were removed.

Change: the record is replaced, as for another address; its connection is closed and its calls complete as not answered.

Evidence: home_test, which is new and drives home.c with a session and a worker of its own: /home/queued-orders failed before (3 start orders arrived, 1 was sent before the restart) and passes.

--- a/bulrushtided/home.c
+++ b/bulrushtided/home.c
@@ -416,7 +416,10 @@
 		remove_worker(h, push->worker);
 		return;
 	}
-	if (w != NULL && strcmp(w->address, push->address) != 0) {
+	/* What is queued for an earlier incarnation must not reach this one. */
+	if (w != NULL &&
+	    (strcmp(w->address, push->address) != 0 ||
+		w->incarnation != push->incarnation)) {
 		remove_worker(h, push->worker);
 		w = NULL;
 	}
@@ -425,7 +428,7 @@
 	if (w == NULL)
 		return;
 	w->draining = push->draining;
-	if (w->epoch == push->epoch && w->incarnation == push->incarnation) {
+	if (w->epoch == push->epoch) {
 		/* The push comes from a new leader, which needs the worker's
 		 * health. */
 		if (w->given_up)
@@ -436,8 +439,6 @@
 			report_health(w, HEALTH_SILENT);
 		return;
 	}
-	if (w->incarnation != push->incarnation)
-		g_hash_table_remove_all(w->attempts);
 	w->incarnation = push->incarnation;
 	w->epoch = push->epoch;
 	w->silent = w->expired = w->epoch_acked = false;
--- /dev/null
+++ b/test/home_test.c
@@ -0,0 +1,245 @@
+/*
+ * Tests of an entry's calls to its workers (bulrushtided/home.c). The test acts
+ * as the session with the leader and as the worker at one address.
+ */
+#include <string.h>
+
+#include "home.h"
+#include "proc.h"
+#include "session.h"
+
+#define LEASE_MS 300
+
+static const struct config_push config = {
+	.heartbeat_ms = 50, .suspect_ms = 100, .lease_ms = LEASE_MS
+};
+
+/* A call that the worker has received. */
+struct received {
+	char *path;
+	char *name; /* of the worker it is meant for; NULL: not stated */
+	char *incarnation; /* the same */
+};
+
+struct session {
+	GArray *results; /* struct order_result */
+	GArray *health; /* struct health_report */
+};
+
+struct fixture {
+	struct session session;
+	struct node node;
+	struct event *tick; /* wakes the loop so that AWAIT() checks */
+	struct httpd *server;
+	char *address;
+	const char *incarnation; /* of the worker; NULL: refuses no call */
+	int start_status; /* answer to a start order; 0: none */
+	int stop_status;
+	GPtrArray *held; /* struct http_request without an answer */
+	GPtrArray *calls; /* struct received */
+};
+
+const struct config_push *
+session_config(const struct session *s)
+{
+	return &config;
+}
+
+bool
+session_has_grant(const struct session *s)
+{
+	return true;
+}
+
+void
+session_send(struct session *s, enum frame_type type, const void *msg)
+{
+	if (type == FRAME_ORDER_RESULT)
+		g_array_append_vals(s->results, msg, 1);
+	if (type == FRAME_WORKER_HEALTH)
+		g_array_append_vals(s->health, msg, 1);
+}
+
+struct event *
+node_timer(
+    struct node *node, int64_t period_ms, event_callback_fn fn, void *arg)
+{
+	struct event *ev = event_new(node->base, -1, EV_PERSIST, fn, arg);
+	struct timeval tv = { 0, POLL_US };
+
+	event_add(ev, &tv);
+	return ev;
+}
+
+static void
+received_free(void *arg)
+{
+	struct received *r = arg;
+
+	g_free(r->path);
+	g_free(r->name);
+	g_free(r->incarnation);
+	g_free(r);
+}
+
+/* Serves a call as a worker that checks for whom it is meant. */
+static void
+serve(void *arg, struct http_request *req)
+{
+	struct fixture *f = arg;
+	struct received *r = g_new0(struct received, 1);
+	int status = 200;
+
+	r->path = g_strdup(req->path);
+	r->name = g_strdup(http_header(req, "Worker-Name"));
+	r->incarnation = g_strdup(http_header(req, "Worker-Incarnation"));
+	g_ptr_array_add(f->calls, r);
+	if (strcmp(r->path, "/tasks") == 0)
+		status = f->start_status;
+	else if (g_str_has_suffix(r->path, "/stop"))
+		status = f->stop_status;
+	if (f->incarnation != NULL && r->incarnation != NULL &&
+	    strcmp(r->incarnation, f->incarnation) != 0)
+		status = 421;
+	if (status == 0)
+		g_ptr_array_add(f->held, req);
+	else
+		http_reply(req, status, g_strdup("{}"), 0);
+}
+
+static const struct http_route routes[] = {
+	{ EVHTTP_REQ_POST, HTTP_ANY_PATH, serve },
+};
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+}
+
+/* Runs the event loop until the condition holds. */
+#define AWAIT(f, condition)                                           \
+	do {                                                          \
+		int64_t end_ms = mono_ms() + AWAIT_MS;                \
+		while (!(condition) && mono_ms() < end_ms)            \
+			event_base_loop((f)->node.base, EVLOOP_ONCE); \
+		g_assert_true(condition);                             \
+	} while (0)
+
+/* The worker's record has this incarnation and epoch. */
+static void
+push_worker(struct fixture *f, uint64_t incarnation, uint64_t epoch)
+{
+	struct worker_push push = { .worker = 1,
+		.name = "w 1",
+		.address = f->address,
+		.incarnation = incarnation,
+		.epoch = epoch };
+
+	home_update_worker(f->node.home, &push);
+}
+
+static void
+push_order(struct fixture *f, enum order_type type, uint32_t task)
+{
+	struct order order = { .type = type,
+		.worker = 1,
+		.job = 7,
+		.task = task,
+		.attempt = 1,
+		.lease_ms = LEASE_MS,
+		.trace = "" };
+
+	home_handle_order(f->node.home, &order);
+}
+
+/* The number of calls received whose path ends so. */
+static int
+count(const struct fixture *f, const char *suffix)
+{
+	int n = 0;
+
+	for (guint i = 0; i < f->calls->len; i++) {
+		const struct received *r = f->calls->pdata[i];
+
+		n += g_str_has_suffix(r->path, suffix);
+	}
+	return n;
+}
+
+static void
+set_up(struct fixture *f, gconstpointer data)
+{
+	struct start_template_push template = { .job = 7, .name = "job" };
+	struct timeval tick = { 0, POLL_US };
+	char *ip = loopback_ip();
+
+	f->session.results =
+	    g_array_new(FALSE, FALSE, sizeof(struct order_result));
+	f->session.health =
+	    g_array_new(FALSE, FALSE, sizeof(struct health_report));
+	f->held = g_ptr_array_new();
+	f->calls = g_ptr_array_new_with_free_func(received_free);
+	f->start_status = f->stop_status = 200;
+	f->node.base = event_base_new();
+	f->node.session = &f->session;
+	f->node.conf.http_address = "127.0.0.1:1";
+	f->node.tracer = tracer_new("e0", 1, 0);
+	f->address = free_address(ip);
+	f->server = httpd_new(
+	    f->node.base, f->address, routes, G_N_ELEMENTS(routes), f, NULL);
+	g_assert_nonnull(f->server);
+	f->tick = event_new(f->node.base, -1, EV_PERSIST, on_tick, NULL);
+	event_add(f->tick, &tick);
+	f->node.home = home_new(&f->node);
+	home_update_template(f->node.home, &template);
+	push_worker(f, 1, 1);
+	g_free(ip);
+}
+
+static void
+tear_down(struct fixture *f, gconstpointer data)
+{
+	home_free(f->node.home);
+	for (guint i = 0; i < f->held->len; i++)
+		http_reply(f->held->pdata[i], 200, g_strdup("{}"), 0);
+	httpd_free(f->server);
+	event_free(f->tick);
+	tracer_free(f->node.tracer);
+	event_base_free(f->node.base);
+	g_ptr_array_unref(f->held);
+	g_ptr_array_unref(f->calls);
+	g_array_unref(f->session.results);
+	g_array_unref(f->session.health);
+	g_free(f->address);
+}
+
+/*
+ * Guards against orders that wait behind one without an answer and reach the
+ * worker's next incarnation, before its new epoch does.
+ */
+static void
+test_queued_orders(struct fixture *f, gconstpointer data)
+{
+	f->start_status = 0;
+	for (uint32_t task = 0; task < 3; task++)
+		push_order(f, ORDER_START, task);
+	AWAIT(f, f->held->len == 1);
+	f->start_status = 200;
+	push_worker(f, 2, 2);
+	AWAIT(f, count(f, "/lease") == 2);
+	g_assert_cmpint(count(f, "/tasks"), ==, 1);
+}
+
+static void
+add(const char *path, void (*test)(struct fixture *, gconstpointer))
+{
+	g_test_add(path, struct fixture, NULL, set_up, test, tear_down);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	add("/home/queued-orders", test_queued_orders);
+	return g_test_run();
+}
