home: calls to a worker say which incarnation they are meant for

Would be seen: a worker restarts under its name and address, or another worker gets the address of one that has ended. Calls for the one before reach it. If it takes its first order's or lease's epoch, which the interface did not forbid, it runs a task that is started elsewhere as well. If it does not, its 404 to a stop counted as "has never run", because the one before had acknowledged the epoch: a task that is not idempotent could run again. Its 200 to POST /lease counted as the acknowledgement of the one before.

Cause: calls carried an epoch, but nothing that tells processes at one address apart, and a new process knows no epoch yet.

The home takes 421 as: nothing was or will be carried out, and the worker that it ordered has not been reached; so it isn't a refusal, doesn't acknowledge an epoch, extends no lease, and leaves no order without an answer. Replies to workers have their incarnation as the headers name it, as an entry keeps only a number that stands for a string. Workers that don't check the headers work as before.

--- a/bulrushtided/home.c
+++ b/bulrushtided/home.c
@@ -4,6 +4,9 @@
 #include "session.h"
 
 #define ORDER_TIMEOUT_MS 2000
+/* Answer of a worker that a call isn't meant for: nothing of it was or will be
+ * carried out, and it says nothing about the worker that it is meant for. */
+#define HTTP_MISDIRECTED 421
 #define THROTTLE_PERCENT 25 /* of full speed */
 /* Attempts that the leader has not ordered are stopped only this long after the
  * start of a worker's session, as the leader's orders arrive one by one. */
@@ -153,12 +156,12 @@
 	    MAX(w->lease_end_ms, w->last_renewal_ms + config->lease_ms);
 }
 
-/* Records whether a request to the worker was answered; status 0: it was not.
- * Its heartbeats may arrive although requests to it do not. */
+/* Records whether the worker has answered a request; status 0: it has not. Its
+ * heartbeats may arrive although requests to it do not. */
 static void
 record_reached(struct home_worker *w, int status)
 {
-	if (status != 0)
+	if (status != 0 && status != HTTP_MISDIRECTED)
 		w->unreached_ms = 0;
 	else if (w->unreached_ms == 0)
 		w->unreached_ms = mono_ms();
@@ -170,6 +173,25 @@
 	return w->unreached_ms != 0 && now - w->unreached_ms > ms;
 }
 
+/* Sends a call to the worker; the headers say which incarnation it is meant
+ * for, as another one may listen at the address by now. */
+static void
+call_worker(struct home_worker *w, const char *path, const char *trace,
+    const void *body, size_t len, http_answer *answer, void *arg)
+{
+	char *name = g_uri_escape_string(w->name, NULL, FALSE);
+	char *incarnation =
+	    g_strdup_printf("%" G_GUINT64_FORMAT, w->incarnation);
+	const char *headers[] = { "Worker-Name", name, "Worker-Incarnation",
+		incarnation, *trace == '\0' ? NULL : "traceparent", trace,
+		NULL };
+
+	http_send(w->peer, EVHTTP_REQ_POST, path, headers, body, len,
+	    ORDER_TIMEOUT_MS, answer, arg);
+	g_free(name);
+	g_free(incarnation);
+}
+
 static void
 back_off(struct home_attempt *a)
 {
@@ -252,7 +274,6 @@
 {
 	struct sent_order *s = g_new0(struct sent_order, 1);
 	char trace[TRACE_HEADER_LEN + 1];
-	const char *headers[] = { "traceparent", trace, NULL };
 	size_t len = 0;
 	const void *data = body == NULL ? NULL : g_bytes_get_data(body, &len);
 
@@ -262,9 +283,7 @@
 	a->refs++;
 	a->in_flight = true;
 	trace_format(&a->trace, trace);
-	http_send(a->worker->peer, EVHTTP_REQ_POST, path,
-	    *trace == '\0' ? NULL : headers, data, len, ORDER_TIMEOUT_MS,
-	    on_order_answer, s);
+	call_worker(a->worker, path, trace, data, len, on_order_answer, s);
 }
 
 static char *
@@ -334,7 +353,7 @@
 
 	w->announcing = false;
 	record_reached(w, status);
-	if (w->announced_epoch != w->epoch)
+	if (w->announced_epoch != w->epoch || status == HTTP_MISDIRECTED)
 		return;
 	/* Extends the lease whatever the status: even without an answer the
 	 * worker may have accepted the lease just before the time-out. */
@@ -362,8 +381,7 @@
 			       ",\"heartbeat_ms\":%" G_GINT64_FORMAT "}",
 	    w->epoch, node->conf.http_address, config->lease_ms,
 	    config->heartbeat_ms);
-	http_send(w->peer, EVHTTP_REQ_POST, "/lease", NULL, text, strlen(text),
-	    ORDER_TIMEOUT_MS, on_lease_answer, w);
+	call_worker(w, "/lease", "", text, strlen(text), on_lease_answer, w);
 	g_free(text);
 }
 
@@ -592,8 +610,7 @@
 	path = g_strdup_printf("/tasks/%" G_GUINT64_FORMAT ".%u/%u/stop",
 	    r->job, r->task, r->attempt);
 	text = g_strdup_printf("{\"epoch\":%" G_GUINT64_FORMAT "}", w->epoch);
-	http_send(w->peer, EVHTTP_REQ_POST, path, NULL, text, strlen(text),
-	    ORDER_TIMEOUT_MS, on_orphan_answer, NULL);
+	call_worker(w, path, "", text, strlen(text), on_orphan_answer, NULL);
 	g_free(text);
 	g_free(path);
 }
@@ -648,11 +665,12 @@
 		report_health(w, HEALTH_RESPONSIVE);
 	}
 	return g_strdup_printf("{\"outcome\":\"accepted\",\"home\":\"%s\","
-			       "\"epoch\":%" G_GUINT64_FORMAT
+			       "\"incarnation\":\"%" G_GUINT64_FORMAT
+			       "\",\"epoch\":%" G_GUINT64_FORMAT
 			       ",\"lease_ms\":%" G_GINT64_FORMAT
 			       ",\"heartbeat_ms\":%" G_GINT64_FORMAT "}",
-	    h->node->conf.http_address, w->epoch, config->lease_ms,
-	    config->heartbeat_ms);
+	    h->node->conf.http_address, w->incarnation, w->epoch,
+	    config->lease_ms, config->heartbeat_ms);
 }
 
 guint
--- a/bulrushtided/reports.c
+++ b/bulrushtided/reports.c
@@ -151,10 +151,13 @@
 {
 	const struct config_policy *p = &leader_config(l)->policy;
 	int64_t lease = config_shortest_lease(leader_config(l));
+	char incarnation[24];
 
-	return json_text(json_pack("{s:s,s:s,s:I,s:I,s:I}", "outcome",
-	    "accepted", "home", home->address, "epoch",
-	    (json_int_t)worker->epoch, "lease_ms", (json_int_t)lease,
+	g_snprintf(incarnation, sizeof(incarnation), "%" G_GUINT64_FORMAT,
+	    worker->incarnation);
+	return json_text(json_pack("{s:s,s:s,s:s,s:I,s:I,s:I}", "outcome",
+	    "accepted", "home", home->address, "incarnation", incarnation,
+	    "epoch", (json_int_t)worker->epoch, "lease_ms", (json_int_t)lease,
 	    "heartbeat_ms", (json_int_t)p->heartbeat_ms));
 }
 
--- a/test/fakeworker_test.c
+++ b/test/fakeworker_test.c
@@ -5,9 +5,11 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 
+#include "httpd.h"
 #include "httppool.h"
 #include "proc.h"
 
+#define INCARNATION "77"
 #define LEASE_MS 800
 #define HEARTBEAT_MS 100
 #define LATE_STOP_MS 500 /* tolerance for a stop after the lease end */
@@ -115,6 +117,7 @@
 	f->pool = pool_new(e->base, AWAIT_MS);
 	add_arg(argv, "%s/fakeworker", programs);
 	add_arg(argv, "--name=w");
+	add_arg(argv, "--incarnation=" INCARNATION);
 	add_arg(argv, "--entry=%s", e->address);
 	add_arg(argv, "--millicpus=1000");
 	add_arg(argv, "--slots=2");
@@ -305,6 +308,74 @@
 	    recorded(f, "lease-out", "ms"), <=, recorded(f, "refuse", "ms"));
 }
 
+static void
+on_call(void *arg, int status, const void *body, size_t len, const char *why)
+{
+	on_order(arg, status, NULL);
+}
+
+/* Sends an order that is meant for a worker and incarnation; returns the HTTP
+ * status of the reply. */
+static int
+order_for(struct fixture *f, const char *name, const char *incarnation,
+    const char *path, json_t *body)
+{
+	const char *headers[] = { "Worker-Name", name, "Worker-Incarnation",
+		incarnation, NULL };
+	struct http_peer *peer =
+	    http_peer_new(f->entry.base, f->worker->address, NULL);
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	g_assert_nonnull(text);
+	f->answered = false;
+	http_send(peer, EVHTTP_REQ_POST, path, headers, text, strlen(text),
+	    AWAIT_MS, on_call, f);
+	AWAIT(f, f->answered);
+	http_peer_free(peer);
+	free(text);
+	json_decref(body);
+	return f->status;
+}
+
+/*
+ * Orders for another worker at this address, and for an earlier incarnation of
+ * this one, have no effect, whatever their epoch.
+ */
+static void
+test_misdirected(struct fixture *f, gconstpointer data)
+{
+	static const char *const other[][2] = { { "v", INCARNATION },
+		{ "w", "76" } };
+
+	g_assert_cmpint(order(f, "/tasks", start("1.0", 5, 5000, -1)), ==, 200);
+	for (size_t i = 0; i < G_N_ELEMENTS(other); i++) {
+		const char *name = other[i][0];
+		const char *incarnation = other[i][1];
+
+		g_assert_cmpint(order_for(f, name, incarnation, "/tasks",
+				    start("2.0", 9, 5000, -1)),
+		    ==, 421);
+		g_assert_cmpint(
+		    order_for(f, name, incarnation, "/lease",
+			json_pack("{s:i,s:s,s:i}", "epoch", 9, "home",
+			    "127.0.0.1:1", "lease_ms", LEASE_MS)),
+		    ==, 421);
+		g_assert_cmpint(
+		    order_for(f, name, incarnation, "/tasks/1.0/1/stop",
+			json_pack("{s:i}", "epoch", 9)),
+		    ==, 421);
+	}
+	/* It still has its epoch and its task. */
+	g_assert_cmpint(
+	    order_for(f, "w", INCARNATION, "/tasks", start("3.0", 5, 5000, -1)),
+	    ==, 200);
+	g_assert_cmpint(order_for(f, "%77", INCARNATION, "/tasks/1.0/1/stop",
+			    json_pack("{s:i}", "epoch", 5)),
+	    ==, 200);
+	AWAIT(f, f->entry.ends->len > 0);
+	g_assert_cmpstr(end_text(f, "status"), ==, "stopped");
+}
+
 /* A leaving worker finishes its batch tasks and reports them before exit. */
 static void
 test_leave(struct fixture *f, gconstpointer data)
@@ -341,6 +412,7 @@
 	add("/fakeworker/orders", test_orders);
 	add("/fakeworker/lease-runs-out", test_lease_runs_out);
 	add("/fakeworker/paused", test_paused);
+	add("/fakeworker/misdirected", test_misdirected);
 	add("/fakeworker/leave", test_leave);
 	return g_test_run();
 }
