--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -173,7 +173,7 @@
 	h->http = evhttp_new(base);
 	g_assert(h->http != NULL);
 	httpd_set_body_max(h, HTTP_BODY_MAX);
-	evhttp_set_max_headers_size(h->http, HTTP_HEADERS_MAX);
+	httpd_set_headers_max(h, HTTP_HEADERS_MAX);
 	evhttp_set_timeout(h->http, HTTP_IDLE_S);
 	evhttp_set_allowed_methods(h->http,
 	    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
@@ -204,6 +204,13 @@
 	evhttp_set_max_body_size(h->http, (ev_ssize_t)bytes);
 }
 
+void
+httpd_set_headers_max(struct httpd *h, size_t bytes)
+{
+	h->headers_max = bytes;
+	evhttp_set_max_headers_size(h->http, (ev_ssize_t)bytes);
+}
+
 void
 httpd_skip_bodies(struct httpd *h, const char *path, http_skip_fn *fn)
 {
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -14,7 +14,9 @@
 
 /* Bytes of a request body, unless httpd_set_body_max() is called. */
 #define HTTP_BODY_MAX (1024 * 1024)
-#define HTTP_HEADERS_MAX (20 * 1024) /* bytes of all headers of a message */
+/* Bytes of all headers of a message, unless httpd_set_headers_max() is called.
+ */
+#define HTTP_HEADERS_MAX (8 * 1024)
 /* Bytes of an answer: a worker's list of 1,000 runs and 500 ends, each with a
  * checkpoint of 4 KiB, has half of it. */
 #define HTTP_ANSWER_MAX (12 * 1024 * 1024)
@@ -62,6 +64,8 @@
     const struct http_route *routes, size_t count, void *arg, GError **err);
 /* Larger bodies are refused with status 413. Applies to new connections. */
 void httpd_set_body_max(struct httpd *h, size_t bytes);
+/* Longer heads get status 400. Applies to new connections. */
+void httpd_set_headers_max(struct httpd *h, size_t bytes);
 /* Whether to skip a body of this length, before any of it is received. */
 typedef bool http_skip_fn(void *arg, uint64_t body_len);
 /*
--- a/lib/httpd/impl.h
+++ b/lib/httpd/impl.h
@@ -18,6 +18,7 @@
 	size_t count;
 	void *arg;
 	size_t body_max;
+	size_t headers_max;
 	const char *skip_path; /* of POST requests whose body may be skipped */
 	http_skip_fn *skip;
 	/* Input buffer of a connection to its state; NULL: skips no bodies. */
--- a/lib/httpd/skip.c
+++ b/lib/httpd/skip.c
@@ -149,7 +149,7 @@
 	char **lines = read_head(src, &len);
 
 	if (lines == NULL) {
-		if (evbuffer_get_length(src) <= HTTP_HEADERS_MAX)
+		if (evbuffer_get_length(src) <= in->httpd->headers_max)
 			return false;
 		in->state = INPUT_OPAQUE;
 		return true;
--- a/lib/inbound/inbound.c
+++ b/lib/inbound/inbound.c
@@ -79,7 +79,7 @@
 	while (process.connections.length >= process.connections_max) {
 		in = find_idle();
 		if (in == NULL) {
-			log_warn("inbound",
+			log_info("inbound",
 			    "event=connection-refused connections=%u "
 			    "why=\"all have requests in progress\"",
 			    process.connections.length);
