crowd_test: one body within the limit of bytes that takes 73 times as much

Estimated by reading (Jansson takes some 100 bytes for each empty list), now measured: one configuration of 4 MiB of "[]," at the control address, decoded while the process lives: memory grew by 298336 KiB of the 36864 that follow from the test's settings, sanitized, aarch64, one run. Bound and settings are those of the other cases.

--- a/test/crowd_test.c
+++ b/test/crowd_test.c
@@ -687,6 +687,27 @@
 	g_string_free(unit, TRUE);
 }
 
+/* Guards against one body within the limit that takes a hundred times as much
+ * when it is decoded. */
+static void
+test_many_values(void)
+{
+	struct site *s = site_with_limits(0);
+	GString *unit = g_string_new(NULL);
+	char *length =
+	    g_strdup_printf("Content-Length: %d\r\n", CONTROL_BODY_MAX);
+	char *head = post_head(CONFIG_PATH, length);
+	char *start = g_strconcat(head, "{\"routes\":[", NULL);
+
+	while (unit->len < SEND_BYTES)
+		g_string_append(unit, "[],");
+	join(s, CONTROL, 1, start, unit, strlen(head) + CONTROL_BODY_MAX, true);
+	finish(s);
+	g_string_free(unit, TRUE);
+	g_free(head);
+	g_free(length);
+}
+
 /* Guards against valid requests near the limit of a connection that are
  * complete all at once. */
 static void
@@ -768,6 +789,7 @@
 	g_test_add_func("/crowd/silent-connections", test_silent_connections);
 	g_test_add_func("/crowd/unfinished-frames", test_unfinished_frames);
 	g_test_add_func("/crowd/many-requests", test_many_requests);
+	g_test_add_func("/crowd/many-values", test_many_values);
 	g_test_add_func("/crowd/body-in-limits", test_body_in_limits);
 	g_test_add_func("/crowd/head-in-limits", test_head_in_limits);
 	g_test_add_func("/crowd/config-in-limits", test_config_in_limits);
