dispatch: an address that another worker claims doesn't end the one that is there

Cause: the later start time at an address ended the earlier worker there on the word of the heartbeat alone.

Change: only the same name ends an earlier incarnation at once.

--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -207,8 +207,21 @@
 	flow_each_worker(d->conf.flow, load_holder, d);
 }
 
-/* Only the latest incarnation with an address or a name can be running. Returns
- * whether one was ended that wasn't about to leave. */
+/* Asks a worker at once, on a new connection, whether it is still there. */
+static void
+check_presence(struct holder *h)
+{
+	http_peer_free(g_steal_pointer(&h->poll_peer));
+	h->poll_due_ms = 0;
+	holder_poll(h, mono_ms());
+}
+
+/*
+ * Only the latest incarnation with a name can be running. Another name at the
+ * address may be a false claim: who is there is asked, and the earlier one is
+ * over when it doesn't answer for itself. Returns whether one has ended, or may
+ * have, that wasn't about to leave.
+ */
 static bool
 end_older_incarnations(struct dispatch *d, const struct flow_worker *w)
 {
@@ -228,9 +241,11 @@
 		    !(same_address || same_name))
 			continue;
 		crashed |= older != NULL && !older->draining;
-		holder_declare_dead(h,
-		    same_address ? "a later incarnation has its address"
-				 : "a later incarnation has its name");
+		if (same_name)
+			holder_declare_dead(
+			    h, "a later incarnation has its name");
+		else if (!h->dead)
+			check_presence(h);
 	}
 	return crashed;
 }
--- a/test/dispatch_restart.c
+++ b/test/dispatch_restart.c
@@ -130,6 +130,36 @@
 	leader_free(l);
 }
 
+/* Guards against a heartbeat that gives the address of another worker: what
+ * runs there was started elsewhere, too. */
+static void
+test_claimed_address(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 4000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+	struct flow_worker claim = { .name = (char *)"x",
+		.address = a->address,
+		.pool = (char *)"desk",
+		.started_ms = a->started_ms + 1000,
+		.capacity = a->capacity };
+	int64_t until;
+
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->running->len == 1);
+	stub_worker_complete_progress(a);
+	set_millicpus(l, b, 4000);
+	leader_request(l, REQUEST_WORKER, "", flow_worker_encode(&claim));
+	until = mono_ms() + LEASE_MAX_MS;
+	while (mono_ms() < until)
+		step(l, a, b);
+	g_assert_cmpuint(a->running->len, ==, 1);
+	g_assert_cmpint(b->starts, ==, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
 static void
 count_incarnation(void *arg, const struct flow_worker *w)
 {
@@ -210,4 +240,5 @@
 	g_test_add_func(
 	    "/dispatch/restart-late-heartbeat", test_late_heartbeat);
 	g_test_add_func("/dispatch/restart-permit", test_permit);
+	g_test_add_func("/dispatch/claimed-address", test_claimed_address);
 }
