dispatch: a worker that can't be reached in time is not taken for gone

Cause: a connection that is not made in time had the same reason as one that is refused.

Change: with a greeting the two are told apart. Only a refusal, where nobody listens at the address, together with a deregistration ends a worker before its lease.

Evidence: httpd_test connect-timeout, new: a listener with a full backlog gives the new reason. The way through dispatch has no test of its own: the stand-in can't drop packets.

--- a/lib/httpd/client.c
+++ b/lib/httpd/client.c
@@ -34,6 +34,7 @@
 	GQueue waiting; /* struct call, of the outstanding ones: not sent yet */
 	bool busy; /* a request is in flight, or its callbacks run */
 	bool closed; /* the connection, since the greeting was sent */
+	int64_t give_up_ms; /* when the greeting in flight times out */
 	bool greeted; /* the greeting was accepted on this connection ... */
 	int64_t responded_ms; /* ... and when the last response came */
 	const char *why; /* it was not */
@@ -135,6 +136,7 @@
 http_not_sent(const char *why)
 {
 	return g_strcmp0(why, HTTP_NO_CONNECTION) == 0 ||
+	    g_strcmp0(why, HTTP_CONNECT_TIMEOUT) == 0 ||
 	    g_strcmp0(why, HTTP_NOT_GREETED) == 0;
 }
 
@@ -238,6 +240,9 @@
 		return;
 	if (status != 0)
 		p->why = HTTP_NOT_GREETED;
+	else if (strcmp(p->why, HTTP_NO_CONNECTION) == 0 &&
+	    mono_ms() >= p->give_up_ms)
+		p->why = HTTP_CONNECT_TIMEOUT;
 	p->in_callback = true;
 	p->greeted = p->greeting->accept(p->greeting_arg, status,
 	    len == 0 ? NULL : evbuffer_pullup(in, -1), len);
@@ -291,6 +296,7 @@
 	p->busy = true;
 	p->closed = false;
 	p->why = HTTP_NO_CONNECTION;
+	p->give_up_ms = mono_ms() + timeout_ms;
 	evhttp_request_set_error_cb(ev, on_greeting_error);
 	add_content(p, ev, p->greeting_headers, body, strlen(body));
 	g_free(body);
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -118,9 +118,11 @@
 /* A server that requests are sent to, one at a time. */
 struct http_peer;
 
-/* Values of why in an http_answer: there was no connection; its greeting was
- * not accepted; the peer gave no answer in time. */
+/* Values of why in an http_answer: there was no connection; with a greeting,
+ * there was none in time; the greeting was not accepted; the peer gave no
+ * answer in time. */
 #define HTTP_NO_CONNECTION "no connection"
+#define HTTP_CONNECT_TIMEOUT "no connection in time"
 #define HTTP_NOT_GREETED "greeting not accepted"
 #define HTTP_TIMEOUT "timeout"
 
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -396,6 +396,57 @@
 	g_free(s.address);
 }
 
+#define FILLERS 4 /* connections that fill a backlog of 0 */
+
+static void
+keep_why(void *arg, int status, const void *body, size_t len, const char *why)
+{
+	const char **out = arg;
+
+	*out = why;
+}
+
+/* Guards against a process that can't be reached for a while and is taken for
+ * one that has ended. */
+static void
+test_connect_timeout(void)
+{
+	static const struct http_greeting greeting = { .path = "/greeting",
+		.body = greeting_body,
+		.accept = accept_first };
+	struct event_base *base = event_base_new();
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sin);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	int filler[FILLERS];
+	const char *why = NULL;
+	struct http_peer *p;
+	char *address;
+
+	g_assert_cmpint(bind(listener, (struct sockaddr *)&sin, len), ==, 0);
+	g_assert_cmpint(listen(listener, 0), ==, 0);
+	getsockname(listener, (struct sockaddr *)&sin, &len);
+	for (int i = 0; i < FILLERS; i++) {
+		filler[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(filler[i], (struct sockaddr *)&sin, len);
+	}
+	address = g_strdup_printf("127.0.0.1:%d", ntohs(sin.sin_port));
+	p = http_peer_new(base, address, NULL);
+	http_peer_set_greeting(p, &greeting, NULL, NULL);
+	http_send(p, EVHTTP_REQ_GET, "/", NULL, NULL, 0, 200, keep_why, &why);
+	while (why == NULL)
+		event_base_loop(base, EVLOOP_ONCE);
+	g_assert_cmpstr(why, ==, HTTP_CONNECT_TIMEOUT);
+	g_assert_true(http_not_sent(why));
+	http_peer_free(p);
+	for (int i = 0; i < FILLERS; i++)
+		evutil_closesocket(filler[i]);
+	evutil_closesocket(listener);
+	event_base_free(base);
+	g_free(address);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -407,5 +458,6 @@
 	g_test_add_func("/httpd/answer-too-long", test_answer_too_long);
 	g_test_add_func("/httpd/no-listener", test_no_listener);
 	g_test_add_func("/httpd/greeting", test_greeting);
+	g_test_add_func("/httpd/connect-timeout", test_connect_timeout);
 	return g_test_run();
 }
