--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -220,7 +220,8 @@
 	uint32_t holder; /* id of the worker that reported the ended runs */
 	uint64_t number; /* highest number (agent_end) of those runs */
 	char *worker; /* name in a heartbeat, or NULL ... */
-	int64_t started_ms; /* ... and the start of its incarnation */
+	int64_t started_ms; /* ... the start of its incarnation ... */
+	int64_t seq; /* ... and the number of the heartbeat */
 	int64_t received_ms;
 	GArray *starts; /* struct flow_start that were proposed, or NULL */
 	void (*fn)(struct dispatch *d, struct proposal *p,
--- a/lib/dispatch/requests.c
+++ b/lib/dispatch/requests.c
@@ -637,11 +637,14 @@
 	p->request = req->id;
 	p->worker = g_strdup(in->name);
 	p->started_ms = in->started_ms;
+	p->seq = req->seq;
 }
 
-/* Says whether a later incarnation of a worker is being committed. */
+/* Says whether a later heartbeat of a worker, or of a later incarnation, is
+ * being committed. */
 static bool
-later_proposed(const struct dispatch *d, const struct flow_worker *in)
+later_proposed(
+    const struct dispatch *d, const struct flow_worker *in, int64_t seq)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -650,7 +653,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct proposal *p = value;
 
-		if (p->started_ms > in->started_ms &&
+		if ((p->started_ms > in->started_ms ||
+			(p->started_ms == in->started_ms && p->seq > seq)) &&
 		    g_strcmp0(p->worker, in->name) == 0)
 			return true;
 	}
@@ -668,7 +672,7 @@
 
 	if ((latest != NULL && latest->started_ms > in->started_ms) ||
 	    (known != NULL && known->started_ms > in->started_ms) ||
-	    later_proposed(d, in)) {
+	    later_proposed(d, in, req->seq)) {
 		log_info("dispatch",
 		    "event=stale-heartbeat worker=%s "
 		    "started_ms=%" G_GINT64_FORMAT,
--- a/test/dispatch_restart.c
+++ b/test/dispatch_restart.c
@@ -204,6 +204,53 @@
 	leader_free(l);
 }
 
+/* Guards against a late heartbeat that undoes the draining of a worker whose
+ * first heartbeats are being committed. */
+static void
+test_late_ready(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	struct request late = { .op = REQUEST_WORKER,
+		.host = (char *)"",
+		.path = (char *)"",
+		.body = leader_worker(a, false) };
+
+	leader_run_for(l, 50);
+	l->hold_commands = true;
+	leader_send(l, REQUEST_WORKER, "", leader_worker(a, true));
+	dispatch_handle_request(l->dispatch, 0, &late);
+	leader_release_commands(l);
+	g_assert_true(flow_worker_named(l->flow, "a")->draining);
+	g_bytes_unref(late.body);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
+/* Guards against a worker that is taken for another incarnation because its
+ * list doesn't say when it has started. */
+static void
+test_unknown_start(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 4000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+	int64_t until;
+
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->running->len == 1);
+	stub_worker_complete_progress(a);
+	set_millicpus(l, b, 4000);
+	a->started_ms = 0;
+	until = mono_ms() + 5 * DOWN_MS;
+	while (mono_ms() < until)
+		step(l, a, b);
+	g_assert_cmpint(b->starts, ==, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
 /* Guards against a permit that is asked for the earlier incarnation and used at
  * the later one, where it isn't valid. */
 static void
@@ -241,4 +288,6 @@
 	    "/dispatch/restart-late-heartbeat", test_late_heartbeat);
 	g_test_add_func("/dispatch/restart-permit", test_permit);
 	g_test_add_func("/dispatch/claimed-address", test_claimed_address);
+	g_test_add_func("/dispatch/late-ready", test_late_ready);
+	g_test_add_func("/dispatch/unknown-start", test_unknown_start);
 }
