--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -108,13 +108,14 @@
 }
 
 /* Says whether a report is one of this incarnation. If another one listens at
- * its address, it is over. */
+ * its address, it is over. One that doesn't say of which it is says nothing. */
 static bool
 is_own_report(struct holder *h, const struct agent_report *report)
 {
 	if (report->started_ms == h->started_ms)
 		return true;
-	holder_declare_dead(h, "another incarnation answers");
+	if (report->started_ms != 0)
+		holder_declare_dead(h, "another incarnation answers");
 	return false;
 }
 
