inbound: for room, connections that have been idle longest are closed

Now those that have been idle longest are closed, as for the number of connections, and only reads are refused for want of room for their answer. Bytes count before a connection stops being busy.

--- a/lib/httpd/connection.c
+++ b/lib/httpd/connection.c
@@ -208,9 +208,9 @@
 	if (c == NULL || c->inbound == NULL)
 		return;
 	c->answered = true;
-	inbound_set_busy(c->inbound, false);
-	inbound_set_served(c->inbound);
 	hold_request(c, (ssize_t)held);
+	inbound_set_served(c->inbound);
+	inbound_set_busy(c->inbound, false);
 }
 
 void
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -315,11 +315,13 @@
 }
 
 /* Says whether an answer can be held until it is read; else refuses the
- * request. */
+ * request, if it only reads. */
 static bool
 check_room(struct http_request *req, size_t len)
 {
-	if (len <= HTTP_SMALL_BYTES || inbound_has_room(len))
+	/* Other requests may have had an effect. */
+	if (req->method != EVHTTP_REQ_GET || len <= HTTP_SMALL_BYTES ||
+	    inbound_has_room(len))
 		return true;
 	totals.refused++;
 	http_set_header(req, "Connection", "close");
--- a/lib/inbound/inbound.c
+++ b/lib/inbound/inbound.c
@@ -49,19 +49,18 @@
 	return served;
 }
 
+/* Returns the connection that has been idle longest of those that hold bytes.
+ */
 static struct inbound *
-find_largest(void)
+find_holder(void)
 {
-	struct inbound *largest = NULL;
-
 	for (GList *i = process.connections.head; i != NULL; i = i->next) {
 		struct inbound *in = i->data;
 
-		if (!in->busy && !in->closing && in->held > 0 &&
-		    (largest == NULL || in->held > largest->held))
-			largest = in;
+		if (!in->busy && !in->closing && in->held > 0)
+			return in;
 	}
-	return largest;
+	return NULL;
 }
 
 static void
@@ -111,13 +110,15 @@
 	g_free(in);
 }
 
-static void
-close_largest(void)
+static size_t
+total_held(void)
 {
-	struct inbound *in = find_largest();
+	return process.held + process.requests_held;
+}
 
-	if (in == NULL)
-		return;
+static void
+close_holder(struct inbound *in)
+{
 	log_info("inbound",
 	    "event=connection-closed held=%zu total=%zu requests=%zu max=%zu "
 	    "why=\"too many bytes held\"",
@@ -128,10 +129,16 @@
 	in->ops->close_later(in->arg);
 }
 
-static size_t
-total_held(void)
+/* Closes the connections that have been idle longest until the others have room
+ * for so many bytes more. */
+static void
+make_room(size_t bytes)
 {
-	return process.held + process.requests_held;
+	struct inbound *in;
+
+	while (total_held() + bytes > process.held_max &&
+	    (in = find_holder()) != NULL)
+		close_holder(in);
 }
 
 void
@@ -143,8 +150,8 @@
 	in->held += (size_t)bytes;
 	process.held += (size_t)bytes;
 	touch(in);
-	if (bytes > 0 && total_held() > process.held_max)
-		close_largest();
+	if (bytes > 0)
+		make_room(0);
 }
 
 void
@@ -171,8 +178,7 @@
 {
 	if (total_held() + process.closing_held + bytes <= process.held_max)
 		return true;
-	if (total_held() + bytes > process.held_max)
-		close_largest();
+	make_room(bytes);
 	return false;
 }
 
--- a/lib/inbound/inbound.h
+++ b/lib/inbound/inbound.h
@@ -2,9 +2,8 @@
  * The connections that others have opened to this process, at all of its
  * addresses, and what they make it hold: bytes received that are not handled
  * yet, and bytes to be sent that are not read. Their number and their bytes
- * have one limit each for the whole process. Beyond it a connection is closed
- * that has no request in progress: the one that has been idle longest, or the
- * one that holds the most.
+ * have one limit each for the whole process. Beyond it connections are closed
+ * that have no request in progress: those that have been idle longest.
  */
 #ifndef INBOUND_H
 #define INBOUND_H
@@ -41,8 +40,8 @@
 void inbound_hold_request(ssize_t bytes);
 /* Says whether the requests in progress alone hold more than the limit. */
 bool inbound_is_full(void);
-/* Says whether so many bytes more can be held now. If not, it closes the
- * connection that holds the most, so that later they can. */
+/* Says whether so many bytes more can be held now. If not, it closes
+ * connections, so that later they can. */
 bool inbound_has_room(size_t bytes);
 
 #endif
