stepcell: a done task may run again if its worker's lease has lapsed before the end was acknowledged

soak_1 failed once in a run of 138 tests at load average 3 to 6: "has ended as done and starts". Traced in the logs that it left: w1's answers were held back (oneway w1 down), event=run-lost why="its lease has expired" since_answer_ms=4675 lease_over_ms=3, the end done listed 0.32 s later, run 2 started 0.1 s after that.

--- a/test/stepcell.h
+++ b/test/stepcell.h
@@ -53,6 +53,9 @@
 	struct cell_node node[NODES];
 	struct cell_worker *worker[WORKERS];
 	GHashTable *done; /* task name to number of ends as done */
+	/* Names of done tasks that may run once more: a lease lapsed before
+	 * their end was acknowledged. */
+	GHashTable *excused;
 	GHashTable *deadly; /* name of a deadly task to number of starts */
 	int crashes; /* of workers */
 	struct rng rng; /* how long workers are down */
