--- a/lib/mesh/mesh.c
+++ b/lib/mesh/mesh.c
@@ -219,6 +219,7 @@
 	shape_clear_message(&hello_shape, &l->hello);
 	l->hello = hello;
 	link_set_frame_max(l->link, FRAME_MAX);
+	link_set_known(l->link);
 	if (l->peer != NULL)
 		l->peer->dials = 0;
 	add_peers(m, &l->hello);
@@ -339,8 +340,10 @@
 	p->next_dial_ms = now + REDIAL_MS;
 	p->dials++;
 	link = link_dial(m->base, p->address, &link_ops, NULL);
-	if (link != NULL)
-		p->link = add_link(m, link, p);
+	if (link == NULL)
+		return;
+	link_set_frame_max(link, HELLO_MAX_BYTES);
+	p->link = add_link(m, link, p);
 }
 
 static int64_t
--- a/lib/wire/link.c
+++ b/lib/wire/link.c
@@ -212,7 +212,12 @@
 link_set_frame_max(struct link *l, uint32_t bytes)
 {
 	l->frame_max = bytes;
-	if (bytes == FRAME_MAX && l->inbound != NULL)
+}
+
+void
+link_set_known(struct link *l)
+{
+	if (l->inbound != NULL)
 		inbound_set_served(l->inbound);
 }
 
--- a/lib/wire/wire.h
+++ b/lib/wire/wire.h
@@ -41,6 +41,8 @@
 void link_set_arg(struct link *l, void *arg);
 /* Ends the link if the peer announces a longer frame. Initially FRAME_MAX. */
 void link_set_frame_max(struct link *l, uint32_t bytes);
+/* The peer has said who it is: others are closed before it, see lib/inbound. */
+void link_set_known(struct link *l);
 void *link_arg(const struct link *l);
 /*
  * Queues a copy of a frame of at most FRAME_MAX bytes. If more than
