dispatch: a poll that was cancelled here isn't a connection that the worker closed

Found in the read-through: since connections are closed when an incarnation is over, the cancelled poll set the time at which the worker had last been heard of to now. A run that a worker crashed under at its start could count as one that had been there for longer, which weighs half as much against its task.

By reading; no test shows it.

--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -811,7 +811,7 @@
 		return;
 	}
 	if (status == 0 && g_strcmp0(why, HTTP_TIMEOUT) != 0 &&
-	    !http_not_sent(why))
+	    g_strcmp0(why, HTTP_CANCELLED) != 0 && !http_not_sent(why))
 		h->closed_ms = now;
 	h->poll_failed = true;
 	h->poll_due_ms =
--- a/lib/httpd/client.c
+++ b/lib/httpd/client.c
@@ -123,7 +123,7 @@
 		struct call *c = i->data;
 
 		c->answer(c->arg, 0, NULL, 0,
-		    c->ev != NULL ? HTTP_NOT_GREETED : "cancelled");
+		    c->ev != NULL ? HTTP_NOT_GREETED : HTTP_CANCELLED);
 	}
 	/* During a callback evhttp still uses the connection. */
 	if (p->in_callback)
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -120,11 +120,12 @@
 
 /* Values of why in an http_answer: there was no connection; with a greeting,
  * there was none in time; the greeting was not accepted; the peer gave no
- * answer in time. */
+ * answer in time; http_peer_free() was called. */
 #define HTTP_NO_CONNECTION "no connection"
 #define HTTP_CONNECT_TIMEOUT "no connection in time"
 #define HTTP_NOT_GREETED "greeting not accepted"
 #define HTTP_TIMEOUT "timeout"
+#define HTTP_CANCELLED "cancelled"
 
 /*
  * Called once with the response to a request. Status 0 means that there was
