httpd: the filter of skipped bodies belongs to the connection

Found in the read-through: a connection had a state in one table and that of its filter in a second one, each input looked the second up twice, the counts were right only because two callbacks of one buffer were added in a certain order, and requests were refused for want of room in two copies of the same lines. The filter is a part of the connection now and is called by it. No change of what is served, skipped or counted.

--- a/lib/httpd/connection.c
+++ b/lib/httpd/connection.c
@@ -15,6 +15,8 @@
 	struct evhttp_connection *ev; /* NULL: evhttp has not made it yet */
 	struct event *attach; /* to be attached; NULL: it is */
 	struct inbound *inbound; /* NULL: refused */
+	struct input *input; /* NULL: the server skips no bodies */
+	bool filtering; /* its input buffer is changed by the filter */
 	size_t request_held; /* bytes of requests that are not complete, or
 				whose answer is not read */
 	bool answered; /* the last request is */
@@ -29,6 +31,8 @@
 		inbound_remove(c->inbound);
 	if (c->attach != NULL)
 		event_free(c->attach);
+	if (c->input != NULL)
+		skip_input_free(c->input);
 	bufferevent_decref(c->bev);
 	g_free(c);
 }
@@ -39,18 +43,56 @@
 	return g_hash_table_new_full(NULL, NULL, NULL, connection_free);
 }
 
+static void
+hold_request(struct connection *c, ssize_t bytes)
+{
+	c->request_held += (size_t)bytes;
+	if (c->inbound != NULL)
+		inbound_hold(c->inbound, bytes);
+}
+
+static void
+on_input(struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct connection *c = arg;
+	size_t discarded;
+
+	if (info->n_added == 0 || c->filtering)
+		return;
+	hold_request(c, (ssize_t)info->n_added);
+	if (c->input == NULL)
+		return;
+	c->filtering = true;
+	discarded = skip_filter(c->input, buf, info->orig_size);
+	c->filtering = false;
+	hold_request(c, -(ssize_t)MIN(discarded, c->request_held));
+}
+
+static void
+on_output(struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct connection *c = arg;
+
+	if (c->inbound == NULL)
+		return;
+	inbound_hold(
+	    c->inbound, (ssize_t)info->n_added - (ssize_t)info->n_deleted);
+	if (c->answered && evbuffer_get_length(buf) == 0) {
+		c->answered = false;
+		/* Except what has come of the next request. */
+		hold_request(c,
+		    (ssize_t)evbuffer_get_length(
+			bufferevent_get_input(c->bev)) -
+			(ssize_t)c->request_held);
+	}
+}
+
 static void
 forget(struct connection *c)
 {
-	struct httpd *h = c->httpd;
-
-	evbuffer_remove_cb(
-	    bufferevent_get_input(c->bev), connection_on_input, c);
-	evbuffer_remove_cb(
-	    bufferevent_get_output(c->bev), connection_on_output, c);
-	if (h->inputs != NULL)
-		skip_connection_closed(h, c->bev);
-	g_hash_table_remove(h->connections, c->bev);
+	evbuffer_remove_cb(bufferevent_get_input(c->bev), on_input, c);
+	evbuffer_remove_cb(bufferevent_get_output(c->bev), on_output, c);
+	g_hash_table_remove(c->httpd->connections, c->bev);
 }
 
 static void
@@ -111,44 +153,6 @@
 static const struct inbound_ops inbound_ops = { .close = inbound_close,
 	.close_later = inbound_close_later };
 
-static void
-hold_request(struct connection *c, ssize_t bytes)
-{
-	c->request_held += (size_t)bytes;
-	if (c->inbound != NULL)
-		inbound_hold(c->inbound, bytes);
-}
-
-void
-connection_on_input(
-    struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
-{
-	struct connection *c = arg;
-
-	if (info->n_added > 0 && !skip_is_filtering(c->httpd, buf))
-		hold_request(c, (ssize_t)info->n_added);
-}
-
-void
-connection_on_output(
-    struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
-{
-	struct connection *c = arg;
-
-	if (c->inbound == NULL)
-		return;
-	inbound_hold(
-	    c->inbound, (ssize_t)info->n_added - (ssize_t)info->n_deleted);
-	if (c->answered && evbuffer_get_length(buf) == 0) {
-		c->answered = false;
-		/* Except what has come of the next request. */
-		hold_request(c,
-		    (ssize_t)evbuffer_get_length(
-			bufferevent_get_input(c->bev)) -
-			(ssize_t)c->request_held);
-	}
-}
-
 struct bufferevent *
 connection_new(struct event_base *base, void *httpd)
 {
@@ -163,12 +167,10 @@
 	c->attach = event_new(base, -1, 0, on_attach, c);
 	event_add(c->attach, &now);
 	g_hash_table_insert(h->connections, c->bev, c);
-	if (h->inputs != NULL)
-		skip_connection_new(h, c->bev);
-	/* Called before those of skip.c, which were added first. */
-	evbuffer_add_cb(bufferevent_get_input(c->bev), connection_on_input, c);
-	evbuffer_add_cb(
-	    bufferevent_get_output(c->bev), connection_on_output, c);
+	if (h->skip != NULL)
+		c->input = skip_input_new(h);
+	evbuffer_add_cb(bufferevent_get_input(c->bev), on_input, c);
+	evbuffer_add_cb(bufferevent_get_output(c->bev), on_output, c);
 	return c->bev;
 }
 
@@ -212,11 +214,3 @@
 	inbound_set_served(c->inbound);
 	inbound_set_busy(c->inbound, false);
 }
-
-void
-connection_discarded(struct httpd *h, struct bufferevent *bev, size_t bytes)
-{
-	struct connection *c = g_hash_table_lookup(h->connections, bev);
-
-	hold_request(c, -(ssize_t)MIN(bytes, c->request_held));
-}
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -109,6 +109,14 @@
 	http_reply(req, status, json, status == 503 ? 1 : 0);
 }
 
+static void
+refuse_for_room(struct http_request *req, const char *message)
+{
+	totals.refused++;
+	http_set_header(req, "Connection", "close");
+	refuse(req, 503, "not-run", "too-many-bytes", message);
+}
+
 static void
 on_request(struct evhttp_request *ev, void *arg)
 {
@@ -134,11 +142,8 @@
 	h->pending++;
 	req->held = connection_request_complete(h, ev);
 	if (req->held > HTTP_SMALL_BYTES && inbound_is_full()) {
-		totals.refused++;
-		evhttp_add_header(evhttp_request_get_output_headers(ev),
-		    "Connection", "close");
-		refuse(req, 503, "not-run", "too-many-bytes",
-		    "the requests in progress hold too many bytes");
+		refuse_for_room(
+		    req, "the requests in progress hold too many bytes");
 		return;
 	}
 	req->route = find_route(h, req, &other_method);
@@ -216,7 +221,6 @@
 {
 	h->skip_path = path;
 	h->skip = fn;
-	h->inputs = skip_inputs_new();
 }
 
 void
@@ -244,8 +248,6 @@
 		return;
 	evhttp_free(h->http);
 	g_hash_table_unref(h->connections);
-	if (h->inputs != NULL)
-		g_hash_table_unref(h->inputs);
 	g_free(h);
 }
 
@@ -323,10 +325,7 @@
 	if (req->method != EVHTTP_REQ_GET || len <= HTTP_SMALL_BYTES ||
 	    inbound_has_room(len))
 		return true;
-	totals.refused++;
-	http_set_header(req, "Connection", "close");
-	refuse(req, 503, "not-run", "too-many-bytes",
-	    "answers that are not read hold too many bytes");
+	refuse_for_room(req, "answers that are not read hold too many bytes");
 	return false;
 }
 
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -181,7 +181,7 @@
  * Makes the peer send this request, with the same headers as the others, first
  * on each new connection, and again after a pause. Others are sent only once
  * it was accepted, one at a time; if it isn't, those that wait complete with
- * status 0 and HTTP_NOT_GREETED, or HTTP_NO_CONNECTION if there was none.
+ * status 0 and HTTP_NOT_GREETED, or the reason why there was no connection.
  * To be called before http_send().
  */
 void http_peer_set_greeting(struct http_peer *p, const struct http_greeting *g,
--- a/lib/httpd/impl.h
+++ b/lib/httpd/impl.h
@@ -8,7 +8,6 @@
 #define SKIPPED_HEADER "X-Skipped-Length"
 
 struct evbuffer;
-struct evbuffer_cb_info;
 struct evconnlistener;
 
 struct httpd {
@@ -21,8 +20,6 @@
 	size_t headers_max;
 	const char *skip_path; /* of POST requests whose body may be skipped */
 	http_skip_fn *skip;
-	/* Input buffer of a connection to its state; NULL: skips no bodies. */
-	GHashTable *inputs;
 	int pending;
 	/* struct bufferevent * to struct connection */
 	GHashTable *connections;
@@ -32,25 +29,19 @@
 /* connection.c */
 GHashTable *connections_new(void);
 struct bufferevent *connection_new(struct event_base *base, void *httpd);
-void connection_on_input(
-    struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg);
-void connection_on_output(
-    struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg);
 /* A request was received. Returns the bytes that it holds, until it is answered
  * and the answer was read or the connection has ended. */
 size_t connection_request_complete(struct httpd *h, struct evhttp_request *ev);
 /* To be called before the answer is sent. */
 void connection_request_answered(
     struct httpd *h, struct evhttp_request *ev, size_t held);
-/* Bytes of a body that were received and skipped. */
-void
-connection_discarded(struct httpd *h, struct bufferevent *bev, size_t bytes);
 
-/* skip.c: connections of a server that skips bodies. */
-GHashTable *skip_inputs_new(void);
-void skip_connection_new(struct httpd *h, struct bufferevent *bev);
-void skip_connection_closed(struct httpd *h, struct bufferevent *bev);
-/* Says whether the filter is changing the input that it has been given. */
-bool skip_is_filtering(const struct httpd *h, const struct evbuffer *buf);
+/* skip.c: the input of a connection of a server that skips bodies. */
+struct input;
+struct input *skip_input_new(struct httpd *h);
+void skip_input_free(struct input *in);
+/* Filters what has been added to the input buffer after passed_len bytes.
+ * Returns how many bytes of a skipped body it has discarded. */
+size_t skip_filter(struct input *in, struct evbuffer *buf, size_t passed_len);
 
 #endif
--- a/lib/httpd/skip.c
+++ b/lib/httpd/skip.c
@@ -23,12 +23,10 @@
 /* Input of a connection. */
 struct input {
 	struct httpd *httpd;
-	struct bufferevent *bev;
 	enum input_state state;
 	uint64_t left; /* bytes of the body */
 	struct evbuffer *received; /* not yet filtered */
-	bool
-	    filtering; /* on_input() changes the buffer that it is called for */
+	size_t discarded; /* bytes, by the call of skip_filter() */
 };
 
 struct head {
@@ -185,7 +183,7 @@
 		evbuffer_remove_buffer(src, dst, n);
 	} else {
 		evbuffer_drain(src, n);
-		connection_discarded(in->httpd, in->bev, n);
+		in->discarded += n;
 	}
 	in->left -= n;
 	if (in->left == 0)
@@ -205,65 +203,33 @@
 	}
 }
 
-/* Filters what has just been added to the input buffer of a connection. */
-static void
-on_input(struct evbuffer *buf, const struct evbuffer_cb_info *info, void *httpd)
+size_t
+skip_filter(struct input *in, struct evbuffer *buf, size_t passed_len)
 {
-	struct httpd *h = httpd;
-	struct input *in = g_hash_table_lookup(h->inputs, buf);
-	struct evbuffer *passed;
+	struct evbuffer *passed = evbuffer_new();
 
-	if (in == NULL || in->filtering || info->n_added == 0)
-		return;
-	in->filtering = true;
-	passed = evbuffer_new();
-	evbuffer_remove_buffer(buf, passed, info->orig_size);
+	in->discarded = 0;
+	evbuffer_remove_buffer(buf, passed, passed_len);
 	evbuffer_add_buffer(in->received, buf);
 	filter(in, in->received, passed);
 	evbuffer_add_buffer(buf, passed);
 	evbuffer_free(passed);
-	in->filtering = false;
-}
-
-static void
-input_free(void *arg)
-{
-	struct input *in = arg;
-
-	evbuffer_free(in->received);
-	g_free(in);
-}
-
-GHashTable *
-skip_inputs_new(void)
-{
-	return g_hash_table_new_full(NULL, NULL, NULL, input_free);
+	return in->discarded;
 }
 
-void
-skip_connection_new(struct httpd *h, struct bufferevent *bev)
+struct input *
+skip_input_new(struct httpd *h)
 {
 	struct input *in = g_new0(struct input, 1);
-	struct evbuffer *buf = bufferevent_get_input(bev);
 
 	in->httpd = h;
-	in->bev = bev;
 	in->received = evbuffer_new();
-	g_hash_table_insert(h->inputs, buf, in);
-	evbuffer_add_cb(buf, on_input, h);
+	return in;
 }
 
 void
-skip_connection_closed(struct httpd *h, struct bufferevent *bev)
+skip_input_free(struct input *in)
 {
-	g_hash_table_remove(h->inputs, bufferevent_get_input(bev));
-}
-
-bool
-skip_is_filtering(const struct httpd *h, const struct evbuffer *buf)
-{
-	const struct input *in =
-	    h->inputs == NULL ? NULL : g_hash_table_lookup(h->inputs, buf);
-
-	return in != NULL && in->filtering;
+	evbuffer_free(in->received);
+	g_free(in);
 }
