--- a/lib/wire/link.c
+++ b/lib/wire/link.c
@@ -155,27 +155,27 @@
 	return NULL;
 }
 
-/* Not to be called within a callback of the link. */
+/* The event loop then reports the end to the owner. */
 static void
-inbound_close(void *arg)
+shut_down(void *arg)
 {
 	struct link *l = arg;
 
-	fail(l, "closed for others");
-	destroy(l);
+	shutdown(bufferevent_getfd(l->bev), SHUT_RDWR);
 }
 
-/* The event loop reports the end to the owner. */
+/* Not to be called within a callback of the link. */
 static void
-inbound_close_later(void *arg)
+inbound_close(void *arg)
 {
 	struct link *l = arg;
 
-	shutdown(bufferevent_getfd(l->bev), SHUT_RDWR);
+	fail(l, "closed for others");
+	destroy(l);
 }
 
 static const struct inbound_ops inbound_ops = { .close = inbound_close,
-	.close_later = inbound_close_later };
+	.close_later = shut_down };
 
 static void
 on_buffered(
@@ -243,11 +243,8 @@
 	if (l->closed)
 		return;
 	if (evbuffer_get_length(out) > LINK_QUEUE_MAX) {
-		/*
-		 * The peer does not read. Shut the socket down, so that the
-		 * event loop reports the failure to the owner.
-		 */
-		shutdown(bufferevent_getfd(l->bev), SHUT_RDWR);
+		/* The peer does not read. */
+		shut_down(l);
 		return;
 	}
 	totals.frames_out++;
