--- a/test/dispatch_capacity.c
+++ b/test/dispatch_capacity.c
@@ -15,13 +15,6 @@
 	return a;
 }
 
-static void
-set_millicpus(struct leader *l, struct stub_worker *a, int64_t millicpus)
-{
-	a->capacity.millicpus = millicpus;
-	leader_heartbeat(l, a, false);
-}
-
 /* Lets the leader place a job while a change of the worker is committed but
  * not applied yet. */
 static void
@@ -52,7 +45,7 @@
 	place_before(l, a);
 	leader_run_for(l, 400);
 	g_assert_cmpint(a->starts, ==, 0);
-	set_millicpus(l, a, 4000);
+	leader_set_millicpus(l, a, 4000);
 	AWAIT(l, a->running->len == 1);
 	stub_worker_free(a);
 	leader_free(l);
@@ -65,7 +58,7 @@
 	a->hold_starts = 1000;
 	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, a->starts > 0);
-	set_millicpus(l, a, 500);
+	leader_set_millicpus(l, a, 500);
 }
 
 /* The run doesn't start before the worker has grown again. */
@@ -74,7 +67,7 @@
 {
 	leader_run_for(l, 1500);
 	g_assert_cmpuint(a->running->len, ==, 0);
-	set_millicpus(l, a, 4000);
+	leader_set_millicpus(l, a, 4000);
 	AWAIT(l, a->running->len == 1);
 	stub_worker_free(a);
 	leader_free(l);
@@ -120,7 +113,7 @@
 		.seq = (int64_t)l->requests,
 		.body = leader_worker(a, false) };
 
-	set_millicpus(l, a, 500);
+	leader_set_millicpus(l, a, 500);
 	dispatch_resign(l->dispatch);
 	dispatch_lead(l->dispatch, 2);
 	leader_run_for(l, 50);
@@ -128,7 +121,7 @@
 	leader_run_for(l, 50);
 	g_assert_cmpint(
 	    flow_worker_named(l->flow, "a")->capacity.millicpus, ==, 500);
-	set_millicpus(l, a, 4000);
+	leader_set_millicpus(l, a, 4000);
 	g_assert_cmpint(
 	    flow_worker_named(l->flow, "a")->capacity.millicpus, ==, 4000);
 	g_bytes_unref(late.body);
@@ -146,12 +139,12 @@
 
 	leader_submit(l, JOB_PATH, 6, 1000);
 	AWAIT(l, a->running->len == 4);
-	set_millicpus(l, a, 2000);
+	leader_set_millicpus(l, a, 2000);
 	stub_worker_end(a, &first_run, AGENT_DONE);
 	leader_run_for(l, 400);
 	g_assert_cmpuint(a->running->len, ==, 3);
 	g_assert_cmpint(a->stops, ==, 0);
-	set_millicpus(l, a, 4000);
+	leader_set_millicpus(l, a, 4000);
 	AWAIT(l, a->running->len == 4);
 	stub_worker_free(a);
 	leader_free(l);
@@ -180,12 +173,8 @@
 static void
 restart_under_name(struct stub_worker *w)
 {
-	char *name = g_strdup(w->name);
-
 	stub_worker_crash(w);
-	stub_worker_restart(w);
-	g_free(w->name);
-	w->name = name;
+	stub_worker_restart_under_name(w);
 }
 
 /* A worker restarts under its name between the decision to start a run there
@@ -217,14 +206,14 @@
 	struct stub_worker *b = stub_worker_new(l->base, "b");
 	int64_t until;
 
-	set_millicpus(l, b, 500);
+	leader_set_millicpus(l, b, 500);
 	AWAIT(l, b->polls > 1);
 	restart_under_name(a);
 	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, a->greetings > 0);
 	leader_run_for(l, 500);
 	g_assert_cmpint(a->starts, ==, 0);
-	set_millicpus(l, b, 4000);
+	leader_set_millicpus(l, b, 4000);
 	leader_heartbeat(l, a, false);
 	until = mono_ms() + 2000;
 	while (mono_ms() < until) {
--- a/test/dispatch_restart.c
+++ b/test/dispatch_restart.c
@@ -21,13 +21,6 @@
 	return w;
 }
 
-static void
-set_millicpus(struct leader *l, struct stub_worker *w, int64_t millicpus)
-{
-	w->capacity.millicpus = millicpus;
-	leader_heartbeat(l, w, false);
-}
-
 /* Runs the loop; no task may run on both workers. */
 static void
 step(struct leader *l, struct stub_worker *a, struct stub_worker *b)
@@ -72,7 +65,7 @@
 	STEP_UNTIL(l, a, b, a->running->len == 1);
 	leader_run_for(l, DOWN_MS);
 	a->unresponsive = true;
-	set_millicpus(l, b, 4000);
+	leader_set_millicpus(l, b, 4000);
 	STEP_UNTIL(l, a, b, b->running->len == 1);
 	stub_worker_free(a);
 	stub_worker_free(b);
@@ -98,7 +91,7 @@
 	leader_run_for(l, DOWN_MS);
 	g_assert_cmpint(a->starts, ==, 0);
 	leader_heartbeat(l, a, false);
-	set_millicpus(l, b, 8000);
+	leader_set_millicpus(l, b, 8000);
 	until = mono_ms() + 2 * STOP_MS;
 	while (mono_ms() < until)
 		step(l, a, b);
@@ -148,7 +141,7 @@
 	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, a->running->len == 1);
 	stub_worker_complete_progress(a);
-	set_millicpus(l, b, 4000);
+	leader_set_millicpus(l, b, 4000);
 	leader_request(l, REQUEST_WORKER, "", flow_worker_encode(&claim));
 	until = mono_ms() + LEASE_MAX_MS;
 	while (mono_ms() < until)
@@ -240,7 +233,7 @@
 	leader_submit(l, JOB_PATH, 1, 1000);
 	AWAIT(l, a->running->len == 1);
 	stub_worker_complete_progress(a);
-	set_millicpus(l, b, 4000);
+	leader_set_millicpus(l, b, 4000);
 	a->started_ms = 0;
 	until = mono_ms() + 5 * DOWN_MS;
 	while (mono_ms() < until)
--- a/test/stubleader.c
+++ b/test/stubleader.c
@@ -304,6 +304,13 @@
 	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
 }
 
+void
+leader_set_millicpus(struct leader *l, struct stub_worker *w, int64_t millicpus)
+{
+	w->capacity.millicpus = millicpus;
+	leader_heartbeat(l, w, false);
+}
+
 static struct flow_step *
 new_step(struct flow_step values)
 {
--- a/test/stubleader.h
+++ b/test/stubleader.h
@@ -92,6 +92,9 @@
 GBytes *leader_worker(const struct stub_worker *w, bool draining);
 void
 leader_heartbeat(struct leader *l, const struct stub_worker *w, bool draining);
+/* Changes the capacity of a worker, which reports it. */
+void leader_set_millicpus(
+    struct leader *l, struct stub_worker *w, int64_t millicpus);
 /* Encodes a job with one step, which depends on no other step. */
 GBytes *leader_spec(struct flow_step values);
 /* Encodes a job with two steps; the second depends on the first. */
