--- a/test/fakeworker_test.c
+++ b/test/fakeworker_test.c
@@ -77,14 +77,7 @@
 	json_decref(body);
 }
 
-/* Runs the event loop until the condition holds. */
-#define AWAIT(f, condition)                                            \
-	do {                                                           \
-		int64_t end_ms = mono_ms() + AWAIT_MS;                 \
-		while (!(condition) && mono_ms() < end_ms)             \
-			event_base_loop((f)->entry.base, EVLOOP_ONCE); \
-		g_assert_true(condition);                              \
-	} while (0)
+#define AWAIT(f, condition) AWAIT_ON_LOOP((f)->entry.base, condition)
 
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
--- a/test/home_test.c
+++ b/test/home_test.c
@@ -118,14 +118,7 @@
 {
 }
 
-/* Runs the event loop until the condition holds. */
-#define AWAIT(f, condition)                                           \
-	do {                                                          \
-		int64_t end_ms = mono_ms() + AWAIT_MS;                \
-		while (!(condition) && mono_ms() < end_ms)            \
-			event_base_loop((f)->node.base, EVLOOP_ONCE); \
-		g_assert_true(condition);                             \
-	} while (0)
+#define AWAIT(f, condition) AWAIT_ON_LOOP((f)->node.base, condition)
 
 /* The worker's record has this incarnation and epoch. */
 static void
--- a/test/proc.h
+++ b/test/proc.h
@@ -10,6 +10,14 @@
 #include "base.h"
 
 #define AWAIT_MS 60000 /* limit of every wait; only a hang reaches it */
+/* Runs an event loop, which has a timer, until the condition holds. */
+#define AWAIT_ON_LOOP(base, condition)                      \
+	do {                                                \
+		int64_t end_ms = mono_ms() + AWAIT_MS;      \
+		while (!(condition) && mono_ms() < end_ms)  \
+			event_base_loop(base, EVLOOP_ONCE); \
+		g_assert_true(condition);                   \
+	} while (0)
 #define POLL_US 20000 /* between two checks of a condition */
 
 struct proc {
