replica: one that formed the cell is taken back after its removal

Seen: the replica that formed the cell is removed while it is down, restarts with its disk and never becomes a member again; one replica less for good.

Cause: it learns the cell's id only from the applied log, so after a restart it has none, and a leader adds no replica without it. Replicas that joined store the id.

Change: with automatic membership the entry was synced by the only voter before others were added, so it is committed; the id is read from the log on disk. Not with initial members, whose entry another leader may replace.

--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -285,12 +285,36 @@
 	return e->type == RAFT_DATA && len == 9 && data[0] == TAG_CELL_ID;
 }
 
-static void
+/* Returns the cell id in the first entry that has one; 0: none has. */
+static uint64_t
 find_cell_entry(struct replica *r, GPtrArray *entries)
 {
 	for (guint i = 0;
-	     !r->has_cell_entry && entries != NULL && i < entries->len; i++)
-		r->has_cell_entry = is_cell_entry(entries->pdata[i]);
+	     !r->has_cell_entry && entries != NULL && i < entries->len; i++) {
+		const struct raft_entry *e = entries->pdata[i];
+
+		r->has_cell_entry = is_cell_entry(e);
+		if (r->has_cell_entry)
+			return get_u64(
+			    (const uint8_t *)g_bytes_get_data(e->data, NULL) +
+			    1);
+	}
+	return 0;
+}
+
+/*
+ * Restores the cell id from the disk. With automatic membership, its entry was
+ * synced by the only voter, so it is committed. Without the id, a replica that
+ * was removed while it was down could not become a member again.
+ */
+static void
+restore_cell_id(struct replica *r)
+{
+	uint64_t logged = find_cell_entry(r, r->image.entries);
+
+	r->cell_id = r->identity.cell_id;
+	if (r->cell_id == 0 && r->initial_members == NULL)
+		r->cell_id = logged;
 }
 
 static void
@@ -423,7 +447,7 @@
 	    out.snapshot != NULL || out.messages_after_sync->len > 0)
 		write_batch(r, &out, out.snapshot);
 	if (!r->has_cell_entry) {
-		find_cell_entry(r, out.entries);
+		(void)find_cell_entry(r, out.entries);
 		if (r->has_cell_entry)
 			replica_report_identity(r);
 	}
@@ -482,8 +506,7 @@
 		replica_free(r);
 		return NULL;
 	}
-	r->cell_id = r->identity.cell_id;
-	find_cell_entry(r, r->image.entries);
+	restore_cell_id(r);
 	if (r->image.truncated_bytes > 0)
 		log_warn("replica",
 		    "truncated a torn tail of %" G_GUINT64_FORMAT
--- a/test/replica_test.c
+++ b/test/replica_test.c
@@ -520,6 +520,21 @@
 	cluster_free(c);
 }
 
+/* Guards against a cell that never takes back the replica that formed it, if
+ * that replica was removed while it was down. */
+static void
+test_founder_removed_and_restarted(void)
+{
+	struct cluster *c = cluster_new(4);
+
+	commit_letter(c, 'a');
+	node_kill(&c->node[0]);
+	AWAIT(c, leader(c) != NULL && stable_member_count(c) == 3);
+	node_start(&c->node[0]);
+	AWAIT(c, stable_member_count(c) == 4 && all_have(c, "a"));
+	cluster_free(c);
+}
+
 /* Kills that many voters and, if learner is set, all learners. */
 static void
 kill_nodes(struct cluster *c, int voters, bool learner)
@@ -650,6 +665,8 @@
 	g_test_add_func("/replica/lost-disk", test_lost_disk);
 	g_test_add_func("/replica/replaced-vms", test_replaced_vms);
 	g_test_add_func("/replica/removed-and-back", test_removed_and_back);
+	g_test_add_func("/replica/founder-removed-and-restarted",
+	    test_founder_removed_and_restarted);
 	g_test_add_func("/replica/quorum-lost", test_quorum_lost);
 	g_test_add_func("/replica/quorum-kept", test_quorum_kept);
 	g_test_add_func("/replica/learner-promoted", test_learner_promoted);
