replica: as many voters are kept as the tolerated losses need

Cause: absent voters were removed down to three whatever faultTolerance says. With four voters left, two lost disks leave no majority. Besides, an absent voter was removed before the replica that takes its place was promoted, so even three voters were two for a moment.

Ruled out: replicas with new disks that are not taken back (no leader was there to take them).

Change: the settings carry faultTolerance. A voter is removed without a replacement only while the others can lose that many disks and keep a majority; if the number isn't known, only when replaced. A replacement is promoted first; if the absent voter returns in between, one is demoted. The replica that formed the cell serves once that many vote.

--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -16,7 +16,6 @@
  * than 2 s in all, and a follower answers within two disk syncs, 20 ms.
  */
 #define REPLICA_TICK_MS 40
-#define BOOTSTRAP_VOTERS 3 /* tolerate the loss of one disk */
 #define BOOTSTRAP_WAIT_MS 4000 /* other replicas would have joined by then */
 #define TRANSFER_RETRY_MS 500 /* between attempts to transfer leadership */
 
@@ -53,14 +52,13 @@
 /*
  * Reports whether committed state may be served. A replica that formed the
  * cell is its only voter at first, so the loss of its disk would lose what is
- * committed. It serves once BOOTSTRAP_VOTERS vote, or if no others have joined
+ * committed. It serves once enough others vote, or if they have not joined
  * within BOOTSTRAP_WAIT_MS.
  */
 static bool
 may_serve(const struct cellnode *n)
 {
-	return !n->bootstrapped ||
-	    replica_voter_count(n->replica) >= BOOTSTRAP_VOTERS ||
+	return !n->bootstrapped || replica_has_enough_voters(n->replica) ||
 	    mono_ms() - n->started_ms > BOOTSTRAP_WAIT_MS;
 }
 
@@ -542,6 +540,7 @@
 		.name = n->name,
 		.data_dir = n->data_dir,
 		.snapshot_entries = n->snapshot_entries,
+		.disk_losses = n->disk_losses,
 		.output_interval_ms = OUTPUT_INTERVAL_MS,
 		.tick_ms = REPLICA_TICK_MS };
 
@@ -680,6 +679,7 @@
 	n->first_start = conf->first_start;
 	n->data_dir = g_strdup(conf->data_dir);
 	n->snapshot_entries = conf->snapshot_entries;
+	n->disk_losses = conf->disk_losses;
 	n->seeds = copy_list(conf->seeds);
 	n->started_ms = mono_ms();
 	n->flow = flow_new();
--- a/lib/cellnode/cellnode.h
+++ b/lib/cellnode/cellnode.h
@@ -20,6 +20,7 @@
 	bool first_start; /* whole system starts with empty disks */
 	char *policy_address; /* of the policy service; NULL: none */
 	uint64_t snapshot_entries; /* applied between snapshots */
+	int disk_losses; /* see struct replica_conf */
 	int64_t grace_ms; /* of a graceful stop; the owner enforces it */
 	struct dispatch_conf dispatch; /* base, flow, registry: ignored */
 };
--- a/lib/cellnode/impl.h
+++ b/lib/cellnode/impl.h
@@ -59,6 +59,7 @@
 	int64_t next_reopen_ms; /* time of the next attempt */
 	char *data_dir;
 	uint64_t snapshot_entries;
+	int disk_losses;
 	bool draining;
 	int64_t next_transfer_ms; /* of leadership, while draining */
 };
--- a/lib/replica/members.c
+++ b/lib/replica/members.c
@@ -11,8 +11,7 @@
  */
 #define REMOVE_ABSENT_MS 5000
 #define REPLACE_ABSENT_MS 1500
-/* Automatic membership keeps at least this many voters. It may remove one of
- * them only if another connected replica can replace it. */
+/* Automatic membership keeps at least this many voters. */
 #define VOTERS_MIN 3
 
 /* Returns the first member with this name and another id, or NULL. */
@@ -46,29 +45,79 @@
 	return r->initial_members == NULL;
 }
 
+/* Returns how many of the voters can lose their disks and leave a majority. */
+static int
+losses_tolerated(int voters)
+{
+	return (voters - 1) / 2;
+}
+
+static bool
+are_enough(const struct replica *r, int voters)
+{
+	return voters >= VOTERS_MIN &&
+	    losses_tolerated(voters) >= r->disk_losses;
+}
+
+bool
+replica_has_enough_voters(const struct replica *r)
+{
+	return are_enough(r, replica_voter_count(r));
+}
+
+/*
+ * Reports whether automatic membership may have one voter less. An absent
+ * voter may come back with its disk, and is needed then if others have lost
+ * theirs meanwhile.
+ */
+static bool
+may_shrink(const struct replica *r, int voters)
+{
+	bool keeps_tolerance = r->disk_losses >= 0 ||
+	    losses_tolerated(voters - 1) == losses_tolerated(voters);
+
+	return are_enough(r, voters - 1) && keeps_tolerance;
+}
+
+/* Summary of which members are connected. */
+struct connectivity {
+	int voters;
+	int connected_voters;
+	int connected_learners;
+	uint64_t absent_voter; /* absent for longest; RAFT_NONE: none */
+	int64_t absent_since_ms; /* of absent_voter */
+	uint64_t expired_learner; /* absent for too long; RAFT_NONE: none */
+};
+
+static bool
+is_absent_for(const struct connectivity *c, int64_t limit_ms, int64_t now)
+{
+	return c->absent_voter != RAFT_NONE &&
+	    now - c->absent_since_ms > limit_ms;
+}
+
 /*
  * Reports whether one more voter improves availability. An even number of
  * voters tolerates no more failures than one fewer, and has no quorum if the
  * network splits it in halves. So the surplus replica stays a learner until a
- * voter is removed.
+ * voter is absent. It is promoted before that voter is removed, so that there
+ * are never fewer voters than before.
  */
 static bool
-needs_voter(const struct replica *r)
+needs_voter(const struct replica *r, const struct connectivity *c, int64_t now)
 {
-	const struct raft_members *m = raft_members(r->raft);
-	int voters = 0;
-	int learners = 0;
-
-	for (int i = 0; i < m->count; i++) {
-		if (!m->member[i].learner)
-			voters++;
-		else if (replica_peer_name(r, m->member[i].id) != NULL)
-			learners++;
-	}
-	return !is_automatic(r) || voters < VOTERS_MIN || voters % 2 == 0 ||
-	    learners > 1;
+	return !is_automatic(r) || !are_enough(r, c->voters) ||
+	    c->voters % 2 == 0 || c->connected_learners > 1 ||
+	    is_absent_for(c, REPLACE_ABSENT_MS, now);
 }
 
+/* Arguments of update_member(). */
+struct member_update {
+	struct replica *replica;
+	const struct connectivity *connectivity;
+	int64_t now; /* ms */
+};
+
 /*
  * A connected replica whose name is a member under another id has lost its
  * disk. It becomes a learner, then the old id is removed, then the learner
@@ -78,7 +127,8 @@
 static void
 update_member(void *arg, const struct peer_info *peer)
 {
-	struct replica *r = arg;
+	const struct member_update *u = arg;
+	struct replica *r = u->replica;
 	const char *name = peer->name;
 	uint64_t id = peer->replica_id;
 	const struct raft_member *member = member_by_id(r, id);
@@ -92,7 +142,8 @@
 		index = raft_propose_member(r->raft, id, true, false);
 	else if (member != NULL && old != NULL && member->learner)
 		index = raft_propose_member(r->raft, old->id, false, true);
-	else if (member != NULL && member->learner && needs_voter(r))
+	else if (member != NULL && member->learner &&
+	    needs_voter(r, u->connectivity, u->now))
 		index = raft_propose_member(r->raft, id, false, false);
 	if (index == 0)
 		return;
@@ -102,21 +153,6 @@
 	replica_schedule_output(r);
 }
 
-/* Summary of which members are connected. */
-struct connectivity {
-	int voters;
-	int connected_voters;
-	uint64_t absent_voter; /* absent for longest; RAFT_NONE: none */
-	int64_t absent_since_ms; /* of absent_voter */
-	uint64_t expired_learner; /* absent for too long; RAFT_NONE: none */
-};
-
-/* Search for a connected replica that is not a voter. */
-struct spare_search {
-	const struct replica *replica;
-	bool found;
-};
-
 /* Returns the time since when a member is absent; 0: it is connected. */
 static int64_t
 absent_since(struct replica *r, uint64_t id, int64_t now)
@@ -135,18 +171,6 @@
 	return now;
 }
 
-static void
-find_spare(void *arg, const struct peer_info *peer)
-{
-	struct spare_search *search = arg;
-	const struct raft_member *m =
-	    member_by_id(search->replica, peer->replica_id);
-
-	search->found |= peer->replica_id != 0 &&
-	    peer->cell_id == search->replica->cell_id &&
-	    (m == NULL || m->learner);
-}
-
 static void
 propose_removal(struct replica *r, uint64_t id, int64_t limit_ms)
 {
@@ -159,27 +183,52 @@
 	replica_schedule_output(r);
 }
 
-/* Removes one member that has been absent for too long. */
+/*
+ * Removes one member that has been absent for too long. An even number of
+ * voters needs a smaller quorum without the absent one, so that one is removed
+ * early.
+ */
 static void
 remove_absent(struct replica *r, const struct connectivity *c, int64_t now)
 {
-	struct spare_search search = { .replica = r };
-	int64_t limit_ms;
+	int64_t limit_ms =
+	    c->voters % 2 == 0 ? REPLACE_ABSENT_MS : REMOVE_ABSENT_MS;
 
 	if (c->expired_learner != RAFT_NONE) {
 		propose_removal(r, c->expired_learner, REMOVE_ABSENT_MS);
 		return;
 	}
-	r->ops->each_peer(r->arg, find_spare, &search);
-	limit_ms = search.found ? REPLACE_ABSENT_MS : REMOVE_ABSENT_MS;
-	if (c->absent_voter == RAFT_NONE ||
-	    now - c->absent_since_ms <= limit_ms ||
-	    c->voters < VOTERS_MIN + (search.found ? 0 : 1) ||
+	if (!is_absent_for(c, limit_ms, now) || !may_shrink(r, c->voters) ||
 	    c->connected_voters <= (c->voters - 1) / 2)
 		return;
 	propose_removal(r, c->absent_voter, limit_ms);
 }
 
+/*
+ * Makes the surplus voter a learner again if the absent one that it was to
+ * replace came back before it was removed.
+ */
+static void
+demote_surplus(struct replica *r, const struct connectivity *c)
+{
+	const struct raft_members *m = raft_members(r->raft);
+	int last = m->count - 1;
+
+	if (c->voters % 2 != 0 || !may_shrink(r, c->voters) ||
+	    c->absent_voter != RAFT_NONE || c->connected_learners > 0)
+		return;
+	while (m->member[last].learner ||
+	    m->member[last].id == r->identity.replica_id)
+		last--;
+	if (raft_propose_member(r->raft, m->member[last].id, true, false) == 0)
+		return;
+	log_info("replica",
+	    "demoting voter %016" G_GINT64_MODIFIER
+	    "x to a learner: the number of voters is even",
+	    m->member[last].id);
+	replica_schedule_output(r);
+}
+
 /* Records since when members are absent; runs on followers, too. */
 static struct connectivity
 check_connectivity(struct replica *r, int64_t now)
@@ -193,6 +242,7 @@
 
 		since = absent_since(r, m->member[i].id, now);
 		if (m->member[i].learner) {
+			c.connected_learners += since == 0;
 			if (since != 0 && now - since > REMOVE_ABSENT_MS)
 				c.expired_learner = m->member[i].id;
 			continue;
@@ -214,12 +264,17 @@
 {
 	int64_t now = mono_ms();
 	struct connectivity c = check_connectivity(r, now);
+	struct member_update update = {
+		.replica = r, .connectivity = &c, .now = now
+	};
 
 	if (!replica_leads(r))
 		return;
-	if (is_automatic(r))
+	if (is_automatic(r)) {
 		remove_absent(r, &c, now);
-	r->ops->each_peer(r->arg, update_member, r);
+		demote_surplus(r, &c);
+	}
+	r->ops->each_peer(r->arg, update_member, &update);
 }
 
 /* Looks up a connected replica by id or by name. */
--- a/lib/replica/replica.c
+++ b/lib/replica/replica.c
@@ -482,6 +482,7 @@
 	r->base = conf->base;
 	r->name = g_strdup(conf->name);
 	r->snapshot_entries = conf->snapshot_entries;
+	r->disk_losses = conf->disk_losses;
 	r->output_interval_ms = conf->output_interval_ms;
 	r->tick_ms = conf->tick_ms;
 	if (conf->initial_members != NULL)
--- a/lib/replica/replica.h
+++ b/lib/replica/replica.h
@@ -38,6 +38,10 @@
 	 * automatic membership. The owner calls replica_bootstrap() on one
 	 * replica, and every other connected replica becomes a member. */
 	GPtrArray *initial_members;
+	/* Number of replicas whose disks may be lost during one period of
+	 * failures. Automatic membership keeps enough voters for that. Less
+	 * than 0: not known, voters are only replaced. */
+	int disk_losses;
 };
 
 /* Callbacks to the owner, on the event loop. */
@@ -101,6 +105,9 @@
 uint64_t replica_term(const struct replica *r);
 /* Number of voting members; 0 before this replica belongs to a cell. */
 int replica_voter_count(const struct replica *r);
+/* Reports whether the voters can lose as many disks as they have to tolerate.
+ */
+bool replica_has_enough_voters(const struct replica *r);
 /* Name of the leader; "" if it is not known or not connected. */
 const char *replica_leader_name(const struct replica *r);
 
--- a/lib/replica/replica_impl.h
+++ b/lib/replica/replica_impl.h
@@ -13,6 +13,7 @@
 	int64_t output_interval_ms;
 	int64_t tick_ms;
 	GPtrArray *initial_members; /* char *; NULL: automatic membership */
+	int disk_losses; /* as configured; less than 0: not known */
 	const struct replica_ops *ops;
 	void *arg;
 	struct wal *wal;
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -729,6 +729,7 @@
 	g_assert_cmpfloat(s.node.dispatch.uneven_workers, ==, 1.75);
 	platform_settings_clear(&s);
 	g_assert_false(read_settings(NODE, &s));
+	g_assert_false(read_settings(NODE "peer-ports=1,2\nlost-vms=-1\n", &s));
 	g_assert_false(
 	    read_settings(NODE "peer-ports=1,2\ncallers=here\n", &s));
 	g_assert_false(
@@ -745,6 +746,37 @@
 	    read_settings(NODE "peer-ports=1,2\nfirst-start=7\n", &s));
 }
 
+/* Guards against voters that are given up for losses which the platform did
+ * not state. */
+static void
+test_tolerated_losses(void)
+{
+	static const struct {
+		const char *lines;
+		int disk_losses;
+	} each[] = {
+		{ "lost-vms=2\nlost-data-centers=0\nlost-regions=0\n", 2 },
+		{ "lost-vms=0\n", 0 },
+		{ "lost-vms=1e9\n", 100 },
+		{ "", -1 },
+		{ "lost-vms=\n", -1 },
+		{ "lost-vms={{faultTolerance.machines}}\n", -1 },
+		{ "lost-vms=1\nlost-data-centers=1\n", -1 },
+		{ "lost-vms=1\nlost-regions=1\n", -1 },
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(each); i++) {
+		struct platform_settings s;
+		char *text =
+		    g_strconcat(NODE, "peer-ports=1,2\n", each[i].lines, NULL);
+
+		g_assert_true(read_settings(text, &s));
+		g_assert_cmpint(s.node.disk_losses, ==, each[i].disk_losses);
+		platform_settings_clear(&s);
+		g_free(text);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -770,5 +802,6 @@
 	g_test_add_func("/platform/odd-reports", test_odd_reports);
 	g_test_add_func("/platform/odd-permits", test_odd_permits);
 	g_test_add_func("/platform/settings", test_settings);
+	g_test_add_func("/platform/tolerated-losses", test_tolerated_losses);
 	return g_test_run();
 }
--- a/test/replica_test.c
+++ b/test/replica_test.c
@@ -33,6 +33,7 @@
 
 struct cluster {
 	struct node node[NODES];
+	int disk_losses; /* configured on each node */
 	GQueue in_flight; /* struct delivery */
 };
 
@@ -208,6 +209,7 @@
 		.name = n->name,
 		.data_dir = n->dir,
 		.snapshot_entries = 50,
+		.disk_losses = n->cluster->disk_losses,
 		.output_interval_ms = 2,
 		.tick_ms = TICK_MS };
 	GError *err = NULL;
@@ -352,11 +354,12 @@
 }
 
 static struct cluster *
-cluster_new(int count)
+cluster_new_tolerant(int count, int disk_losses)
 {
 	struct cluster *c = g_new0(struct cluster, 1);
 	char *top = g_dir_make_tmp("replica-test-XXXXXX", NULL);
 
+	c->disk_losses = disk_losses;
 	for (int i = 0; i < NODES; i++) {
 		struct node *n = &c->node[i];
 
@@ -376,6 +379,12 @@
 	return c;
 }
 
+static struct cluster *
+cluster_new(int count)
+{
+	return cluster_new_tolerant(count, 0);
+}
+
 static void
 cluster_free(struct cluster *c)
 {
@@ -654,6 +663,163 @@
 	cluster_free(c);
 }
 
+static void
+run_for(struct cluster *c, int64_t ms)
+{
+	int64_t until = mono_ms() + ms;
+
+	while (mono_ms() < until)
+		run_loop(c);
+}
+
+/* Returns the nth running voter. */
+static struct node *
+nth_voter(struct cluster *c, int nth)
+{
+	for (int i = 0; i < NODES; i++)
+		if (c->node[i].replica != NULL && is_voter(c, &c->node[i]) &&
+		    nth-- == 0)
+			return &c->node[i];
+	g_assert_not_reached();
+}
+
+/* Starts the nodes that are not running and checks that all entries are there
+ * and that more can be committed. */
+static void
+check_recovery(struct cluster *c, const char *state)
+{
+	char *after = g_strconcat(state, "z", NULL);
+
+	for (int i = 0; i < NODES; i++)
+		if (c->node[i].replica == NULL)
+			node_start(&c->node[i]);
+	AWAIT(c, stable_member_count(c) == NODES && all_have(c, state));
+	commit_letter(c, 'z');
+	AWAIT(c, all_have(c, after));
+	g_free(after);
+}
+
+/*
+ * Two of five voters are down for longer than an absent member may stay. Then
+ * two others lose their disks, and all come back.
+ */
+static void
+lose_two_disks_during_outage(int disk_losses, int first, int second)
+{
+	struct cluster *c = cluster_new_tolerant(NODES, disk_losses);
+	struct node *wiped[2];
+
+	commit_letter(c, 'a');
+	AWAIT(c, all_have(c, "a"));
+	kill_nodes(c, 2, false);
+	AWAIT(c, leader(c) != NULL);
+	run_for(c, 8000);
+	commit_letter(c, 'b');
+	AWAIT(c, all_have(c, "ab"));
+	wiped[0] = nth_voter(c, first);
+	wiped[1] = nth_voter(c, second);
+	node_wipe(wiped[0]);
+	node_wipe(wiped[1]);
+	check_recovery(c, "ab");
+	cluster_free(c);
+}
+
+/* Guards against a cell that removes absent voters until those that are left
+ * can't lose the disks that it has to tolerate, so that it never has a leader
+ * again (review/7). */
+static void
+test_two_disks_during_outage(void)
+{
+	lose_two_disks_during_outage(2, 0, 1);
+	lose_two_disks_during_outage(2, 1, 3);
+	lose_two_disks_during_outage(2, 2, 3);
+}
+
+/* The same where the number of losses is not known. */
+static void
+test_unknown_losses_during_outage(void)
+{
+	lose_two_disks_during_outage(-1, 0, 3);
+}
+
+/* The same when one disk is lost before the outage and one during it. */
+static void
+test_outage_during_disk_losses(void)
+{
+	struct cluster *c = cluster_new_tolerant(NODES, 2);
+	struct node *down;
+	struct node *wiped;
+
+	commit_letter(c, 'a');
+	AWAIT(c, all_have(c, "a"));
+	node_wipe(nth_voter(c, 1));
+	AWAIT(c, leader(c) != NULL);
+	kill_nodes(c, 1, false);
+	AWAIT(c, leader(c) != NULL);
+	commit_letter(c, 'b');
+	AWAIT(c, all_have(c, "ab"));
+	run_for(c, 8000);
+	AWAIT(c, leader(c) != NULL);
+	down = nth_voter(c, 0);
+	wiped = nth_voter(c, 1);
+	node_kill(down);
+	node_wipe(wiped);
+	run_for(c, 2000);
+	check_recovery(c, "ab");
+	cluster_free(c);
+}
+
+static int
+voter_count(struct cluster *c)
+{
+	int count = 0;
+
+	for (int i = 0; i < NODES; i++)
+		if (c->node[i].replica != NULL)
+			count = replica_voter_count(c->node[i].replica);
+	return count;
+}
+
+/* Guards against a cell of three voters that has two for a moment while
+ * another replica takes the place of an absent one: the loss of a disk then
+ * would leave no majority. */
+static void
+test_replaced_before_removed(void)
+{
+	struct cluster *c = cluster_new_tolerant(4, 1);
+	struct node *n;
+	int least = 3;
+
+	commit_letter(c, 'a');
+	AWAIT(c, all_have(c, "a"));
+	n = nth_voter(c, leader(c) == nth_voter(c, 0) ? 1 : 0);
+	n->isolated = true;
+	AWAIT(c,
+	    (least = MIN(least, voter_count(c))) < 3 ||
+		stable_member_count(c) == 3);
+	g_assert_cmpint(least, ==, 3);
+	cluster_free(c);
+}
+
+/* Guards against a cell that stays with an even number of voters, which a
+ * split in halves stops, when the absent voter returns before it is removed. */
+static void
+test_returns_before_removal(void)
+{
+	struct cluster *c = cluster_new_tolerant(NODES, 2);
+	struct node *n;
+
+	commit_letter(c, 'a');
+	n = nth_voter(c, leader(c) == nth_voter(c, 0) ? 1 : 0);
+	n->isolated = true;
+	AWAIT(c, leader(c) != NULL && voter_count(c) == 6);
+	n->isolated = false;
+	AWAIT(c, stable_member_count(c) == NODES && voter_count(c) == 5);
+	commit_letter(c, 'b');
+	AWAIT(c, all_have(c, "ab"));
+	cluster_free(c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -672,5 +838,15 @@
 	g_test_add_func("/replica/learner-promoted", test_learner_promoted);
 	g_test_add_func(
 	    "/replica/deposed-leader-proposals", test_deposed_leader_proposals);
+	g_test_add_func(
+	    "/replica/two-disks-during-outage", test_two_disks_during_outage);
+	g_test_add_func("/replica/unknown-losses-during-outage",
+	    test_unknown_losses_during_outage);
+	g_test_add_func("/replica/outage-during-disk-losses",
+	    test_outage_during_disk_losses);
+	g_test_add_func(
+	    "/replica/replaced-before-removed", test_replaced_before_removed);
+	g_test_add_func(
+	    "/replica/returns-before-removal", test_returns_before_removal);
 	return g_test_run();
 }
