dispatch: isolated runs keep at most a quarter of a pool from others

Six accepted jobs wait for 30 s with 16 of 256 cores in use.

Cause: a run under which two workers have crashed is isolated for 30 s, each on its own; nothing bounds how many workers that takes from others, and only suspects may give up their separation.

Ruled out: exclusion of the workers (explain says apart), jobs held back as suspects (they have never run).

Change: in each round isolated runs keep their workers up to a quarter of the pool's capacity, the latest starts first; any step that waits joins isolated runs after 1.5 s, a gang too, also when runs are preempted for it. Logged as event=isolation-limited.

--- a/lib/dispatch/explain.c
+++ b/lib/dispatch/explain.c
@@ -262,7 +262,7 @@
 static enum reason
 reason_of(const struct step_view *v, struct holder *h)
 {
-	const struct apartness apart = { .from = SEPARATE_ISOLATED };
+	const struct apartness apart = { .from = apart_least(&v->x->rd, v->p) };
 	const struct flow_worker *w = flow_worker(v->x->d.conf.flow, h->id);
 	enum holder_state state = holder_state(h, v->x->rd.now);
 	enum candidate_obstacle obstacle = w == NULL
@@ -540,7 +540,7 @@
 	if (v.trial.tasks == 0)
 		return; /* all of them run, or are about to */
 	v.allowed = candidates_allowed(
-	    &x->rd, p, (struct apartness){ .from = SEPARATE_ISOLATED });
+	    &x->rd, p, (struct apartness){ .from = apart_least(&x->rd, p) });
 	count_reasons(&v);
 	v.stops = count_stops(&v);
 	estimate_times(&v);
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -180,8 +180,8 @@
 	uint32_t ahead; /* how often it was queried for before it was ready */
 	int64_t preempt_retry_ms; /* no search for runs to preempt before */
 	bool share_wait_logged; /* that it waits for its share */
-	int64_t apart_until_ms; /* how long suspected tasks wait for workers
-				   apart from others; 0: they don't */
+	int64_t apart_since_ms; /* when tasks began to wait for workers apart
+				   from other runs; 0: they don't */
 	int64_t aged_ms; /* cell time at which it last went first, or 0 */
 	bool cap_wait_logged; /* that it waits for the cap */
 	bool fast_wait_logged; /* that it waits for fast workers */
@@ -309,6 +309,7 @@
 	int64_t rounds_us; /* time that these took */
 	int64_t removed_ms; /* when old job records were last removed */
 	int64_t load_logged_ms;
+	guint shared_workers; /* that isolated runs share, as logged */
 	uint64_t last_round; /* number of the last placement round */
 	struct resources available; /* capacity of its workers ... */
 	double weights; /* ... and of the organisations that had work then */
@@ -492,6 +493,7 @@
 	struct plan_worker plan; /* first: lib/plan gets a pointer to it */
 	struct holder *holder;
 	const struct flow_worker *worker;
+	bool shared; /* isolated runs there are not kept from others */
 	GArray *preemptible; /* struct preemptible; NULL: not computed yet */
 };
 
@@ -514,6 +516,7 @@
 	GArray *ahead; /* struct pending_step: those found */
 	GArray *starts; /* struct flow_start */
 	struct resources largest_free; /* per resource, over all workers */
+	bool isolating; /* isolated runs keep others from some workers */
 	GArray *fast; /* struct fast_workers, if learnt speeds are in effect */
 	uint64_t serial; /* of the next pending step */
 	uint64_t number; /* of this round */
@@ -546,6 +549,7 @@
  * innocent runs lost, if suspects don't meet again.
  */
 enum separation {
+	SEPARATE_NONE,
 	SEPARATE_ISOLATED, /* from isolated runs */
 	SEPARATE_SUSPECTS, /* from all suspected runs */
 	SEPARATE_ALL /* from all runs */
@@ -561,6 +565,9 @@
 /* apart.c */
 /* The separation that is tried first for a task. */
 enum separation apart_wanted(const struct flow_task *task);
+/* Limits in a round how much of each pool is kept from others by isolated runs.
+ */
+void apart_limit_isolation(struct round *rd);
 /* Says whether a worker and its runs allow one of the job there. */
 bool apart_allows(
     const struct holder *h, uint64_t job, struct apartness apart, int64_t now);
@@ -569,11 +576,14 @@
 bool apart_holds_back(const struct round *rd, const struct flow_step *step,
     const struct flow_task *task);
 /* Says whether a step may be placed with less separation than wanted, as it
- * has waited long enough. */
-bool apart_may_relax(
-    struct round *rd, const struct pending_step *p, enum separation wanted);
+ * has waited long enough for that. */
+bool apart_may_relax(struct round *rd, const struct pending_step *p,
+    enum separation wanted, enum separation less);
+/* The least separation that a step may be placed with now. */
+enum separation
+apart_least(const struct round *rd, const struct pending_step *p);
 /* Ends that waiting time. */
-void apart_stop_waiting(struct round *rd, const struct pending_step *p);
+void apart_stop_waiting(const struct round *rd, const struct pending_step *p);
 
 /* retries.c */
 /* Records that a run of a long-running task has ended by itself. Returns how
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -114,17 +114,19 @@
     struct plan_request *request, enum separation wanted,
     const struct step_permits *permits)
 {
-	bool suspects = wanted != SEPARATE_ISOLATED;
+	enum separation least =
+	    rd->isolating ? SEPARATE_NONE : SEPARATE_ISOLATED;
+	bool suspects = wanted > SEPARATE_ISOLATED;
 	bool failed = retry_has_failed(rd, p);
-	bool waited = request->count > 0 && suspects;
+	uint32_t count = request->count;
 
-	for (int s = wanted; s >= SEPARATE_ISOLATED && request->count > 0;
-	     s--) {
+	for (int s = wanted; s >= (int)least && request->count > 0; s--) {
 		struct apartness apart = { .from = (enum separation)s,
 			.avoid_restarted = suspects,
 			.avoid_failed = failed };
 
-		if (s != (int)wanted && !apart_may_relax(rd, p, wanted))
+		if (s != (int)wanted &&
+		    !apart_may_relax(rd, p, wanted, (enum separation)s))
 			break;
 		if (suspects || failed)
 			place_apart(rd, p, request, wanted, apart, permits);
@@ -132,7 +134,7 @@
 		if (request->count > 0)
 			place_apart(rd, p, request, wanted, apart, permits);
 	}
-	if (waited && request->count == 0)
+	if (count > 0 && request->count == 0)
 		apart_stop_waiting(rd, p);
 	return request->count;
 }
@@ -162,7 +164,7 @@
 	if (!query && !preempt)
 		return;
 	workers = candidates_allowed(
-	    rd, p, (struct apartness){ .from = SEPARATE_ISOLATED });
+	    rd, p, (struct apartness){ .from = apart_least(rd, p) });
 	plan_sort_by_speed(
 	    (struct plan_worker **)workers->pdata, workers->len, request);
 	if (query) {
--- a/lib/dispatch/round.c
+++ b/lib/dispatch/round.c
@@ -144,6 +144,7 @@
 round_collect(struct round *rd)
 {
 	candidates_collect(rd);
+	apart_limit_isolation(rd);
 	find_largest_free(rd);
 	speeds_begin_round(rd);
 	organisations_prepare(rd);
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -12,7 +12,7 @@
     service-worker-lost service-awaits-short-tasks service-takeover
     earlier-incarnation state-delayed deadly-task deadly-task-late
     deadly-task-long-outage deadly-task-takeover deadly-gang deadly-gangs
-    deadly-crowd unreachable-worker silent-worker-no-crash
+    deadly-crowd isolation-bounded isolation-gang unreachable-worker silent-worker-no-crash
     capacity-shrinks-before-order capacity-shrinks-before-resend
     capacity-shrinks-takeover capacity-late-heartbeat
     capacity-shrinks-below-use best-effort-cores restart-before-order
--- a/test/dispatch_crash.c
+++ b/test/dispatch_crash.c
@@ -381,6 +381,92 @@
 	leader_free(l);
 }
 
+/* A step that could start may have nothing running for this time. */
+#define START_LIMIT_MS 3000
+
+/* Says whether so many workers have crashed under the tasks of the first deadly
+ * job and all of its tasks run. */
+static bool
+is_running_after(const struct fleet *f, uint32_t crashed)
+{
+	uint32_t sum = 0;
+
+	for (int i = 0; i < f->count; i++) {
+		struct flow_run id = { DEADLY, 0, 0, (uint32_t)i, 0 };
+		const struct flow_task *task = flow_task(f->l->flow, &id, NULL);
+
+		if (task == NULL || f->worker[i]->running->len != 1)
+			return false;
+		sum += flow_task_suspicion(task);
+	}
+	return sum == crashed;
+}
+
+/* Has each worker run a long-running task under which two workers have crashed,
+ * so that each of these runs is isolated. */
+static void
+isolate_all(struct fleet *f)
+{
+	for (int i = 0; i < f->count; i++)
+		f->worker[i]->is_deadly = NULL;
+	leader_submit_step(f->l, DEADLY_PATH,
+	    (struct flow_step){ .count = (uint32_t)f->count,
+		.resources = { 500, 1 << 20, 0 },
+		.max_per_worker = 1,
+		.long_running = true });
+	for (int i = 0; i < 2 * f->count; i++) {
+		FLEET_AWAIT(f, is_running_after(f, (uint32_t)i));
+		stub_worker_crash(f->worker[i % f->count]);
+	}
+	FLEET_AWAIT(f, is_running_after(f, 2 * (uint32_t)f->count));
+	fleet_run_for(f, 2 * HEARTBEAT_MS);
+}
+
+/* Guards against isolated runs that keep jobs from all workers for as long as
+ * they are isolated (review/8): they keep a quarter, the one whose run has
+ * started last. */
+static void
+test_isolation_bounded(void)
+{
+	struct fleet f = fleet_new(4, 200);
+	int64_t submitted_ms;
+
+	isolate_all(&f);
+	for (int i = 0; i < f.count; i++)
+		f.worker[i]->starts = 0;
+	submitted_ms = mono_ms();
+	for (int i = 0; i < 6; i++)
+		submit_innocent(&f);
+	await_innocents(&f);
+	g_assert_cmpint(mono_ms() - submitted_ms, <, START_LIMIT_MS);
+	g_assert_cmpint(f.worker[f.count - 1]->starts, ==, 0);
+	fleet_free(&f);
+}
+
+/* Guards against a gang that needs every worker and waits for as long as one of
+ * them has an isolated run. */
+static void
+test_isolation_gang(void)
+{
+	struct fleet f = fleet_new(4, 200);
+	const struct flow_job *job;
+	int64_t submitted_ms;
+
+	isolate_all(&f);
+	submitted_ms = mono_ms();
+	leader_submit_step(f.l, JOB_PATH,
+	    (struct flow_step){ .count = 4,
+		.resources = { 3000, 1 << 20, 0 },
+		.runtime_ms = 300,
+		.gang = true });
+	job = flow_job(f.l->flow, JOB);
+	FLEET_AWAIT(&f, job->state != FLOW_QUEUED);
+	g_assert_cmpint(mono_ms() - submitted_ms, <, START_LIMIT_MS);
+	FLEET_AWAIT(&f, flow_job_ended(job));
+	g_assert_cmpint(job->state, ==, FLOW_COMPLETED);
+	fleet_free(&f);
+}
+
 void
 crash_tests_add(void)
 {
@@ -393,6 +479,8 @@
 	g_test_add_func("/dispatch/deadly-gang", test_deadly_gang);
 	g_test_add_func("/dispatch/deadly-gangs", test_deadly_gangs);
 	g_test_add_func("/dispatch/deadly-crowd", test_deadly_crowd);
+	g_test_add_func("/dispatch/isolation-bounded", test_isolation_bounded);
+	g_test_add_func("/dispatch/isolation-gang", test_isolation_gang);
 	g_test_add_func(
 	    "/dispatch/unreachable-worker", test_unreachable_worker);
 	g_test_add_func(
