plan: a worker's failure score is capped

Seen: by reading. A worker that has failed many runs at once gets one task at a time and no gang for half a minute after its last failure.

Cause: the score adds 1 for each failure without a limit and decays exponentially, so the time grows with the number of failures.

Change: at most 3, which failed probes reach anyway; trusted again 9.7 s after the last failure at the latest.

Evidence: /plan/failing-many-at-once fails on the code before, 1 of 1, and holds.

--- a/lib/plan/failures.c
+++ b/lib/plan/failures.c
@@ -13,6 +13,9 @@
 #define PROBE_SCORE 0.6
 /* Exceeded by two failures with no success between them. */
 #define EXCLUDE_SCORE 1.8
+/* Reached by failed probes one after the other. A worker that fails many runs
+ * at once is probed no longer than that, under 10 s after its last failure. */
+#define SCORE_MAX 3
 /* The back-off doubles with each failed probe. Its limit keeps a step from
  * waiting 3 s while a worker has free resources. */
 #define BACKOFF_MIN_MS 1000
@@ -38,7 +41,7 @@
 	}
 	if (weight <= 0)
 		return;
-	r->score += weight;
+	r->score = MIN(r->score + weight, SCORE_MAX);
 	if (r->score < EXCLUDE_SCORE || now_ms < r->excluded_until_ms)
 		return;
 	r->backoff_ms =
--- a/test/plan_test.c
+++ b/test/plan_test.c
@@ -1085,6 +1085,20 @@
 	g_assert_cmpuint(plan_fit_count(&worker, &request), ==, 6);
 }
 
+/* Guards against a worker that is probed for half a minute, and gets no gang
+ * for that time, as it has failed many runs at once. */
+static void
+test_failing_many_at_once(void)
+{
+	struct plan_failure_record record = { 0 };
+
+	for (int i = 0; i < 100; i++)
+		plan_failure_update(&record, false, 1, 1000);
+	g_assert_cmpint(plan_failure_state(&record, 1000), ==, PLAN_EXCLUDED);
+	g_assert_cmpint(plan_failure_state(&record, 4000), ==, PLAN_PROBING);
+	g_assert_cmpint(plan_failure_state(&record, 11000), ==, PLAN_HEALTHY);
+}
+
 /* A failure of a task that failed before counts less: it may be the task. */
 static void
 test_failing_job(void)
@@ -1532,6 +1546,8 @@
 	g_test_add_func("/plan/query-mix", test_query_mix);
 	g_test_add_func("/plan/allowed-fraction", test_allowed_fraction);
 	g_test_add_func("/plan/failing-worker", test_failing_worker);
+	g_test_add_func(
+	    "/plan/failing-many-at-once", test_failing_many_at_once);
 	g_test_add_func("/plan/failing-job", test_failing_job);
 	g_test_add_func("/plan/estimate", test_estimate);
 	g_test_add_func("/plan/tight-goes-fast", test_tight_goes_fast);
