--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -381,6 +381,22 @@
 bool holder_available(const struct holder *h, int64_t now);
 /* Returns how many tasks the worker may get now, whatever its resources. */
 uint32_t holder_task_limit(const struct holder *h, int64_t now);
+/*
+ * Returns a new connection. Calls name the worker, not its incarnation: on each
+ * connection the right one has to answer a greeting before orders, leases or
+ * acknowledgements are sent.
+ */
+struct http_peer *holder_connect(struct holder *h);
+/* Returns the connection that has the fewest orders in flight. */
+struct http_peer *holder_order_connection(struct holder *h);
+/* Says whether a report is one of this incarnation. If another one listens at
+ * its address, it is over. One that doesn't say of which it is says nothing. */
+bool holder_is_own_report(struct holder *h, const struct agent_report *report);
+/* Handles results that concern the worker rather than the order: a higher
+ * fence or another incarnation. Returns false for all other results. */
+bool holder_handle_result(struct holder *h, enum agent_result result);
+
+/* leases.c */
 /*
  * Returns and records the end, on the worker's clock, of a lease that is sent
  * now; 0: none can be granted. If the last poll failed the lease is not
@@ -388,13 +404,15 @@
  */
 int64_t holder_extend_lease(struct holder *h, int64_t now);
 void holder_set_clock(struct holder *h, int64_t clock_ms, int64_t now);
-/* Returns the connection that has the fewest orders in flight. */
-struct http_peer *holder_order_connection(struct holder *h);
+/* Returns the time, on our clock, at which all leases of this incarnation have
+ * certainly expired. */
+int64_t holder_leases_end_ms(const struct holder *h);
+/* The longest time on our clock that a span on a worker's clock can take. */
+int64_t lease_longest_ms(int64_t ms);
+
+/* polls.c */
 /* Sends the next poll if it is due and none is in flight. */
 void holder_poll(struct holder *h, int64_t now);
-/* Handles results that concern the worker rather than the order: a higher
- * fence or another incarnation. Returns false for all other results. */
-bool holder_handle_result(struct holder *h, enum agent_result result);
 
 /* speeds.c */
 struct round;
