dispatch: a call may reach the next incarnation of a worker

Cause: a call names the worker, not its incarnation.

Change: a run whose start order got no answer when its worker's incarnation ended is first stopped at the next one, and ends when a later report doesn't list it there; an end reported there counts. For 12 s after an incarnation, the next one counts as having the longest lease. An answer with a clock that can't be the worker's counts as none. Acknowledgements are sent until they are known to have arrived, not with every poll.

Open: an acknowledgement that is carried over, an order that is carried over after the longest lease.

The soak restarts workers under their names, cuts them off, and its proxy carries calls over; clocks of stand-ins start anew.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -410,6 +410,8 @@
 	d->context_sent_ms = 0;
 	d->holders = g_hash_table_new_full(NULL, NULL, NULL, holder_free);
 	d->addresses = g_hash_table_new(g_str_hash, g_str_equal);
+	d->carried =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->runs = g_hash_table_new(run_hash, run_equal);
 	d->organisations = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, organisation_free);
@@ -453,6 +455,7 @@
 	g_clear_pointer(&d->proposals, g_hash_table_unref);
 	/* Before the holders, which would look for the next at each address. */
 	g_clear_pointer(&d->addresses, g_hash_table_unref);
+	g_clear_pointer(&d->carried, g_hash_table_unref);
 	g_clear_pointer(&d->holders, g_hash_table_unref);
 	g_clear_pointer(&d->runs, g_hash_table_unref);
 	g_clear_pointer(&d->organisations, g_hash_table_unref);
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -8,6 +8,8 @@
  * end. */
 #define EVACUATE_MS 700
 #define REMOVE_AFTER_MS 8000 /* after the last heartbeat, without a lease */
+/* Calls for an incarnation that is over may reach the next one for so long. */
+#define CARRIED_MAX_MS 12000
 
 struct holder *
 holder_find(const struct dispatch *d, uint32_t id)
@@ -93,8 +95,10 @@
 {
 	if (report->started_ms == h->started_ms)
 		return true;
-	if (report->started_ms != 0)
+	if (report->started_ms != 0) {
+		h->succeeded = true;
 		holder_declare_dead(h, "another incarnation answers");
+	}
 	return false;
 }
 
@@ -185,15 +189,30 @@
 	flow_each_worker(d->conf.flow, load_holder, d);
 }
 
-/* Asks a worker at once, on a new connection, whether it is still there. */
-static void
-check_presence(struct holder *h)
+void
+holder_check_presence(struct holder *h)
 {
 	http_peer_free(g_steal_pointer(&h->poll_peer));
 	h->poll_due_ms = 0;
 	holder_poll(h, mono_ms());
 }
 
+/* Notes until when calls for an incarnation that is over may be carried. */
+static void
+note_over(const struct holder *h)
+{
+	int64_t *until_ms = g_new(int64_t, 1);
+
+	*until_ms = mono_ms() + CARRIED_MAX_MS;
+	g_hash_table_replace(h->d->carried, g_strdup(h->name), until_ms);
+}
+
+static gboolean
+is_past(gpointer key, gpointer until_ms, gpointer now)
+{
+	return *(const int64_t *)until_ms < *(const int64_t *)now;
+}
+
 /*
  * Only the latest incarnation with a name can be running. Another name at the
  * address may be a false claim: who is there is asked, and the earlier one is
@@ -223,7 +242,7 @@
 			holder_declare_dead(
 			    h, "a later incarnation has its name");
 		else if (!h->dead)
-			check_presence(h);
+			holder_check_presence(h);
 	}
 	return crashed;
 }
@@ -234,8 +253,11 @@
 	struct dispatch *d = arg;
 	const struct flow_worker *w = flow_worker(d->conf.flow, worker);
 	struct holder *h = holder_find(d, worker);
+	const int64_t *carried;
 
 	if (w == NULL) {
+		if (h != NULL)
+			note_over(h);
 		while (h != NULL && h->runs->len > 0)
 			run_remove(h->runs->pdata[h->runs->len - 1]);
 		g_hash_table_remove(d->holders, GUINT_TO_POINTER(worker));
@@ -253,6 +275,9 @@
 		h->draining_ms = mono_ms();
 	if (end_older_incarnations(d, w))
 		h->restarted_ms = mono_ms();
+	carried = g_hash_table_lookup(d->carried, h->name);
+	if (!h->polled && carried != NULL)
+		h->carried_until_ms = *carried;
 	dispatch_schedule_round(d);
 }
 
@@ -302,7 +327,8 @@
 			.outcome = run_lost_outcome(r),
 			.checkpoint = r->checkpoint };
 
-		if (r->state == RUN_ENDING || r->state == RUN_PROPOSED)
+		if (r->state == RUN_ENDING || r->state == RUN_PROPOSED ||
+		    successor_may_run(r, mono_ms()))
 			continue;
 		h->d->meter.lost->value++;
 		log_warn("dispatch",
@@ -346,6 +372,8 @@
 		    h->name, h->id, h->address, why, h->lost_runs, h->polling,
 		    orders_outstanding(h));
 		h->dead = true;
+		h->dead_ms = mono_ms();
+		note_over(h);
 		close_connections(h);
 	}
 	(void)end_all_runs(h, why);
@@ -501,6 +529,7 @@
 {
 	GList *all = g_hash_table_get_values(d->holders);
 
+	g_hash_table_foreach_remove(d->carried, is_past, &now);
 	for (GList *i = all; i != NULL; i = i->next)
 		scan_holder(i->data, now);
 	g_list_free(all);
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -49,6 +49,11 @@
 	bool stopping; /* it has to be stopped */
 	bool order_pending; /* an order about it is in flight */
 	bool may_start; /* a start order that got no answer may take effect */
+	/* The incarnation after that of its worker where it was stopped, and
+	 * when that was accepted; 0: not yet. See successors.c. */
+	uint32_t stopped_at;
+	int64_t stopped_at_ms;
+	int64_t stray_ms; /* when another worker last reported it as running */
 	int64_t accepted_ms; /* when the worker was last known to have it */
 	int64_t resend_ms; /* when to send its order again; 0: none to send */
 	int tries;
@@ -107,16 +112,22 @@
 	struct http_peer *order_peer[ORDER_CONNECTIONS];
 	bool polling; /* a poll is in flight */
 	int64_t poll_sent_ms;
+	int64_t reported_ms; /* when the last poll with a report was sent */
 	int64_t poll_due_ms;
 	int64_t clock_ms; /* the worker's clock in its last answer ... */
 	int64_t clock_at_ms; /* ... and when that came, on our clock */
 	int64_t lease_until_ms; /* on the worker's clock; 0: none granted */
 	int64_t prior_lease_ms; /* end of leases that earlier leaders granted */
+	/* Until then it may get leases that were granted to the incarnation
+	 * before; 0: there was none. */
+	int64_t carried_until_ms;
+	int64_t dead_ms; /* when its end became known */
 	bool polled; /* has answered a poll in this term */
 	bool poll_failed; /* did not answer the last poll */
 	bool unreachable; /* an order could not be sent since its last answer */
 	bool deregistered; /* has left, or an earlier incarnation has */
 	bool dead; /* this incarnation is over */
+	bool succeeded; /* another incarnation has answered in its place */
 	/* Of all calls to it: they name the worker, not the incarnation. */
 	const char *headers[3];
 	struct http_greeting greeting; /* tells the incarnation */
@@ -124,7 +135,9 @@
 	bool removing; /* its removal is proposed */
 	bool lease_expired; /* it certainly runs nothing any more */
 	uint32_t lost_runs; /* with that lease */
-	uint64_t acked; /* ended runs up to this number are durable */
+	uint64_t acked; /* ended runs up to this number are durable ... */
+	uint64_t acked_sent; /* ... as the last poll says ... */
+	uint64_t acked_known; /* ... and as the worker knows */
 	uint64_t proposed_end; /* ended runs up to this number are proposed */
 	bool ends_pending; /* that proposal isn't applied yet */
 	bool slow; /* by its learnt speed, as logged */
@@ -271,6 +284,9 @@
 	int64_t lead_ms; /* when leadership began */
 	GHashTable *holders; /* worker id to struct holder */
 	GHashTable *addresses; /* to the struct holder started last there */
+	/* Name of a worker to int64_t time until which a call for an
+	 * incarnation that is over may reach the next one. */
+	GHashTable *carried;
 	GHashTable *runs; /* set of struct active_run, by task */
 	GHashTable *organisations; /* name to struct organisation */
 	/* Until then shares decide the order. */
@@ -342,9 +358,13 @@
 void run_remove(struct active_run *r);
 void run_start(struct active_run *r); /* sends the start order */
 void run_stop(struct active_run *r); /* sends a stop order */
+/* Sets when to send the next order about a run, later after each try. */
+void run_schedule_resend(struct active_run *r);
 /* Records that a worker has accepted a run: REQUEST_COUNT no longer counts its
  * job as waiting. */
 void run_mark_started(struct dispatch *d, const struct flow_run *id);
+/* Sends a stop order for a run of another, earlier incarnation. */
+void run_stop_at(struct active_run *r, struct holder *successor);
 /* Stops a run on a worker that the replicated state doesn't assign to it. */
 void run_stop_unassigned(struct holder *h, const struct flow_run *id);
 /* How a run ends that is lost with its worker. */
@@ -366,6 +386,8 @@
 void holders_scan(struct dispatch *d, int64_t now);
 /* Marks the incarnation as over and proposes the end of its runs. */
 void holder_declare_dead(struct holder *h, const char *why);
+/* Asks a worker at once, on a new connection, whether it is still there. */
+void holder_check_presence(struct holder *h);
 /* Returns the worker that started last at the address, or NULL. */
 struct holder *holder_latest_at(const struct dispatch *d, const char *address);
 /* Whether a worker may get new work. */
@@ -396,7 +418,20 @@
  * fence or another incarnation. Returns false for all other results. */
 bool holder_handle_result(struct holder *h, enum agent_result result);
 
+/* successors.c */
+/* Says whether a run of an incarnation that is over may start, or be running,
+ * at the next one; has it stopped there. */
+bool successor_may_run(struct active_run *r, int64_t now);
+/* Handles the answer of an incarnation to a stop order for a run of an earlier
+ * one. successor: NULL if its record has been removed. */
+void successor_answered(
+    struct active_run *r, struct holder *successor, enum agent_result result);
+/* Says whether h is a later incarnation of a worker that is over. */
+bool holder_succeeds(const struct holder *h, const struct holder *over);
+
 /* leases.c */
+/* Says whether an answer with this clock can be one of the incarnation. */
+bool holder_is_own_clock(const struct holder *h, int64_t clock_ms, int64_t now);
 /*
  * Returns and records the end, on the worker's clock, of a lease that is sent
  * now; 0: none can be granted. If the last poll failed the lease is not
--- a/lib/dispatch/polls.c
+++ b/lib/dispatch/polls.c
@@ -150,8 +150,9 @@
 		struct flow_end end = { .id = e->id,
 			.outcome = end_outcome(e->outcome) };
 		struct active_run *r = run_find(d, &e->id);
-		bool assigned =
-		    r != NULL && r->holder == h && r->id.number == e->id.number;
+		/* An order for an earlier incarnation may have started it. */
+		bool assigned = r != NULL && r->id.number == e->id.number &&
+		    (r->holder == h || holder_succeeds(h, r->holder));
 
 		if (!is_plausible(h, e)) {
 			poll_later(h, now);
@@ -204,6 +205,8 @@
 		if (r == NULL || r->holder != h ||
 		    r->id.number != a->id.number) {
 			h->has_strays = true;
+			if (r != NULL && r->id.number == a->id.number)
+				r->stray_ms = now;
 			if (++strays <= STRAYS_STOPPED_MAX)
 				run_stop_unassigned(h, &a->id);
 			continue;
@@ -276,6 +279,8 @@
 	if (first || h->lease_expired)
 		note_back(h);
 	h->polled = true;
+	h->reported_ms = h->poll_sent_ms;
+	h->acked_known = MAX(h->acked_known, h->acked_sent);
 	h->poll_failed = false;
 	h->unreachable = false;
 	h->lease_expired = false;
@@ -370,7 +375,7 @@
 holder_poll(struct holder *h, int64_t now)
 {
 	struct dispatch *d = h->d;
-	struct agent_poll poll = { .fence = d->term, .acked = h->acked };
+	struct agent_poll poll = { .fence = d->term };
 	struct pending_poll *pending;
 	char *body;
 
@@ -383,6 +388,11 @@
 		poll.lease_until_ms = holder_extend_lease(h, now);
 		poll.wait_ms = h->runs->len > 0 ? POLL_BUSY_MS : POLL_IDLE_MS;
 	}
+	/* Only as often as needed: if the poll is carried over to the next
+	 * incarnation, that one forgets ends of its own. */
+	if (h->acked > h->acked_known)
+		poll.acked = h->acked;
+	h->acked_sent = poll.acked;
 	pending = g_new0(struct pending_poll, 1);
 	*pending =
 	    (struct pending_poll){ .d = d, .term = d->term, .worker = h->id };
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -103,7 +103,8 @@
 struct order {
 	struct dispatch *d;
 	uint64_t term;
-	uint32_t worker;
+	uint32_t worker; /* that the run is assigned to */
+	uint32_t to; /* that the order goes to */
 	struct flow_run id;
 	bool stop;
 	bool unassigned;
@@ -124,8 +125,8 @@
 	return r;
 }
 
-static void
-schedule_resend(struct active_run *r)
+void
+run_schedule_resend(struct active_run *r)
 {
 	int64_t wait_ms =
 	    MIN((int64_t)RESEND_MIN_MS << MIN(r->tries, 5), RESEND_MAX_MS);
@@ -221,13 +222,13 @@
 	case AGENT_UNREACHABLE:
 		r->holder->unreachable = true;
 		if (r->may_start)
-			schedule_resend(r);
+			run_schedule_resend(r);
 		else
 			start_refused(r, result);
 		break;
 	case AGENT_UNKNOWN:
 		r->may_start = true;
-		schedule_resend(r);
+		run_schedule_resend(r);
 		break;
 	default:
 		start_refused(r, result);
@@ -247,8 +248,32 @@
 		r->resend_ms = 0;
 		break;
 	default:
-		schedule_resend(r);
+		run_schedule_resend(r);
+	}
+}
+
+/* Handles an answer of the worker that the run is assigned to. */
+static void
+order_answered(const struct order *o, struct active_run *r,
+    enum agent_result result, int64_t clock_ms)
+{
+	struct holder *h = r->holder;
+	int64_t now = mono_ms();
+
+	if (clock_ms >= 0 && !holder_is_own_clock(h, clock_ms, now)) {
+		log_warn("dispatch",
+		    "event=other-clock run=%s worker=%s id=%u "
+		    "clock_ms=%" G_GINT64_FORMAT " last_ms=%" G_GINT64_FORMAT
+		    " since_ms=%" G_GINT64_FORMAT,
+		    run_name(&o->id), h->name, h->id, clock_ms, h->clock_ms,
+		    now - h->clock_at_ms);
+		holder_check_presence(h);
+		result = AGENT_UNKNOWN;
+	} else if (clock_ms >= 0) {
+		holder_set_clock(h, clock_ms, now);
 	}
+	if (!holder_handle_result(h, result))
+		(o->stop ? stop_answered : start_answered)(r, result);
 }
 
 static void
@@ -266,28 +291,29 @@
 		log_info("dispatch",
 		    "event=order-answer order=%s run=%s worker=%u result=%s "
 		    "status=%d why=\"%s\"",
-		    o->stop ? "stop" : "start", run_name(&o->id), o->worker,
+		    o->stop ? "stop" : "start", run_name(&o->id), o->to,
 		    agent_result_name(result), status, why == NULL ? "" : why);
 	if (r != NULL && !o->unassigned) {
 		r->order_pending = false;
-		if (clock_ms >= 0)
-			holder_set_clock(r->holder, clock_ms, mono_ms());
-		if (!holder_handle_result(r->holder, result))
-			(o->stop ? stop_answered : start_answered)(r, result);
+		if (o->to == o->worker)
+			order_answered(o, r, result, clock_ms);
+		else
+			successor_answered(r, holder_find(o->d, o->to), result);
 	}
 	g_free(o);
 }
 
 static void
-send_order(struct holder *h, const struct flow_run *id, bool stop,
-    bool unassigned, char *body)
+send_order(struct holder *h, const struct flow_run *id, uint32_t assigned,
+    bool stop, bool unassigned, char *body)
 {
 	struct dispatch *d = h->d;
 	struct order *o = g_new0(struct order, 1);
 
 	*o = (struct order){ .d = d,
 		.term = d->term,
-		.worker = h->id,
+		.worker = assigned,
+		.to = h->id,
 		.id = *id,
 		.stop = stop,
 		.unassigned = unassigned };
@@ -367,7 +393,8 @@
 	r->order_pending = true;
 	r->resend_ms = 0;
 	organisation_add_order(r);
-	send_order(h, &r->id, false, false, d->conf.agent->write_start(&order));
+	send_order(
+	    h, &r->id, h->id, false, false, d->conf.agent->write_start(&order));
 }
 
 void
@@ -387,8 +414,21 @@
 	}
 	r->order_pending = true;
 	r->resend_ms = 0;
-	send_order(
-	    h, &r->id, true, false, d->conf.agent->write_stop(&r->id, d->term));
+	send_order(h, &r->id, h->id, true, false,
+	    d->conf.agent->write_stop(&r->id, d->term));
+}
+
+void
+run_stop_at(struct active_run *r, struct holder *successor)
+{
+	struct dispatch *d = successor->d;
+
+	if (!dispatch_may_act(d))
+		return;
+	r->order_pending = true;
+	r->resend_ms = 0;
+	send_order(successor, &r->id, r->holder->id, true, false,
+	    d->conf.agent->write_stop(&r->id, d->term));
 }
 
 void
@@ -400,7 +440,8 @@
 		return;
 	log_warn("dispatch", "event=stop-unassigned run=%s worker=%s",
 	    run_name(id), h->name);
-	send_order(h, id, true, true, d->conf.agent->write_stop(id, d->term));
+	send_order(
+	    h, id, h->id, true, true, d->conf.agent->write_stop(id, d->term));
 }
 
 /* Sends the orders whose resend_ms has passed. */
@@ -416,7 +457,7 @@
 
 		if (r->resend_ms == 0 || r->resend_ms > now ||
 		    r->order_pending || r->state == RUN_ENDING ||
-		    r->state == RUN_PROPOSED)
+		    r->state == RUN_PROPOSED || r->holder->dead)
 			continue;
 		d->meter.resends->value++;
 		if (r->stopping)
--- a/test/dispatch_restart.c
+++ b/test/dispatch_restart.c
@@ -123,6 +123,175 @@
 	leader_free(l);
 }
 
+/* Has worker a hold the start order of a job's task, crash and return under its
+ * name. Then only worker b has room. */
+static void
+hold_start_and_restart(
+    struct leader *l, struct stub_worker *a, struct stub_worker *b)
+{
+	a->carried = true;
+	a->hold_starts = 1;
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->held_starts->len == 1);
+	stub_worker_crash(a);
+	a->hold_starts = 0;
+	stub_worker_restart_under_name(a);
+	a->capacity.millicpus = 500;
+	stub_worker_take_longest_lease(a);
+	b->capacity.millicpus = 4000;
+}
+
+/* Guards against a start order for the earlier incarnation that reaches the
+ * later one after the task was started again elsewhere. */
+static void
+test_carried_start(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 4000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+
+	hold_start_and_restart(l, a, b);
+	leader_heartbeat(l, a, false);
+	leader_heartbeat(l, b, false);
+	STEP_UNTIL(l, a, b, b->running->len == 1);
+	(void)stub_worker_execute_held(a);
+	step(l, a, b);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* Guards against a task that is started again elsewhere while its run, which a
+ * start order for the earlier incarnation has started at the later one, is
+ * still being stopped there. */
+static void
+test_carried_start_runs(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 4000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+
+	hold_start_and_restart(l, a, b);
+	g_assert_cmpint(stub_worker_execute_held(a), ==, 1);
+	leader_heartbeat(l, a, false);
+	leader_heartbeat(l, b, false);
+	STEP_UNTIL(l, a, b, b->running->len == 1);
+	step(l, a, b);
+	g_assert_cmpint(a->stops, >, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* Guards against a task that is done at the later incarnation, by a start order
+ * for the earlier one, and runs again. */
+static void
+test_carried_start_done(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 4000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+
+	hold_start_and_restart(l, a, b);
+	g_assert_cmpint(stub_worker_execute_held(a), ==, 1);
+	stub_worker_end(
+	    a, &g_array_index(a->running, struct stub_run, 0).id, AGENT_DONE);
+	leader_heartbeat(l, a, false);
+	leader_heartbeat(l, b, false);
+	STEP_UNTIL(l, a, b, flow_job(l->flow, JOB)->state == FLOW_COMPLETED);
+	g_assert_cmpint(b->starts, ==, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* removed: the record of the earlier incarnation is removed before the later
+ * one sends a heartbeat. */
+static void
+carry_lease(bool removed)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 4000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+
+	stub_worker_crash(a);
+	leader_run_for(l, DOWN_MS);
+	stub_worker_restart_under_name(a);
+	if (removed)
+		AWAIT(l, flow_worker_named(l->flow, "a") == NULL);
+	leader_heartbeat(l, a, false);
+	AWAIT(l, a->polls > 1);
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->running->len == 1);
+	leader_run_for(l, DOWN_MS);
+	stub_worker_take_longest_lease(a);
+	a->unresponsive = true;
+	leader_set_millicpus(l, b, 4000);
+	STEP_UNTIL(l, a, b, b->running->len == 1);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* Guards against a lease of the earlier incarnation that reaches the later one
+ * over a connection that seemed to lead to the earlier: it outlasts what the
+ * leader has granted. */
+static void
+test_carried_lease(void)
+{
+	carry_lease(false);
+	carry_lease(true);
+}
+
+/* Guards against an order that the later incarnation answers in place of the
+ * earlier, and that is taken for accepted there: the run goes on when its task
+ * is started again. */
+static void
+test_carried_answer(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 4000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+	int64_t heartbeat_ms;
+
+	leader_run_for(l, 2000); /* clocks of both incarnations differ */
+	leader_submit(l, "/renders/0000000000000077", 1, 1000);
+	AWAIT(l, a->running->len == 1);
+	stub_worker_replace(a);
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->running->len == 1);
+	leader_set_millicpus(l, b, 4000);
+	a->capacity.millicpus = 500;
+	heartbeat_ms = mono_ms() + 2000; /* after the next poll is answered */
+	STEP_UNTIL(l, a, b, mono_ms() >= heartbeat_ms);
+	leader_heartbeat(l, a, false);
+	STEP_UNTIL(l, a, b, b->running->len == 2);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
+/* Guards against acknowledgements that every poll repeats: carried over, they
+ * have the later incarnation forget ends that nobody knows. */
+static void
+test_acknowledged_once(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = add_worker(l, "a", 8000);
+	struct stub_worker *b = add_worker(l, "b", 500);
+	int polls;
+
+	a->run_ms = 1;
+	leader_submit(l, JOB_PATH, ORDERS, 1000);
+	STEP_UNTIL(l, a, b, a->max_acked == ORDERS);
+	polls = a->polls;
+	STEP_UNTIL(l, a, b, a->polls > polls + 1);
+	g_assert_cmpuint(a->poll_acked, ==, 0);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
 /* Guards against a heartbeat that gives the address of another worker: what
  * runs there was started elsewhere, too. */
 static void
@@ -280,6 +449,14 @@
 	g_test_add_func(
 	    "/dispatch/restart-late-heartbeat", test_late_heartbeat);
 	g_test_add_func("/dispatch/restart-permit", test_permit);
+	g_test_add_func("/dispatch/carried-start", test_carried_start);
+	g_test_add_func(
+	    "/dispatch/carried-start-runs", test_carried_start_runs);
+	g_test_add_func(
+	    "/dispatch/carried-start-done", test_carried_start_done);
+	g_test_add_func("/dispatch/carried-lease", test_carried_lease);
+	g_test_add_func("/dispatch/carried-answer", test_carried_answer);
+	g_test_add_func("/dispatch/acknowledged-once", test_acknowledged_once);
 	g_test_add_func("/dispatch/claimed-address", test_claimed_address);
 	g_test_add_func("/dispatch/late-ready", test_late_ready);
 	g_test_add_func("/dispatch/unknown-start", test_unknown_start);
--- a/test/faultproxy.c
+++ b/test/faultproxy.c
@@ -8,7 +8,9 @@
  *	delay NAME MS		delay every byte
  *	lose NAME PERCENT	close this share of new connections at once
  *	reset NAME		close all connections of the pair
- *	heal NAME		undo all faults; forward queued bytes
+ *	carry NAME		when the target closes a connection, connect
+ *again and forward what it has not received
+ *	heal NAME		undo all faults but carry; forward queued bytes
  *	status NAME		connections and forwarded bytes
  *
  * "up" is the direction from the connecting side to the target. NAME "*" means
@@ -30,6 +32,7 @@
 
 #include "base.h"
 
+#define RECONNECT_MS 50 /* between attempts to reach the target of "carry" */
 #define OUTPUT_BYTES_MAX (4 << 20) /* unwritten bytes that stop reading */
 
 enum direction { UP, DOWN, DIRECTIONS };
@@ -55,6 +58,7 @@
 	bool blocked[DIRECTIONS];
 	int64_t delay_ms;
 	uint64_t lose_percent;
+	bool carry;
 	uint64_t bytes[DIRECTIONS];
 };
 
@@ -82,6 +86,7 @@
 	struct flow flow[DIRECTIONS];
 	struct bufferevent *side[DIRECTIONS]; /* connecting side, target */
 	bool connected; /* to the target, or connecting */
+	struct event *reconnect_timer;
 };
 
 static void flow_forward(struct flow *f);
@@ -105,6 +110,7 @@
 		event_free(conn->flow[d].timer);
 		bufferevent_free(conn->side[d]);
 	}
+	event_free(conn->reconnect_timer);
 	g_free(conn);
 }
 
@@ -218,12 +224,49 @@
 	flow_forward_eof(f);
 }
 
+static void on_event(struct bufferevent *bev, short what, void *arg);
+
+static void
+on_reconnect(evutil_socket_t fd, short what, void *arg)
+{
+	struct conn *conn = arg;
+
+	conn->connected = false;
+	conn_connect(conn);
+}
+
+/* Connects to the target again, which has closed the connection. */
+static void
+conn_carry_over(struct conn *conn)
+{
+	struct timeval tv = { .tv_usec = RECONNECT_MS * 1000 };
+	struct bufferevent *target = bufferevent_socket_new(
+	    conn->pair->proxy->base, -1, BEV_OPT_CLOSE_ON_FREE);
+
+	(void)evbuffer_add_buffer(bufferevent_get_output(target),
+	    bufferevent_get_output(conn->side[1]));
+	bufferevent_free(conn->side[1]);
+	conn->side[1] = conn->flow[UP].to = conn->flow[DOWN].from = target;
+	g_queue_clear_full(&conn->flow[DOWN].chunks, chunk_free);
+	g_queue_init(&conn->flow[DOWN].chunks);
+	conn->flow[DOWN].eof = false;
+	bufferevent_setcb(target, on_read, on_write, on_event, conn);
+	flow_set_reading(&conn->flow[DOWN]);
+	event_add(conn->reconnect_timer, &tv);
+}
+
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
 	struct conn *conn = arg;
 	struct flow *f = flow_from(conn, bev);
 
+	if (conn->pair->carry && bev == conn->side[1] &&
+	    !conn->flow[UP].eof_forwarded &&
+	    (what & (BEV_EVENT_ERROR | BEV_EVENT_EOF)) != 0) {
+		conn_carry_over(conn);
+		return;
+	}
 	if ((what & BEV_EVENT_ERROR) != 0) {
 		conn_close(conn);
 		return;
@@ -263,6 +306,8 @@
 		bufferevent_setcb(
 		    conn->side[d], on_read, on_write, on_event, conn);
 	}
+	conn->reconnect_timer =
+	    event_new(p->proxy->base, -1, 0, on_reconnect, conn);
 	g_ptr_array_add(p->conns, conn);
 	flow_set_reading(&conn->flow[UP]);
 	flow_set_reading(&conn->flow[DOWN]);
@@ -351,6 +396,13 @@
 	return true;
 }
 
+static bool
+do_carry(struct pair *p, const char *arg)
+{
+	p->carry = true;
+	return true;
+}
+
 static bool
 do_heal(struct pair *p, const char *arg)
 {
@@ -373,6 +425,7 @@
 	{ "delay", do_delay },
 	{ "lose", do_lose },
 	{ "reset", do_reset },
+	{ "carry", do_carry },
 	{ "heal", do_heal },
 	{ "status", do_status },
 };
--- a/test/stepcell.h
+++ b/test/stepcell.h
@@ -5,7 +5,7 @@
  * a lower fence and fail the test if a task runs on two of them, starts again
  * after it has ended as done, starts too often after it has crashed workers, or
  * brings a worker over its capacity. A worker crashes under a deadly task and
- * returns under another name.
+ * returns under another name. Each incarnation has a clock of its own.
  */
 #ifndef STEPCELL_H
 #define STEPCELL_H
@@ -20,6 +20,7 @@
 #define WORKERS 3
 #define WORKER_MILLICPUS 3000
 #define TASK_MS 300 /* run time of a task */
+#define LONG_TASK_MS 4000 /* and of one of a long job */
 /* A worker that has crashed returns after 0.2 s to 3 s. */
 #define WORKER_DOWN_MIN_MS 200
 #define WORKER_DOWN_EXTRA_MS 2800
@@ -57,6 +58,10 @@
 	 * their end was acknowledged. */
 	GHashTable *excused;
 	GHashTable *deadly; /* name of a deadly task to number of starts */
+	/* Paths of jobs with a task under which two workers have crashed: they
+	 * may be given up. */
+	GHashTable *may_fail;
+	GHashTable *crashed_under; /* name of a task to number of crashes */
 	int crashes; /* of workers */
 	struct rng rng; /* how long workers are down */
 	int64_t heartbeat_ms; /* time of the last heartbeats */
@@ -69,6 +74,9 @@
 	const char *key; /* of the calls from now on; NULL: none */
 };
 
+/* A task under which so many workers have crashed may be given up. */
+#define CRASHES_GIVEN_UP 2
+
 /* The configuration that cell_new() stores. */
 extern const char cell_config[];
 
@@ -102,6 +110,8 @@
 /* Sends a command to the proxy: n0 to n3 are processes, w0 to w2 workers. */
 void
 cell_proxy_command(struct cell *c, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/* Crashes a worker, which returns under its name after down_ms. */
+void cell_restart_worker(struct cell *c, int worker, int64_t down_ms);
 void cell_kill_node(struct cell *c, int node);
 /* Empties the disk of a node that is not running. */
 void cell_wipe_disk(struct cell *c, int node);
@@ -118,6 +128,8 @@
 bool cell_submit(struct cell *c, int node, const char *path);
 /* Submits a job with two tasks that crash the workers that start them. */
 bool cell_submit_deadly(struct cell *c, int node, const char *path);
+/* Submits a job whose tasks take LONG_TASK_MS. */
+bool cell_submit_long(struct cell *c, int node, const char *path);
 /* Changes what a worker reports as its capacity. */
 void cell_set_millicpus(struct cell *c, int worker, int64_t millicpus);
 bool
--- a/test/stubworker.h
+++ b/test/stubworker.h
@@ -51,6 +51,9 @@
 	 * does neither. */
 	int64_t lease_max_ms;
 	int64_t stop_ms; /* how long a stop takes */
+	/* Held start orders reach the next incarnation, as if what lies between
+	 * carried them over. */
+	bool carried;
 	int64_t run_ms; /* after which a run is done; 0: never */
 	bool (*never_ends)(const struct flow_run *id); /* NULL: none */
 	int64_t down_ms; /* from a crash to the restart; 0: stays down */
@@ -62,6 +65,7 @@
 	int polls;
 	int greetings;
 	uint64_t max_acked;
+	uint64_t poll_acked; /* by the last poll */
 };
 
 extern const struct agent_ops stub_agent;
@@ -76,6 +80,11 @@
 void stub_worker_restart(struct stub_worker *w);
 /* The same under its name, with a new clock. */
 void stub_worker_restart_under_name(struct stub_worker *w);
+/* The same while its connections last, as if what lies between had connected
+ * them to the next incarnation. */
+void stub_worker_replace(struct stub_worker *w);
+/* Takes the longest lease, as from a call that was carried over. */
+void stub_worker_take_longest_lease(struct stub_worker *w);
 /* Ends runs that have run for run_ms, that have stopped, or whose lease has
  * expired; restarts the worker after down_ms. Returns true if it has restarted.
  */
