dispatch: a worker that knows another cell's fence stops nothing

Cause: a refused fence is taken for proof of a later leader, and the leader does nothing more until it loses its lead, which it doesn't.

Change: leadership is in doubt until a confirmation requested after the refusal. The worker is not called again in this term and gets no work.

--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -108,7 +108,17 @@
 bool
 dispatch_may_act(const struct dispatch *d)
 {
-	return d->active && !d->fenced && boot_ms() < d->leader_until_ms;
+	return d->active && boot_ms() < d->leader_until_ms;
+}
+
+void
+dispatch_doubt_leadership(struct dispatch *d)
+{
+	d->leader_until_ms = 0;
+	/* The answer to a request under way is ignored. */
+	d->context++;
+	d->confirming = false;
+	d->context_sent_ms = 0;
 }
 
 void
@@ -403,7 +413,6 @@
 	log_info("dispatch", "event=lead term=%" G_GUINT64_FORMAT, term);
 	d->active = true;
 	d->term = term;
-	d->fenced = false;
 	d->lead_ms = mono_ms();
 	d->confirming = false;
 	d->leader_until_ms = 0;
--- a/lib/dispatch/holders.c
+++ b/lib/dispatch/holders.c
@@ -379,15 +379,20 @@
 	(void)end_all_runs(h, why);
 }
 
+/* The worker knows a higher fence: that of a later leader of this cell, in
+ * which case leadership is not confirmed any more, or that of another cell. It
+ * is not called again in this term. */
 static void
 note_fenced(struct holder *h)
 {
-	if (!h->d->fenced)
-		log_warn("dispatch",
-		    "event=fenced worker=%s fence=%" G_GUINT64_FORMAT
-		    " why=\"it knows the fence of a later leader\"",
-		    h->name, h->d->term);
-	h->d->fenced = true;
+	if (h->fenced)
+		return;
+	log_warn("dispatch",
+	    "event=fenced worker=%s id=%u fence=%" G_GUINT64_FORMAT
+	    " why=\"it knows a higher fence\"",
+	    h->name, h->id, h->d->term);
+	h->fenced = true;
+	dispatch_doubt_leadership(h->d);
 }
 
 bool
@@ -412,7 +417,7 @@
 	if (!h->polled || h->unreachable ||
 	    now - h->answered_ms > CONTACT_MAX_AGE_MS)
 		return HOLDER_SILENT;
-	if (h->has_strays || now < h->excluded_until_ms ||
+	if (h->fenced || h->has_strays || now < h->excluded_until_ms ||
 	    plan_failure_state(&h->failures, now) == PLAN_EXCLUDED)
 		return HOLDER_EXCLUDED;
 	return HOLDER_AVAILABLE;
--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -126,6 +126,7 @@
 	bool poll_failed; /* did not answer the last poll */
 	bool unreachable; /* an order could not be sent since its last answer */
 	bool deregistered; /* has left, or an earlier incarnation has */
+	bool fenced; /* knows a higher fence than this leader's */
 	bool dead; /* this incarnation is over */
 	bool succeeded; /* another incarnation has answered in its place */
 	/* Of all calls to it: they name the worker, not the incarnation. */
@@ -278,9 +279,8 @@
 	bool round_scheduled;
 	struct meters meter;
 	bool active; /* this replica leads */
-	uint64_t term;
-	bool fenced; /* a worker knows a higher term */
 	bool speeds_in_effect; /* learnt speeds; see speeds.c */
+	uint64_t term;
 	int64_t lead_ms; /* when leadership began */
 	GHashTable *holders; /* worker id to struct holder */
 	GHashTable *addresses; /* to the struct holder started last there */
@@ -343,6 +343,9 @@
     void (*fn)(struct dispatch *, struct proposal *, enum flow_apply_result));
 /* Says whether orders may be sent: leadership is certain. */
 bool dispatch_may_act(const struct dispatch *d);
+/* Leadership is not certain until a confirmation that is requested from now on.
+ */
+void dispatch_doubt_leadership(struct dispatch *d);
 void dispatch_schedule_round(struct dispatch *d);
 /* A run as logs name it: JOB.OCCURRENCE.STEP.INDEX/NUMBER; static storage. */
 const char *run_name(const struct flow_run *id);
--- a/lib/dispatch/polls.c
+++ b/lib/dispatch/polls.c
@@ -379,8 +379,8 @@
 	struct pending_poll *pending;
 	char *body;
 
-	if (h->polling || h->ends_pending || h->dead || now < h->poll_due_ms ||
-	    !dispatch_may_act(d))
+	if (h->polling || h->ends_pending || h->dead || h->fenced ||
+	    now < h->poll_due_ms || !dispatch_may_act(d))
 		return;
 	if (h->poll_peer == NULL)
 		h->poll_peer = holder_connect(h);
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -369,7 +369,7 @@
 		.id = r->id, .fence = d->term, .permit = r->permit
 	};
 
-	if (r->order_pending || task == NULL || h->dead)
+	if (r->order_pending || task == NULL || h->dead || h->fenced)
 		return;
 	if (!h->polled || !dispatch_may_act(d)) {
 		r->resend_ms = now + RESEND_MIN_MS;
@@ -405,7 +405,7 @@
 
 	organisation_stop_run(r);
 	r->stopping = true;
-	if (r->state == RUN_ENDING || h->dead)
+	if (r->state == RUN_ENDING || h->dead || h->fenced)
 		return;
 	/* Only one order about a run is in flight at a time. */
 	if (r->order_pending || !dispatch_may_act(d)) {
@@ -423,7 +423,7 @@
 {
 	struct dispatch *d = successor->d;
 
-	if (!dispatch_may_act(d))
+	if (!dispatch_may_act(d) || successor->fenced)
 		return;
 	r->order_pending = true;
 	r->resend_ms = 0;
@@ -436,7 +436,7 @@
 {
 	struct dispatch *d = h->d;
 
-	if (!dispatch_may_act(d))
+	if (!dispatch_may_act(d) || h->fenced)
 		return;
 	log_warn("dispatch", "event=stop-unassigned run=%s worker=%s",
 	    run_name(id), h->name);
@@ -457,7 +457,8 @@
 
 		if (r->resend_ms == 0 || r->resend_ms > now ||
 		    r->order_pending || r->state == RUN_ENDING ||
-		    r->state == RUN_PROPOSED || r->holder->dead)
+		    r->state == RUN_PROPOSED || r->holder->dead ||
+		    r->holder->fenced)
 			continue;
 		d->meter.resends->value++;
 		if (r->stopping)
--- a/lib/dispatch/successors.c
+++ b/lib/dispatch/successors.c
@@ -26,7 +26,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct holder *h = value;
 
-		if (!h->dead && holder_succeeds(h, over) &&
+		if (!h->dead && !h->fenced && holder_succeeds(h, over) &&
 		    (latest == NULL || h->started_ms > latest->started_ms))
 			latest = h;
 	}
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -119,6 +119,34 @@
 	leader_free(l);
 }
 
+/* Guards against a leader that stops for good because one worker, of another
+ * cell, knows a higher fence (review/6). That worker is not called again. */
+static void
+test_foreign_fence(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	struct stub_worker *b = stub_worker_new(l->base, "b");
+	int calls;
+
+	b->fence = 1000;
+	leader_heartbeat(l, a, false);
+	leader_heartbeat(l, b, false);
+	AWAIT(l, b->polls + b->greetings > 0);
+	leader_run_for(l, 100);
+	calls = b->polls + b->greetings;
+	leader_submit(l, JOB_PATH, 1, 1000);
+	AWAIT(l, a->running->len == 1);
+	leader_heartbeat(l, b, false);
+	leader_run_for(l, 2000);
+	leader_submit(l, "/renders/0000000000000077", 1, 1000);
+	AWAIT(l, a->running->len == 2);
+	g_assert_cmpint(b->polls + b->greetings, ==, calls);
+	stub_worker_free(a);
+	stub_worker_free(b);
+	leader_free(l);
+}
+
 /* A leader that was suspended (incident inc-17b3) has had no answer from any
  * worker for longer than a lease. While its leadership is not confirmed it ends
  * no runs and removes no workers. */
@@ -776,6 +804,7 @@
 	    "/dispatch/ends-acked-after-commit", test_ends_acked_after_commit);
 	g_test_add_func(
 	    "/dispatch/leadership-unconfirmed", test_leadership_unconfirmed);
+	g_test_add_func("/dispatch/foreign-fence", test_foreign_fence);
 	g_test_add_func("/dispatch/suspended-leader", test_suspended_leader);
 	g_test_add_func("/dispatch/takeover", test_takeover);
 	g_test_add_func("/dispatch/takeover-speeds", test_takeover_speeds);
