platform: routes of one host in different case are one route

Cause: the check for two routes with one host and prefix compares bytes, requests are matched without regard to case.

Looked at: names of services, organisations and keys are compared by bytes throughout.

--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -113,6 +113,26 @@
 		g_assert_false(decode_config(bad[i], &c));
 }
 
+/* Guards against two routes for one host, written in different case, and prefix
+ * of which the later takes the place of the earlier. */
+static void
+test_hosts_differ_in_case(void)
+{
+	struct flow_config c;
+
+	g_assert_false(decode_config(
+	    CONFIG("7",
+		ROUTE("r", "nony24.example", "/a/", "s", "3000") "," ROUTE(
+		    "q", "Nony24.example", "/a/", "s", "3000")),
+	    &c));
+	g_assert_true(decode_config(
+	    CONFIG("7",
+		ROUTE("r", "nony24.example", "/a/", "s", "3000") "," ROUTE(
+		    "q", "Nony24.example", "/b/", "s", "3000")),
+	    &c));
+	flow_config_clear(&c);
+}
+
 /* --- organisations --- */
 
 #define TENANTS(list)                                                  \
@@ -784,6 +804,8 @@
 	g_test_add_func("/platform/job", test_job);
 	g_test_add_func("/platform/bad-jobs", test_bad_jobs);
 	g_test_add_func("/platform/config", test_config);
+	g_test_add_func(
+	    "/platform/hosts-differ-in-case", test_hosts_differ_in_case);
 	g_test_add_func("/platform/organisations", test_organisations);
 	g_test_add_func("/platform/no-organisations", test_no_organisations);
 	g_test_add_func("/platform/bad-organisations", test_bad_organisations);
