dispatch: start orders wait in the dispatcher, not on connections

Cause: all start orders to a worker are queued on its three connections, where they can't be withdrawn and each may take 250 ms.

Change: at most four on a connection; the rest is sent as answers arrive.

--- a/lib/dispatch/impl.h
+++ b/lib/dispatch/impl.h
@@ -48,6 +48,7 @@
 	bool ordered; /* has started, or may have */
 	bool stopping; /* it has to be stopped */
 	bool order_pending; /* an order about it is in flight */
+	bool waits_turn; /* for a connection to send its start order */
 	bool may_start; /* a start order that got no answer may take effect */
 	/* The incarnation after that of its worker where it was stopped, and
 	 * when that was accepted; 0: not yet. See successors.c. */
--- a/lib/dispatch/runs.c
+++ b/lib/dispatch/runs.c
@@ -6,6 +6,9 @@
 /* A run that was there for less when its worker was last heard of had just
  * started. */
 #define START_MS 1000
+/* Start orders on a connection. One that is queued there can't be withdrawn,
+ * and each of those before it may take ORDER_TIMEOUT_MS. */
+#define QUEUED_STARTS_MAX 4
 #define UNHEALTHY_EXCLUDE_MS 1500 /* no new work for an unhealthy worker */
 
 guint
@@ -276,11 +279,26 @@
 		(o->stop ? stop_answered : start_answered)(r, result);
 }
 
+/* Sends the next start order that waits for a connection to the worker. */
+static void
+send_waiting(struct holder *h)
+{
+	for (guint i = 0; i < h->runs->len; i++) {
+		struct active_run *r = h->runs->pdata[i];
+
+		if (!r->waits_turn || r->state != RUN_ORDERED || r->stopping)
+			continue;
+		run_start(r);
+		return;
+	}
+}
+
 static void
 on_answer(void *arg, int status, const void *body, size_t len, const char *why)
 {
 	struct order *o = arg;
 	struct active_run *r = order_run(o);
+	struct holder *to;
 	int64_t clock_ms = -1;
 	enum agent_result result =
 	    o->d->conf.agent->read_result(status, body, len, &clock_ms);
@@ -300,6 +318,13 @@
 		else
 			successor_answered(r, holder_find(o->d, o->to), result);
 	}
+	/* Without an answer the next scan does it: the connection may be going
+	 * away. */
+	to = status != 0 && o->d->active && o->d->term == o->term
+	    ? holder_find(o->d, o->to)
+	    : NULL;
+	if (to != NULL && !to->dead)
+		send_waiting(to);
 	g_free(o);
 }
 
@@ -375,6 +400,13 @@
 		r->resend_ms = now + RESEND_MIN_MS;
 		return;
 	}
+	if (http_peer_outstanding(holder_order_connection(h)) >=
+	    QUEUED_STARTS_MAX) {
+		r->waits_turn = true;
+		r->resend_ms = now;
+		return;
+	}
+	r->waits_turn = false;
 	if (!run_fits(r)) {
 		run_withdraw(r, "capacity-shrunk");
 		return;
--- a/test/dispatch.cmake
+++ b/test/dispatch.cmake
@@ -5,7 +5,7 @@
     stubworker.c proc.c
     DEPENDS dispatch httpd
     CASES lease-expiry lost-order refused-after-lost-order
-    ends-acked-after-commit leadership-unconfirmed foreign-fence suspended-leader takeover takeover-speeds
+    ends-acked-after-commit leadership-unconfirmed foreign-fence queued-starts-cancelled suspended-leader takeover takeover-speeds
     takeover-before-order takeover-after-cancel unassigned-run cancel
     capacity gang-refused failing-worker count-not-started preemption
     preemption-turns gang-queried-without-room service-failed
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -119,6 +119,33 @@
 	leader_free(l);
 }
 
+#define MANY_TASKS 60
+#define CANCEL_MS 3000 /* from the acknowledgement to the last start */
+
+/* Guards against start orders that wait behind others without an answer, and go
+ * out seconds after their job was cancelled. */
+static void
+test_queued_starts_cancelled(void)
+{
+	struct leader *l = leader_new();
+	struct stub_worker *a = stub_worker_new(l->base, "a");
+	int starts;
+
+	a->capacity.millicpus = MANY_TASKS * 100;
+	a->hold_starts = 10 * MANY_TASKS;
+	leader_heartbeat(l, a, false);
+	leader_submit(l, JOB_PATH, MANY_TASKS, 100);
+	AWAIT(l, a->held_starts->len > 0);
+	leader_request(l, REQUEST_CANCEL, JOB_PATH, NULL);
+	g_assert_cmpuint(l->last_result, ==, REQUEST_DONE);
+	leader_run_for(l, CANCEL_MS);
+	starts = a->starts;
+	leader_run_for(l, CANCEL_MS);
+	g_assert_cmpint(a->starts, ==, starts);
+	stub_worker_free(a);
+	leader_free(l);
+}
+
 /* Guards against a leader that stops for good because one worker, of another
  * cell, knows a higher fence (review/6). That worker is not called again. */
 static void
@@ -805,6 +832,8 @@
 	g_test_add_func(
 	    "/dispatch/leadership-unconfirmed", test_leadership_unconfirmed);
 	g_test_add_func("/dispatch/foreign-fence", test_foreign_fence);
+	g_test_add_func(
+	    "/dispatch/queued-starts-cancelled", test_queued_starts_cancelled);
 	g_test_add_func("/dispatch/suspended-leader", test_suspended_leader);
 	g_test_add_func("/dispatch/takeover", test_takeover);
 	g_test_add_func("/dispatch/takeover-speeds", test_takeover_speeds);
