--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -749,7 +749,6 @@
 	g_assert_cmpfloat(s.node.dispatch.uneven_workers, ==, 1.75);
 	platform_settings_clear(&s);
 	g_assert_false(read_settings(NODE, &s));
-	g_assert_false(read_settings(NODE "peer-ports=1,2\nlost-vms=-1\n", &s));
 	g_assert_false(
 	    read_settings(NODE "peer-ports=1,2\ncallers=here\n", &s));
 	g_assert_false(
@@ -771,30 +770,18 @@
 static void
 test_tolerated_losses(void)
 {
-	static const struct {
-		const char *lines;
-		int disk_losses;
-	} each[] = {
-		{ "lost-vms=2\nlost-data-centers=0\nlost-regions=0\n", 2 },
-		{ "lost-vms=0\n", 0 },
-		{ "lost-vms=1e9\n", 100 },
-		{ "", -1 },
-		{ "lost-vms=\n", -1 },
-		{ "lost-vms={{faultTolerance.machines}}\n", -1 },
-		{ "lost-vms=1\nlost-data-centers=1\n", -1 },
-		{ "lost-vms=1\nlost-regions=1\n", -1 },
-	};
-
-	for (gsize i = 0; i < G_N_ELEMENTS(each); i++) {
-		struct platform_settings s;
-		char *text =
-		    g_strconcat(NODE, "peer-ports=1,2\n", each[i].lines, NULL);
-
-		g_assert_true(read_settings(text, &s));
-		g_assert_cmpint(s.node.disk_losses, ==, each[i].disk_losses);
-		platform_settings_clear(&s);
-		g_free(text);
-	}
+	g_assert_cmpint(platform_disk_losses("2", "0", "0"), ==, 2);
+	g_assert_cmpint(platform_disk_losses("0", NULL, NULL), ==, 0);
+	g_assert_cmpint(platform_disk_losses("1000000", NULL, NULL), ==, 100);
+	g_assert_cmpint(platform_disk_losses(NULL, NULL, NULL), ==, -1);
+	g_assert_cmpint(platform_disk_losses("", "", ""), ==, -1);
+	g_assert_cmpint(platform_disk_losses("1", "1", "0"), ==, -1);
+	g_assert_cmpint(platform_disk_losses("1", "0", "1"), ==, -1);
+	g_assert_null(platform_check_count("2"));
+	g_assert_null(platform_check_count(""));
+	g_assert_nonnull(platform_check_count("-1"));
+	g_assert_nonnull(platform_check_count("1.5"));
+	g_assert_nonnull(platform_check_count("{{faultTolerance.machines}}"));
 }
 
 int
--- a/test/stepcell.c
+++ b/test/stepcell.c
@@ -656,8 +656,7 @@
 	    "[node]\nname=n%d\ndata-center=z\nip=%s\npeer-ports=%s\n"
 	    "peer-listen=%s\nseeds=%s:1,%s:1\nfirst-start=%s\ndata-dir=%s\n"
 	    "callers=%s\ncontrol=%s\nready=%s:%s\nmetrics=%s\ngrace-s=4\n"
-	    "lease-max-ms=" G_STRINGIFY(LEASE_MAX_MS) "\nretain-s=60\n"
-						      "lost-vms=1\n",
+	    "lease-max-ms=" G_STRINGIFY(LEASE_MAX_MS) "\nretain-s=60\n",
 	    i, n->ip, PEER_PORT, n->listen, c->node[0].ip, c->node[seed].ip,
 	    first ? "true" : "false", n->data == NULL ? "" : n->data,
 	    n->callers, n->control, n->ip, READY_PORT, n->metrics);
@@ -676,6 +675,7 @@
 
 	add_arg(argv, "%s/../platform/bulrushtide-platform", dir);
 	add_arg(argv, "--settings=%s", n->settings);
+	add_arg(argv, "--lost-vms=1");
 	n->proc = proc_new(name, c->dir, argv);
 	n->proc->file_max = n->file_max;
 	proc_start(n->proc, false);
