--- a/test/cellnode.cmake
+++ b/test/cellnode.cmake
@@ -10,7 +10,10 @@
 # had ended, and the stand-in worker ran it a second time; real workers refuse
 # such an order. Seed 21 failed once more: a process had probably been ended by
 # a reload signal during its start (cellnode_test early-reload).
-foreach(seed 1 2 3 20 21)
+# Seed 814 failed once: a task under which three workers had crashed was given
+# up, which the stand-in did not expect. Seed 833 failed once: a lease was carried
+# over to a worker's next incarnation, whose predecessor was forgotten.
+foreach(seed 1 2 3 20 21 814 833)
 	add_test(NAME soak_${seed} COMMAND soak ${seed} 12)
 	set_tests_properties(soak_${seed} PROPERTIES TIMEOUT 300)
 endforeach()
--- a/test/faultproxy.c
+++ b/test/faultproxy.c
@@ -8,8 +8,8 @@
  *	delay NAME MS		delay every byte
  *	lose NAME PERCENT	close this share of new connections at once
  *	reset NAME		close all connections of the pair
- *	carry NAME		when the target closes a connection, connect
- *again and forward what it has not received
+ *	carry NAME		reconnect when the target closes a connection,
+ *				and forward what it has not received
  *	heal NAME		undo all faults but carry; forward queued bytes
  *	status NAME		connections and forwarded bytes
  *
--- a/test/soak.c
+++ b/test/soak.c
@@ -33,9 +33,8 @@
 #define DEADLY_INTERVAL 40 /* ... and the distance to the next */
 #define DEADLY_MAX 3
 #define CAPACITY_GAP_MS 1500 /* between changes of a worker's capacity */
-#define RESTART_GAP_MS                                        \
-	1200 /* between restarts of workers under their names \
-	      */
+/* Between restarts of workers under their names. */
+#define RESTART_GAP_MS 1200
 #define RESTART_SALT 0x72657374 /* own random numbers for these */
 #define LONG_INTERVAL 4 /* each fourth job has long tasks */
 #define WORKER_SALT 0x776f726b65727331 /* own random numbers for workers */
@@ -351,15 +350,18 @@
 static void
 submit_job(struct soak *s)
 {
+	bool (*submit)(struct cell *, int, const char *) = cell_submit;
 	int i = healthy_node(s);
 	char path[32];
 
 	if (i < 0 || s->jobs == JOBS_MAX)
 		return;
 	job_path(s->jobs, path);
-	s->accepted[s->jobs] = (is_deadly(s->jobs) ? cell_submit_deadly
-		: is_long(s->jobs)                 ? cell_submit_long
-				   : cell_submit)(s->cell, i, path);
+	if (is_deadly(s->jobs))
+		submit = cell_submit_deadly;
+	else if (is_long(s->jobs))
+		submit = cell_submit_long;
+	s->accepted[s->jobs] = submit(s->cell, i, path);
 	s->jobs++;
 }
 
