--- a/lib/gate/gate.c
+++ b/lib/gate/gate.c
@@ -6,6 +6,7 @@
 
 struct pending {
 	struct request request;
+	int64_t since_ms;
 	int64_t deadline_ms;
 	int64_t retry_ms; /* when to send again; 0: not scheduled */
 	bool sent; /* to the current leader */
@@ -51,14 +52,17 @@
 }
 
 static void
-drop(struct pending *p)
+drop(struct pending *p, const char *why)
 {
 	bool unclear = is_unclear(p);
 	struct answer a = { .id = p->request.id,
 		.result = unclear ? REQUEST_UNKNOWN : REQUEST_UNAVAILABLE };
 
-	log_info("gate", "event=request-dropped op=%u path=%s result=%s",
-	    p->request.op, p->request.path, unclear ? "unclear" : "not-taken");
+	log_info("gate",
+	    "event=request-dropped op=%u path=%s result=%s why=\"%s\" "
+	    "after_ms=%" G_GINT64_FORMAT,
+	    p->request.op, p->request.path, unclear ? "unclear" : "not-taken",
+	    why, mono_ms() - p->since_ms);
 	a.text = g_bytes_new_static("", 0);
 	p->fn(p->arg, &a);
 	g_bytes_unref(a.text);
@@ -74,7 +78,7 @@
 		return;
 	g_hash_table_iter_init(&iter, g->pending);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		drop(value);
+		drop(value, "stopping");
 	g_hash_table_unref(g->pending);
 	g_free(g);
 }
@@ -103,15 +107,20 @@
     gate_answer_fn *fn, void *arg)
 {
 	struct pending *p = g_new0(struct pending, 1);
+	const char *why = NULL;
 
 	p->request = request_copy(request);
 	p->request.id = ++g->last_id;
-	p->deadline_ms = mono_ms() + timeout_ms;
+	p->since_ms = mono_ms();
+	p->deadline_ms = p->since_ms + timeout_ms;
 	p->fn = fn;
 	p->arg = arg;
-	if (g_hash_table_size(g->pending) >= PENDING_MAX ||
-	    is_disconnected(g, mono_ms())) {
-		drop(p);
+	if (g_hash_table_size(g->pending) >= PENDING_MAX)
+		why = "too many requests";
+	else if (is_disconnected(g, p->since_ms))
+		why = "no replica is connected";
+	if (why != NULL) {
+		drop(p, why);
 		pending_free(p);
 		return;
 	}
@@ -170,7 +179,9 @@
 			continue;
 		if (now >= p->deadline_ms || (disconnected && !is_unclear(p))) {
 			g_hash_table_steal(g->pending, &p->request.id);
-			drop(p);
+			drop(p,
+			    now >= p->deadline_ms ? "timeout"
+						  : "no replica is connected");
 			pending_free(p);
 		} else if (p->retry_ms != 0 && p->retry_ms <= now) {
 			send_request(g, p);
