cellnode, platform: parts are freed before those that their callbacks use

Callers saw a process that was told to stop end by SIGSEGV or SIGFPE instead of with status 0, and its replica without the last sync of its log.

Cause: freeing the gate, the policy client and connections to workers completes their calls, and the callbacks use other parts. main() freed the HTTP servers before the gate, which then answered its pending requests at them; cellnode_free() freed the mesh and the dispatcher before the policy client, whose callbacks use both. The first needs a request in progress when the loop ends, the second a query to the policy service, for this process or for a leader elsewhere.

Now there is one order, written at cellnode_free(): the dispatcher resigns, so that what the callbacks tell it is ignored, and each part is freed before those that its callbacks use.

Evidence, with the sanitizers on real processes, on the code before: heap-use-after-free in send_reply() below gate_free(), freed by platform_free(), and in mesh_leader() below policy_client_free(), freed by cellnode_free(). /shutdown/crash-with-requests and /shutdown/crash-with-policy-query failed and pass.

--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -705,6 +705,11 @@
 	return n;
 }
 
+/*
+ * Frees each part before those that its callbacks use: the policy client's use
+ * the mesh and the dispatcher, the mesh's the dispatcher, the replica and the
+ * gate, the gate's what the owner has passed with its requests.
+ */
 void
 cellnode_free(struct cellnode *n)
 {
@@ -712,11 +717,13 @@
 		return;
 	if (n->timer != NULL)
 		event_free(n->timer);
+	/* Ends calls to workers, whose callbacks use all other parts. */
+	dispatch_resign(n->dispatch);
+	policy_client_free(n->policy);
 	mesh_free(n->mesh);
-	gate_free(n->gate);
 	dispatch_free(n->dispatch);
-	policy_client_free(n->policy);
 	replica_free(n->replica);
+	gate_free(n->gate);
 	flow_free(n->flow);
 	g_hash_table_unref(n->processes);
 	g_ptr_array_unref(n->seeds);
--- a/lib/cellnode/cellnode.h
+++ b/lib/cellnode/cellnode.h
@@ -27,6 +27,7 @@
 
 struct cellnode *cellnode_new(struct event_base *base,
     const struct cellnode_conf *conf, struct registry *registry, GError **err);
+/* Answers the pending requests, so their owner has to outlive the node. */
 void cellnode_free(struct cellnode *n);
 
 /* Replaces the seeds at run time. */
--- a/test/cellnode_test.c
+++ b/test/cellnode_test.c
@@ -87,23 +87,6 @@
 #define LARGE_QUEUES 1000 /* a document of 160 KB */
 #define QUEUES_NEAR_LIMIT 25000 /* a document of nearly 4 MiB */
 
-static char *
-make_config(int version, int queues)
-{
-	GString *text = g_string_new(NULL);
-
-	g_string_printf(text, "{\"version\":%d,\"routes\":[", version);
-	for (int i = 0; i < queues; i++)
-		g_string_append_printf(text,
-		    "%s{\"name\":\"q%d\",\"host\":\"jobs.example\","
-		    "\"pathPrefix\":\"/q%d/\",\"service\":\"desk\","
-		    "\"timeoutMs\":3000,\"maxAttempts\":2,"
-		    "\"slackFactor\":2,\"targetLatencyMs\":500}",
-		    i == 0 ? "" : ",", i, i);
-	g_string_append(text, "],\"services\":[{\"name\":\"desk\"}]}");
-	return g_string_free(text, FALSE);
-}
-
 /* Calls the control address of a node, following one redirect. */
 static int
 call_control(struct cell *c, int node, enum evhttp_cmd_type method,
@@ -137,7 +120,7 @@
 test_large_config(void)
 {
 	struct cell *c = cell_new();
-	char *config = make_config(20, LARGE_QUEUES);
+	char *config = cell_make_config(20, LARGE_QUEUES);
 	int redirected = 0;
 
 	CELL_AWAIT(c,
@@ -159,7 +142,7 @@
 test_config_near_limit(void)
 {
 	struct cell *c = cell_new();
-	char *config = make_config(20, QUEUES_NEAR_LIMIT);
+	char *config = cell_make_config(20, QUEUES_NEAR_LIMIT);
 
 	CELL_AWAIT(c,
 	    call_control(c, 3, EVHTTP_REQ_POST, "/bulrushtide/config/replace",
@@ -199,7 +182,7 @@
 test_config_slow_entry(void)
 {
 	struct cell *c = cell_new();
-	char *config = make_config(20, LARGE_QUEUES);
+	char *config = cell_make_config(20, LARGE_QUEUES);
 	char *head = g_strdup_printf("POST /bulrushtide/config/replace "
 				     "HTTP/1.1\r\nHost: x\r\n"
 				     "Content-Length: %zu\r\n\r\n",
@@ -289,26 +272,14 @@
 test_early_reload(void)
 {
 	struct cell *c = cell_new();
-	struct cell_node *n = &c->node[NODES - 1];
-	char *settings = NULL;
+	char *settings;
 	int fd;
 
 	cell_kill_node(c, NODES - 1);
-	cell_write_settings(c, NODES - 1, false, 1);
-	g_assert_true(g_file_get_contents(n->settings, &settings, NULL, NULL));
-	g_assert_cmpint(unlink(n->settings), ==, 0);
-	g_assert_cmpint(mkfifo(n->settings, 0600), ==, 0);
-	cell_run_program(c, NODES - 1);
-	/* Succeeds once the program has opened the FIFO. */
-	CELL_AWAIT(c,
-	    (fd = open(n->settings, O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0);
-	kill(n->proc->pid, SIGHUP);
-	cell_write_settings(c, NODES - 1, false, 1);
-	g_assert_cmpint(write(fd, settings, strlen(settings)), ==,
-	    (ssize_t)strlen(settings));
-	close(fd);
+	fd = cell_start_held(c, NODES - 1, &settings);
+	kill(c->node[NODES - 1].proc->pid, SIGHUP);
+	cell_release_start(c, NODES - 1, fd, settings);
 	CELL_AWAIT(c, cell_node_ready(c, NODES - 1));
-	g_free(settings);
 	cell_free(c);
 }
 
--- a/test/proc.c
+++ b/test/proc.c
@@ -150,20 +150,35 @@
 	g_free(line);
 }
 
+static void
+forget(struct proc *p)
+{
+	p->pid = 0;
+	close(p->in);
+	g_clear_pointer(&p->out, fclose);
+}
+
+bool
+proc_ended(struct proc *p, int *status)
+{
+	if (waitpid(p->pid, status, WNOHANG) != p->pid)
+		return false;
+	forget(p);
+	return true;
+}
+
 int
 proc_wait(struct proc *p)
 {
 	int status = -1;
 
 	for (int64_t end = mono_ms() + AWAIT_MS; mono_ms() < end;) {
-		if (waitpid(p->pid, &status, WNOHANG) == p->pid)
-			break;
+		if (proc_ended(p, &status))
+			return status;
 		g_usleep(POLL_US);
 	}
-	p->pid = 0;
-	close(p->in);
-	g_clear_pointer(&p->out, fclose);
-	return status;
+	forget(p);
+	return -1;
 }
 
 void
--- a/test/proc.h
+++ b/test/proc.h
@@ -61,6 +61,9 @@
 /* Waits for the exit and returns the wait status; -1 after AWAIT_MS. */
 int proc_wait(struct proc *p);
 
+/* Says whether the process has exited, and sets the wait status if so. */
+bool proc_ended(struct proc *p, int *status);
+
 /* Kills the process if it is running; takes a struct proc. */
 void proc_free(void *arg);
 
--- /dev/null
+++ b/test/shutdown.cmake
@@ -0,0 +1,4 @@
+bt_cases(shutdown SOURCES shutdown_test.c stepcell.c proc.c tcp.c
+    DEPENDS base httpd
+    CASES crash-with-requests crash-with-policy-query)
+add_dependencies(shutdown_test bulrushtide-platform faultproxy)
--- /dev/null
+++ b/test/shutdown_test.c
@@ -0,0 +1,270 @@
+/*
+ * Graceful stops of real processes of a cell on the platform's protocol, while
+ * requests are in progress on each address: every request that a process has
+ * read gets a whole answer, and the process exits with status 0.
+ */
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include "httpd.h"
+#include "stepcell.h"
+#include "tcp.h"
+
+#define ENTRY (NODES - 1) /* has no disk */
+#define GRACE_S 4
+#define LONG_GRACE_S 8
+#define ASK_TIMEOUT_MS 8000
+/* Requests sent so long after SIGTERM are in progress when the process gives up
+ * on its leader. */
+#define LATE_MS 2400
+#define LOSS_SLACK_MS 200 /* lossSlackMs of the platform */
+#define RECEIVE_BYTES 4096 /* receive buffer of a slow reader */
+#define LARGE_QUEUES 1000
+#define HUGE_QUEUES 20000 /* more than the buffers of a connection hold */
+#define JOB "/q/0000000000000001"
+#define STEP "{\"count\":1,\"cpu\":100,\"estimatedMs\":300}"
+
+enum place { CALLERS, CONTROL, METRICS };
+
+/* A request of each kind that a process forwards to the leader. */
+static const struct request_kind {
+	const char *name;
+	enum place place;
+	enum evhttp_cmd_type method;
+	const char *path;
+	const char *body;
+} kinds[] = {
+	{ "job", CALLERS, EVHTTP_REQ_POST, "/q/0000000000000002",
+	    "{\"spec\":\"w\",\"steps\":[" STEP "]}" },
+	{ "state", CALLERS, EVHTTP_REQ_GET, JOB, NULL },
+	{ "cancel", CALLERS, EVHTTP_REQ_DELETE, JOB, NULL },
+	{ "count", CALLERS, EVHTTP_REQ_GET, "/q/", NULL },
+	{ "heartbeat", CONTROL, EVHTTP_REQ_POST,
+	    "/bulrushtide/instances/w9/heartbeat",
+	    "{\"service\":\"desk\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":1000,"
+	    "\"memMb\":4096,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+	    "\"born\":1,\"seq\":1}" },
+	{ "deregistration", CONTROL, EVHTTP_REQ_POST,
+	    "/bulrushtide/instances/w9/deregister", "{}" },
+	{ "configuration", CONTROL, EVHTTP_REQ_POST,
+	    "/bulrushtide/config/replace", cell_config },
+	{ "read of the configuration", CONTROL, EVHTTP_REQ_GET,
+	    "/bulrushtide/config/read", NULL },
+	{ "explanation", METRICS, EVHTTP_REQ_POST,
+	    "/v1/explain?host=jobs.example&path=/q/",
+	    "{\"steps\":[" STEP "]}" },
+};
+
+/* A request over a connection that the caller keeps open. */
+struct ask {
+	struct http_peer *peer;
+	const struct request_kind *kind;
+	int64_t sent_ms;
+	bool done;
+	bool lost; /* as the platform's rules have it */
+	int status; /* 0: no answer */
+};
+
+static const char *
+address_of(const struct cell_node *n, enum place place)
+{
+	return place == CALLERS ? n->callers
+	    : place == CONTROL  ? n->control
+				: n->metrics;
+}
+
+static void
+on_answer(void *arg, int status, const void *body, size_t len, const char *why)
+{
+	struct ask *a = arg;
+
+	a->done = true;
+	a->status = status;
+	a->lost = status == 0 && !http_not_sent(why) &&
+	    mono_ms() - a->sent_ms > LOSS_SLACK_MS;
+}
+
+static void
+send_ask(struct ask *a, enum evhttp_cmd_type method, const char *path,
+    const char *body)
+{
+	static const char *const headers[] = { "Host", "jobs.example", NULL };
+
+	a->done = a->lost = false;
+	a->sent_ms = mono_ms();
+	http_send(a->peer, method, path, headers, body,
+	    body == NULL ? 0 : strlen(body), ASK_TIMEOUT_MS, on_answer, a);
+}
+
+static void
+ask(struct ask *a)
+{
+	send_ask(a, a->kind->method, a->kind->path, a->kind->body);
+}
+
+/* Opens a connection for requests of a kind. */
+static void
+open_ask(struct cell *c, struct ask *a, const struct cell_node *n,
+    const struct request_kind *kind)
+{
+	*a = (struct ask){ .kind = kind,
+		.peer =
+		    http_peer_new(c->base, address_of(n, kind->place), NULL) };
+	send_ask(a, EVHTTP_REQ_GET, "/none", NULL);
+	CELL_AWAIT(c, a->done);
+	g_assert_cmpint(a->status, ==, 404);
+}
+
+static void
+run_until(struct cell *c, int64_t until_ms)
+{
+	while (mono_ms() < until_ms)
+		cell_run_loop(c);
+}
+
+/* Sends SIGTERM; returns the time. */
+static int64_t
+terminate(struct cell *c, int i)
+{
+	kill(c->node[i].proc->pid, SIGTERM);
+	return mono_ms();
+}
+
+/* Waits until the process has ended; fails the test if its status isn't 0. */
+static void
+check_exit(struct cell *c, int i)
+{
+	int status = -1;
+	char *log;
+
+	CELL_AWAIT(c, cell_node_ended(c, i, &status));
+	if (status == 0)
+		return;
+	log = cell_read_log(c, i);
+	g_test_fail_printf("n%d ended with wait status %d: %s", i, status, log);
+	g_free(log);
+}
+
+/* Stops the replicas' processes for a while: no leader answers. */
+static void
+signal_replicas(struct cell *c, int signal)
+{
+	for (int i = 0; i < DISKS; i++)
+		kill(c->node[i].proc->pid, signal);
+}
+
+/*
+ * A cell whose entry has got SIGTERM and then a request of each kind, which
+ * are in progress when it gives up on the leader.
+ */
+static struct cell *
+stop_with_requests(struct ask asks[])
+{
+	struct cell *c = cell_new();
+	int64_t start_ms;
+
+	CELL_AWAIT(c, cell_submit_long(c, ENTRY, JOB));
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		open_ask(c, &asks[i], &c->node[ENTRY], &kinds[i]);
+	start_ms = terminate(c, ENTRY);
+	run_until(c, start_ms + LATE_MS);
+	signal_replicas(c, SIGSTOP);
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		ask(&asks[i]);
+	return c;
+}
+
+/* A process that stops with requests in progress crashes on its way out. */
+static void
+test_crash_with_requests(void)
+{
+	struct ask asks[G_N_ELEMENTS(kinds)];
+	struct cell *c = stop_with_requests(asks);
+
+	check_exit(c, ENTRY);
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		http_peer_free(asks[i].peer);
+	cell_free(c);
+}
+
+static void
+on_policy_connection(struct evconnlistener *l, evutil_socket_t fd,
+    struct sockaddr *from, int len, void *arg)
+{
+	int *connections = arg;
+
+	/* Left open: the query gets no answer. */
+	(*connections)++;
+}
+
+static struct evconnlistener *
+policy_listen(struct event_base *base, const char *address, int *connections)
+{
+	struct sockaddr_storage ss;
+	int len = sizeof(ss);
+
+	g_assert_cmpint(
+	    evutil_parse_sockaddr_port(address, (struct sockaddr *)&ss, &len),
+	    ==, 0);
+	return evconnlistener_new_bind(base, on_policy_connection, connections,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+	    (struct sockaddr *)&ss, len);
+}
+
+/*
+ * A process that stops while it queries the policy service, for itself or for
+ * the leader, crashes on its way out.
+ */
+static void
+test_crash_with_policy_query(void)
+{
+	static const char config[] =
+	    "{\"version\":8,\"routes\":[{\"name\":\"q\",\"host\":"
+	    "\"jobs.example\",\"pathPrefix\":\"/q/\",\"service\":\"desk\","
+	    "\"timeoutMs\":3000,\"maxAttempts\":2,\"slackFactor\":2,"
+	    "\"targetLatencyMs\":500,\"recommendation\":{\"decisionMs\":5,"
+	    "\"perWorkerMs\":1,\"validityMs\":2000}}],"
+	    "\"services\":[{\"name\":\"desk\"}]}";
+	char *ip = loopback_ip();
+	char *address = free_address(ip);
+	struct cell *c = cell_new_with(GRACE_S, address);
+	int connections = 0;
+	struct evconnlistener *l =
+	    policy_listen(c->base, address, &connections);
+
+	CELL_AWAIT(c, cell_configure(c, ENTRY, config) == 200);
+	for (int i = 0; i < 2 * NODES; i++) {
+		char *path = g_strdup_printf("/q/00000000000000a%d", i);
+
+		CELL_AWAIT(c, cell_submit(c, ENTRY, path));
+		g_free(path);
+	}
+	CELL_AWAIT(c, connections >= NODES);
+	for (int i = 0; i < NODES; i++)
+		(void)terminate(c, i);
+	for (int i = 0; i < NODES; i++)
+		check_exit(c, i);
+	evconnlistener_free(l);
+	cell_free(c);
+	g_free(address);
+	g_free(ip);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+	    "/shutdown/crash-with-requests", test_crash_with_requests);
+	g_test_add_func(
+	    "/shutdown/crash-with-policy-query", test_crash_with_policy_query);
+	return g_test_run();
+}
--- a/test/stepcell.c
+++ b/test/stepcell.c
@@ -1,9 +1,11 @@
 /* The processes, the proxy and the stand-in workers of a test cell. */
+#include <fcntl.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -15,6 +17,7 @@
 
 #define HEARTBEAT_MS 500
 #define LEASE_MAX_MS 6000 /* that a worker grants */
+#define GRACE_S 4 /* of graceful stops */
 #define CALL_TIMEOUT_MS 4000
 #define PEER_PORT "7998" /* the same on all addresses, as on the platform */
 #define READY_PORT "7999"
@@ -229,6 +232,23 @@
 	    "/bulrushtide/config/replace", config);
 }
 
+char *
+cell_make_config(int version, int queues)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text, "{\"version\":%d,\"routes\":[", version);
+	for (int i = 0; i < queues; i++)
+		g_string_append_printf(text,
+		    "%s{\"name\":\"q%d\",\"host\":\"jobs.example\","
+		    "\"pathPrefix\":\"/q%d/\",\"service\":\"desk\","
+		    "\"timeoutMs\":3000,\"maxAttempts\":2,"
+		    "\"slackFactor\":2,\"targetLatencyMs\":500}",
+		    i == 0 ? "" : ",", i, i);
+	g_string_append(text, "],\"services\":[{\"name\":\"desk\"}]}");
+	return g_string_free(text, FALSE);
+}
+
 /* --- the stand-in workers --- */
 
 static struct run *
@@ -655,11 +675,13 @@
 	char *text = g_strdup_printf(
 	    "[node]\nname=n%d\ndata-center=z\nip=%s\npeer-ports=%s\n"
 	    "peer-listen=%s\nseeds=%s:1,%s:1\nfirst-start=%s\ndata-dir=%s\n"
-	    "callers=%s\ncontrol=%s\nready=%s:%s\nmetrics=%s\ngrace-s=4\n"
-	    "lease-max-ms=" G_STRINGIFY(LEASE_MAX_MS) "\nretain-s=60\n",
+	    "callers=%s\ncontrol=%s\nready=%s:%s\nmetrics=%s\ngrace-s=%d\n"
+	    "lease-max-ms=" G_STRINGIFY(LEASE_MAX_MS) "\nretain-s=60\n"
+						      "policy-service=%s\n",
 	    i, n->ip, PEER_PORT, n->listen, c->node[0].ip, c->node[seed].ip,
 	    first ? "true" : "false", n->data == NULL ? "" : n->data,
-	    n->callers, n->control, n->ip, READY_PORT, n->metrics);
+	    n->callers, n->control, n->ip, READY_PORT, n->metrics, c->grace_s,
+	    c->policy == NULL ? "" : c->policy);
 
 	g_assert_true(g_file_set_contents(n->settings, text, -1, NULL));
 	g_free(text);
@@ -683,6 +705,34 @@
 	g_free(dir);
 }
 
+int
+cell_start_held(struct cell *c, int i, char **settings)
+{
+	struct cell_node *n = &c->node[i];
+	int fd;
+
+	cell_write_settings(c, i, false, 1);
+	g_assert_true(g_file_get_contents(n->settings, settings, NULL, NULL));
+	g_assert_cmpint(unlink(n->settings), ==, 0);
+	g_assert_cmpint(mkfifo(n->settings, 0600), ==, 0);
+	cell_run_program(c, i);
+	/* Succeeds once the program has opened the FIFO. */
+	CELL_AWAIT(c,
+	    (fd = open(n->settings, O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0);
+	return fd;
+}
+
+void
+cell_release_start(struct cell *c, int i, int fd, char *settings)
+{
+	/* Replaces the FIFO by a file. */
+	cell_write_settings(c, i, false, 1);
+	g_assert_cmpint(write(fd, settings, strlen(settings)), ==,
+	    (ssize_t)strlen(settings));
+	close(fd);
+	g_free(settings);
+}
+
 void
 cell_start_node(struct cell *c, int i, bool first)
 {
@@ -730,6 +780,15 @@
 	g_clear_pointer(&c->node[i].proc, proc_free);
 }
 
+bool
+cell_node_ended(struct cell *c, int i, int *status)
+{
+	if (!proc_ended(c->node[i].proc, status))
+		return false;
+	g_clear_pointer(&c->node[i].proc, proc_free);
+	return true;
+}
+
 void
 cell_wipe_disk(struct cell *c, int i)
 {
@@ -827,10 +886,12 @@
 }
 
 struct cell *
-cell_new(void)
+cell_new_with(int grace_s, const char *policy)
 {
 	struct cell *c = g_new0(struct cell, 1);
 
+	c->grace_s = grace_s;
+	c->policy = policy;
 	c->base = event_base_new();
 	c->dir = g_dir_make_tmp("stepcell-XXXXXX", NULL);
 	c->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -867,6 +928,12 @@
 	return c;
 }
 
+struct cell *
+cell_new(void)
+{
+	return cell_new_with(GRACE_S, NULL);
+}
+
 void
 cell_free(struct cell *c)
 {
@@ -901,14 +968,20 @@
 	g_free(c);
 }
 
-static bool
-submit(struct cell *c, int i, const char *path, const char *spec)
+char *
+cell_job_body(const char *spec)
 {
-	char *body = g_strdup_printf(
+	return g_strdup_printf(
 	    "{\"spec\":\"%s\",\"steps\":[{\"count\":2,\"cpu\":%d,"
 	    "\"estimatedMs\":300},{\"count\":1,\"cpu\":%d,"
 	    "\"after\":[0],\"estimatedMs\":300}]}",
 	    spec, FIRST_MILLICPUS, SECOND_MILLICPUS);
+}
+
+static bool
+submit(struct cell *c, int i, const char *path, const char *spec)
+{
+	char *body = cell_job_body(spec);
 	bool accepted = cell_call(c, c->node[i].callers, EVHTTP_REQ_POST, path,
 			    body) == 200;
 
--- a/test/stepcell.h
+++ b/test/stepcell.h
@@ -72,6 +72,8 @@
 	bool peer_kept; /* peer is a caller_conn */
 	bool answered;
 	const char *key; /* of the calls from now on; NULL: none */
+	int grace_s; /* of graceful stops */
+	const char *policy; /* address of the policy service; NULL: none */
 };
 
 /* A task under which so many workers have crashed may be given up. */
@@ -81,6 +83,9 @@
 extern const char cell_config[];
 
 struct cell *cell_new(void);
+/* The same with other settings: the grace period of stops, in seconds, and the
+ * address of the policy service; NULL: none. The address must stay valid. */
+struct cell *cell_new_with(int grace_s, const char *policy);
 void cell_free(struct cell *c);
 
 /* Runs the event loop for 10 ms and sends due heartbeats of the workers. */
@@ -98,6 +103,9 @@
 /* Stores a configuration at a node's control address; the HTTP status. */
 int cell_configure(struct cell *c, int node, const char *config);
 
+/* A configuration with so many queues. Free the result. */
+char *cell_make_config(int version, int queues);
+
 /* The log of a node so far. Free the result. */
 char *cell_read_log(const struct cell *c, int node);
 
@@ -105,6 +113,10 @@
 void cell_start_node(struct cell *c, int node, bool first);
 /* Runs the program of a node with the settings that are there. */
 void cell_run_program(struct cell *c, int node);
+/* Runs the program of a node, which waits for its settings: returns the file
+ * that cell_release_start() writes them to. */
+int cell_start_held(struct cell *c, int node, char **settings);
+void cell_release_start(struct cell *c, int node, int fd, char *settings);
 /* Writes the settings file of a node; its seeds are node 0 and node seed. */
 void cell_write_settings(struct cell *c, int node, bool first, int seed);
 /* Sends a command to the proxy: n0 to n3 are processes, w0 to w2 workers. */
@@ -115,6 +127,8 @@
 void cell_kill_node(struct cell *c, int node);
 /* Empties the disk of a node that is not running. */
 void cell_wipe_disk(struct cell *c, int node);
+/* Says whether a node's process has ended, and sets its wait status. */
+bool cell_node_ended(struct cell *c, int node, int *status);
 bool cell_node_ready(struct cell *c, int node);
 /* Reports whether a node answers, be it ready or not. */
 bool cell_node_answers(struct cell *c, int node);
@@ -124,6 +138,9 @@
 G_NORETURN void cell_await_failed(
     struct cell *c, const char *condition, const char *file, int line);
 
+/* The body that submits a job: tasks of the spec "w" take TASK_MS, of "long"
+ * LONG_TASK_MS, of "deadly" crash their workers. Free the result. */
+char *cell_job_body(const char *spec);
 /* Submits a job: a step of two tasks, then one of one; true if accepted. */
 bool cell_submit(struct cell *c, int node, const char *path);
 /* Submits a job with two tasks that crash the workers that start them. */
--- a/test/tcp.c
+++ b/test/tcp.c
@@ -8,11 +8,20 @@
 
 int
 tcp_dial(const char *address)
+{
+	return tcp_dial_small(address, 0);
+}
+
+int
+tcp_dial_small(const char *address, int receive_bytes)
 {
 	struct sockaddr_storage ss;
 	int len = sizeof(ss);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
+	if (receive_bytes > 0)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+		    sizeof(receive_bytes));
 	g_assert_cmpint(
 	    evutil_parse_sockaddr_port(address, (struct sockaddr *)&ss, &len),
 	    ==, 0);
