platform, wal: no signal ends a process while it frees its parts

A second SIGTERM, or a SIGHUP as the settings file changed, that came in the last moments of a stop ended the process with the signal's status, before the log was closed.

Cause: the handlers were removed as soon as the loop had ended, which restored the default action.

The thread of the log holds them always: one that the main thread holds would be delivered there.

--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -143,3 +143,15 @@
 	return a->millicpus == b->millicpus && a->memory == b->memory &&
 	    a->accelerators == b->accelerators;
 }
+
+void
+hold_signals(sigset_t *before)
+{
+	sigset_t held;
+
+	sigemptyset(&held);
+	sigaddset(&held, SIGTERM);
+	sigaddset(&held, SIGINT);
+	sigaddset(&held, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &held, before);
+}
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -6,6 +6,7 @@
 #ifndef BASE_H
 #define BASE_H
 
+#include <signal.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -89,4 +90,10 @@
 
 bool resources_equal(const struct resources *a, const struct resources *b);
 
+/*
+ * Holds back SIGTERM, SIGINT and SIGHUP, for the calling thread and those that
+ * it starts. Sets before, if not NULL, to the former mask.
+ */
+void hold_signals(sigset_t *before);
+
 #endif
--- a/lib/wal/wal.c
+++ b/lib/wal/wal.c
@@ -299,10 +299,15 @@
 void
 wal_start(struct wal *w, wal_done_fn *done, void *arg)
 {
+	sigset_t before;
+
 	g_assert(w->thread == NULL);
 	w->done = done;
 	w->done_arg = arg;
+	/* Signals are left to the thread that waits for this one at the end. */
+	hold_signals(&before);
 	w->thread = g_thread_new("wal", file_thread, w);
+	pthread_sigmask(SIG_SETMASK, &before, NULL);
 }
 
 void
--- a/test/shutdown_test.c
+++ b/test/shutdown_test.c
@@ -258,6 +258,41 @@
 	g_free(ip);
 }
 
+/* A signal that comes while a process that stops frees what it has ends it
+ * with another status. */
+static void
+test_signal_at_exit(void)
+{
+	struct cell *c = cell_new();
+	int64_t limit_ms = terminate(c, 0) + AWAIT_LIMIT_MS;
+	int status = -1;
+
+	while (mono_ms() < limit_ms && !cell_node_ended(c, 0, &status)) {
+		kill(c->node[0].proc->pid, SIGTERM);
+		kill(c->node[0].proc->pid, SIGHUP);
+		g_usleep(500);
+	}
+	g_assert_cmpint(status, ==, 0);
+	cell_free(c);
+}
+
+/* A stop signal that comes while a process starts ends it with another status.
+ * The start waits for its settings, which it reads from a FIFO. */
+static void
+test_signal_at_start(void)
+{
+	struct cell *c = cell_new();
+	char *settings;
+	int fd;
+
+	cell_kill_node(c, ENTRY);
+	fd = cell_start_held(c, ENTRY, &settings);
+	(void)terminate(c, ENTRY);
+	cell_release_start(c, ENTRY, fd, settings);
+	check_exit(c, ENTRY);
+	cell_free(c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -266,5 +301,7 @@
 	    "/shutdown/crash-with-requests", test_crash_with_requests);
 	g_test_add_func(
 	    "/shutdown/crash-with-policy-query", test_crash_with_policy_query);
+	g_test_add_func("/shutdown/signal-at-exit", test_signal_at_exit);
+	g_test_add_func("/shutdown/signal-at-start", test_signal_at_start);
 	return g_test_run();
 }
