httpd: a connection isn't closed before its answer has left

Callers that read slowly got a part of an answer from a process that stopped: 2,015,232 of more than 3,017,833 bytes of a configuration. Operators that were redirected while they still sent a large configuration had their connection reset, and with it possibly the answer.

Cause: a request counted as pending until its answer was written to a buffer, not until that was empty, and the stop waits for what is pending. And the answers of a process that stops close their connection also with input unread, which makes the system send a reset.

A connection now counts until its last answer has been passed to the system and the body that is skipped has come. An answer doesn't say "Connection: close" if more input has come, such as another request. A server that stops accepting closes its socket: connections in its queue would be reset at the exit, and are refused now, so that their callers know that nothing was done.

/shutdown/answer-truncated and /shutdown/redirect-reset failed and pass.

--- a/lib/httpd/connection.c
+++ b/lib/httpd/connection.c
@@ -20,6 +20,7 @@
 	size_t request_held; /* bytes of requests that are not complete, or
 				whose answer is not read */
 	bool answered; /* the last request is */
+	bool unsent; /* see struct httpd */
 };
 
 static void
@@ -27,6 +28,7 @@
 {
 	struct connection *c = arg;
 
+	c->httpd->unsent -= c->unsent;
 	if (c->inbound != NULL)
 		inbound_remove(c->inbound);
 	if (c->attach != NULL)
@@ -51,6 +53,22 @@
 		inbound_hold(c->inbound, bytes);
 }
 
+static bool
+is_skipping(const struct connection *c)
+{
+	return c->input != NULL && skip_in_progress(c->input);
+}
+
+static void
+update_unsent(struct connection *c)
+{
+	if (!c->unsent || is_skipping(c) ||
+	    evbuffer_get_length(bufferevent_get_output(c->bev)) > 0)
+		return;
+	c->unsent = false;
+	c->httpd->unsent--;
+}
+
 static void
 on_input(struct evbuffer *buf, const struct evbuffer_cb_info *info, void *arg)
 {
@@ -66,6 +84,7 @@
 	discarded = skip_filter(c->input, buf, info->orig_size);
 	c->filtering = false;
 	hold_request(c, -(ssize_t)MIN(discarded, c->request_held));
+	update_unsent(c);
 }
 
 static void
@@ -73,6 +92,8 @@
 {
 	struct connection *c = arg;
 
+	if (info->n_deleted > 0)
+		update_unsent(c);
 	if (c->inbound == NULL)
 		return;
 	inbound_hold(
@@ -207,10 +228,24 @@
 	struct connection *c = find(h, ev);
 
 	inbound_hold_request(-(ssize_t)held);
-	if (c == NULL || c->inbound == NULL)
+	if (c == NULL)
+		return;
+	h->unsent += !c->unsent;
+	c->unsent = true;
+	if (c->inbound == NULL)
 		return;
 	c->answered = true;
 	hold_request(c, (ssize_t)held);
 	inbound_set_served(c->inbound);
 	inbound_set_busy(c->inbound, false);
 }
+
+bool
+connection_has_input(struct httpd *h, struct evhttp_request *ev)
+{
+	struct connection *c = find(h, ev);
+
+	return c != NULL &&
+	    (is_skipping(c) ||
+		evbuffer_get_length(bufferevent_get_input(c->bev)) > 0);
+}
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -163,6 +163,7 @@
 {
 	struct sockaddr_storage ss;
 	int len = sizeof(ss);
+	struct evconnlistener *listener;
 	struct httpd *h;
 
 	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&ss, &len)) {
@@ -185,15 +186,16 @@
 		EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
 	evhttp_set_gencb(h->http, on_request, h);
 	evhttp_set_bevcb(h->http, connection_new, h);
-	h->listener = evconnlistener_new_bind(base, NULL, NULL,
+	listener = evconnlistener_new_bind(base, NULL, NULL,
 	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
 	    LISTEN_BACKLOG, (struct sockaddr *)&ss, len);
-	if (h->listener == NULL ||
-	    evhttp_bind_listener(h->http, h->listener) == NULL) {
+	h->listener =
+	    listener == NULL ? NULL : evhttp_bind_listener(h->http, listener);
+	if (h->listener == NULL) {
 		g_set_error(err, BT_ERROR, ERR_IO, "can't listen on %s: %s",
 		    address, strerror(errno));
-		if (h->listener != NULL)
-			evconnlistener_free(h->listener);
+		if (listener != NULL)
+			evconnlistener_free(listener);
 		evhttp_free(h->http);
 		g_hash_table_unref(h->connections);
 		g_free(h);
@@ -232,13 +234,15 @@
 void
 httpd_stop_accepting(struct httpd *h)
 {
-	evconnlistener_disable(h->listener);
+	if (h->listener != NULL)
+		evhttp_del_accept_socket(
+		    h->http, g_steal_pointer(&h->listener));
 }
 
 int
 httpd_pending(const struct httpd *h)
 {
-	return h->pending;
+	return h->pending + h->unsent;
 }
 
 void
@@ -305,7 +309,9 @@
 		g_snprintf(seconds, sizeof(seconds), "%d", retry_after_s);
 		evhttp_add_header(headers, "Retry-After", seconds);
 	}
-	if (req->server->closing)
+	/* Closing with input unread would reset the connection, and the answer
+	 * might be lost. */
+	if (req->server->closing && !connection_has_input(req->server, req->ev))
 		evhttp_add_header(headers, "Connection", "close");
 	evbuffer_add(out, body, len);
 	totals.bytes_out += len + REPLY_HEAD_BYTES;
--- a/lib/httpd/httpd.h
+++ b/lib/httpd/httpd.h
@@ -73,11 +73,13 @@
  * fn returns true. Sets one path, before the event loop runs.
  */
 void httpd_skip_bodies(struct httpd *h, const char *path, http_skip_fn *fn);
-/* Makes all later replies carry "Connection: close". */
+/* Makes later replies carry "Connection: close", unless more input than the
+ * request has arrived. */
 void httpd_close_keepalive(struct httpd *h);
-/* Stops accepting connections; those that are open stay open. */
+/* Stops listening; connections that are open stay open. */
 void httpd_stop_accepting(struct httpd *h);
-/* Returns the number of requests not yet replied to. */
+/* Returns the number of requests not yet replied to, and of connections whose
+ * last answer has not been passed to the system whole. */
 int httpd_pending(const struct httpd *h);
 void httpd_free(struct httpd *h);
 
--- a/lib/httpd/skip.c
+++ b/lib/httpd/skip.c
@@ -217,6 +217,12 @@
 	return in->discarded;
 }
 
+bool
+skip_in_progress(const struct input *in)
+{
+	return in->state == INPUT_SKIPPED;
+}
+
 struct input *
 skip_input_new(struct httpd *h)
 {
--- a/test/shutdown_test.c
+++ b/test/shutdown_test.c
@@ -153,6 +153,28 @@
 	g_free(log);
 }
 
+/* The node that leads, by its log. */
+static int
+leader(struct cell *c)
+{
+	static const char leads[] = "event=lead term=";
+	int found = -1;
+	long term = -1;
+
+	for (int i = 0; i < NODES; i++) {
+		char *log = cell_read_log(c, i);
+		const char *at = g_strrstr(log, leads);
+
+		if (at != NULL && strstr(at, "event=resign") == NULL &&
+		    strtol(at + strlen(leads), NULL, 10) > term) {
+			term = strtol(at + strlen(leads), NULL, 10);
+			found = i;
+		}
+		g_free(log);
+	}
+	return found;
+}
+
 /* Stops the replicas' processes for a while: no leader answers. */
 static void
 signal_replicas(struct cell *c, int signal)
@@ -258,6 +280,117 @@
 	g_free(ip);
 }
 
+static void
+send_request(int fd, const char *text)
+{
+	g_assert_cmpint(send(fd, text, strlen(text), MSG_NOSIGNAL), ==,
+	    (ssize_t)strlen(text));
+}
+
+/* Receives until the other side closes the connection. */
+static void
+receive_all(int fd, GString *in)
+{
+	struct timeval limit = { .tv_sec = ASK_TIMEOUT_MS / 1000 };
+	char buf[RECEIVE_BYTES];
+	ssize_t n;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	while ((n = recv(fd, buf, sizeof(buf), 0)) > 0)
+		g_string_append_len(in, buf, n);
+}
+
+/* Asks for the configuration and receives only the beginning of the answer. -1
+ * if it is an error. */
+static int
+read_slowly(struct cell *c, int node, GString *in)
+{
+	int fd = tcp_dial_small(c->node[node].control, RECEIVE_BYTES);
+
+	g_string_truncate(in, 0);
+	send_request(
+	    fd, "GET /bulrushtide/config/read HTTP/1.1\r\nHost: x\r\n\r\n");
+	CELL_AWAIT(c, tcp_received(fd, in, "\r\n\r\n"));
+	if (g_str_has_prefix(in->str, "HTTP/1.1 200 "))
+		return fd;
+	g_test_message("n%d: %.200s", node, in->str);
+	close(fd);
+	return -1;
+}
+
+/* A process closes a connection before the last byte of an answer has left, as
+ * the caller reads slowly. */
+static void
+test_answer_truncated(void)
+{
+	struct cell *c = cell_new_with(LONG_GRACE_S, NULL);
+	char *config = cell_make_config(8, HUGE_QUEUES);
+	GString *in = g_string_new(NULL);
+	int64_t start_ms;
+	int node;
+	int fd;
+
+	CELL_AWAIT(c,
+	    (node = leader(c)) >= 0 && cell_configure(c, node, config) == 200);
+	CELL_AWAIT(
+	    c, (node = leader(c)) >= 0 && (fd = read_slowly(c, node, in)) >= 0);
+	start_ms = terminate(c, node);
+	run_until(c, start_ms + GRACE_S * 1000);
+	receive_all(fd, in);
+	if (!g_str_has_suffix(in->str, config))
+		g_test_fail_printf("%zu bytes of an answer of more than %zu",
+		    in->len, strlen(config));
+	close(fd);
+	check_exit(c, node);
+	g_string_free(in, TRUE);
+	g_free(config);
+	cell_free(c);
+}
+
+/*
+ * A process that stops resets the connection of an operator that it has
+ * redirected, while the operator still sends the configuration.
+ */
+static void
+test_redirect_reset(void)
+{
+	struct cell *c = cell_new();
+	char *config = cell_make_config(8, LARGE_QUEUES);
+	char *head = g_strdup_printf("POST /bulrushtide/config/replace "
+				     "HTTP/1.1\r\nHost: x\r\n"
+				     "Content-Length: %zu\r\n\r\n",
+	    strlen(config));
+	GString *in = g_string_new(NULL);
+	size_t sent = 0;
+	int fd;
+
+	(void)terminate(c, ENTRY);
+	CELL_AWAIT(c, !cell_node_ready(c, ENTRY));
+	fd = tcp_dial(c->node[ENTRY].control);
+	send_request(fd, head);
+	CELL_AWAIT(c, tcp_received(fd, in, "\r\n\r\n"));
+	g_assert_true(g_str_has_prefix(in->str, "HTTP/1.1 307 "));
+	while (sent < strlen(config)) {
+		ssize_t n = send(fd, config + sent,
+		    MIN(strlen(config) - sent, RECEIVE_BYTES), MSG_NOSIGNAL);
+
+		if (n < 0) {
+			g_test_fail_printf("connection lost after %zu bytes "
+					   "of the body",
+			    sent);
+			break;
+		}
+		sent += (size_t)n;
+		cell_run_loop(c);
+	}
+	close(fd);
+	check_exit(c, ENTRY);
+	g_string_free(in, TRUE);
+	g_free(head);
+	g_free(config);
+	cell_free(c);
+}
+
 /* A signal that comes while a process that stops frees what it has ends it
  * with another status. */
 static void
@@ -301,6 +434,8 @@
 	    "/shutdown/crash-with-requests", test_crash_with_requests);
 	g_test_add_func(
 	    "/shutdown/crash-with-policy-query", test_crash_with_policy_query);
+	g_test_add_func("/shutdown/answer-truncated", test_answer_truncated);
+	g_test_add_func("/shutdown/redirect-reset", test_redirect_reset);
 	g_test_add_func("/shutdown/signal-at-exit", test_signal_at_exit);
 	g_test_add_func("/shutdown/signal-at-start", test_signal_at_start);
 	return g_test_run();
