platform: a stop answers every request that it has read

Cause: on_drain() ended the loop 1.2 s before the end of the grace period, with requests in progress, and nothing answered them while it still ran. A request for the state of a running job is always in progress for 150 ms. Requests at the metrics address (explain) did not count as pending at all.

On the code before /shutdown/requests-cut had nine of nine kinds of requests cut off, and /shutdown/cut-by-stops-in-turn failed. The soak could not see the fault: it waited for the process with all callers' connections idle, and dropped its status.

--- a/lib/cellnode/cellnode.c
+++ b/lib/cellnode/cellnode.c
@@ -629,10 +629,10 @@
 	return l == NULL ? NULL : mesh_peer(l)->address;
 }
 
-guint
-cellnode_pending(const struct cellnode *n)
+void
+cellnode_refuse_requests(struct cellnode *n)
 {
-	return gate_pending(n->gate);
+	gate_close(n->gate);
 }
 
 void
--- a/lib/cellnode/cellnode.h
+++ b/lib/cellnode/cellnode.h
@@ -35,14 +35,15 @@
 
 /* Starts the graceful stop: not ready any more, transfers leadership. */
 void cellnode_drain(struct cellnode *n);
+/* Answers all pending requests as if they had timed out, and later ones at
+ * once. */
+void cellnode_refuse_requests(struct cellnode *n);
 
 /* Reports whether callers may be sent here: not draining, leader reachable. */
 bool cellnode_ready(struct cellnode *n);
 /* The peer address of the process that leads, NULL if none is known or if it
  * is this one; valid until control returns to the event loop. */
 const char *cellnode_leader_address(struct cellnode *n);
-/* Number of requests that are not answered yet. */
-guint cellnode_pending(const struct cellnode *n);
 
 /*
  * Forwards a request to the leader, and again to each new leader, until it is
--- a/lib/gate/gate.c
+++ b/lib/gate/gate.c
@@ -21,6 +21,7 @@
 	uint64_t last_id;
 	int64_t disconnected_ms; /* since when; 0: a replica is connected */
 	GHashTable *pending; /* id to struct pending */
+	bool closed;
 };
 
 static void
@@ -69,16 +70,25 @@
 }
 
 void
-gate_free(struct gate *g)
+gate_close(struct gate *g)
 {
-	GHashTableIter iter;
-	gpointer value;
+	GList *all = g_hash_table_get_values(g->pending);
+
+	g->closed = true;
+	g_hash_table_steal_all(g->pending);
+	for (GList *i = all; i != NULL; i = i->next) {
+		drop(i->data, "stopping");
+		pending_free(i->data);
+	}
+	g_list_free(all);
+}
 
+void
+gate_free(struct gate *g)
+{
 	if (g == NULL)
 		return;
-	g_hash_table_iter_init(&iter, g->pending);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		drop(value, "stopping");
+	gate_close(g);
 	g_hash_table_unref(g->pending);
 	g_free(g);
 }
@@ -115,7 +125,9 @@
 	p->deadline_ms = p->since_ms + timeout_ms;
 	p->fn = fn;
 	p->arg = arg;
-	if (g_hash_table_size(g->pending) >= PENDING_MAX)
+	if (g->closed)
+		why = "stopping";
+	else if (g_hash_table_size(g->pending) >= PENDING_MAX)
 		why = "too many requests";
 	else if (is_disconnected(g, p->since_ms))
 		why = "no replica is connected";
--- a/lib/gate/gate.h
+++ b/lib/gate/gate.h
@@ -23,7 +23,10 @@
 typedef void gate_answer_fn(void *arg, const struct answer *a);
 
 struct gate *gate_new(gate_send_fn *send, void *arg);
-/* Answers all pending requests as if they had timed out. */
+/* Answers all pending requests as if they had timed out, and later ones at
+ * once. */
+void gate_close(struct gate *g);
+/* Closes the gate first. */
 void gate_free(struct gate *g);
 /* Copies and forwards a request. Calls fn exactly once, after timeout_ms at the
  * latest, possibly before it returns. */
--- a/test/gate_test.c
+++ b/test/gate_test.c
@@ -255,6 +255,30 @@
 	gate_free(l.gate);
 }
 
+/* Guards against a process that stops without an answer to the requests that
+ * it forwards: those in progress, and those that still arrive. */
+static void
+test_closed(void)
+{
+	struct leader l = setup();
+
+	l.gate = gate_new(on_send, &l);
+	forward(&l, LONG_MS);
+	l.reachable = false;
+	forward(&l, LONG_MS);
+	g_assert_cmpint(l.answers_received, ==, 0);
+	gate_close(l.gate);
+	g_assert_cmpint(l.answers_received, ==, 2);
+	l.reachable = true;
+	forward(&l, LONG_MS);
+	g_assert_cmpint(l.answers_received, ==, 3);
+	g_assert_cmpuint(l.result, ==, REQUEST_UNAVAILABLE);
+	g_assert_cmpint(l.requests, ==, 1);
+	g_assert_cmpuint(gate_pending(l.gate), ==, 0);
+	gate_free(l.gate);
+	g_free(l.credential);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -268,5 +292,6 @@
 	    "/gate/replicas-lost-unclear", test_replicas_lost_unclear);
 	g_test_add_func("/gate/credential-kept", test_credential_kept);
 	g_test_add_func("/gate/unauthenticated", test_unauthenticated);
+	g_test_add_func("/gate/closed", test_closed);
 	return g_test_run();
 }
--- a/test/shutdown_test.c
+++ b/test/shutdown_test.c
@@ -123,6 +123,19 @@
 	g_assert_cmpint(a->status, ==, 404);
 }
 
+/* Fails the test if the request got no answer. */
+static void
+check_ask(struct cell *c, struct ask *a)
+{
+	CELL_AWAIT(c, a->done);
+	g_test_message("%s: %s, status %d", a->kind->name,
+	    a->lost ? "cut off" : "answered, or not read", a->status);
+	if (a->lost)
+		g_test_fail_printf(
+		    "%s: cut off without an answer", a->kind->name);
+	http_peer_free(a->peer);
+}
+
 static void
 run_until(struct cell *c, int64_t until_ms)
 {
@@ -217,6 +230,19 @@
 	cell_free(c);
 }
 
+/* A process that stops cuts off requests in progress without an answer. */
+static void
+test_requests_cut(void)
+{
+	struct ask asks[G_N_ELEMENTS(kinds)];
+	struct cell *c = stop_with_requests(asks);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		check_ask(c, &asks[i]);
+	check_exit(c, ENTRY);
+	cell_free(c);
+}
+
 static void
 on_policy_connection(struct evconnlistener *l, evutil_socket_t fd,
     struct sockaddr *from, int len, void *arg)
@@ -426,6 +452,45 @@
 	cell_free(c);
 }
 
+#define CALLS_IN_TURN 40
+#define CALL_FIRST_MS 2000
+#define CALL_GAP_MS 30
+#define LEADER_STOP_MS 2700
+
+/*
+ * Requests that wait for the leader are cut off when first their process stops
+ * and then the leader.
+ */
+static void
+test_cut_by_stops_in_turn(void)
+{
+	static const struct request_kind *const state = &kinds[1];
+	struct cell *c = cell_new();
+	struct ask asks[CALLS_IN_TURN];
+	int64_t start_ms;
+	int node;
+
+	CELL_AWAIT(c, (node = leader(c)) >= 0 && node != ENTRY);
+	CELL_AWAIT(c, cell_submit_long(c, ENTRY, JOB));
+	for (int i = 0; i < CALLS_IN_TURN; i++)
+		open_ask(c, &asks[i], &c->node[ENTRY], state);
+	start_ms = terminate(c, ENTRY);
+	for (int i = 0; i < CALLS_IN_TURN; i++) {
+		int64_t at_ms = start_ms + CALL_FIRST_MS + i * CALL_GAP_MS;
+
+		if (at_ms - CALL_GAP_MS < start_ms + LEADER_STOP_MS &&
+		    at_ms >= start_ms + LEADER_STOP_MS)
+			(void)terminate(c, node);
+		run_until(c, at_ms);
+		ask(&asks[i]);
+	}
+	for (int i = 0; i < CALLS_IN_TURN; i++)
+		check_ask(c, &asks[i]);
+	check_exit(c, ENTRY);
+	check_exit(c, node);
+	cell_free(c);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -434,6 +499,9 @@
 	    "/shutdown/crash-with-requests", test_crash_with_requests);
 	g_test_add_func(
 	    "/shutdown/crash-with-policy-query", test_crash_with_policy_query);
+	g_test_add_func("/shutdown/requests-cut", test_requests_cut);
+	g_test_add_func(
+	    "/shutdown/cut-by-stops-in-turn", test_cut_by_stops_in_turn);
 	g_test_add_func("/shutdown/answer-truncated", test_answer_truncated);
 	g_test_add_func("/shutdown/redirect-reset", test_redirect_reset);
 	g_test_add_func("/shutdown/signal-at-exit", test_signal_at_exit);
--- a/test/soak.c
+++ b/test/soak.c
@@ -11,7 +11,10 @@
  * in two places or again after it has ended as done, no worker is filled over
  * its capacity, the configuration is not lost, no key is accepted before it is
  * added or after the acknowledgement of its revocation, and none refused in
- * between. The seed decides everything but the timing of the processes.
+ * between. Callers at each process go on asking over open connections while it
+ * stops: none of them is cut off without an answer, and the process exits with
+ * 0. Stops overlap, and signals to stop come twice. The seed decides everything
+ * but the timing of the processes.
  *
  *     soak SEED SECONDS
  */
@@ -20,6 +23,7 @@
 #include <string.h>
 #include <sys/wait.h>
 
+#include "httpd.h"
 #include "stepcell.h"
 
 #define REPLICA_LOSS_GAP_MS 6000 /* from a lost disk to the next loss */
@@ -45,10 +49,36 @@
 #define FIRST_VERSION 8 /* cell_config has 7 */
 #define COMPLETION_LIMIT_MS 90000 /* until all accepted jobs are completed */
 #define LINKS (NODES + WORKERS)
+#define TICK_MS 20 /* of callers and stops */
+#define CALLERS 16 /* at each process, with a connection each */
+#define CALL_GAP_MAX_MS 3000 /* between a caller's requests */
+#define CALL_GAP_SHORT_MS 300 /* of half of the callers during a stop */
+#define CALL_RECENT_JOBS 8 /* most requests are about the last ones */
+#define CALL_TIMEOUT_MS 10000 /* longer than a stop takes */
+#define CALL_SALT 0x63616c6c6572 /* own random numbers for callers */
+#define LOSS_SLACK_MS 200 /* lossSlackMs of the platform */
+#define STOP_GAP_MAX_MS 3500 /* between stops, which take about as long */
+#define STOP_AGAIN_MAX_MS 3000 /* until the signal is sent once more */
+#define STOP_LIMIT_MS 60000 /* fails a stop that hangs */
 
 struct fault {
 	int64_t until_ms; /* 0: none */
 	bool paused;
+	bool stopping; /* got SIGTERM and still runs */
+	int64_t again_ms; /* of a second SIGTERM; 0: it was sent */
+};
+
+struct soak;
+
+/* Asks a process again and again over a connection that it keeps open. */
+struct caller {
+	struct soak *soak;
+	int node;
+	bool presses;
+	struct http_peer *peer;
+	int64_t next_ms; /* of the next request; 0: one is in progress */
+	int64_t sent_ms;
+	int job; /* that the request submits again; -1: none */
 };
 
 /* A worker that restarts under its name: it is cut off, restarts while calls
@@ -76,7 +106,8 @@
 	int64_t capacity_ms; /* of the next change of a worker's capacity */
 	struct fault fault[NODES];
 	int64_t link_until_ms[LINKS]; /* to nodes, then workers; 0: no fault */
-	int64_t disk_lost_ms; /* time of the last lost disk */
+	bool disk_lost; /* a disk was lost */
+	int64_t disk_lost_ms; /* time of the last one, or of the start */
 	int jobs;
 	bool accepted[JOBS_MAX];
 	struct rng key_rng;
@@ -87,6 +118,17 @@
 	int64_t key_call_ms; /* of the next call with some key */
 	int refused; /* calls with a revoked key that got 401 */
 	int key_faults; /* answers that no key should get */
+	struct rng call_rng;
+	struct caller caller[NODES][CALLERS];
+	struct event *tick;
+	int64_t stop_ms[NODES]; /* time of SIGTERM, until the node is restarted;
+				   0: none */
+	int64_t next_stop_ms;
+	int stops;
+	int64_t longest_stop_ms;
+	int calls; /* answered while their process was stopping */
+	int lost; /* cut off without an answer then */
+	int bad_exits; /* stops that did not end with status 0 */
 };
 
 static void
@@ -107,10 +149,10 @@
 }
 
 static int64_t
-fault_end_ms(struct soak *s)
+fault_end_ms(struct rng *rng)
 {
 	return mono_ms() + FAULT_MIN_MS +
-	    (int64_t)rng_below(&s->rng, FAULT_EXTRA_MS);
+	    (int64_t)rng_below(rng, FAULT_EXTRA_MS);
 }
 
 static void
@@ -120,14 +162,21 @@
 	kill(s->cell->node[i].proc->pid, SIGSTOP);
 }
 
+static int64_t
+random_ms(struct rng *rng, uint64_t max_ms)
+{
+	return mono_ms() + 1 + (int64_t)rng_below(rng, max_ms);
+}
+
+/* The process goes on for a while: see watch_stops(). */
 static void
 stop_node(struct soak *s, int i)
 {
-	struct cell_node *n = &s->cell->node[i];
-
-	kill(n->proc->pid, SIGTERM);
-	(void)proc_wait(n->proc);
-	g_clear_pointer(&n->proc, proc_free);
+	kill(s->cell->node[i].proc->pid, SIGTERM);
+	s->stops++;
+	s->stop_ms[i] = mono_ms();
+	s->fault[i].stopping = true;
+	s->fault[i].again_ms = random_ms(&s->call_rng, STOP_AGAIN_MAX_MS);
 }
 
 static void
@@ -143,6 +192,7 @@
 	if (i >= DISKS)
 		return;
 	cell_wipe_disk(s->cell, i);
+	s->disk_lost = true;
 	s->disk_lost_ms = mono_ms();
 }
 
@@ -183,7 +233,7 @@
 	uint64_t kind = rng_below(&s->rng, G_N_ELEMENTS(node_faults));
 
 	printf("soak: %s n%d\n", node_faults[kind].name, i);
-	s->fault[i] = (struct fault){ .until_ms = fault_end_ms(s) };
+	s->fault[i] = (struct fault){ .until_ms = fault_end_ms(&s->rng) };
 	node_faults[kind].inject(s, i);
 }
 
@@ -192,6 +242,7 @@
 {
 	struct cell_node *n = &s->cell->node[i];
 
+	s->stop_ms[i] = 0;
 	if (s->fault[i].paused)
 		kill(n->proc->pid, SIGCONT);
 	else if (n->proc != NULL && n->proc->file_max != 0)
@@ -221,7 +272,7 @@
 
 	printf("soak: %s\n", line);
 	cell_proxy_command(s->cell, "%s", line);
-	s->link_until_ms[link] = fault_end_ms(s);
+	s->link_until_ms[link] = fault_end_ms(&s->rng);
 	g_free(line);
 	g_free(name);
 }
@@ -240,7 +291,8 @@
 end_due_faults(struct soak *s, int64_t now)
 {
 	for (int i = 0; i < NODES; i++)
-		if (s->fault[i].until_ms != 0 && s->fault[i].until_ms <= now)
+		if (s->fault[i].until_ms != 0 && s->fault[i].until_ms <= now &&
+		    !s->fault[i].stopping)
 			end_node_fault(s, i);
 	for (int i = 0; i < LINKS; i++)
 		if (s->link_until_ms[i] != 0 && s->link_until_ms[i] <= now)
@@ -264,9 +316,9 @@
 
 /* A random node without a fault, or -1. */
 static int
-healthy_node(struct soak *s)
+healthy_node(struct soak *s, struct rng *rng)
 {
-	int first = (int)rng_below(&s->rng, NODES);
+	int first = (int)rng_below(rng, NODES);
 
 	for (int k = 0; k < NODES; k++) {
 		int i = (first + k) % NODES;
@@ -277,6 +329,57 @@
 	return -1;
 }
 
+/* --- stops --- */
+
+static void
+check_stop(struct soak *s, int i, int status)
+{
+	int64_t took_ms = mono_ms() - s->stop_ms[i];
+
+	s->fault[i].stopping = false;
+	s->longest_stop_ms = MAX(s->longest_stop_ms, took_ms);
+	if (status == 0)
+		return;
+	s->bad_exits++;
+	printf("soak: n%d ends with wait status %d, %" G_GINT64_FORMAT
+	       " ms after SIGTERM\n",
+	    i, status, took_ms);
+}
+
+/* Stops a node, also while others are stopping. */
+static void
+stop_random_node(struct soak *s)
+{
+	int i = healthy_node(s, &s->call_rng);
+
+	s->next_stop_ms = random_ms(&s->call_rng, STOP_GAP_MAX_MS);
+	/* With a lost disk, the others are needed. */
+	if (i < 0 ||
+	    (s->disk_lost && mono_ms() - s->disk_lost_ms < REPLICA_LOSS_GAP_MS))
+		return;
+	printf("soak: stops n%d in turn\n", i);
+	s->fault[i] = (struct fault){ .until_ms = fault_end_ms(&s->call_rng) };
+	stop_node(s, i);
+}
+
+static void
+watch_stops(struct soak *s)
+{
+	for (int i = 0; i < NODES; i++) {
+		struct fault *f = &s->fault[i];
+		int status;
+
+		if (!f->stopping)
+			continue;
+		if (cell_node_ended(s->cell, i, &status))
+			check_stop(s, i, status);
+		else if (f->again_ms != 0 && mono_ms() >= f->again_ms) {
+			kill(s->cell->node[i].proc->pid, SIGTERM);
+			f->again_ms = 0;
+		}
+	}
+}
+
 static bool
 is_deadly(int job)
 {
@@ -351,7 +454,7 @@
 submit_job(struct soak *s)
 {
 	bool (*submit)(struct cell *, int, const char *) = cell_submit;
-	int i = healthy_node(s);
+	int i = healthy_node(s, &s->rng);
 	char path[32];
 
 	if (i < 0 || s->jobs == JOBS_MAX)
@@ -365,6 +468,170 @@
 	s->jobs++;
 }
 
+/* --- callers at each process --- */
+
+/* During a stop some callers press, others leave their connections idle. */
+static int64_t
+next_call_ms(struct caller *k)
+{
+	struct soak *s = k->soak;
+	bool presses = k->presses && s->stop_ms[k->node] != 0;
+
+	return random_ms(
+	    &s->call_rng, presses ? CALL_GAP_SHORT_MS : CALL_GAP_MAX_MS);
+}
+
+static void
+on_call_answer(
+    void *arg, int status, const void *body, size_t len, const char *why)
+{
+	struct caller *k = arg;
+	struct soak *s = k->soak;
+	int64_t after_ms = mono_ms() - k->sent_ms;
+
+	k->next_ms = next_call_ms(k);
+	if (status == 200 && k->job >= 0)
+		s->accepted[k->job] = true;
+	if (s->stop_ms[k->node] == 0)
+		return;
+	s->calls += status != 0;
+	if (status != 0 || after_ms <= LOSS_SLACK_MS || http_not_sent(why) ||
+	    strcmp(why, HTTP_TIMEOUT) == 0 || strcmp(why, HTTP_CANCELLED) == 0)
+		return;
+	s->lost++;
+	printf("soak: n%d cuts off a request after %" G_GINT64_FORMAT
+	       " ms, %" G_GINT64_FORMAT " ms after SIGTERM: %s\n",
+	    k->node, after_ms, mono_ms() - s->stop_ms[k->node], why);
+}
+
+static void
+send_call(struct caller *k, enum evhttp_cmd_type method, const char *path,
+    const char *body)
+{
+	static const char *const headers[] = { "Host", "jobs.example",
+		"Bulrushtide-Credential", JOB_KEY, NULL };
+
+	k->next_ms = 0;
+	k->sent_ms = mono_ms();
+	http_send(k->peer, method, path, headers, body,
+	    body == NULL ? 0 : strlen(body), CALL_TIMEOUT_MS, on_call_answer,
+	    k);
+}
+
+/* -1: there is none yet. */
+static int
+recent_job(struct soak *s)
+{
+	uint64_t among = (uint64_t)s->jobs;
+
+	if (rng_below(&s->call_rng, 4) != 0)
+		among = MIN(among, CALL_RECENT_JOBS);
+	return among == 0 ? -1
+			  : s->jobs - 1 - (int)rng_below(&s->call_rng, among);
+}
+
+/* Asks for a job or how many wait, or submits a job once more. */
+static void
+ask(struct caller *k)
+{
+	struct soak *s = k->soak;
+	int job = recent_job(s);
+	char path[32];
+	char *body;
+
+	k->job = -1;
+	if (job < 0 || rng_below(&s->call_rng, 4) == 0) {
+		send_call(k, EVHTTP_REQ_GET, "/q/", NULL);
+		return;
+	}
+	job_path(job, path);
+	if (is_deadly(job) || rng_below(&s->call_rng, 4) != 0) {
+		send_call(k, EVHTTP_REQ_GET, path, NULL);
+		return;
+	}
+	k->job = job;
+	body = cell_job_body(is_long(job) ? "long" : "w");
+	send_call(k, EVHTTP_REQ_POST, path, body);
+	g_free(body);
+}
+
+static void
+run_callers(struct soak *s)
+{
+	for (int i = 0; i < NODES; i++)
+		for (int n = 0; n < CALLERS; n++) {
+			struct caller *k = &s->caller[i][n];
+
+			if (k->next_ms != 0 && mono_ms() >= k->next_ms)
+				ask(k);
+		}
+}
+
+/* Runs beside all that waits for an answer. */
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct soak *s = arg;
+
+	watch_stops(s);
+	if (mono_ms() >= s->next_stop_ms)
+		stop_random_node(s);
+	run_callers(s);
+}
+
+/* Waits for the processes that are stopping. */
+static void
+finish_stops(struct soak *s)
+{
+	int64_t limit = mono_ms() + STOP_LIMIT_MS;
+
+	s->next_stop_ms = INT64_MAX;
+	for (int i = 0; i < NODES; i++) {
+		while (s->fault[i].stopping && mono_ms() < limit)
+			cell_run_loop(s->cell);
+		if (!s->fault[i].stopping)
+			continue;
+		printf("soak: n%d does not end after SIGTERM\n", i);
+		s->bad_exits++;
+		cell_kill_node(s->cell, i);
+		s->fault[i].stopping = false;
+	}
+}
+
+static void
+open_callers(struct soak *s)
+{
+	static const struct timeval tick = { .tv_usec = TICK_MS * 1000 };
+
+	for (int i = 0; i < NODES; i++)
+		for (int n = 0; n < CALLERS; n++)
+			s->caller[i][n] = (struct caller){ .soak = s,
+				.node = i,
+				.presses = n % 2 == 0,
+				.peer = http_peer_new(s->cell->base,
+				    s->cell->node[i].callers, NULL),
+				.next_ms =
+				    random_ms(&s->call_rng, CALL_GAP_MAX_MS) };
+	s->next_stop_ms = random_ms(&s->call_rng, STOP_GAP_MAX_MS);
+	s->tick = event_new(s->cell->base, -1, EV_PERSIST, on_tick, s);
+	event_add(s->tick, &tick);
+}
+
+/* Waits for the requests in progress: they may submit jobs. */
+static void
+close_callers(struct soak *s)
+{
+	event_free(s->tick);
+	for (int i = 0; i < NODES; i++)
+		for (int n = 0; n < CALLERS; n++) {
+			struct caller *k = &s->caller[i][n];
+
+			while (k->next_ms == 0)
+				cell_run_loop(s->cell);
+			http_peer_free(k->peer);
+		}
+}
+
 /* --- keys --- */
 
 /* Version N adds key-N and revokes key-(N - 2). */
@@ -437,7 +704,7 @@
 static void
 use_keys(struct soak *s)
 {
-	int i = healthy_node(s);
+	int i = healthy_node(s, &s->rng);
 
 	if (i < 0)
 		return;
@@ -466,6 +733,8 @@
 		use_keys(s);
 		cell_run_loop(s->cell);
 	}
+	finish_stops(s);
+	close_callers(s);
 	end_due_faults(s, INT64_MAX);
 	cell_proxy_command(s->cell, "heal *");
 	for (int i = 0; i < WORKERS; i++)
@@ -555,26 +824,30 @@
 	s.cell->rng.state = seed ^ WORKER_SALT;
 	s.key_rng.state = seed ^ KEY_SALT;
 	s.restart_rng.state = seed ^ RESTART_SALT;
+	s.call_rng.state = seed ^ CALL_SALT;
 	for (int i = 0; i < WORKERS; i++)
 		cell_proxy_command(s.cell, "carry w%d", i);
 	s.version = FIRST_VERSION - 1;
 	s.cell->key = JOB_KEY;
 	CELL_AWAIT(s.cell, change_keys(&s, 0));
+	open_callers(&s);
 	inject_faults(&s, mono_ms() + seconds * 1000);
 	for (int i = 0; i < NODES; i++)
 		CELL_AWAIT(s.cell, cell_node_ready(s.cell, i));
 	CELL_AWAIT(s.cell, change_keys(&s, 0));
-	ok = s.key_faults == 0 && check_jobs(&s) && check_done_once(&s) &&
-	    check_config(&s);
+	ok = s.key_faults == 0 && s.lost == 0 && s.bad_exits == 0 &&
+	    check_jobs(&s) && check_done_once(&s) && check_config(&s);
 	for (int i = 0; i < s.jobs; i++)
 		accepted += s.accepted[i];
 	printf("soak: seed %" G_GUINT64_FORMAT ": %s, %d of %d jobs accepted, "
 	       "%u tasks done, %d crashes of workers, %d restarts under their "
 	       "names, %d versions, "
-	       "%d keys refused\n",
+	       "%d keys refused, %d stops, the longest of %" G_GINT64_FORMAT
+	       " ms, %d calls answered during them, %d cut off\n",
 	    seed, ok ? "passed" : "FAILED", accepted, s.jobs,
 	    g_hash_table_size(s.cell->done), s.cell->crashes, s.restarts,
-	    s.version - FIRST_VERSION + 1, s.refused);
+	    s.version - FIRST_VERSION + 1, s.refused, s.stops,
+	    s.longest_stop_ms, s.calls, s.lost);
 	g_free(s.config);
 	if (!ok) {
 		cell_print_logs(s.cell);
