bulrushtided: no signal ends a process while it starts or frees its parts

A SIGTERM that came while the process opened its log, or a second one in the last moments of a stop, ended it with the signal's status instead of 0.

Cause: the handlers were set after the node was made, and removed before it was freed. The signals are held back at both times now; one that comes at the start is handled as soon as the loop runs.

/daemon-stop/signal-at-start and /daemon-stop/signal-at-exit failed (wait status 15) and pass.

--- a/bulrushtided/main.c
+++ b/bulrushtided/main.c
@@ -194,7 +194,10 @@
 	struct node *node;
 	struct event *term;
 	struct event *interrupt;
+	sigset_t before;
 
+	/* Until they are handled. */
+	hold_signals(&before);
 	g_set_prgname("bulrushtided");
 	s = settings_read(setting_table, G_N_ELEMENTS(setting_table), argc,
 	    argv, "Runs one process of a bulrushtide cell.", &err);
@@ -217,7 +220,11 @@
 	interrupt = evsignal_new(node->base, SIGINT, on_signal, node);
 	event_add(term, NULL);
 	event_add(interrupt, NULL);
+	pthread_sigmask(SIG_SETMASK, &before, NULL);
 	node_run(node);
+	/* Without a handler one would end the process while it frees its parts.
+	 */
+	hold_signals(NULL);
 	event_free(term);
 	event_free(interrupt);
 	node_free(node);
