bulrushtided: a stop answers every request that it has read

Callers whose request was still in progress 10 s after SIGTERM, such as one that waits for a job without a leader, or a call that its worker had not answered, had their connection closed without an answer; the process then ended with status 1 under the sanitizers, as it leaked these requests.

Cause: as in the platform's daemon, the loop ended with requests in progress; nothing answered them when the session and the services were freed, and the HTTP server was freed first.

The steps are those of lib/stop. The session and the services refuse what is pending, and later requests at once, while the server still runs: "not-run" if nothing was sent to a leader or worker, else "unknown". Parts are freed in one order, written at node_free(). A stop logs what is pending and what is dropped.

--- a/bulrushtided/main.c
+++ b/bulrushtided/main.c
@@ -8,6 +8,7 @@
 #include "settings.h"
 
 #define REPLICAS_MAX 9 /* in --replicas */
+#define MS_PER_S 1000
 
 static const char *
 check_role(const char *value)
@@ -37,6 +38,14 @@
 	return "a whole number from 0 to 1000";
 }
 
+static const char *
+check_grace(const char *value)
+{
+	if (g_ascii_string_to_unsigned(value, 10, 1, 600, NULL, NULL))
+		return NULL;
+	return "a whole number from 1 to 600";
+}
+
 static const char *
 check_snapshot_entries(const char *value)
 {
@@ -109,6 +118,8 @@
 	    "Log entries between two snapshots (replicas)" },
 	{ "trace-permille", "N", "1000", false, check_permille,
 	    "Requests per 1000 that are traced if they have no traceparent" },
+	{ "grace-s", "N", "10", false, check_grace,
+	    "Longest duration of a graceful stop in seconds" },
 	{ "log-level", "LEVEL", "info", false, check_level,
 	    "debug, info, warning or error" },
 };
@@ -166,6 +177,7 @@
 	    g_ascii_strtoull(settings_get(s, "snapshot-entries"), NULL, 10);
 	conf.trace_permille =
 	    (int)strtol(settings_get(s, "trace-permille"), NULL, 10);
+	conf.grace_ms = strtol(settings_get(s, "grace-s"), NULL, 10) * MS_PER_S;
 	(void)split_replicas(settings_get(s, "replicas"), conf.replicas);
 	return conf;
 }
--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -390,29 +390,52 @@
 	event_base_dispatch(node->base);
 }
 
-/*
- * Reports whether the graceful stop may end: all requests are answered, and no
- * worker is homed here or REHOME_MAX_MS has passed, after which no other entry
- * is expected to become their home.
- */
+/* Whether workers are homed here that may still get another home: after
+ * REHOME_MAX_MS no other entry is expected to take them. */
 static bool
-drained(struct node *node, int64_t since_ms)
+is_home(const struct node *node)
 {
-	guint homed = node->home == NULL ? 0 : home_worker_count(node->home);
-	guint calls =
-	    node->services == NULL ? 0 : services_open_calls(node->services);
+	return node->home != NULL && home_worker_count(node->home) > 0 &&
+	    mono_ms() - node->stop.started_ms < REHOME_MAX_MS;
+}
 
-	if (since_ms < DRAIN_MIN_MS || web_pending(node->web) > 0 || calls > 0)
-		return false;
-	return homed == 0 || since_ms >= REHOME_MAX_MS;
+static void
+stop_listening(struct node *node)
+{
+	web_stop(node->web);
+}
+
+static void
+refuse(struct node *node)
+{
+	web_stop(node->web);
+	session_refuse(node->session);
+	if (node->services != NULL)
+		services_refuse(node->services);
 }
 
-/* Ends the event loop when drained() allows it or after DRAIN_MAX_MS. */
 static void
-on_drain_timer(evutil_socket_t fd, short what, void *arg)
+end(struct node *node)
 {
+	event_base_loopbreak(node->base);
+}
+
+static void
+on_stop_timer(evutil_socket_t fd, short what, void *arg)
+{
+	static const struct {
+		const char *event;
+		void (*run)(struct node *node);
+	} steps[] = {
+		[STOP_LISTENING] = { "stop-listening", stop_listening },
+		[STOP_REFUSE] = { "stop-refuse", refuse },
+		[STOP_END] = { "stop-end", end },
+	};
 	struct node *node = arg;
-	int64_t since_ms = mono_ms() - node->drain_deadline_ms + DRAIN_MAX_MS;
+	int pending = web_pending(node->web);
+	enum stop_step before = node->stop.step;
+	enum stop_step step =
+	    stop_next(&node->stop, pending, is_home(node), mono_ms());
 
 	/* Repeated, as a transfer may fail and another replica that stops too
 	 * may transfer leadership back. */
@@ -420,23 +443,14 @@
 		node->transfer_due_ms = mono_ms() + DRAIN_MIN_MS;
 		(void)replica_transfer_leadership(node->replica);
 	}
-	/* Load balancers have seen the failing /readyz by now. Connections
-	 * accepted before are still served; the next run of this timer checks
-	 * whether all are answered. */
-	if (since_ms >= DRAIN_MIN_MS && !node->web_stopped) {
-		node->web_stopped = true;
-		web_stop(node->web);
+	if (step == before)
 		return;
-	}
-	if (drained(node, since_ms)) {
-		log_info("node", "drained; stopping");
-		event_base_loopbreak(node->base);
-	} else if (since_ms >= DRAIN_MAX_MS) {
-		log_warn("node",
-		    "drain timeout; stopping with %d requests unanswered",
-		    web_pending(node->web));
-		event_base_loopbreak(node->base);
-	}
+	log_info("node",
+	    "event=%s pending=%d calls=%u after_ms=%" G_GINT64_FORMAT,
+	    steps[step].event, pending,
+	    node->services == NULL ? 0 : services_open_calls(node->services),
+	    mono_ms() - node->stop.started_ms);
+	steps[step].run(node);
 }
 
 void
@@ -444,12 +458,12 @@
 {
 	if (node->draining)
 		return;
-	log_info("node", "draining: accepting no new work");
+	log_info("node", "event=stop pending=%d", web_pending(node->web));
 	node->draining = true;
 	web_drain(node->web);
-	node->drain_deadline_ms = mono_ms() + DRAIN_MAX_MS;
+	node->stop = stop_begin(DRAIN_MIN_MS, node->conf.grace_ms, mono_ms());
 	session_send_report(node->session);
-	node->drain_timer = node_timer(node, SCAN_MS / 2, on_drain_timer, node);
+	node->stop_timer = node_timer(node, STOP_CHECK_MS, on_stop_timer, node);
 }
 
 static void
@@ -471,15 +485,20 @@
 	g_array_unref(conf->replicas);
 }
 
+/*
+ * Frees each part before those that its callbacks use: calls to workers use the
+ * session, the session's answers to requests the HTTP server, connections of
+ * peers the leader, and it the replica.
+ */
 void
 node_free(struct node *node)
 {
-	if (node->drain_timer != NULL)
-		event_free(node->drain_timer);
-	web_free(node->web);
+	if (node->stop_timer != NULL)
+		event_free(node->stop_timer);
 	services_free(node->services);
 	home_free(node->home);
 	session_free(node->session);
+	web_free(node->web);
 	peers_free(node->peers);
 	leader_free(node->leader);
 	replica_free(node->replica);
--- a/bulrushtided/node.h
+++ b/bulrushtided/node.h
@@ -13,6 +13,7 @@
 #include "httpd.h"
 #include "logs.h"
 #include "proto.h"
+#include "stop.h"
 #include "trace.h"
 
 /* Intervals and timeouts between the processes of a cell, in milliseconds. */
@@ -23,7 +24,6 @@
 #define LINK_IDLE_MS 3000 /* without a received frame */
 #define DIAL_TIMEOUT_MS 1000
 #define SCAN_MS 250 /* between periodic scans of tables */
-#define DRAIN_MAX_MS 10000 /* upper bound of a graceful stop */
 #define REHOME_MAX_MS 3000 /* wait for workers to get another home */
 /* Lower bound of a graceful stop: load balancers need this long to see that
  * /readyz fails. */
@@ -59,6 +59,7 @@
 	GArray *replicas; /* struct replica_endpoint */
 	uint64_t snapshot_entries; /* applied between two snapshots */
 	int trace_permille; /* share of requests without traceparent to trace */
+	int64_t grace_ms; /* longest duration of a graceful stop */
 };
 
 struct replica;
@@ -110,10 +111,9 @@
 	struct services *services; /* entries only */
 	struct web *web;
 	bool draining;
-	bool web_stopped; /* the HTTP listener accepts no more connections */
-	int64_t drain_deadline_ms;
+	struct stop stop;
 	int64_t transfer_due_ms; /* time of the next leadership transfer */
-	struct event *drain_timer;
+	struct event *stop_timer;
 	bool storage_failed; /* reported by /healthz */
 };
 
@@ -137,8 +137,9 @@
 void node_free(struct node *node);
 
 /*
- * Starts the graceful stop: refuses new work, transfers leadership, waits until
- * the workers have other homes, then ends the event loop.
+ * Starts the graceful stop: transfers leadership, waits until the workers have
+ * other homes and the requests are answered, then ends the event loop. After
+ * most of the grace period it refuses the requests that are left.
  */
 void node_drain(struct node *node);
 
--- a/bulrushtided/services.c
+++ b/bulrushtided/services.c
@@ -60,6 +60,7 @@
 	GHashTable *targets; /* id -> struct target */
 	GHashTable *workers; /* worker -> struct target_worker */
 	GHashTable *open; /* call handle -> struct call */
+	bool refusing; /* see services_refuse() */
 };
 
 static void
@@ -248,6 +249,36 @@
 	    0);
 }
 
+static void
+reply_stopping(struct http_request *req, bool maybe_received)
+{
+	if (maybe_received)
+		http_reply(req, 502,
+		    api_reply(OUT_UNKNOWN, "draining",
+			"this process is stopping; a target may have received "
+			"the call but did not answer"),
+		    0);
+	else
+		http_reply(req, 503,
+		    api_reply(OUT_NOT_RUN, "draining",
+			"this process is stopping; the call was not sent to a "
+			"target"),
+		    1);
+}
+
+/* Ends a call as this process stops. */
+static void
+refuse_call(struct call *c)
+{
+	struct http_request *req = c->req;
+	bool maybe_received = c->maybe_received;
+
+	log_info("services", "event=call-dropped path=%s result=%s", req->path,
+	    maybe_received ? "unclear" : "not-sent");
+	end_call(c, maybe_received ? 502 : 503);
+	reply_stopping(req, maybe_received);
+}
+
 /* Keeps a connection open for the next call if its last try was answered. */
 static void
 release_peer(
@@ -310,6 +341,10 @@
 		outcome = CALLS_END_NOT_SENT;
 	if (outcome == CALLS_END_UNKNOWN)
 		c->maybe_received = true;
+	if (s->refusing) {
+		refuse_call(c);
+		return;
+	}
 	decision = calls_try_ended(s->calls, c->handle, outcome, mono_ms());
 	if (outcome == CALLS_END_ANSWERED) {
 		const char *type = http_peer_header(peer, "Content-Type");
@@ -417,6 +452,10 @@
 	struct call *c;
 	int64_t now = mono_ms();
 
+	if (s->refusing) {
+		reply_stopping(req, false);
+		return;
+	}
 	if (v == NULL) {
 		http_reply(req, 503,
 		    api_reply(OUT_NOT_RUN, "no-target",
@@ -446,6 +485,24 @@
 	arm_timer(s);
 }
 
+void
+services_refuse(struct services *s)
+{
+	GList *open = g_hash_table_get_values(s->open);
+
+	s->refusing = true;
+	for (GList *i = open; i != NULL; i = i->next) {
+		struct call *c = i->data;
+
+		/* A try in flight ends by this, and the call with it. */
+		if (c->peer != NULL)
+			http_peer_free(c->peer);
+		else
+			refuse_call(c);
+	}
+	g_list_free(open);
+}
+
 guint
 services_open_calls(const struct services *s)
 {
@@ -474,15 +531,6 @@
 	arm_timer(s);
 }
 
-static void
-call_free(void *arg)
-{
-	struct call *c = arg;
-
-	/* A try is in flight only at process exit: peer is not freed then. */
-	g_free(c);
-}
-
 struct services *
 services_new(struct node *node)
 {
@@ -496,7 +544,7 @@
 	s->targets = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, target_free);
 	s->workers = g_hash_table_new_full(NULL, NULL, NULL, worker_free);
-	s->open = g_hash_table_new_full(NULL, NULL, NULL, call_free);
+	s->open = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	s->timer = event_new(node->base, -1, 0, on_timer, s);
 	return s;
 }
@@ -506,6 +554,7 @@
 {
 	if (s == NULL)
 		return;
+	services_refuse(s);
 	event_free(s->timer);
 	g_hash_table_unref(s->open);
 	g_hash_table_unref(s->workers);
--- a/bulrushtided/services.h
+++ b/bulrushtided/services.h
@@ -5,7 +5,10 @@
 #include "node.h"
 
 struct services *services_new(struct node *node);
+/* Refuses the calls first. */
 void services_free(struct services *s);
+/* Answers all calls, and later ones at once. */
+void services_refuse(struct services *s);
 
 /* Adds, changes or removes a target. */
 void services_update_target(struct services *s, const struct target_push *push);
--- a/bulrushtided/session.c
+++ b/bulrushtided/session.c
@@ -38,6 +38,7 @@
 	int64_t grant_end_ms;
 	uint64_t next_request;
 	GHashTable *pending; /* request id -> struct pending_request */
+	bool refusing; /* see session_refuse() */
 	struct config_push config;
 	bool has_config;
 	uint64_t connection_divisor;
@@ -378,6 +379,7 @@
 	}
 }
 
+/* Answers the requests whose deadline is over. */
 static void
 time_out_requests(struct session *s, int64_t now)
 {
@@ -397,12 +399,24 @@
 	for (guint i = 0; i < timed_out->len; i++) {
 		struct pending_request *p = timed_out->pdata[i];
 
+		log_info("session",
+		    "event=request-dropped op=%u name=%s sends=%d stopping=%d",
+		    p->request.op,
+		    p->request.name == NULL ? "" : p->request.name, p->sends,
+		    s->refusing);
 		p->answer(p->arg, 0, NULL, 0, 1, p->sends > 0);
 		pending_free(p);
 	}
 	g_ptr_array_unref(timed_out);
 }
 
+void
+session_refuse(struct session *s)
+{
+	s->refusing = true;
+	time_out_requests(s, INT64_MAX);
+}
+
 static void
 push_span(void *arg, const struct span *span)
 {
@@ -464,6 +478,7 @@
 {
 	if (s == NULL)
 		return;
+	session_refuse(s);
 	disconnect(s);
 	event_free(s->timer);
 	g_hash_table_unref(s->pending);
@@ -478,7 +493,7 @@
 {
 	struct pending_request *p;
 
-	if (g_hash_table_size(s->pending) >= REQUESTS_MAX) {
+	if (s->refusing || g_hash_table_size(s->pending) >= REQUESTS_MAX) {
 		answer(arg, 0, NULL, 0, 1, false);
 		return;
 	}
--- a/bulrushtided/session.h
+++ b/bulrushtided/session.h
@@ -45,11 +45,14 @@
 
 struct session *
 session_new(struct node *node, const struct session_ops *ops, void *arg);
+/* Refuses the requests first. */
 void session_free(struct session *s);
+/* Answers all requests as if they had timed out, and later ones at once. */
+void session_refuse(struct session *s);
 
 /*
  * Sends a request to the leader, and again if the leader changes. Calls answer
- * once, unless the session is freed before.
+ * once.
  */
 void session_send_request(struct session *s,
     const struct session_request *request, session_answer *answer, void *arg);
--- a/test/cluster.c
+++ b/test/cluster.c
@@ -422,6 +422,12 @@
 		    name, status, c->dir);
 }
 
+const char *
+cluster_address(struct cluster *c, const char *name)
+{
+	return find_proc(c, name)->address;
+}
+
 /* Writes an event of a caller; takes ownership of the object. */
 static void
 record_event(struct cluster *c, const char *event, json_t *line)
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -42,6 +42,9 @@
 /* Stops one process with SIGTERM; it must exit with status 0. */
 void cluster_stop(struct cluster *c, const char *name);
 
+/* The address of a process's HTTP listener, IP:PORT. */
+const char *cluster_address(struct cluster *c, const char *name);
+
 /* Starts an exited process again with the same arguments. */
 void cluster_restart(struct cluster *c, const char *name);
 
