--- a/bulrushtided/node.c
+++ b/bulrushtided/node.c
@@ -400,37 +400,26 @@
 }
 
 static void
-stop_listening(struct node *node)
+refuse_requests(struct node *node)
 {
-	web_stop(node->web);
-}
-
-static void
-refuse(struct node *node)
-{
-	web_stop(node->web);
 	session_refuse(node->session);
 	if (node->services != NULL)
 		services_refuse(node->services);
 }
 
 static void
-end(struct node *node)
+log_step(const struct node *node, int pending)
 {
-	event_base_loopbreak(node->base);
+	log_info("node",
+	    "event=%s pending=%d calls=%u after_ms=%" G_GINT64_FORMAT,
+	    stop_step_name(node->stop.step), pending,
+	    node->services == NULL ? 0 : services_open_calls(node->services),
+	    mono_ms() - node->stop.started_ms);
 }
 
 static void
 on_stop_timer(evutil_socket_t fd, short what, void *arg)
 {
-	static const struct {
-		const char *event;
-		void (*run)(struct node *node);
-	} steps[] = {
-		[STOP_LISTENING] = { "stop-listening", stop_listening },
-		[STOP_REFUSE] = { "stop-refuse", refuse },
-		[STOP_END] = { "stop-end", end },
-	};
 	struct node *node = arg;
 	int pending = web_pending(node->web);
 	enum stop_step before = node->stop.step;
@@ -445,12 +434,13 @@
 	}
 	if (step == before)
 		return;
-	log_info("node",
-	    "event=%s pending=%d calls=%u after_ms=%" G_GINT64_FORMAT,
-	    steps[step].event, pending,
-	    node->services == NULL ? 0 : services_open_calls(node->services),
-	    mono_ms() - node->stop.started_ms);
-	steps[step].run(node);
+	log_step(node, pending);
+	if (step == STOP_END)
+		event_base_loopbreak(node->base);
+	else
+		web_stop(node->web);
+	if (step == STOP_REFUSE)
+		refuse_requests(node);
 }
 
 void
@@ -458,10 +448,10 @@
 {
 	if (node->draining)
 		return;
-	log_info("node", "event=stop pending=%d", web_pending(node->web));
 	node->draining = true;
-	web_drain(node->web);
 	node->stop = stop_begin(DRAIN_MIN_MS, node->conf.grace_ms, mono_ms());
+	log_step(node, web_pending(node->web));
+	web_drain(node->web);
 	session_send_report(node->session);
 	node->stop_timer = node_timer(node, STOP_CHECK_MS, on_stop_timer, node);
 }
--- a/lib/stop/stop.c
+++ b/lib/stop/stop.c
@@ -1,5 +1,18 @@
 #include "stop.h"
 
+static const char *const names[] = {
+	[STOP_SERVE] = "stop",
+	[STOP_LISTENING] = "stop-listening",
+	[STOP_REFUSE] = "stop-refuse",
+	[STOP_END] = "stop-end",
+};
+
+const char *
+stop_step_name(enum stop_step step)
+{
+	return names[step];
+}
+
 struct stop
 stop_begin(int64_t serve_ms, int64_t grace_ms, int64_t now_ms)
 {
--- a/lib/stop/stop.h
+++ b/lib/stop/stop.h
@@ -25,6 +25,9 @@
 	enum stop_step step;
 };
 
+/* Its name in logs. */
+const char *stop_step_name(enum stop_step step);
+
 /* How often stop_next() is to be called. */
 #define STOP_CHECK_MS 50
 
