--- a/lib/stop/stop.c
+++ b/lib/stop/stop.c
@@ -1,7 +1,7 @@
 #include "stop.h"
 
 static const char *const names[] = {
-	[STOP_SERVE] = "stop",
+	[STOP_SERVE] = "stop-begin",
 	[STOP_LISTENING] = "stop-listening",
 	[STOP_REFUSE] = "stop-refuse",
 	[STOP_END] = "stop-end",
--- a/test/cellnode.cmake
+++ b/test/cellnode.cmake
@@ -12,8 +12,10 @@
 # a reload signal during its start (cellnode_test early-reload).
 # Seed 814 failed once: a task under which three workers had crashed was given
 # up, which the stand-in did not expect. Seed 833 failed once: a lease was carried
-# over to a worker's next incarnation, whose predecessor was forgotten.
-foreach(seed 1 2 3 20 21 814 833)
+# over to a worker's next incarnation, whose predecessor was forgotten. Seeds 2
+# and 4 failed before a stop answered the requests in progress: callers were cut
+# off and the process crashed.
+foreach(seed 1 2 3 4 20 21 814 833)
 	add_test(NAME soak_${seed} COMMAND soak ${seed} 12)
 	set_tests_properties(soak_${seed} PROPERTIES TIMEOUT 300)
 endforeach()
