--- a/bulrushtided/services.c
+++ b/bulrushtided/services.c
@@ -341,6 +341,7 @@
 		outcome = CALLS_END_NOT_SENT;
 	if (outcome == CALLS_END_UNKNOWN)
 		c->maybe_received = true;
+	/* services_refuse() frees the peer. */
 	if (s->refusing) {
 		refuse_call(c);
 		return;
--- a/test/soak.c
+++ b/test/soak.c
@@ -74,7 +74,7 @@
 struct caller {
 	struct soak *soak;
 	int node;
-	bool presses;
+	bool presses; /* during a stop: asks again soon */
 	struct http_peer *peer;
 	int64_t next_ms; /* of the next request; 0: one is in progress */
 	int64_t sent_ms;
@@ -123,7 +123,7 @@
 	struct event *tick;
 	int64_t stop_ms[NODES]; /* time of SIGTERM, until the node is restarted;
 				   0: none */
-	int64_t next_stop_ms;
+	int64_t next_stop_ms; /* beside other faults */
 	int stops;
 	int64_t longest_stop_ms;
 	int calls; /* answered while their process was stopping */
@@ -734,9 +734,9 @@
 		cell_run_loop(s->cell);
 	}
 	finish_stops(s);
-	close_callers(s);
 	end_due_faults(s, INT64_MAX);
 	cell_proxy_command(s->cell, "heal *");
+	close_callers(s);
 	for (int i = 0; i < WORKERS; i++)
 		cell_set_millicpus(s->cell, i, WORKER_MILLICPUS);
 }
